--- /dev/null
+++ b/src/apricotshore/bundles.py
@@ -0,0 +1,312 @@
+"""The bundle: callers, databases, backend servers, kinds and people."""
+
+import hashlib
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+
+from .exceptions import InvalidFileError, Problem
+from .identifiers import (
+    BundleVersion,
+    CallerId,
+    DatabaseId,
+    DataCentreId,
+    KindId,
+    PersonId,
+    ServerId,
+)
+from .ini import (
+    Section,
+    parse_address,
+    parse_count,
+    parse_duration,
+    parse_name,
+    parse_names,
+    parse_switch,
+    read_sections,
+)
+
+DEFAULT_KIND = KindId("default")
+DEFAULT_DEADLINE_MS = 5_000
+DEFAULT_WEIGHT = 4
+DEFAULT_OBJECTIVE = "99.9"
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class BackendServer:
+    """A backend server and its limits."""
+
+    server: ServerId
+    database: DatabaseId
+    address: str
+    data_centre: DataCentreId
+    slots: int
+    connections: int
+    replication_address: str
+    leaving: bool = False
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Database:
+    """A database and the backend servers that serve it."""
+
+    database: DatabaseId
+    servers: tuple[ServerId, ...]
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Contract:
+    """What one caller may use.
+
+    Parameters
+    ----------
+    caller
+        The caller; its name is its user name.
+    databases
+        Databases it may use.
+    password_hash
+        Doubly hashed password in the form ``*40 hex digits``.
+    """
+
+    caller: CallerId
+    databases: tuple[DatabaseId, ...]
+    password_hash: str
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Kind:
+    """A kind of request.
+
+    Parameters
+    ----------
+    kind
+        Its name.
+    staleness_ms
+        Accepted staleness of reads; 0 demands the primary.
+    deadline_ms
+        Deadline when the request names none.
+    weight
+        Share of service beside other kinds.
+    long
+        Whether it is declared as long work.
+    objective
+        Share of requests to be answered in time, in percent.
+    """
+
+    kind: KindId
+    staleness_ms: int = 0
+    deadline_ms: int = DEFAULT_DEADLINE_MS
+    weight: int = DEFAULT_WEIGHT
+    long: bool = False
+    objective: float = float(DEFAULT_OBJECTIVE)
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Person:
+    """Somebody whose key may sign bundles."""
+
+    person: PersonId
+    public_key: str
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Bundle:
+    """A checked bundle.
+
+    Parameters
+    ----------
+    version
+        Its version; versions only go up.
+    databases, servers, callers, kinds, people
+        Contents by id.
+    sections
+        Canonical text of each section by name.
+    """
+
+    version: BundleVersion
+    databases: dict[DatabaseId, Database] = field(default_factory=dict)
+    servers: dict[ServerId, BackendServer] = field(default_factory=dict)
+    callers: dict[CallerId, Contract] = field(default_factory=dict)
+    kinds: dict[KindId, Kind] = field(default_factory=dict)
+    people: dict[PersonId, Person] = field(default_factory=dict)
+    sections: dict[str, str] = field(default_factory=dict)
+
+    def find_kind(self, kind: str) -> Kind:
+        """Return a kind, or the default kind for an unknown name."""
+        found = self.kinds.get(KindId(kind)) or self.kinds.get(DEFAULT_KIND)
+        return found or Kind(kind=DEFAULT_KIND)
+
+
+EMPTY_BUNDLE = Bundle(version=BundleVersion(0))
+
+
+def _parse_percent(text: str) -> float:
+    value = float(text)
+    if not 0 < value < 100:
+        raise ValueError(f"expected a percentage between 0 and 100, got {text!r}")
+    return value
+
+
+def _parse_password_hash(text: str) -> str:
+    digits = text.removeprefix("*")
+    if len(digits) != 40 or not all(c in "0123456789ABCDEFabcdef" for c in digits):
+        raise ValueError("expected '*' and 40 hex digits (see 'bundle hash-password')")
+    return digits.lower()
+
+
+def parse_public_key(text: str) -> str:
+    """Return an Ed25519 public key in hex after checking its form."""
+    if len(text) != 64 or not all(c in "0123456789abcdef" for c in text):
+        raise ValueError("expected 64 hex digits of an Ed25519 public key")
+    return text
+
+
+def _read_server(name: str, section: Section) -> BackendServer:
+    return BackendServer(
+        server=ServerId(name),
+        database=DatabaseId(section.read("database", parse_name)),
+        address=section.read("address", parse_address),
+        data_centre=DataCentreId(section.read("data-centre", parse_name)),
+        slots=section.read("slots", parse_count),
+        connections=section.read("connections", parse_count),
+        replication_address=section.read("replication-address", parse_address),
+        leaving=section.read("leaving", parse_switch, False),
+    )
+
+
+def _read_caller(name: str, section: Section) -> Contract:
+    databases = section.read("databases", parse_names)
+    return Contract(
+        caller=CallerId(name),
+        databases=tuple(DatabaseId(d) for d in databases or ()),
+        password_hash=section.read("password-hash", _parse_password_hash),
+    )
+
+
+def _read_kind(name: str, section: Section) -> Kind:
+    return Kind(
+        kind=KindId(name),
+        staleness_ms=section.read("staleness", parse_duration, 0),
+        deadline_ms=section.read("deadline", parse_duration, DEFAULT_DEADLINE_MS),
+        weight=section.read("weight", parse_count, DEFAULT_WEIGHT),
+        long=section.read("long", parse_switch, False),
+        objective=section.read("objective", _parse_percent, float(DEFAULT_OBJECTIVE)),
+    )
+
+
+def _canonical(section: Section) -> str:
+    return "".join(f"{key} = {section.values[key]}\n" for key in sorted(section.values))
+
+
+def parse_bundle(text: str, source: str) -> Bundle:
+    """Read and check a whole bundle.
+
+    Parameters
+    ----------
+    text
+        INI text.
+    source
+        File name for messages.
+
+    Returns
+    -------
+    Bundle
+        The checked bundle.
+
+    Raises
+    ------
+    InvalidFileError
+        With every fault in the text.
+    """
+    problems: list[Problem] = []
+    sections = read_sections(text, source, problems)
+    head = sections.get("bundle")
+    version = 0
+    if head is None:
+        problems.append(
+            Problem(source=source, section="bundle", key="", expected="missing section")
+        )
+    else:
+        version = head.read("version", parse_count, 1)
+    bundle = Bundle(
+        version=BundleVersion(version),
+        sections={name: _canonical(section) for name, section in sections.items()},
+    )
+    for title, section in sections.items():
+        _read_section(bundle, title, section)
+        section.refuse_unknown()
+    _gather_databases(bundle)
+    _check_references(bundle, sections)
+    if problems:
+        raise InvalidFileError(problems)
+    return bundle
+
+
+def _read_section(bundle: Bundle, title: str, section: Section) -> None:
+    sort, _, name = title.partition(" ")
+    if title == "bundle":
+        return
+    try:
+        parse_name(name)
+    except ValueError as error:
+        section.complain("", f"section name: {error}")
+        return
+    if sort == "backend-server":
+        bundle.servers[ServerId(name)] = _read_server(name, section)
+    elif sort == "caller":
+        bundle.callers[CallerId(name)] = _read_caller(name, section)
+    elif sort == "kind":
+        bundle.kinds[KindId(name)] = _read_kind(name, section)
+    elif sort == "person":
+        key = section.read("public-key", parse_public_key)
+        person = Person(person=PersonId(name), public_key=key)
+        bundle.people[PersonId(name)] = person
+    else:
+        section.complain("", "unknown section")
+
+
+def _gather_databases(bundle: Bundle) -> None:
+    members: dict[DatabaseId, list[ServerId]] = {}
+    for server in bundle.servers.values():
+        members.setdefault(server.database, []).append(server.server)
+    for database, servers in members.items():
+        bundle.databases[database] = Database(
+            database=database, servers=tuple(sorted(servers))
+        )
+
+
+def _check_references(bundle: Bundle, sections: dict[str, Section]) -> None:
+    for contract in bundle.callers.values():
+        for database in contract.databases:
+            if database not in bundle.databases:
+                sections[f"caller {contract.caller}"].complain(
+                    "databases", f"no backend server serves {database!r}"
+                )
+    if len(bundle.people) < 2 and "bundle" in sections:
+        sections["bundle"].complain("", "expected two [person NAME] sections or more")
+
+
+def digest_text(text: str) -> str:
+    """Return the digest that names a piece of a bundle."""
+    return hashlib.sha256(text.encode()).hexdigest()[:40]
+
+
+def list_withdrawn(old: Bundle, new: Bundle) -> dict[CallerId, tuple[DatabaseId, ...]]:
+    """Return, for each caller that loses access, the databases it loses."""
+    lost: dict[CallerId, tuple[DatabaseId, ...]] = {}
+    for caller, contract in old.callers.items():
+        kept = new.callers[caller].databases if caller in new.callers else ()
+        gone = tuple(d for d in contract.databases if d not in kept)
+        if gone:
+            lost[caller] = gone
+    return lost
+
+
+def describe_changes(old: Bundle, new: Bundle) -> Iterable[str]:
+    """Yield one line for each section that differs."""
+    for name in sorted(old.sections.keys() | new.sections.keys()):
+        if name not in new.sections:
+            yield f"- [{name}]"
+        elif name not in old.sections:
+            yield f"+ [{name}]"
+        elif old.sections[name] != new.sections[name]:
+            yield f"~ [{name}]"
--- /dev/null
+++ b/src/apricotshore/cli.py
@@ -0,0 +1,333 @@
+"""Command line of apricotshore."""
+
+import asyncio
+import json
+import signal
+import sys
+from collections.abc import Awaitable, Callable
+from dataclasses import fields
+from pathlib import Path
+from typing import Annotated, TypeVar
+
+import capnp
+from cryptography.hazmat.primitives import serialization
+from cryptography.hazmat.primitives.asymmetric.ed25519 import Ed25519PrivateKey
+from cyclopts import App, Parameter
+
+from . import __version__
+from .bundles import describe_changes, parse_bundle
+from .decisions.admission import Policy
+from .events import Event
+from .exceptions import ApricotshoreError, InvalidFileError, Problem
+from .identifiers import CallerId, PersonId
+from .logs import make_handler
+from .services import operations
+from .services.application import Application
+from .services.peers import (
+    PeerLinks,
+    PeerLostError,
+    PeerUnreachableError,
+    make_peer_contexts,
+)
+from .services.platform import ObjectKind, PlatformClient, Purpose
+from .settings import Settings, load_settings
+
+T = TypeVar("T")
+
+app = App(name="apricotshore", version=__version__, help="Database proxy.")
+settings_app = App(name="settings", help="Check and show a host's settings.")
+bundle_app = App(name="bundle", help="Check, sign off and prove bundles.")
+key_app = App(name="key", help="Make signing keys.")
+app.command(settings_app)
+app.command(bundle_app)
+app.command(key_app)
+
+PlatformOption = Annotated[
+    str, Parameter(name="--platform", help="ip:port of the object API.")
+]
+
+
+def _read_text(path: Path) -> str:
+    try:
+        return path.read_text()
+    except OSError as error:
+        detail = f"cannot be read: {error.strerror}"
+        raise InvalidFileError(
+            [Problem(source=str(path), section="-", key="", expected=detail)]
+        ) from None
+
+
+def _load_key(path: Path) -> Ed25519PrivateKey:
+    try:
+        return Ed25519PrivateKey.from_private_bytes(bytes.fromhex(_read_text(path)))
+    except ValueError:
+        raise ApricotshoreError(f"{path}: expected a key from 'key new'") from None
+
+
+def _run_with_platform(
+    address: str, work: Callable[[PlatformClient], Awaitable[T]]
+) -> T:
+    async def run() -> T:
+        platform = PlatformClient(address=address)
+        try:
+            return await work(platform)
+        finally:
+            await platform.close()
+
+    return asyncio.run(run())
+
+
+# -- host --
+
+
+async def _serve(settings: Settings, policy: Policy) -> int:
+    application = Application(settings=settings, policy=policy)
+    loop = asyncio.get_running_loop()
+    first, second = asyncio.Event(), asyncio.Event()
+
+    def take_signal() -> None:
+        (second if first.is_set() else first).set()
+
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, take_signal)
+    await application.start()
+    await first.wait()
+    drain = asyncio.create_task(application.drain())
+    hurry = asyncio.create_task(second.wait())
+    await asyncio.wait({drain, hurry}, return_when=asyncio.FIRST_COMPLETED)
+    hurry.cancel()
+    if not drain.done():
+        drain.cancel()
+        print("drain cut short by a second signal", file=sys.stderr)
+    await application.stop()
+    return 0
+
+
+@app.command
+def run(settings_file: Path, *, policy: Policy = Policy.FAIR) -> None:
+    """Run a host until SIGTERM; it drains before it exits.
+
+    Parameters
+    ----------
+    settings_file
+        INI file with the host's settings.
+    policy
+        Order of service; first-come is a baseline for measurements.
+    """
+    settings = load_settings(settings_file)
+    with make_handler(settings.log_format).applicationbound():
+        asyncio.run(capnp.run(_serve(settings, policy)))
+
+
+@settings_app.command
+def check(settings_file: Path) -> None:
+    """Check a settings file; every fault is listed."""
+    load_settings(settings_file)
+    print(f"{settings_file}: no faults")
+
+
+@settings_app.command
+def show(settings_file: Path) -> None:
+    """Show settings with their defaults; durations are in milliseconds."""
+    settings = load_settings(settings_file)
+    for field in fields(settings):
+        value = getattr(settings, field.name)
+        secret = field.name == "backend_password" and value
+        print(f"{field.name} = {'(set)' if secret else value}")
+
+
+@key_app.command
+def new(key_file: Path) -> None:
+    """Make a signing key and print its public part."""
+    key = Ed25519PrivateKey.generate()
+    raw = key.private_bytes(
+        serialization.Encoding.Raw,
+        serialization.PrivateFormat.Raw,
+        serialization.NoEncryption(),
+    )
+    key_file.touch(mode=0o600, exist_ok=False)
+    key_file.write_text(raw.hex())
+    public = key.public_key().public_bytes(
+        serialization.Encoding.Raw, serialization.PublicFormat.Raw
+    )
+    print(public.hex())
+
+
+# -- bundles --
+
+
+@bundle_app.command(name="hash-password")
+def hash_password() -> None:
+    """Read a password from standard input and print its hash for a bundle."""
+    print(operations.hash_password(sys.stdin.readline().rstrip("\n")))
+
+
+@bundle_app.command(name="check")
+def check_bundle(bundle_file: Path) -> None:
+    """Check a bundle file; every fault is listed."""
+    bundle = parse_bundle(_read_text(bundle_file), str(bundle_file))
+    print(f"{bundle_file}: version {bundle.version}, no faults")
+
+
+@bundle_app.command
+def diff(bundle_file: Path, *, platform: PlatformOption) -> None:
+    """List the sections that differ from the bundle in force."""
+    bundle = parse_bundle(_read_text(bundle_file), str(bundle_file))
+    current = _run_with_platform(platform, operations.read_in_force)
+    for line in describe_changes(current.bundle, bundle):
+        print(line)
+
+
+@bundle_app.command
+def propose(
+    bundle_file: Path, *, author: str, key: Path, platform: PlatformOption
+) -> None:
+    """Sign a bundle as its author and store it for approval.
+
+    Parameters
+    ----------
+    bundle_file
+        The bundle.
+    author
+        Person who signs.
+    key
+        File with the author's key.
+    platform
+        ip:port of the object API.
+    """
+    bundle = parse_bundle(_read_text(bundle_file), str(bundle_file))
+    secret = _load_key(key)
+
+    async def work(client: PlatformClient) -> str:
+        return await operations.propose_bundle(client, bundle, PersonId(author), secret)
+
+    print(_run_with_platform(platform, work))
+
+
+@bundle_app.command
+def approve(
+    proposal: str, *, approver: str, key: Path, platform: PlatformOption
+) -> None:
+    """Approve a proposal and put it in force.
+
+    Parameters
+    ----------
+    proposal
+        Name that 'bundle propose' printed.
+    approver
+        Person who approves; not the author.
+    key
+        File with the approver's key.
+    platform
+        ip:port of the object API.
+    """
+    secret = _load_key(key)
+
+    async def work(client: PlatformClient) -> int:
+        root = await operations.approve_bundle(
+            client, proposal, PersonId(approver), secret
+        )
+        return root.version
+
+    print(f"version {_run_with_platform(platform, work)} accepted")
+
+
+@bundle_app.command
+def status(
+    *, platform: PlatformOption, as_json: Annotated[bool, Parameter("--json")] = False
+) -> None:
+    """Show the bundle in force and who signed it."""
+    current = _run_with_platform(platform, operations.read_in_force)
+    root = current.root
+    author = root.author.person if root and root.author else ""
+    approver = root.approver.person if root and root.approver else ""
+    if as_json:
+        record = {"version": current.bundle.version}
+        print(json.dumps({**record, "author": author, "approver": approver}))
+    else:
+        print(f"version {current.bundle.version} by {author}, approved by {approver}")
+
+
+@bundle_app.command
+def history(*, platform: PlatformOption) -> None:
+    """List the accepted bundles, oldest first."""
+    for root in _run_with_platform(platform, operations.list_history):
+        author = root.author.person if root.author else "?"
+        approver = root.approver.person if root.approver else "?"
+        lost = ", ".join(w.caller for w in root.withdrawn) or "nobody"
+        print(f"{root.version}: {author}, approved by {approver}, withdrew {lost}")
+
+
+@bundle_app.command
+def prove(caller: str, *, platform: PlatformOption) -> None:
+    """Prove that a withdrawn caller is cut off; exit code 1 when not proved."""
+
+    async def work(client: PlatformClient) -> None:
+        proof = await operations.prove_withdrawal(client, CallerId(caller))
+        for line in await operations.describe_proof(client, proof):
+            print(line)
+        operations.require_proof(proof)
+
+    _run_with_platform(platform, work)
+
+
+# -- explanations --
+
+
+async def _gather_events(
+    settings: Settings, addresses: list[str], topic: str, subject: str
+) -> tuple[list[Event], list[str]]:
+    _, context = make_peer_contexts(settings.peer_tls)
+    links = PeerLinks(context=context)
+    events: list[Event] = []
+    silent: list[str] = []
+    for address in addresses:
+        try:
+            events.extend(await links.list_events(address, topic, subject))
+        except (PeerUnreachableError, PeerLostError):
+            silent.append(address)
+    links.close()
+    return sorted(events, key=lambda event: event.at_ms), silent
+
+
+@app.command
+def explain(settings_file: Path, topic: str = "", subject: str = "") -> None:
+    """Show what the fleet saw, decided and did, in order.
+
+    Parameters
+    ----------
+    settings_file
+        Settings of any host; they name the platform and the peers' keys.
+    topic
+        failover, ownership, rollout, shed, withdrawal, membership or drain.
+    subject
+        Database, caller or host.
+    """
+    settings = load_settings(settings_file)
+
+    async def work() -> None:
+        platform = PlatformClient(address=settings.platform_address)
+        try:
+            items = await platform.list(ObjectKind.HOST, Purpose.REPORT)
+            addresses = [str(json.loads(i.value)["address"]) for i in items]
+        except ApricotshoreError:
+            addresses = [settings.peer_address, *settings.seeds]
+        finally:
+            await platform.close()
+        events, silent = await _gather_events(settings, addresses, topic, subject)
+        for event in events:
+            place = f"{event.at_ms} {event.host} {event.topic.value} {event.subject}"
+            print(f"{place} {event.step}: {event.detail}")
+        for address in silent:
+            print(f"no answer from {address}", file=sys.stderr)
+
+    asyncio.run(capnp.run(work()))
+
+
+def main() -> None:
+    """Run the command line; errors go to standard error."""
+    try:
+        app()
+    except ApricotshoreError as error:
+        error.show()
+        sys.exit(error.exit_code)
--- /dev/null
+++ b/src/apricotshore/decisions/failover.py
@@ -0,0 +1,337 @@
+"""Change of primary: suspect, fence a majority, choose, promote, follow.
+
+Safety rests on the group's terms alone: a term is granted to one driver by
+each server, a fenced server takes no log of a lower term, and the candidate is
+the highest log among a fenced majority. Any number of drivers may race.
+"""
+
+from dataclasses import dataclass, field
+from enum import Enum
+
+from ..groups import Mark, Role
+from ..identifiers import ServerId, Term
+from .routing import GroupView, is_leaving
+
+DETECT_MS = 900
+WITNESSES_NEEDED = 2
+FENCE_GRACE_MS = 150
+STEP_TIMEOUT_MS = 1_000
+FIRST_BACKOFF_MS = 300
+LONGEST_BACKOFF_MS = 3_000
+SETTLE_MS = 2_000
+REPAIR_PERIOD_MS = 500
+
+
+class Phase(Enum):
+    """Where a change of primary stands."""
+
+    WATCHING = "watching"
+    FENCING = "fencing"
+    PROMOTING = "promoting"
+
+
+class Cause(Enum):
+    """Why a primary is replaced."""
+
+    LOST = "lost-by-majority"
+    SILENT = "silent-to-witnesses"
+    LEAVING = "leaving"
+    ABSENT = "no-primary"
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Fence:
+    """Action: ask a server to adopt a term."""
+
+    server: ServerId
+    term: Term
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Promote:
+    """Action: ask a fenced server to become primary."""
+
+    server: ServerId
+    term: Term
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Follow:
+    """Action: tell a server which primary to follow."""
+
+    server: ServerId
+    primary: ServerId
+    term: Term
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class AskWitnesses:
+    """Action: ask other hosts whether the primary answers them."""
+
+    server: ServerId
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Explain:
+    """Action: record a step for operators."""
+
+    step: str
+    detail: str
+
+
+Act = Fence | Promote | Follow | AskWitnesses | Explain
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class FenceAnswer:
+    """Message: a server's answer to a fence."""
+
+    server: ServerId
+    granted: bool
+    term: Term
+    end: Mark
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class PromoteAnswer:
+    """Message: a server's answer to a promotion."""
+
+    server: ServerId
+    term: Term
+    done: bool
+
+
+@dataclass(kw_only=True, slots=True)
+class Failover:
+    """State of the driver of one group.
+
+    Parameters
+    ----------
+    phase
+        Current phase.
+    term
+        Term being fenced or promoted.
+    granted
+        Log ends of the servers that granted the term.
+    candidate
+        Server being promoted.
+    began_at, majority_at
+        When the phase began and when a majority had granted.
+    quiet_until
+        No attempt begins before this time.
+    backoff_ms
+        Next pause after a failed attempt.
+    silent_hosts
+        Hosts that failed to reach the primary, when last asked.
+    asked_at
+        When the witnesses were last asked.
+    repaired_at
+        When servers were last told whom to follow.
+    """
+
+    phase: Phase = Phase.WATCHING
+    term: Term = Term(0)
+    highest_term: Term = Term(0)
+    granted: dict[ServerId, Mark] = field(default_factory=dict)
+    candidate: ServerId | None = None
+    began_at: int = 0
+    majority_at: int | None = None
+    quiet_until: int = 0
+    backoff_ms: int = FIRST_BACKOFF_MS
+    silent_hosts: int = 0
+    asked_at: int = -DETECT_MS
+    repaired_at: int = -REPAIR_PERIOD_MS
+
+
+def count_lost_contact(view: GroupView, now: int) -> int:
+    """Count reachable servers that have not heard their primary for DETECT_MS."""
+    lost = 0
+    for server, seen in view.sightings.items():
+        if server == view.primary or not seen.reachable:
+            continue
+        fresh = now - seen.asked_at < DETECT_MS
+        if fresh and seen.status.contact_ms >= DETECT_MS:
+            lost += 1
+    return lost
+
+
+def _is_silent(view: GroupView, now: int) -> bool:
+    if view.primary is None:
+        return False
+    seen = view.sightings.get(view.primary)
+    return seen is None or now - seen.asked_at >= DETECT_MS
+
+
+def _has_fit_successor(view: GroupView) -> bool:
+    return any(
+        seen.reachable
+        and seen.status.role is Role.REPLICA
+        and seen.status.term == view.term
+        and not is_leaving(view, server)
+        for server, seen in view.sightings.items()
+    )
+
+
+def find_cause(state: Failover, view: GroupView, now: int) -> Cause | None:
+    """Return why the primary should be replaced, or None."""
+    if count_lost_contact(view, now) >= view.majority:
+        return Cause.ABSENT if view.primary is None else Cause.LOST
+    if view.primary is None:
+        return None
+    if _is_silent(view, now) and state.silent_hosts >= WITNESSES_NEEDED:
+        return Cause.SILENT
+    if is_leaving(view, view.primary) and _has_fit_successor(view):
+        return Cause.LEAVING
+    return None
+
+
+def _begin(state: Failover, view: GroupView, cause: Cause, now: int) -> list[Act]:
+    known = [seen.status.term for seen in view.sightings.values()]
+    state.term = Term(max([view.term, state.highest_term, *known]) + 1)
+    state.highest_term = state.term
+    state.phase = Phase.FENCING
+    state.granted = {}
+    state.candidate = None
+    state.majority_at = None
+    state.began_at = now
+    text = f"term {state.term}, cause {cause.value}, old primary {view.primary}"
+    acts: list[Act] = [Explain(step="fence", detail=text)]
+    acts.extend(Fence(server=server, term=state.term) for server in view.members)
+    return acts
+
+
+def _abandon(state: Failover, why: str, now: int) -> list[Act]:
+    state.phase = Phase.WATCHING
+    state.quiet_until = now + state.backoff_ms
+    state.backoff_ms = min(state.backoff_ms * 2, LONGEST_BACKOFF_MS)
+    return [Explain(step="abandon", detail=f"term {state.term}: {why}")]
+
+
+def choose_candidate(state: Failover, view: GroupView) -> ServerId:
+    """Return the granted server with the highest log, not leaving if equal."""
+
+    def rank(server: ServerId) -> tuple[int, int, bool, str]:
+        end = state.granted[server]
+        return (end.term, end.position, not is_leaving(view, server), server)
+
+    return max(state.granted, key=rank)
+
+
+def _promote(state: Failover, view: GroupView, now: int) -> list[Act]:
+    state.candidate = choose_candidate(state, view)
+    state.phase = Phase.PROMOTING
+    state.began_at = now
+    end = state.granted[state.candidate]
+    detail = f"{state.candidate} at ({end.term}, {end.position}) for term {state.term}"
+    return [
+        Explain(step="promote", detail=detail),
+        Promote(server=state.candidate, term=state.term),
+    ]
+
+
+def _repair_followers(state: Failover, view: GroupView, now: int) -> list[Act]:
+    if view.primary is None or now - state.repaired_at < REPAIR_PERIOD_MS:
+        return []
+    state.repaired_at = now
+    acts: list[Act] = []
+    for server, seen in view.sightings.items():
+        astray = seen.status.role is not Role.REPLICA or seen.status.term < view.term
+        lonely = seen.status.contact_ms >= DETECT_MS
+        if server != view.primary and seen.reachable and (astray or lonely):
+            acts.append(Follow(server=server, primary=view.primary, term=view.term))
+    return acts
+
+
+def _watch(state: Failover, view: GroupView, now: int) -> list[Act]:
+    acts: list[Act] = []
+    if _is_silent(view, now) and view.primary is not None:
+        if now - state.asked_at >= DETECT_MS // 2:
+            state.asked_at = now
+            acts.append(AskWitnesses(server=view.primary))
+    else:
+        state.silent_hosts = 0
+    cause = find_cause(state, view, now)
+    if cause is not None and now >= state.quiet_until:
+        return acts + _begin(state, view, cause, now)
+    return acts + _repair_followers(state, view, now)
+
+
+def tick(state: Failover, view: GroupView, now: int) -> list[Act]:
+    """Advance the driver by time.
+
+    Parameters
+    ----------
+    state
+        The driver; changed in place.
+    view
+        The group as known.
+    now
+        Monotonic milliseconds.
+
+    Returns
+    -------
+    list of Act
+        What the services must do next.
+    """
+    if state.phase is Phase.WATCHING:
+        return _watch(state, view, now)
+    if state.phase is Phase.FENCING:
+        if state.majority_at is not None:
+            complete = len(state.granted) == len(view.members)
+            if complete or now - state.majority_at >= FENCE_GRACE_MS:
+                return _promote(state, view, now)
+        if now - state.began_at >= STEP_TIMEOUT_MS:
+            return _abandon(state, "no majority granted the term", now)
+        return []
+    if view.primary == state.candidate and view.term == state.term:
+        return _finish(state, view, now)
+    if now - state.began_at >= STEP_TIMEOUT_MS:
+        return _abandon(state, "the candidate did not answer", now)
+    return []
+
+
+def take_fence_answer(
+    state: Failover, view: GroupView, answer: FenceAnswer, now: int
+) -> list[Act]:
+    """Take in a server's answer to a fence."""
+    state.highest_term = max(state.highest_term, answer.term)
+    if state.phase is not Phase.FENCING or answer.term != state.term:
+        if state.phase is Phase.FENCING and answer.term > state.term:
+            return _abandon(state, f"{answer.server} is at term {answer.term}", now)
+        return []
+    if not answer.granted:
+        return _abandon(state, f"{answer.server} granted it to another driver", now)
+    state.granted[answer.server] = answer.end
+    if len(state.granted) >= view.majority and state.majority_at is None:
+        state.majority_at = now
+    return tick(state, view, now)
+
+
+def take_promote_answer(
+    state: Failover, view: GroupView, answer: PromoteAnswer, now: int
+) -> list[Act]:
+    """Take in the candidate's answer to its promotion."""
+    if state.phase is not Phase.PROMOTING or answer.term != state.term:
+        return []
+    if not answer.done:
+        return _abandon(state, f"{answer.server} refused the promotion", now)
+    view.term = answer.term
+    view.primary = answer.server
+    return _finish(state, view, now)
+
+
+def _finish(state: Failover, view: GroupView, now: int) -> list[Act]:
+    state.phase = Phase.WATCHING
+    state.quiet_until = now + SETTLE_MS
+    state.backoff_ms = FIRST_BACKOFF_MS
+    state.silent_hosts = 0
+    acts: list[Act] = [
+        Explain(step="promoted", detail=f"{view.primary} at term {view.term}")
+    ]
+    if view.primary is not None:
+        acts.extend(
+            Follow(server=server, primary=view.primary, term=view.term)
+            for server in view.members
+            if server != view.primary
+        )
+    return acts
--- /dev/null
+++ b/src/apricotshore/decisions/membership.py
@@ -0,0 +1,260 @@
+"""Membership: who is alive, by probes of a few peers and piggybacked updates.
+
+The scheme is SWIM's: each host probes a few members a period, spreads what it
+learns with its probes, and a suspected host may refute. The cost per host does
+not depend on the size of the fleet.
+"""
+
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass, field, replace
+from enum import Enum
+
+from ..identifiers import BundleVersion, DataCentreId, HostId
+
+PROBE_PERIOD_MS = 500
+PROBE_FANOUT = 3
+PROBE_TIMEOUT_MS = 400
+SUSPECT_MS = 1_500
+FORGET_MS = 600_000
+UPDATES_PER_MESSAGE = 8
+SPREAD_COUNT = 12
+
+
+class Life(Enum):
+    """What is believed of a host."""
+
+    ALIVE = "alive"
+    SUSPECT = "suspect"
+    DRAINING = "draining"
+    DEAD = "dead"
+
+
+_STRENGTH = {Life.ALIVE: 0, Life.SUSPECT: 1, Life.DRAINING: 2, Life.DEAD: 3}
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Member:
+    """One host as known to the fleet.
+
+    Parameters
+    ----------
+    host
+        The host.
+    address
+        Its peer address, ``ip:port``.
+    data_centre
+        Where it is.
+    incarnation
+        Raised by the host itself to refute what others believe.
+    life
+        What is believed of it.
+    bundle
+        Bundle version that it has in force, as last heard.
+    """
+
+    host: HostId
+    address: str
+    data_centre: DataCentreId
+    incarnation: int
+    life: Life
+    bundle: BundleVersion = BundleVersion(0)
+
+
+@dataclass(kw_only=True, slots=True)
+class Membership:
+    """What one host knows of the fleet.
+
+    Parameters
+    ----------
+    me
+        This host's own record.
+    members
+        All known hosts, this one included.
+    changed_at
+        When each record last changed, in milliseconds.
+    to_spread
+        How often each record is still to be piggybacked.
+    cursor
+        Place in the probing order.
+    version
+        Raised whenever the set of live hosts changes.
+    """
+
+    me: Member
+    members: dict[HostId, Member] = field(default_factory=dict)
+    changed_at: dict[HostId, int] = field(default_factory=dict)
+    to_spread: dict[HostId, int] = field(default_factory=dict)
+    order: list[HostId] = field(default_factory=list)
+    cursor: int = 0
+    version: int = 0
+
+
+def start_membership(me: Member) -> Membership:
+    """Return the membership of a host that knows only itself."""
+    return Membership(me=me, members={me.host: me})
+
+
+def _overrides(new: Member, old: Member) -> bool:
+    if new.incarnation != old.incarnation:
+        return new.incarnation > old.incarnation
+    if _STRENGTH[new.life] != _STRENGTH[old.life]:
+        return _STRENGTH[new.life] > _STRENGTH[old.life]
+    return new.bundle > old.bundle
+
+
+def _store(state: Membership, member: Member, now: int) -> None:
+    old = state.members.get(member.host)
+    if old is None or old.life is not member.life or old.address != member.address:
+        state.version += 1
+    state.members[member.host] = member
+    state.changed_at[member.host] = now
+    state.to_spread[member.host] = SPREAD_COUNT
+
+
+def set_own(state: Membership, member: Member, now: int) -> None:
+    """Replace this host's own record and spread it."""
+    state.me = member
+    _store(state, member, now)
+
+
+def take_update(state: Membership, update: Member, now: int) -> None:
+    """Take in one record from a peer or from the platform's list."""
+    if update.host == state.me.host:
+        _refute(state, update, now)
+        return
+    old = state.members.get(update.host)
+    if old is None or _overrides(update, old):
+        _store(state, update, now)
+
+
+def _refute(state: Membership, update: Member, now: int) -> None:
+    stale = update.incarnation >= state.me.incarnation
+    if stale and update.life is not state.me.life:
+        raised = replace(state.me, incarnation=update.incarnation + 1)
+        set_own(state, raised, now)
+
+
+def take_answer(state: Membership, host: HostId, now: int) -> None:
+    """Record that a host answered a probe."""
+    member = state.members.get(host)
+    if member is not None and member.life in (Life.SUSPECT, Life.DEAD):
+        # The next update from the host itself carries a higher incarnation;
+        # until then its answer is believed here and not spread.
+        state.members[host] = replace(member, life=Life.ALIVE)
+        state.changed_at[host] = now
+        state.version += 1
+
+
+def take_silence(state: Membership, host: HostId, now: int) -> None:
+    """Record that a host did not answer a probe."""
+    member = state.members.get(host)
+    if member is not None and member.life in (Life.ALIVE, Life.DRAINING):
+        _store(state, replace(member, life=Life.SUSPECT), now)
+
+
+def expire(state: Membership, now: int) -> list[HostId]:
+    """Turn old suspicions into deaths; forget the long dead.
+
+    Returns
+    -------
+    list of HostId
+        Hosts that are now believed dead.
+    """
+    died: list[HostId] = []
+    for host, member in list(state.members.items()):
+        age = now - state.changed_at.get(host, now)
+        if member.life is Life.SUSPECT and age >= SUSPECT_MS:
+            _store(state, replace(member, life=Life.DEAD), now)
+            died.append(host)
+        elif member.life is Life.DEAD and age >= FORGET_MS:
+            del state.members[host]
+            state.changed_at.pop(host, None)
+            state.to_spread.pop(host, None)
+    return died
+
+
+def choose_targets(
+    state: Membership, shuffle: Callable[[list[HostId]], None]
+) -> list[Member]:
+    """Return the next members to probe.
+
+    Parameters
+    ----------
+    state
+        The membership; its cursor moves on.
+    shuffle
+        Shuffles a list in place; supplied by the service.
+
+    Returns
+    -------
+    list of Member
+        Each member is probed once before any is probed twice. The dead are
+        probed as well, so that a healed cut is noticed.
+    """
+    targets: list[Member] = []
+    for _ in range(len(state.members) + 1):
+        if len(targets) >= PROBE_FANOUT:
+            break
+        if state.cursor >= len(state.order):
+            state.order = [h for h in state.members if h != state.me.host]
+            shuffle(state.order)
+            state.cursor = 0
+            if not state.order:
+                break
+        host = state.order[state.cursor]
+        state.cursor += 1
+        member = state.members.get(host)
+        if member is not None and member not in targets:
+            targets.append(member)
+    return targets
+
+
+def take_spread(state: Membership) -> list[Member]:
+    """Return the records to piggyback on the next message, own record first."""
+    waiting = sorted(state.to_spread, key=lambda h: state.to_spread[h], reverse=True)
+    chosen = [h for h in waiting if h != state.me.host][:UPDATES_PER_MESSAGE]
+    for host in [*chosen, state.me.host]:
+        left = state.to_spread.get(host, 0) - 1
+        if left > 0:
+            state.to_spread[host] = left
+        else:
+            state.to_spread.pop(host, None)
+    known = [state.members[h] for h in chosen if h in state.members]
+    return [state.me, *known]
+
+
+def list_live(state: Membership) -> list[HostId]:
+    """List the hosts that may own databases: alive or merely suspected."""
+    return [
+        host
+        for host, member in state.members.items()
+        if member.life in (Life.ALIVE, Life.SUSPECT)
+    ]
+
+
+def is_alive(state: Membership, host: HostId) -> bool:
+    """Return whether a host is believed alive."""
+    member = state.members.get(host)
+    return member is not None and member.life in (Life.ALIVE, Life.SUSPECT)
+
+
+def choose_watchers(
+    state: Membership, rank: Callable[[HostId], int], most: int
+) -> frozenset[HostId]:
+    """Return which hosts of this data centre watch the platform for all.
+
+    Parameters
+    ----------
+    state
+        The membership.
+    rank
+        Weight of a host; the heaviest watch.
+    most
+        Number of watchers in a data centre.
+    """
+    local: Iterable[HostId] = (
+        host
+        for host in list_live(state)
+        if state.members[host].data_centre == state.me.data_centre
+    )
+    return frozenset(sorted(local, key=rank, reverse=True)[:most])
--- /dev/null
+++ b/src/apricotshore/decisions/ownership.py
@@ -0,0 +1,132 @@
+"""Ownership: which host owns a database, by rendezvous hashing and claims.
+
+Ownership is for efficiency. Nothing unsafe happens when two hosts believe that
+they own a database: the claim kept in the database decides.
+
+Hosts and databases hash to cells, so that ranking costs the square root of
+the fleet's size and a host watches only the databases of its own cell.
+"""
+
+import hashlib
+from collections import defaultdict
+from collections.abc import Iterable
+from dataclasses import dataclass
+from enum import Enum
+from functools import lru_cache
+
+from ..groups import Claim
+from ..identifiers import DatabaseId, HostId
+
+CELLS = 64
+CACHED_WEIGHTS = 1 << 16
+
+
+class Duty(Enum):
+    """What a host should do about a database now."""
+
+    SERVE = "serve"
+    CLAIM = "claim"
+    DEFER = "defer"
+    RELEASE = "release"
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class OwnershipFacts:
+    """What a host knows when it decides on a database.
+
+    Parameters
+    ----------
+    me
+        This host.
+    first
+        Whether this host ranks first among the live hosts.
+    claim
+        Claim read from the database, None while unread.
+    holding
+        Whether this host serves under the claim that it read.
+    draining
+        Whether this host is shutting down.
+    claimant_alive
+        Whether the claiming host answers and can reach the database.
+    """
+
+    me: HostId
+    first: bool
+    claim: Claim | None
+    holding: bool
+    draining: bool
+    claimant_alive: bool
+
+
+@lru_cache(maxsize=CACHED_WEIGHTS)
+def _weigh(left: str, right: str) -> int:
+    digest = hashlib.blake2b(f"{left}/{right}".encode(), digest_size=8).digest()
+    return int.from_bytes(digest, "big")
+
+
+def find_cell(name: str) -> int:
+    """Return the cell of a host."""
+    return _weigh("cell", name) % CELLS
+
+
+def find_weight(host: HostId) -> int:
+    """Return the weight of a host for duties that a few hosts take for all."""
+    return _weigh("watcher", host)
+
+
+class Ring:
+    """Live hosts arranged by cell.
+
+    Parameters
+    ----------
+    hosts
+        The live hosts.
+    """
+
+    def __init__(self, *, hosts: Iterable[HostId]) -> None:
+        self.cells: dict[int, list[HostId]] = defaultdict(list)
+        for host in hosts:
+            self.cells[find_cell(host)].append(host)
+
+
+def rank_hosts(ring: Ring, database: DatabaseId, most: int = 3) -> list[HostId]:
+    """List the hosts that should own a database, best first.
+
+    Parameters
+    ----------
+    ring
+        Live hosts.
+    database
+        The database.
+    most
+        Length of the list at most.
+
+    Returns
+    -------
+    list of HostId
+        Empty when no host is live.
+    """
+    cells = sorted(ring.cells, key=lambda c: _weigh(f"#{c}", database), reverse=True)
+    ranked: list[HostId] = []
+    for cell in cells:
+        hosts = ring.cells[cell]
+        ranked.extend(sorted(hosts, key=lambda h: _weigh(h, database), reverse=True))
+        if len(ranked) >= most:
+            break
+    return ranked[:most]
+
+
+def decide_duty(facts: OwnershipFacts) -> Duty:
+    """Return what this host should do about a database.
+
+    A live claimant is never displaced, even by a better-ranked host, so that
+    hosts with different views do not displace each other in turn.
+    """
+    if facts.draining:
+        return Duty.RELEASE if facts.holding else Duty.DEFER
+    if facts.holding:
+        return Duty.SERVE
+    claim = facts.claim
+    if claim is not None and claim.host != facts.me and facts.claimant_alive:
+        return Duty.DEFER
+    return Duty.CLAIM if facts.first else Duty.DEFER
--- /dev/null
+++ b/src/apricotshore/decisions/rollout.py
@@ -0,0 +1,204 @@
+"""Rollout of bundles and the proof of a withdrawal.
+
+Versions only go up. A withdrawal is in force at a database once the bundle
+version stands in the claim of a majority and every backend server has dropped
+the connections of other hosts; a host that opens a connection later reads the
+claim first and finds itself behind.
+"""
+
+from dataclasses import dataclass
+from enum import Enum
+
+from ..groups import Mark
+from ..identifiers import BundleVersion, CallerId, DatabaseId, HostId, ServerId
+
+
+class Offer(Enum):
+    """What to do with a bundle that was offered."""
+
+    TAKE = "take"
+    IGNORE = "ignore"
+
+
+class Evidence(Enum):
+    """Why a host can no longer carry a withdrawn caller's traffic."""
+
+    CONFIRMED = "confirmed"
+    FENCED = "fenced-at-every-server"
+    REPLACED = "replaced"
+
+
+def consider_offer(current: BundleVersion, offered: BundleVersion) -> Offer:
+    """Return whether a verified bundle replaces the one in force."""
+    return Offer.TAKE if offered > current else Offer.IGNORE
+
+
+def may_serve(own: BundleVersion, claimed: BundleVersion) -> bool:
+    """Return whether a host with bundle ``own`` may serve a database.
+
+    Parameters
+    ----------
+    own
+        Version that the host has in force.
+    claimed
+        Version that the database's claim demands.
+    """
+    return own >= claimed
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class ServerEvidence:
+    """What was seen at one backend server.
+
+    Parameters
+    ----------
+    server
+        The backend server.
+    confirmed_at_ms
+        Wall-clock milliseconds when it showed the claim and held only the
+        owner's connections; None while it has not.
+    killed
+        Hosts whose connections were closed there.
+    """
+
+    server: ServerId
+    confirmed_at_ms: int | None
+    killed: tuple[HostId, ...] = ()
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class DatabaseEvidence:
+    """What the owner of a database recorded about a bundle version.
+
+    Parameters
+    ----------
+    database, version, owner
+        What was fenced, at which bundle version, and by whom.
+    fence
+        Log mark of the claim.
+    servers
+        Evidence for each backend server of the group.
+    hosts
+        Hosts that had confirmed the version when the record was made.
+    last_admitted_ms
+        Per caller, wall-clock milliseconds of the last statement let through.
+    refused
+        Per caller, attempts refused since.
+    """
+
+    database: DatabaseId
+    version: BundleVersion
+    owner: HostId
+    fence: Mark
+    servers: tuple[ServerEvidence, ...]
+    hosts: tuple[HostId, ...] = ()
+    last_admitted_ms: tuple[tuple[CallerId, int], ...] = ()
+    refused: tuple[tuple[CallerId, int], ...] = ()
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class HostLine:
+    """One line of a proof: a host and the evidence for it."""
+
+    host: HostId
+    evidence: Evidence | None
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Proof:
+    """Result of judging the evidence for a withdrawal.
+
+    Parameters
+    ----------
+    caller
+        The withdrawn caller.
+    proved
+        Whether no host can carry its traffic.
+    in_force_at_ms
+        Wall-clock milliseconds from when that holds; None when not proved.
+    hosts
+        Evidence for every host that could have carried the traffic.
+    missing
+        Databases and servers without evidence.
+    """
+
+    caller: CallerId
+    proved: bool
+    in_force_at_ms: int | None
+    hosts: tuple[HostLine, ...]
+    missing: tuple[str, ...]
+
+
+def _list_missing(
+    databases: tuple[DatabaseId, ...],
+    evidence: dict[DatabaseId, DatabaseEvidence],
+    version: BundleVersion,
+) -> tuple[str, ...]:
+    missing: list[str] = []
+    for database in databases:
+        record = evidence.get(database)
+        if record is None or record.version < version:
+            missing.append(f"{database}: no record at version {version} or later")
+            continue
+        for server in record.servers:
+            if server.confirmed_at_ms is None:
+                missing.append(f"{database}: server {server.server} not confirmed")
+    return tuple(missing)
+
+
+def judge_withdrawal(
+    caller: CallerId,
+    version: BundleVersion,
+    databases: tuple[DatabaseId, ...],
+    evidence: dict[DatabaseId, DatabaseEvidence],
+    hosts: tuple[HostId, ...],
+) -> Proof:
+    """Judge whether a withdrawal is proved.
+
+    Parameters
+    ----------
+    caller
+        The withdrawn caller.
+    version
+        Bundle version that withdrew it.
+    databases
+        Every database that the caller could use before.
+    evidence
+        Record of each database.
+    hosts
+        Every host that could have carried its traffic.
+
+    Returns
+    -------
+    Proof
+        Proved only if every backend server of every database is confirmed.
+    """
+    missing = _list_missing(databases, evidence, version)
+    confirmed = {h for d in databases if d in evidence for h in evidence[d].hosts}
+    lines = tuple(
+        HostLine(host=host, evidence=_find_evidence(host, confirmed, not missing))
+        for host in hosts
+    )
+    times = [
+        s.confirmed_at_ms
+        for d in databases
+        if d in evidence
+        for s in evidence[d].servers
+        if s.confirmed_at_ms is not None
+    ]
+    proved = not missing and bool(databases)
+    return Proof(
+        caller=caller,
+        proved=proved,
+        in_force_at_ms=max(times) if proved and times else None,
+        hosts=lines,
+        missing=missing,
+    )
+
+
+def _find_evidence(
+    host: HostId, confirmed: set[HostId], fenced: bool
+) -> Evidence | None:
+    if host in confirmed:
+        return Evidence.CONFIRMED
+    return Evidence.FENCED if fenced else None
--- /dev/null
+++ b/src/apricotshore/decisions/routing.py
@@ -0,0 +1,193 @@
+"""Routing: which backend servers may serve a read or a write."""
+
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+
+from ..groups import ORIGIN, Mark, Role, ServerStatus
+from ..identifiers import ServerId, Term
+
+ANSWER_TIMEOUT_MS = 1_000
+MAJORITY_CONTACT_MS = 2_000
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Sighting:
+    """The last status answer of one backend server.
+
+    Parameters
+    ----------
+    status
+        What the server said of itself.
+    asked_at
+        When the question was sent, in milliseconds.
+    reachable
+        Whether the server answers at present.
+    """
+
+    status: ServerStatus
+    asked_at: int
+    reachable: bool = True
+
+
+@dataclass(kw_only=True, slots=True)
+class GroupView:
+    """What an owner knows of a database group.
+
+    Parameters
+    ----------
+    members
+        All backend servers of the group.
+    term
+        Highest term at which a primary was seen.
+    primary
+        Primary of that term, None while there is none.
+    sightings
+        Last status answers.
+    leaving
+        Servers named as leaving by the bundle or the platform.
+    """
+
+    members: tuple[ServerId, ...]
+    term: Term = Term(0)
+    primary: ServerId | None = None
+    sightings: dict[ServerId, Sighting] = field(default_factory=dict)
+    leaving: frozenset[ServerId] = frozenset()
+
+    @property
+    def majority(self) -> int:
+        """Number of servers that make a majority."""
+        return len(self.members) // 2 + 1
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class ReadNeed:
+    """What a read must see.
+
+    Parameters
+    ----------
+    mark
+        Mark of the session: the read must see everything up to it.
+    staleness_ms
+        Accepted staleness; 0 demands the primary.
+    """
+
+    mark: Mark = ORIGIN
+    staleness_ms: int = 0
+
+
+def observe_status(view: GroupView, status: ServerStatus, asked_at: int) -> None:
+    """Take in a status answer.
+
+    Parameters
+    ----------
+    view
+        The group; changed in place.
+    status
+        What the server said.
+    asked_at
+        When the question was sent, in milliseconds.
+    """
+    view.sightings[status.server] = Sighting(status=status, asked_at=asked_at)
+    if status.role is Role.PRIMARY and status.term >= view.term:
+        view.term = status.term
+        view.primary = status.server
+    elif status.server == view.primary and status.role is not Role.PRIMARY:
+        view.primary = None
+
+
+def observe_silence(view: GroupView, server: ServerId) -> None:
+    """Record that a server did not answer."""
+    seen = view.sightings.get(server)
+    if seen is not None:
+        view.sightings[server] = Sighting(
+            status=seen.status, asked_at=seen.asked_at, reachable=False
+        )
+
+
+def has_majority_contact(view: GroupView, now: int) -> bool:
+    """Return whether a majority answered within the contact lease.
+
+    A host without it may be on the wrong side of a cut: it could miss a newer
+    claim, bundle or term, and must not serve.
+    """
+    fresh = [
+        s for s in view.sightings.values() if now - s.asked_at <= MAJORITY_CONTACT_MS
+    ]
+    return len(fresh) >= view.majority
+
+
+def is_leaving(view: GroupView, server: ServerId) -> bool:
+    """Return whether a server gets no new work because it is leaving."""
+    seen = view.sightings.get(server)
+    return server in view.leaving or (seen is not None and seen.status.leaving)
+
+
+def _is_fresh_replica(
+    view: GroupView, seen: Sighting, need: ReadNeed, now: int
+) -> bool:
+    status = seen.status
+    age = now - seen.asked_at
+    return (
+        seen.reachable
+        and age <= ANSWER_TIMEOUT_MS
+        and status.role is Role.REPLICA
+        and status.term == view.term
+        and not is_leaving(view, status.server)
+        and status.covers(need.mark)
+        and status.behind_ms + age <= need.staleness_ms
+    )
+
+
+def find_primary(view: GroupView, now: int) -> ServerId | None:
+    """Return the primary when it can be given work."""
+    if view.primary is None:
+        return None
+    seen = view.sightings.get(view.primary)
+    if seen is None or not seen.reachable or now - seen.asked_at > ANSWER_TIMEOUT_MS:
+        return None
+    return view.primary
+
+
+def list_readers(view: GroupView, need: ReadNeed, now: int) -> tuple[ServerId, ...]:
+    """List the servers that may serve a read.
+
+    Parameters
+    ----------
+    view
+        The group as known.
+    need
+        What the read must see.
+    now
+        Monotonic milliseconds.
+
+    Returns
+    -------
+    tuple of ServerId
+        Replicas that are fresh enough, or the primary alone when there is no
+        such replica, or nothing.
+    """
+    replicas = tuple(
+        server
+        for server, seen in view.sightings.items()
+        if _is_fresh_replica(view, seen, need, now)
+    )
+    if replicas and need.staleness_ms > 0:
+        return replicas
+    primary = find_primary(view, now)
+    return (primary,) if primary is not None else ()
+
+
+def raise_mark(old: Mark, new: Mark) -> Mark:
+    """Return the later of two marks that one session has seen."""
+    if (new.term, new.position) > (old.term, old.position):
+        return Mark(term=new.term, position=max(new.position, old.position))
+    return old
+
+
+def count_replicas(sightings: Mapping[ServerId, Sighting]) -> int:
+    """Return how many reachable replicas are known."""
+    return sum(
+        1
+        for seen in sightings.values()
+        if seen.reachable and seen.status.role is Role.REPLICA
+    )
--- /dev/null
+++ b/src/apricotshore/identifiers.py
@@ -0,0 +1,20 @@
+"""Identifier types shared by every module."""
+
+from typing import NewType
+
+HostId = NewType("HostId", str)
+DataCentreId = NewType("DataCentreId", str)
+CallerId = NewType("CallerId", str)
+DatabaseId = NewType("DatabaseId", str)
+ServerId = NewType("ServerId", str)
+KindId = NewType("KindId", str)
+SessionId = NewType("SessionId", str)
+RequestId = NewType("RequestId", str)
+TransactionId = NewType("TransactionId", str)
+Fingerprint = NewType("Fingerprint", str)
+PersonId = NewType("PersonId", str)
+
+Term = NewType("Term", int)
+Position = NewType("Position", int)
+OwnerEpoch = NewType("OwnerEpoch", int)
+BundleVersion = NewType("BundleVersion", int)
--- /dev/null
+++ b/src/apricotshore/ini.py
@@ -0,0 +1,167 @@
+"""Reading INI files with every fault collected."""
+
+import configparser
+import ipaddress
+import re
+from collections.abc import Callable
+from typing import TypeVar
+
+from .exceptions import InvalidFileError, Problem
+
+T = TypeVar("T")
+
+_DURATION = re.compile(r"^(\d{1,9})\s*(ms|s|min|h)$")
+_UNIT_MS = {"ms": 1, "s": 1_000, "min": 60_000, "h": 3_600_000}
+_NAME = re.compile(r"^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$")
+
+
+def parse_duration(text: str) -> int:
+    """Return milliseconds from text such as ``250 ms`` or ``5 s``."""
+    match = _DURATION.match(text)
+    if match is None:
+        raise ValueError(f"expected a duration such as '250 ms' or '5 s', got {text!r}")
+    return int(match.group(1)) * _UNIT_MS[match.group(2)]
+
+
+def parse_count(text: str) -> int:
+    """Return a whole number greater than zero."""
+    if not text.isdigit() or int(text) == 0 or len(text) > 9:
+        raise ValueError(f"expected a whole number above 0, got {text!r}")
+    return int(text)
+
+
+def parse_switch(text: str) -> bool:
+    """Return the value of ``yes`` or ``no``."""
+    if text not in ("yes", "no"):
+        raise ValueError(f"expected yes or no, got {text!r}")
+    return text == "yes"
+
+
+def parse_address(text: str) -> str:
+    """Return an ``ip:port`` address after checking it."""
+    host, _, port = text.rpartition(":")
+    try:
+        ipaddress.ip_address(host.strip("[]"))
+        number = int(port)
+    except ValueError:
+        raise ValueError(f"expected ip:port, got {text!r}") from None
+    if not 0 < number < 65_536:
+        raise ValueError(f"expected a port from 1 to 65535, got {port!r}")
+    return text
+
+
+def parse_name(text: str) -> str:
+    """Return a name after checking its characters."""
+    if not _NAME.match(text):
+        raise ValueError(
+            f"expected letters, digits, '.', '_' or '-' (63 at most), got {text!r}"
+        )
+    return text
+
+
+def parse_names(text: str) -> tuple[str, ...]:
+    """Return a comma-separated list of names."""
+    names = [part.strip() for part in text.split(",") if part.strip()]
+    if not names:
+        raise ValueError("expected one name or more, separated by commas")
+    return tuple(parse_name(name) for name in names)
+
+
+class Section:
+    """One INI section that is read key by key.
+
+    Parameters
+    ----------
+    source
+        File name for messages.
+    name
+        Section name.
+    values
+        Raw values.
+    problems
+        Where faults are collected.
+    """
+
+    def __init__(
+        self,
+        *,
+        source: str,
+        name: str,
+        values: dict[str, str],
+        problems: list[Problem],
+    ) -> None:
+        self.source = source
+        self.name = name
+        self.values = values
+        self.problems = problems
+        self.used: set[str] = set()
+
+    def complain(self, key: str, expected: str) -> None:
+        """Record a fault."""
+        self.problems.append(
+            Problem(source=self.source, section=self.name, key=key, expected=expected)
+        )
+
+    def read(self, key: str, parse: Callable[[str], T], default: T | None = None) -> T:
+        """Return a parsed value; faults are collected and the default returned."""
+        self.used.add(key)
+        text = self.values.get(key)
+        if text is None:
+            if default is None:
+                self.complain(key, "missing key")
+            return default  # type: ignore[return-value]
+        try:
+            return parse(text.strip())
+        except ValueError as error:
+            self.complain(key, str(error))
+            return default  # type: ignore[return-value]
+
+    def refuse_unknown(self) -> None:
+        """Record a fault for each key that was not read."""
+        for key in self.values:
+            if key not in self.used:
+                known = ", ".join(sorted(self.used))
+                self.complain(key, f"unknown key; known keys: {known}")
+
+
+def read_sections(
+    text: str, source: str, problems: list[Problem]
+) -> dict[str, Section]:
+    """Split an INI text into sections.
+
+    Parameters
+    ----------
+    text
+        The file's text.
+    source
+        File name for messages.
+    problems
+        Where faults are collected.
+
+    Returns
+    -------
+    dict of str to Section
+        Sections by name.
+
+    Raises
+    ------
+    InvalidFileError
+        When the text is not INI at all.
+    """
+    parser = configparser.ConfigParser(
+        interpolation=None, strict=True, default_section="\0none"
+    )
+    parser.optionxform = str  # type: ignore[assignment,method-assign]
+    try:
+        parser.read_string(text, source=source)
+    except configparser.Error as error:
+        line = str(error).replace("\n", " ")
+        raise InvalidFileError(
+            [Problem(source=source, section="-", key="", expected=line)]
+        ) from None
+    return {
+        name: Section(
+            source=source, name=name, values=dict(parser[name]), problems=problems
+        )
+        for name in parser.sections()
+    }
--- /dev/null
+++ b/src/apricotshore/manifests.py
@@ -0,0 +1,254 @@
+"""Signed manifests: how a bundle is cut into pieces that are stored by digest.
+
+The root names the digest of each page; a page names the digest of each of its
+sections. A host fetches only the pieces whose digest it does not hold.
+"""
+
+import json
+from dataclasses import dataclass, field
+
+from cryptography.exceptions import InvalidSignature
+from cryptography.hazmat.primitives.asymmetric.ed25519 import (
+    Ed25519PrivateKey,
+    Ed25519PublicKey,
+)
+
+from .bundles import Bundle, Person, digest_text, list_withdrawn, parse_bundle
+from .exceptions import SignatureError
+from .identifiers import BundleVersion, CallerId, DatabaseId, PersonId
+
+PAGES = 64
+SECTION_MARK = "[{name}]\n{body}"
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Signature:
+    """Somebody's signature over a root."""
+
+    person: PersonId
+    value: str
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Withdrawal:
+    """A caller and the databases that it loses."""
+
+    caller: CallerId
+    databases: tuple[DatabaseId, ...]
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Root:
+    """The signed root of a bundle.
+
+    Parameters
+    ----------
+    version
+        Bundle version.
+    pages
+        Digest of each page, ``-`` for an empty one.
+    withdrawn
+        Callers that lose databases with this version.
+    attempt
+        Id of the approval attempt, by which a lost answer is found again.
+    author, approver
+        Signatures; None while not signed off.
+    """
+
+    version: BundleVersion
+    pages: tuple[str, ...]
+    withdrawn: tuple[Withdrawal, ...] = ()
+    attempt: str = ""
+    author: Signature | None = None
+    approver: Signature | None = None
+
+    def signed_text(self) -> bytes:
+        """Return the bytes that the signatures cover."""
+        lost = [[w.caller, *w.databases] for w in self.withdrawn]
+        return json.dumps(["apricotshore", self.version, lost, *self.pages]).encode()
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Pieces:
+    """A root and the texts of its pieces by digest."""
+
+    root: Root
+    texts: dict[str, str] = field(default_factory=dict)
+
+
+def _find_page(section: str) -> int:
+    return int(digest_text(section)[:8], 16) % PAGES
+
+
+def cut_bundle(bundle: Bundle, old: Bundle) -> Pieces:
+    """Cut a bundle into pieces.
+
+    Parameters
+    ----------
+    bundle
+        The bundle.
+    old
+        The bundle that it replaces.
+
+    Returns
+    -------
+    Pieces
+        The unsigned root with every piece.
+    """
+    texts: dict[str, str] = {}
+    pages: list[dict[str, str]] = [{} for _ in range(PAGES)]
+    for name, body in bundle.sections.items():
+        text = SECTION_MARK.format(name=name, body=body)
+        digest = digest_text(text)
+        texts[digest] = text
+        pages[_find_page(name)][name] = digest
+    digests: list[str] = []
+    for page in pages:
+        text = json.dumps(page, sort_keys=True)
+        digest = digest_text(text) if page else "-"
+        if page:
+            texts[digest] = text
+        digests.append(digest)
+    withdrawn = tuple(
+        Withdrawal(caller=caller, databases=databases)
+        for caller, databases in sorted(list_withdrawn(old, bundle).items())
+    )
+    root = Root(version=bundle.version, pages=tuple(digests), withdrawn=withdrawn)
+    return Pieces(root=root, texts=texts)
+
+
+def list_sections(page_text: str) -> list[str]:
+    """Return the digests of the sections that a page names."""
+    return sorted(json.loads(page_text).values())
+
+
+def join_pieces(pieces: Pieces) -> Bundle:
+    """Put a bundle together again.
+
+    Raises
+    ------
+    SignatureError
+        When a piece is missing or does not match its digest.
+    """
+    sections: list[str] = []
+    for digest in pieces.root.pages:
+        if digest == "-":
+            continue
+        page = _take(pieces, digest)
+        sections.extend(_take(pieces, d) for d in list_sections(page))
+    bundle = parse_bundle("\n".join(sections), f"bundle {pieces.root.version}")
+    if bundle.version != pieces.root.version:
+        raise SignatureError("the root and the bundle name different versions")
+    return bundle
+
+
+def _take(pieces: Pieces, digest: str) -> str:
+    text = pieces.texts.get(digest)
+    if text is None:
+        raise SignatureError(f"piece {digest} is missing")
+    if digest_text(text) != digest:
+        raise SignatureError(f"piece {digest} does not match its digest")
+    return text
+
+
+def sign_root(root: Root, person: PersonId, key: Ed25519PrivateKey) -> Signature:
+    """Sign a root."""
+    return Signature(person=person, value=key.sign(root.signed_text()).hex())
+
+
+def _verify(root: Root, signature: Signature, people: dict[PersonId, Person]) -> None:
+    person = people.get(signature.person)
+    if person is None:
+        raise SignatureError(f"no key in force for {signature.person!r}")
+    key = Ed25519PublicKey.from_public_bytes(bytes.fromhex(person.public_key))
+    try:
+        key.verify(bytes.fromhex(signature.value), root.signed_text())
+    except (InvalidSignature, ValueError):
+        raise SignatureError(
+            f"the signature of {signature.person!r} does not match the bundle"
+        ) from None
+
+
+def verify_root(root: Root, people: dict[PersonId, Person]) -> None:
+    """Check both signatures of a root.
+
+    Parameters
+    ----------
+    root
+        The signed root.
+    people
+        Keys in force: those of the bundle before this one.
+
+    Raises
+    ------
+    SignatureError
+        When a signature is missing or wrong, a key is unknown, or the author
+        approved the bundle.
+    """
+    if root.author is None:
+        raise SignatureError("the bundle has no author's signature")
+    _verify(root, root.author, people)
+    if root.approver is None:
+        raise SignatureError("the bundle is not approved")
+    if root.approver.person == root.author.person:
+        raise SignatureError("the author cannot approve the bundle")
+    _verify(root, root.approver, people)
+
+
+def verify_author(root: Root, people: dict[PersonId, Person]) -> None:
+    """Check the author's signature of a proposal."""
+    if root.author is None:
+        raise SignatureError("the bundle has no author's signature")
+    _verify(root, root.author, people)
+
+
+def _write_signature(signature: Signature | None) -> list[str]:
+    return [signature.person, signature.value] if signature else []
+
+
+def _read_signature(value: object) -> Signature | None:
+    if not isinstance(value, list) or len(value) != 2:
+        return None
+    return Signature(person=PersonId(str(value[0])), value=str(value[1]))
+
+
+def encode_root(root: Root) -> str:
+    """Return the stored form of a root."""
+    return json.dumps(
+        {
+            "version": root.version,
+            "pages": list(root.pages),
+            "withdrawn": [[w.caller, *w.databases] for w in root.withdrawn],
+            "attempt": root.attempt,
+            "author": _write_signature(root.author),
+            "approver": _write_signature(root.approver),
+        }
+    )
+
+
+def decode_root(text: str) -> Root:
+    """Read the stored form of a root.
+
+    Raises
+    ------
+    SignatureError
+        When the text is not a root.
+    """
+    try:
+        value = json.loads(text)
+        return Root(
+            version=BundleVersion(int(value["version"])),
+            pages=tuple(str(p) for p in value["pages"]),
+            withdrawn=tuple(
+                Withdrawal(
+                    caller=CallerId(str(caller)),
+                    databases=tuple(DatabaseId(str(d)) for d in databases),
+                )
+                for caller, *databases in value["withdrawn"]
+            ),
+            attempt=str(value["attempt"]),
+            author=_read_signature(value["author"]),
+            approver=_read_signature(value["approver"]),
+        )
+    except (ValueError, TypeError, KeyError) as error:
+        raise SignatureError(f"not a bundle root: {error}") from None
--- /dev/null
+++ b/src/apricotshore/services/__init__.py
@@ -0,0 +1,1 @@
+"""Services: the I/O around the decisions."""
--- /dev/null
+++ b/src/apricotshore/services/application.py
@@ -0,0 +1,346 @@
+"""The application of one host: builds the services and owns their clean-up."""
+
+import asyncio
+import random
+import ssl
+from dataclasses import dataclass
+
+from mode import Service
+
+from ..bundles import Bundle
+from ..decisions.admission import Policy
+from ..decisions.membership import Life, Member
+from ..decisions.rollout import DatabaseEvidence, ServerEvidence
+from ..events import EventLog, Topic
+from ..evidence import encode_evidence
+from ..exceptions import PlatformError
+from ..identifiers import CallerId, KindId, Term
+from ..logs import make_logger
+from ..metrics import Metrics
+from ..settings import Settings, TlsSettings
+from .backends import Endpoint, LostConnectionError, StatementRefusedError, read_status
+from .backends import open_connection as open_backend
+from .clock import read_monotonic_ms, read_wall_ms
+from .frontend import Frontend, FrontendHooks
+from .keeper import BundleKeeper
+from .members import MembershipService
+from .owner import DatabaseOwner
+from .peers import PeerHandlers, PeerLinks, PeerServer, make_peer_contexts
+from .platform import ObjectKind, PlatformClient, Purpose
+from .registry import OwnerRegistry, RegistryHooks
+from .router import Router
+from .statuspage import StatusPage
+
+EVIDENCE_PERIOD_S = 2.0
+DRAIN_POLL_S = 0.05
+DRAIN_NOTICE_S = 0.3
+
+log = make_logger("apricotshore")
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Cut:
+    """What a drain had to cut when its time ran out."""
+
+    sessions: int
+    requests: int
+
+
+def _make_caller_context(tls: TlsSettings) -> ssl.SSLContext | None:
+    if not tls.enabled:
+        return None
+    context = ssl.create_default_context(ssl.Purpose.CLIENT_AUTH)
+    context.load_cert_chain(tls.certificate, tls.key)
+    return context
+
+
+class Application(Service):
+    """All services of one host.
+
+    Parameters
+    ----------
+    settings
+        Settings of the host.
+    policy
+        Order of service in the owners.
+    """
+
+    def __init__(self, *, settings: Settings, policy: Policy = Policy.FAIR) -> None:
+        super().__init__()
+        self.settings = settings
+        self.events = EventLog(host=settings.host)
+        self.metrics = Metrics()
+        self.platform = PlatformClient(address=settings.platform_address)
+        server_context, client_context = make_peer_contexts(settings.peer_tls)
+        self.links = PeerLinks(context=client_context)
+        self.members = self._make_members()
+        self.keeper = BundleKeeper(
+            platform=self.platform,
+            links=self.links,
+            members=self.members,
+            trusted=settings.trusted,
+            on_bundle=self._take_bundle,
+            on_explain=lambda step, detail: self.explain(
+                Topic.ROLLOUT, "bundle", step, detail
+            ),
+        )
+        self.registry = OwnerRegistry(
+            settings=settings,
+            members=self.members,
+            links=self.links,
+            hooks=RegistryHooks(
+                explain=self.explain,
+                on_fenced=self._note_fenced,
+                on_bundle_behind=self.keeper.note_behind,
+            ),
+            policy=policy,
+        )
+        self.router = Router(
+            me=settings.host,
+            members=self.members,
+            links=self.links,
+            serve_here=self.registry.handle,
+            offer_here=self.registry.offer,
+        )
+        self.frontend = Frontend(
+            settings=settings,
+            router=self.router,
+            hooks=FrontendHooks(
+                get_bundle=lambda: self.keeper.bundle,
+                note_refused=self._note_refused,
+                note_served=self._note_served,
+            ),
+            context=_make_caller_context(settings.caller_tls),
+        )
+        self.peer_server = PeerServer(
+            address=settings.peer_address,
+            handlers=self._make_handlers(),
+            context=server_context,
+        )
+        self.status_page = StatusPage(
+            address=settings.status_address,
+            registry=self.metrics.registry,
+            is_ready=self._is_ready,
+            refresh=self._refresh_metrics,
+        )
+        self.evidence_due: dict[str, DatabaseOwner] = {}
+        self.evidence_kept: dict[str, str] = {}
+        self.draining = False
+
+    def _make_members(self) -> MembershipService:
+        settings = self.settings
+        me = Member(
+            host=settings.host,
+            address=settings.peer_address,
+            data_centre=settings.data_centre,
+            # A restarted host must override what peers believe of its former self.
+            incarnation=read_wall_ms(),
+            life=Life.ALIVE,
+        )
+        return MembershipService(
+            me=me,
+            links=self.links,
+            platform=self.platform,
+            seeds=settings.seeds,
+            on_change=lambda: None,
+        )
+
+    def _make_handlers(self) -> PeerHandlers:
+        return PeerHandlers(
+            execute=self.registry.handle,
+            ping=self.members.take_ping,
+            fetch_root=self.keeper.get_root,
+            fetch_pieces=self.keeper.get_pieces,
+            witness=self._witness,
+            list_events=self.events.find,
+            offer_database=self.registry.offer,
+            is_unfit=self.registry.is_unfit,
+            on_disconnect=self.registry.drop_origin,
+        )
+
+    # -- life cycle --
+
+    async def on_start(self) -> None:
+        """Start the services in the order in which they need each other."""
+        await self.peer_server.start()
+        await self.status_page.start()
+        await self.add_runtime_dependency(self.members)
+        await self.add_runtime_dependency(self.keeper)
+        await self.add_runtime_dependency(self.registry)
+        await self.frontend.start()
+        log.info("started", extra={"host": self.settings.host})
+
+    async def on_shutdown(self) -> None:
+        """Close what the services leave."""
+        self.links.close()
+        self.peer_server.stop()
+        await self.status_page.stop()
+        await self.platform.close()
+
+    async def drain(self) -> Cut:
+        """Finish what is in flight and hand the databases over.
+
+        Returns
+        -------
+        Cut
+            What was left when the drain's time ran out.
+        """
+        self.draining = True
+        self.members.set_life(Life.DRAINING)
+        self.explain(Topic.DRAIN, self.settings.host, "begin", "no new callers")
+        await asyncio.sleep(DRAIN_NOTICE_S)
+        self.frontend.stop_accepting()
+        self.registry.draining = True
+        deadline = read_monotonic_ms() + self.settings.drain_ms
+        await self._release_owners(deadline)
+        left = self.frontend.close_idle()
+        while left and read_monotonic_ms() < deadline:
+            await asyncio.sleep(DRAIN_POLL_S)
+            left = self.frontend.close_idle()
+        requests = sum(len(o.pending) for o in self.registry.owners.values())
+        cut = Cut(sessions=left, requests=requests)
+        detail = f"{cut.sessions} sessions and {cut.requests} requests cut"
+        self.explain(Topic.DRAIN, self.settings.host, "end", detail)
+        return cut
+
+    async def _release_owners(self, deadline: int) -> None:
+        owners = list(self.registry.owners.values())
+        for owner in owners:
+            owner.draining = True
+        while any(o.busy for o in owners) and read_monotonic_ms() < deadline:
+            await asyncio.sleep(DRAIN_POLL_S)
+        for owner in owners:
+            await owner.release()
+
+    # -- bundle --
+
+    def _take_bundle(self, old: Bundle, new: Bundle) -> None:
+        self.registry.set_bundle(old, new)
+        cut = self.frontend.cut_withdrawn()
+        if cut:
+            detail = f"{cut} connections cut at version {new.version}"
+            self.explain(Topic.WITHDRAWAL, "callers", "cut", detail)
+
+    def _is_ready(self) -> bool:
+        return not self.draining and self.keeper.root is not None
+
+    # -- evidence --
+
+    def _note_fenced(self, owner: DatabaseOwner) -> None:
+        self.evidence_due[owner.database] = owner
+
+    def _describe_fence(self, owner: DatabaseOwner) -> DatabaseEvidence | None:
+        claim = owner.claim
+        if claim is None:
+            return None
+        servers = tuple(
+            ServerEvidence(
+                server=server,
+                confirmed_at_ms=(
+                    fence.confirmed_at_ms if fence.epoch == claim.epoch else None
+                ),
+                killed=tuple(sorted(fence.killed)),
+            )
+            for server, fence in sorted(owner.fences.items())
+        )
+        hosts = tuple(
+            m.host for m in self.members.list_live() if m.bundle >= claim.bundle
+        )
+        gone = {c: t for c, t in owner.admitted_at.items() if c in owner.withdrawn}
+        refused = {c: n for c, n in owner.refused.items() if c in owner.withdrawn}
+        return DatabaseEvidence(
+            database=owner.database,
+            version=claim.bundle,
+            owner=self.settings.host,
+            fence=owner.floor,
+            servers=servers,
+            hosts=tuple(sorted(hosts)),
+            last_admitted_ms=tuple(sorted(gone.items())),
+            refused=tuple(sorted(refused.items())),
+        )
+
+    @Service.task
+    async def _evidence_loop(self) -> None:
+        while not self.should_stop:
+            await self.sleep(EVIDENCE_PERIOD_S * random.uniform(0.2, 0.4))
+            for owner in list(self.registry.owners.values()):
+                if owner.withdrawn:
+                    self.evidence_due.setdefault(owner.database, owner)
+            for database, owner in list(self.evidence_due.items()):
+                await self._record(database, owner)
+
+    async def _record(self, database: str, owner: DatabaseOwner) -> None:
+        evidence = self._describe_fence(owner)
+        if evidence is None:
+            self.evidence_due.pop(database, None)
+            return
+        value = encode_evidence(evidence)
+        if self.evidence_kept.get(database) == value:
+            self.evidence_due.pop(database, None)
+            return
+        try:
+            await self.platform.write(
+                ObjectKind.EVIDENCE, database, value, Purpose.EVIDENCE
+            )
+        except PlatformError:
+            return
+        self.evidence_kept[database] = value
+        self.evidence_due.pop(database, None)
+        text = f"version {evidence.version} fenced at {len(evidence.servers)} servers"
+        self.explain(Topic.WITHDRAWAL, database, "recorded", text)
+
+    # -- messages --
+
+    async def _witness(self, address: str) -> bool:
+        known = [s for s in self.keeper.bundle.servers.values() if s.address == address]
+        if not known:
+            return False
+        endpoint = Endpoint(
+            server=known[0],
+            user=self.settings.backend_user,
+            password=self.settings.backend_password,
+            host=self.settings.host,
+        )
+        try:
+            connection = await open_backend(endpoint, Term(0))
+            try:
+                await read_status(connection)
+            finally:
+                connection.close()
+        except (LostConnectionError, StatementRefusedError):
+            return False
+        return True
+
+    def explain(self, topic: Topic, subject: str, step: str, detail: str) -> None:
+        """Record a step for operators and log it."""
+        self.events.add(read_wall_ms(), topic, subject, step, detail)
+        extra = {"host": self.settings.host, "topic": topic.value, "subject": subject}
+        if topic is not Topic.SHED:
+            log.info(f"{step}: {detail}", extra=extra)
+
+    def _note_refused(self, username: str) -> None:
+        self.metrics.refused.inc({})
+        detail = "login refused: no contract in the bundle in force"
+        self.explain(Topic.WITHDRAWAL, username[:64], "refused", detail)
+
+    def _note_served(
+        self, caller: CallerId, kind: KindId, ok: bool, took_s: float
+    ) -> None:
+        outcome = "ok" if ok else "failed"
+        self.metrics.requests.inc({"caller": caller, "kind": kind, "outcome": outcome})
+        self.metrics.latency.observe({"kind": kind}, took_s)
+
+    def _refresh_metrics(self) -> None:
+        metrics = self.metrics
+        owners = self.registry.owners.values()
+        metrics.bundle.set({}, self.keeper.version)
+        metrics.owned.set({}, sum(owner.holding for owner in owners))
+        metrics.members.set({}, len(self.members.list_live()))
+        for purpose, count in self.platform.calls.items():
+            metrics.platform_calls.set({"purpose": purpose.value}, count)
+        for owner in owners:
+            for server, count in owner.served.items():
+                labels = {"database": owner.database, "server": server}
+                metrics.reads.set(labels, count)
+            for server, pool in owner.pools.items():
+                metrics.backend_connections.set({"server": server}, pool.open_count)
--- /dev/null
+++ b/src/apricotshore/services/backends.py
@@ -0,0 +1,374 @@
+"""Connections to one backend server."""
+
+import asyncio
+import json
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+from typing import Any
+
+import aiomysql
+from pymysql.constants import FIELD_TYPE
+from pymysql.err import Error as MySqlError
+from pymysql.err import InterfaceError, OperationalError
+
+from ..bundles import BackendServer
+from ..groups import Claim, Lineage, Mark, Role, ServerStatus
+from ..identifiers import (
+    BundleVersion,
+    HostId,
+    OwnerEpoch,
+    Position,
+    ServerId,
+    Term,
+)
+from ..requests import Row
+
+CONNECT_TIMEOUT_S = 1.0
+CONTROL_TIMEOUT_S = 0.7
+DATABASE_NAME = "main"
+PROGRAM = "apricotshore"
+
+CLIENT_ERRORS = range(2000, 3000)
+
+_CONVERSIONS: dict[int, Callable[[str], Any]] = {
+    FIELD_TYPE.TINY: int,
+    FIELD_TYPE.SHORT: int,
+    FIELD_TYPE.LONG: int,
+    FIELD_TYPE.LONGLONG: int,
+    FIELD_TYPE.INT24: int,
+    FIELD_TYPE.FLOAT: float,
+    FIELD_TYPE.DOUBLE: float,
+}
+
+
+class LostConnectionError(Exception):
+    """The connection to a backend server failed or timed out."""
+
+
+class StatementRefusedError(Exception):
+    """The backend server answered a statement with an error.
+
+    Parameters
+    ----------
+    code, text
+        As the server sent them.
+    """
+
+    def __init__(self, code: int, text: str) -> None:
+        super().__init__(text)
+        self.code = code
+        self.text = text
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Answer:
+    """Result of one statement."""
+
+    columns: tuple[str, ...]
+    rows: tuple[Row, ...]
+    affected_rows: int
+    last_insert_id: int
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Endpoint:
+    """Where and as whom to connect.
+
+    Parameters
+    ----------
+    server
+        The backend server.
+    user, password
+        Account.
+    host
+        Host that connects; it names itself in the program name.
+    """
+
+    server: BackendServer
+    user: str
+    password: str
+    host: HostId
+
+
+class BackendConnection:
+    """One connection, used by one task at a time.
+
+    Parameters
+    ----------
+    raw
+        The driver's connection.
+    term
+        Term that writes on it carry.
+    """
+
+    def __init__(self, *, raw: aiomysql.Connection, term: Term) -> None:
+        self.raw = raw
+        self.term = term
+        self.clean = True
+
+    async def run(self, sql: str, timeout_s: float) -> Answer:
+        """Run a statement.
+
+        Raises
+        ------
+        StatementRefusedError
+            When the server answered with an error.
+        LostConnectionError
+            When no whole answer came; the connection cannot be used again.
+        """
+        self.clean = False
+        try:
+            answer = await asyncio.wait_for(self._run(sql), timeout_s)
+        except (OperationalError, MySqlError) as error:
+            code = error.args[0] if error.args else 0
+            if isinstance(error, InterfaceError) or code in CLIENT_ERRORS or not code:
+                self.close()
+                raise LostConnectionError(str(error)) from None
+            self.clean = True
+            raise StatementRefusedError(int(code), str(error.args[-1])) from None
+        except (OSError, TimeoutError, asyncio.IncompleteReadError) as error:
+            self.close()
+            raise LostConnectionError(repr(error)) from None
+        except BaseException:
+            self.close()
+            raise
+        self.clean = True
+        return answer
+
+    async def _run(self, sql: str) -> Answer:
+        async with self.raw.cursor() as cursor:
+            await cursor.execute(sql)
+            rows = await cursor.fetchall() if cursor.description else ()
+            columns = tuple(column[0] for column in cursor.description or ())
+            return Answer(
+                columns=columns,
+                rows=tuple(rows),
+                affected_rows=max(cursor.rowcount, 0),
+                last_insert_id=cursor.lastrowid or 0,
+            )
+
+    def close(self) -> None:
+        """Close at once; the server rolls back an open transaction."""
+        self.clean = False
+        self.raw.close()
+
+    @property
+    def usable(self) -> bool:
+        """Whether the connection may be used for further statements."""
+        return self.clean and not self.raw.closed
+
+
+async def open_connection(endpoint: Endpoint, term: Term) -> BackendConnection:
+    """Connect and set the term that writes carry.
+
+    Raises
+    ------
+    LostConnectionError
+        When the server cannot be reached or refuses the connection.
+    """
+    address, _, port = endpoint.server.address.rpartition(":")
+    try:
+        raw = await asyncio.wait_for(
+            aiomysql.connect(
+                host=address,
+                port=int(port),
+                user=endpoint.user,
+                password=endpoint.password,
+                db=DATABASE_NAME,
+                autocommit=None,
+                program_name=f"{PROGRAM}/{endpoint.host}",
+                conv=_CONVERSIONS,
+            ),
+            CONNECT_TIMEOUT_S,
+        )
+    except (OSError, TimeoutError, MySqlError, asyncio.IncompleteReadError) as error:
+        raise LostConnectionError(f"{endpoint.server.server}: {error!r}") from None
+    connection = BackendConnection(raw=raw, term=term)
+    if term:
+        try:
+            await connection.run(f"SET SESSION group_term = {term}", CONTROL_TIMEOUT_S)
+        except StatementRefusedError as error:
+            connection.close()
+            raise LostConnectionError(error.text) from None
+    return connection
+
+
+async def read_status(connection: BackendConnection) -> ServerStatus:
+    """Ask a server for its status."""
+    answer = await connection.run("CALL group_status()", CONTROL_TIMEOUT_S)
+    row = dict(zip(answer.columns, answer.rows[0], strict=True))
+    starts = tuple(
+        Mark(term=Term(t), position=Position(p))
+        for t, p in json.loads(str(row["lineage"]))
+    )
+    return ServerStatus(
+        server=ServerId(str(row["server"])),
+        role=Role(str(row["role"])),
+        term=Term(_whole(row["term"])),
+        end=Mark(
+            term=Term(_whole(row["last_term"])),
+            position=Position(_whole(row["position"])),
+        ),
+        applied=Position(_whole(row["applied"])),
+        lineage=Lineage(starts=starts),
+        behind_ms=_whole(row["behind_ms"]),
+        contact_ms=_whole(row["contact_ms"]),
+        leaving=bool(_whole(row["leaving"])),
+        incarnation=_whole(row["incarnation"]),
+    )
+
+
+def _whole(cell: object) -> int:
+    return int(str(cell))
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class CommitState:
+    """Whether the log up to ``mark`` can be lost any more."""
+
+    mark: Mark
+    durable: bool
+
+
+async def wait_commit(
+    connection: BackendConnection, timeout_ms: int, confirm: bool
+) -> CommitState:
+    """Wait until a majority holds the primary's log.
+
+    Parameters
+    ----------
+    connection
+        Connection to the primary.
+    timeout_ms
+        Longest wait.
+    confirm
+        Whether a majority must also confirm, after the call, that the
+        server still leads.
+    """
+    answer = await connection.run(
+        f"CALL group_commit_wait({timeout_ms}, {int(confirm)})",
+        timeout_ms / 1000 + CONTROL_TIMEOUT_S,
+    )
+    term, position, durable = (_whole(cell) for cell in answer.rows[0])
+    mark = Mark(term=Term(term), position=Position(position))
+    return CommitState(mark=mark, durable=bool(durable))
+
+
+async def read_claim(connection: BackendConnection) -> Claim | None:
+    """Read the claim as visible at a server; None before the first."""
+    try:
+        answer = await connection.run(
+            "SELECT epoch, host, address, bundle FROM apricotshore_claim",
+            CONTROL_TIMEOUT_S,
+        )
+    except StatementRefusedError:
+        return None
+    if not answer.rows:
+        return None
+    epoch, host, address, bundle = answer.rows[0]
+    return Claim(
+        epoch=OwnerEpoch(_whole(epoch)),
+        host=HostId(str(host)),
+        address=str(address),
+        bundle=BundleVersion(_whole(bundle)),
+    )
+
+
+async def kill_strangers(connection: BackendConnection, me: HostId) -> list[HostId]:
+    """Close the connections of other hosts at a server.
+
+    Returns
+    -------
+    list of HostId
+        Hosts whose connections were closed.
+    """
+    answer = await connection.run("SHOW PROCESSLIST", CONTROL_TIMEOUT_S)
+    own = f"{PROGRAM}/{me}"
+    killed: list[HostId] = []
+    for number, _user, program in answer.rows:
+        name = str(program)
+        if name.startswith(f"{PROGRAM}/") and name != own:
+            await connection.run(f"KILL {_whole(number)}", CONTROL_TIMEOUT_S)
+            killed.append(HostId(name.removeprefix(f"{PROGRAM}/")))
+    return killed
+
+
+class BackendPool:
+    """Bounded pool of connections to one backend server.
+
+    Parameters
+    ----------
+    endpoint
+        Where to connect.
+    limit
+        Connections at most.
+    check
+        Run on each new connection before use; raises to refuse it.
+    """
+
+    def __init__(
+        self,
+        *,
+        endpoint: Endpoint,
+        limit: int,
+        check: Callable[[BackendConnection], Awaitable[None]],
+    ) -> None:
+        self.endpoint = endpoint
+        self.limit = limit
+        self.check = check
+        self.idle: list[BackendConnection] = []
+        self.used: set[BackendConnection] = set()
+        self.free = asyncio.Semaphore(limit)
+
+    async def acquire(self, term: Term) -> BackendConnection:
+        """Take a clean connection for a term, opening one if need be.
+
+        Raises
+        ------
+        LostConnectionError
+            When none can be opened.
+        """
+        try:
+            await asyncio.wait_for(self.free.acquire(), CONNECT_TIMEOUT_S)
+        except TimeoutError:
+            raise LostConnectionError("all connections are in use") from None
+        try:
+            while self.idle:
+                connection = self.idle.pop()
+                if connection.usable and connection.term == term:
+                    break
+                connection.close()
+            else:
+                connection = await open_connection(self.endpoint, term)
+                try:
+                    await self.check(connection)
+                except BaseException:
+                    connection.close()
+                    raise
+        except BaseException:
+            self.free.release()
+            raise
+        self.used.add(connection)
+        return connection
+
+    def release(self, connection: BackendConnection) -> None:
+        """Give a connection back; one that is not known to be clean is closed."""
+        if connection not in self.used:
+            return
+        self.used.discard(connection)
+        if connection.usable:
+            self.idle.append(connection)
+        else:
+            connection.close()
+        self.free.release()
+
+    def drop_all(self) -> None:
+        """Close every connection, in use or not."""
+        for connection in [*self.idle, *self.used]:
+            connection.close()
+        self.idle.clear()
+
+    @property
+    def open_count(self) -> int:
+        """Number of open connections."""
+        return len(self.idle) + len(self.used)
--- /dev/null
+++ b/src/apricotshore/services/claims.py
@@ -0,0 +1,148 @@
+"""Claims: how a host takes a database over and fences the others out of it."""
+
+from dataclasses import dataclass
+
+from ..groups import Claim, Mark
+from ..identifiers import BundleVersion, HostId, OwnerEpoch
+from .backends import (
+    CONTROL_TIMEOUT_S,
+    BackendConnection,
+    LostConnectionError,
+    StatementRefusedError,
+    kill_strangers,
+    read_claim,
+    wait_commit,
+)
+from .executor import COMMIT_WAIT_MS, SCHEMA
+
+NOBODY = HostId("")
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class ClaimResult:
+    """A claim that now stands, and the mark after which it was alone.
+
+    Parameters
+    ----------
+    claim
+        The claim.
+    floor
+        Everything committed before this host was the only one connected
+        to the primary lies at or before this mark.
+    """
+
+    claim: Claim
+    floor: Mark
+
+
+async def write_claim(
+    connection: BackendConnection, old: Claim | None, new: Claim
+) -> bool:
+    """Replace a claim if it still has its old epoch, durably.
+
+    Parameters
+    ----------
+    connection
+        Connection to the primary, carrying its term.
+    old
+        Claim to replace; None for the first claim.
+    new
+        Claim to write.
+
+    Returns
+    -------
+    bool
+        False when another host's claim came first.
+
+    Raises
+    ------
+    LostConnectionError
+        When the outcome is unknown.
+    """
+    if old is None:
+        for statement in SCHEMA:
+            await connection.run(statement, CONTROL_TIMEOUT_S)
+        sql = (
+            "INSERT INTO apricotshore_claim (one, epoch, host, address, bundle) "
+            f"VALUES (1, {new.epoch}, '{new.host}', '{new.address}', {new.bundle})"
+        )
+    else:
+        sql = (
+            f"UPDATE apricotshore_claim SET epoch = {new.epoch}, "
+            f"host = '{new.host}', address = '{new.address}', bundle = {new.bundle} "
+            f"WHERE one = 1 AND epoch = {old.epoch}"
+        )
+    try:
+        answer = await connection.run(sql, CONTROL_TIMEOUT_S)
+    except StatementRefusedError:
+        return False
+    if answer.affected_rows != 1:
+        return False
+    state = await wait_commit(connection, COMMIT_WAIT_MS, confirm=False)
+    if not state.durable:
+        raise LostConnectionError("the claim is not known to be durable")
+    return True
+
+
+async def take_over(
+    connection: BackendConnection, me: HostId, address: str, bundle: BundleVersion
+) -> ClaimResult | None:
+    """Claim a database for this host and close other hosts' connections.
+
+    Parameters
+    ----------
+    connection
+        Connection to the primary, carrying its term.
+    me, address
+        This host and its peer address.
+    bundle
+        Bundle version that this host has in force.
+
+    Returns
+    -------
+    ClaimResult or None
+        None when the database may not be claimed: another host was faster,
+        or the claim demands a newer bundle than this host has.
+    """
+    old = await read_claim(connection)
+    if old is not None and old.bundle > bundle:
+        return None
+    epoch = OwnerEpoch(1 if old is None else old.epoch + 1)
+    new = Claim(epoch=epoch, host=me, address=address, bundle=bundle)
+    if not await write_claim(connection, old, new):
+        return None
+    await kill_strangers(connection, me)
+    state = await wait_commit(connection, COMMIT_WAIT_MS, confirm=True)
+    if not state.durable:
+        raise LostConnectionError("the primary is not known to lead any more")
+    return ClaimResult(claim=new, floor=state.mark)
+
+
+async def raise_bundle(
+    connection: BackendConnection, held: Claim, bundle: BundleVersion
+) -> Claim | None:
+    """Raise the bundle version that a held claim demands.
+
+    Returns
+    -------
+    Claim or None
+        None when the claim is no longer held.
+    """
+    new = Claim(
+        epoch=OwnerEpoch(held.epoch + 1),
+        host=held.host,
+        address=held.address,
+        bundle=bundle,
+    )
+    return new if await write_claim(connection, held, new) else None
+
+
+async def release_claim(connection: BackendConnection, held: Claim) -> None:
+    """Give a held claim up, so that the next owner need not wait."""
+    new = Claim(
+        epoch=OwnerEpoch(held.epoch + 1),
+        host=NOBODY,
+        address="",
+        bundle=held.bundle,
+    )
+    await write_claim(connection, held, new)
--- /dev/null
+++ b/src/apricotshore/services/errorcodes.py
@@ -0,0 +1,43 @@
+"""MySQL error codes and SQLSTATEs by which programs can read a verdict."""
+
+from mysql_mimic.errors import SQLSTATES, ErrorCode, MysqlError
+
+from ..verdicts import Failure, Reason, Verdict
+
+ACCESS_DENIED = 1045
+COMMIT_UNRESOLVED = 1180
+ROLLED_BACK = 1213
+
+_BY_VERDICT = {
+    Verdict.NOT_RUN: (ROLLED_BACK, b"40001"),
+    Verdict.MAY_HAVE_RUN: (COMMIT_UNRESOLVED, b"08007"),
+    Verdict.RAN: (1105, b"HY000"),
+}
+
+
+def _make_code(number: int, sqlstate: bytes) -> ErrorCode:
+    # The library's packet writer insists on its own enum type.
+    try:
+        return ErrorCode(number)
+    except ValueError:
+        code = int.__new__(ErrorCode, number)
+        code._name_ = f"SERVER_ERROR_{number}"
+        code._value_ = number
+        SQLSTATES.setdefault(code, sqlstate)
+        return code
+
+
+def make_error(failure: Failure) -> MysqlError:
+    """Return the MySQL error that carries a failure to the caller.
+
+    Not run is 1213 (40001, retry the transaction), may have run is 1180
+    (08007, transaction resolution unknown). Errors of the backend server keep
+    their own code.
+    """
+    if failure.reason is Reason.CALLER_REFUSED:
+        code = ErrorCode.ACCESS_DENIED_ERROR
+    elif failure.error_code:
+        code = _make_code(failure.error_code, b"HY000")
+    else:
+        code = _make_code(*_BY_VERDICT[failure.verdict])
+    return MysqlError(failure.describe(), code)
--- /dev/null
+++ b/src/apricotshore/services/executor.py
@@ -0,0 +1,307 @@
+"""Statement procedures at a backend server: reads, writes and transactions."""
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from ..decisions.retry import WriteStage, judge_write
+from ..groups import Mark
+from ..identifiers import ServerId
+from ..requests import Reply, Request
+from ..verdicts import Failure, Reason, Verdict
+from .backends import (
+    CONTROL_TIMEOUT_S,
+    Answer,
+    BackendConnection,
+    LostConnectionError,
+    StatementRefusedError,
+    read_status,
+    wait_commit,
+)
+
+DUPLICATE_KEY = 1062
+READ_ONLY = 1290
+FENCED = 3100
+COMMIT_WAIT_MS = 2_000
+
+SCHEMA = (
+    "CREATE TABLE IF NOT EXISTS apricotshore_claim ("
+    "one INTEGER PRIMARY KEY, epoch BIGINT, host VARCHAR(64), "
+    "address VARCHAR(64), bundle BIGINT)",
+    "CREATE TABLE IF NOT EXISTS apricotshore_request ("
+    "caller VARCHAR(64), request_id VARCHAR(64), outcome VARCHAR(16), "
+    "affected BIGINT, insert_id BIGINT, recorded_ms BIGINT, "
+    "PRIMARY KEY (caller, request_id))",
+)
+
+_RAN = "ran"
+_CANCELLED = "cancelled"
+
+
+class RequestFailedError(Exception):
+    """A request failed with a known verdict.
+
+    Parameters
+    ----------
+    failure
+        What to tell the caller.
+    """
+
+    def __init__(self, failure: Failure) -> None:
+        super().__init__(failure.describe())
+        self.failure = failure
+
+
+@dataclass(kw_only=True, slots=True)
+class Progress:
+    """How far a request has come; read when its task fails.
+
+    Parameters
+    ----------
+    stage
+        Last stage reached.
+    on_executed
+        Called once the server's slot is free again.
+    """
+
+    stage: WriteStage = WriteStage.QUEUED
+    on_executed: Callable[[], None] = field(default=lambda: None)
+
+
+def fail(verdict: Verdict, reason: Reason, detail: str, code: int = 0) -> Exception:
+    """Build the error that carries a failure."""
+    failure = Failure(verdict=verdict, reason=reason, detail=detail, error_code=code)
+    return RequestFailedError(failure)
+
+
+def _make_reply(answer: Answer, mark: Mark, server: ServerId) -> Reply:
+    return Reply(
+        columns=answer.columns,
+        rows=answer.rows,
+        affected_rows=answer.affected_rows,
+        last_insert_id=answer.last_insert_id,
+        mark=mark,
+        server=server,
+    )
+
+
+async def run_replica_read(
+    connection: BackendConnection,
+    request: Request,
+    server: ServerId,
+    timeout_s: float,
+    progress: Progress,
+) -> Reply:
+    """Read at a replica; the reply's mark bounds what the read saw."""
+    answer = await connection.run(request.sql, timeout_s)
+    progress.on_executed()
+    status = await read_status(connection)
+    term = status.lineage.find_term(status.applied)
+    return _make_reply(answer, Mark(term=term, position=status.applied), server)
+
+
+async def run_primary_read(
+    connection: BackendConnection,
+    request: Request,
+    server: ServerId,
+    timeout_s: float,
+    progress: Progress,
+) -> Reply:
+    """Read at the primary, answered only while it is known to lead.
+
+    A majority must confirm after the read, so that a replaced primary never
+    serves its diverged suffix.
+    """
+    answer = await connection.run(request.sql, timeout_s)
+    progress.on_executed()
+    state = await wait_commit(connection, COMMIT_WAIT_MS, confirm=True)
+    if not state.durable:
+        raise LostConnectionError("the server is not known to lead any more")
+    return _make_reply(answer, state.mark, server)
+
+
+async def run_write(
+    connection: BackendConnection,
+    request: Request,
+    server: ServerId,
+    timeout_s: float,
+    progress: Progress,
+    now_ms: int,
+) -> Reply:
+    """Run one write in a transaction of its own, at most once.
+
+    Parameters
+    ----------
+    connection
+        Clean connection to the primary.
+    request
+        The write; with a request id its outcome is recorded beside it.
+    server, timeout_s
+        The primary, and the longest time for the statement.
+    progress
+        Updated as the write comes along.
+    now_ms
+        Wall-clock milliseconds for the record.
+
+    Raises
+    ------
+    RequestFailedError
+        With a verdict.
+    LostConnectionError
+        When the connection failed; `Progress.stage` tells how far it was.
+    """
+    progress.stage = WriteStage.CONNECTED
+    await connection.run("BEGIN", CONTROL_TIMEOUT_S)
+    if request.request_id:
+        recorded = await record_request(connection, request, _RAN, now_ms)
+        if not recorded:
+            await connection.run("ROLLBACK", CONTROL_TIMEOUT_S)
+            progress.on_executed()
+            return await read_outcome(connection, request, server)
+    progress.stage = WriteStage.RECORDED
+    answer = await run_in_transaction(connection, request, timeout_s)
+    if request.request_id:
+        await _complete_record(connection, request, answer)
+    progress.stage = WriteStage.EXECUTED
+    mark = await commit(connection, progress)
+    return _make_reply(answer, mark, server)
+
+
+async def run_in_transaction(
+    connection: BackendConnection, request: Request, timeout_s: float
+) -> Answer:
+    """Run the caller's statement; an error of the server rolls back."""
+    try:
+        return await connection.run(request.sql, timeout_s)
+    except StatementRefusedError as error:
+        await connection.run("ROLLBACK", CONTROL_TIMEOUT_S)
+        if error.code in (READ_ONLY, FENCED):
+            raise fail(Verdict.NOT_RUN, Reason.NO_PRIMARY, error.text) from None
+        raise fail(
+            Verdict.NOT_RUN, Reason.DATABASE_ERROR, error.text, error.code
+        ) from None
+
+
+async def commit(connection: BackendConnection, progress: Progress) -> Mark:
+    """Commit and wait until the commit cannot be lost.
+
+    Raises
+    ------
+    RequestFailedError
+        When the commit was refused or is not known to be durable.
+    """
+    progress.stage = WriteStage.COMMIT_SENT
+    try:
+        await connection.run("COMMIT", CONTROL_TIMEOUT_S)
+    except StatementRefusedError as error:
+        # The server answered: it rolled the transaction back.
+        raise fail(Verdict.NOT_RUN, Reason.NO_PRIMARY, error.text) from None
+    progress.stage = WriteStage.COMMITTED
+    progress.on_executed()
+    state = await wait_commit(connection, COMMIT_WAIT_MS, confirm=False)
+    if not state.durable or (connection.term and state.mark.term != connection.term):
+        raise fail(
+            Verdict.MAY_HAVE_RUN,
+            Reason.NOT_DURABLE,
+            "committed, but not known to be held by a majority",
+        )
+    progress.stage = WriteStage.DURABLE
+    return state.mark
+
+
+async def record_request(
+    connection: BackendConnection, request: Request, outcome: str, now_ms: int
+) -> bool:
+    """Record a request id inside the open transaction.
+
+    Returns
+    -------
+    bool
+        False when the id is already recorded.
+    """
+    sql = (
+        "INSERT INTO apricotshore_request "
+        "(caller, request_id, outcome, affected, insert_id, recorded_ms) "
+        f"VALUES ('{request.caller}', '{request.request_id}', '{outcome}', "
+        f"0, 0, {now_ms})"
+    )
+    try:
+        await connection.run(sql, CONTROL_TIMEOUT_S)
+    except StatementRefusedError as error:
+        if error.code == DUPLICATE_KEY:
+            return False
+        await connection.run("ROLLBACK", CONTROL_TIMEOUT_S)
+        raise fail(Verdict.NOT_RUN, Reason.NO_PRIMARY, error.text) from None
+    return True
+
+
+async def _complete_record(
+    connection: BackendConnection, request: Request, answer: Answer
+) -> None:
+    sql = (
+        f"UPDATE apricotshore_request SET affected = {answer.affected_rows}, "
+        f"insert_id = {answer.last_insert_id} WHERE caller = '{request.caller}' "
+        f"AND request_id = '{request.request_id}'"
+    )
+    await connection.run(sql, CONTROL_TIMEOUT_S)
+
+
+async def read_outcome(
+    connection: BackendConnection, request: Request, server: ServerId
+) -> Reply:
+    """Return the recorded outcome of a request id once it cannot be lost."""
+    answer = await connection.run(
+        "SELECT outcome, affected, insert_id FROM apricotshore_request "
+        f"WHERE caller = '{request.caller}' AND request_id = '{request.request_id}'",
+        CONTROL_TIMEOUT_S,
+    )
+    state = await wait_commit(connection, COMMIT_WAIT_MS, confirm=True)
+    if not state.durable or not answer.rows:
+        raise fail(
+            Verdict.MAY_HAVE_RUN, Reason.DUPLICATE, "the first outcome is not known"
+        )
+    outcome, affected, insert_id = answer.rows[0]
+    if outcome == _CANCELLED:
+        raise fail(Verdict.NOT_RUN, Reason.DUPLICATE, "the request id was cancelled")
+    return Reply(
+        affected_rows=int(str(affected)),
+        last_insert_id=int(str(insert_id)),
+        mark=state.mark,
+        server=server,
+        duplicate=True,
+    )
+
+
+async def resolve(
+    connection: BackendConnection,
+    request: Request,
+    server: ServerId,
+    progress: Progress,
+    now_ms: int,
+) -> Reply:
+    """Settle what became of a request whose outcome is unknown.
+
+    The id is recorded as cancelled unless it is recorded already: from then on
+    the first attempt can no longer commit, so that ``not run`` is certain.
+
+    Raises
+    ------
+    RequestFailedError
+        With verdict ``not-run`` when the request was cancelled.
+    """
+    await connection.run("BEGIN", CONTROL_TIMEOUT_S)
+    if not await record_request(connection, request, _CANCELLED, now_ms):
+        await connection.run("ROLLBACK", CONTROL_TIMEOUT_S)
+        progress.on_executed()
+        return await read_outcome(connection, request, server)
+    await commit(connection, progress)
+    raise fail(
+        Verdict.NOT_RUN, Reason.LOST_CONNECTION, "the request was lost and cancelled"
+    )
+
+
+def judge_lost_connection(
+    request: Request, progress: Progress, error: LostConnectionError
+) -> Failure:
+    """Return the failure of a request whose connection was lost."""
+    verdict = judge_write(progress.stage)
+    return Failure(verdict=verdict, reason=Reason.LOST_CONNECTION, detail=str(error))
--- /dev/null
+++ b/src/apricotshore/services/frontend.py
@@ -0,0 +1,502 @@
+"""Sessions of callers, over the MySQL protocol."""
+
+import asyncio
+import re
+import ssl
+import uuid
+from collections.abc import Callable
+from contextvars import ContextVar
+from dataclasses import dataclass
+from typing import Any
+
+from mysql_mimic import MysqlServer
+from mysql_mimic.auth import (
+    AuthPlugin,
+    IdentityProvider,
+    NativePasswordAuthPlugin,
+    User,
+)
+from mysql_mimic.connection import Connection
+from mysql_mimic.constants import DEFAULT_SERVER_CAPABILITIES
+from mysql_mimic.errors import ErrorCode, MysqlError
+from mysql_mimic.session import BaseSession
+from mysql_mimic.types import Capabilities, ServerStatus
+from mysql_mimic.variables import GlobalVariables, SessionVariables
+
+from ..bundles import Bundle, Contract
+from ..decisions.routing import raise_mark
+from ..groups import ORIGIN, Mark
+from ..identifiers import (
+    CallerId,
+    DatabaseId,
+    KindId,
+    Position,
+    RequestId,
+    SessionId,
+    Term,
+    TransactionId,
+)
+from ..requests import Action, Reply, Request
+from ..settings import Settings
+from ..statements import Statement, StatementError, read_statement
+from ..verdicts import Failure, Reason, Verdict
+from .errorcodes import make_error
+from .router import Routed, Router, Target
+
+TOKEN_VARIABLE = "apricotshore_token"
+SESSION_VARIABLE = "apricotshore_session"
+MAX_TOKEN_DATABASES = 64
+
+_SET = re.compile(r"^\s*set\s+(.*)$", re.I | re.S)
+_USER_VARIABLE = re.compile(
+    rf"^@({TOKEN_VARIABLE}|{SESSION_VARIABLE})\s*:?=\s*'([^']*)'$", re.I
+)
+_AUTOCOMMIT = re.compile(
+    r"^(?:@@)?(?:session[\s.]+)?autocommit\s*:?=\s*(0|1|on|off)$", re.I
+)
+_SELECT_TOKEN = re.compile(rf"^\s*select\s+@{TOKEN_VARIABLE}\s*;?\s*$", re.I)
+_SELECT_VARIABLES = re.compile(r"^\s*select\s+@@[\w.@,\s]+(?:limit\s+\d+)?\s*;?$", re.I)
+_SHORT_NAME = re.compile(r"^[A-Za-z0-9_.:@-]{1,64}$")
+
+_LEAVES_TRANSACTION_OPEN = frozenset(
+    {Reason.DATABASE_ERROR, Reason.OVERLOAD, Reason.DEADLINE}
+)
+
+_current_writer: ContextVar[asyncio.StreamWriter] = ContextVar("writer")
+
+Result = Any
+
+
+@dataclass(kw_only=True)
+class OpenTransaction:
+    """A transaction that a session has open at an owner."""
+
+    transaction: TransactionId
+    target: Target
+    request_id: RequestId
+
+
+@dataclass(kw_only=True)
+class FrontendHooks:
+    """What sessions ask of their host."""
+
+    get_bundle: Callable[[], Bundle]
+    note_refused: Callable[[str], None]
+    note_served: Callable[[CallerId, KindId, bool, float], None]
+
+
+def _refuse(detail: str) -> MysqlError:
+    return make_error(
+        Failure(verdict=Verdict.NOT_RUN, reason=Reason.BAD_REQUEST, detail=detail)
+    )
+
+
+def format_token(marks: dict[DatabaseId, Mark]) -> str:
+    """Return the session token: ``database:term:position`` per database."""
+    return ",".join(f"{d}:{m.term}:{m.position}" for d, m in sorted(marks.items()))
+
+
+def parse_token(text: str) -> dict[DatabaseId, Mark]:
+    """Read a session token.
+
+    Raises
+    ------
+    ValueError
+        When the text is not a token.
+    """
+    marks: dict[DatabaseId, Mark] = {}
+    parts = [part for part in text.split(",") if part]
+    if len(parts) > MAX_TOKEN_DATABASES:
+        raise ValueError(f"more than {MAX_TOKEN_DATABASES} databases in a token")
+    for part in parts:
+        database, term, position = part.rsplit(":", 2)
+        if not (term.isdigit() and position.isdigit()) or len(term + position) > 36:
+            raise ValueError(f"expected database:term:position, got {part!r}")
+        mark = Mark(term=Term(int(term)), position=Position(int(position)))
+        marks[DatabaseId(database)] = mark
+    return marks
+
+
+class CallerSession(BaseSession):
+    """One connection of a caller.
+
+    Parameters
+    ----------
+    frontend
+        The front end that accepted it.
+    """
+
+    def __init__(self, *, frontend: "Frontend") -> None:
+        self.frontend = frontend
+        self.variables = SessionVariables(GlobalVariables())
+        self.username: str | None = None
+        self.database: str | None = None
+        self.connection: Connection | None = None
+        self.session = SessionId(uuid.uuid4().hex)
+        self.marks: dict[DatabaseId, Mark] = {}
+        self.token_given = False
+        self.autocommit = True
+        self.open: OpenTransaction | None = None
+        self.affected_rows = 0
+        self.last_insert_id = 0
+        self.busy = False
+        self.writer = _current_writer.get()
+        frontend.waiting_login[self] = asyncio.get_running_loop().call_later(
+            frontend.settings.login_ms / 1000, self.writer.transport.abort
+        )
+
+    # -- life cycle --
+
+    async def init(self, connection: Connection) -> None:
+        """Take over a connection whose handshake is complete."""
+        self.frontend.logged_in(self)
+        if self.username is None:
+            raise MysqlError("access denied", ErrorCode.ACCESS_DENIED_ERROR)
+        self.connection = connection
+        plain_ok = connection.ok
+
+        def make_ok(**kwargs: Any) -> bytes:
+            if not kwargs:
+                kwargs = {
+                    "affected_rows": self.affected_rows,
+                    "last_insert_id": self.last_insert_id,
+                }
+            return plain_ok(**kwargs)
+
+        # The library has no way to report affected rows from a session.
+        connection.ok = make_ok
+        self._show_status()
+
+    async def close(self) -> None:
+        """Roll back what is open and forget the connection."""
+        self.frontend.forget(self)
+        if self.open is not None and self.username is not None:
+            opened, self.open = self.open, None
+            statement = read_statement("ROLLBACK")
+            request = self._make_request(statement, Action.ROLLBACK, opened)
+            self.frontend.roll_back(request, opened)
+
+    async def reset(self) -> None:
+        """Reset session state, as for COM_CHANGE_USER."""
+        self.marks.clear()
+        self.token_given = False
+
+    async def use(self, database: str) -> None:
+        """Change the default database."""
+        self.database = database
+
+    def _show_status(self) -> None:
+        if self.connection is None:
+            return
+        flags = ServerStatus(0)
+        if self.open is not None:
+            flags |= ServerStatus.SERVER_STATUS_IN_TRANS
+        if self.autocommit:
+            flags |= ServerStatus.SERVER_STATUS_AUTOCOMMIT
+        self.connection.status_flags = flags
+
+    # -- queries --
+
+    async def handle_query(self, sql: str, attrs: dict[str, str]) -> Result:
+        """Serve one statement of the caller."""
+        self.affected_rows = self.last_insert_id = 0
+        if self.username is None:
+            raise MysqlError("access denied", ErrorCode.ACCESS_DENIED_ERROR)
+        self.busy = True
+        try:
+            return await self._handle(sql)
+        except StatementError as error:
+            raise _refuse(str(error)) from None
+        finally:
+            self.busy = False
+            self._show_status()
+
+    async def _handle(self, sql: str) -> Result:
+        if match := _SET.match(sql):
+            return self._set_variables(match.group(1).strip().rstrip(";"))
+        if _SELECT_TOKEN.match(sql):
+            return [(format_token(self.marks),)], [f"@{TOKEN_VARIABLE}"]
+        if _SELECT_VARIABLES.match(sql):
+            return self._select_variables(sql)
+        statement = read_statement(sql)
+        if statement.action is None:
+            raise _refuse("this statement is not served")
+        if self.open is None and statement.action in (Action.COMMIT, Action.ROLLBACK):
+            return None
+        if self.open is not None and statement.action is Action.BEGIN:
+            await self._commit_implicitly()
+        if self._opens_transaction(statement):
+            await self._begin(statement)
+        return await self._forward(statement, statement.action)
+
+    def _opens_transaction(self, statement: Statement) -> bool:
+        # With autocommit off a write opens a transaction; reads outside one
+        # stay single reads, so that replicas can serve them.
+        return (
+            not self.autocommit
+            and self.open is None
+            and statement.action is Action.WRITE
+        )
+
+    async def _begin(self, statement: Statement) -> None:
+        begin = read_statement("BEGIN")
+        tagged = Statement(
+            text=begin.text,
+            action=Action.BEGIN,
+            fingerprint=begin.fingerprint,
+            tags=statement.tags,
+        )
+        await self._forward(tagged, Action.BEGIN)
+
+    async def _commit_implicitly(self) -> None:
+        await self._forward(read_statement("COMMIT"), Action.COMMIT)
+
+    async def _forward(self, statement: Statement, action: Action) -> Result:
+        opened = self.open
+        request = self._make_request(statement, action, opened)
+        started = asyncio.get_running_loop().time()
+        target = opened.target if opened else None
+        routed = await self.frontend.router.route(request, target)
+        took_s = asyncio.get_running_loop().time() - started
+        failure = routed.outcome.failure
+        caller, kind = request.caller, request.kind
+        self.frontend.hooks.note_served(caller, kind, failure is None, took_s)
+        if failure is not None:
+            self._note_failure(action, failure)
+            raise make_error(failure)
+        reply = routed.outcome.reply
+        assert reply is not None
+        self._note_reply(request, action, reply, routed.target)
+        if reply.columns:
+            return list(reply.rows), list(reply.columns)
+        self.affected_rows = reply.affected_rows
+        self.last_insert_id = reply.last_insert_id
+        return None
+
+    def _note_failure(self, action: Action, failure: Failure) -> None:
+        ends = action in (Action.COMMIT, Action.ROLLBACK)
+        if ends or failure.reason not in _LEAVES_TRANSACTION_OPEN:
+            self.open = None
+
+    def _note_reply(
+        self, request: Request, action: Action, reply: Reply, target: Target | None
+    ) -> None:
+        old = self.marks.get(request.database, ORIGIN)
+        if reply.mark.position:
+            self.marks[request.database] = raise_mark(old, reply.mark)
+        if action is Action.BEGIN and target is not None:
+            self.open = OpenTransaction(
+                transaction=reply.transaction,
+                target=target,
+                request_id=request.request_id,
+            )
+        elif action in (Action.COMMIT, Action.ROLLBACK):
+            self.open = None
+
+    def _make_request(
+        self, statement: Statement, action: Action, opened: OpenTransaction | None
+    ) -> Request:
+        tags = statement.tags
+        database = self._find_database()
+        kind = self.frontend.hooks.get_bundle().find_kind(tags.kind)
+        for name in (tags.request_id, tags.session):
+            if name and not _SHORT_NAME.match(name):
+                raise _refuse(f"expected a short plain name, got {name!r}")
+        request_id = RequestId(tags.request_id)
+        if tags.idempotent is False and not request_id:
+            request_id = RequestId(uuid.uuid4().hex)
+        if opened is not None:
+            request_id = opened.request_id
+        token = self.marks.get(database, ORIGIN)
+        return Request(
+            caller=CallerId(self.username or ""),
+            database=database,
+            session=SessionId(tags.session) or self.session,
+            sql=statement.text,
+            action=action,
+            fingerprint=statement.fingerprint,
+            kind=kind.kind,
+            request_id=request_id,
+            token=token,
+            has_token=self.token_given or bool(token.position),
+            staleness_ms=tags.staleness_ms or 0,
+            deadline_ms=tags.deadline_ms or kind.deadline_ms,
+            transaction=opened.transaction if opened else TransactionId(""),
+            idempotent=tags.idempotent is True,
+        )
+
+    def _find_database(self) -> DatabaseId:
+        if self.database:
+            return DatabaseId(self.database)
+        contract = self.frontend.find_contract(self.username or "")
+        if contract is not None and len(contract.databases) == 1:
+            return contract.databases[0]
+        raise MysqlError("no database selected", ErrorCode.NO_DB_ERROR)
+
+    # -- variables --
+
+    def _set_variables(self, text: str) -> None:
+        if match := _USER_VARIABLE.match(text):
+            self._set_user_variable(match.group(1).lower(), match.group(2))
+        elif match := _AUTOCOMMIT.match(text):
+            self.autocommit = match.group(1).lower() in ("1", "on")
+
+    def _set_user_variable(self, name: str, value: str) -> None:
+        if name == SESSION_VARIABLE:
+            if not _SHORT_NAME.match(value):
+                raise _refuse(f"expected a short plain name, got {value!r}")
+            self.session = SessionId(value)
+            return
+        try:
+            given = parse_token(value)
+        except ValueError as error:
+            raise _refuse(str(error)) from None
+        for database, mark in given.items():
+            self.marks[database] = raise_mark(self.marks.get(database, ORIGIN), mark)
+        self.token_given = True
+
+    def _select_variables(self, sql: str) -> Result:
+        names = re.findall(r"@@(?:session\.|global\.)?(\w+)", sql, re.I)
+        row = []
+        for name in names:
+            try:
+                row.append(self.variables.get(name.lower()))
+            except MysqlError:
+                row.append(None)
+        return [tuple(row)], [f"@@{name}" for name in names]
+
+
+class _Identities(IdentityProvider):
+    """Users as the bundle in force names them."""
+
+    def __init__(self, frontend: "Frontend") -> None:
+        self.frontend = frontend
+
+    def get_plugins(self) -> list[AuthPlugin]:
+        return [NativePasswordAuthPlugin()]
+
+    async def get_user(self, username: str) -> User | None:
+        contract = self.frontend.find_contract(username)
+        if contract is None:
+            self.frontend.hooks.note_refused(username)
+            return None
+        return User(
+            name=username,
+            auth_string=contract.password_hash,
+            auth_plugin="mysql_native_password",
+        )
+
+
+class _LimitedServer(MysqlServer):
+    """MySQL server that bounds the number of connections."""
+
+    frontend: "Frontend"
+
+    async def _client_connected_cb(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        frontend = self.frontend
+        if frontend.count >= frontend.settings.max_callers or frontend.draining:
+            writer.close()
+            return
+        frontend.count += 1
+        _current_writer.set(writer)
+        try:
+            await super()._client_connected_cb(reader, writer)
+        except (OSError, EOFError, AssertionError, ValueError, IndexError):
+            # A broken packet ends this connection alone.
+            writer.close()
+        finally:
+            frontend.count -= 1
+
+
+class Frontend:
+    """Accepts callers.
+
+    Parameters
+    ----------
+    settings
+        Settings of this host.
+    router
+        Serves the requests.
+    hooks
+        What sessions ask of the host.
+    context
+        TLS context; None for plain TCP.
+    """
+
+    def __init__(
+        self,
+        *,
+        settings: Settings,
+        router: Router,
+        hooks: FrontendHooks,
+        context: ssl.SSLContext | None,
+    ) -> None:
+        self.settings = settings
+        self.router = router
+        self.hooks = hooks
+        self.sessions: set[CallerSession] = set()
+        self.waiting_login: dict[CallerSession, asyncio.TimerHandle] = {}
+        self.count = 0
+        self.draining = False
+        self.jobs: set[asyncio.Task[Routed]] = set()
+        self.server = _LimitedServer(
+            session_factory=lambda: CallerSession(frontend=self),
+            # Some drivers fail when the server announces this capability.
+            capabilities=DEFAULT_SERVER_CAPABILITIES
+            & ~Capabilities.CLIENT_DEPRECATE_EOF,
+            identity_provider=_Identities(self),
+            ssl=context,
+        )
+        self.server.frontend = self
+
+    async def start(self) -> None:
+        """Start listening."""
+        host, _, port = self.settings.caller_address.rpartition(":")
+        await self.server.start_server(host=host, port=int(port))
+
+    def find_contract(self, username: str) -> Contract | None:
+        """Return a caller's contract in the bundle in force."""
+        return self.hooks.get_bundle().callers.get(CallerId(username))
+
+    def logged_in(self, session: CallerSession) -> None:
+        """Note that a session's handshake is complete."""
+        timer = self.waiting_login.pop(session, None)
+        if timer is not None:
+            timer.cancel()
+        self.sessions.add(session)
+
+    def forget(self, session: CallerSession) -> None:
+        """Drop a closed session."""
+        self.sessions.discard(session)
+
+    def roll_back(self, request: Request, opened: OpenTransaction) -> None:
+        """Roll back the transaction of a caller that has gone."""
+        job = asyncio.create_task(self.router.route(request, opened.target))
+        self.jobs.add(job)
+        job.add_done_callback(self.jobs.discard)
+
+    def cut_withdrawn(self) -> int:
+        """Close the connections of callers without a contract."""
+        cut = 0
+        for session in list(self.sessions):
+            if self.find_contract(session.username or "") is None:
+                if session.connection is not None:
+                    session.connection.kill()
+                cut += 1
+        return cut
+
+    def stop_accepting(self) -> None:
+        """Accept nothing new."""
+        self.draining = True
+        if self.server._server is not None:
+            self.server._server.close()
+
+    def close_idle(self) -> int:
+        """Close callers between transactions; return how many are left."""
+        for session in list(self.sessions):
+            if not session.busy and session.open is None:
+                session.writer.close()
+                self.forget(session)
+        return len(self.sessions)
--- /dev/null
+++ b/src/apricotshore/services/groupwatch.py
@@ -0,0 +1,219 @@
+"""Watching a database group and carrying out the driver's actions."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field
+
+from mode import Service
+
+from ..decisions import failover
+from ..decisions.failover import (
+    Act,
+    AskWitnesses,
+    Explain,
+    Failover,
+    Fence,
+    FenceAnswer,
+    Follow,
+    Promote,
+    PromoteAnswer,
+)
+from ..decisions.routing import GroupView, observe_silence, observe_status
+from ..groups import Claim, Mark
+from ..identifiers import Position, ServerId, Term
+from .backends import (
+    CONTROL_TIMEOUT_S,
+    Answer,
+    BackendConnection,
+    Endpoint,
+    LostConnectionError,
+    StatementRefusedError,
+    open_connection,
+    read_claim,
+    read_status,
+)
+from .clock import read_monotonic_ms
+
+PROBE_PERIOD_S = 0.1
+TICK_PERIOD_S = 0.03
+NO_TERM = Term(0)
+
+
+@dataclass(kw_only=True)
+class WatchHooks:
+    """What a group watch calls when something changes.
+
+    Parameters
+    ----------
+    on_claim
+        A server showed its claim row.
+    on_change
+        The view of the group has changed.
+    on_explain
+        The driver took a step.
+    ask_witnesses
+        Ask other hosts whether a server answers; returns answers.
+    on_unfit
+        Others reach the primary and this host does not.
+    may_drive
+        Whether this host may drive a change of primary now.
+    """
+
+    on_claim: Callable[[ServerId, Claim | None], Awaitable[None]]
+    on_change: Callable[[], None]
+    on_explain: Callable[[Explain], None]
+    ask_witnesses: Callable[[str], Awaitable[list[bool]]]
+    on_unfit: Callable[[], None]
+    may_drive: Callable[[], bool]
+
+
+@dataclass(kw_only=True)
+class Driver:
+    """Identity and state of this host as driver of one group."""
+
+    name: str
+    state: Failover = field(default_factory=Failover)
+
+
+class GroupWatch(Service):
+    """Probes every server of a group and drives changes of primary.
+
+    Parameters
+    ----------
+    endpoints
+        How to reach each server.
+    view
+        The shared view of the group; updated here.
+    driver_name
+        Unique to this process, so that no term is granted twice to it.
+    hooks
+        What to call.
+    """
+
+    def __init__(
+        self,
+        *,
+        endpoints: dict[ServerId, Endpoint],
+        view: GroupView,
+        driver_name: str,
+        hooks: WatchHooks,
+    ) -> None:
+        super().__init__()
+        self.endpoints = endpoints
+        self.view = view
+        self.hooks = hooks
+        self.driver = Driver(name=driver_name)
+        self.jobs: set[asyncio.Task[None]] = set()
+
+    async def on_start(self) -> None:
+        """Start one probe task per server."""
+        for server in self.endpoints:
+            self.add_future(self._probe_loop(server))
+
+    async def on_stop(self) -> None:
+        """Cancel outstanding actions."""
+        for job in list(self.jobs):
+            job.cancel()
+
+    async def _probe_loop(self, server: ServerId) -> None:
+        connection: BackendConnection | None = None
+        while not self.should_stop:
+            asked_at = read_monotonic_ms()
+            try:
+                if connection is None:
+                    endpoint = self.endpoints[server]
+                    connection = await open_connection(endpoint, NO_TERM)
+                asked_at = read_monotonic_ms()
+                status = await read_status(connection)
+                claim = await read_claim(connection)
+                observe_status(self.view, status, asked_at)
+                await self.hooks.on_claim(server, claim)
+            except (LostConnectionError, StatementRefusedError):
+                if connection is not None:
+                    connection.close()
+                connection = None
+                observe_silence(self.view, server)
+            self.hooks.on_change()
+            await asyncio.sleep(PROBE_PERIOD_S)
+
+    @Service.task
+    async def _tick_loop(self) -> None:
+        while not self.should_stop:
+            await asyncio.sleep(TICK_PERIOD_S)
+            if self.hooks.may_drive():
+                now = read_monotonic_ms()
+                self._perform(failover.tick(self.driver.state, self.view, now))
+
+    def _perform(self, acts: list[Act]) -> None:
+        for act in acts:
+            if isinstance(act, Explain):
+                self.hooks.on_explain(act)
+                self.hooks.on_change()
+                continue
+            job = asyncio.create_task(self._carry_out(act))
+            self.jobs.add(job)
+            job.add_done_callback(self.jobs.discard)
+
+    async def _carry_out(self, act: Act) -> None:
+        if isinstance(act, Fence):
+            await self._fence(act)
+        elif isinstance(act, Promote):
+            await self._promote(act)
+        elif isinstance(act, Follow):
+            await self._follow(act)
+        elif isinstance(act, AskWitnesses):
+            await self._ask_witnesses(act)
+
+    async def _command(self, server: ServerId, sql: str) -> Answer | None:
+        try:
+            connection = await open_connection(self.endpoints[server], NO_TERM)
+            try:
+                return await connection.run(sql, CONTROL_TIMEOUT_S)
+            finally:
+                connection.close()
+        except (LostConnectionError, StatementRefusedError):
+            return None
+
+    async def _fence(self, act: Fence) -> None:
+        sql = f"CALL group_fence({act.term}, '{self.driver.name}')"
+        answer = await self._command(act.server, sql)
+        if answer is None:
+            return
+        granted, term, last_term, position = (int(str(c)) for c in answer.rows[0])
+        message = FenceAnswer(
+            server=act.server,
+            granted=bool(granted),
+            term=Term(term),
+            end=Mark(term=Term(last_term), position=Position(position)),
+        )
+        now = read_monotonic_ms()
+        self._perform(
+            failover.take_fence_answer(self.driver.state, self.view, message, now)
+        )
+
+    async def _promote(self, act: Promote) -> None:
+        sql = f"CALL group_promote({act.term}, '{self.driver.name}')"
+        answer = await self._command(act.server, sql)
+        if answer is None:
+            return
+        done = bool(int(str(answer.rows[0][0])))
+        message = PromoteAnswer(server=act.server, term=act.term, done=done)
+        now = read_monotonic_ms()
+        self._perform(
+            failover.take_promote_answer(self.driver.state, self.view, message, now)
+        )
+        self.hooks.on_change()
+
+    async def _follow(self, act: Follow) -> None:
+        address = self.endpoints[act.primary].server.replication_address
+        sql = f"CALL group_follow({act.term}, '{act.primary}', '{address}')"
+        await self._command(act.server, sql)
+
+    async def _ask_witnesses(self, act: AskWitnesses) -> None:
+        address = self.endpoints[act.server].server.address
+        answers = await self.hooks.ask_witnesses(address)
+        if any(answers):
+            self.driver.state.silent_hosts = 0
+            self.hooks.on_unfit()
+        else:
+            self.driver.state.silent_hosts = 1 + len(answers)
--- /dev/null
+++ b/src/apricotshore/services/keeper.py
@@ -0,0 +1,210 @@
+"""Keeps the bundle in force: watches, fetches, verifies and never goes back."""
+
+import asyncio
+import random
+from collections.abc import Callable
+
+from mode import Service
+
+from ..bundles import EMPTY_BUNDLE, Bundle, Person
+from ..decisions.rollout import Offer, consider_offer
+from ..exceptions import ApricotshoreError, PlatformError
+from ..identifiers import BundleVersion, PersonId
+from ..manifests import (
+    Pieces,
+    Root,
+    decode_root,
+    encode_root,
+    join_pieces,
+    list_sections,
+    verify_root,
+)
+from .members import MembershipService
+from .peers import PeerLinks, PeerLostError, PeerUnreachableError
+from .platform import ObjectKind, PlatformClient, Purpose
+
+CURRENT = "current"
+BACKOFF_FIRST_S = 0.2
+BACKOFF_LONGEST_S = 5.0
+SLOW_POLL_S = 60.0
+GOSSIP_CHECK_S = 0.1
+PIECES_PER_FETCH = 64
+
+
+class BundleKeeper(Service):
+    """Holds the bundle in force at this host.
+
+    Parameters
+    ----------
+    platform, links, members
+        Where bundles come from.
+    trusted
+        Keys for the first bundle that is taken.
+    on_bundle
+        Called with the old and the new bundle when a new one is in force.
+    on_explain
+        Called with a step and its detail.
+    """
+
+    def __init__(
+        self,
+        *,
+        platform: PlatformClient,
+        links: PeerLinks,
+        members: MembershipService,
+        trusted: tuple[Person, ...],
+        on_bundle: Callable[[Bundle, Bundle], None],
+        on_explain: Callable[[str, str], None],
+    ) -> None:
+        super().__init__()
+        self.platform = platform
+        self.links = links
+        self.members = members
+        self.trusted = {person.person: person for person in trusted}
+        self.on_bundle = on_bundle
+        self.on_explain = on_explain
+        self.bundle: Bundle = EMPTY_BUNDLE
+        self.root: Root | None = None
+        self.texts: dict[str, str] = {}
+        self.taking = asyncio.Lock()
+        self.behind = asyncio.Event()
+
+    # -- answers to peers --
+
+    def get_root(self) -> str:
+        """Return the root in force, for a peer; empty when there is none."""
+        return "" if self.root is None else encode_root(self.root)
+
+    def get_pieces(self, digests: list[str]) -> list[str]:
+        """Return pieces for a peer; unknown ones are empty."""
+        return [self.texts.get(d, "") for d in digests[:PIECES_PER_FETCH]]
+
+    # -- taking bundles --
+
+    def _get_people(self) -> dict[PersonId, Person]:
+        return self.bundle.people if self.root is not None else self.trusted
+
+    async def _take_root(
+        self, text: str, fetch: Callable[[list[str]], "asyncio.Future[list[str]]"]
+    ) -> None:
+        root = decode_root(text)
+        async with self.taking:
+            if consider_offer(self.bundle.version, root.version) is Offer.IGNORE:
+                return
+            verify_root(root, self._get_people())
+            texts = await self._gather_pieces(root, fetch)
+            bundle = join_pieces(Pieces(root=root, texts=texts))
+            old = self.bundle
+            self.bundle, self.root, self.texts = bundle, root, texts
+        self.members.set_bundle(bundle.version)
+        self.on_explain("in-force", f"version {bundle.version}")
+        self.on_bundle(old, bundle)
+
+    async def _gather_pieces(
+        self, root: Root, fetch: Callable[[list[str]], "asyncio.Future[list[str]]"]
+    ) -> dict[str, str]:
+        pages = [d for d in root.pages if d != "-"]
+        texts = await self._fill(pages, fetch)
+        sections = [d for page in pages for d in list_sections(texts[page])]
+        return texts | await self._fill(sections, fetch)
+
+    async def _fill(
+        self,
+        digests: list[str],
+        fetch: Callable[[list[str]], "asyncio.Future[list[str]]"],
+    ) -> dict[str, str]:
+        found = {d: self.texts[d] for d in digests if d in self.texts}
+        missing = [d for d in digests if d not in found]
+        for start in range(0, len(missing), PIECES_PER_FETCH):
+            part = missing[start : start + PIECES_PER_FETCH]
+            found.update(zip(part, await fetch(part), strict=True))
+        return found
+
+    async def _fetch_from_platform(self, digests: list[str]) -> list[str]:
+        texts: list[str] = []
+        for digest in digests:
+            stored = await self.platform.read(ObjectKind.PIECE, digest, Purpose.ROLLOUT)
+            texts.append("" if stored is None else stored.value)
+        return texts
+
+    async def take_from_platform(self) -> None:
+        """Read the root from the platform once and take it."""
+        stored = await self.platform.read(ObjectKind.BUNDLE, CURRENT, Purpose.ROLLOUT)
+        if stored is not None:
+            await self._take_root(stored.value, self._fetch_from_platform)
+
+    async def take_from_peer(self, address: str) -> None:
+        """Fetch the root of a peer and take it."""
+
+        async def fetch(digests: list[str]) -> list[str]:
+            return await self.links.fetch_pieces(address, digests)
+
+        text = await self.links.fetch_root(address)
+        if text:
+            await self._take_root(text, fetch)
+
+    def note_behind(self) -> None:
+        """Look for a newer bundle at once: a database's claim demands one."""
+        self.behind.set()
+
+    # -- loops --
+
+    @Service.task
+    async def _watch_loop(self) -> None:
+        seen, backoff_s = 0, BACKOFF_FIRST_S
+        while not self.should_stop:
+            try:
+                if self.root is not None and not self.members.is_watcher():
+                    await self.sleep(SLOW_POLL_S * random.uniform(0.5, 1.0))
+                    await self.take_from_platform()
+                    continue
+                stored = await self.platform.watch(
+                    ObjectKind.BUNDLE, CURRENT, seen, Purpose.ROLLOUT
+                )
+                if stored is not None:
+                    seen = stored.version
+                    await self._take_root(stored.value, self._fetch_from_platform)
+                backoff_s = BACKOFF_FIRST_S
+            except PlatformError:
+                await self.sleep(backoff_s * random.uniform(0.5, 1.0))
+                backoff_s = min(backoff_s * 2, BACKOFF_LONGEST_S)
+            except ApricotshoreError as error:
+                self.on_explain("refused", error.format_message())
+                await self.sleep(BACKOFF_LONGEST_S)
+
+    @Service.task
+    async def _gossip_loop(self) -> None:
+        while not self.should_stop:
+            await self.sleep(GOSSIP_CHECK_S)
+            ahead = [
+                member
+                for member in self.members.list_live()
+                if member.bundle > self.bundle.version
+            ]
+            if ahead:
+                await self._try_peer(random.choice(ahead).address)
+
+    async def _try_peer(self, address: str) -> None:
+        try:
+            await self.take_from_peer(address)
+        except (PeerUnreachableError, PeerLostError):
+            await self.sleep(GOSSIP_CHECK_S)
+        except ApricotshoreError as error:
+            self.on_explain("refused", f"from {address}: {error.format_message()}")
+            await self.sleep(BACKOFF_LONGEST_S)
+
+    @Service.task
+    async def _behind_loop(self) -> None:
+        while not self.should_stop:
+            await self.behind.wait()
+            self.behind.clear()
+            try:
+                await self.take_from_platform()
+            except ApricotshoreError:
+                await self.sleep(BACKOFF_FIRST_S)
+            await self.sleep(GOSSIP_CHECK_S)
+
+    @property
+    def version(self) -> BundleVersion:
+        """Version in force."""
+        return self.bundle.version
--- /dev/null
+++ b/src/apricotshore/services/members.py
@@ -0,0 +1,167 @@
+"""Membership service: probes, updates and the platform's lagging list."""
+
+import asyncio
+import json
+import random
+from collections.abc import Callable
+from dataclasses import replace
+
+from mode import Service
+
+from ..decisions import membership
+from ..decisions.membership import Life, Member, Membership
+from ..decisions.ownership import Ring, find_weight
+from ..exceptions import PlatformError
+from ..identifiers import BundleVersion, DataCentreId, HostId
+from .clock import read_monotonic_ms
+from .peers import PeerLinks, PeerLostError, PeerUnreachableError
+from .platform import ObjectKind, PlatformClient, Purpose
+
+LIST_PERIOD_S = 20.0
+LIST_JITTER_S = 5.0
+FIRST_LIST_S = 0.5
+WATCHERS = 2
+
+
+class MembershipService(Service):
+    """Keeps this host's view of the fleet.
+
+    Parameters
+    ----------
+    me
+        This host's own record.
+    links
+        Links to peers.
+    platform
+        The platform, for its list of hosts.
+    seeds
+        Addresses to try when the list cannot be had.
+    on_change
+        Called when the set of live hosts or a bundle version changed.
+    """
+
+    def __init__(
+        self,
+        *,
+        me: Member,
+        links: PeerLinks,
+        platform: PlatformClient,
+        seeds: tuple[str, ...],
+        on_change: Callable[[], None],
+    ) -> None:
+        super().__init__()
+        self.fleet: Membership = membership.start_membership(me)
+        self.links = links
+        self.platform = platform
+        self.seeds = seeds
+        self.on_change = on_change
+        self.ring = Ring(hosts=[me.host])
+        self.ring_version = -1
+
+    def get_ring(self) -> Ring:
+        """Return the ring of live hosts."""
+        if self.ring_version != self.fleet.version:
+            self.ring = Ring(hosts=membership.list_live(self.fleet))
+            self.ring_version = self.fleet.version
+        return self.ring
+
+    def find(self, host: HostId) -> Member | None:
+        """Return a host's record."""
+        return self.fleet.members.get(host)
+
+    def list_live(self) -> list[Member]:
+        """Return the records of the live hosts, this one included."""
+        return [self.fleet.members[h] for h in membership.list_live(self.fleet)]
+
+    def set_life(self, life: Life) -> None:
+        """Announce a change of this host's own state."""
+        record = replace(
+            self.fleet.me, life=life, incarnation=self.fleet.me.incarnation + 1
+        )
+        membership.set_own(self.fleet, record, read_monotonic_ms())
+
+    def set_bundle(self, version: BundleVersion) -> None:
+        """Announce the bundle version that is in force here."""
+        record = replace(
+            self.fleet.me, bundle=version, incarnation=self.fleet.me.incarnation + 1
+        )
+        membership.set_own(self.fleet, record, read_monotonic_ms())
+
+    def take_ping(self, updates: list[Member]) -> list[Member]:
+        """Take in a peer's updates and return ours."""
+        self._take(updates)
+        return membership.take_spread(self.fleet)
+
+    def _take(self, updates: list[Member]) -> None:
+        now = read_monotonic_ms()
+        for update in updates:
+            membership.take_update(self.fleet, update, now)
+        self.on_change()
+
+    @Service.task
+    async def _probe_loop(self) -> None:
+        while not self.should_stop:
+            targets = membership.choose_targets(self.fleet, random.shuffle)
+            await asyncio.gather(*(self._probe(target) for target in targets))
+            if len(self.fleet.members) == 1:
+                await asyncio.gather(*(self._probe_seed(a) for a in self.seeds))
+            if membership.expire(self.fleet, read_monotonic_ms()):
+                self.on_change()
+            jitter = random.uniform(0.8, 1.2)
+            await self.sleep(membership.PROBE_PERIOD_MS / 1000 * jitter)
+
+    async def _probe(self, target: Member) -> None:
+        updates = membership.take_spread(self.fleet)
+        try:
+            answer = await self.links.ping(target.address, updates)
+        except (PeerUnreachableError, PeerLostError):
+            now = read_monotonic_ms()
+            membership.take_silence(self.fleet, target.host, now)
+            self.on_change()
+            return
+        membership.take_answer(self.fleet, target.host, read_monotonic_ms())
+        self._take(answer)
+
+    async def _probe_seed(self, address: str) -> None:
+        if address == self.fleet.me.address:
+            return
+        try:
+            answer = await self.links.ping(address, [self.fleet.me])
+        except (PeerUnreachableError, PeerLostError):
+            return
+        self._take(answer)
+
+    def is_watcher(self) -> bool:
+        """Return whether this host calls the platform for its data centre."""
+        watchers = membership.choose_watchers(self.fleet, find_weight, WATCHERS)
+        return self.fleet.me.host in watchers
+
+    @Service.task
+    async def _list_loop(self) -> None:
+        listed = False
+        while not self.should_stop:
+            wait_s = LIST_PERIOD_S + random.uniform(0, LIST_JITTER_S)
+            if not listed or self.is_watcher():
+                try:
+                    await self._take_list()
+                    listed = True
+                except PlatformError:
+                    wait_s = random.uniform(FIRST_LIST_S, LIST_JITTER_S)
+            await self.sleep(wait_s)
+
+    async def _take_list(self) -> None:
+        now = read_monotonic_ms()
+        for item in await self.platform.list(ObjectKind.HOST, Purpose.MEMBERSHIP):
+            host = HostId(item.name)
+            if host in self.fleet.members:
+                continue
+            value = json.loads(item.value)
+            record = Member(
+                host=host,
+                address=str(value["address"]),
+                data_centre=DataCentreId(str(value["data_centre"])),
+                incarnation=0,
+                life=Life.ALIVE,
+            )
+            membership.take_update(self.fleet, record, now)
+        self.on_change()
--- /dev/null
+++ b/src/apricotshore/services/operations.py
@@ -0,0 +1,301 @@
+"""What operators do with bundles, over the platform's object API."""
+
+import asyncio
+import hashlib
+import uuid
+from dataclasses import dataclass, replace
+
+from cryptography.hazmat.primitives.asymmetric.ed25519 import Ed25519PrivateKey
+
+from ..bundles import EMPTY_BUNDLE, Bundle
+from ..decisions.rollout import Proof, judge_withdrawal
+from ..evidence import decode_evidence
+from ..exceptions import (
+    ApricotshoreError,
+    ConflictError,
+    NotProvedError,
+    PlatformConflictError,
+    PlatformError,
+)
+from ..identifiers import BundleVersion, CallerId, DatabaseId, HostId, PersonId
+from ..manifests import (
+    Pieces,
+    Root,
+    cut_bundle,
+    decode_root,
+    encode_root,
+    join_pieces,
+    list_sections,
+    sign_root,
+    verify_author,
+    verify_root,
+)
+from .keeper import CURRENT
+from .platform import ObjectKind, PlatformClient, Purpose
+
+WRITE_TRIES = 5
+RETRY_S = 0.2
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class InForce:
+    """The accepted bundle and the platform's version of its object."""
+
+    root: Root | None
+    bundle: Bundle
+    stored_version: int
+
+
+def hash_password(password: str) -> str:
+    """Return the doubly hashed form that bundles hold."""
+    once = hashlib.sha1(password.encode(), usedforsecurity=False).digest()
+    return "*" + hashlib.sha1(once, usedforsecurity=False).hexdigest()
+
+
+async def _read_piece(platform: PlatformClient, digest: str) -> str:
+    stored = await platform.read(ObjectKind.PIECE, digest, Purpose.SIGN_OFF)
+    return "" if stored is None else stored.value
+
+
+async def read_bundle(platform: PlatformClient, root: Root) -> Bundle:
+    """Read the pieces of a root and put the bundle together."""
+    texts: dict[str, str] = {}
+    for page in root.pages:
+        if page == "-":
+            continue
+        texts[page] = await _read_piece(platform, page)
+        for digest in list_sections(texts[page] or "{}"):
+            texts[digest] = await _read_piece(platform, digest)
+    return join_pieces(Pieces(root=root, texts=texts))
+
+
+async def read_in_force(platform: PlatformClient) -> InForce:
+    """Read the accepted bundle from the platform."""
+    stored = await platform.read(ObjectKind.BUNDLE, CURRENT, Purpose.SIGN_OFF)
+    if stored is None:
+        return InForce(root=None, bundle=EMPTY_BUNDLE, stored_version=0)
+    root = decode_root(stored.value)
+    bundle = await read_bundle(platform, root)
+    return InForce(root=root, bundle=bundle, stored_version=stored.version)
+
+
+async def _write_until_answered(
+    platform: PlatformClient, kind: ObjectKind, name: str, value: str
+) -> None:
+    """Write an object whose name fixes its content; repeating does no harm."""
+    for attempt in range(WRITE_TRIES):
+        try:
+            await platform.write(kind, name, value, Purpose.SIGN_OFF)
+            return
+        except PlatformError:
+            if attempt == WRITE_TRIES - 1:
+                raise
+            await asyncio.sleep(RETRY_S)
+
+
+def name_proposal(root: Root) -> str:
+    """Return the name under which a proposal is stored."""
+    digest = hashlib.sha256(root.signed_text()).hexdigest()[:8]
+    return f"{root.version}-{digest}"
+
+
+async def propose_bundle(
+    platform: PlatformClient, bundle: Bundle, author: PersonId, key: Ed25519PrivateKey
+) -> str:
+    """Store a bundle, signed by its author, for somebody else to approve.
+
+    Returns
+    -------
+    str
+        Name of the proposal.
+
+    Raises
+    ------
+    ConflictError
+        When its version is not the next one.
+    """
+    current = await read_in_force(platform)
+    expected = current.bundle.version + 1
+    if bundle.version != expected:
+        raise ConflictError(
+            f"version {current.bundle.version} is in force: the next is {expected}, "
+            f"not {bundle.version}"
+        )
+    pieces = cut_bundle(bundle, current.bundle)
+    root = replace(pieces.root, author=sign_root(pieces.root, author, key))
+    verify_author(root, current.bundle.people or bundle.people)
+    for digest, text in pieces.texts.items():
+        if digest not in (current.root.pages if current.root else ()):
+            await _write_until_answered(platform, ObjectKind.PIECE, digest, text)
+    name = name_proposal(root)
+    await _write_until_answered(platform, ObjectKind.PROPOSAL, name, encode_root(root))
+    return name
+
+
+async def approve_bundle(
+    platform: PlatformClient, name: str, approver: PersonId, key: Ed25519PrivateKey
+) -> Root:
+    """Approve a proposal and put it in force by one conditional update.
+
+    Parameters
+    ----------
+    platform
+        The platform.
+    name
+        Name of the proposal.
+    approver, key
+        Who approves.
+
+    Returns
+    -------
+    Root
+        The accepted root.
+
+    Raises
+    ------
+    ConflictError
+        When another bundle of this version was accepted first.
+    SignatureError
+        When a signature does not hold or the author approves.
+    """
+    stored = await platform.read(ObjectKind.PROPOSAL, name, Purpose.SIGN_OFF)
+    if stored is None:
+        raise ApricotshoreError(f"no proposal is named {name!r}")
+    proposal = decode_root(stored.value)
+    current = await read_in_force(platform)
+    _refuse_stale(proposal, current)
+    bundle = await read_bundle(platform, proposal)
+    signed = replace(
+        proposal,
+        attempt=uuid.uuid4().hex,
+        approver=sign_root(proposal, approver, key),
+    )
+    verify_root(signed, current.bundle.people or bundle.people)
+    if current.root is not None:
+        await _keep_history(platform, current.root)
+    await _accept(platform, signed, current.stored_version)
+    await _keep_history(platform, signed)
+    return signed
+
+
+def _refuse_stale(proposal: Root, current: InForce) -> None:
+    if proposal.version != current.bundle.version + 1:
+        raise ConflictError(_describe_winner(current.root))
+
+
+def _describe_winner(root: Root | None) -> str:
+    if root is None or root.author is None or root.approver is None:
+        return "another bundle was accepted first"
+    return (
+        f"version {root.version} by {root.author.person}, approved by "
+        f"{root.approver.person}, was accepted first (proposal {name_proposal(root)})"
+    )
+
+
+async def _accept(platform: PlatformClient, root: Root, stored_version: int) -> None:
+    value = encode_root(root)
+    for _ in range(WRITE_TRIES):
+        try:
+            await platform.write(
+                ObjectKind.BUNDLE, CURRENT, value, Purpose.SIGN_OFF, stored_version
+            )
+            return
+        except PlatformConflictError:
+            # The conflict may be our own earlier write, its answer lost.
+            current = await read_in_force(platform)
+            if current.root is not None and current.root.attempt == root.attempt:
+                return
+            raise ConflictError(_describe_winner(current.root)) from None
+        except PlatformError:
+            await asyncio.sleep(RETRY_S)
+    raise PlatformError(
+        f"the outcome is unknown; run 'bundle status': attempt {root.attempt}"
+    )
+
+
+async def _keep_history(platform: PlatformClient, root: Root) -> None:
+    await _write_until_answered(
+        platform, ObjectKind.HISTORY, str(root.version), encode_root(root)
+    )
+
+
+async def list_history(platform: PlatformClient) -> list[Root]:
+    """Return every accepted root, oldest first."""
+    items = await platform.list(ObjectKind.HISTORY, Purpose.REPORT)
+    roots = {int(item.name): decode_root(item.value) for item in items}
+    current = await read_in_force(platform)
+    if current.root is not None:
+        roots[current.root.version] = current.root
+    return [roots[version] for version in sorted(roots)]
+
+
+async def find_withdrawal(
+    platform: PlatformClient, caller: CallerId
+) -> tuple[BundleVersion, tuple[DatabaseId, ...]]:
+    """Return the version that withdrew a caller last, and from which databases.
+
+    Raises
+    ------
+    ApricotshoreError
+        When the caller was never withdrawn, or has a contract again.
+    """
+    current = await read_in_force(platform)
+    if caller in current.bundle.callers:
+        raise ApricotshoreError(f"caller {caller!r} has a contract in force")
+    for root in reversed(await list_history(platform)):
+        for withdrawal in root.withdrawn:
+            if withdrawal.caller == caller:
+                return root.version, withdrawal.databases
+    raise ApricotshoreError(f"no bundle ever withdrew caller {caller!r}")
+
+
+async def prove_withdrawal(platform: PlatformClient, caller: CallerId) -> Proof:
+    """Judge the recorded evidence that a caller is cut off."""
+    version, databases = await find_withdrawal(platform, caller)
+    evidence = {}
+    for database in databases:
+        stored = await platform.read(ObjectKind.EVIDENCE, database, Purpose.REPORT)
+        if stored is not None:
+            evidence[database] = decode_evidence(stored.value)
+    listed = await platform.list(ObjectKind.HOST, Purpose.REPORT)
+    hosts = {HostId(item.name) for item in listed}
+    for record in evidence.values():
+        hosts.add(record.owner)
+        hosts.update(h for s in record.servers for h in s.killed)
+    return judge_withdrawal(caller, version, databases, evidence, tuple(sorted(hosts)))
+
+
+async def describe_proof(platform: PlatformClient, proof: Proof) -> list[str]:
+    """Return the lines of a proof for an operator, with its details."""
+    version, databases = await find_withdrawal(platform, proof.caller)
+    lines = [f"caller {proof.caller}: withdrawn by version {version}"]
+    for database in databases:
+        stored = await platform.read(ObjectKind.EVIDENCE, database, Purpose.REPORT)
+        if stored is None:
+            continue
+        record = decode_evidence(stored.value)
+        last = dict(record.last_admitted_ms).get(proof.caller)
+        refused = dict(record.refused).get(proof.caller, 0)
+        lines.append(
+            f"  {database}: owner {record.owner}, version {record.version}, "
+            f"last statement let through {last or 'none known'}, refused {refused}"
+        )
+        lines.extend(
+            f"    {s.server}: confirmed {s.confirmed_at_ms}, "
+            f"connections closed of {', '.join(s.killed) or 'nobody'}"
+            for s in record.servers
+        )
+    for line in proof.hosts:
+        text = line.evidence.value if line.evidence else "no evidence"
+        lines.append(f"  host {line.host}: {text}")
+    lines.extend(f"  missing: {text}" for text in proof.missing)
+    verdict = "proved" if proof.proved else "not proved"
+    when = f" from {proof.in_force_at_ms} ms" if proof.proved else ""
+    lines.append(f"{verdict}{when}")
+    return lines
+
+
+def require_proof(proof: Proof) -> None:
+    """Raise when a withdrawal is not proved."""
+    if not proof.proved:
+        raise NotProvedError(f"the withdrawal of {proof.caller!r} is not proved")
--- /dev/null
+++ b/src/apricotshore/services/peers.py
@@ -0,0 +1,331 @@
+"""Links to other hosts, over Cap'n Proto."""
+
+import asyncio
+import ssl
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+from typing import Any
+
+import capnp
+
+from ..decisions.membership import Member
+from ..events import Event
+from ..identifiers import DatabaseId, HostId
+from ..requests import Outcome, Request
+from ..settings import TlsSettings
+from ..wire import codec
+
+CONNECT_TIMEOUT_S = 0.5
+CALL_TIMEOUT_S = 0.5
+FETCH_TIMEOUT_S = 5.0
+
+
+class PeerUnreachableError(Exception):
+    """The peer was not reached; it has not seen the message."""
+
+
+class PeerLostError(Exception):
+    """The link failed after the message was sent; the peer may have acted."""
+
+
+def make_peer_contexts(
+    tls: TlsSettings,
+) -> tuple[ssl.SSLContext | None, ssl.SSLContext | None]:
+    """Return the TLS contexts of the server and the client side.
+
+    Both sides must present a certificate of the fleet's own authority.
+    """
+    if not tls.enabled:
+        return None, None
+    contexts = []
+    for purpose in (ssl.Purpose.CLIENT_AUTH, ssl.Purpose.SERVER_AUTH):
+        context = ssl.create_default_context(purpose, cafile=tls.authority)
+        context.load_cert_chain(tls.certificate, tls.key)
+        context.verify_mode = ssl.CERT_REQUIRED
+        context.check_hostname = False
+        contexts.append(context)
+    return contexts[0], contexts[1]
+
+
+@dataclass(kw_only=True)
+class PeerHandlers:
+    """What this host does with each message."""
+
+    execute: Callable[[Request, HostId], Awaitable[Outcome]]
+    ping: Callable[[list[Member]], list[Member]]
+    fetch_root: Callable[[], str]
+    fetch_pieces: Callable[[list[str]], list[str]]
+    witness: Callable[[str], Awaitable[bool]]
+    list_events: Callable[[str, str], list[Event]]
+    offer_database: Callable[[DatabaseId], None]
+    is_unfit: Callable[[DatabaseId], bool]
+    on_disconnect: Callable[[HostId], None]
+
+
+class _PeerImplementation(codec.schema.Peer.Server):  # type: ignore[misc,name-defined]
+    """Server side of one link."""
+
+    def __init__(self, handlers: PeerHandlers) -> None:
+        self.handlers = handlers
+        # Names the link, so that its transactions can be rolled back with it.
+        self.origin = HostId(f"link-{id(self):x}")
+
+    async def execute_context(self, context: Any) -> None:
+        request = codec.read_request(context.params.request)
+        outcome = await self.handlers.execute(request, self.origin)
+        codec.write_outcome(context.results.init("outcome"), outcome)
+
+    async def ping_context(self, context: Any) -> None:
+        updates = codec.read_members(context.params.updates)
+        answer = self.handlers.ping(updates)
+        codec.write_members(context.results.init("updates", len(answer)), answer)
+
+    async def fetchRoot_context(self, context: Any) -> None:  # noqa: N802
+        context.results.root = self.handlers.fetch_root()
+
+    async def fetchPieces_context(self, context: Any) -> None:  # noqa: N802
+        digests = list(context.params.digests)
+        context.results.texts = self.handlers.fetch_pieces(digests)
+
+    async def witness_context(self, context: Any) -> None:
+        context.results.reachable = await self.handlers.witness(context.params.address)
+
+    async def listEvents_context(self, context: Any) -> None:  # noqa: N802
+        topic, subject = context.params.topic, context.params.subject
+        events = self.handlers.list_events(topic, subject)
+        codec.write_events(context.results.init("events", len(events)), events)
+
+    async def offerDatabase_context(self, context: Any) -> None:  # noqa: N802
+        self.handlers.offer_database(DatabaseId(context.params.database))
+
+    async def listUnfit_context(self, context: Any) -> None:  # noqa: N802
+        database = DatabaseId(context.params.database)
+        context.results.unfit = self.handlers.is_unfit(database)
+
+
+class PeerServer:
+    """Accepts links from other hosts.
+
+    Parameters
+    ----------
+    address
+        ``ip:port`` to listen on.
+    handlers
+        What to do with each message.
+    context
+        TLS context; None for plain TCP.
+    """
+
+    def __init__(
+        self, *, address: str, handlers: PeerHandlers, context: ssl.SSLContext | None
+    ) -> None:
+        self.address = address
+        self.handlers = handlers
+        self.context = context
+        self.server: asyncio.AbstractServer | None = None
+
+    async def start(self) -> None:
+        """Start listening."""
+        host, _, port = self.address.rpartition(":")
+        options: dict[str, Any] = {"ssl": self.context} if self.context else {}
+        self.server = await capnp.AsyncIoStream.create_server(
+            self._accept, host, int(port), **options
+        )
+
+    async def _accept(self, stream: Any) -> None:
+        implementation = _PeerImplementation(self.handlers)
+        try:
+            await capnp.TwoPartyServer(stream, bootstrap=implementation).on_disconnect()
+        except capnp.KjException:
+            pass
+        finally:
+            self.handlers.on_disconnect(implementation.origin)
+
+    def stop(self) -> None:
+        """Stop listening."""
+        if self.server is not None:
+            self.server.close()
+
+
+class PeerLink:
+    """Client side of a link; reconnects when it failed.
+
+    Parameters
+    ----------
+    address
+        ``ip:port`` of the peer.
+    context
+        TLS context; None for plain TCP.
+    """
+
+    def __init__(self, *, address: str, context: ssl.SSLContext | None) -> None:
+        self.address = address
+        self.context = context
+        self.client: Any = None
+        self.peer: Any = None
+        self.lock = asyncio.Lock()
+
+    async def _connect(self) -> Any:
+        async with self.lock:
+            if self.peer is not None:
+                return self.peer
+            host, _, port = self.address.rpartition(":")
+            options: dict[str, Any] = {"ssl": self.context} if self.context else {}
+            try:
+                stream = await asyncio.wait_for(
+                    capnp.AsyncIoStream.create_connection(host, int(port), **options),
+                    CONNECT_TIMEOUT_S,
+                )
+            except (OSError, TimeoutError) as error:
+                raise PeerUnreachableError(repr(error)) from None
+            self.client = capnp.TwoPartyClient(stream)
+            self.peer = self.client.bootstrap().cast_as(codec.schema.Peer)
+            return self.peer
+
+    def drop(self) -> None:
+        """Forget the connection; the next call opens another."""
+        client, self.client, self.peer = self.client, None, None
+        if client is not None:
+            client.close()
+
+    async def call(self, build: Callable[[Any], Any], timeout_s: float) -> Any:
+        """Send one message.
+
+        Parameters
+        ----------
+        build
+            Makes the request on the peer's capability.
+        timeout_s
+            Longest wait for the answer.
+
+        Raises
+        ------
+        PeerUnreachableError
+            When the message was certainly not sent.
+        PeerLostError
+            When no answer came.
+        """
+        peer = await self._connect()
+        try:
+            return await asyncio.wait_for(build(peer).send(), timeout_s)
+        except (capnp.KjException, OSError, TimeoutError) as error:
+            if self.peer is peer:
+                self.drop()
+            raise PeerLostError(repr(error)[:200]) from None
+
+
+class PeerLinks:
+    """All links of this host, by address.
+
+    Parameters
+    ----------
+    context
+        TLS context; None for plain TCP.
+    """
+
+    def __init__(self, *, context: ssl.SSLContext | None) -> None:
+        self.context = context
+        self.links: dict[str, PeerLink] = {}
+
+    def _find(self, address: str) -> PeerLink:
+        link = self.links.get(address)
+        if link is None:
+            link = PeerLink(address=address, context=self.context)
+            self.links[address] = link
+        return link
+
+    def close(self) -> None:
+        """Drop every link."""
+        for link in self.links.values():
+            link.drop()
+
+    def keep_only(self, addresses: set[str]) -> None:
+        """Drop links to addresses that no member has any more."""
+        for address in [a for a in self.links if a not in addresses]:
+            self.links.pop(address).drop()
+
+    async def execute(
+        self, address: str, request: Request, timeout_s: float
+    ) -> Outcome:
+        """Have a peer serve a request."""
+
+        def build(peer: Any) -> Any:
+            message = peer.execute_request()
+            codec.write_request(message.init("request"), request)
+            return message
+
+        answer = await self._find(address).call(build, timeout_s)
+        return codec.read_outcome(answer.outcome)
+
+    async def ping(self, address: str, updates: list[Member]) -> list[Member]:
+        """Exchange membership records with a peer."""
+
+        def build(peer: Any) -> Any:
+            message = peer.ping_request()
+            codec.write_members(message.init("updates", len(updates)), updates)
+            return message
+
+        answer = await self._find(address).call(build, CALL_TIMEOUT_S)
+        return codec.read_members(answer.updates)
+
+    async def fetch_root(self, address: str) -> str:
+        """Fetch the signed root that a peer has in force."""
+        answer = await self._find(address).call(
+            lambda peer: peer.fetchRoot_request(), FETCH_TIMEOUT_S
+        )
+        return str(answer.root)
+
+    async def fetch_pieces(self, address: str, digests: list[str]) -> list[str]:
+        """Fetch pieces of a bundle; unknown ones come back empty."""
+
+        def build(peer: Any) -> Any:
+            message = peer.fetchPieces_request()
+            message.digests = digests
+            return message
+
+        answer = await self._find(address).call(build, FETCH_TIMEOUT_S)
+        return [str(text) for text in answer.texts]
+
+    async def witness(self, address: str, server_address: str) -> bool:
+        """Ask whether a peer reaches a backend server."""
+
+        def build(peer: Any) -> Any:
+            message = peer.witness_request()
+            message.address = server_address
+            return message
+
+        answer = await self._find(address).call(build, 3 * CALL_TIMEOUT_S)
+        return bool(answer.reachable)
+
+    async def list_events(self, address: str, topic: str, subject: str) -> list[Event]:
+        """Fetch a peer's records."""
+
+        def build(peer: Any) -> Any:
+            message = peer.listEvents_request()
+            message.topic = topic
+            message.subject = subject
+            return message
+
+        answer = await self._find(address).call(build, FETCH_TIMEOUT_S)
+        return codec.read_events(answer.events)
+
+    async def offer_database(self, address: str, database: DatabaseId) -> None:
+        """Tell a peer that a database seems to have no owner."""
+
+        def build(peer: Any) -> Any:
+            message = peer.offerDatabase_request()
+            message.database = database
+            return message
+
+        await self._find(address).call(build, CALL_TIMEOUT_S)
+
+    async def is_unfit(self, address: str, database: DatabaseId) -> bool:
+        """Ask a peer whether it cannot own a database."""
+
+        def build(peer: Any) -> Any:
+            message = peer.listUnfit_request()
+            message.database = database
+            return message
+
+        answer = await self._find(address).call(build, CALL_TIMEOUT_S)
+        return bool(answer.unfit)
--- /dev/null
+++ b/src/apricotshore/services/platform.py
@@ -0,0 +1,166 @@
+"""Client of the platform's object API."""
+
+import json
+from collections import Counter
+from dataclasses import dataclass
+from enum import Enum
+from typing import Any
+
+import aiohttp
+
+from ..exceptions import PlatformConflictError, PlatformError
+
+CALL_TIMEOUT_S = 3.0
+WATCH_TIMEOUT_S = 30.0
+
+
+class Purpose(Enum):
+    """Why the platform is called; counted against its rates."""
+
+    SIGN_OFF = "sign-off"
+    ROLLOUT = "rollout"
+    EVIDENCE = "evidence"
+    MEMBERSHIP = "membership"
+    FAILOVER = "failover"
+    REPORT = "report"
+
+
+class ObjectKind(Enum):
+    """Kinds of object that the system keeps in the platform."""
+
+    BUNDLE = "bundle"
+    PIECE = "piece"
+    PROPOSAL = "proposal"
+    HISTORY = "history"
+    EVIDENCE = "evidence"
+    CHANGE = "change"
+    HOST = "host"
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Stored:
+    """An object with its version in the platform."""
+
+    name: str
+    version: int
+    value: str
+
+
+class PlatformClient:
+    """Calls the object API over HTTP and counts its calls.
+
+    Parameters
+    ----------
+    address
+        ``ip:port`` of the API.
+    """
+
+    def __init__(self, *, address: str) -> None:
+        self.base = f"http://{address}/objects"
+        self.calls: Counter[Purpose] = Counter()
+        self._session: aiohttp.ClientSession | None = None
+
+    async def close(self) -> None:
+        """Close the HTTP session."""
+        if self._session is not None:
+            await self._session.close()
+
+    def _open(self) -> aiohttp.ClientSession:
+        if self._session is None:
+            self._session = aiohttp.ClientSession()
+        return self._session
+
+    async def _call(
+        self,
+        method: str,
+        path: str,
+        purpose: Purpose,
+        timeout_s: float = CALL_TIMEOUT_S,
+        **kwargs: Any,
+    ) -> tuple[int, Any]:
+        self.calls[purpose] += 1
+        headers = {"X-Purpose": purpose.value, **kwargs.pop("headers", {})}
+        try:
+            async with self._open().request(
+                method,
+                f"{self.base}/{path}",
+                headers=headers,
+                timeout=aiohttp.ClientTimeout(total=timeout_s),
+                **kwargs,
+            ) as response:
+                body = await response.read()
+                return response.status, json.loads(body) if body else {}
+        except (aiohttp.ClientError, TimeoutError, OSError, ValueError) as error:
+            raise PlatformError(f"the platform did not answer: {error!r}") from None
+
+    async def read(
+        self, kind: ObjectKind, name: str, purpose: Purpose
+    ) -> Stored | None:
+        """Read an object; None when there is none."""
+        status, body = await self._call("GET", f"{kind.value}/{name}", purpose)
+        return self._take(status, body)
+
+    async def watch(
+        self, kind: ObjectKind, name: str, seen: int, purpose: Purpose
+    ) -> Stored | None:
+        """Wait for a version above ``seen``; None when the wait ended without."""
+        path = f"{kind.value}/{name}?watch={seen}"
+        status, body = await self._call("GET", path, purpose, WATCH_TIMEOUT_S)
+        return None if status == 304 else self._take(status, body)
+
+    async def list(self, kind: ObjectKind, purpose: Purpose) -> list[Stored]:
+        """List the objects of a kind."""
+        status, body = await self._call("GET", kind.value, purpose)
+        if status != 200:
+            raise PlatformError(f"the platform answered {status}")
+        return [self._read_item(item) for item in body["items"]]
+
+    async def write(
+        self,
+        kind: ObjectKind,
+        name: str,
+        value: str,
+        purpose: Purpose,
+        version: int | None = None,
+    ) -> int:
+        """Write an object and return its new version.
+
+        Parameters
+        ----------
+        kind, name, value
+            What to write.
+        purpose
+            Why.
+        version
+            Version that the object must have; 0 for none; None for any.
+
+        Raises
+        ------
+        PlatformConflictError
+            When the object has another version.
+        PlatformError
+            When the outcome is unknown or the platform refused.
+        """
+        headers = {} if version is None else {"If-Match": str(version)}
+        status, body = await self._call(
+            "PUT", f"{kind.value}/{name}", purpose, headers=headers, json=value
+        )
+        if status == 412:
+            raise PlatformConflictError(int(body["version"]))
+        if status != 200:
+            raise PlatformError(f"the platform answered {status}: {body}")
+        return int(body["version"])
+
+    def _take(self, status: int, body: Any) -> Stored | None:
+        if status == 404:
+            return None
+        if status != 200:
+            raise PlatformError(f"the platform answered {status}")
+        return self._read_item(body)
+
+    def _read_item(self, item: Any) -> Stored:
+        return Stored(
+            name=str(item["name"]),
+            version=int(item["version"]),
+            value=str(item["value"]),
+        )
--- /dev/null
+++ b/src/apricotshore/services/registry.py
@@ -0,0 +1,280 @@
+"""The databases that this host owns or stands ready to own."""
+
+import asyncio
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from mode import Service
+
+from ..bundles import Bundle, list_withdrawn
+from ..decisions.admission import Policy
+from ..decisions.ownership import Duty, OwnershipFacts, decide_duty, rank_hosts
+from ..events import Topic
+from ..groups import Claim
+from ..identifiers import DatabaseId, HostId, ServerId
+from ..requests import Outcome, Request
+from ..settings import Settings
+from ..verdicts import Failure, Reason, Verdict
+from .backends import Endpoint
+from .clock import read_monotonic_ms
+from .members import MembershipService
+from .owner import DatabaseOwner, OwnerHooks
+from .peers import PeerLinks, PeerLostError, PeerUnreachableError
+
+DUTY_PERIOD_S = 1.0
+FAST_DUTY_S = 0.1
+UNFIT_MS = 5_000
+CANDIDATES = 3
+WITNESSES = 3
+
+
+@dataclass(kw_only=True)
+class RegistryHooks:
+    """What the registry calls on its host."""
+
+    explain: Callable[[Topic, str, str, str], None]
+    on_fenced: Callable[[DatabaseOwner], None]
+    on_bundle_behind: Callable[[], None]
+
+
+class OwnerRegistry(Service):
+    """Starts, claims and stops database owners as the fleet changes.
+
+    Parameters
+    ----------
+    settings
+        Settings of this host.
+    members, links
+        The fleet, and how to reach it.
+    hooks
+        What to call on the host.
+    policy
+        Order of service in every owner.
+    """
+
+    def __init__(
+        self,
+        *,
+        settings: Settings,
+        members: MembershipService,
+        links: PeerLinks,
+        hooks: RegistryHooks,
+        policy: Policy,
+    ) -> None:
+        super().__init__()
+        self.settings = settings
+        self.members = members
+        self.links = links
+        self.hooks = hooks
+        self.policy = policy
+        self.bundle: Bundle | None = None
+        self.owners: dict[DatabaseId, DatabaseOwner] = {}
+        self.unfit_since: dict[DatabaseId, int] = {}
+        self.wake = asyncio.Event()
+        self.draining = False
+        self.locks: dict[DatabaseId, asyncio.Lock] = {}
+        self.jobs: set[asyncio.Task[None]] = set()
+
+    # -- messages --
+
+    async def handle(self, request: Request, origin: HostId) -> Outcome:
+        """Serve a request if this host owns its database."""
+        owner = self.owners.get(request.database)
+        if owner is None:
+            self.offer(request.database)
+            failure = Failure(
+                verdict=Verdict.NOT_RUN,
+                reason=Reason.NOT_OWNER,
+                detail="this host does not own the database",
+            )
+            return Outcome(failure=failure)
+        return await owner.handle(request, origin)
+
+    def offer(self, database: DatabaseId) -> None:
+        """Consider a database at once: its owner seems to be gone."""
+        if self.bundle is not None and database in self.bundle.databases:
+            self._start(self._consider(database))
+
+    def is_unfit(self, database: DatabaseId) -> bool:
+        """Return whether this host cannot own a database at present."""
+        owner = self.owners.get(database)
+        return self.draining or (owner is not None and owner.unfit)
+
+    def drop_origin(self, origin: HostId) -> None:
+        """Roll back the transactions of a link that has gone."""
+        for owner in self.owners.values():
+            owner.drop_origin(origin)
+
+    def set_bundle(self, old: Bundle, new: Bundle) -> None:
+        """Put a new bundle in force at every owner."""
+        self.bundle = new
+        lost = list_withdrawn(old, new)
+        for database, owner in list(self.owners.items()):
+            if database not in new.databases or self._is_outdated(owner, new):
+                self._start(self._stop_owner(database))
+                continue
+            withdrawn = frozenset(c for c, dbs in lost.items() if database in dbs)
+            self._start(owner.set_bundle(new, withdrawn, fence=bool(withdrawn)))
+        self.wake.set()
+
+    def _is_outdated(self, owner: DatabaseOwner, bundle: Bundle) -> bool:
+        now = self._make_endpoints(owner.database, bundle)
+        return {s: (e.server.address, e.server.slots) for s, e in now.items()} != {
+            s: (e.server.address, e.server.slots) for s, e in owner.endpoints.items()
+        }
+
+    def _start(self, work: object) -> None:
+        job = asyncio.ensure_future(work)  # type: ignore[arg-type]
+        self.jobs.add(job)
+        job.add_done_callback(self.jobs.discard)
+
+    # -- duties --
+
+    @Service.task
+    async def _duty_loop(self) -> None:
+        while not self.should_stop:
+            bundle = self.bundle
+            if bundle is not None:
+                mine = [d for d in bundle.databases if self._is_candidate(d)]
+                await asyncio.gather(*(self._consider(d) for d in mine))
+            settled = all(o.holding or o.seen_claim for o in self.owners.values())
+            period = DUTY_PERIOD_S if bundle and settled else FAST_DUTY_S
+            try:
+                await asyncio.wait_for(self.wake.wait(), period)
+            except TimeoutError:
+                continue
+            self.wake.clear()
+
+    def _is_candidate(self, database: DatabaseId) -> bool:
+        ring = self.members.get_ring()
+        ranked = rank_hosts(ring, database, CANDIDATES)
+        return database in self.owners or self.settings.host in ranked
+
+    async def _consider(self, database: DatabaseId) -> None:
+        lock = self.locks.setdefault(database, asyncio.Lock())
+        if lock.locked() or self.should_stop:
+            return
+        async with lock:
+            await self._do_duty(database)
+
+    async def _do_duty(self, database: DatabaseId) -> None:
+        owner = self.owners.get(database)
+        self._heal_unfit(database, owner)
+        if owner is not None and owner.holding and not self.draining:
+            return
+        first = not self.draining and await self._is_first(database)
+        if owner is None:
+            if not first:
+                return
+            owner = await self._start_owner(database)
+        claim = owner.seen_claim
+        facts = OwnershipFacts(
+            me=self.settings.host,
+            first=first,
+            claim=claim,
+            holding=owner.holding,
+            draining=self.draining,
+            claimant_alive=await self._is_claimant_fit(database, claim),
+        )
+        duty = decide_duty(facts)
+        if duty is Duty.CLAIM:
+            await owner.try_claim()
+        elif duty is Duty.DEFER and not first:
+            await self._stop_owner(database)
+
+    def _heal_unfit(self, database: DatabaseId, owner: DatabaseOwner | None) -> None:
+        if owner is None or not owner.unfit:
+            self.unfit_since.pop(database, None)
+            return
+        since = self.unfit_since.setdefault(database, read_monotonic_ms())
+        if read_monotonic_ms() - since >= UNFIT_MS:
+            owner.unfit = False
+
+    async def _is_first(self, database: DatabaseId) -> bool:
+        ranked = rank_hosts(self.members.get_ring(), database, CANDIDATES)
+        for host in ranked:
+            if host == self.settings.host:
+                return not self.is_unfit(database)
+            member = self.members.find(host)
+            if member is not None and await self._is_fit(member.address, database):
+                return False
+        return False
+
+    async def _is_fit(self, address: str, database: DatabaseId) -> bool:
+        for _ in range(2):
+            try:
+                return not await self.links.is_unfit(address, database)
+            except (PeerUnreachableError, PeerLostError):
+                continue
+        return False
+
+    async def _is_claimant_fit(self, database: DatabaseId, claim: Claim | None) -> bool:
+        if claim is None or not claim.host or claim.host == self.settings.host:
+            return False
+        return await self._is_fit(claim.address, database)
+
+    # -- owners --
+
+    def _make_endpoints(
+        self, database: DatabaseId, bundle: Bundle
+    ) -> dict[ServerId, Endpoint]:
+        if database not in bundle.databases:
+            return {}
+        return {
+            server: Endpoint(
+                server=bundle.servers[server],
+                user=self.settings.backend_user,
+                password=self.settings.backend_password,
+                host=self.settings.host,
+            )
+            for server in bundle.databases[database].servers
+        }
+
+    async def _start_owner(self, database: DatabaseId) -> DatabaseOwner:
+        assert self.bundle is not None
+        owner = DatabaseOwner(
+            database=database,
+            me=self.settings.host,
+            address=self.settings.peer_address,
+            endpoints=self._make_endpoints(database, self.bundle),
+            bundle=self.bundle,
+            hooks=OwnerHooks(
+                explain=self.hooks.explain,
+                ask_witnesses=self._ask_witnesses,
+                on_fenced=self.hooks.on_fenced,
+                on_bundle_behind=self.hooks.on_bundle_behind,
+            ),
+            policy=self.policy,
+        )
+        self.owners[database] = owner
+        await owner.start()
+        for _ in range(10):
+            await asyncio.sleep(FAST_DUTY_S / 2)
+            if owner.seen_claim is not None:
+                break
+        return owner
+
+    async def _stop_owner(self, database: DatabaseId) -> None:
+        owner = self.owners.pop(database, None)
+        if owner is not None:
+            await owner.release()
+            await owner.stop()
+
+    async def _ask_witnesses(self, server_address: str) -> list[bool]:
+        others = [
+            member.address
+            for member in self.members.list_live()
+            if member.host != self.settings.host
+        ][:WITNESSES]
+        answers = await asyncio.gather(
+            *(self.links.witness(a, server_address) for a in others),
+            return_exceptions=True,
+        )
+        return [a for a in answers if isinstance(a, bool)]
+
+    async def on_stop(self) -> None:
+        """Stop every owner."""
+        for job in list(self.jobs):
+            job.cancel()
+        for database in list(self.owners):
+            await self._stop_owner(database)
--- /dev/null
+++ b/src/apricotshore/services/router.py
@@ -0,0 +1,235 @@
+"""Routing of requests from the entry host to the owner of their database."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, replace
+
+from ..decisions import retry
+from ..decisions.ownership import rank_hosts
+from ..identifiers import DatabaseId, HostId
+from ..requests import Action, Outcome, Request
+from ..verdicts import Failure, Reason, Verdict
+from .clock import read_monotonic_ms
+from .members import MembershipService
+from .peers import PeerLinks, PeerLostError, PeerUnreachableError
+
+RETRY_PAUSE_S = 0.04
+ANSWER_MARGIN_MS = 100
+RESOLVE_MS = 4_000
+CANDIDATES = 3
+
+_RETRYABLE = frozenset({Reason.NOT_OWNER, Reason.NO_PRIMARY, Reason.UNREACHABLE})
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Target:
+    """A host that is believed to own a database."""
+
+    host: HostId
+    address: str
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Routed:
+    """An outcome and the host that gave it."""
+
+    outcome: Outcome
+    target: Target | None
+
+
+def _fail(verdict: Verdict, reason: Reason, detail: str) -> Outcome:
+    failure = Failure(verdict=verdict, reason=reason, detail=detail)
+    return Outcome(failure=failure)
+
+
+class Router:
+    """Finds the owner of a database and has it serve requests.
+
+    Parameters
+    ----------
+    me
+        This host.
+    members, links
+        The fleet, and how to reach it.
+    serve_here
+        Serves a request when this host owns the database.
+    offer_here
+        Tells this host that a database seems to have no owner.
+    """
+
+    def __init__(
+        self,
+        *,
+        me: HostId,
+        members: MembershipService,
+        links: PeerLinks,
+        serve_here: Callable[[Request, HostId], Awaitable[Outcome]],
+        offer_here: Callable[[DatabaseId], None],
+    ) -> None:
+        self.me = me
+        self.members = members
+        self.links = links
+        self.serve_here = serve_here
+        self.offer_here = offer_here
+        self.hints: dict[DatabaseId, Target] = {}
+        self.retries = retry.RetryBudget()
+
+    async def route(self, request: Request, pinned: Target | None) -> Routed:
+        """Have a request served.
+
+        Parameters
+        ----------
+        request
+            The request.
+        pinned
+            Owner of the request's open transaction; None outside one.
+
+        Returns
+        -------
+        Routed
+            The outcome; never a redirect.
+        """
+        retry.deposit(self.retries)
+        if pinned is not None:
+            return await self._route_pinned(request, pinned)
+        routed = await self._route_free(request)
+        if self._is_unresolved(request, routed.outcome):
+            return await self.resolve(request, routed)
+        return routed
+
+    def _is_unresolved(self, request: Request, outcome: Outcome) -> bool:
+        failure = outcome.failure
+        return (
+            failure is not None
+            and failure.verdict is Verdict.MAY_HAVE_RUN
+            and bool(request.request_id)
+            and request.action in (Action.WRITE, Action.COMMIT)
+        )
+
+    async def resolve(self, request: Request, unresolved: Routed) -> Routed:
+        """Settle a request with a request id whose outcome is unknown."""
+        question = replace(
+            request,
+            action=Action.RESOLVE,
+            deadline_ms=RESOLVE_MS,
+            transaction=type(request.transaction)(""),
+        )
+        routed = await self._route_free(question)
+        failure = routed.outcome.failure
+        settled = failure is None or (
+            failure.verdict is Verdict.NOT_RUN
+            and failure.reason in (Reason.LOST_CONNECTION, Reason.DUPLICATE)
+        )
+        return routed if settled else unresolved
+
+    async def _route_pinned(self, request: Request, pinned: Target) -> Routed:
+        commit = request.action is Action.COMMIT
+        lost = Verdict.MAY_HAVE_RUN if commit else Verdict.NOT_RUN
+        try:
+            outcome = await self._ask(pinned, request)
+        except PeerUnreachableError:
+            outcome = _fail(
+                Verdict.NOT_RUN, Reason.TRANSACTION_LOST, "the transaction is lost"
+            )
+        except PeerLostError as error:
+            outcome = _fail(lost, Reason.TRANSACTION_LOST, str(error))
+        if outcome.redirect is not None:
+            outcome = _fail(
+                Verdict.NOT_RUN, Reason.TRANSACTION_LOST, "the owner has changed"
+            )
+        routed = Routed(outcome=outcome, target=pinned)
+        if self._is_unresolved(request, outcome):
+            return await self.resolve(request, routed)
+        return routed
+
+    async def _route_free(self, request: Request) -> Routed:
+        deadline_at = read_monotonic_ms() + request.deadline_ms
+        last = _fail(Verdict.NOT_RUN, Reason.UNREACHABLE, "no owner was reached")
+        skip: set[HostId] = set()
+        while (left_ms := deadline_at - read_monotonic_ms()) > 0:
+            target = self._find_target(request.database, skip)
+            if target is None:
+                skip.clear()
+                await asyncio.sleep(RETRY_PAUSE_S)
+                continue
+            timed = replace(request, deadline_ms=left_ms)
+            try:
+                outcome = await self._ask(target, timed)
+            except PeerUnreachableError:
+                skip.add(target.host)
+                await self._report_absent(request.database, target)
+                continue
+            except PeerLostError as error:
+                skip.add(target.host)
+                await self._report_absent(request.database, target)
+                if request.action is Action.READ or self._may_repeat(request):
+                    continue
+                lost = _fail(Verdict.MAY_HAVE_RUN, Reason.LOST_CONNECTION, str(error))
+                return Routed(outcome=lost, target=target)
+            if outcome.redirect is not None:
+                self._follow_redirect(request.database, outcome)
+                skip.clear()
+                await asyncio.sleep(0)
+                continue
+            failure = outcome.failure
+            if failure is None or not self._may_retry(request, failure):
+                self.hints[request.database] = target
+                return Routed(outcome=outcome, target=target)
+            last = outcome
+            self.hints.pop(request.database, None)
+            if failure.reason is Reason.NOT_OWNER:
+                skip.add(target.host)
+            await asyncio.sleep(RETRY_PAUSE_S)
+        return Routed(outcome=last, target=None)
+
+    def _may_repeat(self, request: Request) -> bool:
+        if request.action is Action.RESOLVE:
+            return True
+        idempotent = request.idempotent and request.action is Action.WRITE
+        return idempotent and retry.withdraw(self.retries)
+
+    def _may_retry(self, request: Request, failure: Failure) -> bool:
+        if failure.verdict is Verdict.NOT_RUN:
+            return failure.reason in _RETRYABLE
+        reads = request.action in (Action.READ, Action.RESOLVE)
+        return reads and failure.verdict is Verdict.MAY_HAVE_RUN
+
+    def _follow_redirect(self, database: DatabaseId, outcome: Outcome) -> None:
+        redirect = outcome.redirect
+        if redirect is None:
+            return
+        self.hints[database] = Target(host=redirect.host, address=redirect.address)
+
+    def _find_target(self, database: DatabaseId, skip: set[HostId]) -> Target | None:
+        hint = self.hints.get(database)
+        if hint is not None and hint.host not in skip:
+            return hint
+        for host in rank_hosts(self.members.get_ring(), database, CANDIDATES):
+            member = self.members.find(host)
+            if host not in skip and member is not None:
+                return Target(host=host, address=member.address)
+        return None
+
+    async def _report_absent(self, database: DatabaseId, target: Target) -> None:
+        hint = self.hints.get(database)
+        if hint is not None and hint.host == target.host:
+            del self.hints[database]
+        for host in rank_hosts(self.members.get_ring(), database, CANDIDATES):
+            member = self.members.find(host)
+            if host == self.me:
+                self.offer_here(database)
+            elif host != target.host and member is not None:
+                try:
+                    await self.links.offer_database(member.address, database)
+                except (PeerUnreachableError, PeerLostError):
+                    continue
+            else:
+                continue
+            break
+        await asyncio.sleep(RETRY_PAUSE_S)
+
+    async def _ask(self, target: Target, request: Request) -> Outcome:
+        if target.host == self.me:
+            return await self.serve_here(request, self.me)
+        timeout_s = (request.deadline_ms + ANSWER_MARGIN_MS) / 1000
+        return await self.links.execute(target.address, request, timeout_s)
