--- /dev/null
+++ b/src/apricotshore/services/statuspage.py
@@ -0,0 +1,63 @@
+"""HTTP page for the balancer's health check and for metrics."""
+
+from collections.abc import Callable
+
+from aiohttp import web
+from aioprometheus import Registry
+from aioprometheus.renderer import render
+
+
+class StatusPage:
+    """Serves ``/health`` and ``/metrics``.
+
+    Parameters
+    ----------
+    address
+        ``ip:port`` to listen on.
+    registry
+        Metrics to show.
+    is_ready
+        Whether the balancer should send callers here.
+    refresh
+        Brings the metrics up to date.
+    """
+
+    def __init__(
+        self,
+        *,
+        address: str,
+        registry: Registry,
+        is_ready: Callable[[], bool],
+        refresh: Callable[[], None],
+    ) -> None:
+        self.address = address
+        self.registry = registry
+        self.is_ready = is_ready
+        self.refresh = refresh
+        self.runner: web.AppRunner | None = None
+
+    async def start(self) -> None:
+        """Start listening."""
+        application = web.Application()
+        application.router.add_get("/health", self._show_health)
+        application.router.add_get("/metrics", self._show_metrics)
+        self.runner = web.AppRunner(application, access_log=None)
+        await self.runner.setup()
+        host, _, port = self.address.rpartition(":")
+        await web.TCPSite(self.runner, host, int(port)).start()
+
+    async def stop(self) -> None:
+        """Stop listening."""
+        if self.runner is not None:
+            await self.runner.cleanup()
+
+    async def _show_health(self, request: web.Request) -> web.Response:
+        if self.is_ready():
+            return web.Response(text="ready\n")
+        return web.Response(status=503, text="not ready\n")
+
+    async def _show_metrics(self, request: web.Request) -> web.Response:
+        self.refresh()
+        accepts = request.headers.getall("Accept", [])
+        body, headers = render(self.registry, accepts)
+        return web.Response(body=body, headers=headers)
--- /dev/null
+++ b/src/apricotshore/settings.py
@@ -0,0 +1,188 @@
+"""Settings of one host, from an INI file."""
+
+from dataclasses import dataclass
+from pathlib import Path
+
+from .bundles import Person, parse_public_key
+from .exceptions import InvalidFileError, Problem
+from .identifiers import DataCentreId, HostId, PersonId
+from .ini import (
+    Section,
+    parse_address,
+    parse_count,
+    parse_duration,
+    parse_name,
+    read_sections,
+)
+
+DEFAULT_DRAIN_MS = 10_000
+DEFAULT_LOGIN_MS = 3_000
+DEFAULT_MAX_CALLERS = 10_000
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class TlsSettings:
+    """Key files; empty paths switch TLS off.
+
+    Parameters
+    ----------
+    certificate, key, authority
+        PEM files: own certificate, own key, and the authority that peers'
+        certificates are checked against.
+    """
+
+    certificate: str = ""
+    key: str = ""
+    authority: str = ""
+
+    @property
+    def enabled(self) -> bool:
+        """Whether TLS is on."""
+        return bool(self.certificate)
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Settings:
+    """Settings of one host.
+
+    Parameters
+    ----------
+    host, data_centre
+        Who and where this host is.
+    caller_address, peer_address, status_address
+        ``ip:port`` for callers, for peers and for health and metrics.
+    platform_address
+        ``ip:port`` of the platform's object API.
+    backend_user, backend_password
+        Account at the backend servers.
+    seeds
+        Peer addresses to try when the platform is out at start.
+    drain_ms, login_ms
+        Longest drain at shutdown; longest time for a caller to log in.
+    max_callers
+        Limit on open caller connections.
+    log_format
+        ``human`` or ``json``.
+    peer_tls, caller_tls
+        Keys towards peers and towards callers.
+    trusted
+        People whose keys are trusted for the first bundle that is taken.
+    """
+
+    host: HostId
+    data_centre: DataCentreId
+    caller_address: str
+    peer_address: str
+    status_address: str
+    platform_address: str
+    backend_user: str = "apricotshore"
+    backend_password: str = ""
+    seeds: tuple[str, ...] = ()
+    drain_ms: int = DEFAULT_DRAIN_MS
+    login_ms: int = DEFAULT_LOGIN_MS
+    max_callers: int = DEFAULT_MAX_CALLERS
+    log_format: str = "human"
+    peer_tls: TlsSettings = TlsSettings()
+    caller_tls: TlsSettings = TlsSettings()
+    trusted: tuple[Person, ...] = ()
+
+
+def _parse_log_format(text: str) -> str:
+    if text not in ("human", "json"):
+        raise ValueError(f"expected human or json, got {text!r}")
+    return text
+
+
+def _parse_addresses(text: str) -> tuple[str, ...]:
+    return tuple(parse_address(p.strip()) for p in text.split(",") if p.strip())
+
+
+def _read_tls(section: Section | None) -> TlsSettings:
+    if section is None:
+        return TlsSettings()
+    tls = TlsSettings(
+        certificate=section.read("certificate", str),
+        key=section.read("key", str),
+        authority=section.read("authority", str, ""),
+    )
+    section.refuse_unknown()
+    for key in ("certificate", "key"):
+        path = section.values.get(key)
+        if path and not Path(path).is_file():
+            section.complain(key, f"no such file: {path}")
+    return tls
+
+
+def _read_trusted(section: Section | None) -> tuple[Person, ...]:
+    if section is None:
+        return ()
+    return tuple(
+        Person(person=PersonId(name), public_key=section.read(name, parse_public_key))
+        for name in section.values
+    )
+
+
+def parse_settings(text: str, source: str) -> Settings:
+    """Read settings.
+
+    Parameters
+    ----------
+    text
+        INI text.
+    source
+        File name for messages.
+
+    Returns
+    -------
+    Settings
+        The checked settings.
+
+    Raises
+    ------
+    InvalidFileError
+        With every fault in the text.
+    """
+    problems: list[Problem] = []
+    sections = read_sections(text, source, problems)
+    host = sections.pop("host", None) or Section(
+        source=source, name="host", values={}, problems=problems
+    )
+    peer_tls = _read_tls(sections.pop("peer-tls", None))
+    caller_tls = _read_tls(sections.pop("caller-tls", None))
+    trusted = _read_trusted(sections.pop("trusted-keys", None))
+    settings = Settings(
+        host=HostId(host.read("name", parse_name)),
+        data_centre=DataCentreId(host.read("data-centre", parse_name)),
+        caller_address=host.read("caller-address", parse_address),
+        peer_address=host.read("peer-address", parse_address),
+        status_address=host.read("status-address", parse_address),
+        platform_address=host.read("platform-address", parse_address),
+        backend_user=host.read("backend-user", parse_name, "apricotshore"),
+        backend_password=host.read("backend-password", str, ""),
+        seeds=host.read("seeds", _parse_addresses, ()),
+        drain_ms=host.read("drain", parse_duration, DEFAULT_DRAIN_MS),
+        login_ms=host.read("login", parse_duration, DEFAULT_LOGIN_MS),
+        max_callers=host.read("max-callers", parse_count, DEFAULT_MAX_CALLERS),
+        log_format=host.read("log-format", _parse_log_format, "human"),
+        peer_tls=peer_tls,
+        caller_tls=caller_tls,
+        trusted=trusted,
+    )
+    host.refuse_unknown()
+    for section in sections.values():
+        section.complain("", "unknown section")
+    if problems:
+        raise InvalidFileError(problems)
+    return settings
+
+
+def load_settings(path: Path) -> Settings:
+    """Read settings from a file; see `parse_settings`."""
+    try:
+        text = path.read_text()
+    except OSError as error:
+        detail = f"cannot be read: {error.strerror}"
+        raise InvalidFileError(
+            [Problem(source=str(path), section="-", key="", expected=detail)]
+        ) from None
+    return parse_settings(text, str(path))
--- /dev/null
+++ b/src/apricotshore/statements.py
@@ -0,0 +1,170 @@
+"""Classification of statements, without a full SQL parser on the hot path.
+
+Tags follow the published sqlcommenter format: ``/* key='value',... */``.
+"""
+
+import re
+from dataclasses import dataclass
+from functools import lru_cache
+from urllib.parse import unquote
+
+from .identifiers import Fingerprint
+from .requests import Action
+
+MAX_STATEMENT_BYTES = 1 << 20
+FINGERPRINT_CHARACTERS = 512
+CACHED_STATEMENTS = 4_096
+
+_COMMENT = re.compile(r"/\*(.*?)\*/", re.DOTALL)
+_TAG = re.compile(r"([A-Za-z0-9_.%-]+)\s*=\s*'((?:[^'\\]|\\.)*)'")
+_LITERAL = re.compile(
+    r"'(?:[^'\\]|\\.|'')*'|\"(?:[^\"\\]|\\.|\"\")*\"|\b\d+(?:\.\d+)?\b"
+)
+_SPACE = re.compile(r"\s+")
+_COMMENT_OR_LITERAL = re.compile(f"{_COMMENT.pattern}|{_LITERAL.pattern}", re.DOTALL)
+_LIST = re.compile(r"\(\s*\?(?:\s*,\s*\?)*\s*\)")
+_LOCKING_READ = re.compile(r"\bfor\s+(update|share)\b|\block\s+in\s+share\b", re.I)
+_BEGIN = re.compile(r"^(begin|start\s+transaction)\b", re.I)
+_FIRST_WORD = re.compile(r"^\(*\s*([a-z]+)", re.I)
+
+_READS = frozenset({"select", "show", "explain", "describe", "desc", "with"})
+_WRITES = frozenset({"insert", "update", "delete", "replace", "create", "alter"})
+_WRITES |= {"drop", "truncate"}
+
+
+_MARKS = {"yes": True, "no": False}
+
+
+class StatementError(ValueError):
+    """A statement that cannot be taken as it stands."""
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Tags:
+    """What a caller said of a request in its statement's comments.
+
+    Parameters
+    ----------
+    kind
+        Kind of request; empty when not given.
+    request_id
+        Idempotency key; empty when not given.
+    idempotent
+        As marked by the caller; None when not marked.
+    deadline_ms, staleness_ms
+        None when not given.
+    session
+        Session name; empty when not given.
+    """
+
+    kind: str = ""
+    request_id: str = ""
+    idempotent: bool | None = None
+    deadline_ms: int | None = None
+    staleness_ms: int | None = None
+    session: str = ""
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Statement:
+    """A statement as far as routing needs to know it."""
+
+    text: str
+    action: Action | None
+    fingerprint: Fingerprint
+    tags: Tags
+
+
+def _parse_duration(name: str, text: str) -> int:
+    if not text.isdigit() or len(text) > 9:
+        raise StatementError(f"tag {name}: expected whole milliseconds, got {text!r}")
+    return int(text)
+
+
+def _read_tags(comments: str) -> Tags:
+    found = {unquote(k): unquote(v) for k, v in _TAG.findall(comments)}
+    deadline = found.get("deadline_ms")
+    staleness = found.get("staleness_ms")
+    return Tags(
+        kind=found.get("kind", ""),
+        request_id=found.get("request_id", ""),
+        idempotent=_MARKS.get(found.get("idempotent", "")),
+        deadline_ms=_parse_duration("deadline_ms", deadline) if deadline else None,
+        staleness_ms=_parse_duration("staleness_ms", staleness) if staleness else None,
+        session=found.get("session", ""),
+    )
+
+
+def _find_action(bare: str) -> Action | None:
+    if _BEGIN.match(bare):
+        return Action.BEGIN
+    match = _FIRST_WORD.match(bare)
+    word = match.group(1).lower() if match else ""
+    if word == "commit":
+        return Action.COMMIT
+    if word == "rollback":
+        return Action.ROLLBACK
+    if word in _WRITES or (word in _READS and _LOCKING_READ.search(bare)):
+        return Action.WRITE
+    if word == "with" and re.search(r"\b(insert|update|delete)\b", bare, re.I):
+        return Action.WRITE
+    return Action.READ if word in _READS else None
+
+
+@lru_cache(maxsize=CACHED_STATEMENTS)
+def _fingerprint(bare: str) -> Fingerprint:
+    text = _LITERAL.sub("?", bare)
+    text = _LIST.sub("(?)", text)
+    return Fingerprint(_SPACE.sub(" ", text).lower()[:FINGERPRINT_CHARACTERS])
+
+
+def _split_comments(sql: str) -> tuple[str, str]:
+    # Literals are kept whole, so that a comment mark inside one stays text.
+    bare: list[str] = []
+    comments: list[str] = []
+    index = 0
+    for match in _COMMENT_OR_LITERAL.finditer(sql):
+        if match.group(0).startswith("/*"):
+            bare.append(sql[index : match.start()])
+            comments.append(match.group(1))
+            index = match.end()
+    bare.append(sql[index:])
+    return " ".join(bare).strip().rstrip(";").strip(), ",".join(comments)
+
+
+def read_statement(sql: str) -> Statement:
+    """Classify a statement.
+
+    Parameters
+    ----------
+    sql
+        Statement text as the caller sent it.
+
+    Returns
+    -------
+    Statement
+        ``action`` is None for statements that are answered by the proxy
+        itself or refused.
+
+    Raises
+    ------
+    StatementError
+        When the statement is too long, has an unterminated comment, holds
+        several statements or has a malformed tag.
+    """
+    if len(sql) > MAX_STATEMENT_BYTES:
+        raise StatementError(f"statement is longer than {MAX_STATEMENT_BYTES} bytes")
+    if "/*!" in sql:
+        raise StatementError("executable comments are refused")
+    bare, comments = _split_comments(sql)
+    without_literals = _LITERAL.sub("?", bare)
+    if "/*" in without_literals:
+        raise StatementError("unterminated comment")
+    if ";" in without_literals:
+        raise StatementError("several statements in one request")
+    return Statement(
+        text=sql,
+        action=_find_action(bare),
+        fingerprint=_fingerprint(bare),
+        tags=_read_tags(comments),
+    )
--- /dev/null
+++ b/src/apricotshore/wire/__init__.py
@@ -0,0 +1,1 @@
+"""Messages between hosts: Cap'n Proto schema and its mapping to our types."""
--- /dev/null
+++ b/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins for the systems that apricotshore meets in production."""
--- /dev/null
+++ b/standins/deployment.py
@@ -0,0 +1,351 @@
+"""Starts stand-ins and hosts as separate processes on loopback."""
+
+import asyncio
+import json
+import os
+import signal
+import subprocess
+import sys
+import tempfile
+import urllib.request
+from dataclasses import dataclass, field
+from pathlib import Path
+
+import aiomysql
+from cryptography.hazmat.primitives import serialization
+from cryptography.hazmat.primitives.asymmetric.ed25519 import Ed25519PrivateKey
+
+from apricotshore.bundles import parse_bundle
+from apricotshore.identifiers import PersonId
+from apricotshore.services import operations
+from apricotshore.services.platform import PlatformClient
+
+PASSWORD = "hop-bine"
+READY_TIMEOUT_S = 15.0
+SCHEMA = (
+    "CREATE TABLE delivery (id INTEGER PRIMARY KEY AUTOINCREMENT, "
+    "member TEXT, amount INTEGER, note TEXT)"
+)
+
+
+@dataclass(kw_only=True)
+class Shape:
+    """Sizes of a deployment on loopback."""
+
+    hosts: int = 2
+    databases: tuple[str, ...] = ("deliveries",)
+    servers: int = 3
+    slots: int = 3
+    connections: int = 20
+    connect_ms: int = 10
+    latency_ms: float = 0
+    work_ms: int = 1
+    lag_ms: int = 0
+    base_port: int = 21000
+    data_centres: tuple[str, ...] = ("braga-a", "regua-a", "lisboa-a")
+    callers: tuple[str, ...] = ("members-app", "old-branch")
+    kinds: str = ""
+    policy: str = "fair"
+    peer_tls: str = ""
+
+
+DEFAULT_KINDS = """
+[kind balance]
+staleness = 5 s
+deadline = 3 s
+weight = 2
+
+[kind delivery]
+deadline = 6 s
+weight = 8
+"""
+
+
+@dataclass(kw_only=True)
+class Deployment:
+    """Processes of one deployment; end them with `stop`."""
+
+    shape: Shape
+    folder: Path = field(default_factory=lambda: Path(tempfile.mkdtemp(prefix="aps-")))
+    processes: dict[str, subprocess.Popen] = field(default_factory=dict)
+    keys: dict[str, Ed25519PrivateKey] = field(default_factory=dict)
+    version: int = 0
+
+    # -- addresses --
+
+    @property
+    def platform_address(self) -> str:
+        """Address of the platform stand-in."""
+        return f"127.0.0.1:{self.shape.base_port}"
+
+    def server_names(self, database: str) -> list[str]:
+        """Names of the servers of a database."""
+        return [f"{database}-{n + 1}" for n in range(self.shape.servers)]
+
+    def server_port(self, name: str) -> int:
+        """Port of a backend server."""
+        database, _, number = name.rpartition("-")
+        index = self.shape.databases.index(database)
+        return self.shape.base_port + 100 + index * 10 + int(number)
+
+    def host_ports(self, number: int) -> tuple[int, int, int]:
+        """Caller, peer and status port of a host."""
+        base = self.shape.base_port + 300 + number * 3
+        return base, base + 1, base + 2
+
+    # -- processes --
+
+    def spawn(self, name: str, arguments: list[str]) -> None:
+        """Start a process and keep its log."""
+        log = open(self.folder / f"{name}.log", "ab")  # noqa: SIM115
+        self.processes[name] = subprocess.Popen(
+            [sys.executable, *arguments],
+            stdout=log,
+            stderr=log,
+            cwd=Path(__file__).parent.parent,
+            env={**os.environ, "PYTHONUNBUFFERED": "1"},
+        )
+
+    def start_platform(self) -> None:
+        """Start the platform stand-in."""
+        port = str(self.shape.base_port)
+        self.spawn("platform", ["-m", "standins.platform", "--port", port])
+
+    def start_server(self, name: str, primary: bool = False) -> None:
+        """Start one backend server."""
+        shape = self.shape
+        arguments = ["-m", "standins.backend", "--server", name]
+        options = {
+            "--port": self.server_port(name),
+            "--members": shape.servers,
+            "--slots": shape.slots,
+            "--connections": shape.connections,
+            "--connect-ms": shape.connect_ms,
+            "--latency-ms": shape.latency_ms,
+            "--work-ms": shape.work_ms,
+            "--lag-ms": shape.lag_ms,
+            "--schema": SCHEMA,
+        }
+        for option, value in options.items():
+            arguments += [option, str(value)]
+        if primary:
+            arguments.append("--primary")
+        self.spawn(name, arguments)
+
+    def start_host(self, number: int) -> None:
+        """Write a host's settings and start it."""
+        path = self.write_settings(number)
+        arguments = ["-m", "apricotshore", "run", str(path)]
+        arguments += ["--policy", self.shape.policy]
+        self.spawn(f"host-{number}", arguments)
+
+    def write_settings(self, number: int) -> Path:
+        """Write the settings file of a host."""
+        caller, peer, status = self.host_ports(number)
+        centre = self.shape.data_centres[number % len(self.shape.data_centres)]
+        seeds = ", ".join(
+            f"127.0.0.1:{self.host_ports(n)[1]}"
+            for n in range(self.shape.hosts)
+            if n != number
+        )
+        trusted = "\n".join(f"{p} = {self.public_key(p)}" for p in self.keys)
+        path = self.folder / f"host-{number}.ini"
+        path.write_text(
+            f"[host]\nname = host-{number}\ndata-centre = {centre}\n"
+            f"caller-address = 127.0.0.1:{caller}\npeer-address = 127.0.0.1:{peer}\n"
+            f"status-address = 127.0.0.1:{status}\n"
+            f"platform-address = {self.platform_address}\nseeds = {seeds}\n"
+            f"[trusted-keys]\n{trusted}\n{self.shape.peer_tls}"
+        )
+        return path
+
+    def public_key(self, person: str) -> str:
+        """Return a person's public key in hex."""
+        public = self.keys[person].public_key()
+        return public.public_bytes(
+            serialization.Encoding.Raw, serialization.PublicFormat.Raw
+        ).hex()
+
+    # -- life cycle --
+
+    async def start(self) -> None:
+        """Start everything and put the first bundle in force."""
+        self.keys = {p: Ed25519PrivateKey.generate() for p in ("ana", "rui")}
+        self.start_platform()
+        for database in self.shape.databases:
+            for index, name in enumerate(self.server_names(database)):
+                self.start_server(name, primary=index == 0)
+        await self.wait_for(self._servers_answer)
+        for database in self.shape.databases:
+            await self._join_replicas(database)
+        await self.wait_for(self._list_hosts)
+        await self.roll_out(self.shape.callers)
+        for number in range(self.shape.hosts):
+            self.start_host(number)
+        for number in range(self.shape.hosts):
+            await self.wait_host(number)
+
+    async def wait_for(self, probe) -> None:
+        """Repeat a probe until it does not fail."""
+        for _ in range(int(READY_TIMEOUT_S / 0.05)):
+            try:
+                await probe()
+                return
+            except Exception:
+                await asyncio.sleep(0.05)
+        await probe()
+
+    async def _servers_answer(self) -> None:
+        for database in self.shape.databases:
+            for name in self.server_names(database):
+                await self.command(name, "CALL group_status()")
+
+    async def _join_replicas(self, database: str) -> None:
+        names = self.server_names(database)
+        port = self.server_port(names[0]) + 1000
+        for name in names[1:]:
+            await self.command(
+                name, f"CALL group_follow(1, '{names[0]}', '127.0.0.1:{port}')"
+            )
+
+    async def _list_hosts(self) -> None:
+        client = PlatformClient(address=self.platform_address)
+        try:
+            for number in range(self.shape.hosts):
+                centre = self.shape.data_centres[number % len(self.shape.data_centres)]
+                value = {
+                    "address": f"127.0.0.1:{self.host_ports(number)[1]}",
+                    "data_centre": centre,
+                }
+                await client.write(
+                    operations.ObjectKind.HOST,
+                    f"host-{number}",
+                    json.dumps(value),
+                    operations.Purpose.MEMBERSHIP,
+                )
+        finally:
+            await client.close()
+
+    async def wait_host(self, number: int) -> None:
+        """Wait until a host is ready."""
+        url = f"http://127.0.0.1:{self.host_ports(number)[2]}/health"
+
+        async def probe() -> None:
+            await asyncio.to_thread(
+                lambda: urllib.request.urlopen(url, timeout=1).read()
+            )
+
+        await self.wait_for(probe)
+
+    def signal(self, name: str, number: signal.Signals) -> None:
+        """Send a signal to one of our processes."""
+        self.processes[name].send_signal(number)
+
+    def stop(self) -> None:
+        """End every process that this deployment started."""
+        for process in self.processes.values():
+            if process.poll() is None:
+                process.send_signal(signal.SIGCONT)
+                process.kill()
+        for process in self.processes.values():
+            process.wait()
+
+    # -- bundles --
+
+    def make_bundle(self, callers: tuple[str, ...], version: int) -> str:
+        """Return the text of a bundle."""
+        parts = [f"[bundle]\nversion = {version}\n"]
+        for database in self.shape.databases:
+            for index, name in enumerate(self.server_names(database)):
+                port = self.server_port(name)
+                centre = self.shape.data_centres[index % len(self.shape.data_centres)]
+                parts.append(
+                    f"[backend-server {name}]\ndatabase = {database}\n"
+                    f"address = 127.0.0.1:{port}\n"
+                    f"replication-address = 127.0.0.1:{port + 1000}\n"
+                    f"data-centre = {centre}\nslots = {self.shape.slots}\n"
+                    f"connections = {self.shape.connections}\n"
+                )
+        for caller in callers:
+            parts.append(
+                f"[caller {caller}]\ndatabases = {', '.join(self.shape.databases)}\n"
+                f"password-hash = {operations.hash_password(PASSWORD)}\n"
+            )
+        for person in self.keys:
+            parts.append(f"[person {person}]\npublic-key = {self.public_key(person)}\n")
+        parts.append(self.shape.kinds or DEFAULT_KINDS)
+        return "\n".join(parts)
+
+    async def roll_out(self, callers: tuple[str, ...]) -> None:
+        """Propose and approve a bundle with these callers."""
+        self.version += 1
+        text = self.make_bundle(callers, self.version)
+        bundle = parse_bundle(text, "bundle")
+        client = PlatformClient(address=self.platform_address)
+        try:
+            name = await operations.propose_bundle(
+                client, bundle, PersonId("ana"), self.keys["ana"]
+            )
+            await operations.approve_bundle(
+                client, name, PersonId("rui"), self.keys["rui"]
+            )
+        finally:
+            await client.close()
+
+    # -- access --
+
+    async def connect(
+        self, number: int, caller: str = "members-app", database: str = ""
+    ) -> aiomysql.Connection:
+        """Connect to a host as a caller."""
+        return await asyncio.wait_for(
+            aiomysql.connect(
+                host="127.0.0.1",
+                port=self.host_ports(number)[0],
+                user=caller,
+                password=PASSWORD,
+                db=database or self.shape.databases[0],
+                autocommit=True,
+            ),
+            5,
+        )
+
+    async def command(self, server: str, sql: str) -> tuple:
+        """Run a statement at a backend server directly."""
+        connection = await aiomysql.connect(
+            host="127.0.0.1",
+            port=self.server_port(server),
+            user="operator",
+            db="main",
+            autocommit=None,
+            connect_timeout=1,
+        )
+        try:
+            async with connection.cursor() as cursor:
+                await cursor.execute(sql)
+                return tuple(await cursor.fetchall()) if cursor.description else ()
+        finally:
+            connection.close()
+
+    async def find_primary(self, database: str = "") -> str:
+        """Return the name of the primary with the highest term."""
+        found = []
+        for name in self.server_names(database or self.shape.databases[0]):
+            try:
+                row = (await self.command(name, "CALL group_status()"))[0]
+            except Exception:
+                continue
+            if row[1] == "primary":
+                found.append((int(row[2]), name))
+        return max(found)[1]
+
+    async def set_fault(self, server: str, name: str, value: int) -> None:
+        """Set a fault of a backend server."""
+        await self.command(server, f"CALL standin_set('{name}', {value})")
+
+
+async def run_sql(connection: aiomysql.Connection, sql: str) -> tuple:
+    """Run a statement and return its rows."""
+    async with connection.cursor() as cursor:
+        await cursor.execute(sql)
+        return tuple(await cursor.fetchall()) if cursor.description else ()
--- /dev/null
+++ b/standins/platform.py
@@ -0,0 +1,169 @@
+"""Stand-in for the platform's object API: versions, conditions, watches, faults."""
+
+import argparse
+import asyncio
+import json
+import time
+from dataclasses import dataclass, field
+
+from aiohttp import web
+
+MAX_VALUE_BYTES = 1_000_000
+WATCH_S = 20.0
+
+
+@dataclass(kw_only=True)
+class Store:
+    """All objects with their versions, and the faults in force."""
+
+    objects: dict[tuple[str, str], tuple[int, object]] = field(default_factory=dict)
+    counter: int = 0
+    changed: asyncio.Event = field(default_factory=asyncio.Event)
+    outage: bool = False
+    slow_ms: int = 0
+    lose_answers: int = 0
+    writes_per_s: int = 400
+    reads_per_s: int = 2_000
+    calls: dict[str, int] = field(default_factory=dict)
+    window: dict[str, list[float]] = field(default_factory=dict)
+
+    def admit(self, sort: str, limit: int) -> bool:
+        """Count one call against the limit of the last second."""
+        now = time.monotonic()
+        recent = [t for t in self.window.get(sort, []) if t > now - 1.0]
+        if len(recent) >= limit:
+            return False
+        self.window[sort] = [*recent, now]
+        return True
+
+    def put(self, key: tuple[str, str], value: object) -> int:
+        """Store a value under a new version."""
+        self.counter += 1
+        self.objects[key] = (self.counter, value)
+        self.announce()
+        return self.counter
+
+    def announce(self) -> None:
+        """Wake every watch."""
+        self.changed.set()
+        self.changed = asyncio.Event()
+
+
+def _key(request: web.Request) -> tuple[str, str]:
+    return request.match_info["kind"], request.match_info["name"]
+
+
+def _describe(store: Store, key: tuple[str, str]) -> web.Response:
+    if key not in store.objects:
+        return web.json_response({"error": "not found"}, status=404)
+    version, value = store.objects[key]
+    return web.json_response({"name": key[1], "version": version, "value": value})
+
+
+class Api:
+    """The HTTP handlers over a store."""
+
+    def __init__(self, *, store: Store) -> None:
+        self.store = store
+
+    @web.middleware
+    async def inject_faults(self, request: web.Request, handler):
+        """Count the call and bring about the faults in force."""
+        store = self.store
+        if request.path == "/faults":
+            return await handler(request)
+        if store.outage:
+            request.transport.close()
+            return web.Response(status=503)
+        sort = "write" if request.method == "PUT" else "read"
+        limit = store.writes_per_s if sort == "write" else store.reads_per_s
+        purpose = request.headers.get("X-Purpose", "other")
+        store.calls[purpose] = store.calls.get(purpose, 0) + 1
+        if not store.admit(sort, limit):
+            return web.json_response({"error": "rate limit"}, status=429)
+        await asyncio.sleep(store.slow_ms / 1000)
+        response = await handler(request)
+        if sort == "write" and store.lose_answers > 0:
+            store.lose_answers -= 1
+            request.transport.close()
+        return response
+
+    async def read(self, request: web.Request) -> web.Response:
+        """Read an object, or wait for a version above ``watch``."""
+        store, key = self.store, _key(request)
+        seen = int(request.query.get("watch", "-1"))
+        deadline = time.monotonic() + WATCH_S
+        while seen >= 0 and store.objects.get(key, (0, None))[0] <= seen:
+            left = max(deadline - time.monotonic(), 0)
+            try:
+                await asyncio.wait_for(store.changed.wait(), left)
+            except TimeoutError:
+                return web.Response(status=304)
+            if store.outage:
+                request.transport.close()
+                return web.Response(status=503)
+        return _describe(store, key)
+
+    async def write(self, request: web.Request) -> web.Response:
+        """Write an object if its version is the expected one."""
+        store, key = self.store, _key(request)
+        body = await request.read()
+        if len(body) > MAX_VALUE_BYTES:
+            return web.json_response({"error": "too large"}, status=413)
+        condition = request.headers.get("If-Match")
+        version = store.objects.get(key, (0, None))[0]
+        if condition is not None and int(condition) != version:
+            return web.json_response({"version": version}, status=412)
+        return web.json_response({"version": store.put(key, json.loads(body))})
+
+    async def list_objects(self, request: web.Request) -> web.Response:
+        """List the objects of a kind."""
+        kind = request.match_info["kind"]
+        items = [
+            {"name": name, "version": version, "value": value}
+            for (k, name), (version, value) in sorted(self.store.objects.items())
+            if k == kind
+        ]
+        return web.json_response({"items": items})
+
+    async def set_faults(self, request: web.Request) -> web.Response:
+        """Change the faults in force, or show the calls counted."""
+        if request.method == "GET":
+            return web.json_response({"calls": self.store.calls})
+        for name, value in (await request.json()).items():
+            setattr(self.store, name, value)
+        self.store.announce()
+        return web.json_response({})
+
+
+def make_application(store: Store) -> web.Application:
+    """Build the HTTP application over a store."""
+    api = Api(store=store)
+    application = web.Application(
+        middlewares=[api.inject_faults], client_max_size=MAX_VALUE_BYTES * 2
+    )
+    application.router.add_get("/objects/{kind}/{name}", api.read)
+    application.router.add_put("/objects/{kind}/{name}", api.write)
+    application.router.add_get("/objects/{kind}", api.list_objects)
+    application.router.add_route("*", "/faults", api.set_faults)
+    return application
+
+
+def main() -> None:
+    """Serve on loopback until stopped."""
+    parser = argparse.ArgumentParser()
+    parser.add_argument("--port", type=int, required=True)
+    given = parser.parse_args()
+    print("ready platform", flush=True)
+    web.run_app(
+        make_application(Store()),
+        host="127.0.0.1",
+        port=given.port,
+        print=None,
+        handle_signals=True,
+        shutdown_timeout=0.1,
+    )
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/standins/sessions.py
@@ -0,0 +1,307 @@
+"""Client sessions of a stand-in backend server.
+
+Group operations are statements: ``CALL group_status()``, ``group_fence``,
+``group_promote``, ``group_follow`` and ``group_commit_wait``. Faults are set by
+``CALL standin_set('name', value)``.
+"""
+
+import asyncio
+import contextlib
+import json
+import re
+import sqlite3
+import time
+
+from mysql_mimic.errors import SQLSTATES, ErrorCode, MysqlError
+from mysql_mimic.session import BaseSession
+from mysql_mimic.variables import GlobalVariables, SessionVariables
+
+from .group import Group
+from .log import Entry
+
+_CALL = re.compile(r"^\s*call\s+(\w+)\s*\((.*)\)\s*$", re.I | re.S)
+_WORK = re.compile(r"work_ms='(\d+)'")
+_COMMENT = re.compile(r"/\*.*?\*/", re.S)
+_SET_TERM = re.compile(r"^\s*set\s+(?:session\s+)?group_term\s*=\s*(\d+)", re.I)
+_KILL = re.compile(r"^\s*kill\s+(?:connection\s+)?(\d+)", re.I)
+
+
+def _make_code(number: int, sqlstate: bytes) -> ErrorCode:
+    code = int.__new__(ErrorCode, number)
+    code._name_ = f"E{number}"
+    code._value_ = number
+    SQLSTATES[code] = sqlstate
+    return code
+
+
+DUPLICATE_KEY = _make_code(1062, b"23000")
+READ_ONLY = _make_code(1290, b"HY000")
+FENCED = _make_code(3100, b"HY000")
+
+STATUS_COLUMNS = [
+    "server",
+    "role",
+    "term",
+    "last_term",
+    "position",
+    "applied",
+    "lineage",
+    "behind_ms",
+    "contact_ms",
+    "leaving",
+    "incarnation",
+]
+
+
+class Session(BaseSession):
+    """One client connection."""
+
+    def __init__(self, *, group: Group) -> None:
+        self.group = group
+        self.variables = SessionVariables(GlobalVariables())
+        self.username = None
+        self.database = None
+        self.term: int | None = None
+        self.in_transaction = False
+        self.holds_lock = False
+        self.pending: list[str] = []
+        self.affected = 0
+        self.insert_id = 0
+        self.handle: sqlite3.Connection | None = None
+        self.connection = None
+
+    async def init(self, connection) -> None:
+        """Wait for the set connect time and open the database."""
+        self.connection = connection
+        plain_ok = connection.ok
+
+        def ok(**kwargs):
+            if not kwargs:
+                kwargs = {
+                    "affected_rows": self.affected,
+                    "last_insert_id": self.insert_id,
+                }
+            return plain_ok(**kwargs)
+
+        connection.ok = ok
+        await asyncio.sleep(self.group.faults.connect_ms / 1000)
+        self.handle = self.group.open_database()
+
+    async def close(self) -> None:
+        """Roll back and close."""
+        self.rollback()
+        if self.handle is not None:
+            self.handle.close()
+
+    async def reset(self) -> None:
+        """Roll back."""
+        self.rollback()
+
+    def rollback(self) -> None:
+        """Drop the open transaction and free the write lock."""
+        self.pending = []
+        self.in_transaction = False
+        if self.holds_lock:
+            self.holds_lock = False
+            if self.handle is not None and self.handle.in_transaction:
+                self.handle.execute("ROLLBACK")
+            self.group.write_lock.release()
+
+    async def use(self, database: str) -> None:
+        """Change the default database."""
+        self.database = database
+
+    async def handle_query(self, sql: str, attrs):
+        """Serve one statement."""
+        faults = self.group.faults
+        while faults.mute:
+            await asyncio.sleep(0.02)
+        if faults.latency_ms:
+            await asyncio.sleep(2 * faults.latency_ms / 1000)
+        self.affected = self.insert_id = 0
+        bare = _COMMENT.sub(" ", sql).strip().rstrip(";")
+        call = _CALL.match(bare)
+        if call:
+            return await self.call(call.group(1).lower(), call.group(2))
+        if match := _SET_TERM.match(bare):
+            self.term = int(match.group(1))
+            return None
+        if match := _KILL.match(bare):
+            await self.group.control.kill(int(match.group(1)))
+            return None
+        word = bare.split(None, 1)[0].lower() if bare else ""
+        if word == "set":
+            return None
+        if bare.lower().startswith("show processlist"):
+            return self.list_connections()
+        return await self.run(word, bare, sql)
+
+    def list_connections(self):
+        """Return the rows of the process list."""
+        rows = [
+            (
+                number,
+                c.session.username or "",
+                c.client_connect_attrs.get("program_name", ""),
+            )
+            for number, c in self.group.control.connections.items()
+        ]
+        return rows, ["Id", "User", "Info"]
+
+    async def call(self, name: str, text: str):
+        """Run a group procedure."""
+        arguments = json.loads("[" + text.replace("'", '"') + "]")
+        group = self.group
+        if name == "group_status":
+            return [group.status()], STATUS_COLUMNS
+        if name == "group_fence":
+            granted = group.fence(int(arguments[0]), arguments[1])
+            row = [int(granted), group.term, group.log.last_term, group.log.end]
+            return [row], ["granted", "term", "last_term", "position"]
+        if name == "group_promote":
+            done = await group.promote(int(arguments[0]), arguments[1])
+            return [[int(done)]], ["done"]
+        if name == "group_follow":
+            host, port = arguments[2].rsplit(":", 1)
+            done = group.follow(int(arguments[0]), arguments[1], host, int(port))
+            return [[int(done)]], ["done"]
+        if name == "group_commit_wait":
+            return await self.wait_commit(int(arguments[0]), bool(arguments[1]))
+        if name == "standin_set":
+            setattr(group.faults, arguments[0], int(arguments[1]))
+            return None
+        if name == "standin_peak":
+            return [[group.control.peak]], ["peak"]
+        raise MysqlError(f"unknown procedure {name}", ErrorCode.UNKNOWN_PROCEDURE)
+
+    async def wait_commit(self, timeout_ms: int, confirm: bool):
+        """Wait until a majority holds this primary's log."""
+        group = self.group
+        term, end = group.term, group.log.end
+        deadline = time.monotonic() + timeout_ms / 1000
+
+        def settled() -> bool:
+            return group.commit >= end or group.role != "primary" or group.term != term
+
+        while not settled() and time.monotonic() < deadline:
+            async with group.changed:
+                with contextlib.suppress(TimeoutError):
+                    await asyncio.wait_for(group.changed.wait(), 0.05)
+        durable = group.role == "primary" and group.term == term and group.commit >= end
+        if durable and confirm and not await self.confirm(deadline):
+            durable = False
+        return [[term, end, int(durable)]], ["term", "position", "durable"]
+
+    async def confirm(self, deadline: float) -> bool:
+        """Return whether a majority is in contact with this primary."""
+        group = self.group
+        asked = time.monotonic()
+        needed = group.options.members // 2
+        while time.monotonic() < deadline and group.role == "primary":
+            fresh = sum(1 for t in group.ack_times.values() if t >= asked)
+            if fresh >= needed:
+                return True
+            group.ping.set()
+            async with group.changed:
+                with contextlib.suppress(TimeoutError):
+                    await asyncio.wait_for(group.changed.wait(), 0.05)
+        return False
+
+    async def run(self, word: str, bare: str, sql: str):
+        """Run a statement in a slot."""
+        group = self.group
+        if word in ("begin", "start"):
+            self.in_transaction = True
+            return None
+        if word == "rollback":
+            self.rollback()
+            return None
+        match = _WORK.search(sql)
+        work = int(match.group(1)) if match else group.faults.work_ms
+        is_read = word in (
+            "select",
+            "show",
+            "explain",
+            "with",
+        ) and "for update" not in (bare.lower())
+        if not is_read and word != "commit":
+            await self.acquire_write()
+        async with group.slots:
+            await asyncio.sleep(work / 1000)
+            if word == "commit":
+                await self.commit()
+                return None
+            return self.execute(bare, is_read)
+
+    async def acquire_write(self) -> None:
+        """Take the write lock and begin a write transaction."""
+        group = self.group
+        self.check_writable()
+        if not self.holds_lock:
+            await group.write_lock.acquire()
+            self.holds_lock = True
+            try:
+                self.check_writable()
+                self.handle.execute("BEGIN IMMEDIATE")
+            except BaseException:
+                self.rollback()
+                raise
+
+    def check_writable(self) -> None:
+        """Refuse writes on anything but the primary of the term."""
+        group = self.group
+        if group.role != "primary":
+            self.rollback()
+            raise MysqlError("server is not the primary", READ_ONLY)
+        if self.term is not None and self.term != group.term:
+            self.rollback()
+            raise MysqlError(f"term {self.term} is fenced by {group.term}", FENCED)
+
+    def execute(self, bare: str, is_read: bool):
+        """Execute a statement in sqlite."""
+        assert self.handle is not None
+        try:
+            if not is_read:
+                self.check_writable()
+            cursor = self.handle.execute(bare.replace("\\'", "''"))
+            rows = cursor.fetchall() if cursor.description else []
+        except sqlite3.IntegrityError as error:
+            self.end_failed()
+            raise MysqlError(str(error), DUPLICATE_KEY) from None
+        except sqlite3.Error as error:
+            self.end_failed()
+            raise MysqlError(str(error), ErrorCode.PARSE_ERROR) from None
+        if cursor.description:
+            return rows, [c[0] for c in cursor.description]
+        self.affected = max(cursor.rowcount, 0)
+        self.insert_id = cursor.lastrowid or 0
+        self.pending.append(bare.replace("\\'", "''"))
+        if not self.in_transaction:
+            self.finish_commit()
+        return None
+
+    def end_failed(self) -> None:
+        """Roll back a failed statement outside a transaction."""
+        if not self.in_transaction:
+            self.rollback()
+
+    async def commit(self) -> None:
+        """Commit the open transaction."""
+        if self.holds_lock:
+            self.check_writable()
+            self.finish_commit()
+        self.in_transaction = False
+
+    def finish_commit(self) -> None:
+        """Commit in sqlite and append to the log."""
+        group = self.group
+        self.handle.execute("COMMIT")
+        if self.pending:
+            entry = Entry(term=group.term, statements=tuple(self.pending))
+            group.applied = group.log.append(entry)
+            group.arrivals = group.arrivals[: group.log.end - 1]
+            group.arrivals.append(time.monotonic())
+            group.ping.set()
+        self.pending = []
+        self.holds_lock = False
+        group.write_lock.release()
--- /dev/null
+++ b/tools/__init__.py
@@ -0,0 +1,1 @@
+"""Programs for developers: demonstration, measurements and slopes."""
--- /dev/null
+++ b/tools/demo.py
@@ -0,0 +1,176 @@
+"""Demonstration: one database group, two hosts, a failover and a withdrawal."""
+
+import asyncio
+import signal
+import sys
+import time
+from contextlib import suppress
+
+import aiomysql
+from pymysql.err import MySQLError
+
+from apricotshore.identifiers import CallerId
+from apricotshore.services import operations
+from apricotshore.services.platform import PlatformClient
+from standins.deployment import Deployment, Shape, run_sql
+
+BASE_PORT = 22000
+WRITERS = 3
+LOAD_BEFORE_S = 1.5
+LOAD_AFTER_S = 2.0
+PROOF_TIMEOUT_S = 10.0
+
+
+def say(text: str) -> None:
+    """Print one line of the summary."""
+    print(text, flush=True)
+
+
+class Ledger:
+    """What the writers were told of each delivery entry."""
+
+    def __init__(self) -> None:
+        self.acknowledged: list[str] = []
+        self.unknown: list[str] = []
+        self.times: list[float] = []
+
+
+async def write_deliveries(
+    deployment: Deployment, writer: int, ledger: Ledger, stop: asyncio.Event
+) -> None:
+    """Enter deliveries one after another until told to stop."""
+    connection = await deployment.connect(writer % deployment.shape.hosts)
+    number = 0
+    while not stop.is_set():
+        number += 1
+        note = f"w{writer}-{number}"
+        sql = (
+            "INSERT INTO delivery (member, amount, note) "
+            f"VALUES ('member-{writer}', 1, '{note}') "
+            f"/* kind='delivery',idempotent='no',request_id='{note}' */"
+        )
+        try:
+            await run_sql(connection, sql)
+            ledger.acknowledged.append(note)
+            ledger.times.append(time.monotonic())
+        except MySQLError as error:
+            if "verdict=not-run" not in str(error):
+                ledger.unknown.append(note)
+    connection.close()
+
+
+async def show_session(deployment: Deployment) -> None:
+    """Enter a delivery at one host and check the payout at another."""
+    first = await deployment.connect(0)
+    await run_sql(
+        first,
+        "INSERT INTO delivery (member, amount, note) VALUES ('maria', 7, 'demo') "
+        "/* kind='delivery',idempotent='no',request_id='maria-1' */",
+    )
+    token = (await run_sql(first, "SELECT @apricotshore_token"))[0][0]
+    first.close()
+    second = await deployment.connect(1)
+    await run_sql(second, f"SET @apricotshore_token = '{token}'")
+    rows = await run_sql(
+        second,
+        "SELECT SUM(amount) FROM delivery WHERE member = 'maria' /* kind='balance' */",
+    )
+    second.close()
+    say(f"session: delivery of 7 entered at host-0, balance at host-1 is {rows[0][0]}")
+    if int(rows[0][0]) != 7:
+        raise SystemExit("the session did not read its own write")
+
+
+async def show_failover(deployment: Deployment) -> None:
+    """Kill the primary under load and count what was lost or doubled."""
+    ledger, stop = Ledger(), asyncio.Event()
+    writers = [
+        asyncio.create_task(write_deliveries(deployment, n, ledger, stop))
+        for n in range(WRITERS)
+    ]
+    await asyncio.sleep(LOAD_BEFORE_S)
+    primary = await deployment.find_primary()
+    killed_at = time.monotonic()
+    deployment.signal(primary, signal.SIGKILL)
+    while not ledger.times or ledger.times[-1] < killed_at + 0.1:
+        await asyncio.sleep(0.02)
+    await asyncio.sleep(LOAD_AFTER_S)
+    stop.set()
+    await asyncio.gather(*writers)
+    gap = min(t for t in ledger.times if t > killed_at + 0.1) - killed_at
+    successor = await deployment.find_primary()
+    say(f"failover: {primary} killed, {successor} promoted, write gap {gap:.2f} s")
+    reader = await deployment.connect(0)
+    rows = await run_sql(
+        reader, "SELECT note, COUNT(*) FROM delivery WHERE note LIKE 'w%' GROUP BY note"
+    )
+    reader.close()
+    found = {note: count for note, count in rows}
+    lost = [n for n in ledger.acknowledged if n not in found]
+    doubled = [n for n, count in found.items() if count > 1]
+    say(
+        f"writes: {len(ledger.acknowledged)} acknowledged, {len(ledger.unknown)} of "
+        f"unknown outcome, {len(lost)} lost, {len(doubled)} doubled"
+    )
+    if lost or doubled:
+        raise SystemExit("acknowledged writes were lost or doubled")
+
+
+async def show_withdrawal(deployment: Deployment) -> None:
+    """Withdraw a caller and print the proof."""
+    connection = await deployment.connect(1, caller="old-branch")
+    await run_sql(connection, "SELECT COUNT(*) FROM delivery /* kind='balance' */")
+    started = time.monotonic()
+    await deployment.roll_out(("members-app",))
+    quiet_at = None
+    while quiet_at is None and time.monotonic() < started + PROOF_TIMEOUT_S:
+        try:
+            await run_sql(connection, "SELECT 1 FROM delivery /* kind='balance' */")
+        except (MySQLError, aiomysql.InterfaceError, RuntimeError):
+            quiet_at = time.monotonic()
+    if quiet_at is None:
+        raise SystemExit("the withdrawn caller is still served")
+    say(f"withdrawal: old-branch cut after {quiet_at - started:.2f} s; proof:")
+    # The killed server is started again, so that it can confirm as well.
+    await prove(deployment, started)
+
+
+async def prove(deployment: Deployment, started: float) -> None:
+    """Print the proof as soon as every server has confirmed."""
+    client = PlatformClient(address=deployment.platform_address)
+    try:
+        while True:
+            proof = await operations.prove_withdrawal(client, CallerId("old-branch"))
+            late = time.monotonic() > started + PROOF_TIMEOUT_S
+            if proof.proved or late:
+                break
+            await asyncio.sleep(0.1)
+        for line in await operations.describe_proof(client, proof):
+            say(f"  {line}")
+    finally:
+        await client.close()
+    if not proof.proved:
+        raise SystemExit("the withdrawal was not proved")
+
+
+async def main() -> None:
+    """Run the demonstration."""
+    started = time.monotonic()
+    deployment = Deployment(shape=Shape(base_port=BASE_PORT))
+    try:
+        await deployment.start()
+        say("started: platform, 3 backend servers and 2 hosts; bundle 1 in force")
+        await show_session(deployment)
+        await show_failover(deployment)
+        for name, process in list(deployment.processes.items()):
+            if name.startswith("deliveries") and process.poll() is not None:
+                deployment.start_server(name)
+        await show_withdrawal(deployment)
+    finally:
+        with suppress(ProcessLookupError):
+            deployment.stop()
+    say(f"done in {time.monotonic() - started:.1f} s")
+
+
+if __name__ == "__main__":
+    sys.exit(asyncio.run(main()))
