Prove the promises under faults with a history checker

Cause: the promises were claimed, not proved. The first runs of mixed traffic found four faults: (1) median latency 12 s with explicit transactions; (2) a primary cut off from its group was promoted again and again; (3) a frozen owner stopped its database for over 2 s and made BEGIN answer "may have run"; (4) two hosts drove one change of primary.

Ruled out for (1): the stand-in's speed; without transactions the median is 10.6 ms. Three statements waiting for a transaction's locks held all three slots, so the transaction's own next statement found none. For (2): a fault of fencing; the old primary had the highest log, with entries that no majority held.

Change: (1) statements of an open transaction need no free slot; (2) any server at or above the durable bound may be promoted, the replaced primary last; (3) links with outstanding requests are guarded, BEGIN may be repeated, a take-over kills the former owner's connections before it writes its claim; (4) only the claim's holder, or the host about to claim, drives. A load runner, a history and a checker that judges it.

--- a/src/apricotshore/cli.py
+++ b/src/apricotshore/cli.py
@@ -5,6 +5,7 @@
 import signal
 import sys
 from collections.abc import Awaitable, Callable
+from contextlib import suppress
 from dataclasses import fields
 from pathlib import Path
 from typing import Annotated, TypeVar
@@ -18,7 +19,7 @@
 from .bundles import describe_changes, parse_bundle
 from .decisions.admission import Policy
 from .events import Event
-from .exceptions import ApricotshoreError, InvalidFileError, Problem
+from .exceptions import EXIT_FAILURE, ApricotshoreError, InvalidFileError, Problem
 from .identifiers import CallerId, PersonId
 from .logs import make_handler
 from .services import operations
@@ -34,6 +35,8 @@
 
 T = TypeVar("T")
 
+CRASH_CHECK_S = 0.2
+
 app = App(name="apricotshore", version=__version__, help="Database proxy.")
 settings_app = App(name="settings", help="Check and show a host's settings.")
 bundle_app = App(name="bundle", help="Check, sign off and prove bundles.")
@@ -91,7 +94,13 @@
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, take_signal)
     await application.start()
-    await first.wait()
+    while not first.is_set():
+        if application.crashed:
+            # A host without one of its services is better replaced.
+            print(f"service crashed: {application.crash_reason!r}", file=sys.stderr)
+            return EXIT_FAILURE
+        with suppress(TimeoutError):
+            await asyncio.wait_for(first.wait(), CRASH_CHECK_S)
     drain = asyncio.create_task(application.drain())
     hurry = asyncio.create_task(second.wait())
     await asyncio.wait({drain, hurry}, return_when=asyncio.FIRST_COMPLETED)
@@ -116,7 +125,7 @@
     """
     settings = load_settings(settings_file)
     with make_handler(settings.log_format).applicationbound():
-        asyncio.run(capnp.run(_serve(settings, policy)))
+        sys.exit(asyncio.run(capnp.run(_serve(settings, policy))))
 
 
 @settings_app.command
--- a/src/apricotshore/decisions/admission.py
+++ b/src/apricotshore/decisions/admission.py
@@ -56,8 +56,8 @@
     arrived_at, deadline_at
         Monotonic milliseconds.
     in_transaction
-        Whether it belongs to an open transaction: it goes first, because
-        the transaction holds locks and a connection.
+        Whether it belongs to an open transaction: it goes first and needs
+        no free slot, because the transaction holds locks and a connection.
     """
 
     number: int
@@ -249,6 +249,9 @@
     backlog: Backlog, ticket: Ticket, eligible: Eligible, now: int
 ) -> ServerId | None:
     candidates = eligible(ticket)
+    if ticket.in_transaction:
+        # Others may hold every slot while they wait for this one's locks.
+        return candidates[0] if candidates else None
     busy = {server: 0 for server in candidates}
     long_busy = {server: 0 for server in candidates}
     for running in backlog.running.values():
@@ -256,9 +259,7 @@
             busy[running.server] += 1
             long_busy[running.server] += _is_long(running, now)
     limit_applies = (
-        backlog.policy is Policy.FAIR
-        and estimate_cost(backlog, ticket) >= LONG_WORK_MS
-        and not ticket.in_transaction
+        backlog.policy is Policy.FAIR and estimate_cost(backlog, ticket) >= LONG_WORK_MS
     )
     free = [
         server
@@ -312,19 +313,23 @@
         What to run and what to refuse, in order.
     """
     acts: list[Assignment | Rejection] = list(_reject_late(backlog, now))
-    total = sum(backlog.slots.values())
-    while len(backlog.running) < total:
-        for flow in _order_flows(backlog):
-            server = _find_server(backlog, flow.queue[0], eligible, now)
-            if server is not None:
-                acts.append(_start(backlog, flow, server, now))
-                break
-        else:
-            break
+    while (started := _start_one(backlog, eligible, now)) is not None:
+        acts.append(started)
     _forget_idle(backlog)
     return acts
 
 
+def _start_one(backlog: Backlog, eligible: Eligible, now: int) -> Assignment | None:
+    full = len(backlog.running) >= sum(backlog.slots.values())
+    for flow in _order_flows(backlog):
+        if full and not flow.queue[0].in_transaction:
+            break
+        server = _find_server(backlog, flow.queue[0], eligible, now)
+        if server is not None:
+            return _start(backlog, flow, server, now)
+    return None
+
+
 def _forget_idle(backlog: Backlog) -> None:
     idle = [
         name
--- a/src/apricotshore/decisions/failover.py
+++ b/src/apricotshore/decisions/failover.py
@@ -1,10 +1,11 @@
 """Change of primary: suspect, fence a majority, choose, promote, follow.
 
 Safety rests on the group's terms alone: a term is granted to one driver by
-each server, a fenced server takes no log of a lower term, and the candidate is
-the highest log among a fenced majority. Any number of drivers may race.
+each server, a fenced server takes no log of a lower term, and the candidate
+holds every write that a majority can hold. Any number of drivers may race.
 """
 
+from collections.abc import Mapping
 from dataclasses import dataclass, field
 from enum import Enum
 
@@ -113,6 +114,8 @@
         Term being fenced or promoted.
     granted
         Log ends of the servers that granted the term.
+    replaced
+        Primary that is being replaced.
     candidate
         Server being promoted.
     began_at, majority_at
@@ -133,6 +136,7 @@
     term: Term = Term(0)
     highest_term: Term = Term(0)
     granted: dict[ServerId, Mark] = field(default_factory=dict)
+    replaced: ServerId | None = None
     candidate: ServerId | None = None
     began_at: int = 0
     majority_at: int | None = None
@@ -192,6 +196,7 @@
     state.phase = Phase.FENCING
     state.granted = {}
     state.candidate = None
+    state.replaced = view.primary or state.replaced
     state.majority_at = None
     state.began_at = now
     text = f"term {state.term}, cause {cause.value}, old primary {view.primary}"
@@ -207,14 +212,51 @@
     return [Explain(step="abandon", detail=f"term {state.term}: {why}")]
 
 
+def find_durable_bound(
+    granted: Mapping[ServerId, Mark], members: int, majority: int
+) -> tuple[int, int]:
+    """Return the end below which every acknowledged write lies.
+
+    Parameters
+    ----------
+    granted
+        Log ends of the servers that granted the term.
+    members, majority
+        Size of the group and of its majority.
+
+    Returns
+    -------
+    tuple of int
+        Term and position. A server whose end is not below it holds every write
+        that a majority can hold; servers that did not answer are taken to hold
+        anything.
+    """
+    ends = sorted(((m.term, m.position) for m in granted.values()), reverse=True)
+    unknown = members - len(granted)
+    return ends[majority - unknown - 1] if unknown < majority else ends[0]
+
+
 def choose_candidate(state: Failover, view: GroupView) -> ServerId:
-    """Return the granted server with the highest log, not leaving if equal."""
+    """Return the server to promote among those that granted the term.
 
-    def rank(server: ServerId) -> tuple[int, int, bool, str]:
+    Any server at or above the durable bound is safe. The replaced primary and
+    leaving servers are avoided, then the highest log wins.
+    """
+    bound = find_durable_bound(state.granted, len(view.members), view.majority)
+
+    def rank(server: ServerId) -> tuple[bool, bool, int, int, str]:
         end = state.granted[server]
-        return (end.term, end.position, not is_leaving(view, server), server)
+        fresh = server != state.replaced
+        return (
+            fresh,
+            not is_leaving(view, server),
+            end.term,
+            end.position,
+            server,
+        )
 
-    return max(state.granted, key=rank)
+    safe = [s for s, m in state.granted.items() if (m.term, m.position) >= bound]
+    return max(safe, key=rank)
 
 
 def _promote(state: Failover, view: GroupView, now: int) -> list[Act]:
--- /dev/null
+++ b/src/apricotshore/load/__init__.py
@@ -0,0 +1,22 @@
+"""Load and experiments: scenarios, open-loop traffic, histories and checks."""
+
+from .checker import Findings, check_history
+from .history import Operation, Stored, Verdicts, read_history, write_history
+from .runner import LoadResult, run_load
+from .scenario import Scenario, Stream, load_scenario, parse_scenario
+
+__all__ = [
+    "Findings",
+    "LoadResult",
+    "Operation",
+    "Scenario",
+    "Stored",
+    "Stream",
+    "Verdicts",
+    "check_history",
+    "load_scenario",
+    "parse_scenario",
+    "read_history",
+    "run_load",
+    "write_history",
+]
--- /dev/null
+++ b/src/apricotshore/load/runner.py
@@ -0,0 +1,369 @@
+"""Open-loop traffic against a fleet, recorded as a history."""
+
+import asyncio
+import itertools
+import random
+import re
+import time
+from collections import Counter
+from collections.abc import Sequence
+from contextlib import suppress
+from dataclasses import dataclass, field
+
+import aiomysql
+from pymysql.err import Error as MySqlError
+
+from .checker import PAIR_SUFFIXES
+from .history import Operation, Stored, Verdicts, Work
+from .scenario import Scenario, Stream
+
+CONNECT_TIMEOUT_S = 5.0
+ANSWER_TIMEOUT_S = 20.0
+FINISH_TIMEOUT_S = 30.0
+
+_VERDICT = re.compile(r"\[verdict=([\w-]+) reason=([\w-]+)")
+_FAILURES = (MySqlError, OSError, TimeoutError, asyncio.IncompleteReadError)
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Entry:
+    """Caller address of one entry host."""
+
+    host: str
+    port: int
+
+
+@dataclass(kw_only=True)
+class LoadResult:
+    """What a load run recorded.
+
+    Parameters
+    ----------
+    operations
+        The history.
+    stored
+        Rows found in the databases afterwards, with all their notes.
+    """
+
+    operations: list[Operation] = field(default_factory=list)
+    stored: list[Stored] = field(default_factory=list)
+
+
+@dataclass(kw_only=True)
+class Arrival:
+    """A planned operation."""
+
+    at_s: float
+    stream: Stream
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Answer:
+    """What a session was told."""
+
+    verdict: Verdicts
+    sequence: int = 0
+    echo: str = ""
+    reason: str = ""
+
+
+def plan_arrivals(scenario: Scenario) -> list[Arrival]:
+    """Return all arrivals of a scenario, drawn from its seed."""
+    arrivals: list[Arrival] = []
+    for stream in scenario.streams:
+        draw = random.Random(f"{scenario.seed}/{stream.name}")
+        now_s = 0.0
+        while True:
+            now_s += draw.expovariate(_get_rate(stream, now_s))
+            if now_s * 1000 >= scenario.duration_ms:
+                break
+            arrivals.append(Arrival(at_s=now_s, stream=stream))
+    return sorted(arrivals, key=lambda arrival: arrival.at_s)
+
+
+def _get_rate(stream: Stream, now_s: float) -> float:
+    since_ms = now_s * 1000 - stream.surge_at_ms
+    if stream.surge_rate and 0 <= since_ms < stream.surge_for_ms:
+        return stream.surge_rate
+    return stream.rate
+
+
+class SessionClient:
+    """One session and its connection to an entry host.
+
+    Parameters
+    ----------
+    name
+        Session name.
+    stream
+        First stream of its group: caller, database and moves.
+    entries
+        Entry hosts.
+    password
+        Password of the caller.
+    draw
+        Random choices of this session.
+    """
+
+    def __init__(
+        self,
+        *,
+        name: str,
+        stream: Stream,
+        entries: Sequence[Entry],
+        password: str,
+        draw: random.Random,
+    ) -> None:
+        self.name = name
+        self.stream = stream
+        self.entries = entries
+        self.password = password
+        self.draw = draw
+        self.host = draw.randrange(len(entries))
+        self.connection: aiomysql.Connection | None = None
+        self.lock = asyncio.Lock()
+        self.moved_at = time.monotonic()
+        self.token = ""
+        self.sequence = 0
+
+    async def _connect(self) -> aiomysql.Connection:
+        if self.connection is not None and not self.connection.closed:
+            return self.connection
+        entry = self.entries[self.host]
+        self.connection = await asyncio.wait_for(
+            aiomysql.connect(
+                host=entry.host,
+                port=entry.port,
+                user=self.stream.caller,
+                password=self.password,
+                db=self.stream.database,
+                autocommit=True,
+            ),
+            CONNECT_TIMEOUT_S,
+        )
+        await self._run(f"SET @apricotshore_session = '{self.name}'")
+        if self.token and self.stream.with_token:
+            await self._run(f"SET @apricotshore_token = '{self.token}'")
+        return self.connection
+
+    async def _run(self, sql: str) -> tuple[tuple[object, ...], ...]:
+        assert self.connection is not None
+        async with self.connection.cursor() as cursor:
+            await asyncio.wait_for(cursor.execute(sql), ANSWER_TIMEOUT_S)
+            return tuple(await cursor.fetchall()) if cursor.description else ()
+
+    def drop(self) -> None:
+        """Close the connection."""
+        if self.connection is not None:
+            self.connection.close()
+        self.connection = None
+
+    async def _move(self) -> None:
+        due = self.moved_at + self.stream.move_ms / 1000
+        if not self.stream.move_ms or time.monotonic() < due:
+            return
+        self.moved_at = time.monotonic()
+        if self.connection is not None and self.stream.with_token:
+            with suppress(*_FAILURES):
+                rows = await self._run("SELECT @apricotshore_token")
+                self.token = str(rows[0][0])
+        self.drop()
+        self.host = self.draw.randrange(len(self.entries))
+
+    async def perform(
+        self, stream: Stream, number: int, arrived_s: float, origin: float
+    ) -> Operation:
+        """Perform the next operation of the session."""
+        async with self.lock:
+            await self._move()
+            tag = f"{self.name}.{number}"
+            repeated = self.draw.randrange(100) < stream.repeat_percent
+            repeated = repeated and stream.work is Work.ENTRY
+            host = self.host
+            if stream.work is Work.ENTRY:
+                self.sequence += 1
+            answer = await self._attempt(stream, tag)
+            if repeated:
+                answer = self._join(answer, await self._attempt(stream, tag))
+            return Operation(
+                number=number,
+                stream=stream.name,
+                kind=stream.kind,
+                session=self.name,
+                host=host,
+                work=stream.work,
+                arrived_s=arrived_s,
+                ended_s=time.monotonic() - origin,
+                verdict=answer.verdict,
+                tag=tag,
+                sequence=answer.sequence,
+                echo=answer.echo,
+                reason=answer.reason,
+                repeated=repeated,
+            )
+
+    def _join(self, first: Answer, second: Answer) -> Answer:
+        # Told once that it ran, it ran; told once that it may have, it may.
+        for verdict in (Verdicts.RAN, Verdicts.MAY_HAVE_RUN):
+            for answer in (first, second):
+                if answer.verdict is verdict:
+                    return answer
+        return first
+
+    async def _attempt(self, stream: Stream, tag: str) -> Answer:
+        started = False
+        try:
+            await self._connect()
+            started = True
+            return await self._do_work(stream, tag)
+        except _FAILURES as error:
+            return self._judge(stream, error, started)
+
+    def _judge(self, stream: Stream, error: BaseException, started: bool) -> Answer:
+        match = _VERDICT.search(str(error))
+        if match:
+            return Answer(verdict=Verdicts(match.group(1)), reason=match.group(2))
+        self.drop()
+        self.host = self.draw.randrange(len(self.entries))
+        writes = stream.work in (Work.ENTRY, Work.PAIR)
+        verdict = Verdicts.MAY_HAVE_RUN if started and writes else Verdicts.NOT_RUN
+        return Answer(verdict=verdict, reason="link")
+
+    async def _do_work(self, stream: Stream, tag: str) -> Answer:
+        if stream.work is Work.ENTRY:
+            return await self._enter(stream, tag)
+        if stream.work is Work.PAIR:
+            return await self._enter_pair(stream, tag)
+        return await self._read(stream, tag)
+
+    def _comment(self, stream: Stream, tag: str = "") -> str:
+        parts = [f"kind='{stream.kind}'"]
+        if tag:
+            parts += [f"request_id='{tag}'", "idempotent='no'"]
+        if stream.work_ms:
+            parts.append(f"work_ms='{stream.work_ms}'")
+        return f"/* {','.join(parts)} */"
+
+    def _insert(self, note: str, sequence: int) -> str:
+        return (
+            "INSERT INTO delivery (member, amount, note) "
+            f"VALUES ('{self.name}', {sequence}, '{note}')"
+        )
+
+    async def _enter(self, stream: Stream, tag: str) -> Answer:
+        sequence = self.sequence
+        await self._run(f"{self._insert(tag, sequence)} {self._comment(stream, tag)}")
+        return Answer(verdict=Verdicts.RAN, sequence=sequence)
+
+    async def _enter_pair(self, stream: Stream, tag: str) -> Answer:
+        await self._run(f"BEGIN {self._comment(stream, tag)}")
+        for suffix in PAIR_SUFFIXES:
+            insert = self._insert(tag + suffix, 0)
+            await self._run(f"{insert} {self._comment(stream)}")
+        await self._run("COMMIT")
+        return Answer(verdict=Verdicts.RAN)
+
+    async def _read(self, stream: Stream, tag: str) -> Answer:
+        rows = await self._run(
+            f"SELECT '{tag}' AS tag, COALESCE(MAX(amount), 0) FROM delivery "
+            f"WHERE member = '{self.name}' {self._comment(stream)}"
+        )
+        echo, sequence = rows[0]
+        return Answer(verdict=Verdicts.RAN, sequence=int(str(sequence)), echo=str(echo))
+
+
+async def _connect_anywhere(
+    entries: Sequence[Entry], caller: str, password: str, database: str
+) -> aiomysql.Connection:
+    for entry in entries:
+        with suppress(*_FAILURES):
+            return await asyncio.wait_for(
+                aiomysql.connect(
+                    host=entry.host,
+                    port=entry.port,
+                    user=caller,
+                    password=password,
+                    db=database,
+                    autocommit=True,
+                ),
+                CONNECT_TIMEOUT_S,
+            )
+    raise ConnectionError("no entry host answers")
+
+
+async def _gather_stored(
+    scenario: Scenario, entries: Sequence[Entry], password: str
+) -> list[Stored]:
+    counts: Counter[str] = Counter()
+    callers = {s.database: s.caller for s in scenario.streams}
+    for database, caller in sorted(callers.items()):
+        connection = await _connect_anywhere(entries, caller, password, database)
+        async with connection.cursor() as cursor:
+            await cursor.execute(
+                "SELECT note, COUNT(*) FROM delivery GROUP BY note "
+                "/* kind='final',deadline_ms='20000' */"
+            )
+            counts.update({str(n): int(c) for n, c in await cursor.fetchall()})
+        connection.close()
+    return [Stored(note=note, count=count) for note, count in sorted(counts.items())]
+
+
+def _make_clients(
+    scenario: Scenario, entries: Sequence[Entry], password: str
+) -> dict[str, list[SessionClient]]:
+    clients: dict[str, list[SessionClient]] = {}
+    for stream in scenario.streams:
+        if stream.group in clients:
+            continue
+        names = [f"{stream.group}-{index}" for index in range(stream.sessions)]
+        clients[stream.group] = [
+            SessionClient(
+                name=name,
+                stream=stream,
+                entries=entries,
+                password=password,
+                draw=random.Random(f"{scenario.seed}/{name}"),
+            )
+            for name in names
+        ]
+    return clients
+
+
+async def run_load(
+    scenario: Scenario, entries: Sequence[Entry], password: str
+) -> LoadResult:
+    """Offer a scenario's traffic and record what came of it.
+
+    Parameters
+    ----------
+    scenario
+        The traffic.
+    entries
+        Caller addresses of the entry hosts.
+    password
+        Password of the callers.
+
+    Returns
+    -------
+    LoadResult
+        The history; latencies count from the planned arrival.
+    """
+    draw = random.Random(scenario.seed)
+    clients = _make_clients(scenario, entries, password)
+    numbers = itertools.count(1)
+    origin = time.monotonic()
+    jobs: list[asyncio.Task[Operation]] = []
+    for arrival in plan_arrivals(scenario):
+        wait_s = origin + arrival.at_s - time.monotonic()
+        if wait_s > 0:
+            await asyncio.sleep(wait_s)
+        client = draw.choice(clients[arrival.stream.group])
+        work = client.perform(arrival.stream, next(numbers), arrival.at_s, origin)
+        jobs.append(asyncio.create_task(work))
+    done, _ = await asyncio.wait(jobs, timeout=FINISH_TIMEOUT_S)
+    result = LoadResult(operations=[job.result() for job in done])
+    result.operations.sort(key=lambda operation: operation.number)
+    for session in itertools.chain.from_iterable(clients.values()):
+        session.drop()
+    result.stored = await _gather_stored(scenario, entries, password)
+    return result
--- /dev/null
+++ b/src/apricotshore/load/scenario.py
@@ -0,0 +1,152 @@
+"""Scenarios: which traffic a load run offers, from an INI file."""
+
+from dataclasses import dataclass
+from pathlib import Path
+
+from ..exceptions import InvalidFileError, Problem
+from ..ini import Section, parse_count, parse_duration, parse_name, read_sections
+from .history import Work
+
+DEFAULT_SEED = 1
+DEFAULT_SESSIONS = 20
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Stream:
+    """Traffic of one sort.
+
+    Parameters
+    ----------
+    name
+        Its name.
+    caller, database, kind
+        As whom, where and as which kind of request.
+    work
+        What each operation does.
+    rate
+        Operations a second.
+    surge_rate, surge_at_ms, surge_for_ms
+        Rate during a surge, and when that is; no surge when 0.
+    group
+        Streams of one group share their sessions.
+    sessions
+        Sessions that share the traffic; the group's first stream counts.
+    move_ms
+        How long a session stays at one host; 0 is for ever.
+    with_token
+        Whether a moving session takes its token along or only its name.
+    work_ms
+        Run time that the stand-in server is asked for; 0 for its default.
+    repeat_percent
+        Share of writes that are sent twice with the same request id.
+    """
+
+    name: str
+    caller: str
+    database: str
+    kind: str
+    work: Work
+    rate: int
+    surge_rate: int = 0
+    surge_at_ms: int = 0
+    surge_for_ms: int = 0
+    group: str = ""
+    sessions: int = DEFAULT_SESSIONS
+    move_ms: int = 0
+    with_token: bool = True
+    work_ms: int = 0
+    repeat_percent: int = 0
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Scenario:
+    """A load run.
+
+    Parameters
+    ----------
+    duration_ms
+        Length of the run.
+    seed
+        Seed of all random choices.
+    streams
+        Traffic.
+    """
+
+    duration_ms: int
+    seed: int = DEFAULT_SEED
+    streams: tuple[Stream, ...] = ()
+
+
+def _parse_work(text: str) -> Work:
+    try:
+        return Work(text)
+    except ValueError:
+        known = ", ".join(work.value for work in Work)
+        raise ValueError(f"expected one of {known}, got {text!r}") from None
+
+
+def _parse_percent(text: str) -> int:
+    if not text.isdigit() or int(text) > 100:
+        raise ValueError(f"expected a whole percentage, got {text!r}")
+    return int(text)
+
+
+def _parse_flag(text: str) -> bool:
+    if text not in ("token", "name"):
+        raise ValueError(f"expected token or name, got {text!r}")
+    return text == "token"
+
+
+def _read_stream(name: str, section: Section) -> Stream:
+    stream = Stream(
+        name=name,
+        caller=section.read("caller", parse_name),
+        database=section.read("database", parse_name),
+        kind=section.read("kind", parse_name, "default"),
+        work=section.read("work", _parse_work),
+        rate=section.read("rate", parse_count),
+        surge_rate=section.read("surge-rate", parse_count, 0),
+        surge_at_ms=section.read("surge-at", parse_duration, 0),
+        surge_for_ms=section.read("surge-for", parse_duration, 0),
+        group=section.read("group", parse_name, name),
+        sessions=section.read("sessions", parse_count, DEFAULT_SESSIONS),
+        move_ms=section.read("move-every", parse_duration, 0),
+        with_token=section.read("move-with", _parse_flag, True),
+        work_ms=section.read("work-time", parse_duration, 0),
+        repeat_percent=section.read("repeat-percent", _parse_percent, 0),
+    )
+    section.refuse_unknown()
+    return stream
+
+
+def parse_scenario(text: str, source: str) -> Scenario:
+    """Read a scenario.
+
+    Raises
+    ------
+    InvalidFileError
+        With every fault in the text.
+    """
+    problems: list[Problem] = []
+    sections = read_sections(text, source, problems)
+    head = sections.pop("scenario", None) or Section(
+        source=source, name="scenario", values={}, problems=problems
+    )
+    duration = head.read("duration", parse_duration)
+    seed = head.read("seed", parse_count, DEFAULT_SEED)
+    head.refuse_unknown()
+    streams: list[Stream] = []
+    for title, section in sections.items():
+        sort, _, name = title.partition(" ")
+        if sort != "stream" or not name:
+            section.complain("", "unknown section; expected [stream NAME]")
+            continue
+        streams.append(_read_stream(name, section))
+    if problems:
+        raise InvalidFileError(problems)
+    return Scenario(duration_ms=duration, seed=seed, streams=tuple(streams))
+
+
+def load_scenario(path: Path) -> Scenario:
+    """Read a scenario from a file; see `parse_scenario`."""
+    return parse_scenario(path.read_text(), str(path))
--- a/src/apricotshore/services/claims.py
+++ b/src/apricotshore/services/claims.py
@@ -107,6 +107,8 @@
     old = await read_claim(connection)
     if old is not None and old.bundle > bundle:
         return None
+    # An open transaction of the former owner would block the claim.
+    await kill_strangers(connection, me)
     epoch = OwnerEpoch(1 if old is None else old.epoch + 1)
     new = Claim(epoch=epoch, host=me, address=address, bundle=bundle)
     if not await write_claim(connection, old, new):
--- a/src/apricotshore/services/owner.py
+++ b/src/apricotshore/services/owner.py
@@ -179,6 +179,7 @@
         self.seen_claim: Claim | None = None
         self.floor: Mark = ORIGIN
         self.unfit = False
+        self.standing_in = False
         self.draining = False
         self.marks: OrderedDict[SessionKey, Mark] = OrderedDict()
         self.transactions: dict[TransactionId, Transaction] = {}
@@ -207,10 +208,15 @@
                 Topic.FAILOVER, self.database, act.step, act.detail
             ),
             ask_witnesses=self._ask_witnesses,
-            on_unfit=self._become_unfit,
-            may_drive=lambda: not self.unfit,
+            on_unfit=lambda: self._become_unfit(
+                "other hosts reach the primary and this one does not"
+            ),
+            may_drive=self._may_drive,
         )
 
+    def _may_drive(self) -> bool:
+        return (self.holding or self.standing_in) and not self.unfit
+
     async def _ask_witnesses(self, address: str) -> list[bool]:
         return await self.hooks.ask_witnesses(address)
 
@@ -297,6 +303,7 @@
 
     def _hold(self, result: ClaimResult) -> None:
         self.claim = result.claim
+        self.standing_in = False
         self.seen_claim = result.claim
         self.floor = result.floor
         self.marks.clear()
@@ -323,10 +330,9 @@
             return Outcome(redirect=Redirect(host=seen.host, address=seen.address))
         return _refused(Reason.NOT_OWNER, "this host does not own the database")
 
-    def _become_unfit(self) -> None:
+    def _become_unfit(self, detail: str) -> None:
         if not self.unfit:
             self.unfit = True
-            detail = "other hosts reach the primary and this one does not"
             self.hooks.explain(Topic.OWNERSHIP, self.database, "unfit", detail)
             self._lose_claim(detail)
 
@@ -537,6 +543,9 @@
         while not self.should_stop:
             await asyncio.sleep(PUMP_PERIOD_S)
             self._expire_transactions()
+            now = read_monotonic_ms()
+            if self.holding and not routing.has_majority_contact(self.view, now):
+                self._become_unfit("no contact with a majority of the group")
             self.pump()
 
     def _settle(self, number: int, outcome: Outcome) -> None:
--- a/src/apricotshore/services/peers.py
+++ b/src/apricotshore/services/peers.py
@@ -18,6 +18,10 @@
 CONNECT_TIMEOUT_S = 0.5
 CALL_TIMEOUT_S = 0.5
 FETCH_TIMEOUT_S = 5.0
+FIT_TIMEOUT_S = 0.3
+GUARD_PERIOD_S = 0.05
+GUARD_TIMEOUT_S = 0.35
+GUARD_MISSES = 2
 
 
 class PeerUnreachableError(Exception):
@@ -164,6 +168,8 @@
         self.client: Any = None
         self.peer: Any = None
         self.lock = asyncio.Lock()
+        self.outstanding = 0
+        self.guarding: asyncio.Task[None] | None = None
 
     async def _connect(self) -> Any:
         async with self.lock:
@@ -208,11 +214,29 @@
         peer = await self._connect()
         try:
             return await asyncio.wait_for(build(peer).send(), timeout_s)
-        except (capnp.KjException, OSError, TimeoutError) as error:
+        except TimeoutError:
+            # The link may carry other requests: only the guard gives it up.
+            raise PeerLostError(f"{self.address}: no answer in time") from None
+        except (capnp.KjException, OSError) as error:
             if self.peer is peer:
                 self.drop()
             raise PeerLostError(repr(error)[:200]) from None
 
+    async def guard(self) -> None:
+        """Watch the link while requests are outstanding; drop it when silent."""
+        misses = 0
+        while self.outstanding and misses < GUARD_MISSES:
+            await asyncio.sleep(GUARD_PERIOD_S)
+            try:
+                await self.call(lambda peer: peer.listUnfit_request(), GUARD_TIMEOUT_S)
+                misses = 0
+            except PeerUnreachableError:
+                break
+            except PeerLostError:
+                misses += 1
+        if self.outstanding:
+            self.drop()
+
 
 class PeerLinks:
     """All links of this host, by address.
@@ -254,7 +278,14 @@
             codec.write_request(message.init("request"), request)
             return message
 
-        answer = await self._find(address).call(build, timeout_s)
+        link = self._find(address)
+        link.outstanding += 1
+        if link.guarding is None or link.guarding.done():
+            link.guarding = asyncio.create_task(link.guard())
+        try:
+            answer = await link.call(build, timeout_s)
+        finally:
+            link.outstanding -= 1
         return codec.read_outcome(answer.outcome)
 
     async def ping(self, address: str, updates: list[Member]) -> list[Member]:
@@ -327,5 +358,5 @@
             message.database = database
             return message
 
-        answer = await self._find(address).call(build, CALL_TIMEOUT_S)
+        answer = await self._find(address).call(build, FIT_TIMEOUT_S)
         return bool(answer.unfit)
--- a/src/apricotshore/services/registry.py
+++ b/src/apricotshore/services/registry.py
@@ -26,6 +26,8 @@
 UNFIT_MS = 5_000
 CANDIDATES = 3
 WITNESSES = 3
+FIT_TRIES = 3
+OFFERED_TRIES = 1
 
 
 @dataclass(kw_only=True)
@@ -93,7 +95,7 @@
     def offer(self, database: DatabaseId) -> None:
         """Consider a database at once: its owner seems to be gone."""
         if self.bundle is not None and database in self.bundle.databases:
-            self._start(self._consider(database))
+            self._start(self._consider(database, OFFERED_TRIES))
 
     def is_unfit(self, database: DatabaseId) -> bool:
         """Return whether this host cannot own a database at present."""
@@ -150,19 +152,20 @@
         ranked = rank_hosts(ring, database, CANDIDATES)
         return database in self.owners or self.settings.host in ranked
 
-    async def _consider(self, database: DatabaseId) -> None:
+    async def _consider(self, database: DatabaseId, tries: int = FIT_TRIES) -> None:
         lock = self.locks.setdefault(database, asyncio.Lock())
         if lock.locked() or self.should_stop:
             return
         async with lock:
-            await self._do_duty(database)
+            await self._do_duty(database, tries)
 
-    async def _do_duty(self, database: DatabaseId) -> None:
+    async def _do_duty(self, database: DatabaseId, tries: int) -> None:
         owner = self.owners.get(database)
         self._heal_unfit(database, owner)
         if owner is not None and owner.holding and not self.draining:
             return
-        first = not self.draining and await self._is_first(database)
+        unfit: set[str] = set()
+        first = not self.draining and await self._is_first(database, tries, unfit)
         if owner is None:
             if not first:
                 return
@@ -174,9 +177,10 @@
             claim=claim,
             holding=owner.holding,
             draining=self.draining,
-            claimant_alive=await self._is_claimant_fit(database, claim),
+            claimant_alive=await self._is_claimant_fit(database, claim, tries, unfit),
         )
         duty = decide_duty(facts)
+        owner.standing_in = duty is Duty.CLAIM
         if duty is Duty.CLAIM:
             await owner.try_claim()
         elif duty is Duty.DEFER and not first:
@@ -190,28 +194,41 @@
         if read_monotonic_ms() - since >= UNFIT_MS:
             owner.unfit = False
 
-    async def _is_first(self, database: DatabaseId) -> bool:
+    async def _is_first(
+        self, database: DatabaseId, tries: int, unfit: set[str]
+    ) -> bool:
         ranked = rank_hosts(self.members.get_ring(), database, CANDIDATES)
         for host in ranked:
             if host == self.settings.host:
                 return not self.is_unfit(database)
             member = self.members.find(host)
-            if member is not None and await self._is_fit(member.address, database):
+            if member is None:
+                continue
+            if await self._is_fit(member.address, database, tries):
                 return False
+            unfit.add(member.address)
         return False
 
-    async def _is_fit(self, address: str, database: DatabaseId) -> bool:
-        for _ in range(2):
+    async def _is_fit(self, address: str, database: DatabaseId, tries: int) -> bool:
+        for _ in range(tries):
             try:
                 return not await self.links.is_unfit(address, database)
             except (PeerUnreachableError, PeerLostError):
                 continue
         return False
 
-    async def _is_claimant_fit(self, database: DatabaseId, claim: Claim | None) -> bool:
+    async def _is_claimant_fit(
+        self,
+        database: DatabaseId,
+        claim: Claim | None,
+        tries: int,
+        unfit: set[str],
+    ) -> bool:
         if claim is None or not claim.host or claim.host == self.settings.host:
             return False
-        return await self._is_fit(claim.address, database)
+        if claim.address in unfit:
+            return False
+        return await self._is_fit(claim.address, database, tries)
 
     # -- owners --
 
--- a/src/apricotshore/services/router.py
+++ b/src/apricotshore/services/router.py
@@ -183,7 +183,8 @@
         return Routed(outcome=last, target=None)
 
     def _may_repeat(self, request: Request) -> bool:
-        if request.action is Action.RESOLVE:
+        if request.action in (Action.RESOLVE, Action.BEGIN):
+            # A transaction that was begun and lost is rolled back.
             return True
         idempotent = request.idempotent and request.action is Action.WRITE
         return idempotent and retry.withdraw(self.retries)
--- a/standins/deployment.py
+++ b/standins/deployment.py
@@ -24,7 +24,8 @@
 READY_TIMEOUT_S = 15.0
 SCHEMA = (
     "CREATE TABLE delivery (id INTEGER PRIMARY KEY AUTOINCREMENT, "
-    "member TEXT, amount INTEGER, note TEXT)"
+    "member TEXT, amount INTEGER, note TEXT);"
+    "CREATE INDEX delivery_member ON delivery (member, amount)"
 )
 
 
--- /dev/null
+++ b/tests/live/support.py
@@ -0,0 +1,117 @@
+"""Live runs: a deployment, traffic, faults and the history checker."""
+
+import asyncio
+import time
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+
+from apricotshore.load import (
+    Findings,
+    LoadResult,
+    Verdicts,
+    check_history,
+    parse_scenario,
+    run_load,
+)
+from apricotshore.load.history import Work
+from apricotshore.load.runner import Entry
+from standins.deployment import PASSWORD, Deployment, Shape
+
+MIXED = """
+[scenario]
+duration = {duration} ms
+seed = {seed}
+
+[stream entries]
+caller = members-app
+database = deliveries
+kind = delivery
+work = entry
+rate = 40
+group = members
+sessions = 12
+move-every = 700 ms
+move-with = {move_with}
+repeat-percent = 15
+
+[stream balances]
+caller = members-app
+database = deliveries
+kind = balance
+work = balance
+rate = 80
+group = members
+
+[stream pairs]
+caller = members-app
+database = deliveries
+kind = delivery
+work = pair
+rate = 10
+sessions = 4
+"""
+
+Fault = Callable[[Deployment], Awaitable[None]]
+
+
+@dataclass(kw_only=True)
+class LiveRun:
+    """What a live run showed."""
+
+    result: LoadResult
+    findings: Findings
+    fault_at_s: float
+
+    @property
+    def acknowledged(self) -> int:
+        """Number of acknowledged writes."""
+        return sum(o.verdict is Verdicts.RAN for o in self._writes())
+
+    def _writes(self):
+        works = (Work.ENTRY, Work.PAIR)
+        return [o for o in self.result.operations if o.work in works]
+
+    def measure_gap_s(self) -> float:
+        """Return the longest time without an acknowledged write."""
+        ends = sorted(o.ended_s for o in self._writes() if o.verdict is Verdicts.RAN)
+        return max(b - a for a, b in zip(ends, ends[1:], strict=False))
+
+
+def list_entries(deployment: Deployment) -> list[Entry]:
+    """Return the caller addresses of a deployment's hosts."""
+    return [
+        Entry(host="127.0.0.1", port=deployment.host_ports(n)[0])
+        for n in range(deployment.shape.hosts)
+    ]
+
+
+async def run_with_fault(
+    shape: Shape,
+    fault: Fault,
+    *,
+    seed: int = 1,
+    duration_s: float = 6.0,
+    fault_after_s: float = 1.5,
+    move_with: str = "token",
+) -> LiveRun:
+    """Run mixed traffic, bring a fault about in the middle, check the history."""
+    deployment = Deployment(shape=shape)
+    try:
+        await deployment.start()
+        scenario = parse_scenario(
+            MIXED.format(
+                duration=int(duration_s * 1000), seed=seed, move_with=move_with
+            ),
+            "scenario",
+        )
+        load = asyncio.create_task(
+            run_load(scenario, list_entries(deployment), PASSWORD)
+        )
+        await asyncio.sleep(fault_after_s)
+        started = time.monotonic()
+        await fault(deployment)
+        result = await load
+        findings = check_history(result.operations, result.stored)
+        return LiveRun(result=result, findings=findings, fault_at_s=started)
+    finally:
+        deployment.stop()
--- /dev/null
+++ b/tests/live/test_faults.py
@@ -0,0 +1,100 @@
+"""Promises under faults, on live processes, judged by the history checker."""
+
+import asyncio
+import signal
+
+import pytest
+
+from standins.deployment import Deployment, Shape
+
+from .support import run_with_fault
+
+BASE_PORT = 20000
+GAP_BOUND_S = 8.0
+FREEZE_S = 2.5
+
+
+async def kill_primary(deployment: Deployment) -> None:
+    deployment.signal(await deployment.find_primary(), signal.SIGKILL)
+
+
+async def freeze_primary(deployment: Deployment) -> None:
+    primary = await deployment.find_primary()
+    deployment.signal(primary, signal.SIGSTOP)
+    await asyncio.sleep(FREEZE_S)
+    deployment.signal(primary, signal.SIGCONT)
+
+
+async def cut_primary_from_group(deployment: Deployment) -> None:
+    primary = await deployment.find_primary()
+    await deployment.set_fault(primary, "cut_replication", 1)
+    await asyncio.sleep(FREEZE_S)
+    await deployment.set_fault(primary, "cut_replication", 0)
+
+
+async def silence_primary(deployment: Deployment) -> None:
+    primary = await deployment.find_primary()
+    await deployment.set_fault(primary, "mute", 1)
+
+
+async def kill_primary_twice(deployment: Deployment) -> None:
+    primary = await deployment.find_primary()
+    deployment.signal(primary, signal.SIGSTOP)
+    await asyncio.sleep(0.9)
+    deployment.signal("host-1", signal.SIGSTOP)
+    await asyncio.sleep(0.8)
+    deployment.signal("host-1", signal.SIGCONT)
+    deployment.signal(primary, signal.SIGCONT)
+
+
+async def kill_host(deployment: Deployment) -> None:
+    deployment.signal("host-0", signal.SIGKILL)
+
+
+async def freeze_each_host(deployment: Deployment) -> None:
+    for number in range(deployment.shape.hosts):
+        deployment.signal(f"host-{number}", signal.SIGSTOP)
+        await asyncio.sleep(1.2)
+        deployment.signal(f"host-{number}", signal.SIGCONT)
+
+
+async def kill_primary_without_platform(deployment: Deployment) -> None:
+    deployment.signal("platform", signal.SIGKILL)
+    await kill_primary(deployment)
+
+
+async def replace_hosts(deployment: Deployment) -> None:
+    for number in (0, 1):
+        name = f"host-{number}"
+        deployment.signal(name, signal.SIGTERM)
+        await asyncio.to_thread(deployment.processes[name].wait, 15)
+        deployment.start_host(number)
+        await deployment.wait_host(number)
+
+
+FAULTS = [
+    kill_primary,
+    freeze_primary,
+    cut_primary_from_group,
+    silence_primary,
+    kill_primary_twice,
+    kill_host,
+    freeze_each_host,
+    kill_primary_without_platform,
+    replace_hosts,
+]
+
+
+@pytest.mark.parametrize("fault", FAULTS, ids=lambda fault: fault.__name__)
+async def test_promises_hold(fault):
+    shape = Shape(base_port=BASE_PORT, hosts=3, lag_ms=150)
+    run = await run_with_fault(shape, fault, move_with="name")
+    assert run.findings.count() == 0, run.findings.describe()
+    assert run.acknowledged > 100
+    assert run.measure_gap_s() <= GAP_BOUND_S
+
+
+async def test_promises_hold_for_sessions_that_carry_a_token():
+    shape = Shape(base_port=BASE_PORT, hosts=3, lag_ms=400)
+    run = await run_with_fault(shape, freeze_primary, seed=2, move_with="token")
+    assert run.findings.count() == 0, run.findings.describe()
--- /dev/null
+++ b/tests/test_checker.py
@@ -0,0 +1,80 @@
+"""The checker must notice each broken promise."""
+
+import pytest
+
+from apricotshore.load import Operation, Stored, Verdicts, check_history
+from apricotshore.load.history import Work
+
+
+def operate(number, work, verdict=Verdicts.RAN, **more):
+    tag = more.pop("tag", f"t{number}")
+    return Operation(
+        number=number,
+        stream="s",
+        kind="k",
+        session="one",
+        host=0,
+        work=work,
+        arrived_s=number,
+        ended_s=number + 0.5,
+        verdict=verdict,
+        tag=tag,
+        echo=more.pop("echo", tag),
+        **more,
+    )
+
+
+def test_a_sound_history_has_no_findings():
+    operations = [
+        operate(1, Work.ENTRY, sequence=1),
+        operate(2, Work.BALANCE, sequence=1),
+        operate(3, Work.PAIR),
+        operate(4, Work.ENTRY, Verdicts.NOT_RUN, sequence=2),
+        operate(5, Work.ENTRY, Verdicts.MAY_HAVE_RUN, sequence=3),
+    ]
+    stored = [
+        Stored(note="t1", count=1),
+        Stored(note="t3/a", count=1),
+        Stored(note="t3/b", count=1),
+        Stored(note="t5", count=1),
+    ]
+    assert check_history(operations, stored).count() == 0
+
+
+@pytest.mark.parametrize(
+    ("promise", "operations", "stored"),
+    [
+        ("lost", [operate(1, Work.ENTRY)], []),
+        ("doubled", [operate(1, Work.ENTRY)], [Stored(note="t1", count=2)]),
+        (
+            "ran_after_all",
+            [operate(1, Work.ENTRY, Verdicts.NOT_RUN)],
+            [Stored(note="t1", count=1)],
+        ),
+        (
+            "split",
+            [operate(1, Work.PAIR, Verdicts.MAY_HAVE_RUN)],
+            [Stored(note="t1/a", count=1)],
+        ),
+        (
+            "stale",
+            [
+                operate(1, Work.ENTRY, sequence=1),
+                operate(2, Work.BALANCE, sequence=0),
+            ],
+            [Stored(note="t1", count=1)],
+        ),
+        (
+            "went_back",
+            [
+                operate(1, Work.BALANCE, sequence=4),
+                operate(2, Work.BALANCE, sequence=3),
+            ],
+            [],
+        ),
+        ("misdelivered", [operate(1, Work.LOOKUP, echo="t9")], []),
+        ("strange", [], [Stored(note="t1", count=1)]),
+    ],
+)
+def test_each_broken_promise_is_found(promise, operations, stored):
+    assert getattr(check_history(operations, stored), promise)
