--- a/tests/live/test_faults.py
+++ b/tests/live/test_faults.py
@@ -98,3 +98,9 @@
     shape = Shape(base_port=BASE_PORT, hosts=3, lag_ms=400)
     run = await run_with_fault(shape, freeze_primary, seed=2, move_with="token")
     assert run.findings.count() == 0, run.findings.describe()
+
+
+async def test_promises_hold_when_ownership_moves_ahead_of_the_replicas():
+    shape = Shape(base_port=BASE_PORT, hosts=3, lag_ms=1500)
+    run = await run_with_fault(shape, replace_hosts, seed=3, move_with="name")
+    assert run.findings.count() == 0, run.findings.describe()
