--- a/src/apricotshore/load/runner.py
+++ b/src/apricotshore/load/runner.py
@@ -222,13 +222,18 @@
     def _judge(self, stream: Stream, error: BaseException, started: bool) -> Answer:
         match = _VERDICT.search(str(error))
         if match:
+            if match.group(2) == "draining":
+                self._leave_host()
             return Answer(verdict=Verdicts(match.group(1)), reason=match.group(2))
-        self.drop()
-        self.host = self.draw.randrange(len(self.entries))
+        self._leave_host()
         writes = stream.work in (Work.ENTRY, Work.PAIR)
         verdict = Verdicts.MAY_HAVE_RUN if started and writes else Verdicts.NOT_RUN
         return Answer(verdict=verdict, reason="link")
 
+    def _leave_host(self) -> None:
+        self.drop()
+        self.host = self.draw.randrange(len(self.entries))
+
     async def _do_work(self, stream: Stream, tag: str) -> Answer:
         if stream.work is Work.ENTRY:
             return await self._enter(stream, tag)
--- a/src/apricotshore/services/application.py
+++ b/src/apricotshore/services/application.py
@@ -193,10 +193,11 @@
         self.registry.draining = True
         deadline = read_monotonic_ms() + self.settings.drain_ms
         await self._release_owners(deadline)
-        left = self.frontend.close_idle()
-        while left and read_monotonic_ms() < deadline:
+        while self.frontend.close_idle(at_once=False):
+            if read_monotonic_ms() >= deadline:
+                break
             await asyncio.sleep(DRAIN_POLL_S)
-            left = self.frontend.close_idle()
+        left = self.frontend.close_idle(at_once=True)
         requests = sum(len(o.pending) for o in self.registry.owners.values())
         cut = Cut(sessions=left, requests=requests)
         detail = f"{cut.sessions} sessions and {cut.requests} requests cut"
--- a/src/apricotshore/services/errorcodes.py
+++ b/src/apricotshore/services/errorcodes.py
@@ -7,6 +7,7 @@
 ACCESS_DENIED = 1045
 COMMIT_UNRESOLVED = 1180
 ROLLED_BACK = 1213
+SERVER_SHUTDOWN = 1053
 
 _BY_VERDICT = {
     Verdict.NOT_RUN: (ROLLED_BACK, b"40001"),
@@ -31,11 +32,14 @@
     """Return the MySQL error that carries a failure to the caller.
 
     Not run is 1213 (40001, retry the transaction), may have run is 1180
-    (08007, transaction resolution unknown). Errors of the backend server keep
+    (08007, transaction resolution unknown). A draining host answers 1053 and
+    closes the connection: the request did not run. Errors of the backend server keep
     their own code.
     """
     if failure.reason is Reason.CALLER_REFUSED:
         code = ErrorCode.ACCESS_DENIED_ERROR
+    elif failure.reason is Reason.DRAINING:
+        code = _make_code(SERVER_SHUTDOWN, b"08S01")
     elif failure.error_code:
         code = _make_code(failure.error_code, b"HY000")
     else:
--- a/src/apricotshore/services/frontend.py
+++ b/src/apricotshore/services/frontend.py
@@ -40,12 +40,15 @@
 from ..settings import Settings
 from ..statements import Statement, StatementError, read_statement
 from ..verdicts import Failure, Reason, Verdict
+from .clock import read_monotonic_ms
 from .errorcodes import make_error
 from .router import Routed, Router, Target
 
 TOKEN_VARIABLE = "apricotshore_token"
 SESSION_VARIABLE = "apricotshore_session"
 MAX_TOKEN_DATABASES = 64
+CLOSE_AFTER_ERROR_S = 0.05
+IDLE_BEFORE_CLOSE_MS = 3_000
 
 _SET = re.compile(r"^\s*set\s+(.*)$", re.I | re.S)
 _USER_VARIABLE = re.compile(
@@ -62,6 +65,10 @@
     {Reason.DATABASE_ERROR, Reason.OVERLOAD, Reason.DEADLINE}
 )
 
+_DRAINING = Failure(
+    verdict=Verdict.NOT_RUN, reason=Reason.DRAINING, detail="this host is draining"
+)
+
 _current_writer: ContextVar[asyncio.StreamWriter] = ContextVar("writer")
 
 Result = Any
@@ -140,6 +147,7 @@
         self.affected_rows = 0
         self.last_insert_id = 0
         self.busy = False
+        self.used_at = read_monotonic_ms()
         self.writer = _current_writer.get()
         frontend.waiting_login[self] = asyncio.get_running_loop().call_later(
             frontend.settings.login_ms / 1000, self.writer.transport.abort
@@ -202,6 +210,9 @@
         self.affected_rows = self.last_insert_id = 0
         if self.username is None:
             raise MysqlError("access denied", ErrorCode.ACCESS_DENIED_ERROR)
+        if self.frontend.draining and self.open is None:
+            self._close_soon()
+            raise make_error(_DRAINING)
         self.busy = True
         try:
             return await self._handle(sql)
@@ -209,8 +220,15 @@
             raise _refuse(str(error)) from None
         finally:
             self.busy = False
+            self.used_at = read_monotonic_ms()
             self._show_status()
 
+    def _close_soon(self) -> None:
+        # The caller gets its error first; a bare close would leave it in
+        # doubt whether its request ran.
+        loop = asyncio.get_running_loop()
+        loop.call_later(CLOSE_AFTER_ERROR_S, self.writer.close)
+
     async def _handle(self, sql: str) -> Result:
         if match := _SET.match(sql):
             return self._set_variables(match.group(1).strip().rstrip(";"))
@@ -493,10 +511,23 @@
         if self.server._server is not None:
             self.server._server.close()
 
-    def close_idle(self) -> int:
-        """Close callers between transactions; return how many are left."""
+    def close_idle(self, at_once: bool) -> int:
+        """Close callers between transactions.
+
+        Parameters
+        ----------
+        at_once
+            Whether callers that were active a moment ago are closed too.
+
+        Returns
+        -------
+        int
+            Number of callers that are left.
+        """
+        oldest = read_monotonic_ms() - IDLE_BEFORE_CLOSE_MS
         for session in list(self.sessions):
-            if not session.busy and session.open is None:
+            idle = not session.busy and session.open is None
+            if idle and (at_once or session.used_at <= oldest):
                 session.writer.close()
                 self.forget(session)
         return len(self.sessions)
--- a/standins/group.py
+++ b/standins/group.py
@@ -91,6 +91,7 @@
         self.streams: set[asyncio.Task] = set()
         self.ack_times: dict[str, float] = {}
         self.ping = asyncio.Event()
+        self.reads = 0
         for statement in options.schema:
             self.writer.execute(statement)
 
--- a/standins/sessions.py
+++ b/standins/sessions.py
@@ -170,6 +170,8 @@
         if name == "standin_set":
             setattr(group.faults, arguments[0], int(arguments[1]))
             return None
+        if name == "standin_reads":
+            return [[group.reads]], ["reads"]
         if name == "standin_peak":
             return [[group.control.peak]], ["peak"]
         raise MysqlError(f"unknown procedure {name}", ErrorCode.UNKNOWN_PROCEDURE)
@@ -272,6 +274,7 @@
             self.end_failed()
             raise MysqlError(str(error), ErrorCode.PARSE_ERROR) from None
         if cursor.description:
+            self.group.reads += "delivery" in bare
             return rows, [c[0] for c in cursor.description]
         self.affected = max(cursor.rowcount, 0)
         self.insert_id = cursor.lastrowid or 0
--- /dev/null
+++ b/tests/live/test_withdrawal.py
@@ -0,0 +1,228 @@
+"""Withdrawal with proof, on live processes."""
+
+import asyncio
+import signal
+import time
+import urllib.request
+
+import aiomysql
+from pymysql.err import MySQLError
+
+from apricotshore.bundles import parse_bundle
+from apricotshore.groups import ORIGIN
+from apricotshore.identifiers import CallerId
+from apricotshore.requests import Action, Request
+from apricotshore.services import operations
+from apricotshore.services.backends import Endpoint
+from apricotshore.services.owner import DatabaseOwner, OwnerHooks
+from apricotshore.services.platform import PlatformClient
+from apricotshore.verdicts import Verdict
+from standins.deployment import Deployment, Shape, run_sql
+
+BASE_PORT = 20000
+BOUND_S = 15.0
+READ = "SELECT COUNT(*) FROM delivery /* kind='balance' */"
+GONE = CallerId("old-branch")
+FAILURES = (MySQLError, aiomysql.InterfaceError, OSError, RuntimeError)
+
+
+def find_owner(deployment):
+    for number in range(deployment.shape.hosts):
+        port = deployment.host_ports(number)[2]
+        url = f"http://127.0.0.1:{port}/metrics"
+        text = urllib.request.urlopen(url, timeout=2).read().decode()
+        if "apricotshore_databases_owned 1" in text:
+            return number
+    raise AssertionError("no host owns the database")
+
+
+async def is_served(connection):
+    try:
+        await asyncio.wait_for(run_sql(connection, READ), 3)
+        return True
+    except (*FAILURES, TimeoutError):
+        return False
+
+
+async def prove_within(deployment, bound_s=BOUND_S):
+    client = PlatformClient(address=deployment.platform_address)
+    deadline = time.monotonic() + bound_s
+    try:
+        while True:
+            proof = await operations.prove_withdrawal(client, GONE)
+            if proof.proved or time.monotonic() > deadline:
+                return proof
+            await asyncio.sleep(0.1)
+    finally:
+        await client.close()
+
+
+async def test_withdrawn_caller_is_cut_everywhere_and_proved():
+    deployment = Deployment(shape=Shape(base_port=BASE_PORT, hosts=3))
+    try:
+        await deployment.start()
+        links = [await deployment.connect(n, caller=GONE) for n in range(3)]
+        kept = await deployment.connect(0)
+        assert all([await is_served(link) for link in links])
+        await run_sql(links[0], "BEGIN")
+        await run_sql(links[0], "INSERT INTO delivery (member) VALUES ('open')")
+        await deployment.roll_out(("members-app",))
+        proof = await prove_within(deployment)
+        assert proof.proved, proof.missing
+        assert not any([await is_served(link) for link in links])
+        try:
+            await deployment.connect(1, caller=GONE)
+            raise AssertionError("the withdrawn caller could log in")
+        except FAILURES:
+            pass
+        assert await run_sql(kept, READ) == ((0,),)
+    finally:
+        deployment.stop()
+
+
+async def test_host_that_slept_through_the_withdrawal_lets_nothing_through():
+    deployment = Deployment(shape=Shape(base_port=BASE_PORT, hosts=3))
+    try:
+        await deployment.start()
+        warm = await deployment.connect(0, caller=GONE)
+        assert await is_served(warm)
+        owner = find_owner(deployment)
+        link = await deployment.connect(owner, caller=GONE)
+        assert await is_served(link)
+        deployment.signal(f"host-{owner}", signal.SIGSTOP)
+        await deployment.roll_out(("members-app",))
+        # Somebody must ask for the database, or nobody needs a new owner.
+        other = await deployment.connect((owner + 1) % 3)
+        await run_sql(other, READ)
+        proof = await prove_within(deployment)
+        assert proof.proved, proof.missing
+        deployment.signal(f"host-{owner}", signal.SIGCONT)
+        assert not await is_served(link)
+    finally:
+        deployment.stop()
+
+
+async def test_platform_outage_stops_neither_service_nor_an_accepted_bundle():
+    deployment = Deployment(shape=Shape(base_port=BASE_PORT, hosts=3))
+    try:
+        await deployment.start()
+        link = await deployment.connect(0, caller=GONE)
+        kept = await deployment.connect(1)
+        # One host hears of the bundle from its peers alone.
+        deployment.signal("host-2", signal.SIGSTOP)
+        await deployment.roll_out(("members-app",))
+        await asyncio.sleep(1.0)
+        deployment.signal("platform", signal.SIGKILL)
+        deployment.signal("host-2", signal.SIGCONT)
+        deadline = time.monotonic() + BOUND_S
+        while time.monotonic() < deadline:
+            try:
+                (await deployment.connect(2, caller=GONE)).close()
+            except FAILURES:
+                break
+            await asyncio.sleep(0.1)
+        assert time.monotonic() < deadline
+        assert not await is_served(link)
+        await asyncio.sleep(2.5)
+        assert await is_served(kept)
+    finally:
+        deployment.stop()
+
+
+def make_owner(deployment, host, callers, version, on_fenced=lambda owner: None):
+    bundle = parse_bundle(deployment.make_bundle(callers, version), "bundle")
+    endpoints = {
+        server: Endpoint(server=s, user="apricotshore", password="", host=host)
+        for server, s in bundle.servers.items()
+    }
+
+    async def ask_nobody(address):
+        return []
+
+    return DatabaseOwner(
+        database="deliveries",
+        me=host,
+        address="127.0.0.1:1",
+        endpoints=endpoints,
+        bundle=bundle,
+        hooks=OwnerHooks(
+            explain=lambda *step: None,
+            ask_witnesses=ask_nobody,
+            on_fenced=on_fenced,
+            on_bundle_behind=lambda: None,
+        ),
+    )
+
+
+async def claim(owner):
+    await owner.start()
+    for _ in range(100):
+        await asyncio.sleep(0.05)
+        if await owner.try_claim():
+            return
+    raise AssertionError("the database could not be claimed")
+
+
+async def ask(owner, caller=GONE, deadline_ms=1_000):
+    request = Request(
+        caller=caller,
+        database="deliveries",
+        session="s",
+        sql="SELECT COUNT(*) FROM delivery",
+        action=Action.READ,
+        fingerprint="f",
+        kind="balance",
+        token=ORIGIN,
+        deadline_ms=deadline_ms,
+    )
+    return await owner.handle(request, "h")
+
+
+async def test_host_that_reaches_only_backend_servers_learns_of_the_withdrawal():
+    # The isolated host has neither platform nor peers: the claim tells it.
+    deployment = Deployment(shape=Shape(base_port=BASE_PORT, hosts=0))
+    owners = []
+    try:
+        await deployment.start()
+        isolated = make_owner(deployment, "isolated", ("members-app", GONE), 1)
+        owners.append(isolated)
+        await claim(isolated)
+        assert (await ask(isolated)).reply is not None
+        # Without a withdrawal it goes on serving for as long as it likes.
+        await asyncio.sleep(2.5)
+        assert (await ask(isolated)).reply is not None
+        fenced = asyncio.Event()
+        informed = make_owner(
+            deployment, "informed", ("members-app",), 2, lambda owner: fenced.set()
+        )
+        owners.append(informed)
+        await claim(informed)
+        # In force from when every server has confirmed, as the proof says.
+        await asyncio.wait_for(fenced.wait(), BOUND_S)
+        outcome = await ask(isolated)
+        assert outcome.reply is None
+        assert (await ask(informed)).failure.verdict is Verdict.NOT_RUN
+        assert not await isolated.try_claim()
+    finally:
+        for owner in owners:
+            await owner.stop()
+        deployment.stop()
+
+
+async def test_host_without_a_majority_of_the_group_stops_serving():
+    deployment = Deployment(shape=Shape(base_port=BASE_PORT, hosts=0))
+    owner = None
+    try:
+        await deployment.start()
+        owner = make_owner(deployment, "cut", ("members-app", GONE), 1)
+        await claim(owner)
+        for name in deployment.server_names("deliveries")[1:]:
+            deployment.signal(name, signal.SIGSTOP)
+        await asyncio.sleep(3.5)
+        outcome = await ask(owner)
+        assert outcome.reply is None
+        assert outcome.failure.verdict is Verdict.NOT_RUN
+    finally:
+        if owner is not None:
+            await owner.stop()
+        deployment.stop()
--- /dev/null
+++ b/tests/test_operations.py
@@ -0,0 +1,114 @@
+"""Sign-off against the platform stand-in: races, lost answers, history."""
+
+import asyncio
+from contextlib import asynccontextmanager
+
+import pytest
+from aiohttp.test_utils import TestServer
+
+from apricotshore.bundles import parse_bundle
+from apricotshore.exceptions import ConflictError, SignatureError
+from apricotshore.services import operations
+from apricotshore.services.platform import PlatformClient
+from standins.platform import Store, make_application
+
+from .test_bundles import GOOD, KEY
+from .test_manifests import KEYS, get_public
+
+
+def make_bundle(version, staleness="5 s"):
+    text = GOOD.replace(KEY, get_public("ana"), 1).replace(KEY, get_public("rui"), 1)
+    text = text.replace("version = 4", f"version = {version}")
+    return parse_bundle(text.replace("5 s", staleness), "bundle")
+
+
+@asynccontextmanager
+async def run_platform():
+    store = Store()
+    server = TestServer(make_application(store))
+    await server.start_server()
+    client = PlatformClient(address=f"{server.host}:{server.port}")
+    try:
+        yield store, client
+    finally:
+        await client.close()
+        await server.close()
+
+
+async def propose(client, bundle, author="ana"):
+    return await operations.propose_bundle(client, bundle, author, KEYS[author])
+
+
+async def approve(client, name, approver="rui"):
+    return await operations.approve_bundle(client, name, approver, KEYS[approver])
+
+
+async def test_bundle_is_accepted_and_kept_in_history():
+    async with run_platform() as (_, client):
+        await approve(client, await propose(client, make_bundle(1)))
+        await approve(client, await propose(client, make_bundle(2, "6 s")))
+        current = await operations.read_in_force(client)
+        assert current.bundle.version == 2
+        history = await operations.list_history(client)
+        assert [root.version for root in history] == [1, 2]
+
+
+async def test_author_cannot_approve_own_bundle():
+    async with run_platform() as (_, client):
+        name = await propose(client, make_bundle(1))
+        with pytest.raises(SignatureError):
+            await approve(client, name, approver="ana")
+        assert (await operations.read_in_force(client)).bundle.version == 0
+
+
+async def test_of_two_racing_operators_one_wins_and_the_other_is_told_who():
+    async with run_platform() as (_, client):
+        await approve(client, await propose(client, make_bundle(1)))
+        one = await propose(client, make_bundle(2, "6 s"), "ana")
+        two = await propose(client, make_bundle(2, "7 s"), "rui")
+        results = await asyncio.gather(
+            approve(client, one, "rui"),
+            approve(client, two, "ana"),
+            return_exceptions=True,
+        )
+        lost = [r for r in results if isinstance(r, ConflictError)]
+        won = [r for r in results if not isinstance(r, Exception)]
+        assert len(lost) == 1 and len(won) == 1
+        assert won[0].author.person in lost[0].message
+        assert operations.name_proposal(won[0]) in lost[0].message
+        current = await operations.read_in_force(client)
+        assert current.root.attempt == won[0].attempt
+
+
+async def test_answer_lost_after_its_effect_is_found_again():
+    async with run_platform() as (store, client):
+        name = await propose(client, make_bundle(1))
+        store.lose_answers = 1
+        root = await approve(client, name)
+        current = await operations.read_in_force(client)
+        assert current.root.attempt == root.attempt
+        assert current.bundle.version == 1
+
+
+async def test_versions_only_go_up():
+    async with run_platform() as (_, client):
+        old = await propose(client, make_bundle(1))
+        await approve(client, old)
+        with pytest.raises(ConflictError):
+            await propose(client, make_bundle(1, "9 s"))
+        with pytest.raises(ConflictError):
+            await approve(client, old)
+
+
+async def test_withdrawal_is_named_in_the_signed_root():
+    async with run_platform() as (_, client):
+        await approve(client, await propose(client, make_bundle(1)))
+        text = GOOD.replace(KEY, get_public("ana"), 1)
+        text = text.replace(KEY, get_public("rui"), 1).replace("= 4", "= 2")
+        bundle = parse_bundle(text.replace("members-app", "other"), "bundle")
+        await approve(client, await propose(client, bundle))
+        version, databases = await operations.find_withdrawal(client, "members-app")
+        assert version == 2 and databases == ("deliveries",)
+        proof = await operations.prove_withdrawal(client, "members-app")
+        assert not proof.proved
+        assert "no record" in proof.missing[0]
--- /dev/null
+++ b/tests/test_rollout.py
@@ -0,0 +1,77 @@
+from hypothesis import given
+from hypothesis import strategies as st
+
+from apricotshore.decisions.rollout import (
+    DatabaseEvidence,
+    Evidence,
+    Offer,
+    ServerEvidence,
+    consider_offer,
+    judge_withdrawal,
+    may_serve,
+)
+from apricotshore.evidence import decode_evidence, encode_evidence
+from apricotshore.groups import ORIGIN
+
+HOSTS = ("h1", "h2", "h3")
+
+
+def make_evidence(confirmed=(5, 6, 7), version=2, hosts=("h1",)):
+    servers = tuple(
+        ServerEvidence(server=f"s{n}", confirmed_at_ms=at, killed=())
+        for n, at in enumerate(confirmed)
+    )
+    return DatabaseEvidence(
+        database="d",
+        version=version,
+        owner="h1",
+        fence=ORIGIN,
+        servers=servers,
+        hosts=hosts,
+        last_admitted_ms=(("gone", 3),),
+    )
+
+
+def judge(evidence, databases=("d",)):
+    records = {e.database: e for e in evidence}
+    return judge_withdrawal("gone", 2, databases, records, HOSTS)
+
+
+def test_withdrawal_is_proved_when_every_server_confirmed():
+    proof = judge([make_evidence()])
+    assert proof.proved and proof.in_force_at_ms == 7
+    found = {line.host: line.evidence for line in proof.hosts}
+    assert found["h1"] is Evidence.CONFIRMED
+    assert found["h2"] is Evidence.FENCED
+
+
+def test_withdrawal_is_not_proved_while_a_server_is_missing():
+    proof = judge([make_evidence(confirmed=(5, None, 7))])
+    assert not proof.proved and proof.in_force_at_ms is None
+    assert proof.missing == ("d: server s1 not confirmed",)
+    found = {line.host: line.evidence for line in proof.hosts}
+    assert found["h2"] is None
+
+
+def test_evidence_of_an_older_version_does_not_count():
+    assert not judge([make_evidence(version=1)]).proved
+
+
+def test_every_database_of_the_caller_must_be_proved():
+    assert not judge([make_evidence()], databases=("d", "e")).proved
+
+
+def test_evidence_survives_storage():
+    evidence = make_evidence(confirmed=(5, None, 7))
+    assert decode_evidence(encode_evidence(evidence)) == evidence
+
+
+@given(st.lists(st.integers(0, 30), max_size=40))
+def test_version_in_force_never_goes_back(offers):
+    current = 0
+    for offered in offers:
+        before = current
+        if consider_offer(current, offered) is Offer.TAKE:
+            current = offered
+        assert current >= before
+        assert may_serve(current, before)
