--- a/src/apricotshore/decisions/admission.py
+++ b/src/apricotshore/decisions/admission.py
@@ -18,6 +18,8 @@
 UNKNOWN_LONG_COST_MS = 300.0
 COST_SMOOTHING = 0.2
 COSTS_KEPT = 4_096
+# A longer queue serves no more requests, it only serves them later.
+QUEUE_SHARE_OF_DEADLINE = 0.5
 FLOW_QUEUE_LIMIT = 2_000
 MIN_RETRY_MS = 50
 
@@ -197,8 +199,9 @@
     cost = estimate_cost(backlog, ticket)
     if backlog.policy is Policy.FAIR and not ticket.in_transaction:
         wait = estimate_wait(backlog, ticket, slots)
-        if now + wait + cost > ticket.deadline_at:
-            late = now + wait + cost - ticket.deadline_at
+        left = (ticket.deadline_at - now) * QUEUE_SHARE_OF_DEADLINE
+        if wait + cost > left:
+            late = wait + cost - left
             return _refuse(Reason.OVERLOAD, late, "the deadline cannot be met")
     flow = backlog.flows.setdefault(ticket.flow, Flow())
     if len(flow.queue) >= FLOW_QUEUE_LIMIT:
--- a/src/apricotshore/load/checker.py
+++ b/src/apricotshore/load/checker.py
@@ -96,7 +96,7 @@
             continue
         if operation.work is Work.ENTRY:
             written = max(written, operation.sequence)
-        elif operation.work in _READS:
+        elif operation.work is not Work.BATCH and operation.work in _READS:
             if operation.sequence < written:
                 findings.stale.append(operation.tag)
             if operation.sequence < seen:
--- a/src/apricotshore/load/runner.py
+++ b/src/apricotshore/load/runner.py
@@ -269,11 +269,14 @@
         return Answer(verdict=Verdicts.RAN)
 
     async def _read(self, stream: Stream, tag: str) -> Answer:
-        rows = await self._run(
-            f"SELECT '{tag}' AS tag, COALESCE(MAX(amount), 0) FROM delivery "
-            f"WHERE member = '{self.name}' {self._comment(stream)}"
-        )
+        select = f"SELECT '{tag}' AS tag, COALESCE(MAX(amount), 0) FROM delivery"
+        if stream.work is Work.BATCH:
+            select = f"SELECT '{tag}' AS tag, COUNT(*) FROM delivery"
+        where = f"WHERE member = '{self.name}'"
+        rows = await self._run(f"{select} {where} {self._comment(stream)}")
         echo, sequence = rows[0]
+        if stream.work is Work.BATCH:
+            sequence = 0
         return Answer(verdict=Verdicts.RAN, sequence=int(str(sequence)), echo=str(echo))
 
 
--- a/src/apricotshore/services/router.py
+++ b/src/apricotshore/services/router.py
@@ -1,11 +1,13 @@
 """Routing of requests from the entry host to the owner of their database."""
 
 import asyncio
+import random
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, replace
 
-from ..decisions import retry
+from ..decisions import retry, throttle
 from ..decisions.ownership import rank_hosts
+from ..decisions.throttle import Throttle, ThrottleKey
 from ..identifiers import DatabaseId, HostId
 from ..requests import Action, Outcome, Request
 from ..verdicts import Failure, Reason, Verdict
@@ -18,6 +20,7 @@
 RESOLVE_MS = 4_000
 CANDIDATES = 3
 
+_OVERLOADED = frozenset({Reason.OVERLOAD, Reason.DEADLINE})
 _RETRYABLE = frozenset({Reason.NOT_OWNER, Reason.NO_PRIMARY, Reason.UNREACHABLE})
 
 
@@ -73,6 +76,7 @@
         self.offer_here = offer_here
         self.hints: dict[DatabaseId, Target] = {}
         self.retries = retry.RetryBudget()
+        self.throttle = Throttle()
 
     async def route(self, request: Request, pinned: Target | None) -> Routed:
         """Have a request served.
@@ -92,7 +96,17 @@
         retry.deposit(self.retries)
         if pinned is not None:
             return await self._route_pinned(request, pinned)
+        key = ThrottleKey(
+            database=request.database, caller=request.caller, kind=request.kind
+        )
+        now = read_monotonic_ms()
+        if not throttle.admit(self.throttle, key, random.random(), now):
+            shed = _fail(Verdict.NOT_RUN, Reason.OVERLOAD, "refused at the entry host")
+            return Routed(outcome=shed, target=None)
         routed = await self._route_free(request)
+        failure = routed.outcome.failure
+        if failure is None or failure.reason not in _OVERLOADED:
+            throttle.note_accepted(self.throttle, key, read_monotonic_ms())
         if self._is_unresolved(request, routed.outcome):
             return await self.resolve(request, routed)
         return routed
