--- a/src/apricotshore/cli.py
+++ b/src/apricotshore/cli.py
@@ -21,6 +21,16 @@
 from .events import Event
 from .exceptions import EXIT_FAILURE, ApricotshoreError, InvalidFileError, Problem
 from .identifiers import CallerId, PersonId
+from .ini import parse_address
+from .load import (
+    check_history,
+    load_scenario,
+    read_history,
+    run_load,
+    summarize,
+    write_history,
+)
+from .load.runner import Entry
 from .logs import make_handler
 from .services import operations
 from .services.application import Application
@@ -333,6 +343,56 @@
     asyncio.run(capnp.run(work()))
 
 
+# -- load --
+
+
+def _parse_entry(address: str) -> Entry:
+    host, _, port = parse_address(address).rpartition(":")
+    return Entry(host=host, port=int(port))
+
+
+@app.command
+def load(
+    scenario_file: Path,
+    *,
+    entry: list[str],
+    password_file: Path,
+    history_file: Path,
+) -> None:
+    """Offer a scenario's traffic and write a history of what came of it.
+
+    Parameters
+    ----------
+    scenario_file
+        INI file with the traffic; examples are in ``examples/``.
+    entry
+        ip:port of an entry host; repeat for more.
+    password_file
+        File with the callers' password.
+    history_file
+        Where the history goes, as JSON lines.
+    """
+    scenario = load_scenario(scenario_file)
+    try:
+        entries = [_parse_entry(address) for address in entry]
+    except ValueError as error:
+        raise ApricotshoreError(str(error)) from None
+    password = _read_text(password_file).strip()
+    result = asyncio.run(run_load(scenario, entries, password))
+    write_history(history_file, result.operations, result.stored)
+    print(summarize(result.operations))
+
+
+@app.command(name="check-history")
+def judge_history(history_file: Path) -> None:
+    """Judge a history against the promises; exit code 1 on a violation."""
+    operations_seen, stored = read_history(history_file)
+    findings = check_history(operations_seen, stored)
+    print(findings.describe())
+    if findings.count():
+        raise ApricotshoreError(f"{findings.count()} violations")
+
+
 def main() -> None:
     """Run the command line; errors go to standard error."""
     try:
--- a/src/apricotshore/services/executor.py
+++ b/src/apricotshore/services/executor.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass, field
 
 from ..decisions.retry import WriteStage, judge_write
-from ..groups import Mark
+from ..groups import Mark, ServerStatus
 from ..identifiers import ServerId
 from ..requests import Reply, Request
 from ..verdicts import Failure, Reason, Verdict
@@ -61,10 +61,13 @@
         Last stage reached.
     on_executed
         Called once the server's slot is free again.
+    on_status
+        Called with a status that a server gave beside an answer.
     """
 
     stage: WriteStage = WriteStage.QUEUED
     on_executed: Callable[[], None] = field(default=lambda: None)
+    on_status: Callable[[ServerStatus], None] = field(default=lambda status: None)
 
 
 def fail(verdict: Verdict, reason: Reason, detail: str, code: int = 0) -> Exception:
@@ -95,6 +98,7 @@
     answer = await connection.run(request.sql, timeout_s)
     progress.on_executed()
     status = await read_status(connection)
+    progress.on_status(status)
     term = status.lineage.find_term(status.applied)
     return _make_reply(answer, Mark(term=term, position=status.applied), server)
 
--- a/src/apricotshore/services/groupwatch.py
+++ b/src/apricotshore/services/groupwatch.py
@@ -34,7 +34,8 @@
 )
 from .clock import read_monotonic_ms
 
-PROBE_PERIOD_S = 0.1
+PROBE_PERIOD_S = 0.25
+CLAIM_PERIOD_MS = 1_000
 TICK_PERIOD_S = 0.03
 NO_TERM = Term(0)
 
@@ -75,6 +76,14 @@
     state: Failover = field(default_factory=Failover)
 
 
+@dataclass(kw_only=True)
+class ProbeLink:
+    """The control connection to one server and when it last read the claim."""
+
+    connection: BackendConnection | None = None
+    claim_read_at: int = -CLAIM_PERIOD_MS
+
+
 class GroupWatch(Service):
     """Probes every server of a group and drives changes of primary.
 
@@ -116,26 +125,30 @@
             job.cancel()
 
     async def _probe_loop(self, server: ServerId) -> None:
-        connection: BackendConnection | None = None
+        link = ProbeLink()
         while not self.should_stop:
-            asked_at = read_monotonic_ms()
             try:
-                if connection is None:
-                    endpoint = self.endpoints[server]
-                    connection = await open_connection(endpoint, NO_TERM)
-                asked_at = read_monotonic_ms()
-                status = await read_status(connection)
-                claim = await read_claim(connection)
-                observe_status(self.view, status, asked_at)
-                await self.hooks.on_claim(server, claim)
+                await self._probe(server, link)
             except (LostConnectionError, StatementRefusedError):
-                if connection is not None:
-                    connection.close()
-                connection = None
+                if link.connection is not None:
+                    link.connection.close()
+                link.connection = None
                 observe_silence(self.view, server)
             self.hooks.on_change()
             await asyncio.sleep(PROBE_PERIOD_S)
 
+    async def _probe(self, server: ServerId, link: ProbeLink) -> None:
+        if link.connection is None:
+            link.connection = await open_connection(self.endpoints[server], NO_TERM)
+            link.claim_read_at = -CLAIM_PERIOD_MS
+        asked_at = read_monotonic_ms()
+        status = await read_status(link.connection)
+        observe_status(self.view, status, asked_at)
+        if asked_at - link.claim_read_at >= CLAIM_PERIOD_MS:
+            link.claim_read_at = asked_at
+            claim = await read_claim(link.connection)
+            await self.hooks.on_claim(server, claim)
+
     @Service.task
     async def _tick_loop(self) -> None:
         while not self.should_stop:
--- a/src/apricotshore/services/owner.py
+++ b/src/apricotshore/services/owner.py
@@ -22,7 +22,7 @@
 from ..decisions.rollout import may_serve
 from ..decisions.routing import GroupView, ReadNeed
 from ..events import Topic
-from ..groups import ORIGIN, Claim, Mark
+from ..groups import ORIGIN, Claim, Mark, ServerStatus
 from ..identifiers import (
     BundleVersion,
     CallerId,
@@ -563,7 +563,12 @@
             admission.finish(self.backlog, number, read_monotonic_ms())
             self.pump()
 
-        progress = Progress(on_executed=free_slot)
+        def note_status(status: ServerStatus) -> None:
+            # Busy replicas are seen more often than the probes see them.
+            routing.observe_status(self.view, status, started_at)
+
+        started_at = read_monotonic_ms()
+        progress = Progress(on_executed=free_slot, on_status=note_status)
         try:
             reply = await self._run(assignment, pending, progress)
             outcome = Outcome(reply=reply)
--- a/src/apricotshore/wire/peer.capnp
+++ b/src/apricotshore/wire/peer.capnp
@@ -79,6 +79,10 @@
   bundle @5 :UInt64;
 }
 
+struct Pings {
+  updates @0 :List(Member);
+}
+
 struct Event {
   atMs @0 :UInt64;
   host @1 :Text;
--- /dev/null
+++ b/tests/live/test_golden.py
@@ -0,0 +1,86 @@
+"""Golden files of whole sessions, as a caller's driver shows them."""
+
+import re
+
+from pymysql.err import MySQLError
+
+from standins.deployment import Deployment, Shape, run_sql
+
+BASE_PORT = 20000
+
+ENTRY = (
+    "INSERT INTO delivery (member, amount, note) VALUES ('maria', 7, 'a') "
+    "/* kind='delivery',idempotent='no',request_id='maria-1' */"
+)
+PAYOUT = "SELECT SUM(amount) FROM delivery WHERE member = 'maria' /* kind='balance' */"
+
+
+def mask(text):
+    text = re.sub(r"deliveries:\d+:\d+", "deliveries:TERM:POSITION", str(text))
+    return re.sub(r"[0-9a-f]{32}", "ID", text)
+
+
+async def play(link, statements):
+    lines = []
+    for sql in statements:
+        try:
+            async with link.cursor() as cursor:
+                affected = await cursor.execute(sql)
+                rows = await cursor.fetchall() if cursor.description else None
+                shown = f"{rows}" if rows is not None else f"ok, {affected} rows"
+        except MySQLError as error:
+            shown = f"error {error.args}"
+        lines.append(f"> {sql}\n{mask(shown)}")
+    return "\n".join(lines)
+
+
+async def test_sessions_look_as_recorded(snapshot):
+    deployment = Deployment(shape=Shape(base_port=BASE_PORT, hosts=2))
+    try:
+        await deployment.start()
+        first = await deployment.connect(0)
+        second = await deployment.connect(1)
+        assert snapshot(name="member") == await play(
+            first, [ENTRY, PAYOUT, "SELECT @apricotshore_token"]
+        )
+        assert snapshot(name="duplicate at another host") == await play(
+            second, [ENTRY, PAYOUT, ENTRY.replace("7, 'a'", "9, 'b'"), PAYOUT]
+        )
+        assert snapshot(name="transaction") == await play(
+            first,
+            [
+                "BEGIN",
+                "INSERT INTO delivery (member, amount) VALUES ('rosa', 1)",
+                "SELECT COUNT(*) FROM delivery WHERE member = 'rosa'",
+                "SELECT no_such_column FROM delivery",
+                "COMMIT",
+                "SELECT COUNT(*) FROM delivery WHERE member = 'rosa'",
+                "BEGIN",
+                "DELETE FROM delivery",
+                "ROLLBACK",
+                "SELECT COUNT(*) FROM delivery WHERE member = 'rosa'",
+            ],
+        )
+        assert snapshot(name="refused") == await play(
+            second,
+            [
+                "SELECT 1; DELETE FROM delivery",
+                "SELECT 1 /* open",
+                "SELECT 1 /*! + 1 */",
+                "FLUSH TABLES",
+                "SELECT 1 FROM delivery /* deadline_ms='soon' */",
+                "SET @apricotshore_token = 'nonsense'",
+                "INSERT INTO delivery (id, member) VALUES (1, 'twice')",
+            ],
+        )
+        await run_sql(second, "SET autocommit = 0")
+        assert snapshot(name="autocommit off") == await play(
+            second,
+            [
+                "INSERT INTO delivery (member, amount) VALUES ('ines', 2)",
+                "ROLLBACK",
+                "SELECT COUNT(*) FROM delivery WHERE member = 'ines'",
+            ],
+        )
+    finally:
+        deployment.stop()
--- a/tools/measure.py
+++ b/tools/measure.py
@@ -16,6 +16,7 @@
     LoadResult,
     Verdicts,
     check_history,
+    find_percentile,
     parse_scenario,
     run_load,
 )
@@ -177,12 +178,6 @@
     return "\n".join(lines) + "\n"
 
 
-def find_percentile(values: list[float], percent: float) -> float:
-    """Return a percentile by nearest rank."""
-    ordered = sorted(values)
-    return ordered[min(len(ordered) - 1, int(len(ordered) * percent / 100))]
-
-
 def count_reads(deployment: Deployment) -> dict[str, int]:
     """Return the reads served by each backend server, over all hosts."""
     counts: dict[str, int] = {}
--- /dev/null
+++ b/tools/slopes.py
@@ -0,0 +1,428 @@
+"""Measures how the cost of one host grows, for docs/CAPACITY.md.
+
+Each slope is a straight line fitted over several sizes; the residual tells how
+well a line describes it.
+"""
+
+import asyncio
+import gc
+import json
+import os
+import resource
+import subprocess
+import sys
+import time
+import tracemalloc
+from collections.abc import Callable
+from dataclasses import asdict, dataclass
+from pathlib import Path
+
+from apricotshore.bundles import EMPTY_BUNDLE, Bundle, parse_bundle
+from apricotshore.decisions import membership
+from apricotshore.decisions.membership import Life, Member
+from apricotshore.decisions.ownership import Ring, rank_hosts
+from apricotshore.groups import Mark
+from apricotshore.load import parse_scenario, run_load
+from apricotshore.load.runner import Entry
+from apricotshore.manifests import Pieces, cut_bundle, join_pieces
+from apricotshore.services.owner import SessionKey
+from apricotshore.wire import codec
+from standins.deployment import PASSWORD, Deployment, Shape, run_sql
+
+OUTPUT = Path("docs/slopes.json")
+BASE_PORT = 20000
+KEY = "b" * 64
+HASH = "*" + "a" * 40
+IDLE_S = 6.0
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Point:
+    """Cost at one size."""
+
+    size: float
+    cost: float
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Slope:
+    """A fitted line.
+
+    Parameters
+    ----------
+    name
+        What was measured.
+    per
+        Unit of the size.
+    unit
+        Unit of the cost.
+    slope, base
+        The line.
+    error
+        Largest residual as a share of the largest cost.
+    points
+        What was measured.
+    """
+
+    name: str
+    per: str
+    unit: str
+    slope: float
+    base: float
+    error: float
+    points: tuple[Point, ...]
+
+
+def fit_line(name: str, per: str, unit: str, points: list[Point]) -> Slope:
+    """Fit a line by least squares and print it."""
+    count = len(points)
+    mean_x = sum(p.size for p in points) / count
+    mean_y = sum(p.cost for p in points) / count
+    spread = sum((p.size - mean_x) ** 2 for p in points)
+    slope = sum((p.size - mean_x) * (p.cost - mean_y) for p in points) / spread
+    base = mean_y - slope * mean_x
+    worst = max(abs(p.cost - base - slope * p.size) for p in points)
+    error = worst / max(abs(p.cost) for p in points)
+    print(f"{name}: {slope:.4g} {unit} per {per} + {base:.4g} (error {error:.0%})")
+    return Slope(
+        name=name,
+        per=per,
+        unit=unit,
+        slope=slope,
+        base=base,
+        error=error,
+        points=tuple(points),
+    )
+
+
+def time_call(work: Callable[[], object], repeat: int = 5) -> float:
+    """Return the least processor time of a call in milliseconds."""
+    best = float("inf")
+    for _ in range(repeat):
+        started = time.process_time()
+        work()
+        best = min(best, time.process_time() - started)
+    return best * 1000
+
+
+def measure_memory(build: Callable[[], object]) -> float:
+    """Return the memory that an object keeps, in bytes."""
+    gc.collect()
+    tracemalloc.start()
+    kept = build()
+    gc.collect()
+    size, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    del kept
+    return float(size)
+
+
+# -- members --
+
+
+def make_member(number: int) -> Member:
+    """Return a member record of typical size."""
+    return Member(
+        host=f"host-{number:05d}",
+        address=f"10.{number >> 16}.{number >> 8 & 255}.{number & 255}:7001",
+        data_centre=f"region-{number % 3}-{number % 10}",
+        incarnation=1_796_000_000_000 + number,
+        life=Life.ALIVE,
+        bundle=1,
+    )
+
+
+def make_fleet(count: int) -> membership.Membership:
+    """Return the membership of a host that knows ``count`` members."""
+    state = membership.start_membership(make_member(0))
+    for number in range(1, count):
+        membership.take_update(state, make_member(number), 0)
+    return state
+
+
+def measure_members() -> list[Slope]:
+    """Measure what a host pays for each member that it knows."""
+    sizes = (500, 1_000, 2_000, 4_000, 7_400)
+    memory = [
+        Point(size=n, cost=measure_memory(lambda n=n: make_fleet(n))) for n in sizes
+    ]
+    ring = []
+    expire = []
+    for size in sizes:
+        state = make_fleet(size)
+        hosts = membership.list_live(state)
+        Ring(hosts=hosts)
+        ring.append(Point(size=size, cost=time_call(lambda h=hosts: Ring(hosts=h))))
+        expire.append(
+            Point(size=size, cost=time_call(lambda s=state: membership.expire(s, 1)))
+        )
+    return [
+        fit_line("member memory", "member", "B", memory),
+        fit_line("ring after a change", "member", "ms", ring),
+        fit_line("expiry round", "member", "ms", expire),
+    ]
+
+
+def measure_ranking() -> list[Slope]:
+    """Measure the ranking of hosts for one database."""
+    points = []
+    for size in (500, 1_000, 2_000, 4_000, 7_400):
+        ring = Ring(hosts=[f"host-{n:05d}" for n in range(size)])
+        names = iter(range(10_000_000))
+
+        def rank(ring: Ring = ring, names=names, size: int = size) -> None:
+            for _ in range(50):
+                rank_hosts(ring, f"db-{next(names)}-{size}")
+
+        points.append(Point(size=size, cost=time_call(rank) / 50))
+    return [fit_line("ranking a new database", "member", "ms", points)]
+
+
+def measure_ping() -> list[Slope]:
+    """Measure a ping's size and codec time by the records that it carries."""
+    sizes, times = [], []
+    for count in (1, 3, 5, 9):
+        members = [make_member(n) for n in range(count)]
+
+        def encode(members: list[Member] = members) -> bytes:
+            holder = codec.schema.Pings.new_message()
+            codec.write_members(holder.init("updates", len(members)), members)
+            return holder.to_bytes_packed()
+
+        sizes.append(Point(size=count, cost=len(encode())))
+
+        def run(encode: Callable[[], bytes] = encode) -> None:
+            for _ in range(200):
+                encode()
+
+        times.append(Point(size=count, cost=time_call(run) / 200))
+    return [
+        fit_line("ping size", "record", "B", sizes),
+        fit_line("ping encoding", "record", "ms", times),
+    ]
+
+
+# -- bundles --
+
+
+def make_bundle_text(databases: int, version: int = 1, slots: int = 3) -> str:
+    """Return a bundle with a number of databases and as many callers."""
+    parts = [f"[bundle]\nversion = {version}\n"]
+    for number in range(databases):
+        for server in range(3):
+            parts.append(
+                f"[backend-server d{number}-{server}]\ndatabase = d{number}\n"
+                f"address = 10.0.0.1:{4000 + server}\n"
+                f"replication-address = 10.0.0.1:{5000 + server}\n"
+                f"data-centre = region-1-a\n"
+                f"slots = {slots if number == 0 else 3}\nconnections = 20\n"
+            )
+        parts.append(
+            f"[caller c{number}]\ndatabases = d{number}\npassword-hash = {HASH}\n"
+        )
+    for person in ("ana", "rui"):
+        parts.append(f"[person {person}]\npublic-key = {KEY}\n")
+    return "\n".join(parts)
+
+
+def measure_bundles() -> list[Slope]:
+    """Measure what a host pays for each database in the bundle."""
+    memory, join, change_bytes = [], [], []
+    for size in (250, 500, 1_000, 2_000):
+        bundle = parse_bundle(make_bundle_text(size), "bundle")
+        pieces = cut_bundle(bundle, EMPTY_BUNDLE)
+        changed = parse_bundle(make_bundle_text(size, 2, slots=4), "bundle")
+        after = cut_bundle(changed, bundle)
+        cost = time_call(lambda a=after: join_pieces(a), repeat=3)
+        join.append(Point(size=size, cost=cost))
+        root = len(json.dumps(list(after.root.pages)))
+        new = [t for d, t in after.texts.items() if d not in pieces.texts]
+        change_bytes.append(Point(size=size, cost=root + sum(map(len, new))))
+        text = make_bundle_text(size)
+
+        def build(text: str = text) -> tuple[Bundle, Pieces]:
+            bundle = parse_bundle(text, "bundle")
+            return bundle, cut_bundle(bundle, EMPTY_BUNDLE)
+
+        memory.append(Point(size=size, cost=measure_memory(build)))
+    return [
+        fit_line("bundle memory", "database", "B", memory),
+        fit_line("taking one change", "database", "ms", join),
+        fit_line("bytes of one change", "database", "B", change_bytes),
+    ]
+
+
+# -- sessions --
+
+
+def measure_marks() -> list[Slope]:
+    """Measure an owner's memory for each session that it remembers."""
+
+    def build(count: int) -> dict[SessionKey, Mark]:
+        return {
+            SessionKey(caller=f"caller-{n % 9}", session=f"session-{n}"): Mark(
+                term=3, position=n
+            )
+            for n in range(count)
+        }
+
+    points = [
+        Point(size=n, cost=measure_memory(lambda n=n: build(n)))
+        for n in (1_000, 5_000, 10_000)
+    ]
+    return [fit_line("session mark memory", "session", "B", points)]
+
+
+# -- live hosts --
+
+
+def read_process(pid: int) -> tuple[float, float]:
+    """Return processor seconds and resident bytes of a process."""
+    fields = Path(f"/proc/{pid}/stat").read_text().rsplit(")", 1)[1].split()
+    ticks = int(fields[11]) + int(fields[12])
+    pages = int(Path(f"/proc/{pid}/statm").read_text().split()[1])
+    seconds = ticks / os.sysconf("SC_CLK_TCK")
+    return seconds, pages * resource.getpagesize()
+
+
+async def measure_idle(databases: int) -> tuple[float, float]:
+    """Return processor share and memory of one idle host that owns databases."""
+    names = tuple(f"d{n}" for n in range(databases))
+    shape = Shape(hosts=1, databases=names or ("d0",), base_port=BASE_PORT)
+    deployment = Deployment(shape=shape)
+    try:
+        await deployment.start()
+        for database in shape.databases:
+            link = await deployment.connect(0, database=database)
+            await run_sql(link, "SELECT COUNT(*) FROM delivery")
+            link.close()
+        pid = deployment.processes["host-0"].pid
+        await asyncio.sleep(1)
+        before, _ = read_process(pid)
+        await asyncio.sleep(IDLE_S)
+        after, memory = read_process(pid)
+        return 100 * (after - before) / IDLE_S, memory
+    finally:
+        deployment.stop()
+
+
+async def measure_owned() -> list[Slope]:
+    """Measure an idle host's cost for each database that it owns."""
+    cpu, memory = [], []
+    for count in (1, 2, 4, 6):
+        share, size = await measure_idle(count)
+        cpu.append(Point(size=count, cost=share))
+        memory.append(Point(size=count, cost=size))
+    return [
+        fit_line("idle processor share", "owned database", "% of a core", cpu),
+        fit_line("host memory", "owned database", "B", memory),
+    ]
+
+
+async def measure_peers() -> list[Slope]:
+    """Measure an idle host's cost by the number of hosts in the fleet."""
+    cpu = []
+    for count in (2, 6, 12, 24):
+        shape = Shape(hosts=count, base_port=BASE_PORT)
+        deployment = Deployment(shape=shape)
+        try:
+            await deployment.start()
+            await asyncio.sleep(3)
+            pids = [deployment.processes[f"host-{n}"].pid for n in range(count)]
+            before = [read_process(pid)[0] for pid in pids]
+            await asyncio.sleep(IDLE_S)
+            spent = [
+                read_process(pid)[0] - b for pid, b in zip(pids, before, strict=True)
+            ]
+            cpu.append(Point(size=count, cost=100 * sorted(spent)[count // 2] / IDLE_S))
+        finally:
+            deployment.stop()
+    return [fit_line("idle host, median", "host in the fleet", "% of a core", cpu)]
+
+
+async def measure_connections() -> list[Slope]:
+    """Measure an entry host's memory for each caller connection."""
+    deployment = Deployment(shape=Shape(hosts=1, base_port=BASE_PORT))
+    points = []
+    links = []
+    try:
+        await deployment.start()
+        pid = deployment.processes["host-0"].pid
+        for count in (100, 300, 600, 900):
+            while len(links) < count:
+                links.append(await deployment.connect(0))
+            points.append(Point(size=count, cost=read_process(pid)[1]))
+    finally:
+        for link in links:
+            link.close()
+        deployment.stop()
+    return [fit_line("caller connections", "connection", "B", points)]
+
+
+async def measure_statements() -> list[Slope]:
+    """Measure processor time per read, at the entry and at the owner."""
+    deployment = Deployment(shape=Shape(hosts=2, base_port=BASE_PORT))
+    entry, owner = [], []
+    try:
+        await deployment.start()
+        link = await deployment.connect(0)
+        await run_sql(link, "SELECT COUNT(*) FROM delivery")
+        pids = [deployment.processes[f"host-{n}"].pid for n in range(2)]
+        owning = await find_owner(deployment)
+        for rate in (50, 100, 200, 300):
+            text = (
+                "[scenario]\nduration = 5 s\n[stream reads]\ncaller = members-app\n"
+                "database = deliveries\nkind = balance\nwork = lookup\n"
+                f"rate = {rate}\nsessions = 60\n"
+            )
+            before = [read_process(pid)[0] for pid in pids]
+            port = deployment.host_ports(1 - owning)[0]
+            entries = [Entry(host="127.0.0.1", port=port)]
+            result = await run_load(parse_scenario(text, "s"), entries, PASSWORD)
+            spent = [
+                read_process(pid)[0] - b for pid, b in zip(pids, before, strict=True)
+            ]
+            count = len(result.operations)
+            entry.append(Point(size=count, cost=1000 * spent[1 - owning]))
+            owner.append(Point(size=count, cost=1000 * spent[owning]))
+    finally:
+        deployment.stop()
+    return [
+        fit_line("entry processor time", "statement", "ms", entry),
+        fit_line("owner processor time", "statement", "ms", owner),
+    ]
+
+
+async def find_owner(deployment: Deployment) -> int:
+    """Return the number of the host that owns the only database."""
+    rows = await deployment.command(
+        await deployment.find_primary(), "SELECT host FROM apricotshore_claim"
+    )
+    return int(str(rows[0][0]).removeprefix("host-"))
+
+
+async def main() -> None:
+    """Measure every slope and write them down."""
+    slopes = [
+        *measure_members(),
+        *measure_ranking(),
+        *measure_ping(),
+        *measure_bundles(),
+        *measure_marks(),
+        *await measure_owned(),
+        *await measure_peers(),
+        *await measure_connections(),
+        *await measure_statements(),
+    ]
+    head = subprocess.run(
+        ["git", "rev-parse", "--short", "HEAD"], capture_output=True, text=True
+    )
+    record = {
+        "commit": head.stdout.strip(),
+        "slopes": {slope.name: asdict(slope) for slope in slopes},
+    }
+    OUTPUT.write_text(json.dumps(record, indent=2) + "\n")
+
+
+if __name__ == "__main__":
+    sys.exit(asyncio.run(main()))
