Split the owner, and close four gaps found by reading it

Reading it as a newcomer showed: a request assigned before its host lost the claim could open a new connection without one; a read assigned to a primary that was replaced meanwhile ran as a replica read, without a check of its role; a named session with two connections counted its own marks as complete; a stock driver without token or name read at replicas what its earlier connection had written.

Change: claim and fences in holding.py, transactions in transactions.py, sessions' marks in decisions/sessions.py; a connection is refused without a claim; a replica read checks role, cover and age after the read; marks of a connection are complete only for sessions without a name; the first read of such a session must see all that its caller has seen.

--- /dev/null
+++ b/src/apricotshore/decisions/sessions.py
@@ -0,0 +1,92 @@
+"""What sessions have seen, as the owner of a database remembers it."""
+
+from collections import OrderedDict
+from dataclasses import dataclass, field
+
+from ..groups import ORIGIN, Mark
+from ..identifiers import CallerId, SessionId
+from .routing import raise_mark
+
+SESSIONS_KEPT = 10_000
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class SessionKey:
+    """A session of a caller."""
+
+    caller: CallerId
+    session: SessionId
+
+
+@dataclass(kw_only=True, slots=True)
+class SessionMarks:
+    """Marks of the sessions of one database, least recently seen first.
+
+    Parameters
+    ----------
+    floor
+        Mark that a session must see when nothing is remembered of it.
+    marks
+        Highest mark that each session has seen.
+    callers
+        Highest mark that any session of each caller has seen.
+    """
+
+    floor: Mark = ORIGIN
+    marks: OrderedDict[SessionKey, Mark] = field(default_factory=OrderedDict)
+    callers: dict[CallerId, Mark] = field(default_factory=dict)
+
+
+def reset_marks(state: SessionMarks, floor: Mark) -> None:
+    """Forget every session; each must see ``floor`` from now on."""
+    state.floor = floor
+    state.marks.clear()
+    state.callers.clear()
+
+
+def find_mark(
+    state: SessionMarks, key: SessionKey, token: Mark, complete: bool, named: bool
+) -> Mark:
+    """Return the mark that a session's next read must see.
+
+    Parameters
+    ----------
+    state
+        What is remembered.
+    key
+        The session.
+    token
+        Mark that came with the request.
+    complete
+        Whether the token covers all that the session has seen.
+    named
+        Whether the caller named the session. The first request of a session
+        without a name may belong to any earlier session of its caller, and
+        must see what all of them have seen.
+    """
+    known = state.marks.get(key)
+    mark = raise_mark(token, known or ORIGIN)
+    if known is not None or complete:
+        return mark
+    mark = raise_mark(mark, state.floor)
+    if named:
+        return mark
+    return raise_mark(mark, state.callers.get(key.caller, ORIGIN))
+
+
+def note_seen(state: SessionMarks, key: SessionKey, mark: Mark) -> None:
+    """Remember what a session has seen; the longest idle one is forgotten."""
+    old = state.marks.pop(key, ORIGIN)
+    state.marks[key] = raise_mark(old, mark)
+    earlier = state.callers.get(key.caller, ORIGIN)
+    state.callers[key.caller] = raise_mark(earlier, mark)
+    while len(state.marks) > SESSIONS_KEPT:
+        _, forgotten = state.marks.popitem(last=False)
+        state.floor = raise_mark(state.floor, forgotten)
+
+
+def forget_caller(state: SessionMarks, caller: CallerId) -> None:
+    """Drop everything that is remembered of a caller."""
+    for key in [k for k in state.marks if k.caller == caller]:
+        del state.marks[key]
+    state.callers.pop(caller, None)
--- a/src/apricotshore/requests.py
+++ b/src/apricotshore/requests.py
@@ -53,7 +53,9 @@
     token
         Mark that the session must see.
     has_token
-        Whether the session brought a token.
+        Whether the token covers all that the session has seen.
+    named
+        Whether the caller named the session.
     staleness_ms
         Accepted staleness; 0 means none.
     deadline_ms
@@ -74,6 +76,7 @@
     request_id: RequestId = RequestId("")
     token: Mark = ORIGIN
     has_token: bool = False
+    named: bool = False
     staleness_ms: int = 0
     deadline_ms: int = 5_000
     transaction: TransactionId = TransactionId("")
--- a/src/apricotshore/services/application.py
+++ b/src/apricotshore/services/application.py
@@ -12,7 +12,7 @@
 from ..decisions.admission import Policy
 from ..decisions.burn import BurnKey, BurnRecord
 from ..decisions.membership import Life, Member
-from ..decisions.rollout import DatabaseEvidence, ServerEvidence
+from ..decisions.rollout import DatabaseEvidence
 from ..events import EventLog, Topic
 from ..evidence import encode_evidence
 from ..exceptions import PlatformError
@@ -237,19 +237,9 @@
         self.evidence_due[owner.database] = owner
 
     def _describe_fence(self, owner: DatabaseOwner) -> DatabaseEvidence | None:
-        claim = owner.claim
+        claim = owner.holding.claim
         if claim is None:
             return None
-        servers = tuple(
-            ServerEvidence(
-                server=server,
-                confirmed_at_ms=(
-                    fence.confirmed_at_ms if fence.epoch == claim.epoch else None
-                ),
-                killed=tuple(sorted(fence.killed)),
-            )
-            for server, fence in sorted(owner.fences.items())
-        )
         hosts = tuple(
             m.host for m in self.members.list_live() if m.bundle >= claim.bundle
         )
@@ -259,8 +249,8 @@
             database=owner.database,
             version=claim.bundle,
             owner=self.settings.host,
-            fence=owner.floor,
-            servers=servers,
+            fence=owner.sessions.floor,
+            servers=owner.holding.list_evidence(),
             hosts=tuple(sorted(hosts)),
             last_admitted_ms=tuple(sorted(gone.items())),
             refused=tuple(sorted(refused.items())),
@@ -351,7 +341,7 @@
         metrics = self.metrics
         owners = self.registry.owners.values()
         metrics.bundle.set({}, self.keeper.version)
-        metrics.owned.set({}, sum(owner.holding for owner in owners))
+        metrics.owned.set({}, sum(owner.owning for owner in owners))
         metrics.members.set({}, len(self.members.list_live()))
         for purpose, count in self.platform.calls.items():
             metrics.platform_calls.set({"purpose": purpose.value}, count)
--- a/src/apricotshore/services/executor.py
+++ b/src/apricotshore/services/executor.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass, field
 
 from ..decisions.retry import WriteStage, judge_write
-from ..groups import Mark, ServerStatus
+from ..groups import Mark, Role, ServerStatus
 from ..identifiers import ServerId
 from ..requests import Reply, Request
 from ..verdicts import Failure, Reason, Verdict
@@ -21,6 +21,7 @@
 DUPLICATE_KEY = 1062
 READ_ONLY = 1290
 FENCED = 3100
+FENCED_CODES = frozenset({READ_ONLY, FENCED})
 COMMIT_WAIT_MS = 2_000
 
 SCHEMA = (
@@ -33,7 +34,7 @@
     "PRIMARY KEY (caller, request_id))",
 )
 
-_RAN = "ran"
+RAN = "ran"
 _CANCELLED = "cancelled"
 
 
@@ -94,11 +95,19 @@
     timeout_s: float,
     progress: Progress,
 ) -> Reply:
-    """Read at a replica; the reply's mark bounds what the read saw."""
+    """Read at a replica; the reply's mark bounds what the read saw.
+
+    The status is asked after the read, so that it tells whether the server was
+    fit to serve it, whatever was known when the read was assigned.
+    """
     answer = await connection.run(request.sql, timeout_s)
     progress.on_executed()
     status = await read_status(connection)
     progress.on_status(status)
+    if status.role is not Role.REPLICA or not status.covers(request.token):
+        raise LostConnectionError("the server is not a replica that covers the read")
+    if status.behind_ms > request.staleness_ms:
+        raise LostConnectionError("the replica has fallen too far behind")
     term = status.lineage.find_term(status.applied)
     return _make_reply(answer, Mark(term=term, position=status.applied), server)
 
@@ -156,7 +165,7 @@
     progress.stage = WriteStage.CONNECTED
     await connection.run("BEGIN", CONTROL_TIMEOUT_S)
     if request.request_id:
-        recorded = await record_request(connection, request, _RAN, now_ms)
+        recorded = await record_request(connection, request, RAN, now_ms)
         if not recorded:
             await connection.run("ROLLBACK", CONTROL_TIMEOUT_S)
             progress.on_executed()
@@ -178,7 +187,7 @@
         return await connection.run(request.sql, timeout_s)
     except StatementRefusedError as error:
         await connection.run("ROLLBACK", CONTROL_TIMEOUT_S)
-        if error.code in (READ_ONLY, FENCED):
+        if error.code in FENCED_CODES:
             raise fail(Verdict.NOT_RUN, Reason.NO_PRIMARY, error.text) from None
         raise fail(
             Verdict.NOT_RUN, Reason.DATABASE_ERROR, error.text, error.code
--- a/src/apricotshore/services/frontend.py
+++ b/src/apricotshore/services/frontend.py
@@ -142,6 +142,7 @@
         self.session = SessionId(uuid.uuid4().hex)
         self.marks: dict[DatabaseId, Mark] = {}
         self.token_given = False
+        self.named = False
         self.autocommit = True
         self.open: OpenTransaction | None = None
         self.affected_rows = 0
@@ -325,6 +326,7 @@
         if opened is not None:
             request_id = opened.request_id
         token = self.marks.get(database, ORIGIN)
+        named = self.named or bool(tags.session)
         return Request(
             caller=CallerId(self.username or ""),
             database=database,
@@ -335,7 +337,10 @@
             kind=kind.kind,
             request_id=request_id,
             token=token,
-            has_token=self.token_given or bool(token.position),
+            # Marks of this connection cover a session that has no name and so
+            # no other connection; a named one may have written elsewhere.
+            has_token=self.token_given or (bool(token.position) and not named),
+            named=named,
             staleness_ms=tags.staleness_ms or 0,
             deadline_ms=tags.deadline_ms or kind.deadline_ms,
             transaction=opened.transaction if opened else TransactionId(""),
@@ -363,6 +368,7 @@
             if not _SHORT_NAME.match(value):
                 raise _refuse(f"expected a short plain name, got {value!r}")
             self.session = SessionId(value)
+            self.named = True
             return
         try:
             given = parse_token(value)
--- /dev/null
+++ b/src/apricotshore/services/holding.py
@@ -0,0 +1,224 @@
+"""The claim that this host holds on a database, and who has confirmed it."""
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from result import Err
+
+from ..decisions import routing
+from ..decisions.rollout import ServerEvidence, may_serve
+from ..decisions.routing import GroupView
+from ..groups import Claim, Mark
+from ..identifiers import BundleVersion, HostId, ServerId, Term
+from .backends import (
+    BackendConnection,
+    Endpoint,
+    LostConnectionError,
+    StatementRefusedError,
+    kill_strangers,
+    open_connection,
+    read_claim,
+)
+from .claims import NOBODY, raise_bundle, release_claim, take_over
+from .clock import read_monotonic_ms, read_wall_ms
+
+
+@dataclass(kw_only=True)
+class ServerFence:
+    """Which claim a server has confirmed to this owner, and when."""
+
+    epoch: int = 0
+    confirmed_at_ms: int | None = None
+    killed: set[HostId] = field(default_factory=set)
+
+
+@dataclass(kw_only=True)
+class HoldingHooks:
+    """What a holding calls on its owner.
+
+    Parameters
+    ----------
+    on_lost
+        Another host has claimed the database.
+    on_fenced
+        Every server has confirmed the claim.
+    on_bundle_behind
+        The claim demands a newer bundle than this host has.
+    on_refused
+        The database could not be claimed; says why.
+    """
+
+    on_lost: Callable[[str], None]
+    on_fenced: Callable[[], None]
+    on_bundle_behind: Callable[[], None]
+    on_refused: Callable[[str], None]
+
+
+class Holding:
+    """Claims a database, keeps the claim and fences other hosts out.
+
+    Parameters
+    ----------
+    me, address
+        This host and its peer address.
+    endpoints
+        How to reach each backend server.
+    view
+        The group as known.
+    hooks
+        What to call on the owner.
+    """
+
+    def __init__(
+        self,
+        *,
+        me: HostId,
+        address: str,
+        endpoints: dict[ServerId, Endpoint],
+        view: GroupView,
+        hooks: HoldingHooks,
+    ) -> None:
+        self.me = me
+        self.address = address
+        self.endpoints = endpoints
+        self.view = view
+        self.hooks = hooks
+        self.claim: Claim | None = None
+        self.seen: Claim | None = None
+        self.fences = {server: ServerFence() for server in endpoints}
+
+    async def check(self, connection: BackendConnection) -> None:
+        """Refuse a new connection unless this host still holds the claim.
+
+        Raises
+        ------
+        LostConnectionError
+            When it does not.
+        """
+        if self.claim is None:
+            raise LostConnectionError("this host holds no claim")
+        seen = await read_claim(connection)
+        held = self.claim
+        if held is None:
+            raise LostConnectionError("this host holds no claim any more")
+        if seen is not None and seen.epoch > held.epoch and seen.host != self.me:
+            raise LostConnectionError(f"{seen.host} has claimed the database")
+
+    async def take(
+        self, server: ServerId, seen: Claim | None, bundle: BundleVersion
+    ) -> None:
+        """Take in the claim that a server shows."""
+        if seen is None:
+            return
+        if self.seen is None or seen.epoch > self.seen.epoch:
+            self.seen = seen
+        if not may_serve(bundle, seen.bundle):
+            self.hooks.on_bundle_behind()
+        held = self.claim
+        if held is None:
+            return
+        if seen.epoch > held.epoch and seen.host != self.me:
+            self.hooks.on_lost(f"{seen.host} has claimed the database")
+        elif seen.epoch == held.epoch:
+            await self._confirm(server, held)
+
+    async def _confirm(self, server: ServerId, held: Claim) -> None:
+        fence = self.fences[server]
+        if fence.epoch == held.epoch:
+            return
+        connection = await open_connection(self.endpoints[server], Term(0))
+        try:
+            killed = await kill_strangers(connection, self.me)
+        finally:
+            connection.close()
+        if self.claim != held:
+            return
+        fence.epoch = held.epoch
+        fence.confirmed_at_ms = read_wall_ms()
+        fence.killed.update(killed)
+        if all(f.epoch == held.epoch for f in self.fences.values()):
+            self.hooks.on_fenced()
+
+    async def _open_primary(self) -> BackendConnection | None:
+        primary = routing.find_primary(self.view, read_monotonic_ms())
+        if primary is None:
+            return None
+        try:
+            return await open_connection(self.endpoints[primary], self.view.term)
+        except LostConnectionError:
+            return None
+
+    async def try_claim(self, bundle: BundleVersion) -> Mark | None:
+        """Claim the database.
+
+        Returns
+        -------
+        Mark or None
+            Mark up to which others may have written; None when the database
+            cannot be claimed now.
+        """
+        connection = await self._open_primary()
+        if connection is None:
+            return None
+        try:
+            result = await take_over(
+                connection, self.me, self.address, bundle, self.seen
+            )
+        except (LostConnectionError, StatementRefusedError):
+            return None
+        finally:
+            connection.close()
+        if isinstance(result, Err):
+            self.hooks.on_refused(result.err_value)
+            return None
+        self.claim = self.seen = result.ok_value.claim
+        return result.ok_value.floor
+
+    async def raise_bundle(self, bundle: BundleVersion) -> bool:
+        """Have the claim demand a bundle version; False to try again."""
+        held = self.claim
+        if held is None or held.bundle >= bundle:
+            return True
+        connection = await self._open_primary()
+        if connection is None:
+            return False
+        try:
+            claim = await raise_bundle(connection, held, bundle)
+        except (LostConnectionError, StatementRefusedError):
+            return False
+        finally:
+            connection.close()
+        if claim is not None and self.claim == held:
+            self.claim = self.seen = claim
+        return claim is not None
+
+    async def release(self, held: Claim) -> None:
+        """Give up a claim that is no longer used."""
+        connection = await self._open_primary()
+        if connection is None:
+            return
+        try:
+            await release_claim(connection, held)
+        except (LostConnectionError, StatementRefusedError):
+            return
+        finally:
+            connection.close()
+
+    def find_other(self) -> Claim | None:
+        """Return the claim of another host, if that is what was seen last."""
+        seen = self.seen
+        if seen is None or seen.host in (NOBODY, self.me):
+            return None
+        return seen
+
+    def list_evidence(self) -> tuple[ServerEvidence, ...]:
+        """Return what each server has confirmed of the claim that is held."""
+        epoch = self.claim.epoch if self.claim is not None else None
+        return tuple(
+            ServerEvidence(
+                server=server,
+                confirmed_at_ms=f.confirmed_at_ms if f.epoch == epoch else None,
+                killed=tuple(sorted(f.killed)),
+            )
+            for server, f in sorted(self.fences.items())
+        )
--- a/src/apricotshore/services/owner.py
+++ b/src/apricotshore/services/owner.py
@@ -1,17 +1,16 @@
-"""The owner of one database: queue, slots, connections and sessions' marks."""
+"""The owner of one database: queue, slots and connections."""
 
 import asyncio
 import itertools
 import uuid
 from collections import OrderedDict
-from collections.abc import Callable
-from dataclasses import dataclass, field, replace
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, replace
 
 from mode import Service
-from result import Err
 
 from ..bundles import Bundle
-from ..decisions import admission, retry, routing
+from ..decisions import admission, retry, routing, sessions
 from ..decisions.admission import (
     Assignment,
     Backlog,
@@ -20,68 +19,32 @@
     Rejection,
     Ticket,
 )
-from ..decisions.rollout import may_serve
 from ..decisions.routing import GroupView, ReadNeed
+from ..decisions.sessions import SessionKey, SessionMarks
 from ..events import Topic
-from ..groups import ORIGIN, Claim, Mark, ServerStatus
-from ..identifiers import (
-    BundleVersion,
-    CallerId,
-    DatabaseId,
-    HostId,
-    ServerId,
-    SessionId,
-    Term,
-    TransactionId,
-)
+from ..groups import Claim, ServerStatus
+from ..identifiers import CallerId, DatabaseId, HostId, ServerId
 from ..requests import Action, Outcome, Redirect, Reply, Request
 from ..verdicts import Failure, Reason, Verdict
 from . import executor
 from .backends import (
-    BackendConnection,
     BackendPool,
     Endpoint,
     LostConnectionError,
     StatementRefusedError,
-    kill_strangers,
-    open_connection,
-    read_claim,
 )
-from .claims import ClaimResult, raise_bundle, release_claim, take_over
 from .clock import read_monotonic_ms, read_wall_ms
 from .executor import Progress, RequestFailedError
 from .groupwatch import GroupWatch, WatchHooks
+from .holding import Holding, HoldingHooks
+from .transactions import TransactionTable
 
-SESSIONS_KEPT = 10_000
-TRANSACTION_IDLE_MS = 10_000
 PUMP_PERIOD_S = 0.02
 IDLE_PUMP_PERIOD_S = 0.2
 RESERVED_CONNECTIONS = 2
 OWNERS_AT_ONCE = 2
 FREE_FOR_SINGLE_WRITES = 2
-
-
-@dataclass(frozen=True, kw_only=True, slots=True)
-class SessionKey:
-    """A session of a caller."""
-
-    caller: CallerId
-    session: SessionId
-
-
-@dataclass(kw_only=True)
-class Transaction:
-    """An open transaction and the connection that it holds."""
-
-    transaction: TransactionId
-    caller: CallerId
-    server: ServerId
-    connection: BackendConnection
-    pool: BackendPool
-    origin: HostId
-    used_at: int
-    request: Request
-    lock: asyncio.Lock = field(default_factory=asyncio.Lock)
+FENCE_RETRY_S = 0.1
 
 
 @dataclass(kw_only=True)
@@ -95,22 +58,12 @@
     job: asyncio.Task[None] | None = None
 
 
-@dataclass(kw_only=True)
-class ServerFence:
-    """Which claim a server has confirmed to this owner, and when."""
-
-    epoch: int = 0
-    bundle: BundleVersion = BundleVersion(0)
-    confirmed_at_ms: int | None = None
-    killed: set[HostId] = field(default_factory=set)
-
-
 @dataclass(kw_only=True)
 class OwnerHooks:
     """What an owner calls on its host."""
 
     explain: Callable[[Topic, str, str, str], None]
-    ask_witnesses: Callable[[str], "asyncio.Future[list[bool]]"]
+    ask_witnesses: Callable[[str], Awaitable[list[bool]]]
     on_fenced: Callable[["DatabaseOwner"], None]
     on_bundle_behind: Callable[[], None]
 
@@ -170,25 +123,28 @@
         self.backlog = Backlog(
             slots={s: e.server.slots for s, e in endpoints.items()}, policy=policy
         )
-        self.pools = {s: self._make_pool(e) for s, e in endpoints.items()}
         self.watch = GroupWatch(
             endpoints=endpoints,
             view=self.view,
             driver_name=f"{me}/{uuid.uuid4().hex[:12]}",
             hooks=self._make_watch_hooks(),
         )
-        self.claim: Claim | None = None
-        self.seen_claim: Claim | None = None
-        self.floor: Mark = ORIGIN
+        self.holding = Holding(
+            me=me,
+            address=address,
+            endpoints=endpoints,
+            view=self.view,
+            hooks=self._make_holding_hooks(),
+        )
+        self.pools = {s: self._make_pool(e) for s, e in endpoints.items()}
         self.refused_claim = ""
         self.unfit = False
         self.standing_in = False
         self.draining = False
-        self.marks: OrderedDict[SessionKey, Mark] = OrderedDict()
-        self.transactions: dict[TransactionId, Transaction] = {}
+        self.sessions = SessionMarks()
+        self.transactions = TransactionTable()
         self.pending: dict[int, Pending] = {}
         self.numbers = itertools.count(1)
-        self.fences = {s: ServerFence() for s in endpoints}
         self.admitted_at: OrderedDict[CallerId, int] = OrderedDict()
         self.refused: dict[CallerId, int] = {}
         self.served: dict[ServerId, int] = {}
@@ -201,7 +157,7 @@
         # An old and a new owner may overlap: each keeps to half of the limit.
         share = (endpoint.server.connections - RESERVED_CONNECTIONS) // OWNERS_AT_ONCE
         limit = max(1, share - 1)
-        return BackendPool(endpoint=endpoint, limit=limit, check=self._check_claim)
+        return BackendPool(endpoint=endpoint, limit=limit, check=self.holding.check)
 
     def _make_watch_hooks(self) -> WatchHooks:
         return WatchHooks(
@@ -210,18 +166,26 @@
             on_explain=lambda act: self.hooks.explain(
                 Topic.FAILOVER, self.database, act.step, act.detail
             ),
-            ask_witnesses=self._ask_witnesses,
+            ask_witnesses=self.hooks.ask_witnesses,
             on_unfit=lambda: self._become_unfit(
                 "other hosts reach the primary and this one does not"
             ),
             may_drive=self._may_drive,
         )
 
+    def _make_holding_hooks(self) -> HoldingHooks:
+        return HoldingHooks(
+            on_lost=self._lose_claim,
+            on_fenced=lambda: self.hooks.on_fenced(self),
+            on_bundle_behind=self.hooks.on_bundle_behind,
+            on_refused=self._explain_refused,
+        )
+
     def _may_drive(self) -> bool:
-        return (self.holding or self.standing_in) and not self.unfit
+        return (self.owning or self.standing_in) and not self.unfit
 
-    async def _ask_witnesses(self, address: str) -> list[bool]:
-        return await self.hooks.ask_witnesses(address)
+    async def _take_claim(self, server: ServerId, seen: Claim | None) -> None:
+        await self.holding.take(server, seen, self.bundle.version)
 
     async def on_start(self) -> None:
         """Start watching the group."""
@@ -236,77 +200,23 @@
     # -- claim --
 
     @property
-    def holding(self) -> bool:
+    def owning(self) -> bool:
         """Whether this host holds the claim."""
-        return self.claim is not None
-
-    async def _check_claim(self, connection: BackendConnection) -> None:
-        seen = await read_claim(connection)
-        if (
-            seen is not None
-            and self.claim is not None
-            and seen.epoch > self.claim.epoch
-        ):
-            raise LostConnectionError(f"{seen.host} has claimed the database")
-
-    async def _take_claim(self, server: ServerId, seen: Claim | None) -> None:
-        if seen is None:
-            return
-        if self.seen_claim is None or seen.epoch > self.seen_claim.epoch:
-            self.seen_claim = seen
-        if not may_serve(self.bundle.version, seen.bundle):
-            self.hooks.on_bundle_behind()
-        held = self.claim
-        if held is None:
-            return
-        if seen.epoch > held.epoch and seen.host != self.me:
-            self._lose_claim(f"{seen.host} has claimed the database")
-        elif seen.epoch == held.epoch:
-            await self._confirm_fence(server, held)
-
-    async def _confirm_fence(self, server: ServerId, held: Claim) -> None:
-        fence = self.fences[server]
-        if fence.epoch == held.epoch:
-            return
-        connection = await open_connection(self.endpoints[server], Term(0))
-        try:
-            killed = await kill_strangers(connection, self.me)
-        finally:
-            connection.close()
-        if self.claim != held:
-            return
-        fence.epoch = held.epoch
-        fence.bundle = held.bundle
-        fence.confirmed_at_ms = read_wall_ms()
-        fence.killed.update(killed)
-        if all(f.epoch == held.epoch for f in self.fences.values()):
-            self.hooks.on_fenced(self)
+        return self.holding.claim is not None
 
     async def try_claim(self) -> bool:
         """Claim the database; False when that is not possible now."""
-        primary = routing.find_primary(self.view, read_monotonic_ms())
-        if primary is None or self.unfit or self.draining:
+        if self.unfit or self.draining:
             return False
-        try:
-            connection = await open_connection(self.endpoints[primary], self.view.term)
-        except LostConnectionError:
+        floor = await self.holding.try_claim(self.bundle.version)
+        claim = self.holding.claim
+        if floor is None or claim is None:
             return False
-        try:
-            result = await take_over(
-                connection,
-                self.me,
-                self.address,
-                self.bundle.version,
-                self.seen_claim,
-            )
-        except (LostConnectionError, StatementRefusedError):
-            return False
-        finally:
-            connection.close()
-        if isinstance(result, Err):
-            self._explain_refused(result.err_value)
-            return False
-        self._hold(result.ok_value)
+        self.standing_in = False
+        sessions.reset_marks(self.sessions, floor)
+        detail = f"epoch {claim.epoch}, bundle {claim.bundle}"
+        self.hooks.explain(Topic.OWNERSHIP, self.database, "claimed", detail)
+        self.pump()
         return True
 
     def _explain_refused(self, why: str) -> None:
@@ -314,20 +224,10 @@
             self.refused_claim = why
             self.hooks.explain(Topic.OWNERSHIP, self.database, "not claimed", why)
 
-    def _hold(self, result: ClaimResult) -> None:
-        self.claim = result.claim
-        self.standing_in = False
-        self.seen_claim = result.claim
-        self.floor = result.floor
-        self.marks.clear()
-        detail = f"epoch {result.claim.epoch}, bundle {result.claim.bundle}"
-        self.hooks.explain(Topic.OWNERSHIP, self.database, "claimed", detail)
-        self.pump()
-
     def _lose_claim(self, why: str) -> None:
-        if self.claim is None:
+        if not self.owning:
             return
-        self.claim = None
+        self.holding.claim = None
         self.hooks.explain(Topic.OWNERSHIP, self.database, "lost", why)
         for pool in self.pools.values():
             pool.drop_all()
@@ -338,9 +238,9 @@
         self.backlog.flows.clear()
 
     def _redirect(self) -> Outcome:
-        seen = self.seen_claim
-        if seen is not None and seen.host not in ("", self.me):
-            return Outcome(redirect=Redirect(host=seen.host, address=seen.address))
+        other = self.holding.find_other()
+        if other is not None:
+            return Outcome(redirect=Redirect(host=other.host, address=other.address))
         return _refused(Reason.NOT_OWNER, "this host does not own the database")
 
     def _become_unfit(self, detail: str) -> None:
@@ -350,22 +250,11 @@
             self._lose_claim(detail)
 
     async def release(self) -> None:
-        """Give the claim up after what is in flight has finished."""
-        held = self.claim
-        if held is None:
-            return
-        primary = routing.find_primary(self.view, read_monotonic_ms())
-        self._lose_claim("released")
-        if primary is None:
-            return
-        try:
-            connection = await open_connection(self.endpoints[primary], self.view.term)
-            try:
-                await release_claim(connection, held)
-            finally:
-                connection.close()
-        except (LostConnectionError, StatementRefusedError):
-            return
+        """Give the claim up, so that the next owner need not wait."""
+        held = self.holding.claim
+        if held is not None:
+            self._lose_claim("released")
+            await self.holding.release(held)
 
     # -- bundle --
 
@@ -392,32 +281,10 @@
         self.view.leaving = frozenset(
             s.server for s in bundle.servers.values() if s.leaving
         )
-        while fence and self.holding and not self.should_stop:
-            if await self._raise_bundle():
+        while fence and self.owning and not self.should_stop:
+            if await self.holding.raise_bundle(bundle.version):
                 return
-            await asyncio.sleep(PUMP_PERIOD_S * 5)
-
-    async def _raise_bundle(self) -> bool:
-        held = self.claim
-        if held is None or held.bundle >= self.bundle.version:
-            return True
-        primary = routing.find_primary(self.view, read_monotonic_ms())
-        if primary is None:
-            return False
-        try:
-            connection = await open_connection(self.endpoints[primary], self.view.term)
-            try:
-                claim = await raise_bundle(connection, held, self.bundle.version)
-            finally:
-                connection.close()
-        except (LostConnectionError, StatementRefusedError):
-            return False
-        if claim is None:
-            return False
-        if self.claim == held:
-            self.claim = claim
-            self.seen_claim = claim
-        return True
+            await asyncio.sleep(FENCE_RETRY_S)
 
     def _is_allowed(self, caller: CallerId) -> bool:
         contract = self.bundle.callers.get(caller)
@@ -433,11 +300,8 @@
         for pending in list(self.pending.values()):
             if pending.request.caller == caller and pending.job is not None:
                 pending.job.cancel()
-        for transaction in list(self.transactions.values()):
-            if transaction.caller == caller:
-                self._end_transaction(transaction, usable=False)
-        for key in [k for k in self.marks if k.caller == caller]:
-            del self.marks[key]
+        self.transactions.end_of_caller(caller)
+        sessions.forget_caller(self.sessions, caller)
 
     # -- requests --
 
@@ -479,14 +343,14 @@
             self.pending.pop(number, None)
 
     def _refuse_early(self, request: Request) -> Outcome | None:
-        if not self.holding:
+        if not self.owning:
             return self._redirect()
         if not self._is_allowed(request.caller):
             self.refused[request.caller] = self.refused.get(request.caller, 0) + 1
             return _refused(Reason.CALLER_REFUSED, "the caller has no contract here")
         if self.draining and not request.transaction:
             return _refused(Reason.NOT_OWNER, "this host is draining", 50)
-        if request.transaction and request.transaction not in self.transactions:
+        if request.transaction and not self.transactions.find(request.transaction):
             return _refused(Reason.TRANSACTION_LOST, "the transaction was rolled back")
         return None
 
@@ -494,11 +358,13 @@
         # A caller may ask for fresher data than its kind accepts, not staler.
         asked = request.staleness_ms
         accepted = min(asked, staleness_ms) if asked else staleness_ms
-        key = SessionKey(caller=request.caller, session=request.session)
-        known = self.marks.get(key)
-        mark = routing.raise_mark(request.token, known or ORIGIN)
-        if known is None and not request.has_token:
-            mark = routing.raise_mark(mark, self.floor)
+        mark = sessions.find_mark(
+            self.sessions,
+            SessionKey(caller=request.caller, session=request.session),
+            request.token,
+            complete=request.has_token,
+            named=request.named,
+        )
         return replace(request, staleness_ms=accepted, token=mark)
 
     def _count_slots(self, request: Request) -> int:
@@ -519,7 +385,7 @@
             return ()
         request = pending.request
         if request.transaction:
-            transaction = self.transactions.get(request.transaction)
+            transaction = self.transactions.find(request.transaction)
             return (transaction.server,) if transaction else tuple(self.endpoints)
         if request.action is Action.READ:
             need = ReadNeed(mark=request.token, staleness_ms=request.staleness_ms)
@@ -537,7 +403,7 @@
 
     def pump(self) -> None:
         """Give free slots to waiting requests."""
-        if not self.holding:
+        if not self.owning:
             return
         now = read_monotonic_ms()
         for act in admission.assign(self.backlog, self._find_servers, now):
@@ -555,9 +421,9 @@
     async def _pump_loop(self) -> None:
         while not self.should_stop:
             await asyncio.sleep(PUMP_PERIOD_S if self.busy else IDLE_PUMP_PERIOD_S)
-            self._expire_transactions()
+            self.transactions.end_idle()
             now = read_monotonic_ms()
-            if self.holding and not routing.has_majority_contact(self.view, now):
+            if self.owning and not routing.has_majority_contact(self.view, now):
                 self._become_unfit("no contact with a majority of the group")
             self.pump()
 
@@ -610,7 +476,7 @@
         )
         if request.transaction or not repeatable:
             return False
-        if not self.holding or not retry.withdraw(self.retries):
+        if not self.owning or not retry.withdraw(self.retries):
             return False
         slots = self._count_slots(request)
         now = read_monotonic_ms()
@@ -621,17 +487,13 @@
 
     def _note_success(self, request: Request, reply: Reply) -> None:
         key = SessionKey(caller=request.caller, session=request.session)
-        old = self.marks.pop(key, ORIGIN)
-        self.marks[key] = routing.raise_mark(old, reply.mark)
-        while len(self.marks) > SESSIONS_KEPT:
-            _, forgotten = self.marks.popitem(last=False)
-            self.floor = routing.raise_mark(self.floor, forgotten)
+        sessions.note_seen(self.sessions, key, reply.mark)
         self.admitted_at[request.caller] = read_wall_ms()
         if request.action is Action.READ:
             self.served[reply.server] = self.served.get(reply.server, 0) + 1
 
     def _judge_refused(self, error: StatementRefusedError) -> Outcome:
-        if error.code in (executor.READ_ONLY, executor.FENCED):
+        if error.code in executor.FENCED_CODES:
             return _refused(Reason.NO_PRIMARY, error.text, 100)
         failure = Failure(
             verdict=Verdict.NOT_RUN,
@@ -651,12 +513,14 @@
     ) -> Reply:
         request = pending.request
         if request.transaction:
-            return await self._run_in_transaction(pending, progress)
+            return await self.transactions.run(request, pending.deadline_at, progress)
         server = assignment.server
         pool = self.pools[server]
         connection = await pool.acquire(self.view.term)
         if request.action is Action.BEGIN:
-            return await self._begin(pending, server, pool, connection, progress)
+            return await self.transactions.begin(
+                request, pending.origin, server, pool, connection
+            )
         left_s = max(pending.deadline_at - read_monotonic_ms(), 1) / 1000
         try:
             if request.action is Action.READ:
@@ -674,109 +538,11 @@
         finally:
             pool.release(connection)
 
-    # -- transactions --
-
-    async def _begin(
-        self,
-        pending: Pending,
-        server: ServerId,
-        pool: BackendPool,
-        connection: BackendConnection,
-        progress: Progress,
-    ) -> Reply:
-        request = pending.request
-        try:
-            await connection.run("BEGIN", executor.CONTROL_TIMEOUT_S)
-            if request.request_id:
-                recorded = await executor.record_request(
-                    connection, request, "ran", read_wall_ms()
-                )
-                if not recorded:
-                    await connection.run("ROLLBACK", executor.CONTROL_TIMEOUT_S)
-                    raise executor.fail(
-                        Verdict.RAN, Reason.DUPLICATE, "the transaction ran before"
-                    )
-        except BaseException:
-            pool.release(connection)
-            raise
-        transaction = Transaction(
-            transaction=TransactionId(uuid.uuid4().hex),
-            caller=request.caller,
-            server=server,
-            connection=connection,
-            pool=pool,
-            origin=pending.origin,
-            used_at=read_monotonic_ms(),
-            request=request,
-        )
-        self.transactions[transaction.transaction] = transaction
-        return Reply(server=server, transaction=transaction.transaction)
-
-    async def _run_in_transaction(self, pending: Pending, progress: Progress) -> Reply:
-        request = pending.request
-        transaction = self.transactions.get(request.transaction)
-        if transaction is None or transaction.caller != request.caller:
-            raise executor.fail(
-                Verdict.NOT_RUN,
-                Reason.TRANSACTION_LOST,
-                "the transaction was rolled back",
-            )
-        async with transaction.lock:
-            transaction.used_at = read_monotonic_ms()
-            try:
-                return await self._run_step(pending, transaction, progress)
-            except StatementRefusedError as error:
-                if error.code in (executor.READ_ONLY, executor.FENCED):
-                    self._end_transaction(transaction, usable=False)
-                # Any other error leaves the transaction open, as in MySQL.
-                raise
-            except BaseException:
-                self._end_transaction(transaction, usable=False)
-                raise
-
-    async def _run_step(
-        self, pending: Pending, transaction: Transaction, progress: Progress
-    ) -> Reply:
-        request = pending.request
-        connection = transaction.connection
-        if request.action is Action.COMMIT:
-            mark = await executor.commit(connection, progress)
-            self._end_transaction(transaction, usable=True)
-            return Reply(mark=mark, server=transaction.server)
-        if request.action is Action.ROLLBACK:
-            await connection.run("ROLLBACK", executor.CONTROL_TIMEOUT_S)
-            self._end_transaction(transaction, usable=True)
-            return Reply(server=transaction.server)
-        left_s = max(pending.deadline_at - read_monotonic_ms(), 1) / 1000
-        answer = await connection.run(request.sql, left_s)
-        return Reply(
-            columns=answer.columns,
-            rows=answer.rows,
-            affected_rows=answer.affected_rows,
-            last_insert_id=answer.last_insert_id,
-            server=transaction.server,
-            transaction=transaction.transaction,
-        )
-
-    def _end_transaction(self, transaction: Transaction, usable: bool) -> None:
-        if not usable:
-            transaction.connection.close()
-        self.transactions.pop(transaction.transaction, None)
-        transaction.pool.release(transaction.connection)
-
-    def _expire_transactions(self) -> None:
-        oldest = read_monotonic_ms() - TRANSACTION_IDLE_MS
-        for transaction in list(self.transactions.values()):
-            if transaction.used_at < oldest and not transaction.lock.locked():
-                self._end_transaction(transaction, usable=False)
-
     def drop_origin(self, origin: HostId) -> None:
-        """Roll back the transactions of a host that has gone."""
-        for transaction in list(self.transactions.values()):
-            if transaction.origin == origin and not transaction.lock.locked():
-                self._end_transaction(transaction, usable=False)
+        """Roll back the transactions of a link that has gone."""
+        self.transactions.end_of_origin(origin)
 
     @property
     def busy(self) -> bool:
         """Whether anything is queued, running or open."""
-        return bool(self.pending or self.transactions)
+        return bool(self.pending or len(self.transactions))
--- a/src/apricotshore/services/registry.py
+++ b/src/apricotshore/services/registry.py
@@ -147,7 +147,7 @@
             if bundle is not None:
                 mine = self._list_candidates(bundle)
                 await asyncio.gather(*(self._consider(d) for d in mine))
-            settled = all(o.holding or o.seen_claim for o in self.owners.values())
+            settled = all(o.owning or o.holding.seen for o in self.owners.values())
             period = DUTY_PERIOD_S if bundle and settled else FAST_DUTY_S
             try:
                 await asyncio.wait_for(self.wake.wait(), period)
@@ -176,7 +176,7 @@
     async def _do_duty(self, database: DatabaseId, tries: int) -> None:
         owner = self.owners.get(database)
         self._heal_unfit(database, owner)
-        if owner is not None and owner.holding and not self.draining:
+        if owner is not None and owner.owning and not self.draining:
             return
         unfit: set[str] = set()
         first = not self.draining and await self._is_first(database, tries, unfit)
@@ -184,12 +184,12 @@
             if not first:
                 return
             owner = await self._start_owner(database)
-        claim = owner.seen_claim
+        claim = owner.holding.seen
         facts = OwnershipFacts(
             me=self.settings.host,
             first=first,
             claim=claim,
-            holding=owner.holding,
+            holding=owner.owning,
             draining=self.draining,
             claimant_alive=await self._is_claimant_fit(database, claim, tries, unfit),
         )
@@ -281,7 +281,7 @@
         await owner.start()
         for _ in range(10):
             await asyncio.sleep(FAST_DUTY_S / 2)
-            if owner.seen_claim is not None:
+            if owner.holding.seen is not None:
                 break
         return owner
 
--- /dev/null
+++ b/src/apricotshore/services/transactions.py
@@ -0,0 +1,170 @@
+"""Open transactions of one database, each on a connection of its own."""
+
+import asyncio
+import uuid
+from dataclasses import dataclass, field
+
+from ..identifiers import CallerId, HostId, ServerId, TransactionId
+from ..requests import Action, Reply, Request
+from ..verdicts import Reason, Verdict
+from . import executor
+from .backends import BackendConnection, BackendPool, StatementRefusedError
+from .clock import read_monotonic_ms, read_wall_ms
+from .executor import Progress
+
+IDLE_LIMIT_MS = 10_000
+
+
+@dataclass(kw_only=True)
+class Transaction:
+    """An open transaction and the connection that it holds."""
+
+    transaction: TransactionId
+    caller: CallerId
+    server: ServerId
+    connection: BackendConnection
+    pool: BackendPool
+    origin: HostId
+    used_at: int
+    lock: asyncio.Lock = field(default_factory=asyncio.Lock)
+
+
+class TransactionTable:
+    """All open transactions of one database."""
+
+    def __init__(self) -> None:
+        self.open: dict[TransactionId, Transaction] = {}
+
+    def __len__(self) -> int:
+        """Return the number of open transactions."""
+        return len(self.open)
+
+    def find(self, transaction: TransactionId) -> Transaction | None:
+        """Return an open transaction."""
+        return self.open.get(transaction)
+
+    async def begin(
+        self,
+        request: Request,
+        origin: HostId,
+        server: ServerId,
+        pool: BackendPool,
+        connection: BackendConnection,
+    ) -> Reply:
+        """Begin a transaction on a connection that it keeps from now on.
+
+        Raises
+        ------
+        RequestFailedError
+            With verdict ``ran`` when the request id is recorded already.
+        """
+        try:
+            await connection.run("BEGIN", executor.CONTROL_TIMEOUT_S)
+            if request.request_id and not await executor.record_request(
+                connection, request, executor.RAN, read_wall_ms()
+            ):
+                await connection.run("ROLLBACK", executor.CONTROL_TIMEOUT_S)
+                raise executor.fail(
+                    Verdict.RAN, Reason.DUPLICATE, "the transaction ran before"
+                )
+        except BaseException:
+            pool.release(connection)
+            raise
+        transaction = Transaction(
+            transaction=TransactionId(uuid.uuid4().hex),
+            caller=request.caller,
+            server=server,
+            connection=connection,
+            pool=pool,
+            origin=origin,
+            used_at=read_monotonic_ms(),
+        )
+        self.open[transaction.transaction] = transaction
+        return Reply(server=server, transaction=transaction.transaction)
+
+    async def run(
+        self, request: Request, deadline_at: int, progress: Progress
+    ) -> Reply:
+        """Run the next statement of a transaction.
+
+        Raises
+        ------
+        RequestFailedError, LostConnectionError, StatementRefusedError
+            The last leaves the transaction open, as in MySQL, unless the
+            server no longer takes writes.
+        """
+        transaction = self.open.get(request.transaction)
+        if transaction is None or transaction.caller != request.caller:
+            raise executor.fail(
+                Verdict.NOT_RUN,
+                Reason.TRANSACTION_LOST,
+                "the transaction was rolled back",
+            )
+        async with transaction.lock:
+            transaction.used_at = read_monotonic_ms()
+            try:
+                return await self._run_step(request, deadline_at, transaction, progress)
+            except StatementRefusedError as error:
+                if error.code in executor.FENCED_CODES:
+                    self.end(transaction, usable=False)
+                raise
+            except BaseException:
+                self.end(transaction, usable=False)
+                raise
+
+    async def _run_step(
+        self,
+        request: Request,
+        deadline_at: int,
+        transaction: Transaction,
+        progress: Progress,
+    ) -> Reply:
+        connection = transaction.connection
+        if request.action is Action.COMMIT:
+            mark = await executor.commit(connection, progress)
+            self.end(transaction, usable=True)
+            return Reply(mark=mark, server=transaction.server)
+        if request.action is Action.ROLLBACK:
+            await connection.run("ROLLBACK", executor.CONTROL_TIMEOUT_S)
+            self.end(transaction, usable=True)
+            return Reply(server=transaction.server)
+        left_s = max(deadline_at - read_monotonic_ms(), 1) / 1000
+        answer = await connection.run(request.sql, left_s)
+        return Reply(
+            columns=answer.columns,
+            rows=answer.rows,
+            affected_rows=answer.affected_rows,
+            last_insert_id=answer.last_insert_id,
+            server=transaction.server,
+            transaction=transaction.transaction,
+        )
+
+    def end(self, transaction: Transaction, usable: bool) -> None:
+        """Give the connection back; one that is not usable is closed."""
+        if not usable:
+            transaction.connection.close()
+        self.open.pop(transaction.transaction, None)
+        transaction.pool.release(transaction.connection)
+
+    def end_of_caller(self, caller: CallerId) -> None:
+        """Roll back every transaction of a caller."""
+        for transaction in list(self.open.values()):
+            if transaction.caller == caller:
+                self.end(transaction, usable=False)
+
+    def end_of_origin(self, origin: HostId) -> None:
+        """Roll back the transactions of a link that has gone."""
+        for transaction in list(self.open.values()):
+            if transaction.origin == origin and not transaction.lock.locked():
+                self.end(transaction, usable=False)
+
+    def end_idle(self) -> None:
+        """Roll back transactions that were not used for too long."""
+        oldest = read_monotonic_ms() - IDLE_LIMIT_MS
+        for transaction in list(self.open.values()):
+            if transaction.used_at < oldest and not transaction.lock.locked():
+                self.end(transaction, usable=False)
+
+    def clear(self) -> None:
+        """Forget all; the connections are closed by their pools."""
+        self.open.clear()
--- a/src/apricotshore/wire/codec.py
+++ b/src/apricotshore/wire/codec.py
@@ -53,6 +53,7 @@
     struct.requestId = request.request_id
     _write_mark(struct.token, request.token)
     struct.hasToken = request.has_token
+    struct.named = request.named
     struct.stalenessMs = request.staleness_ms
     struct.deadlineMs = max(request.deadline_ms, 0)
     struct.transaction = request.transaction
@@ -72,6 +73,7 @@
         request_id=RequestId(struct.requestId),
         token=_read_mark(struct.token),
         has_token=struct.hasToken,
+        named=struct.named,
         staleness_ms=struct.stalenessMs,
         deadline_ms=struct.deadlineMs,
         transaction=TransactionId(struct.transaction),
--- a/src/apricotshore/wire/peer.capnp
+++ b/src/apricotshore/wire/peer.capnp
@@ -36,6 +36,7 @@
   deadlineMs @11 :UInt32;
   transaction @12 :Text;
   idempotent @13 :Bool;
+  named @14 :Bool;
 }
 
 struct Reply {
--- /dev/null
+++ b/tests/live/test_sessions.py
@@ -0,0 +1,24 @@
+"""Sessions of stock drivers, without token or name, on live processes."""
+
+from standins.deployment import Deployment, Shape, run_sql
+
+BASE_PORT = 20000
+LAG_MS = 1_500
+
+
+async def test_new_connection_without_token_or_name_reads_earlier_writes():
+    shape = Shape(base_port=BASE_PORT, hosts=3, lag_ms=LAG_MS)
+    deployment = Deployment(shape=shape)
+    try:
+        await deployment.start()
+        for number in range(9):
+            writer = await deployment.connect(number % 3)
+            insert = f"INSERT INTO delivery (member) VALUES ('m{number}')"
+            await run_sql(writer, insert)
+            writer.close()
+            reader = await deployment.connect((number + 1) % 3)
+            select = "SELECT COUNT(*) FROM delivery /* kind='balance' */"
+            assert await run_sql(reader, select) == ((number + 1,),)
+            reader.close()
+    finally:
+        deployment.stop()
--- /dev/null
+++ b/tests/test_sessions.py
@@ -0,0 +1,51 @@
+from apricotshore.decisions import sessions
+from apricotshore.decisions.sessions import SESSIONS_KEPT, SessionKey, SessionMarks
+from apricotshore.groups import ORIGIN, Mark
+
+
+def at(position):
+    return Mark(term=1, position=position)
+
+
+def key(session, caller="c"):
+    return SessionKey(caller=caller, session=session)
+
+
+def find(state, session, token=ORIGIN, complete=False, named=True, caller="c"):
+    return sessions.find_mark(state, key(session, caller), token, complete, named)
+
+
+def test_session_must_see_what_it_has_seen():
+    state = SessionMarks()
+    sessions.note_seen(state, key("s"), at(9))
+    assert find(state, "s") == at(9)
+    assert find(state, "s", token=at(12)) == at(12)
+
+
+def test_unknown_session_must_see_the_floor():
+    state = SessionMarks()
+    sessions.reset_marks(state, at(5))
+    assert find(state, "new") == at(5)
+    assert find(state, "new", token=at(2), complete=True) == at(2)
+
+
+def test_session_without_a_name_must_see_all_that_its_caller_has_seen():
+    state = SessionMarks()
+    sessions.note_seen(state, key("earlier"), at(9))
+    assert find(state, "new", named=False) == at(9)
+    assert find(state, "new", named=False, caller="other") == ORIGIN
+
+
+def test_forgotten_sessions_raise_the_floor():
+    state = SessionMarks()
+    for number in range(SESSIONS_KEPT + 3):
+        sessions.note_seen(state, key(f"s{number}"), at(number))
+    assert len(state.marks) == SESSIONS_KEPT
+    assert find(state, "s0") == at(2)
+
+
+def test_withdrawn_caller_leaves_nothing():
+    state = SessionMarks()
+    sessions.note_seen(state, key("s"), at(9))
+    sessions.forget_caller(state, "c")
+    assert not state.marks and not state.callers
--- a/tools/slopes.py
+++ b/tools/slopes.py
@@ -23,11 +23,11 @@
 from apricotshore.decisions import membership
 from apricotshore.decisions.membership import Life, Member
 from apricotshore.decisions.ownership import Ring, may_rank, rank_hosts
+from apricotshore.decisions.sessions import SessionKey
 from apricotshore.groups import Mark
 from apricotshore.load import parse_scenario, run_load
 from apricotshore.load.runner import Entry
 from apricotshore.manifests import Pieces, cut_bundle, join_changed, join_pieces
-from apricotshore.services.owner import SessionKey
 from apricotshore.services.peers import PeerHandlers, PeerLinks, PeerServer
 from apricotshore.wire import codec
 from standins.deployment import PASSWORD, Deployment, Shape, run_sql
