Replace a primary whose commits stall; call no standing write "not run"

Cause: a failover series ended without a primary after its eighth change. The stand-in's condition variable lost its lock when a waiter was cancelled (Python 3.11), so a primary kept answering probes and replicas while no commit became durable, until its connections ran out. The product had no cause for such a primary. A test that holds commits back then found a broken promise: 2 to 3 writes were called "not run" although they stood. The question "what came of it" lost its own connection, and its verdict about itself was read as the verdict about the write; a duplicate that lost its connection while it read the first outcome was judged the same way.

Ruled out: the driver; it was idle because every replica heard its primary. For the verdict: the cancelled record; none had been written.

Change: a primary is replaced when no commit sent after the last durable one became durable for 2.5 s; a settled request has its own reason (cancelled), and nothing else settles it; a duplicate counts as standing from the moment its record is met; the stand-in waits on an event.

--- a/src/apricotshore/decisions/failover.py
+++ b/src/apricotshore/decisions/failover.py
@@ -15,6 +15,7 @@
 
 DETECT_MS = 900
 WITNESSES_NEEDED = 2
+STALL_MS = 2_500
 FENCE_GRACE_MS = 150
 STEP_TIMEOUT_MS = 1_000
 FIRST_BACKOFF_MS = 300
@@ -37,6 +38,7 @@
     LOST = "lost-by-majority"
     SILENT = "silent-to-witnesses"
     LEAVING = "leaving"
+    STALLED = "commits-stalled"
     ABSENT = "no-primary"
 
 
@@ -130,6 +132,11 @@
         When the witnesses were last asked.
     repaired_at
         When servers were last told whom to follow.
+    stalled_since
+        When the first commit was sent that failed to become durable, with
+        none durable since; None while commits succeed.
+    durable_at
+        When a commit last became durable.
     """
 
     phase: Phase = Phase.WATCHING
@@ -145,6 +152,8 @@
     silent_hosts: int = 0
     asked_at: int = -DETECT_MS
     repaired_at: int = -REPAIR_PERIOD_MS
+    stalled_since: int | None = None
+    durable_at: int = -1
 
 
 def count_lost_contact(view: GroupView, now: int) -> int:
@@ -176,6 +185,31 @@
     )
 
 
+def note_commit(state: Failover, durable: bool, sent_at: int, now: int) -> None:
+    """Take in whether a commit became durable.
+
+    A primary that answers probes and keeps contact with its group, but whose
+    commits do not become durable, is found out by this alone.
+
+    Parameters
+    ----------
+    state
+        The driver; changed in place.
+    durable
+        Whether a majority holds the commit.
+    sent_at
+        When its request was sent; failures of requests that were sent before
+        the last durable commit say nothing.
+    now
+        Monotonic milliseconds.
+    """
+    if durable:
+        state.durable_at = now
+        state.stalled_since = None
+    elif state.stalled_since is None and sent_at > state.durable_at:
+        state.stalled_since = sent_at
+
+
 def find_cause(state: Failover, view: GroupView, now: int) -> Cause | None:
     """Return why the primary should be replaced, or None."""
     if count_lost_contact(view, now) >= view.majority:
@@ -184,6 +218,9 @@
         return None
     if _is_silent(view, now) and state.silent_hosts >= WITNESSES_NEEDED:
         return Cause.SILENT
+    since = state.stalled_since
+    if since is not None and now - since >= STALL_MS and _has_fit_successor(view):
+        return Cause.STALLED
     if is_leaving(view, view.primary) and _has_fit_successor(view):
         return Cause.LEAVING
     return None
@@ -365,6 +402,7 @@
 def _finish(state: Failover, view: GroupView, now: int) -> list[Act]:
     state.phase = Phase.WATCHING
     state.quiet_until = now + SETTLE_MS
+    state.stalled_since = None
     state.backoff_ms = FIRST_BACKOFF_MS
     state.silent_hosts = 0
     acts: list[Act] = [
--- a/src/apricotshore/services/executor.py
+++ b/src/apricotshore/services/executor.py
@@ -167,6 +167,8 @@
     if request.request_id:
         recorded = await record_request(connection, request, RAN, now_ms)
         if not recorded:
+            # The first request stands here: from now on it may have run.
+            progress.stage = WriteStage.COMMITTED
             await connection.run("ROLLBACK", CONTROL_TIMEOUT_S)
             progress.on_executed()
             return await read_outcome(connection, request, server)
@@ -274,7 +276,7 @@
         )
     outcome, affected, insert_id = answer.rows[0]
     if outcome == _CANCELLED:
-        raise fail(Verdict.NOT_RUN, Reason.DUPLICATE, "the request id was cancelled")
+        raise fail(Verdict.NOT_RUN, Reason.CANCELLED, "the request id was cancelled")
     return Reply(
         affected_rows=int(str(affected)),
         last_insert_id=int(str(insert_id)),
@@ -303,13 +305,12 @@
     """
     await connection.run("BEGIN", CONTROL_TIMEOUT_S)
     if not await record_request(connection, request, _CANCELLED, now_ms):
+        progress.stage = WriteStage.COMMITTED
         await connection.run("ROLLBACK", CONTROL_TIMEOUT_S)
         progress.on_executed()
         return await read_outcome(connection, request, server)
     await commit(connection, progress)
-    raise fail(
-        Verdict.NOT_RUN, Reason.LOST_CONNECTION, "the request was lost and cancelled"
-    )
+    raise fail(Verdict.NOT_RUN, Reason.CANCELLED, "the request was lost and cancelled")
 
 
 def judge_lost_connection(
--- a/src/apricotshore/services/owner.py
+++ b/src/apricotshore/services/owner.py
@@ -10,7 +10,7 @@
 from mode import Service
 
 from ..bundles import Bundle
-from ..decisions import admission, retry, routing, sessions
+from ..decisions import admission, failover, retry, routing, sessions
 from ..decisions.admission import (
     Assignment,
     Backlog,
@@ -19,6 +19,7 @@
     Rejection,
     Ticket,
 )
+from ..decisions.retry import WriteStage
 from ..decisions.routing import GroupView, ReadNeed
 from ..decisions.sessions import SessionKey, SessionMarks
 from ..events import Topic
@@ -466,9 +467,16 @@
             outcome = self._judge_lost(
                 request, progress, LostConnectionError("the caller was withdrawn")
             )
+        self._note_commit(progress, started_at)
         self._settle(number, outcome)
         free_slot()
 
+    def _note_commit(self, progress: Progress, sent_at: int) -> None:
+        if progress.stage >= WriteStage.COMMIT_SENT:
+            durable = progress.stage is WriteStage.DURABLE
+            state = self.watch.driver.state
+            failover.note_commit(state, durable, sent_at, read_monotonic_ms())
+
     def _requeue(self, ticket: Ticket, request: Request, progress: Progress) -> bool:
         """Queue a request again that lost its server; False when it must fail."""
         repeatable = request.action is Action.READ or retry.may_resend_write(
--- a/src/apricotshore/services/router.py
+++ b/src/apricotshore/services/router.py
@@ -130,10 +130,8 @@
         )
         routed = await self._route_free(question)
         failure = routed.outcome.failure
-        settled = failure is None or (
-            failure.verdict is Verdict.NOT_RUN
-            and failure.reason in (Reason.LOST_CONNECTION, Reason.DUPLICATE)
-        )
+        # Any other failure is the question's own and says nothing of the request.
+        settled = failure is None or failure.reason is Reason.CANCELLED
         return routed if settled else unresolved
 
     async def _route_pinned(self, request: Request, pinned: Target) -> Routed:
--- a/src/apricotshore/verdicts.py
+++ b/src/apricotshore/verdicts.py
@@ -17,6 +17,7 @@
 
     BAD_REQUEST = "bad-request"
     CALLER_REFUSED = "caller-refused"
+    CANCELLED = "cancelled"
     DATABASE_ERROR = "database-error"
     DEADLINE = "deadline"
     DRAINING = "draining"
--- a/standins/group.py
+++ b/standins/group.py
@@ -1,6 +1,7 @@
 """State of a stand-in backend server as a member of its group."""
 
 import asyncio
+import contextlib
 import json
 import os
 import sqlite3
@@ -12,6 +13,8 @@
 
 from .log import Entry, Log
 
+CHANGE_WAIT_S = 0.05
+
 
 @dataclass(kw_only=True)
 class Faults:
@@ -23,6 +26,7 @@
     connect_ms: int = 0
     mute: int = 0
     cut_replication: int = 0
+    hold_commits: int = 0
     leaving: int = 0
 
 
@@ -80,7 +84,7 @@
         self.primary_name = options.server if options.primary else ""
         self.contact = time.monotonic()
         self.known_commit = 0
-        self.changed = asyncio.Condition()
+        self.changed = asyncio.Event()
         self.write_lock = asyncio.Lock()
         self.slots = asyncio.Semaphore(options.slots)
         self.arrivals: list[float] = []
@@ -105,10 +109,15 @@
         database.execute("PRAGMA synchronous=OFF")
         return database
 
-    async def notify(self) -> None:
+    def notify(self) -> None:
         """Wake everybody who waits for a change."""
-        async with self.changed:
-            self.changed.notify_all()
+        self.changed.set()
+        self.changed = asyncio.Event()
+
+    async def wait_change(self) -> None:
+        """Wait a short while for a change."""
+        with contextlib.suppress(TimeoutError):
+            await asyncio.wait_for(self.changed.wait(), CHANGE_WAIT_S)
 
     def behind_ms(self) -> int:
         """Return the age of the oldest commit that reads here do not see."""
@@ -121,6 +130,8 @@
 
     def advance_commit(self) -> None:
         """Raise the commit index to what a majority holds (own term only)."""
+        if self.faults.hold_commits:
+            return
         ends = sorted([self.log.end, *self.acks.values()], reverse=True)
         majority = self.options.members // 2 + 1
         if len(ends) < majority:
@@ -170,7 +181,7 @@
                     self.apply_next()
                     moved = True
             if moved:
-                await self.notify()
+                self.notify()
             await asyncio.sleep(0.005)
 
     def step_down(self, term: int) -> None:
@@ -212,7 +223,7 @@
         self.log.append(Entry(term=self.term, statements=()))
         self.arrivals = self.arrivals[: self.log.end - 1] + [time.monotonic()]
         self.applied = self.log.end
-        await self.notify()
+        self.notify()
         return True
 
     def follow(self, term: int, name: str, host: str, port: int) -> bool:
--- a/standins/replication.py
+++ b/standins/replication.py
@@ -80,7 +80,7 @@
             group.acks[name] = ack["ack"]
             group.ack_times[name] = time.monotonic()
             group.advance_commit()
-            await group.notify()
+            group.notify()
             if group.commit > before:
                 group.ping.set()
 
--- a/standins/sessions.py
+++ b/standins/sessions.py
@@ -6,7 +6,6 @@
 """
 
 import asyncio
-import contextlib
 import json
 import re
 import sqlite3
@@ -186,9 +185,7 @@
             return group.commit >= end or group.role != "primary" or group.term != term
 
         while not settled() and time.monotonic() < deadline:
-            async with group.changed:
-                with contextlib.suppress(TimeoutError):
-                    await asyncio.wait_for(group.changed.wait(), 0.05)
+            await group.wait_change()
         durable = group.role == "primary" and group.term == term and group.commit >= end
         if durable and confirm and not await self.confirm(deadline):
             durable = False
@@ -204,9 +201,7 @@
             if fresh >= needed:
                 return True
             group.ping.set()
-            async with group.changed:
-                with contextlib.suppress(TimeoutError):
-                    await asyncio.wait_for(group.changed.wait(), 0.05)
+            await group.wait_change()
         return False
 
     async def run(self, word: str, bare: str, sql: str):
--- a/tests/live/test_faults.py
+++ b/tests/live/test_faults.py
@@ -37,6 +37,12 @@
     await deployment.set_fault(primary, "mute", 1)
 
 
+async def stall_commits(deployment: Deployment) -> None:
+    """Keep the primary in contact with all, but let no commit become durable."""
+    primary = await deployment.find_primary()
+    await deployment.set_fault(primary, "hold_commits", 1)
+
+
 async def kill_primary_twice(deployment: Deployment) -> None:
     primary = await deployment.find_primary()
     deployment.signal(primary, signal.SIGSTOP)
@@ -77,6 +83,7 @@
     freeze_primary,
     cut_primary_from_group,
     silence_primary,
+    stall_commits,
     kill_primary_twice,
     kill_host,
     freeze_each_host,
--- a/tests/test_executor.py
+++ b/tests/test_executor.py
@@ -12,7 +12,7 @@
     StatementRefusedError,
 )
 from apricotshore.services.executor import Progress, RequestFailedError
-from apricotshore.verdicts import Verdict
+from apricotshore.verdicts import Reason, Verdict
 
 NOTHING = Answer(columns=(), rows=(), affected_rows=1, last_insert_id=7)
 
@@ -66,6 +66,12 @@
     )
 
 
+async def resolve(connection, progress=None):
+    question = make_request(Action.RESOLVE)
+    progress = progress or Progress()
+    return await executor.resolve(connection, question, "s1", progress, 0)
+
+
 @pytest.mark.parametrize(
     ("lose_at", "verdict", "resend"),
     [
@@ -100,6 +106,17 @@
     assert "UPDATE t SET a = 1" not in connection.sent
 
 
+@pytest.mark.parametrize("lose_at", ["ROLLBACK", "SELECT outcome", "CALL group"])
+async def test_duplicate_that_loses_its_connection_may_have_run(lose_at):
+    # Found live: it was called "not run", although the first request stood.
+    for run in (write, resolve):
+        progress = Progress()
+        connection = ScriptedConnection(duplicate=True, lose_at=lose_at)
+        with pytest.raises(LostConnectionError):
+            await run(connection, progress)
+        assert judge_write(progress.stage) is Verdict.MAY_HAVE_RUN
+
+
 async def test_duplicate_of_a_cancelled_request_did_not_run():
     connection = ScriptedConnection(duplicate=True, outcome=("cancelled", 0, 0))
     with pytest.raises(RequestFailedError) as error:
@@ -117,20 +134,13 @@
 async def test_unresolved_request_is_cancelled_durably_before_it_is_called_not_run():
     connection = ScriptedConnection()
     with pytest.raises(RequestFailedError) as error:
-        await executor.resolve(
-            connection, make_request(Action.RESOLVE), "s1", Progress(), 0
-        )
+        await resolve(connection)
     assert error.value.failure.verdict is Verdict.NOT_RUN
+    assert error.value.failure.reason is Reason.CANCELLED
     assert any("'cancelled'" in sql for sql in connection.sent)
     assert connection.sent[-1].startswith("CALL group_commit_wait")
     with pytest.raises(RequestFailedError) as error:
-        await executor.resolve(
-            ScriptedConnection(durable=0),
-            make_request(Action.RESOLVE),
-            "s1",
-            Progress(),
-            0,
-        )
+        await resolve(ScriptedConnection(durable=0))
     assert error.value.failure.verdict is Verdict.MAY_HAVE_RUN
 
 
--- a/tools/slopes.py
+++ b/tools/slopes.py
@@ -37,6 +37,7 @@
 KEY = "b" * 64
 HASH = "*" + "a" * 40
 IDLE_S = 6.0
+TRAFFIC_S = 5.0
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -313,10 +314,35 @@
     return seconds, pages * resource.getpagesize()
 
 
-async def measure_idle(databases: int) -> tuple[float, float]:
-    """Return processor share and memory of one idle host that owns databases."""
+def read_loopback() -> int:
+    """Return the bytes that the loopback device has carried."""
+    for line in Path("/proc/net/dev").read_text().splitlines():
+        name, _, counts = line.partition(":")
+        if name.strip() == "lo":
+            return int(counts.split()[0])
+    return 0
+
+
+async def measure_traffic() -> float:
+    """Return the bytes a second on the loopback device."""
+    before = read_loopback()
+    await asyncio.sleep(TRAFFIC_S)
+    return (read_loopback() - before) / TRAFFIC_S
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class IdleCost:
+    """Cost of one idle host: % of a core, bytes, bytes a second."""
+
+    cpu: float
+    memory: float
+    traffic: float
+
+
+async def measure_idle(databases: int) -> IdleCost:
+    """Return the cost of one idle host that owns databases."""
     names = tuple(f"d{n}" for n in range(databases))
-    shape = Shape(hosts=1, databases=names or ("d0",), base_port=BASE_PORT)
+    shape = Shape(hosts=1, databases=names, base_port=BASE_PORT)
     deployment = Deployment(shape=shape)
     try:
         await deployment.start()
@@ -324,48 +350,70 @@
             link = await deployment.connect(0, database=database)
             await run_sql(link, "SELECT COUNT(*) FROM delivery")
             link.close()
-        pid = deployment.processes["host-0"].pid
+        host = deployment.processes["host-0"]
         await asyncio.sleep(1)
-        before, _ = read_process(pid)
-        await asyncio.sleep(IDLE_S)
-        after, memory = read_process(pid)
-        return 100 * (after - before) / IDLE_S, memory
+        before, _ = read_process(host.pid)
+        began = time.monotonic()
+        with_host = await measure_traffic()
+        await asyncio.sleep(max(began + IDLE_S - time.monotonic(), 0))
+        after, memory = read_process(host.pid)
+        host.kill()
+        host.wait()
+        # What is left is the stand-ins' own replication.
+        without = await measure_traffic()
+        return IdleCost(
+            cpu=100 * (after - before) / IDLE_S,
+            memory=memory,
+            traffic=with_host - without,
+        )
     finally:
         deployment.stop()
 
 
 async def measure_owned() -> list[Slope]:
     """Measure an idle host's cost for each database that it owns."""
-    cpu, memory = [], []
+    cpu, memory, traffic = [], [], []
     for count in (1, 2, 4, 6):
-        share, size = await measure_idle(count)
-        cpu.append(Point(size=count, cost=share))
-        memory.append(Point(size=count, cost=size))
+        cost = await measure_idle(count)
+        cpu.append(Point(size=count, cost=cost.cpu))
+        memory.append(Point(size=count, cost=cost.memory))
+        traffic.append(Point(size=count, cost=cost.traffic))
     return [
         fit_line("idle processor share", "owned database", "% of a core", cpu),
         fit_line("host memory", "owned database", "B", memory),
+        fit_line("probe traffic", "owned database", "B/s", traffic),
     ]
 
 
 async def measure_peers() -> list[Slope]:
     """Measure an idle host's cost by the number of hosts in the fleet."""
-    cpu = []
-    for count in (2, 6, 12, 24):
+    cpu, traffic = [], []
+    for count in (4, 8, 16, 32):
         shape = Shape(hosts=count, base_port=BASE_PORT)
         deployment = Deployment(shape=shape)
         try:
             await deployment.start()
             await asyncio.sleep(3)
-            pids = [deployment.processes[f"host-{n}"].pid for n in range(count)]
-            before = [read_process(pid)[0] for pid in pids]
-            await asyncio.sleep(IDLE_S)
+            hosts = [deployment.processes[f"host-{n}"] for n in range(count)]
+            before = [read_process(host.pid)[0] for host in hosts]
+            began = time.monotonic()
+            with_hosts = await measure_traffic()
+            await asyncio.sleep(max(began + IDLE_S - time.monotonic(), 0))
             spent = [
-                read_process(pid)[0] - b for pid, b in zip(pids, before, strict=True)
+                read_process(host.pid)[0] - b
+                for host, b in zip(hosts, before, strict=True)
             ]
             cpu.append(Point(size=count, cost=100 * sorted(spent)[count // 2] / IDLE_S))
+            for host in hosts:
+                host.kill()
+            without = await measure_traffic()
+            traffic.append(Point(size=count, cost=(with_hosts - without) / count))
         finally:
             deployment.stop()
-    return [fit_line("idle host, median", "host in the fleet", "% of a core", cpu)]
+    return [
+        fit_line("idle host, median", "host in the fleet", "% of a core", cpu),
+        fit_line("traffic of a host", "host in the fleet", "B/s", traffic),
+    ]
 
 
 async def measure_links() -> list[Slope]:
