--- a/tests/live/test_faults.py
+++ b/tests/live/test_faults.py
@@ -111,3 +111,20 @@
     shape = Shape(base_port=BASE_PORT, hosts=3, lag_ms=1500)
     run = await run_with_fault(shape, replace_hosts, seed=3, move_with="name")
     assert run.findings.count() == 0, run.findings.describe()
+
+
+async def test_pauses_of_half_a_second_depose_nobody():
+    async def pause_primary(deployment):
+        primary = await deployment.find_primary()
+        for _ in range(4):
+            deployment.signal(primary, signal.SIGSTOP)
+            await asyncio.sleep(0.5)
+            deployment.signal(primary, signal.SIGCONT)
+            await asyncio.sleep(0.5)
+        assert await deployment.find_primary() == primary
+        status = (await deployment.command(primary, "CALL group_status()"))[0]
+        assert int(status[2]) == 1
+
+    shape = Shape(base_port=BASE_PORT, hosts=3)
+    run = await run_with_fault(shape, pause_primary)
+    assert run.findings.count() == 0, run.findings.describe()
--- a/tools/capacity.py
+++ b/tools/capacity.py
@@ -31,14 +31,8 @@
 PLATFORM_WRITES = 400
 
 PINGS_PER_S = 12  # 3 sent and 3 answered each 500 ms
-PING_OVERHEAD_B = 250  # RPC envelope, TCP and IP headers of one message
-QUIET_RECORDS = 2
 PROBES_PER_S = 4
-STATUS_BYTES = 700  # question, row of 11 columns, headers
-CLAIM_BYTES = 350
 SERVERS = 3
-FIT_CHECKS_PER_S = 2
-FIT_BYTES = 400
 WATCHERS = 2
 EXPIRIES_PER_S = 2
 RECORDS_PER_CHANGE = 3
@@ -59,6 +53,14 @@
     how: str
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Point:
+    """A measured cost at one size."""
+
+    size: float
+    cost: float
+
+
 class Slopes:
     """The measured lines, by name."""
 
@@ -71,6 +73,11 @@
         found = self.slopes[name]
         return found["base"] + found["slope"] * size
 
+    def largest(self, name: str) -> Point:
+        """Return the measured point of the largest size."""
+        point = self.slopes[name]["points"][-1]
+        return Point(size=point["size"], cost=point["cost"])
+
     def slope(self, name: str) -> float:
         """Return the cost of one unit."""
         return self.slopes[name]["slope"]
@@ -147,12 +154,13 @@
     owned = DATABASES / HOSTS
     updates = RECORDS_PER_CHANGE * (REPLACED_PER_DAY + FAILED_PER_DAY) / DAY_S
     record = slopes.slope("ping size")
-    quiet = slopes.at("ping size", QUIET_RECORDS) + PING_OVERHEAD_B
+    largest = slopes.largest("traffic of a host")
     return [
         Line(
-            what="pings",
-            value=PINGS_PER_S * 2 * quiet,
-            how=f"{PINGS_PER_S} exchanges a second of two messages, {quiet:.0f} B",
+            what="pings and fit checks",
+            value=largest.cost,
+            how=f"a host's traffic in a fleet of {largest.size:g}, probes included "
+            "for its share of one database; the fan-out does not grow",
         ),
         Line(
             what="spread records",
@@ -161,17 +169,15 @@
         ),
         Line(
             what="probes of backend servers",
-            value=owned * SERVERS * (PROBES_PER_S * STATUS_BYTES + CLAIM_BYTES),
+            value=owned * slopes.slope("probe traffic"),
             how=f"{SERVERS} servers, status {PROBES_PER_S}/s, claim 1/s",
         ),
-        Line(
-            what="checks of better-ranked hosts",
-            value=owned * 2 * FIT_CHECKS_PER_S * FIT_BYTES,
-            how="two stand-by hosts for each database",
-        ),
         Line(
             what="bundle changes",
-            value=slopes.at("bytes of one change", DATABASES) * CHANGES_PER_DAY / DAY_S,
+            value=2
+            * slopes.at("bytes of one change", DATABASES)
+            * CHANGES_PER_DAY
+            / DAY_S,
             how="root, one page and one section; fetched once, served once",
         ),
     ]
