Sign evidence, bound the links between hosts, report deaths

Ruled out: the keys of people for evidence; hosts write it without a person.

Change: hosts sign evidence with a key from their settings, whose public part the bundle names; an unsigned record counts as missing; 2,000 links at most, least recently used idle ones are dropped; a death is an event; keys in one module.

--- a/src/apricotshore/bundles.py
+++ b/src/apricotshore/bundles.py
@@ -13,6 +13,7 @@
     KindId,
     PersonId,
     ServerId,
+    SignerId,
 )
 from .ini import (
     Section,
@@ -118,6 +119,8 @@
         Its version; versions only go up.
     databases, servers, callers, kinds, people
         Contents by id.
+    signers
+        Public keys in hex of those who may sign evidence.
     sections
         Canonical text of each section by name.
     """
@@ -128,6 +131,7 @@
     callers: dict[CallerId, Contract] = field(default_factory=dict)
     kinds: dict[KindId, Kind] = field(default_factory=dict)
     people: dict[PersonId, Person] = field(default_factory=dict)
+    signers: dict[SignerId, str] = field(default_factory=dict)
     sections: dict[str, str] = field(default_factory=dict)
 
     def find_kind(self, kind: str) -> Kind:
@@ -267,6 +271,7 @@
         callers=dict(old.callers),
         kinds=dict(old.kinds),
         people=dict(old.people),
+        signers=dict(old.signers),
         sections=dict(old.sections),
     )
     for title in removed | changed.keys():
@@ -301,6 +306,8 @@
         bundle.kinds.pop(KindId(name), None)
     elif sort == "person":
         bundle.people.pop(PersonId(name), None)
+    elif sort == "signer":
+        bundle.signers.pop(SignerId(name), None)
 
 
 def _read_section(bundle: Bundle, title: str, section: Section) -> None:
@@ -322,6 +329,8 @@
         key = section.read("public-key", parse_public_key)
         person = Person(person=PersonId(name), public_key=key)
         bundle.people[PersonId(name)] = person
+    elif sort == "signer":
+        bundle.signers[SignerId(name)] = section.read("public-key", parse_public_key)
     else:
         section.complain("", "unknown section")
 
--- a/src/apricotshore/cli.py
+++ b/src/apricotshore/cli.py
@@ -11,7 +11,6 @@
 from typing import Annotated, TypeVar
 
 import capnp
-from cryptography.hazmat.primitives import serialization
 from cryptography.hazmat.primitives.asymmetric.ed25519 import Ed25519PrivateKey
 from cyclopts import App, Parameter
 
@@ -29,6 +28,7 @@
 )
 from .identifiers import CallerId, PersonId
 from .ini import parse_address
+from .keys import load_key, save_key, show_public
 from .load import (
     check_history,
     load_scenario,
@@ -80,13 +80,6 @@
         ) from None
 
 
-def _load_key(path: Path) -> Ed25519PrivateKey:
-    try:
-        return Ed25519PrivateKey.from_private_bytes(bytes.fromhex(_read_text(path)))
-    except ValueError:
-        raise ApricotshoreError(f"{path}: expected a key from 'key new'") from None
-
-
 def _run_with_platform(
     address: str, work: Callable[[PlatformClient], Awaitable[T]]
 ) -> T:
@@ -169,17 +162,8 @@
 def new(key_file: Path) -> None:
     """Make a signing key and print its public part."""
     key = Ed25519PrivateKey.generate()
-    raw = key.private_bytes(
-        serialization.Encoding.Raw,
-        serialization.PrivateFormat.Raw,
-        serialization.NoEncryption(),
-    )
-    key_file.touch(mode=0o600, exist_ok=False)
-    key_file.write_text(raw.hex())
-    public = key.public_key().public_bytes(
-        serialization.Encoding.Raw, serialization.PublicFormat.Raw
-    )
-    print(public.hex())
+    save_key(key_file, key)
+    print(show_public(key))
 
 
 # -- bundles --
@@ -225,7 +209,7 @@
         ip:port of the object API.
     """
     bundle = parse_bundle(_read_text(bundle_file), str(bundle_file))
-    secret = _load_key(key)
+    secret = load_key(key)
 
     async def work(client: PlatformClient) -> str:
         return await operations.propose_bundle(client, bundle, PersonId(author), secret)
@@ -250,7 +234,7 @@
     platform
         ip:port of the object API.
     """
-    secret = _load_key(key)
+    secret = load_key(key)
 
     async def work(client: PlatformClient) -> int:
         root = await operations.approve_bundle(
@@ -292,10 +276,10 @@
     """Prove that a withdrawn caller is cut off; exit code 1 when not proved."""
 
     async def work(client: PlatformClient) -> None:
-        proof = await operations.prove_withdrawal(client, CallerId(caller))
-        for line in await operations.describe_proof(client, proof):
+        case = await operations.prove_withdrawal(client, CallerId(caller))
+        for line in operations.describe_case(case):
             print(line)
-        operations.require_proof(proof)
+        operations.require_proof(case.proof)
 
     _run_with_platform(platform, work)
 
--- a/src/apricotshore/evidence.py
+++ b/src/apricotshore/evidence.py
@@ -1,9 +1,16 @@
 """Stored form of the evidence that owners record in the platform."""
 
 import json
+from dataclasses import dataclass
+
+from cryptography.exceptions import InvalidSignature
+from cryptography.hazmat.primitives.asymmetric.ed25519 import (
+    Ed25519PrivateKey,
+    Ed25519PublicKey,
+)
 
 from .decisions.rollout import DatabaseEvidence, ServerEvidence
-from .exceptions import ApricotshoreError
+from .exceptions import ApricotshoreError, SignatureError
 from .groups import Mark
 from .identifiers import (
     BundleVersion,
@@ -12,10 +19,54 @@
     HostId,
     Position,
     ServerId,
+    SignerId,
     Term,
 )
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class EvidenceKey:
+    """Key with which hosts sign evidence, and the name that the bundle gives it."""
+
+    signer: SignerId
+    key: Ed25519PrivateKey
+
+
+def sign_evidence(evidence: DatabaseEvidence, own: EvidenceKey | None) -> str:
+    """Return the signed form of a record; unsigned when there is no key."""
+    record = encode_evidence(evidence)
+    signer = own.signer if own else ""
+    signature = own.key.sign(record.encode()).hex() if own else ""
+    return json.dumps({"record": record, "signer": signer, "signature": signature})
+
+
+def verify_evidence(text: str, signers: dict[SignerId, str]) -> DatabaseEvidence:
+    """Read a signed record.
+
+    Parameters
+    ----------
+    text
+        The stored form.
+    signers
+        Public keys in hex that the bundle in force names.
+
+    Raises
+    ------
+    SignatureError
+        When no known signer has signed it.
+    """
+    try:
+        value = json.loads(text)
+        record = str(value["record"])
+        public = Ed25519PublicKey.from_public_bytes(
+            bytes.fromhex(signers[SignerId(value["signer"])])
+        )
+        public.verify(bytes.fromhex(value["signature"]), record.encode())
+    except (ValueError, KeyError, TypeError, InvalidSignature):
+        raise SignatureError("the record is not signed by a known signer") from None
+    return decode_evidence(record)
+
+
 def encode_evidence(evidence: DatabaseEvidence) -> str:
     """Return the stored form of a record."""
     return json.dumps(
--- a/src/apricotshore/identifiers.py
+++ b/src/apricotshore/identifiers.py
@@ -13,6 +13,7 @@
 TransactionId = NewType("TransactionId", str)
 Fingerprint = NewType("Fingerprint", str)
 PersonId = NewType("PersonId", str)
+SignerId = NewType("SignerId", str)
 
 Term = NewType("Term", int)
 Position = NewType("Position", int)
--- a/src/apricotshore/services/application.py
+++ b/src/apricotshore/services/application.py
@@ -4,6 +4,7 @@
 import random
 import ssl
 from dataclasses import dataclass
+from pathlib import Path
 
 from mode import Service
 
@@ -14,9 +15,10 @@
 from ..decisions.membership import Life, Member
 from ..decisions.rollout import DatabaseEvidence
 from ..events import EventLog, Topic
-from ..evidence import encode_evidence
+from ..evidence import EvidenceKey, sign_evidence
 from ..exceptions import PlatformError
-from ..identifiers import Term
+from ..identifiers import SignerId, Term
+from ..keys import load_key
 from ..logs import make_logger
 from ..metrics import Metrics
 from ..requests import Request
@@ -58,6 +60,13 @@
     return context
 
 
+def _load_evidence_key(settings: Settings) -> EvidenceKey | None:
+    if not settings.evidence_key:
+        return None
+    key = load_key(Path(settings.evidence_key))
+    return EvidenceKey(signer=SignerId(settings.evidence_signer), key=key)
+
+
 class Application(Service):
     """All services of one host.
 
@@ -128,6 +137,7 @@
             refresh=self._refresh_metrics,
         )
         self.evidence_due: dict[str, DatabaseOwner] = {}
+        self.evidence_signing = _load_evidence_key(settings)
         self.evidence_kept: dict[str, str] = {}
         self.burn = BurnRecord()
         self.draining = False
@@ -148,6 +158,9 @@
             platform=self.platform,
             seeds=settings.seeds,
             on_change=lambda: self.keeper.note_members(),
+            on_death=lambda host: self.explain(
+                Topic.MEMBERSHIP, host, "dead", "did not answer and did not refute"
+            ),
         )
 
     def _make_handlers(self) -> PeerHandlers:
@@ -271,7 +284,7 @@
         if evidence is None:
             self.evidence_due.pop(database, None)
             return
-        value = encode_evidence(evidence)
+        value = sign_evidence(evidence, self.evidence_signing)
         if self.evidence_kept.get(database) == value:
             self.evidence_due.pop(database, None)
             return
--- a/src/apricotshore/services/members.py
+++ b/src/apricotshore/services/members.py
@@ -38,6 +38,8 @@
         Addresses to try when the list cannot be had.
     on_change
         Called when the set of live hosts or a bundle version changed.
+    on_death
+        Called with each host that is now believed dead.
     """
 
     def __init__(
@@ -48,6 +50,7 @@
         platform: PlatformClient,
         seeds: tuple[str, ...],
         on_change: Callable[[], None],
+        on_death: Callable[[HostId], None],
     ) -> None:
         super().__init__()
         self.fleet: Membership = membership.start_membership(me)
@@ -55,6 +58,7 @@
         self.platform = platform
         self.seeds = seeds
         self.on_change = on_change
+        self.on_death = on_death
         self.ring = Ring(hosts=[me.host])
         self.ring_version = -1
 
@@ -105,7 +109,8 @@
             await asyncio.gather(*(self._probe(target) for target in targets))
             if len(self.fleet.members) == 1:
                 await asyncio.gather(*(self._probe_seed(a) for a in self.seeds))
-            if membership.expire(self.fleet, read_monotonic_ms()):
+            for host in membership.expire(self.fleet, read_monotonic_ms()):
+                self.on_death(host)
                 self.on_change()
             jitter = random.uniform(0.8, 1.2)
             await self.sleep(membership.PROBE_PERIOD_MS / 1000 * jitter)
--- a/src/apricotshore/services/operations.py
+++ b/src/apricotshore/services/operations.py
@@ -8,14 +8,15 @@
 from cryptography.hazmat.primitives.asymmetric.ed25519 import Ed25519PrivateKey
 
 from ..bundles import EMPTY_BUNDLE, Bundle
-from ..decisions.rollout import Proof, judge_withdrawal
-from ..evidence import decode_evidence
+from ..decisions.rollout import DatabaseEvidence, Proof, judge_withdrawal
+from ..evidence import verify_evidence
 from ..exceptions import (
     ApricotshoreError,
     ConflictError,
     NotProvedError,
     PlatformConflictError,
     PlatformError,
+    SignatureError,
 )
 from ..identifiers import BundleVersion, CallerId, DatabaseId, HostId, PersonId
 from ..manifests import (
@@ -249,31 +250,60 @@
     raise ApricotshoreError(f"no bundle ever withdrew caller {caller!r}")
 
 
-async def prove_withdrawal(platform: PlatformClient, caller: CallerId) -> Proof:
-    """Judge the recorded evidence that a caller is cut off."""
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Case:
+    """A withdrawal, the records about it and what they prove.
+
+    Parameters
+    ----------
+    version
+        Bundle version that withdrew the caller.
+    records
+        Signed record of each database that it lost.
+    unsigned
+        Databases whose record no known signer has signed.
+    proof
+        The judgement.
+    """
+
+    version: BundleVersion
+    records: dict[DatabaseId, DatabaseEvidence]
+    unsigned: tuple[DatabaseId, ...]
+    proof: Proof
+
+
+async def prove_withdrawal(platform: PlatformClient, caller: CallerId) -> Case:
+    """Judge the recorded evidence that a caller is cut off.
+
+    Only the platform is asked, so that it can be judged without access to the
+    fleet. A record without a known signer's signature counts as missing.
+    """
     version, databases = await find_withdrawal(platform, caller)
-    evidence = {}
+    signers = (await read_in_force(platform)).bundle.signers
+    records: dict[DatabaseId, DatabaseEvidence] = {}
+    unsigned: list[DatabaseId] = []
     for database in databases:
         stored = await platform.read(ObjectKind.EVIDENCE, database, Purpose.REPORT)
-        if stored is not None:
-            evidence[database] = decode_evidence(stored.value)
+        if stored is None:
+            continue
+        try:
+            records[database] = verify_evidence(stored.value, signers)
+        except SignatureError:
+            unsigned.append(database)
     listed = await platform.list(ObjectKind.HOST, Purpose.REPORT)
     hosts = {HostId(item.name) for item in listed}
-    for record in evidence.values():
+    for record in records.values():
         hosts.add(record.owner)
         hosts.update(h for s in record.servers for h in s.killed)
-    return judge_withdrawal(caller, version, databases, evidence, tuple(sorted(hosts)))
+    proof = judge_withdrawal(caller, version, databases, records, tuple(sorted(hosts)))
+    return Case(version=version, records=records, unsigned=tuple(unsigned), proof=proof)
 
 
-async def describe_proof(platform: PlatformClient, proof: Proof) -> list[str]:
+def describe_case(case: Case) -> list[str]:
     """Return the lines of a proof for an operator, with its details."""
-    version, databases = await find_withdrawal(platform, proof.caller)
-    lines = [f"caller {proof.caller}: withdrawn by version {version}"]
-    for database in databases:
-        stored = await platform.read(ObjectKind.EVIDENCE, database, Purpose.REPORT)
-        if stored is None:
-            continue
-        record = decode_evidence(stored.value)
+    proof = case.proof
+    lines = [f"caller {proof.caller}: withdrawn by version {case.version}"]
+    for database, record in case.records.items():
         last = dict(record.last_admitted_ms).get(proof.caller)
         refused = dict(record.refused).get(proof.caller, 0)
         lines.append(
@@ -288,6 +318,7 @@
     for line in proof.hosts:
         text = line.evidence.value if line.evidence else "no evidence"
         lines.append(f"  host {line.host}: {text}")
+    lines.extend(f"  {d}: the record is not signed" for d in case.unsigned)
     lines.extend(f"  missing: {text}" for text in proof.missing)
     verdict = "proved" if proof.proved else "not proved"
     when = f" from {proof.in_force_at_ms} ms" if proof.proved else ""
--- a/src/apricotshore/services/peers.py
+++ b/src/apricotshore/services/peers.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import ssl
+from collections import OrderedDict
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 from typing import Any
@@ -20,6 +21,7 @@
 CALL_TIMEOUT_S = 0.5
 FETCH_TIMEOUT_S = 5.0
 FIT_TIMEOUT_S = 0.3
+LINKS_KEPT = 2_000
 GUARD_PERIOD_S = 0.15
 GUARD_TIMEOUT_S = 0.3
 GUARD_MISSES = 2
@@ -174,6 +176,7 @@
         self.client: Any = None
         self.peer: Any = None
         self.lock = asyncio.Lock()
+        self.active = 0
         self.outstanding = 0
         self.answers = 0
         self.guarding: asyncio.Task[None] | None = None
@@ -218,6 +221,13 @@
         PeerLostError
             When no answer came.
         """
+        self.active += 1
+        try:
+            return await self._call(build, timeout_s)
+        finally:
+            self.active -= 1
+
+    async def _call(self, build: Callable[[Any], Any], timeout_s: float) -> Any:
         peer = await self._connect()
         try:
             return await asyncio.wait_for(build(peer).send(), timeout_s)
@@ -253,7 +263,7 @@
 
 
 class PeerLinks:
-    """All links of this host, by address.
+    """All links of this host, by address, least recently used first.
 
     Parameters
     ----------
@@ -263,25 +273,28 @@
 
     def __init__(self, *, context: ssl.SSLContext | None) -> None:
         self.context = context
-        self.links: dict[str, PeerLink] = {}
+        self.links: OrderedDict[str, PeerLink] = OrderedDict()
 
     def _find(self, address: str) -> PeerLink:
         link = self.links.get(address)
         if link is None:
             link = PeerLink(address=address, context=self.context)
             self.links[address] = link
+            self._drop_surplus()
+        self.links.move_to_end(address)
         return link
 
+    def _drop_surplus(self) -> None:
+        surplus = max(len(self.links) - LINKS_KEPT, 0)
+        for address in list(self.links)[:surplus]:
+            if not self.links[address].active:
+                self.links.pop(address).drop()
+
     def close(self) -> None:
         """Drop every link."""
         for link in self.links.values():
             link.drop()
 
-    def keep_only(self, addresses: set[str]) -> None:
-        """Drop links to addresses that no member has any more."""
-        for address in [a for a in self.links if a not in addresses]:
-            self.links.pop(address).drop()
-
     async def execute(
         self, address: str, request: Request, timeout_s: float
     ) -> Outcome:
--- a/src/apricotshore/settings.py
+++ b/src/apricotshore/settings.py
@@ -65,6 +65,9 @@
         ``human`` or ``json``.
     peer_tls, caller_tls
         Keys towards peers and towards callers.
+    evidence_signer, evidence_key
+        Name that the bundle gives to the key that signs evidence, and the
+        file that holds it; both empty to leave evidence unsigned.
     trusted
         People whose keys are trusted for the first bundle that is taken.
     """
@@ -84,6 +87,8 @@
     log_format: str = "human"
     peer_tls: TlsSettings = TlsSettings()
     caller_tls: TlsSettings = TlsSettings()
+    evidence_signer: str = ""
+    evidence_key: str = ""
     trusted: tuple[Person, ...] = ()
 
 
@@ -93,6 +98,12 @@
     return text
 
 
+def _parse_file(text: str) -> str:
+    if not Path(text).is_file():
+        raise ValueError(f"no such file: {text}")
+    return text
+
+
 def _parse_addresses(text: str) -> tuple[str, ...]:
     return tuple(parse_address(p.strip()) for p in text.split(",") if p.strip())
 
@@ -101,15 +112,11 @@
     if section is None:
         return TlsSettings()
     tls = TlsSettings(
-        certificate=section.read("certificate", str),
-        key=section.read("key", str),
-        authority=section.read("authority", str, ""),
+        certificate=section.read("certificate", _parse_file),
+        key=section.read("key", _parse_file),
+        authority=section.read("authority", _parse_file, ""),
     )
     section.refuse_unknown()
-    for key in ("certificate", "key"):
-        path = section.values.get(key)
-        if path and not Path(path).is_file():
-            section.complain(key, f"no such file: {path}")
     return tls
 
 
@@ -164,6 +171,8 @@
         login_ms=host.read("login", parse_duration, DEFAULT_LOGIN_MS),
         max_callers=host.read("max-callers", parse_count, DEFAULT_MAX_CALLERS),
         log_format=host.read("log-format", _parse_log_format, "human"),
+        evidence_signer=host.read("evidence-signer", parse_name, ""),
+        evidence_key=host.read("evidence-key", _parse_file, ""),
         peer_tls=peer_tls,
         caller_tls=caller_tls,
         trusted=trusted,
--- a/standins/deployment.py
+++ b/standins/deployment.py
@@ -12,11 +12,11 @@
 from pathlib import Path
 
 import aiomysql
-from cryptography.hazmat.primitives import serialization
 from cryptography.hazmat.primitives.asymmetric.ed25519 import Ed25519PrivateKey
 
 from apricotshore.bundles import parse_bundle
 from apricotshore.identifiers import PersonId
+from apricotshore.keys import save_key, show_public
 from apricotshore.services import operations
 from apricotshore.services.platform import PlatformClient
 
@@ -71,6 +71,7 @@
     processes: dict[str, subprocess.Popen] = field(default_factory=dict)
     keys: dict[str, Ed25519PrivateKey] = field(default_factory=dict)
     version: int = 0
+    evidence_key: Ed25519PrivateKey = field(default_factory=Ed25519PrivateKey.generate)
 
     # -- addresses --
 
@@ -149,24 +150,21 @@
             for n in range(self.shape.hosts)
             if n != number
         )
-        trusted = "\n".join(f"{p} = {self.public_key(p)}" for p in self.keys)
+        trusted = "\n".join(f"{p} = {show_public(self.keys[p])}" for p in self.keys)
+        key_path = self.folder / "evidence.key"
+        if not key_path.exists():
+            save_key(key_path, self.evidence_key)
         path = self.folder / f"host-{number}.ini"
         path.write_text(
             f"[host]\nname = host-{number}\ndata-centre = {centre}\n"
             f"caller-address = 127.0.0.1:{caller}\npeer-address = 127.0.0.1:{peer}\n"
             f"status-address = 127.0.0.1:{status}\n"
             f"platform-address = {self.platform_address}\nseeds = {seeds}\n"
+            f"evidence-signer = fleet\nevidence-key = {key_path}\n"
             f"[trusted-keys]\n{trusted}\n{self.shape.peer_tls}"
         )
         return path
 
-    def public_key(self, person: str) -> str:
-        """Return a person's public key in hex."""
-        public = self.keys[person].public_key()
-        return public.public_bytes(
-            serialization.Encoding.Raw, serialization.PublicFormat.Raw
-        ).hex()
-
     # -- life cycle --
 
     async def start(self) -> None:
@@ -275,7 +273,11 @@
                 f"password-hash = {operations.hash_password(PASSWORD)}\n"
             )
         for person in self.keys:
-            parts.append(f"[person {person}]\npublic-key = {self.public_key(person)}\n")
+            parts.append(
+                f"[person {person}]\npublic-key = {show_public(self.keys[person])}\n"
+            )
+        public = show_public(self.evidence_key)
+        parts.append(f"[signer fleet]\npublic-key = {public}\n")
         parts.append(self.shape.kinds or DEFAULT_KINDS)
         return "\n".join(parts)
 
--- a/tests/live/test_withdrawal.py
+++ b/tests/live/test_withdrawal.py
@@ -49,7 +49,7 @@
     deadline = time.monotonic() + bound_s
     try:
         while True:
-            proof = await operations.prove_withdrawal(client, GONE)
+            proof = (await operations.prove_withdrawal(client, GONE)).proof
             if proof.proved or time.monotonic() > deadline:
                 return proof
             await asyncio.sleep(0.1)
--- a/tests/test_manifests.py
+++ b/tests/test_manifests.py
@@ -1,11 +1,11 @@
 from dataclasses import replace
 
 import pytest
-from cryptography.hazmat.primitives import serialization
 from cryptography.hazmat.primitives.asymmetric.ed25519 import Ed25519PrivateKey
 
 from apricotshore.bundles import EMPTY_BUNDLE, parse_bundle
 from apricotshore.exceptions import SignatureError
+from apricotshore.keys import show_public
 from apricotshore.manifests import (
     Pieces,
     cut_bundle,
@@ -22,12 +22,7 @@
 
 
 def get_public(person):
-    return (
-        KEYS[person]
-        .public_key()
-        .public_bytes(serialization.Encoding.Raw, serialization.PublicFormat.Raw)
-        .hex()
-    )
+    return show_public(KEYS[person])
 
 
 def make_bundle():
--- a/tests/test_operations.py
+++ b/tests/test_operations.py
@@ -109,6 +109,6 @@
         await approve(client, await propose(client, bundle))
         version, databases = await operations.find_withdrawal(client, "members-app")
         assert version == 2 and databases == ("deliveries",)
-        proof = await operations.prove_withdrawal(client, "members-app")
+        proof = (await operations.prove_withdrawal(client, "members-app")).proof
         assert not proof.proved
         assert "no record" in proof.missing[0]
--- a/tests/test_rollout.py
+++ b/tests/test_rollout.py
@@ -1,3 +1,5 @@
+import pytest
+from cryptography.hazmat.primitives.asymmetric.ed25519 import Ed25519PrivateKey
 from hypothesis import given
 from hypothesis import strategies as st
 
@@ -10,8 +12,10 @@
     judge_withdrawal,
     may_serve,
 )
-from apricotshore.evidence import decode_evidence, encode_evidence
+from apricotshore.evidence import EvidenceKey, sign_evidence, verify_evidence
+from apricotshore.exceptions import SignatureError
 from apricotshore.groups import ORIGIN
+from apricotshore.keys import show_public
 
 HOSTS = ("h1", "h2", "h3")
 
@@ -61,9 +65,28 @@
     assert not judge([make_evidence()], databases=("d", "e")).proved
 
 
-def test_evidence_survives_storage():
+def test_signed_evidence_survives_storage():
     evidence = make_evidence(confirmed=(5, None, 7))
-    assert decode_evidence(encode_evidence(evidence)) == evidence
+    own = EvidenceKey(signer="fleet", key=Ed25519PrivateKey.generate())
+    signers = {"fleet": show_public(own.key)}
+    assert verify_evidence(sign_evidence(evidence, own), signers) == evidence
+
+
+@pytest.mark.parametrize("fault", ["unsigned", "unknown", "forged", "changed", "no"])
+def test_evidence_without_a_known_signature_is_refused(fault):
+    own = EvidenceKey(signer="fleet", key=Ed25519PrivateKey.generate())
+    signers = {"fleet": show_public(own.key)}
+    text = sign_evidence(make_evidence(), None if fault == "unsigned" else own)
+    if fault == "unknown":
+        signers = {"other": show_public(own.key)}
+    elif fault == "forged":
+        signers = {"fleet": show_public(Ed25519PrivateKey.generate())}
+    elif fault == "changed":
+        text = text.replace("h1", "h2")
+    elif fault == "no":
+        text = "no record"
+    with pytest.raises(SignatureError):
+        verify_evidence(text, signers)
 
 
 @given(st.lists(st.integers(0, 30), max_size=40))
--- a/tools/capacity.py
+++ b/tools/capacity.py
@@ -37,6 +37,7 @@
 EXPIRIES_PER_S = 2
 RECORDS_PER_CHANGE = 3
 COPIES_PER_RECORD = 3
+LINKS_KEPT = 2_000
 SLOW_POLL_S = 45
 LIST_PERIOD_S = 22.5
 SECTION_READS = 3
@@ -143,8 +144,8 @@
         ),
         Line(
             what="links to other hosts",
-            value=slopes.slope("peer links") * HOSTS / 1e6,
-            how="if every entry host talks to every owner",
+            value=slopes.slope("peer links") * LINKS_KEPT / 1e6,
+            how=f"{LINKS_KEPT:,} at most, the least recently used are dropped",
         ),
     ]
 
--- a/tools/demo.py
+++ b/tools/demo.py
@@ -140,16 +140,16 @@
     client = PlatformClient(address=deployment.platform_address)
     try:
         while True:
-            proof = await operations.prove_withdrawal(client, CallerId("old-branch"))
+            case = await operations.prove_withdrawal(client, CallerId("old-branch"))
             late = time.monotonic() > started + PROOF_TIMEOUT_S
-            if proof.proved or late:
+            if case.proof.proved or late:
                 break
             await asyncio.sleep(0.1)
-        for line in await operations.describe_proof(client, proof):
+        for line in operations.describe_case(case):
             say(f"  {line}")
     finally:
         await client.close()
-    if not proof.proved:
+    if not case.proof.proved:
         raise SystemExit("the withdrawal was not proved")
 
 
