Let no database stay without an owner after its owner found itself unfit

Its unfitness was forgotten with the owner object, so the others took it for a fit claimant and deferred to it, and the stop of the owner, which waits for calls to servers, held up the host's duties.

Change: answers about a server that is no longer primary are dropped; a claimant is asked whether it holds the claim, not whether it is fit; unfitness is kept beside the owners; stopping an owner holds nothing up.

--- a/src/apricotshore/services/application.py
+++ b/src/apricotshore/services/application.py
@@ -174,6 +174,7 @@
             list_burn=lambda: burn.list_buckets(self.burn),
             offer_database=self.registry.offer,
             is_unfit=self.registry.is_unfit,
+            is_holding=self.registry.is_holding,
             on_disconnect=self.registry.drop_origin,
         )
 
--- a/src/apricotshore/services/groupwatch.py
+++ b/src/apricotshore/services/groupwatch.py
@@ -228,6 +228,9 @@
     async def _ask_witnesses(self, act: AskWitnesses) -> None:
         address = self.endpoints[act.server].server.address
         answers = await self.hooks.ask_witnesses(address)
+        if act.server != self.view.primary:
+            # It was replaced meanwhile: the answers speak of a former primary.
+            return
         if any(answers):
             self.driver.state.silent_hosts = 0
             self.hooks.on_unfit()
--- a/src/apricotshore/services/peers.py
+++ b/src/apricotshore/services/peers.py
@@ -67,6 +67,7 @@
     list_burn: Callable[[], list[Bucket]]
     offer_database: Callable[[DatabaseId], None]
     is_unfit: Callable[[DatabaseId], bool]
+    is_holding: Callable[[DatabaseId], bool]
     on_disconnect: Callable[[HostId], None]
 
 
@@ -110,6 +111,10 @@
     async def offerDatabase_context(self, context: Any) -> None:  # noqa: N802
         self.handlers.offer_database(DatabaseId(context.params.database))
 
+    async def isHolding_context(self, context: Any) -> None:  # noqa: N802
+        database = DatabaseId(context.params.database)
+        context.results.holding = self.handlers.is_holding(database)
+
     async def isUnfit_context(self, context: Any) -> None:  # noqa: N802
         database = DatabaseId(context.params.database)
         context.results.unfit = self.handlers.is_unfit(database)
@@ -385,6 +390,17 @@
 
         await self._find(address).call(build, CALL_TIMEOUT_S)
 
+    async def is_holding(self, address: str, database: DatabaseId) -> bool:
+        """Ask a peer whether it holds the claim on a database."""
+
+        def build(peer: Any) -> Any:
+            message = peer.isHolding_request()
+            message.database = database
+            return message
+
+        answer = await self._find(address).call(build, FIT_TIMEOUT_S)
+        return bool(answer.holding)
+
     async def is_unfit(self, address: str, database: DatabaseId) -> bool:
         """Ask a peer whether it cannot own a database."""
 
--- a/src/apricotshore/services/registry.py
+++ b/src/apricotshore/services/registry.py
@@ -108,7 +108,13 @@
     def is_unfit(self, database: DatabaseId) -> bool:
         """Return whether this host cannot own a database at present."""
         owner = self.owners.get(database)
-        return self.draining or (owner is not None and owner.unfit)
+        unfit = database in self.unfit_since or (owner is not None and owner.unfit)
+        return self.draining or unfit
+
+    def is_holding(self, database: DatabaseId) -> bool:
+        """Return whether this host holds the claim on a database."""
+        owner = self.owners.get(database)
+        return owner is not None and owner.owning
 
     def drop_origin(self, origin: HostId) -> None:
         """Roll back the transactions of a link that has gone."""
@@ -201,12 +207,15 @@
             await self._stop_owner(database)
 
     def _heal_unfit(self, database: DatabaseId, owner: DatabaseOwner | None) -> None:
-        if owner is None or not owner.unfit:
-            self.unfit_since.pop(database, None)
-            return
-        since = self.unfit_since.setdefault(database, read_monotonic_ms())
-        if read_monotonic_ms() - since >= UNFIT_MS:
-            owner.unfit = False
+        # Remembered here as well: an unfit owner is stopped and forgotten.
+        now = read_monotonic_ms()
+        if owner is not None and owner.unfit:
+            self.unfit_since.setdefault(database, now)
+        since = self.unfit_since.get(database)
+        if since is not None and now - since >= UNFIT_MS:
+            del self.unfit_since[database]
+            if owner is not None:
+                owner.unfit = False
 
     async def _is_first(
         self, database: DatabaseId, tries: int, unfit: set[str]
@@ -242,7 +251,12 @@
             return False
         if claim.address in unfit:
             return False
-        return await self._is_fit(claim.address, database, tries)
+        for _ in range(tries):
+            try:
+                return await self.links.is_holding(claim.address, database)
+            except (PeerUnreachableError, PeerLostError):
+                continue
+        return False
 
     # -- owners --
 
@@ -289,7 +303,8 @@
         owner = self.owners.pop(database, None)
         if owner is not None:
             await owner.release()
-            await owner.stop()
+            # Stopping may wait for calls to servers that do not answer.
+            self._start(owner.stop())
 
     async def _ask_witnesses(self, server_address: str) -> list[bool]:
         others = [
--- a/src/apricotshore/wire/peer.capnp
+++ b/src/apricotshore/wire/peer.capnp
@@ -117,5 +117,6 @@
   listEvents @5 (topic :Text, subject :Text) -> (events :List(Event));
   offerDatabase @6 (database :Text) -> ();
   listBurn @8 () -> (buckets :List(BurnBucket));
+  isHolding @9 (database :Text) -> (holding :Bool);
   isUnfit @7 (database :Text) -> (unfit :Bool);
 }
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -38,6 +38,7 @@
         list_burn=lambda: [],
         offer_database=lambda database: None,
         is_unfit=lambda database: False,
+        is_holding=lambda database: False,
         on_disconnect=lambda origin: None,
     )
 
--- /dev/null
+++ b/tests/test_registry.py
@@ -0,0 +1,60 @@
+"""An owner that finds itself unfit must not leave its database without one."""
+
+from types import SimpleNamespace
+
+from apricotshore.decisions.failover import AskWitnesses
+from apricotshore.decisions.routing import GroupView
+from apricotshore.services import registry as registry_module
+from apricotshore.services.groupwatch import GroupWatch, WatchHooks
+from apricotshore.services.registry import OwnerRegistry
+
+
+def make_registry():
+    return OwnerRegistry(
+        settings=None, members=None, links=None, hooks=None, policy=None
+    )
+
+
+def test_unfitness_outlives_the_owner_that_found_it(monkeypatch):
+    registry, now = make_registry(), 0
+    monkeypatch.setattr(registry_module, "read_monotonic_ms", lambda: now)
+    owner = SimpleNamespace(unfit=True, owning=False)
+    registry.owners["d"] = owner
+    registry._heal_unfit("d", owner)
+    del registry.owners["d"]
+    registry._heal_unfit("d", None)
+    assert registry.is_unfit("d")
+    now = registry_module.UNFIT_MS
+    registry._heal_unfit("d", None)
+    assert not registry.is_unfit("d")
+
+
+def test_host_that_lost_its_claim_does_not_say_that_it_holds_it():
+    registry = make_registry()
+    assert not registry.is_holding("d")
+    registry.owners["d"] = SimpleNamespace(unfit=False, owning=False)
+    assert not registry.is_holding("d")
+
+
+async def test_witnesses_of_a_replaced_primary_make_nobody_unfit():
+    # Found live: a former primary woke up and answered the witnesses.
+    view, unfit = GroupView(members=("s1", "s2", "s3"), primary="s1"), []
+
+    async def ask(address):
+        view.primary = "s2"
+        return [True, True]
+
+    hooks = WatchHooks(
+        on_claim=None,
+        on_change=None,
+        on_explain=None,
+        ask_witnesses=ask,
+        on_unfit=lambda: unfit.append(True),
+        may_drive=None,
+    )
+    endpoint = SimpleNamespace(server=SimpleNamespace(address="a:1"))
+    watch = GroupWatch(
+        endpoints={"s1": endpoint}, view=view, driver_name="d", hooks=hooks
+    )
+    await watch._ask_witnesses(AskWitnesses(server="s1"))
+    assert not unfit
--- a/tools/slopes.py
+++ b/tools/slopes.py
@@ -433,6 +433,7 @@
         list_burn=list,
         offer_database=lambda database: None,
         is_unfit=lambda database: False,
+        is_holding=lambda database: False,
         on_disconnect=lambda origin: None,
     )
     server = PeerServer(
