Remove dead code and read metrics pages in one place

Cause: reading the whole change: five names nothing used, a parameter that its function ignored, and one fetch of a metrics page written three times. Ruled out: the rows of like shape; their logic differs. Change: the names are gone, Deployment.read_metrics serves all three. Conclusion: behaviour is unchanged.

--- a/src/apricotshore/decisions/membership.py
+++ b/src/apricotshore/decisions/membership.py
@@ -13,7 +13,6 @@
 
 PROBE_PERIOD_MS = 500
 PROBE_FANOUT = 3
-PROBE_TIMEOUT_MS = 400
 SUSPECT_MS = 1_500
 FORGET_MS = 600_000
 UPDATES_PER_MESSAGE = 8
--- a/src/apricotshore/decisions/routing.py
+++ b/src/apricotshore/decisions/routing.py
@@ -1,6 +1,5 @@
 """Routing: which backend servers may serve a read or a write."""
 
-from collections.abc import Mapping
 from dataclasses import dataclass, field
 
 from ..groups import ORIGIN, Mark, Role, ServerStatus
@@ -182,12 +181,3 @@
     if (new.term, new.position) > (old.term, old.position):
         return Mark(term=new.term, position=max(new.position, old.position))
     return old
-
-
-def count_replicas(sightings: Mapping[ServerId, Sighting]) -> int:
-    """Return how many reachable replicas are known."""
-    return sum(
-        1
-        for seen in sightings.values()
-        if seen.reachable and seen.status.role is Role.REPLICA
-    )
--- a/src/apricotshore/services/errorcodes.py
+++ b/src/apricotshore/services/errorcodes.py
@@ -4,7 +4,6 @@
 
 from ..verdicts import Failure, Reason, Verdict
 
-ACCESS_DENIED = 1045
 COMMIT_UNRESOLVED = 1180
 ROLLED_BACK = 1213
 SERVER_SHUTDOWN = 1053
--- a/src/apricotshore/services/executor.py
+++ b/src/apricotshore/services/executor.py
@@ -313,9 +313,7 @@
     raise fail(Verdict.NOT_RUN, Reason.CANCELLED, "the request was lost and cancelled")
 
 
-def judge_lost_connection(
-    request: Request, progress: Progress, error: LostConnectionError
-) -> Failure:
+def judge_lost_connection(progress: Progress, error: LostConnectionError) -> Failure:
     """Return the failure of a request whose connection was lost."""
     verdict = judge_write(progress.stage)
     return Failure(verdict=verdict, reason=Reason.LOST_CONNECTION, detail=str(error))
--- a/src/apricotshore/services/owner.py
+++ b/src/apricotshore/services/owner.py
@@ -460,12 +460,12 @@
             routing.observe_silence(self.view, assignment.server)
             if self._requeue(assignment.ticket, request, progress):
                 return
-            outcome = self._judge_lost(request, progress, error)
+            outcome = self._judge_lost(progress, error)
         except StatementRefusedError as error:
             outcome = self._judge_refused(error)
         except asyncio.CancelledError:
             outcome = self._judge_lost(
-                request, progress, LostConnectionError("the caller was withdrawn")
+                progress, LostConnectionError("the caller was withdrawn")
             )
         self._note_commit(progress, started_at)
         self._settle(number, outcome)
@@ -511,10 +511,8 @@
         )
         return Outcome(failure=failure)
 
-    def _judge_lost(
-        self, request: Request, progress: Progress, error: LostConnectionError
-    ) -> Outcome:
-        return Outcome(failure=executor.judge_lost_connection(request, progress, error))
+    def _judge_lost(self, progress: Progress, error: LostConnectionError) -> Outcome:
+        return Outcome(failure=executor.judge_lost_connection(progress, error))
 
     async def _run(
         self, assignment: Assignment, pending: Pending, progress: Progress
--- a/src/apricotshore/services/platform.py
+++ b/src/apricotshore/services/platform.py
@@ -33,7 +33,6 @@
     PROPOSAL = "proposal"
     HISTORY = "history"
     EVIDENCE = "evidence"
-    CHANGE = "change"
     HOST = "host"
 
 
--- a/standins/deployment.py
+++ b/standins/deployment.py
@@ -238,6 +238,11 @@
 
         await self.wait_for(probe)
 
+    def read_metrics(self, number: int) -> str:
+        """Return the metrics page of a host."""
+        url = f"http://127.0.0.1:{self.host_ports(number)[2]}/metrics"
+        return urllib.request.urlopen(url, timeout=2).read().decode()
+
     def signal(self, name: str, number: signal.Signals) -> None:
         """Send a signal to one of our processes."""
         self.processes[name].send_signal(number)
--- a/tests/live/test_withdrawal.py
+++ b/tests/live/test_withdrawal.py
@@ -3,7 +3,6 @@
 import asyncio
 import signal
 import time
-import urllib.request
 
 import aiomysql
 from pymysql.err import MySQLError
@@ -28,9 +27,7 @@
 
 def find_owner(deployment):
     for number in range(deployment.shape.hosts):
-        port = deployment.host_ports(number)[2]
-        url = f"http://127.0.0.1:{port}/metrics"
-        text = urllib.request.urlopen(url, timeout=2).read().decode()
+        text = deployment.read_metrics(number)
         if "apricotshore_databases_owned 1" in text:
             return number
     raise AssertionError("no host owns the database")
--- a/tools/measure.py
+++ b/tools/measure.py
@@ -7,7 +7,6 @@
 import subprocess
 import sys
 import time
-import urllib.request
 from collections.abc import Awaitable, Callable
 from dataclasses import asdict, dataclass, field
 from pathlib import Path
@@ -182,9 +181,7 @@
     """Return the reads served by each backend server, over all hosts."""
     counts: dict[str, int] = {}
     for number in range(deployment.shape.hosts):
-        port = deployment.host_ports(number)[2]
-        url = f"http://127.0.0.1:{port}/metrics"
-        text = urllib.request.urlopen(url, timeout=2).read().decode()
+        text = deployment.read_metrics(number)
         for server, count in re.findall(
             r'apricotshore_reads_served\{.*?server="([^"]+)".*?\} (\d+)', text
         ):
@@ -603,9 +600,7 @@
 def all_in_force(deployment: Deployment, version: int) -> bool:
     """Return whether every host shows a bundle version."""
     for number in range(deployment.shape.hosts):
-        port = deployment.host_ports(number)[2]
-        url = f"http://127.0.0.1:{port}/metrics"
-        text = urllib.request.urlopen(url, timeout=2).read().decode()
+        text = deployment.read_metrics(number)
         if f"apricotshore_bundle_version {version}" not in text:
             return False
     return True
