Fetch the pieces of an accepted change from the platform first

Hosts that heard of a new bundle asked a random peer for its pieces first; that peer was frozen, the call took 5 s, the platform was gone by then, and no host held the bundle.

Ruled out: the spread among peers; no host had version 2 in its log.

Change: only a host without a bundle asks peers first.

--- a/src/apricotshore/services/keeper.py
+++ b/src/apricotshore/services/keeper.py
@@ -128,8 +128,15 @@
             texts.append("" if stored is None else stored.value)
         return texts
 
+    def _choose_source(self) -> FetchPieces:
+        # Peers spare the platform a new host's first fetch. Pieces of a change
+        # that was just accepted are nowhere else yet, and a frozen peer would
+        # hold the spread up.
+        if self.root is None:
+            return self._fetch_anywhere
+        return self._fetch_from_platform
+
     async def _fetch_anywhere(self, digests: list[str]) -> list[str]:
-        # A host that is new fetches everything: peers spare the platform that.
         texts = await self._fetch_from_some_peer(digests)
         missing = [d for d, text in zip(digests, texts, strict=True) if not text]
         found = dict(
@@ -149,7 +156,7 @@
         """Read the root from the platform once and take it."""
         stored = await self.platform.read(ObjectKind.BUNDLE, CURRENT, Purpose.ROLLOUT)
         if stored is not None:
-            await self._take_root(stored.value, self._fetch_anywhere)
+            await self._take_root(stored.value, self._choose_source())
 
     async def take_from_peer(self, address: str) -> None:
         """Fetch the root of a peer and take it."""
@@ -181,7 +188,7 @@
                 )
                 if stored is not None:
                     seen = stored.version
-                    await self._take_root(stored.value, self._fetch_anywhere)
+                    await self._take_root(stored.value, self._choose_source())
                 backoff_s = BACKOFF_FIRST_S
             except PlatformError:
                 await self.sleep(backoff_s * random.uniform(0.5, 1.0))
