Keep pauses while an order to promote may take effect

A host that had been cut off began a change against a primary already replaced; its order was accepted and took 1 s. Meanwhile it saw the newer term, took the change for finished by another host and resumed the paused replica.

Change: a change is over only when the promoted server itself proves its lead after the order. Without that proof the pauses and the open lease stay, and whoever finds the lease settles it behind a newer token. A leading server other than the one to be replaced ends the change before anything is ordered. The lease is renewed before replicas are resumed.

--- a/src/apricotshore/decisions/handover.py
+++ b/src/apricotshore/decisions/handover.py
@@ -15,7 +15,10 @@
 from ..identifiers import ServerId, Term
 from .floors import Evidence
 
-LEASE_MS = 4_000
+LEASE_MS = 6_000
+# Shares of the lease after which no step, and no confirmation, is begun.
+STEPS_MS = 2_500
+CONFIRM_MS = 4_500
 # A primary that gives no answer for this long is replaced.
 SILENCE_LIMIT_MS = 900
 # Commits that stay without an answer for this long show a cut-off primary.
@@ -24,7 +27,6 @@
 CATCH_UP_MS = 300
 # After this long without enough answers the primary itself is asked to yield.
 YIELD_AFTER_MS = 800
-READING_LIFE_MS = 600
 STAGGER_STEP_MS = 120
 # An acknowledged commit is on the primary and on one replica.
 COPIES = 2
@@ -69,6 +71,10 @@
     ----------
     from_term
         Term of the primary that is to be replaced.
+    replaced
+        Server that led when it began, None when none did.
+    must_yield
+        Whether that server is replaced although it answers.
     started_at
         When it began, in milliseconds since boot.
     pause_term
@@ -81,15 +87,20 @@
         When the target was chosen.
     avoided
         Servers that the platform would not promote.
+    ordered
+        Whether an order to promote may take effect.
     """
 
     from_term: Term
     started_at: int
+    replaced: ServerId | None = None
+    must_yield: bool = False
     pause_term: Term = Term(0)
     readings: dict[ServerId, Reading] = field(default_factory=dict)
     target: ServerId | None = None
     target_since: int = 0
     avoided: set[ServerId] = field(default_factory=set)
+    ordered: bool = False
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -129,7 +140,22 @@
     why: str
 
 
-Step = Ask | Pause | Yield | Promote | Wait
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Abandon:
+    """Action: give the change up, because another server leads by now."""
+
+    leader: ServerId
+
+
+Step = Ask | Pause | Yield | Promote | Wait | Abandon
+
+
+def find_leader(attempt: Attempt) -> ServerId | None:
+    """Return a server that leads and need not be replaced, None without one."""
+    for server, reading in attempt.readings.items():
+        if reading.leading and (server != attempt.replaced or not attempt.must_yield):
+            return server
+    return None
 
 
 def order(mark: Mark) -> tuple[int, int]:
@@ -191,16 +217,6 @@
     return best.server
 
 
-def _list_stale(
-    attempt: Attempt, members: tuple[Member, ...], now: int
-) -> tuple[ServerId, ...]:
-    def is_stale(server: ServerId) -> bool:
-        reading = attempt.readings.get(server)
-        return reading is None or now - reading.read_at > READING_LIFE_MS
-
-    return tuple(m.server for m in members if is_stale(m.server))
-
-
 def plan(
     attempt: Attempt,
     members: tuple[Member, ...],
@@ -224,6 +240,9 @@
     now
         Milliseconds since boot.
     """
+    leader = find_leader(attempt)
+    if leader is not None:
+        return Abandon(leader=leader)
     missing = tuple(m.server for m in members if m.server not in attempt.readings)
     followers = _list_followers(attempt, members)
     if len(missing) >= COPIES or not followers:
--- a/src/apricotshore/pooling/changer.py
+++ b/src/apricotshore/pooling/changer.py
@@ -7,6 +7,7 @@
 
 from ..decisions import floors, handover
 from ..decisions.handover import (
+    Abandon,
     Ask,
     Attempt,
     Member,
@@ -39,9 +40,9 @@
 COMMAND_TIMEOUT_MS = 400
 COMMAND_PRIORITY = -2
 STORE_RETRY_S = 0.2
-CONFIRM_LIMIT_MS = 3_000
 SETTLE_ROUNDS = 5
 LEASE_POLL_MS = 3_000
+OWN_LEASE_POLL_MS = 300
 
 
 class Changer(Service):
@@ -107,7 +108,9 @@
 
     async def _find_unfinished(self) -> str | None:
         now = read_boot_ms()
-        if now - self.looked_at < LEASE_POLL_MS:
+        mine = self.seen is not None and self.seen.open and self.seen.holder == self.me
+        pause = OWN_LEASE_POLL_MS if mine else LEASE_POLL_MS
+        if now - self.looked_at < pause:
             return None
         self.looked_at = now
         try:
@@ -164,28 +167,27 @@
         if reason == "stalled" and not await self._is_cut_off():
             self.group.writes.unanswered.clear()
             return
-        if not self._is_needed(reason):
+        if reason != "unfinished" and not self._is_needed(reason):
             return
         token = await self._acquire()
         if token is None:
             await asyncio.sleep(STORE_RETRY_S)
             return
-        self._note("began", reason=reason, token=token, term=self.group.lead.term)
-        attempt = Attempt(from_term=self.group.lead.term, started_at=began)
-        promoted = False
-        while read_boot_ms() - began < handover.LEASE_MS - CONFIRM_LIMIT_MS / 2:
-            if not self._is_needed(reason) or self._is_over(attempt):
+        lead = self.group.lead
+        self._note("began", reason=reason, token=token, replaced=lead.primary)
+        attempt = Attempt(
+            from_term=lead.term,
+            started_at=began,
+            replaced=lead.primary,
+            must_yield=reason in ("leaving", "stalled"),
+        )
+        while read_boot_ms() - began < handover.STEPS_MS and not attempt.ordered:
+            if not self._is_needed(reason):
                 break
-            if await self._take_step(attempt, token):
-                promoted = True
+            if not await self._take_step(attempt, token):
                 break
             await asyncio.sleep(STEP_PAUSE_S)
-        if promoted:
-            await self._confirm(attempt)
-        await self._settle(attempt, token)
-
-    def _is_over(self, attempt: Attempt) -> bool:
-        return self.group.lead.term > attempt.from_term
+        await self._settle(attempt, token, reason == "unfinished")
 
     def _is_needed(self, reason: str) -> bool:
         trigger = self._trigger()
@@ -213,6 +215,7 @@
         )
 
     async def _take_step(self, attempt: Attempt, token: FencingToken) -> bool:
+        """Take the next step; returns whether there is another one."""
         group = self.group
         now = read_boot_ms()
         since_loss = None
@@ -231,14 +234,18 @@
                 self._note("yielding", server=server, term=term)
                 await self._command_all(attempt, (server,), QueryKind.STEP_DOWN, term)
             case Promote(server=server):
-                return await self._promote(attempt, server, token)
+                await self._promote(attempt, server, token)
             case Wait(why=why):
                 self._note("waiting", why=why)
-        return False
+            case Abandon(leader=leader):
+                self._note("abandoned", leader=leader)
+                group.probe_wanted.set()
+                return False
+        return True
 
     async def _promote(
         self, attempt: Attempt, server: ServerId, token: FencingToken
-    ) -> bool:
+    ) -> None:
         group = self.group.group
         mark = attempt.readings[server].mark
         self._note(
@@ -247,13 +254,15 @@
         try:
             accepted = await self.promoter.promote(group, server, self.host, token)
         except StoreError as error:
+            # It may still take effect: the pauses stay until that is settled.
+            attempt.ordered = True
             self._note("promotion-unknown", server=server, why=str(error))
-            return False
+            return
+        attempt.ordered = accepted
         if not accepted:
             attempt.avoided.add(server)
             attempt.target = None
             self._note("promotion-refused", server=server)
-        return accepted
 
     async def _command_all(
         self,
@@ -324,32 +333,53 @@
         reached = [handover.order(r.received) for r in reports if r is not None]
         return not reached or max(reached) < handover.order(first.received)
 
-    async def _confirm(self, attempt: Attempt) -> None:
-        began = read_boot_ms()
-        while not self._is_over(attempt):
-            if read_boot_ms() - began > CONFIRM_LIMIT_MS:
-                self._note("unconfirmed", server=attempt.target)
-                return
+    async def _confirm(self, attempt: Attempt) -> bool:
+        """Wait until the promoted server proves its lead."""
+        ordered_at = read_boot_ms()
+        lead = self.group.lead
+        while read_boot_ms() - attempt.started_at < handover.CONFIRM_MS:
+            if lead.primary == attempt.target and lead.confirmed_at >= ordered_at:
+                return True
             self.group.probe_wanted.set()
             await asyncio.sleep(STEP_PAUSE_S)
+        return False
 
-    async def _settle(self, attempt: Attempt, token: FencingToken) -> None:
-        """Let paused servers receive again and give the lease back."""
-        primary = self.group.lead.primary
-        if primary is None or self.group.lead.silent_since is not None:
-            # Nobody leads: the pauses stay, the next attempt needs them.
-            await self._write_lease(still_open=False)
-            self._note("ended", outcome="no-primary")
+    async def _settle(
+        self, attempt: Attempt, token: FencingToken, unfinished: bool
+    ) -> None:
+        """Let paused servers receive again and give the lease back.
+
+        As long as an order to promote may take effect the pauses stay: a commit
+        acknowledged with the help of a resumed server would be lost by it. The
+        lease then stays open, and whoever finds it so settles the matter.
+        """
+        if attempt.ordered and not await self._confirm(attempt):
+            self._note("unconfirmed", server=attempt.target)
+            return
+        must_fence = unfinished or (bool(attempt.pause_term) and not attempt.ordered)
+        if must_fence and not await self._fence(token):
+            self._note("ended", outcome="unsettled")
+            return
+        if await self._write_lease(still_open=True) is None:
+            self._note("ended", outcome="lease lost")
             return
-        if not self._is_over(attempt) and attempt.pause_term:
-            # An order that got no answer may still take effect: fence it.
-            await self.promoter.promote(self.group.group, primary, self.host, token)
         for _ in range(SETTLE_ROUNDS):
             if await self._resume_all():
                 break
             await asyncio.sleep(STEP_PAUSE_S)
         await self._write_lease(still_open=False)
-        self._note("ended", outcome="settled", primary=primary)
+        self._note("ended", outcome="settled", primary=self.group.lead.primary)
+
+    async def _fence(self, token: FencingToken) -> bool:
+        """Have the platform refuse earlier orders; False if nobody leads.
+
+        Naming the present primary changes nothing but the lowest token that
+        the platform accepts.
+        """
+        primary = self.group.lead.primary
+        if primary is None or self.group.lead.silent_since is not None:
+            return False
+        return await self.promoter.promote(self.group.group, primary, self.host, token)
 
     async def _resume_all(self) -> bool:
         others = [s for s in self.group.servers if s != self.group.lead.primary]
@@ -359,7 +389,7 @@
         paused = [
             s
             for s, report in zip(others, reports, strict=True)
-            if report is not None and report.paused_term > self.group.lead.term
+            if report is not None and report.paused_term > 0
         ]
         await asyncio.gather(
             *(self._command(s, QueryKind.RESUME, Term(0)) for s in paused)
--- /dev/null
+++ b/standins/pooled.py
@@ -0,0 +1,439 @@
+"""In-memory model of what a pooling host talks to: servers, store, promotions.
+
+A primary appends commits to its log and acknowledges one when a replica has
+received it. Commands and promotions follow the users' description; faults are
+attributes that a test sets.
+"""
+
+import asyncio
+from collections.abc import Sequence
+from dataclasses import dataclass, field
+
+from apricotshore.groups import Mark, Role
+from apricotshore.identifiers import (
+    DataCentreId,
+    FencingToken,
+    GroupId,
+    HostId,
+    Position,
+    ServerId,
+    StoreRevision,
+    Term,
+)
+from apricotshore.pooling.ports import (
+    HistoryLostError,
+    LeaseRecord,
+    LinkLostError,
+    LinkRefusedError,
+    Snapshot,
+    StoreConflictError,
+    StoredKind,
+    StoreError,
+)
+from apricotshore.queries import (
+    Answer,
+    FailureCode,
+    Query,
+    QueryKind,
+    ServerReport,
+    TransactionState,
+)
+from apricotshore.routes import ListedServer
+
+GROUP = GroupId("ledger")
+ENDLESS_S = 60.0
+Entry = tuple[int, int, str]
+_POSITIONED = (QueryKind.BEGIN, QueryKind.BEGIN_READ, QueryKind.READ)
+_COMMANDS = (
+    QueryKind.STATUS,
+    QueryKind.PAUSE,
+    QueryKind.RESUME,
+    QueryKind.STEP_DOWN,
+)
+
+
+@dataclass(kw_only=True, eq=False)
+class ModelServer:
+    """One backend server of the model.
+
+    Parameters
+    ----------
+    name
+        Its id.
+    log
+        Entries it has received: term, number and what was written.
+    applied
+        Entries that its reads see.
+    leading
+        Whether it leads.
+    paused_term
+        Term of the pause in force, 0 without one.
+    up
+        Whether it answers at all.
+    deaf
+        Whether it receives nothing.
+    unreachable_by
+        Names of dialers that cannot reach it.
+    mute
+        Whether it runs statements and loses the answers.
+    """
+
+    name: ServerId
+    log: list[Entry] = field(default_factory=list)
+    applied: int = 0
+    leading: bool = False
+    paused_term: int = 0
+    up: bool = True
+    deaf: bool = False
+    lag_s: float = 0.0
+    mute: bool = False
+    unreachable_by: set[str] = field(default_factory=set)
+    busy: int = 0
+    connections: int = 0
+    born_ms: int = 1
+
+    @property
+    def end(self) -> Mark:
+        """Position of the last entry received."""
+        term, number, _ = self.log[-1] if self.log else (0, 0, "")
+        return Mark(term=Term(term), position=Position(number))
+
+    def see(self) -> Mark:
+        """Return the position of the last entry applied."""
+        term, number, _ = self.log[self.applied - 1] if self.applied else (0, 0, "")
+        return Mark(term=Term(term), position=Position(number))
+
+
+@dataclass(kw_only=True)
+class ModelGroup:
+    """A database group: a primary, replicas, and what was acknowledged."""
+
+    servers: dict[ServerId, ModelServer] = field(default_factory=dict)
+    term: int = 1
+    acknowledged: list[str] = field(default_factory=list)
+    lost: list[str] = field(default_factory=list)
+    stale: list[str] = field(default_factory=list)
+    promotions: list[tuple[ServerId, int]] = field(default_factory=list)
+    limit: int = 20
+
+    @classmethod
+    def make(cls, count: int = 3) -> "ModelGroup":
+        """Return a group of servers ``s1`` to ``sN``; the first one leads."""
+        group = cls()
+        for number in range(1, count + 1):
+            name = ServerId(f"s{number}")
+            group.servers[name] = ModelServer(name=name, leading=number == 1)
+        return group
+
+    def find_primary(self) -> ModelServer | None:
+        """Return the server that leads."""
+        return next((s for s in self.servers.values() if s.leading), None)
+
+    def list(self, server: ModelServer, *, leaving: bool = False) -> ListedServer:
+        """Return a server as the store would list it."""
+        return ListedServer(
+            server=server.name,
+            group=GROUP,
+            address="10.0.0.1:1",
+            data_centre=DataCentreId("braga-a"),
+            slots=3,
+            leaving=leaving,
+            says_primary=server.leading,
+            born_ms=server.born_ms,
+        )
+
+    async def commit(self, primary: ModelServer, text: str) -> bool:
+        """Append an entry; returns whether it was acknowledged."""
+        entry = (self.term, len(primary.log) + 1, text)
+        primary.log.append(entry)
+        primary.applied = len(primary.log)
+        while primary.leading and primary.up:
+            if self._replicate(primary, entry):
+                self.acknowledged.append(text)
+                return True
+            await asyncio.sleep(0.002)
+        return False
+
+    def _replicate(self, primary: ModelServer, entry: Entry) -> bool:
+        received = False
+        for replica in self.servers.values():
+            able = replica.up and not replica.deaf and not replica.paused_term
+            if replica is primary or not able:
+                continue
+            if entry not in replica.log:
+                replica.log = list(primary.log)
+                if replica.lag_s:
+                    loop = asyncio.get_running_loop()
+                    loop.call_later(replica.lag_s, self._apply, replica)
+                else:
+                    self._apply(replica)
+            received = True
+        return received
+
+    def _apply(self, replica: ModelServer) -> None:
+        replica.applied = len(replica.log)
+
+    def promote(self, name: ServerId) -> None:
+        """Make a server lead the next term with the log it has."""
+        target = self.servers[name]
+        if target.leading or not target.up:
+            return
+        self.term += 1
+        self.promotions.append((name, self.term))
+        for server in self.servers.values():
+            server.leading = False
+        target.leading = True
+        target.paused_term = 0
+        target.applied = len(target.log)
+        held = {text for _, _, text in target.log}
+        self.lost += [text for text in self.acknowledged if text not in held]
+        for server in self.servers.values():
+            if server is not target and server.log[: len(target.log)] != target.log:
+                server.log = server.log[: len(target.log)]
+                server.applied = min(server.applied, len(server.log))
+
+
+class ModelLink:
+    """A connection to a server of the model."""
+
+    def __init__(self, *, group: ModelGroup, server: ModelServer, who: str) -> None:
+        self.group = group
+        self.server = server
+        self.who = who
+        self.state = TransactionState.IDLE
+        self.plain = False
+        self.pending: list[str] = []
+        self.values: dict[str, str] = {}
+        self.prepared: set[str] = set()
+        self.seen: list[tuple[Query, dict[str, str]]] = []
+        self.open = True
+        server.connections += 1
+
+    @property
+    def usable(self) -> bool:
+        """Whether the connection is open."""
+        return self.open
+
+    def close(self) -> None:
+        """Close and roll back."""
+        if self.open:
+            self.open = False
+            self.server.connections -= 1
+
+    async def run(
+        self, queries: Sequence[Query], after: Mark | None, timeout_s: float
+    ) -> list[Answer]:
+        """Run statements, each after the one before."""
+        try:
+            async with asyncio.timeout(timeout_s):
+                await asyncio.sleep(0.001)
+                if not self.server.up or self.who in self.server.unreachable_by:
+                    await asyncio.sleep(ENDLESS_S)
+                answers = [await self._run(query, after) for query in queries]
+                if self.server.mute:
+                    await asyncio.sleep(ENDLESS_S)
+                return answers
+        except TimeoutError:
+            self.close()
+            raise LinkLostError("no answer in time", sent=True) from None
+
+    async def _run(self, query: Query, after: Mark | None) -> Answer:
+        server = self.server
+        self.seen.append((query, dict(self.values)))
+        failure = await self._execute(query, after)
+        rows = ("row",) if query.kind is QueryKind.READ and failure is None else ()
+        report = None
+        if query.kind in (QueryKind.STATUS, QueryKind.PAUSE, QueryKind.STEP_DOWN):
+            report = ServerReport(
+                role=Role.PRIMARY if server.leading else Role.REPLICA,
+                term=Term(self.group.term),
+                received=server.end,
+                paused_term=Term(server.paused_term),
+            )
+        return Answer(
+            rows=rows,
+            receipt=f"r.{server.name}" if failure is None else "",
+            failure=failure,
+            state=self.state,
+            mark=server.see(),
+            report=report,
+        )
+
+    async def _execute(self, query: Query, after: Mark | None) -> FailureCode | None:
+        kind = query.kind
+        if self.state is TransactionState.FAILED and kind is not QueryKind.ROLLBACK:
+            return FailureCode.MALFORMED
+        if kind in _POSITIONED and after is not None:
+            seen = self.server.see()
+            if (seen.term, seen.position) < (after.term, after.position):
+                return FailureCode.BEHIND
+        if kind in (QueryKind.WRITE, QueryKind.EXECUTE):
+            return await self._write(query)
+        if kind is QueryKind.COMMIT:
+            return await self._commit()
+        if kind is QueryKind.READ:
+            return self._read(self.server)
+        if kind in _COMMANDS:
+            self._obey(query)
+            return None
+        return self._change_session(query)
+
+    def _obey(self, query: Query) -> None:
+        if query.kind is QueryKind.PAUSE:
+            self.server.paused_term = int(query.term)
+        elif query.kind is QueryKind.RESUME:
+            self.server.paused_term = 0
+        elif query.kind is QueryKind.STEP_DOWN:
+            self.server.leading = False
+
+    def _change_session(self, query: Query) -> FailureCode | None:
+        kind = query.kind
+        if kind is QueryKind.BEGIN and not self.server.leading:
+            return FailureCode.NOT_PRIMARY
+        if kind in (QueryKind.BEGIN, QueryKind.BEGIN_READ):
+            self.state = TransactionState.OPEN
+            self.plain = kind is QueryKind.BEGIN
+        elif kind is QueryKind.ROLLBACK:
+            self.state, self.pending = TransactionState.IDLE, []
+        elif kind is QueryKind.SET:
+            self.values[query.name] = query.value
+        elif kind is QueryKind.RESET:
+            self.values.clear()
+            self.prepared.clear()
+        elif kind is QueryKind.PREPARE:
+            self.prepared.add(query.name)
+        return None
+
+    def _read(self, server: ModelServer) -> FailureCode | None:
+        in_plain = self.state is TransactionState.OPEN and self.plain
+        if in_plain and not server.leading:
+            self.state = TransactionState.FAILED
+            return FailureCode.NOT_PRIMARY
+        return None
+
+    async def _write(self, query: Query) -> FailureCode | None:
+        if query.kind is QueryKind.EXECUTE and query.name not in self.prepared:
+            return FailureCode.NOT_PREPARED
+        if not self.server.leading:
+            return FailureCode.NOT_PRIMARY
+        if self.state is TransactionState.OPEN:
+            self.pending.append(query.request)
+            return None
+        done = await self.group.commit(self.server, query.request)
+        return None if done else FailureCode.NOT_PRIMARY
+
+    async def _commit(self) -> FailureCode | None:
+        pending, self.pending = self.pending, []
+        self.state = TransactionState.IDLE
+        if not pending:
+            return None
+        if not self.server.leading:
+            return FailureCode.NOT_PRIMARY
+        done = await self.group.commit(self.server, "+".join(pending))
+        return None if done else FailureCode.NOT_PRIMARY
+
+
+@dataclass(kw_only=True)
+class ModelDialer:
+    """Connects one host to the servers of a model."""
+
+    group: ModelGroup
+    who: str
+    links: list[ModelLink] = field(default_factory=list)
+
+    async def dial(self, server: ListedServer, timeout_s: float) -> ModelLink:
+        """Connect."""
+        model = self.group.servers[server.server]
+        await asyncio.sleep(0.001)
+        if not model.up or self.who in model.unreachable_by:
+            await asyncio.sleep(timeout_s)
+            raise LinkLostError("cannot connect", sent=False)
+        if model.connections >= self.group.limit:
+            raise LinkRefusedError(FailureCode.TOO_MANY_CONNECTIONS)
+        link = ModelLink(group=self.group, server=model, who=self.who)
+        self.links.append(link)
+        return link
+
+
+@dataclass(kw_only=True)
+class ModelPlatform:
+    """Store and promotion API of the model, shared by all hosts.
+
+    Parameters
+    ----------
+    group
+        The group that promotions change.
+    promote_s
+        Time from an accepted order to its effect.
+    down
+        Whether nothing is answered.
+    late_s
+        When set, orders get no answer and are carried out that much later,
+        if their token is still the highest.
+    """
+
+    group: ModelGroup
+    promote_s: float = 0.05
+    down: bool = False
+    late_s: float = 0.0
+    revision: int = 10
+    leases: dict[GroupId, LeaseRecord] = field(default_factory=dict)
+    tokens: dict[GroupId, int] = field(default_factory=dict)
+    orders: list[tuple[HostId, ServerId, int]] = field(default_factory=list)
+
+    def _check(self) -> None:
+        if self.down:
+            raise StoreError("down")
+
+    async def list(self, kind: StoredKind) -> Snapshot:
+        """List nothing: tests fill the directory themselves."""
+        self._check()
+        return Snapshot(changes=(), revision=StoreRevision(self.revision))
+
+    async def watch(
+        self, kind: StoredKind, revision: StoreRevision, wait_ms: int
+    ) -> Snapshot:
+        """Never report a change."""
+        raise HistoryLostError("no history")
+
+    async def read_lease(self, group: GroupId) -> LeaseRecord | None:
+        """Read a lease."""
+        self._check()
+        return self.leases.get(group)
+
+    async def write_lease(self, group: GroupId, record: LeaseRecord) -> LeaseRecord:
+        """Write a lease under its condition."""
+        self._check()
+        old = self.leases.get(group)
+        if (old.revision if old else 0) != record.revision:
+            raise StoreConflictError("another revision")
+        self.revision += 1
+        self.leases[group] = LeaseRecord(
+            revision=StoreRevision(self.revision),
+            holder=record.holder,
+            open=record.open,
+        )
+        return self.leases[group]
+
+    async def promote(
+        self, group: GroupId, server: ServerId, holder: HostId, token: FencingToken
+    ) -> bool:
+        """Take an order to promote a server."""
+        self._check()
+        self.orders.append((holder, server, token))
+        loop = asyncio.get_running_loop()
+        if self.late_s and not self.group.servers[server].leading:
+            loop.call_later(self.late_s, self._carry_out, group, server, token, 0.0)
+            raise StoreError("no answer")
+        return self._carry_out(group, server, token, self.promote_s)
+
+    def _carry_out(
+        self, group: GroupId, server: ServerId, token: int, delay_s: float
+    ) -> bool:
+        if token < self.tokens.get(group, 0) or not self.group.servers[server].up:
+            return False
+        self.tokens[group] = token
+        if not self.group.servers[server].leading:
+            loop = asyncio.get_running_loop()
+            loop.call_later(delay_s, self.group.promote, server)
+        return True
--- /dev/null
+++ b/tests/pooling/support.py
@@ -0,0 +1,166 @@
+"""One host's view of a model group, with everything that acts on it."""
+
+import asyncio
+import os
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from dataclasses import dataclass
+
+from apricotshore.decisions.placement import Distance
+from apricotshore.groups import Mark
+from apricotshore.identifiers import (
+    DatabaseId,
+    HostId,
+    Position,
+    RequestId,
+    ServerId,
+    StoreRevision,
+    Term,
+)
+from apricotshore.pooling.changer import Changer
+from apricotshore.pooling.dispatch import Context
+from apricotshore.pooling.group import Group
+from apricotshore.pooling.journal import Journal
+from apricotshore.pooling.prober import Prober
+from apricotshore.queries import Query, QueryKind
+from apricotshore.routes import Configuration, Consistency, Route
+from standins.pooled import GROUP, ModelDialer, ModelGroup, ModelPlatform
+
+
+def read(request: str = "r1") -> Query:
+    return Query(kind=QueryKind.READ, request=RequestId(request), text="READ a")
+
+
+def write(request: str = "w1") -> Query:
+    return Query(kind=QueryKind.WRITE, request=RequestId(request), text="WRITE a b")
+
+
+def mark(term: int, position: int) -> Mark:
+    return Mark(term=Term(term), position=Position(position))
+
+
+def make_route(
+    consistency: Consistency = Consistency.LATEST, staleness_ms: int = 0
+) -> Route:
+    return Route(
+        database=DatabaseId("shop"),
+        group=GROUP,
+        consistency=consistency,
+        staleness_ms=staleness_ms,
+        timeout_ms=800,
+        target_ms=400,
+    )
+
+
+def make_configuration(route: Route) -> Configuration:
+    return Configuration(
+        revision=StoreRevision(1), routes={route.database: route}, groups={}
+    )
+
+
+def make_journal() -> Journal:
+    return Journal(host="h", descriptor=os.open(os.devnull, os.O_WRONLY))
+
+
+@dataclass(kw_only=True)
+class ModelHost:
+    """A host in front of a model group."""
+
+    name: HostId
+    model: ModelGroup
+    platform: ModelPlatform
+    dialer: ModelDialer
+    group: Group
+    prober: Prober
+    changer: Changer
+
+    @classmethod
+    def make(cls, name: str, model: ModelGroup, platform: ModelPlatform) -> "ModelHost":
+        journal = make_journal()
+        dialer = ModelDialer(group=model, who=name)
+        group = Group(
+            group=GROUP,
+            dialer=dialer,
+            locate=lambda data_centre: Distance.SAME_DATA_CENTRE,
+            journal=journal,
+        )
+        group.lost_at = None
+        for server in model.servers.values():
+            group.list_server(model.list(server))
+        changer = Changer(
+            group=group,
+            host=HostId(name),
+            store=platform,
+            promoter=platform,
+            journal=journal,
+        )
+        return cls(
+            name=HostId(name),
+            model=model,
+            platform=platform,
+            dialer=dialer,
+            group=group,
+            prober=Prober(group=group),
+            changer=changer,
+        )
+
+    def list_leaving(self, server: str) -> None:
+        """Report a server as leaving."""
+        model = self.model.servers[ServerId(server)]
+        self.group.list_server(self.model.list(model, leaving=True))
+
+    def make_context(self, route: Route) -> Context:
+        """Return what serving statements needs of the host."""
+        configuration = make_configuration(route)
+        return Context(
+            host=self.name,
+            find_group=lambda name: self.group,
+            configuration=lambda: configuration,
+            journal=self.group.journal,
+            spawn=lambda work: asyncio.get_running_loop().create_task(work),
+        )
+
+
+@asynccontextmanager
+async def running(*hosts: ModelHost) -> AsyncIterator[None]:
+    """Run the probers and changers of hosts."""
+    services = [s for host in hosts for s in (host.prober, host.changer)]
+    for service in services:
+        await service.start()
+    try:
+        yield
+    finally:
+        for service in services:
+            await service.stop()
+
+
+async def wait_until(condition, limit_s: float = 8.0) -> None:
+    """Wait until a condition holds; fails when it does not in time."""
+    async with asyncio.timeout(limit_s):
+        while not condition():
+            await asyncio.sleep(0.01)
+
+
+@asynccontextmanager
+async def writing(model: ModelGroup) -> AsyncIterator[list[str]]:
+    """Keep writing at the primary; yields what was acknowledged."""
+
+    async def write_on() -> None:
+        number = 0
+        while True:
+            number += 1
+            primary = model.find_primary()
+            if primary is not None and primary.up:
+                work = asyncio.create_task(model.commit(primary, f"w{number}"))
+                jobs.add(work)
+                work.add_done_callback(jobs.discard)
+            await asyncio.sleep(0.01)
+
+    jobs: set[asyncio.Task[bool]] = set()
+    task = asyncio.create_task(write_on())
+    try:
+        yield model.acknowledged
+    finally:
+        task.cancel()
+        for job in list(jobs):
+            job.cancel()
--- /dev/null
+++ b/tests/pooling/test_changes.py
@@ -0,0 +1,137 @@
+"""Changes of primary against a model group: nothing acknowledged is lost."""
+
+import asyncio
+
+import pytest
+
+from apricotshore.decisions import leads
+from apricotshore.identifiers import ServerId, Term
+from standins.pooled import ModelGroup, ModelPlatform
+
+from .support import ModelHost, running, wait_until, writing
+
+S1, S2, S3 = ServerId("s1"), ServerId("s2"), ServerId("s3")
+
+
+def make(hosts: int = 2, **faults) -> tuple[ModelGroup, ModelPlatform, list[ModelHost]]:
+    model = ModelGroup.make()
+    platform = ModelPlatform(group=model, **faults)
+    names = [f"host-{number}" for number in range(hosts)]
+    return model, platform, [ModelHost.make(n, model, platform) for n in names]
+
+
+async def test_crashed_primary_is_replaced_without_loss():
+    model, _, hosts = make()
+    async with running(*hosts), writing(model):
+        await wait_until(lambda: len(model.acknowledged) > 20)
+        model.servers[S2].deaf = True
+        await asyncio.sleep(0.1)
+        model.servers[S1].up = model.servers[S1].leading = False
+        await wait_until(lambda: model.promotions)
+        await wait_until(lambda: not any(s.paused_term for s in model.servers.values()))
+    assert model.promotions == [(S3, 2)]
+    assert model.lost == []
+
+
+async def test_leaving_primary_is_replaced_without_loss():
+    model, _, hosts = make(promote_s=0.3)
+    async with running(*hosts), writing(model):
+        await wait_until(lambda: len(model.acknowledged) > 20)
+        for host in hosts:
+            host.list_leaving("s1")
+        await wait_until(lambda: model.promotions)
+        await wait_until(lambda: not any(s.paused_term for s in model.servers.values()))
+    assert len(model.promotions) == 1
+    assert model.lost == []
+
+
+async def test_outdated_belief_replaces_no_primary(monkeypatch):
+    """A host that was cut off takes the former primary's stall for a reason."""
+    model, platform, (host,) = make(1, promote_s=0.6)
+    model.promote(S2)
+
+    async def look_cut_off() -> bool:
+        return True
+
+    monkeypatch.setattr(host.changer, "_is_cut_off", look_cut_off)
+    leads.observe_lead(host.group.lead, S1, Term(1), 1)
+    host.group.lead.primary = S1
+    async with writing(model):
+        await wait_until(lambda: len(model.acknowledged) > 5)
+        host.group.writes.unanswered = [1, 2]
+        change = asyncio.create_task(host.changer._change("stalled"))
+        await wait_until(lambda: platform.orders or change.done())
+        for _, target, _ in platform.orders:
+            model.servers[target].deaf = True
+        async with running(host):
+            await change
+            await asyncio.sleep(0.7)
+    assert model.find_primary().name == S2
+    assert model.lost == []
+
+
+async def test_pauses_stay_while_an_order_may_take_effect():
+    model, platform, (host,) = make(1, promote_s=0.8)
+    async with running(host), writing(model):
+        await wait_until(lambda: len(model.acknowledged) > 5)
+        host.list_leaving("s1")
+        await wait_until(lambda: platform.orders)
+        target = platform.orders[0][1]
+        other = next(s for s in (S2, S3) if s != target)
+        while not model.promotions:
+            assert model.servers[other].paused_term
+            await asyncio.sleep(0.01)
+        await wait_until(lambda: not model.servers[other].paused_term)
+    assert model.lost == []
+
+
+@pytest.mark.parametrize("late_s", [0.3, 1.5, 3.0])
+async def test_order_without_answer_loses_nothing(late_s):
+    model, _, hosts = make(late_s=late_s)
+    async with running(*hosts), writing(model):
+        await wait_until(lambda: len(model.acknowledged) > 20)
+        model.servers[S1].up = model.servers[S1].leading = False
+        await wait_until(lambda: model.promotions, 15.0)
+        await asyncio.sleep(0.5)
+    assert model.lost == []
+
+
+async def test_returning_primary_is_kept_when_its_replicas_are_unknown():
+    """One replica down and the primary down: its log may be the only one."""
+    model, _, hosts = make()
+    model.servers[S3].up = False
+    async with running(*hosts), writing(model):
+        await wait_until(lambda: len(model.acknowledged) > 5)
+        model.servers[S1].up = False
+        await asyncio.sleep(3.0)
+        assert not model.promotions
+        model.servers[S1].up = True
+        count = len(model.acknowledged)
+        await wait_until(lambda: len(model.acknowledged) > count + 5)
+    assert model.lost == []
+
+
+async def test_store_outage_delays_the_change_and_loses_nothing():
+    model, platform, hosts = make()
+    async with running(*hosts), writing(model):
+        await wait_until(lambda: len(model.acknowledged) > 5)
+        platform.down = True
+        model.servers[S1].up = model.servers[S1].leading = False
+        await asyncio.sleep(1.5)
+        assert not model.promotions
+        platform.down = False
+        await wait_until(lambda: model.promotions)
+    assert len(model.promotions) == 1
+    assert model.lost == []
+
+
+async def test_cut_off_primary_is_replaced_when_commits_stall():
+    model, _, hosts = make()
+    async with running(*hosts), writing(model):
+        await wait_until(lambda: len(model.acknowledged) > 5)
+        model.servers[S2].deaf = model.servers[S3].deaf = True
+        for host in hosts:
+            host.group.writes.begin()
+            host.group.writes.begin()
+        await wait_until(lambda: model.promotions)
+    assert model.lost == []
