Let watches wait as long as the bounds allow

Ruled out: longer waits than the bounds, as a silent connection would keep an old configuration in force; sharing watches among hosts, which is the next step where hosts are many.

Change: a watch waits for its bound less 1 s; leases come from one stale list.

--- a/src/apricotshore/pooling/changer.py
+++ b/src/apricotshore/pooling/changer.py
@@ -41,7 +41,6 @@
 COMMAND_PRIORITY = -2
 STORE_RETRY_S = 0.2
 SETTLE_ROUNDS = 5
-LEASE_POLL_MS = 3_000
 OWN_LEASE_POLL_MS = 300
 
 
@@ -107,20 +106,25 @@
         )
 
     async def _find_unfinished(self) -> str | None:
+        """Return a reason when an open lease has been left behind."""
+        seen = self.seen
         now = read_boot_ms()
-        mine = self.seen is not None and self.seen.open and self.seen.holder == self.me
-        pause = OWN_LEASE_POLL_MS if mine else LEASE_POLL_MS
-        if now - self.looked_at < pause:
+        if seen is None or not seen.open or not handover.may_take(seen, self.me, now):
+            return None
+        if now - self.looked_at < OWN_LEASE_POLL_MS:
             return None
         self.looked_at = now
         try:
             await self._read_lease()
-        except StoreError:
+        except StoreError as error:
+            self._note("waiting", why=f"store: {error}")
             return None
-        seen = self.seen
-        if seen is not None and seen.open and handover.may_take(seen, self.me, now):
-            return "unfinished"
-        return None
+        return "unfinished" if self.seen is seen else None
+
+    def observe_lease(self, record: LeaseRecord) -> None:
+        """Take in a lease that was read a while ago."""
+        if self.seen is None or record.revision > self.seen.revision:
+            self._see(record)
 
     def _note(self, phase: str, **details: object) -> None:
         self.journal.note(Step.HANDOVER, group=self.group.group, phase=phase, **details)
--- a/src/apricotshore/pooling/directory.py
+++ b/src/apricotshore/pooling/directory.py
@@ -5,21 +5,37 @@
 
 from mode import Service
 
-from ..identifiers import ServerId, StoreRevision
+from ..identifiers import GroupId, ServerId, StoreRevision
 from ..routes import EMPTY_CONFIGURATION, Configuration, ListedServer
 from ..services.clock import read_boot_ms
 from .journal import Journal, Step
-from .ports import Change, HistoryLostError, ObjectStore, StoredKind, StoreError
-
-# A connection that went silent is noticed after one wait and its allowance;
-# a change of configuration must be in force within 3 s.
-WATCH_WAIT_MS = 1_200
+from .ports import (
+    Change,
+    HistoryLostError,
+    LeaseRecord,
+    ObjectStore,
+    StoredKind,
+    StoreError,
+)
+
+# A connection that went silent is noticed after one wait and the time that the
+# client allows beyond it; a new list must fit into what is left of the bound.
+WATCH_MARGIN_MS = 1_000
+SHORTEST_WAIT_MS = 500
+LONGEST_WAIT_MS = 30_000
 RETRY_PAUSE_S = 0.15
+# A change of primary whose holder died is taken over after its lease.
+LEASE_PERIOD_S = 3.0
 # Servers whose entries lapsed while the store was away write themselves again
 # within about 2 s of its return.
 RETURN_GRACE_MS = 2_500
 
 
+def limit_wait(bound_ms: int) -> int:
+    """Return how long a watch may wait when changes must be known in time."""
+    return max(SHORTEST_WAIT_MS, min(bound_ms - WATCH_MARGIN_MS, LONGEST_WAIT_MS))
+
+
 class Directory(Service):
     """Keeps what this host knows of the store.
 
@@ -29,10 +45,15 @@
         The platform's store.
     journal
         Where changes are written down.
+    apply_ms, leave_ms
+        Bounds within which a new configuration and a leaving server must be
+        known.
     on_server, on_server_gone
         Called when a server is listed or changes, and when it is gone.
     on_configuration
         Called when another configuration is in force.
+    on_lease
+        Called with each lease on a change of primary.
     """
 
     def __init__(
@@ -40,9 +61,12 @@
         *,
         store: ObjectStore,
         journal: Journal,
+        apply_ms: int,
+        leave_ms: int,
         on_server: Callable[[ListedServer], None],
         on_server_gone: Callable[[ServerId], None],
         on_configuration: Callable[[Configuration], None],
+        on_lease: Callable[[GroupId, LeaseRecord], None],
     ) -> None:
         super().__init__()
         self.store = store
@@ -50,6 +74,11 @@
         self.on_server = on_server
         self.on_server_gone = on_server_gone
         self.on_configuration = on_configuration
+        self.on_lease = on_lease
+        self.waits = {
+            StoredKind.CONFIGURATION: limit_wait(apply_ms),
+            StoredKind.SERVER: limit_wait(leave_ms),
+        }
         self.configuration = EMPTY_CONFIGURATION
         self.listed: set[ServerId] = set()
         self.missing: dict[ServerId, int] = {}
@@ -65,6 +94,20 @@
     async def _follow_configuration(self) -> None:
         await self._follow(StoredKind.CONFIGURATION)
 
+    @Service.task
+    async def _follow_leases(self) -> None:
+        while not self.should_stop:
+            await asyncio.sleep(LEASE_PERIOD_S)
+            try:
+                snapshot = await self.store.list(StoredKind.HANDOVER, stale=True)
+            except StoreError as error:
+                self._note_lost(StoredKind.HANDOVER, error)
+                continue
+            self._note_back(StoredKind.HANDOVER)
+            for change in snapshot.changes:
+                if isinstance(change.content, LeaseRecord):
+                    self.on_lease(GroupId(change.name), change.content)
+
     async def _follow(self, kind: StoredKind) -> None:
         revision: StoreRevision | None = None
         while not self.should_stop:
@@ -73,7 +116,7 @@
                     snapshot = await self.store.list(kind)
                     self._take_list(kind, snapshot.changes)
                 else:
-                    snapshot = await self.store.watch(kind, revision, WATCH_WAIT_MS)
+                    snapshot = await self.store.watch(kind, revision, self.waits[kind])
                     self._take_changes(kind, snapshot.changes)
                 revision = snapshot.revision
                 self._note_back(kind)
@@ -110,7 +153,7 @@
 
     def _drop_missing(self) -> None:
         now = read_boot_ms()
-        if self.lost or now - self.back_at < RETURN_GRACE_MS:
+        if StoredKind.SERVER in self.lost or now - self.back_at < RETURN_GRACE_MS:
             return
         for server in list(self.missing):
             self.missing.pop(server)
--- a/src/apricotshore/pooling/host.py
+++ b/src/apricotshore/pooling/host.py
@@ -18,7 +18,7 @@
 from .dispatch import Context
 from .group import Group
 from .journal import Journal, Step
-from .ports import CallerLink, Dialer, ObjectStore, Promoter
+from .ports import CallerLink, Dialer, LeaseRecord, ObjectStore, Promoter
 from .prober import Prober
 from .settings import PoolingSettings
 
@@ -64,6 +64,7 @@
         self.adapters = adapters
         self.journal = journal
         self.groups: dict[GroupId, Group] = {}
+        self.changers: dict[GroupId, Changer] = {}
         self.homes: dict[ServerId, GroupId] = {}
         self.drain = Drain(grace_ms=settings.grace_ms)
         self.served = Served()
@@ -73,9 +74,12 @@
         self.directory = Directory(
             store=adapters.store,
             journal=journal,
+            apply_ms=settings.apply_ms,
+            leave_ms=settings.leave_ms,
             on_server=self._list_server,
             on_server_gone=self._unlist_server,
             on_configuration=self._apply,
+            on_lease=self._see_lease,
         )
         self.context = Context(
             host=settings.host,
@@ -126,15 +130,20 @@
 
     async def _attend(self, group: Group) -> None:
         await self.add_runtime_dependency(Prober(group=group))
-        await self.add_runtime_dependency(
-            Changer(
-                group=group,
-                host=self.settings.host,
-                store=self.adapters.store,
-                promoter=self.adapters.promoter,
-                journal=self.journal,
-            )
+        changer = Changer(
+            group=group,
+            host=self.settings.host,
+            store=self.adapters.store,
+            promoter=self.adapters.promoter,
+            journal=self.journal,
         )
+        self.changers[group.group] = changer
+        await self.add_runtime_dependency(changer)
+
+    def _see_lease(self, name: GroupId, record: LeaseRecord) -> None:
+        changer = self.changers.get(name)
+        if changer is not None:
+            changer.observe_lease(record)
 
     def _list_server(self, server: ListedServer) -> None:
         home = self.homes.get(server.server)
--- a/src/apricotshore/pooling/ports.py
+++ b/src/apricotshore/pooling/ports.py
@@ -117,8 +117,8 @@
 class ObjectStore(Protocol):
     """The platform's object store."""
 
-    async def list(self, kind: StoredKind) -> Snapshot:
-        """List the objects of a kind."""
+    async def list(self, kind: StoredKind, *, stale: bool = False) -> Snapshot:
+        """List the objects of a kind; a stale list is cheaper, seconds old."""
 
     async def watch(
         self, kind: StoredKind, revision: StoreRevision, wait_ms: int
--- a/src/apricotshore/pooling/settings.py
+++ b/src/apricotshore/pooling/settings.py
@@ -9,6 +9,8 @@
 from ..ini import Section, parse_address, parse_duration, parse_name, read_sections
 
 DEFAULT_GRACE_MS = 10_000
+DEFAULT_APPLY_MS = 5_000
+DEFAULT_LEAVE_MS = 10_000
 SECTION = "pooling-host"
 REGIONS = "regions"
 
@@ -27,6 +29,10 @@
         ``ip:port`` of the platform's object store and of its promotion API.
     grace_ms
         Time between the signal to stop and the kill.
+    apply_ms
+        Time in which a new configuration must be in force.
+    leave_ms
+        Time after which a leaving server gets no more requests.
     regions
         Region of each data centre.
     """
@@ -39,6 +45,8 @@
     store_address: str
     promotion_address: str
     grace_ms: int = DEFAULT_GRACE_MS
+    apply_ms: int = DEFAULT_APPLY_MS
+    leave_ms: int = DEFAULT_LEAVE_MS
     regions: dict[DataCentreId, str] = field(default_factory=dict)
 
     def locate(self, data_centre: DataCentreId) -> Distance:
@@ -82,6 +90,8 @@
         store_address=host.read("store-address", parse_address),
         promotion_address=host.read("promotion-address", parse_address),
         grace_ms=host.read("grace", parse_duration, DEFAULT_GRACE_MS),
+        apply_ms=host.read("apply-within", parse_duration, DEFAULT_APPLY_MS),
+        leave_ms=host.read("leave-within", parse_duration, DEFAULT_LEAVE_MS),
         regions={
             DataCentreId(name): regions.read(name, parse_name)
             for name in (regions.values if regions else {})
--- a/standins/pooled.py
+++ b/standins/pooled.py
@@ -385,7 +385,7 @@
         if self.down:
             raise StoreError("down")
 
-    async def list(self, kind: StoredKind) -> Snapshot:
+    async def list(self, kind: StoredKind, *, stale: bool = False) -> Snapshot:
         """List nothing: tests fill the directory themselves."""
         self._check()
         return Snapshot(changes=(), revision=StoreRevision(self.revision))
