--- a/Makefile
+++ b/Makefile
@@ -20,7 +20,7 @@
 check: setup
 	$(VENV)/bin/ruff format --check .
 	$(VENV)/bin/ruff check .
-	$(VENV)/bin/lint-imports
+	PYTHONPATH=.:platform $(VENV)/bin/lint-imports
 
 measure: setup
 	$(RUN) -m tools.measure
--- a/src/apricotshore/pooling/conversation.py
+++ b/src/apricotshore/pooling/conversation.py
@@ -1,7 +1,6 @@
 """One caller's session, from its first statement to its end."""
 
 import asyncio
-from dataclasses import dataclass
 
 from ..decisions import shutdown
 from ..identifiers import DatabaseId
@@ -19,6 +18,7 @@
 from . import dispatch
 from .dispatch import Context, Job, RefusedError, Session, Transaction
 from .journal import Step
+from .metrics import PoolingMetrics
 from .ports import CallerLink
 
 _OPENS = {QueryKind.BEGIN: False, QueryKind.BEGIN_READ: True}
@@ -26,15 +26,6 @@
 _AT_SERVER = frozenset({QueryKind.READ, QueryKind.WRITE, QueryKind.EXECUTE})
 
 
-@dataclass(kw_only=True)
-class Served:
-    """Tallies of one host's callers, for its metrics."""
-
-    open_sessions: int = 0
-    answered: int = 0
-    failed: int = 0
-
-
 class Conversation:
     """Answers the statements of one caller, one after the other.
 
@@ -48,8 +39,8 @@
         What serving needs of the host.
     drain
         State of the host's shutdown.
-    served
-        Tallies of the host.
+    metrics
+        Metrics of the host.
     """
 
     def __init__(
@@ -59,13 +50,13 @@
         link: CallerLink,
         context: Context,
         drain: shutdown.Drain,
-        served: Served,
+        metrics: PoolingMetrics,
     ) -> None:
         self.session = Session(database=database)
         self.link = link
         self.context = context
         self.drain = drain
-        self.served = served
+        self.metrics = metrics
         self.opened_at = read_boot_ms()
         self.operations = 0
         self.ended_operation = False
@@ -155,8 +146,7 @@
         at_server = query.kind in _AT_SERVER or query.kind is QueryKind.COMMIT
         if answer.failure is None and not at_server:
             return
-        self.served.answered += 1
-        self.served.failed += answer.failure is not None
+        self.metrics.observe(query, answer, took_ms)
         failed = answer.failure is not None
         self.context.journal.note(
             Step.REQUEST_FAILED if failed else Step.REQUEST_SERVED,
--- a/src/apricotshore/pooling/host.py
+++ b/src/apricotshore/pooling/host.py
@@ -5,6 +5,7 @@
 from collections.abc import Awaitable, Callable, Coroutine
 from dataclasses import dataclass
 
+from aioprometheus import Registry
 from mode import Service
 
 from ..decisions import shutdown
@@ -14,11 +15,12 @@
 from ..routes import Configuration, ListedServer
 from ..services.clock import read_boot_ms
 from .changer import Changer
-from .conversation import Conversation, Served
+from .conversation import Conversation
 from .directory import Directory
 from .dispatch import Context
 from .group import Group
 from .journal import Journal, Step
+from .metrics import PoolingMetrics
 from .ports import CallerLink, Dialer, LeaseRecord, ObjectStore, Promoter
 from .prober import Prober
 from .settings import PoolingSettings
@@ -58,10 +60,17 @@
         The outside.
     journal
         Where decisions are written down.
+    registry
+        Where metrics are registered.
     """
 
     def __init__(
-        self, *, settings: PoolingSettings, adapters: Adapters, journal: Journal
+        self,
+        *,
+        settings: PoolingSettings,
+        adapters: Adapters,
+        journal: Journal,
+        registry: Registry,
     ) -> None:
         super().__init__()
         self.settings = settings
@@ -71,7 +80,7 @@
         self.changers: dict[GroupId, Changer] = {}
         self.homes: dict[ServerId, GroupId] = {}
         self.drain = Drain(grace_ms=settings.grace_ms)
-        self.served = Served()
+        self.metrics = PoolingMetrics(registry=registry)
         self.conversations: dict[Conversation, asyncio.Task[None]] = {}
         self.background: set[asyncio.Task[None]] = set()
         self.ended = asyncio.Event()
@@ -202,17 +211,15 @@
             link=link,
             context=self.context,
             drain=self.drain,
-            served=self.served,
+            metrics=self.metrics,
         )
         task = asyncio.current_task()
         assert task is not None
         self.conversations[conversation] = task
-        self.served.open_sessions += 1
         try:
             await conversation.run()
         finally:
             self.conversations.pop(conversation, None)
-            self.served.open_sessions -= 1
 
     @property
     def is_ready(self) -> bool:
@@ -225,6 +232,14 @@
         directory = self.directory
         return bool(directory.configuration.revision) and directory.has_servers
 
+    def refresh_metrics(self) -> None:
+        """Bring the gauges up to date."""
+        self.metrics.refresh(
+            self.groups.values(),
+            len(self.conversations),
+            self.directory.configuration.version,
+        )
+
     def _spawn(self, work: Coroutine[None, None, None]) -> None:
         task = asyncio.get_running_loop().create_task(work)
         self.background.add(task)
--- /dev/null
+++ b/src/apricotshore/pooling/metrics.py
@@ -0,0 +1,88 @@
+"""Metrics of a pooling host."""
+
+from collections.abc import Iterable
+
+from aioprometheus import Counter, Gauge, Histogram, Registry
+
+from ..queries import Answer, Query
+from ..services.clock import read_boot_ms
+from .group import Group
+
+LATENCY_BUCKETS_S = [0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2]
+
+
+class PoolingMetrics:
+    """Counters, gauges and histograms that a pooling host shows.
+
+    Parameters
+    ----------
+    registry
+        Where they are registered.
+    """
+
+    def __init__(self, *, registry: Registry) -> None:
+        self.registry = registry
+        self.statements = Counter(
+            "apricotshore_statements_total",
+            "Statements answered, by kind and outcome",
+            registry=registry,
+        )
+        self.latency = Histogram(
+            "apricotshore_statement_seconds",
+            "Time to answer a statement, by kind",
+            buckets=LATENCY_BUCKETS_S,
+            registry=registry,
+        )
+        self.sessions = Gauge(
+            "apricotshore_sessions", "Open sessions of callers", registry=registry
+        )
+        self.configuration = Gauge(
+            "apricotshore_configuration_version",
+            "Version of the configuration in force",
+            registry=registry,
+        )
+        self.connections = Gauge(
+            "apricotshore_connections",
+            "Connections to backend servers, by server and use",
+            registry=registry,
+        )
+        self.waiting = Gauge(
+            "apricotshore_waiting",
+            "Statements that wait for a connection, by server",
+            registry=registry,
+        )
+        self.evidence_age = Gauge(
+            "apricotshore_evidence_age_seconds",
+            "Age of the newest position of a proven primary, by group",
+            registry=registry,
+        )
+        self.term = Gauge(
+            "apricotshore_term", "Highest term seen, by group", registry=registry
+        )
+
+    def observe(self, query: Query, answer: Answer, took_ms: int) -> None:
+        """Count an answered statement."""
+        kind = query.kind.value
+        outcome = answer.failure.value if answer.failure else "ok"
+        self.statements.inc({"kind": kind, "outcome": outcome})
+        self.latency.observe({"kind": kind}, took_ms / 1000)
+
+    def refresh(self, groups: Iterable[Group], sessions: int, version: int) -> None:
+        """Bring the gauges up to date."""
+        self.sessions.set({}, sessions)
+        self.configuration.set({}, version)
+        for group in groups:
+            self._refresh_group(group)
+
+    def _refresh_group(self, group: Group) -> None:
+        labels = {"group": group.group}
+        self.term.set(labels, group.lead.term)
+        if group.floors.evidence:
+            age = read_boot_ms() - group.floors.evidence[-1].asked_at
+            self.evidence_age.set(labels, age / 1000)
+        for server, pool in group.pools.items():
+            used = {"server": server, "use": "used"}
+            idle = {"server": server, "use": "idle"}
+            self.connections.set(used, len(pool.used))
+            self.connections.set(idle, len(pool.idle))
+            self.waiting.set({"server": server}, len(pool.line.heap))
--- /dev/null
+++ b/tests/platform_adapter/test_objects.py
@@ -0,0 +1,114 @@
+"""Objects of the store: what is decoded, and what names nothing."""
+
+from pathlib import Path
+
+import pytest
+from apricotshore_platform.objects import (
+    decode_configuration,
+    decode_lease,
+    decode_server,
+)
+
+from apricotshore.routes import Consistency
+
+META = {"name": "main", "revision": 7}
+ROUTE = {
+    "name": "r-1",
+    "database": "shop",
+    "type": "bounded_staleness",
+    "timeoutMs": 2000,
+    "targetLatencyMs": 800,
+    "priority": 2,
+    "service": "g1",
+    "maxStalenessMs": 1500,
+}
+CONFIGURATION = {
+    "version": 7,
+    "routes": [ROUTE],
+    "services": [{"name": "g1", "maxConnections": 22}],
+    "limits": {"txIdleMs": 3000},
+}
+ENTRY = {
+    "service": "g1",
+    "address": "10.128.0.9:8080",
+    "zone": "braga-a",
+    "slots": 3,
+    "state": "ready",
+    "dbRole": "replica",
+    "born": 12,
+}
+
+
+def make(spec, meta=META):
+    return {"meta": meta, "spec": spec, "status": None}
+
+
+def test_configuration_is_decoded():
+    found = decode_configuration(make(CONFIGURATION))
+    assert found is not None
+    assert (found.revision, found.version, found.idle_transaction_ms) == (7, 7, 3000)
+    route = found.routes["shop"]
+    assert route.consistency is Consistency.BOUNDED
+    assert (route.group, route.staleness_ms, route.timeout_ms) == ("g1", 1500, 2000)
+    assert found.groups["g1"].connections == 22
+
+
+@pytest.mark.parametrize(
+    "spec",
+    [
+        None,
+        "text",
+        {},
+        {**CONFIGURATION, "routes": None},
+        {**CONFIGURATION, "routes": [{**ROUTE, "type": "new"}]},
+        {**CONFIGURATION, "limits": 3},
+    ],
+)
+def test_configuration_that_cannot_be_read_is_none(spec):
+    assert decode_configuration(make(spec)) is None
+
+
+def test_server_is_decoded():
+    found = decode_server(make(ENTRY, {"name": "i-1", "revision": 9}))
+    assert found is not None
+    assert (found.server, found.group, found.born_ms) == ("i-1", "g1", 12)
+    assert not found.leaving
+    assert not found.says_primary
+
+
+@pytest.mark.parametrize("field", ["service", "address", "zone", "state"])
+@pytest.mark.parametrize("value", [None, 7, "", [], {}])
+def test_entry_with_a_missing_or_mistyped_field_names_no_server(field, value):
+    assert decode_server(make({**ENTRY, field: value})) is None
+    without = {key: kept for key, kept in ENTRY.items() if key != field}
+    assert decode_server(make(without)) is None
+
+
+@pytest.mark.parametrize(
+    "change",
+    [{"state": "resting"}, {"address": "nowhere"}, {"slots": "3"}, {"born": True}],
+)
+def test_entry_with_a_strange_value_names_no_server(change):
+    assert decode_server(make({**ENTRY, **change})) is None
+
+
+def test_lease_without_a_revision_is_none():
+    assert decode_lease({"meta": {"name": "g1"}, "spec": {"holder": "h"}}) is None
+    held = decode_lease(make({"holder": "h/1", "open": True}))
+    assert held is not None
+    assert held.open
+
+
+def test_platforms_words_stay_in_the_adapter():
+    words = (
+        "maxStalenessMs", "dbRole", "Fencing-Token", "coldRemainingMs", "cloudApi",
+        "storeRevision", "bindAddresses", "STEPDOWN", "LAGGING", "WRONGNODE",
+    )  # fmt: skip
+    root = Path(__file__).parents[2]
+    knowing = [
+        str(path.relative_to(root))
+        for folder in ("src", "standins", "tools")
+        for path in (root / folder).rglob("*.py")
+        if any(word in path.read_text() for word in words)
+    ]
+    assert knowing == []
--- /dev/null
+++ b/tests/platform_adapter/test_sockets.py
@@ -0,0 +1,256 @@
+"""The adapter over real sockets: backend servers, callers and the store."""
+
+import asyncio
+from contextlib import asynccontextmanager
+
+import pytest
+from aiohttp import web
+from apricotshore_platform import callers, lines
+from apricotshore_platform.backends import LineDialer
+from apricotshore_platform.store import PlatformStore
+
+from apricotshore.identifiers import GroupId, HostId, ServerId, StoreRevision
+from apricotshore.pooling.ports import (
+    Door,
+    HistoryLostError,
+    LeaseRecord,
+    LinkLostError,
+    LinkRefusedError,
+    StoreConflictError,
+    StoredKind,
+    StoreError,
+)
+from apricotshore.queries import Answer, FailureCode, Query, QueryKind
+from standins.pooled import ModelGroup, ModelServer
+from tests.pooling.support import mark, read
+
+HOST = "127.0.0.1"
+
+
+@asynccontextmanager
+async def backend(script):
+    """Run a server that answers lines by a script: line -> reply or None."""
+    seen: list[str] = []
+
+    async def handle(reader, writer):
+        try:
+            while line := await reader.readline():
+                seen.append(line.decode().rstrip())
+                reply = script(seen[-1])
+                if reply is None:
+                    break
+                writer.write(reply)
+        finally:
+            writer.close()
+
+    server = await asyncio.start_server(handle, HOST, 0)
+    port = server.sockets[0].getsockname()[1]
+    model = ModelServer(name=ServerId("i-1"))
+    listed = ModelGroup().list(model)
+    entry = type(listed)(
+        **{
+            field: getattr(listed, field)
+            for field in listed.__dataclass_fields__
+            if field != "address"
+        },
+        address=f"{HOST}:{port}",
+    )
+    try:
+        yield entry, seen
+    finally:
+        server.close()
+
+
+def answer_all(line: str) -> bytes | None:
+    if line.startswith("STARTUP"):
+        return b"READY I 1.1\r\n"
+    return b"ROW x\r\nCOMPLETE 7.1\r\nREADY I 1.2\r\n"
+
+
+async def test_link_names_group_and_server_and_pipelines():
+    async with backend(answer_all) as (entry, seen):
+        link = await LineDialer().dial(entry, 1.0)
+        rollback = Query(kind=QueryKind.ROLLBACK)
+        answers = await link.run([read("r1"), rollback], mark(3, 4), 1.0)
+        link.close()
+    assert seen[0] == "STARTUP ledger apricotshore i-1"
+    assert [a.receipt for a in answers] == ["7.1", "7.1"]
+    assert answers[0].mark == mark(1, 2)
+
+
+async def test_refused_start_tells_why():
+    async with backend(lambda line: b"ERROR CONNLIMIT full\r\n") as (entry, _):
+        with pytest.raises(LinkRefusedError) as error:
+            await LineDialer().dial(entry, 1.0)
+    assert error.value.code is FailureCode.TOO_MANY_CONNECTIONS
+
+
+@pytest.mark.parametrize(
+    "reply", [None, b"ROW x\r\n", b"NOISE\r\n", b"\xff\xfe\r\n", b"READY Q -\r\n"]
+)
+async def test_link_that_gives_no_whole_answer_is_lost_and_unusable(reply):
+    script = {"STARTUP": b"READY I -\r\n", "QUERY": reply}
+    async with backend(lambda line: script[line.split()[0]]) as (entry, _):
+        link = await LineDialer().dial(entry, 1.0)
+        with pytest.raises(LinkLostError):
+            await link.run([read("r1")], None, 0.2)
+        assert not link.usable
+
+
+@asynccontextmanager
+async def front(serve):
+    async def admit(database):
+        return FailureCode.NO_DATABASE if database == "none" else None
+
+    server = await callers.listen(f"{HOST}:0", Door(admit=admit, serve=serve))
+    reader, writer = await asyncio.open_connection(*server.sockets[0].getsockname())
+    try:
+        yield reader, writer
+    finally:
+        writer.close()
+        server.close()
+
+
+async def echo(database, link):
+    while (query := await link.receive()) is not None:
+        await link.send(query, Answer(rows=(query.text,), receipt="m"))
+
+
+async def test_caller_session_as_bytes():
+    async with front(echo) as (reader, writer):
+        writer.write(
+            b"STARTUP shop u1\r\nQUERY 1 READ a\r\nQUERY 2 READ b\r\nCLOSE\r\n"
+        )
+        assert await reader.read() == (
+            b"READY I -\r\nROW READ a\r\nCOMPLETE m\r\nREADY I -\r\n"
+            b"ROW READ b\r\nCOMPLETE m\r\nREADY I -\r\n"
+        )
+
+
+@pytest.mark.parametrize(
+    ("sent", "answer"),
+    [
+        (b"STARTUP none u1\r\n", b"ERROR NODATABASE none\r\n"),
+        (b"STARTUP\r\n", b"ERROR MALFORMED expected a start\r\n"),
+        (b"QUERY 1 READ a\r\n", b"ERROR MALFORMED expected a start\r\n"),
+        (b"\xff\xff\r\n", b""),
+        (b"STARTUP shop u1\r\nNOISE\r\n", b"READY I -\r\nERROR MALFORMED NOISE\r\n"),
+    ],
+)
+async def test_bad_input_ends_that_session_alone(sent, answer):
+    async with front(echo) as (reader, writer):
+        writer.write(sent)
+        assert await reader.read() == answer
+
+
+async def test_line_over_the_limit_ends_the_session():
+    async with front(echo) as (reader, writer):
+        writer.write(b"STARTUP shop u1\r\n" + b"x" * (lines.LINE_LIMIT + 100_000))
+        received = await reader.read()
+    assert received.startswith(b"READY I -\r\nERROR MALFORMED")
+
+
+@asynccontextmanager
+async def store(handler):
+    """Run a store that answers each request with ``handler(request)``."""
+    application = web.Application()
+    application.router.add_route("*", "/{path:.*}", handler)
+    runner = web.AppRunner(application)
+    await runner.setup()
+    site = web.TCPSite(runner, HOST, 0)
+    await site.start()
+    host, port = runner.addresses[0][:2]
+    client = PlatformStore(
+        store_address=f"{host}:{port}", promotion_address=f"{host}:{port}"
+    )
+    try:
+        yield client
+    finally:
+        await client.close()
+        await runner.cleanup()
+
+
+async def test_list_follows_the_pages():
+    names = ["a", "b", "c"]
+
+    async def handle(request):
+        after = request.query.get("after")
+        name = names[names.index(after) + 1] if after else names[0]
+        body = {
+            "items": [{"meta": {"name": name, "revision": 3}, "spec": {}}],
+            "hasMore": name != "c",
+            "storeRevision": 9,
+        }
+        return web.json_response(body)
+
+    async with store(handle) as client:
+        snapshot = await client.list(StoredKind.SERVER)
+    assert [change.name for change in snapshot.changes] == names
+    assert snapshot.revision == 9
+
+
+@pytest.mark.parametrize("status", [429, 500, 503])
+async def test_refusals_of_the_store_are_errors(status):
+    async def handle(request):
+        return web.Response(status=status)
+
+    async with store(handle) as client:
+        with pytest.raises(StoreError):
+            await client.list(StoredKind.CONFIGURATION)
+        with pytest.raises(StoreError):
+            await client.watch(StoredKind.SERVER, StoreRevision(1), 10)
+
+
+async def test_lost_history_is_told_apart():
+    async def handle(request):
+        return web.Response(status=410)
+
+    async with store(handle) as client:
+        with pytest.raises(HistoryLostError):
+            await client.watch(StoredKind.SERVER, StoreRevision(1), 10)
+
+
+async def test_silent_watch_ends_by_itself():
+    async def handle(request):
+        await asyncio.sleep(5)
+
+    async with store(handle) as client:
+        async with asyncio.timeout(1.5):
+            with pytest.raises(StoreError):
+                await client.watch(StoredKind.SERVER, StoreRevision(1), 100)
+
+
+async def test_lease_is_created_replaced_and_refused():
+    calls = []
+
+    async def handle(request):
+        body = await request.json()
+        calls.append((request.method, request.path, body["meta"].get("revision")))
+        if len(calls) == 3:
+            return web.json_response(body, status=409)
+        body["meta"]["revision"] = len(calls) + 10
+        return web.json_response(body)
+
+    async with store(handle) as client:
+        group = GroupId("g1")
+        empty = LeaseRecord(revision=StoreRevision(0), holder="h", open=True)
+        first = await client.write_lease(group, empty)
+        second = await client.write_lease(group, first)
+        with pytest.raises(StoreConflictError):
+            await client.write_lease(group, second)
+    assert [method for method, _, _ in calls] == ["POST", "PUT", "PUT"]
+    assert (first.revision, second.revision) == (11, 12)
+
+
+@pytest.mark.parametrize(("status", "accepted"), [(200, True), (409, False)])
+async def test_promotion_carries_holder_and_token(status, accepted):
+    seen = {}
+
+    async def handle(request):
+        seen.update(request.headers)
+        return web.json_response({}, status=status)
+
+    async with store(handle) as client:
+        done = await client.promote(GroupId("g1"), ServerId("i-1"), HostId("h"), 12)
+    assert done is accepted
+    assert (seen["Lease-Holder"], seen["Fencing-Token"]) == ("h", "12")
--- /dev/null
+++ b/tests/pooling/test_dispatch.py
@@ -0,0 +1,289 @@
+"""Statements of a session against a model group."""
+
+import asyncio
+
+import pytest
+from aioprometheus import Registry
+
+from apricotshore.decisions import shutdown
+from apricotshore.identifiers import DatabaseId, RequestId
+from apricotshore.pooling.conversation import Conversation
+from apricotshore.pooling.metrics import PoolingMetrics
+from apricotshore.pooling.pool import ServerPool
+from apricotshore.queries import (
+    Access,
+    Answer,
+    FailureCode,
+    PreparedShape,
+    Query,
+    QueryKind,
+    TransactionState,
+)
+from apricotshore.routes import Consistency, Route
+from apricotshore.services.clock import read_boot_ms
+from standins.pooled import ModelGroup, ModelPlatform
+
+from .support import ModelHost, make_route, mark, read, write
+
+
+class FakeCaller:
+    """A caller's connection that a test reads and writes."""
+
+    def __init__(self) -> None:
+        self.incoming: asyncio.Queue[Query | None] = asyncio.Queue()
+        self.answers: asyncio.Queue[Answer] = asyncio.Queue()
+        self.is_open = True
+
+    async def receive(self) -> Query | None:
+        return await self.incoming.get()
+
+    async def send(self, query: Query, answer: Answer) -> None:
+        self.answers.put_nowait(answer)
+
+    def close(self) -> None:
+        self.is_open = False
+
+    async def ask(self, query: Query) -> Answer:
+        self.incoming.put_nowait(query)
+        async with asyncio.timeout(3):
+            return await self.answers.get()
+
+
+class Bed:
+    """A host, its model and callers."""
+
+    def __init__(self, route: Route) -> None:
+        self.model = ModelGroup.make()
+        self.platform = ModelPlatform(group=self.model)
+        self.host = ModelHost.make("h", self.model, self.platform)
+        self.host.group.lead.primary = "s1"
+        self.context = self.host.make_context(route)
+        self.tasks: list[asyncio.Task[None]] = []
+
+    def open(self) -> FakeCaller:
+        link = FakeCaller()
+        conversation = Conversation(
+            database=DatabaseId("shop"),
+            link=link,
+            context=self.context,
+            drain=shutdown.Drain(grace_ms=6_000),
+            metrics=PoolingMetrics(registry=Registry()),
+        )
+        self.tasks.append(asyncio.create_task(conversation.run()))
+        return link
+
+    def queries_of(self, request: str) -> list[tuple[str, dict[str, str]]]:
+        """List where a request ran, with the values in force there."""
+        return [
+            (link.server.name, values)
+            for link in self.host.dialer.links
+            for query, values in link.seen
+            if query.request == request
+        ]
+
+    def pool(self, server: str) -> ServerPool:
+        return self.host.group.pools[server]
+
+
+@pytest.fixture
+async def latest():
+    return Bed(make_route())
+
+
+@pytest.fixture
+async def bounded():
+    bed = Bed(make_route(Consistency.BOUNDED, 1_500))
+    for load in (bed.pool("s1").load, bed.pool("s3").load):
+        load.outstanding = 50
+    return bed
+
+
+def plain(kind: QueryKind, request: str = "q", **fields) -> Query:
+    return Query(kind=kind, request=RequestId(request), **fields)
+
+
+def prepare(name: str, shape: str, access: Access = Access.WRITE) -> Query:
+    return plain(
+        QueryKind.PREPARE, name=name, shape=PreparedShape(access=access, shape=shape)
+    )
+
+
+async def test_latest_read_runs_inside_a_proof_of_the_lead(latest):
+    answer = await latest.open().ask(read("r1"))
+    assert answer.rows == ("row",)
+    (link,) = latest.host.dialer.links
+    kinds = [query.kind for query, _ in link.seen]
+    assert kinds == [QueryKind.BEGIN, QueryKind.READ, QueryKind.ROLLBACK]
+
+
+async def test_latest_read_never_runs_at_a_replaced_primary(latest):
+    latest.model.promote("s2")
+    latest.model.servers["s1"].applied = 0
+    caller = latest.open()
+    asking = asyncio.create_task(caller.ask(read("r1")))
+    await asyncio.sleep(0.03)
+    await latest.host.prober.probe()
+    answer = await asking
+    assert answer.failure is None
+    assert [name for name, _ in latest.queries_of("r1")] == ["s2"]
+
+
+async def test_bounded_read_without_evidence_goes_to_the_primary(bounded):
+    await bounded.open().ask(read("r1"))
+    assert [name for name, _ in bounded.queries_of("r1")] == ["s1"]
+
+
+async def test_bounded_read_goes_near_with_young_evidence(bounded):
+    bounded.host.group.observe_lead("s1", mark(0, 0), read_boot_ms() - 1_000)
+    await bounded.open().ask(read("r1"))
+    assert [name for name, _ in bounded.queries_of("r1")] == ["s2"]
+
+
+async def test_bounded_read_with_old_evidence_goes_to_the_primary(bounded):
+    bounded.host.group.observe_lead("s1", mark(0, 0), read_boot_ms() - 1_600)
+    await bounded.open().ask(read("r1"))
+    assert [name for name, _ in bounded.queries_of("r1")] == ["s1"]
+
+
+async def test_read_falls_back_from_a_replica_that_is_behind(bounded):
+    await bounded.model.commit(bounded.model.servers["s1"], "w")
+    bounded.model.servers["s2"].applied = 0
+    bounded.host.group.observe_lead("s1", mark(1, 1), read_boot_ms() - 100)
+    answer = await bounded.open().ask(read("r1"))
+    assert answer.failure is None
+    assert [name for name, _ in bounded.queries_of("r1")][0] == "s2"
+    assert len(bounded.queries_of("r1")) == 2
+
+
+async def test_session_reads_its_own_write():
+    bed = Bed(make_route(Consistency.SESSION, 2_500))
+    bed.host.group.observe_lead("s1", mark(0, 0), read_boot_ms() - 100)
+    for server in ("s2", "s3"):
+        bed.model.servers[server].lag_s = 5.0
+    caller = bed.open()
+    assert (await caller.ask(write("w1"))).failure is None
+    assert (await caller.ask(read("r1"))).failure is None
+    assert bed.queries_of("r1")[-1][0] == "s1"
+
+
+async def test_values_follow_the_session_and_never_leak(latest):
+    one, other = latest.open(), latest.open()
+    await one.ask(plain(QueryKind.SET, name="zone", value="a"))
+    await other.ask(plain(QueryKind.SET, name="tone", value="b"))
+    for number in range(3):
+        await one.ask(read(f"one{number}"))
+        await other.ask(read(f"other{number}"))
+    for number in range(3):
+        assert latest.queries_of(f"one{number}")[0][1] == {"zone": "a"}
+        assert latest.queries_of(f"other{number}")[0][1] == {"tone": "b"}
+
+
+async def test_same_prepared_name_of_two_sessions_runs_each_ones_shape(latest):
+    one, other = latest.open(), latest.open()
+    await one.ask(prepare("s", "first"))
+    await other.ask(prepare("s", "second"))
+    execute = plain(QueryKind.EXECUTE, "e1", name="s", arguments="a b")
+    assert (await one.ask(execute)).failure is None
+    await other.ask(plain(QueryKind.EXECUTE, "e2", name="s", arguments="a b"))
+    names = {
+        query.request: query.name
+        for link in latest.host.dialer.links
+        for query, _ in link.seen
+        if query.kind is QueryKind.EXECUTE
+    }
+    assert names == {"e1": "w_first", "e2": "w_second"}
+
+
+async def test_unknown_prepared_name_is_refused_without_running(latest):
+    answer = await latest.open().ask(plain(QueryKind.EXECUTE, "e", name="x"))
+    assert answer.failure is FailureCode.NOT_PREPARED
+    assert latest.queries_of("e") == []
+
+
+async def test_transaction_stays_on_one_connection(latest):
+    caller = latest.open()
+    await caller.ask(plain(QueryKind.BEGIN))
+    for number in range(3):
+        answer = await caller.ask(write(f"w{number}"))
+        assert answer.state is TransactionState.OPEN
+    assert (await caller.ask(plain(QueryKind.COMMIT, "c"))).receipt
+    assert latest.model.acknowledged == ["w0+w1+w2"]
+
+
+async def test_caller_that_leaves_inside_a_transaction_commits_nothing(latest):
+    caller = latest.open()
+    await caller.ask(plain(QueryKind.BEGIN))
+    await caller.ask(write("w0"))
+    caller.incoming.put_nowait(None)
+    await asyncio.sleep(0.05)
+    assert latest.model.servers["s1"].log == []
+    assert not caller.is_open
+    assert latest.pool("s1").used == set()
+
+
+async def test_single_write_without_an_answer_is_in_doubt_and_sent_once(latest):
+    caller = latest.open()
+    await caller.ask(read("r"))
+    latest.model.servers["s1"].mute = True
+    answer = await caller.ask(write("w1"))
+    assert answer.failure is FailureCode.UNKNOWN_OUTCOME
+    assert len(latest.queries_of("w1")) == 1
+
+
+async def test_commit_without_an_answer_is_in_doubt(latest):
+    caller = latest.open()
+    await caller.ask(plain(QueryKind.BEGIN))
+    await caller.ask(write("w1"))
+    latest.model.servers["s1"].mute = True
+    answer = await caller.ask(plain(QueryKind.COMMIT, "c"))
+    assert answer.failure is FailureCode.UNKNOWN_OUTCOME
+    assert answer.state is TransactionState.IDLE
+
+
+async def test_statement_lost_inside_a_transaction_is_rolled_back(latest):
+    caller = latest.open()
+    await caller.ask(plain(QueryKind.BEGIN))
+    await caller.ask(write("w1"))
+    latest.model.servers["s1"].mute = True
+    answer = await caller.ask(write("w2"))
+    assert answer.failure is FailureCode.ROLLED_BACK
+    assert (await caller.ask(read("r"))).failure is FailureCode.MALFORMED
+    ended = await caller.ask(plain(QueryKind.ROLLBACK))
+    assert ended.failure is None
+    assert ended.state is TransactionState.IDLE
+    assert latest.model.servers["s1"].log == []
+
+
+async def test_write_without_a_primary_is_refused_at_once_with_a_hint(latest):
+    latest.model.servers["s1"].leading = False
+    caller = latest.open()
+    began = read_boot_ms()
+    answer = await caller.ask(write("w1"))
+    assert answer.failure is FailureCode.OVERLOADED
+    assert "retry-after-ms=" in answer.detail
+    assert read_boot_ms() - began < 200
+    assert latest.model.acknowledged == []
+
+
+async def test_write_inside_a_read_transaction_is_refused(latest):
+    caller = latest.open()
+    await caller.ask(plain(QueryKind.BEGIN_READ))
+    answer = await caller.ask(write("w1"))
+    assert answer.failure is FailureCode.NOT_PRIMARY
+    assert latest.queries_of("w1") == []
+
+
+async def test_removed_route_ends_service_of_open_sessions(latest):
+    caller = latest.open()
+    assert (await caller.ask(read("r1"))).failure is None
+    latest.context.configuration().routes.clear()
+    assert (await caller.ask(read("r2"))).failure is FailureCode.NO_DATABASE
+
+
+async def test_connections_stay_within_the_servers_limit(latest):
+    latest.model.limit = 3
+    callers = [latest.open() for _ in range(20)]
+    asked = [caller.ask(read(f"r{n}")) for n, caller in enumerate(callers)]
+    answers = await asyncio.gather(*asked)
+    assert all(answer.failure is None for answer in answers)
+    assert latest.model.servers["s1"].connections <= 3
--- a/tests/test_handover_races.py
+++ b/tests/test_handover_races.py
@@ -213,13 +213,18 @@
         if self.now - attempt.started_at >= handover.STEPS_MS:
             holder.attempt = None
             return
-        evidence = holder.evidence
-        if evidence is not None and self.lost_at is not None:
-            evidence = evidence if evidence.asked_at >= self.lost_at else None
         members = tuple(Member(server=name) for name in SERVERS)
-        step = handover.plan(
-            attempt, members, evidence, self.lost_at is None, self.now
-        )
+        evidence = self._find_evidence(holder)
+        step = handover.plan(attempt, members, evidence, self.lost_at is None, self.now)
+        self._act(holder, attempt, step, reached)
+
+    def _find_evidence(self, holder):
+        found = holder.evidence
+        if found is None or self.lost_at is None or found.asked_at < self.lost_at:
+            return None
+        return found
+
+    def _act(self, holder, attempt, step, reached):
         match step:
             case Ask(servers=servers):
                 self._tell(attempt, servers, reached)
--- /dev/null
+++ b/tests/test_pooling_decisions.py
@@ -0,0 +1,110 @@
+"""Floors, leads, placement, waiting and allowances."""
+
+from apricotshore.decisions import allowance, floors, leads, placement, waiting
+from apricotshore.decisions.allowance import Allowance
+from apricotshore.decisions.floors import Floors
+from apricotshore.decisions.leads import Lead
+from apricotshore.decisions.placement import Distance, ServerLoad
+from apricotshore.decisions.waiting import Waiter, WaitingLine
+from apricotshore.groups import Mark
+from apricotshore.identifiers import Position, ServerId, Term
+
+A, B = ServerId("a"), ServerId("b")
+
+
+def mark(position: int, term: int = 1) -> Mark:
+    return Mark(term=Term(term), position=Position(position))
+
+
+def test_floor_is_the_oldest_evidence_that_is_young_enough():
+    known = Floors()
+    for asked_at, position in ((1_000, 10), (1_300, 13), (1_600, 16)):
+        floors.observe(known, mark(position), asked_at)
+    found = floors.find_floor(known, 1_500, 2_700)
+    assert found is not None
+    assert found.position == 13
+    assert floors.find_floor(known, 1_500, 3_200) is None
+
+
+def test_evidence_that_arrives_late_is_sorted_in():
+    known = Floors()
+    floors.observe(known, mark(16), 1_600)
+    floors.observe(known, mark(10), 1_000)
+    assert [e.position for e in known.evidence] == [10, 16]
+
+
+def test_evidence_is_bounded():
+    known = Floors()
+    for asked_at in range(0, 100_000, 100):
+        floors.observe(known, mark(asked_at), asked_at)
+    assert len(known.evidence) <= floors.EVIDENCE_KEPT
+
+
+def test_lower_term_never_takes_the_lead_back():
+    lead = Lead()
+    assert leads.observe_lead(lead, A, Term(2), 1)
+    assert not leads.observe_lead(lead, B, Term(1), 2)
+    assert lead.primary == A
+
+
+def test_denial_ends_the_belief():
+    lead = Lead()
+    leads.observe_lead(lead, A, Term(1), 1)
+    assert leads.observe_denial(lead, A)
+    assert leads.find_primary(lead, []) is None
+
+
+def load(server: ServerId, distance: Distance, **changes) -> ServerLoad:
+    return ServerLoad(server=server, distance=distance, slots=3, **changes)
+
+
+def rank(*loads: ServerLoad, now: int = 1_000) -> list[ServerId]:
+    return [x.server for x in placement.rank_readers(list(loads), None, now)]
+
+
+def test_reads_go_near_until_the_queue_there_costs_more():
+    near, far = load(A, Distance.SAME_DATA_CENTRE), load(B, Distance.REMOTE)
+    assert rank(near, far) == [A, B]
+    near.outstanding = 6
+    assert rank(near, far) == [B, A]
+
+
+def test_server_that_is_behind_or_silent_comes_last():
+    near, far = load(A, Distance.SAME_DATA_CENTRE), load(B, Distance.REMOTE)
+    placement.observe_behind(near, 1_000)
+    assert rank(near, far) == [B, A]
+    assert rank(near, far, now=1_000 + placement.BEHIND_PAUSE_MS) == [A, B]
+    placement.observe_silence(near, 2_000)
+    assert rank(near, far, now=2_001) == [B, A]
+
+
+def test_leaving_server_gets_no_read():
+    assert rank(load(A, Distance.REMOTE, leaving=True)) == []
+
+
+def test_urgent_statement_goes_first_and_late_ones_are_passed_over():
+    line = WaitingLine()
+    waiting.join(line, Waiter(priority=2, number=1, give_up_at=100))
+    waiting.join(line, Waiter(priority=1, number=2, give_up_at=100))
+    waiting.join(line, Waiter(priority=0, number=3, give_up_at=10))
+    taken = waiting.take_next(line, 50)
+    assert taken is not None
+    assert taken.number == 2
+
+
+def test_wait_ends_within_a_quarter_of_the_objective():
+    assert waiting.limit_wait(400, 800) < 100
+    assert waiting.limit_wait(800, 50) == 50
+
+
+def test_refused_connection_pauses_growth():
+    mine = Allowance(limit=22)
+    assert allowance.may_open(mine, 0, 1_000)
+    allowance.observe_refusal(mine, 1_000)
+    assert not allowance.may_open(mine, 0, 1_100)
+    assert allowance.may_open(mine, 0, 1_000 + allowance.REGROW_PAUSE_MS)
+
+
+def test_one_host_leaves_connections_for_others():
+    assert not allowance.may_open(Allowance(limit=22), 10, 0)
+    assert allowance.may_open(Allowance(limit=2), 0, 0)
