--- a/src/apricotshore/cli.py
+++ b/src/apricotshore/cli.py
@@ -39,6 +39,8 @@
 )
 from .load.runner import Entry
 from .logs import make_handler
+from .pooling.settings import load_pooling_settings
+from .pooling.trace import explain_request, read_records, select_records
 from .services import operations
 from .services.application import Application
 from .services.clock import read_wall_ms
@@ -413,6 +415,48 @@
     print(summarize(result.operations))
 
 
+@app.command
+def trace(
+    *log_files: Path,
+    request: str = "",
+    group: str = "",
+    since: int = 0,
+    until: int = 1 << 62,
+) -> None:
+    """Tell what pooling hosts did, from the lines that they wrote.
+
+    Parameters
+    ----------
+    log_files
+        Files with standard output of hosts; standard input without any.
+    request
+        Id of a request: its story, with what its hosts believed meanwhile.
+    group
+        Group or database, without a request.
+    since, until
+        Unix milliseconds.
+    """
+    texts = [_read_text(path) for path in log_files] or [sys.stdin.read()]
+    records = read_records(line for text in texts for line in text.splitlines())
+    found = (
+        explain_request(records, request)
+        if request
+        else select_records(records, group, since, until)
+    )
+    for record in found:
+        print(record.describe())
+    if not found:
+        raise ApricotshoreError("no line of these logs fits")
+
+
+@settings_app.command(name="check-pooling")
+def check_pooling(settings_file: Path) -> None:
+    """Check and show the settings of a pooling host."""
+    settings = load_pooling_settings(settings_file)
+    for name, value in asdict(settings).items():
+        print(f"{name} = {value}")
+
+
 @app.command(name="check-history")
 def judge_history(history_file: Path) -> None:
     """Judge a history against the promises; exit code 1 on a violation."""
--- a/src/apricotshore/decisions/waiting.py
+++ b/src/apricotshore/decisions/waiting.py
@@ -7,6 +7,10 @@
 # without being sent is better refused: the caller can try another host.
 WAIT_SHARE_OF_TARGET = 0.24
 MIN_RETRY_MS = 50
+# A change of primary takes about this long from the first silence on.
+OUTAGE_MS = 2_000
+# A server that is full of other hosts' connections stays so for a while.
+FULL_SERVER_RETRY_MS = 500
 
 
 @dataclass(frozen=True, kw_only=True, slots=True, order=True)
@@ -75,6 +79,31 @@
 
 
 def advise_retry_ms(line: WaitingLine, connections: int) -> int:
-    """Return when a refused caller may come back, in milliseconds."""
+    """Return when a refused caller may come back, in milliseconds.
+
+    Parameters
+    ----------
+    line
+        Who waits for a connection.
+    connections
+        Connections that this host holds to the server; without any it depends
+        on those that other hosts give back.
+    """
+    if connections == 0:
+        return FULL_SERVER_RETRY_MS
     ahead = len(line.heap) + 1
-    return max(MIN_RETRY_MS, int(ahead * line.hold_ms / max(1, connections)))
+    return max(MIN_RETRY_MS, int(ahead * line.hold_ms / connections))
+
+
+def advise_outage_retry_ms(since: int | None, now: int) -> int:
+    """Return when a caller may come back that was refused for want of a primary.
+
+    Parameters
+    ----------
+    since
+        Since when no primary answers, in milliseconds since boot.
+    now
+        Milliseconds since boot.
+    """
+    gone = 0 if since is None else now - since
+    return max(MIN_RETRY_MS, OUTAGE_MS - gone)
--- a/src/apricotshore/pooling/dispatch.py
+++ b/src/apricotshore/pooling/dispatch.py
@@ -280,11 +280,13 @@
         pool = group.pools.get(primary) if primary is not None else None
         if pool is not None and group.lead.silent_since is None:
             return pool
-        left_ms = job.give_up_at - read_boot_ms()
+        now = read_boot_ms()
+        left_ms = job.give_up_at - now
         if left_ms <= 0:
-            if pool is not None:
-                return pool
-            raise refuse_overloaded("no primary", NO_PRIMARY_RETRY_MS)
+            lead = group.lead
+            why = "no primary" if pool is None else "the primary gives no answer"
+            since = lead.silent_since or group.headless_since
+            raise refuse_overloaded(why, waiting.advise_outage_retry_ms(since, now))
         group.probe_wanted.set()
         group.lead_changed.clear()
         try:
--- /dev/null
+++ b/src/apricotshore/pooling/trace.py
@@ -0,0 +1,101 @@
+"""Reads the lines that pooling hosts wrote and tells them as a story."""
+
+import json
+from collections.abc import Iterable, Iterator
+from dataclasses import dataclass, field
+
+from .journal import Step
+
+# A request is told together with what changed in this time before its end.
+CONTEXT_MS = 3_000
+_BELIEFS = frozenset(
+    {
+        Step.LEAD_FOUND,
+        Step.LEAD_LOST,
+        Step.LEAD_SILENT,
+        Step.HANDOVER,
+        Step.CONFIGURATION_APPLIED,
+        Step.SERVER_GONE,
+        Step.SERVER_REBORN,
+        Step.STORE_LOST,
+        Step.STORE_BACK,
+        Step.STOPPING,
+        Step.STARTED,
+    }
+)
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Record:
+    """One line of a host.
+
+    Parameters
+    ----------
+    time_ms
+        Unix milliseconds by the host's clock.
+    host, step
+        Who wrote what.
+    details
+        Everything else on the line.
+    """
+
+    time_ms: int
+    host: str
+    step: Step
+    details: dict[str, object] = field(default_factory=dict)
+
+    def describe(self) -> str:
+        """Return the record as one line of text."""
+        details = " ".join(f"{key}={value}" for key, value in self.details.items())
+        return f"{self.time_ms} {self.host} {self.step.value} {details}".rstrip()
+
+
+def read_records(lines: Iterable[str]) -> Iterator[Record]:
+    """Yield the records among lines; text before a record is passed over."""
+    for line in lines:
+        start = line.find('{"time"')
+        if start < 0:
+            continue
+        try:
+            table = json.loads(line[start:])
+            yield Record(
+                time_ms=int(table.pop("time")),
+                host=str(table.pop("host")),
+                step=Step(table.pop("step")),
+                details=table,
+            )
+        except (ValueError, KeyError):
+            continue
+
+
+def explain_request(records: Iterable[Record], request: str) -> list[Record]:
+    """Return what happened to a request, and what its hosts believed meanwhile."""
+    known = sorted(records, key=lambda r: r.time_ms)
+    own = [r for r in known if r.details.get("request") == request]
+    if not own:
+        return []
+    hosts = {r.host for r in own}
+    first, last = own[0].time_ms - CONTEXT_MS, own[-1].time_ms
+    return [
+        r
+        for r in known
+        if r.details.get("request") == request
+        or (
+            r.step in _BELIEFS
+            and first <= r.time_ms <= last
+            and (r.host in hosts or r.step is Step.HANDOVER)
+        )
+    ]
+
+
+def select_records(
+    records: Iterable[Record], group: str, since_ms: int, until_ms: int
+) -> list[Record]:
+    """Return the records of a group, or of all, in a span of time."""
+    found = [
+        r
+        for r in records
+        if since_ms <= r.time_ms <= until_ms
+        and (not group or group in (r.details.get("group"), r.details.get("database")))
+    ]
+    return sorted(found, key=lambda r: r.time_ms)
--- a/tests/test_pooling_decisions.py
+++ b/tests/test_pooling_decisions.py
@@ -108,3 +108,11 @@
 def test_one_host_leaves_connections_for_others():
     assert not allowance.may_open(Allowance(limit=22), 10, 0)
     assert allowance.may_open(Allowance(limit=2), 0, 0)
+
+
+def test_hint_says_when_a_refused_caller_is_worth_retrying():
+    line = WaitingLine(hold_ms=100.0)
+    assert waiting.advise_retry_ms(line, 0) == waiting.FULL_SERVER_RETRY_MS
+    assert waiting.advise_retry_ms(line, 1) == 100
+    assert waiting.advise_outage_retry_ms(1_000, 1_500) == 1_500
+    assert waiting.advise_outage_retry_ms(1_000, 9_000) == waiting.MIN_RETRY_MS
--- /dev/null
+++ b/tests/test_pooling_settings.py
@@ -0,0 +1,54 @@
+import re
+from pathlib import Path
+
+import pytest
+
+from apricotshore.decisions.placement import Distance
+from apricotshore.exceptions import InvalidFileError
+from apricotshore.pooling.settings import parse_pooling_settings
+
+GOOD = """
+[pooling-host]
+name = front-1
+data-centre = braga-a
+caller-address = 10.1.0.8:8784
+ready-address = 10.1.0.8:8785
+metrics-address = 10.1.0.8:9464
+store-address = 10.200.1.7:8783
+promotion-address = 10.200.0.160:8783
+grace = 6 s
+something-new = 7
+
+[regions]
+braga-a = minho
+viana-a = minho
+lisboa-a = lisboa
+"""
+
+
+def test_settings_are_read_and_unknown_keys_passed_over():
+    settings = parse_pooling_settings(GOOD, "host.ini")
+    assert settings.grace_ms == 6_000
+    assert settings.locate("braga-a") is Distance.SAME_DATA_CENTRE
+    assert settings.locate("viana-a") is Distance.SAME_REGION
+    assert settings.locate("lisboa-a") is Distance.REMOTE
+    assert settings.locate("unheard-of") is Distance.REMOTE
+
+
+def test_every_missing_or_mistyped_field_is_named():
+    text = GOOD.replace("10.1.0.8:8784", "nowhere").replace("name = front-1\n", "")
+    with pytest.raises(InvalidFileError) as error:
+        parse_pooling_settings(text, "host.ini")
+    message = error.value.format_message()
+    assert "caller-address: expected ip:port" in message
+    assert "name: missing key" in message
+
+
+def test_template_fills_every_key_that_is_read():
+    root = Path(__file__).parents[1]
+    template = (root / "platform/host.ini.template").read_text()
+    keys = set(re.findall(r"^([a-z-]+) =", template, re.MULTILINE))
+    assert keys == set(re.findall(r"^([a-z-]+) =", GOOD.split("[regions]")[0],
+                                  re.MULTILINE)) - {"something-new"} | {
+        "apply-within", "leave-within"
+    }  # fmt: skip
--- /dev/null
+++ b/tests/test_trace.py
@@ -0,0 +1,71 @@
+import json
+import os
+
+from apricotshore.pooling.journal import FAILURE_LINES_PER_S, Journal, Step
+from apricotshore.pooling.trace import explain_request, read_records, select_records
+
+from .test_cli import run_command
+
+LINES = [
+    '{"time":1000,"host":"a","step":"lead-silent","group":"g"}',
+    '{"time":1500,"host":"b","step":"handover","group":"g","phase":"promoting"}',
+    '{"time":1600,"host":"c","step":"lead-silent","group":"g"}',
+    "noise",
+    '  1.9 a {"time":1900,"host":"a","step":"request-failed","request":"r1"}',
+    '{"time":9000,"host":"a","step":"lead-found","group":"g"}',
+    '{"time":"x","host":"a","step":"unheard-of"}',
+]
+
+
+def test_request_is_told_with_what_its_host_believed():
+    found = explain_request(read_records(LINES), "r1")
+    assert [(r.time_ms, r.host) for r in found] == [
+        (1000, "a"),
+        (1500, "b"),
+        (1900, "a"),
+    ]
+
+
+def test_records_are_selected_by_group_and_time():
+    found = select_records(read_records(LINES), "g", 1_200, 9_000)
+    assert [r.time_ms for r in found] == [1500, 1600, 9000]
+
+
+def test_command_reads_files(tmp_path):
+    path = tmp_path / "a.log"
+    path.write_text("\n".join(LINES))
+    done = run_command("trace", str(path), "--request", "r1")
+    assert done.returncode == 0
+    assert "request-failed request=r1" in done.stdout
+    assert run_command("trace", str(path), "--request", "zz").returncode == 1
+
+
+def test_reader_that_stops_reading_blocks_nothing_and_lines_stay_whole():
+    reader, writer = os.pipe()
+    journal = Journal(host="h", descriptor=writer)
+    for number in range(20_000):
+        journal.note(Step.HANDOVER, number=number, filler="x" * 60)
+    assert journal.omitted > 0
+    received = b""
+    os.set_blocking(reader, False)
+    while True:
+        try:
+            received += os.read(reader, 1 << 20)
+        except BlockingIOError:
+            break
+        journal.flush()
+    for line in received.decode().splitlines():
+        json.loads(line)
+
+
+def test_failures_are_written_up_to_a_rate_and_the_rest_is_counted(monkeypatch):
+    reader, writer = os.pipe()
+    monkeypatch.setattr("apricotshore.pooling.journal.read_boot_ms", lambda: 5_000)
+    journal = Journal(host="h", descriptor=writer)
+    for number in range(FAILURE_LINES_PER_S * 2):
+        journal.note(Step.REQUEST_FAILED, request=str(number))
+    monkeypatch.setattr("apricotshore.pooling.journal.read_boot_ms", lambda: 6_000)
+    journal.note(Step.STOPPED)
+    lines = os.read(reader, 1 << 20).decode().splitlines()
+    assert len(lines) == FAILURE_LINES_PER_S + 2
+    assert json.loads(lines[-2])["lines"] == FAILURE_LINES_PER_S
