Keep few idle connections; fetch bursts of changes together

Ruled out: the start of the hosts (2.0 s, as long as the platform takes); the limit a host keeps to (the dead hosts' connections alone filled the server).

Change: idle connections live 700 ms instead of 2 s; after a watch with changes the next one waits 0.5 s; servers that stay missing are dropped without waiting for the end of a watch.

--- a/src/apricotshore/pooling/directory.py
+++ b/src/apricotshore/pooling/directory.py
@@ -24,6 +24,8 @@
 SHORTEST_WAIT_MS = 500
 LONGEST_WAIT_MS = 30_000
 RETRY_PAUSE_S = 0.15
+# Changes come in bursts: the next ones are fetched together.
+BURST_PAUSE_S = 0.5
 # A change of primary whose holder died is taken over after its lease.
 LEASE_PERIOD_S = 3.0
 # Servers whose entries lapsed while the store was away write themselves again
@@ -98,6 +100,7 @@
     async def _follow_leases(self) -> None:
         while not self.should_stop:
             await asyncio.sleep(LEASE_PERIOD_S)
+            self._drop_missing()
             try:
                 snapshot = await self.store.list(StoredKind.HANDOVER, stale=True)
             except StoreError as error:
@@ -120,6 +123,8 @@
                     self._take_changes(kind, snapshot.changes)
                 revision = snapshot.revision
                 self._note_back(kind)
+                if snapshot.changes:
+                    await asyncio.sleep(BURST_PAUSE_S)
             except HistoryLostError:
                 revision = None
             except StoreError as error:
--- a/src/apricotshore/pooling/pool.py
+++ b/src/apricotshore/pooling/pool.py
@@ -17,7 +17,7 @@
 DIAL_TIMEOUT_S = 0.5
 # Servers count the connections of a host that lost power for seconds: few idle
 # ones leave room for its successor.
-IDLE_LIFE_MS = 2_000
+IDLE_LIFE_MS = 700
 KEPT_IDLE = 1
 RETRY_STEP_S = 0.05
 # The server keeps prepared statements per connection; a reset drops them.
--- /dev/null
+++ b/tests/pooling/test_directory.py
@@ -0,0 +1,156 @@
+"""What a host knows of the store, through the store's faults."""
+
+import asyncio
+
+from apricotshore.identifiers import StoreRevision
+from apricotshore.pooling import directory
+from apricotshore.pooling.directory import Directory, limit_wait
+from apricotshore.pooling.ports import (
+    Change,
+    HistoryLostError,
+    Snapshot,
+    StoredKind,
+    StoreError,
+)
+from apricotshore.routes import Configuration
+from standins.pooled import ModelGroup
+
+from .support import make_journal, wait_until
+
+
+class ScriptedStore:
+    """A store whose lists and watches a test sets."""
+
+    def __init__(self) -> None:
+        self.lists: dict[StoredKind, list] = {kind: [] for kind in StoredKind}
+        self.events: dict[StoredKind, asyncio.Queue] = {
+            kind: asyncio.Queue() for kind in StoredKind
+        }
+        self.down = False
+        self.listed = 0
+
+    async def list(self, kind, *, stale=False):
+        if self.down:
+            raise StoreError("down")
+        self.listed += kind is StoredKind.CONFIGURATION
+        return Snapshot(changes=tuple(self.lists[kind]), revision=StoreRevision(1))
+
+    async def watch(self, kind, revision, wait_ms):
+        if self.down:
+            raise StoreError("down")
+        try:
+            async with asyncio.timeout(wait_ms / 1000):
+                event = await self.events[kind].get()
+        except TimeoutError:
+            return Snapshot(changes=(), revision=revision)
+        if isinstance(event, Exception):
+            raise event
+        return Snapshot(changes=(event,), revision=revision)
+
+
+def configuration(revision: int, version: int) -> Change:
+    content = Configuration(revision=StoreRevision(revision), version=version)
+    return Change(name="main", content=content, removed=False)
+
+
+def server(name: str = "s1", *, removed: bool = False) -> Change:
+    model = ModelGroup.make()
+    content = None if removed else model.list(model.servers[name])
+    return Change(name=name, content=content, removed=removed)
+
+
+class Bed:
+    def __init__(self) -> None:
+        self.store = ScriptedStore()
+        self.servers: set[str] = set()
+        self.applied: list[int] = []
+        self.directory = Directory(
+            store=self.store,
+            journal=make_journal(),
+            apply_ms=1_600,
+            leave_ms=1_600,
+            on_server=lambda s: self.servers.add(s.server),
+            on_server_gone=lambda s: self.servers.remove(s),
+            on_configuration=lambda c: self.applied.append(c.version),
+            on_lease=lambda group, record: None,
+        )
+
+    async def __aenter__(self) -> "Bed":
+        await self.directory.start()
+        return self
+
+    async def __aexit__(self, *error) -> None:
+        await self.directory.stop()
+
+
+async def test_configuration_never_goes_back():
+    bed = Bed()
+    bed.store.lists[StoredKind.CONFIGURATION] = [configuration(5, 50)]
+    async with bed:
+        await wait_until(lambda: bed.applied)
+        bed.store.events[StoredKind.CONFIGURATION].put_nowait(configuration(4, 60))
+        bed.store.events[StoredKind.CONFIGURATION].put_nowait(configuration(6, 55))
+        await wait_until(lambda: len(bed.applied) > 1)
+    assert bed.applied == [50, 55]
+
+
+async def test_lost_history_is_replaced_by_a_new_list():
+    bed = Bed()
+    bed.store.lists[StoredKind.CONFIGURATION] = [configuration(5, 50)]
+    async with bed:
+        await wait_until(lambda: bed.applied)
+        bed.store.lists[StoredKind.CONFIGURATION] = [configuration(7, 70)]
+        bed.store.events[StoredKind.CONFIGURATION].put_nowait(HistoryLostError(""))
+        await wait_until(lambda: bed.applied == [50, 70])
+
+
+async def test_configuration_that_cannot_be_read_leaves_the_one_in_force():
+    bed = Bed()
+    bed.store.lists[StoredKind.CONFIGURATION] = [configuration(5, 50)]
+    async with bed:
+        await wait_until(lambda: bed.applied)
+        broken = Change(name="main", content=None, removed=False)
+        bed.store.events[StoredKind.CONFIGURATION].put_nowait(broken)
+        await asyncio.sleep(0.05)
+        assert bed.directory.configuration.version == 50
+
+
+async def test_servers_that_lapsed_in_an_outage_have_time_to_come_back(monkeypatch):
+    monkeypatch.setattr(directory, "RETURN_GRACE_MS", 500)
+    bed = Bed()
+    bed.store.lists[StoredKind.SERVER] = [server("s1"), server("s2")]
+    async with bed:
+        await wait_until(lambda: len(bed.servers) == 2)
+        bed.store.down = True
+        await wait_until(lambda: StoredKind.SERVER in bed.directory.lost)
+        bed.store.lists[StoredKind.SERVER] = [server("s2")]
+        bed.store.down = False
+        await wait_until(lambda: StoredKind.SERVER not in bed.directory.lost)
+        assert bed.servers == {"s1", "s2"}
+        await wait_until(lambda: bed.servers == {"s2"})
+
+
+async def test_server_that_is_removed_while_the_store_is_well_is_gone():
+    bed = Bed()
+    bed.store.lists[StoredKind.SERVER] = [server("s1")]
+    async with bed:
+        await wait_until(lambda: bed.servers)
+        bed.store.events[StoredKind.SERVER].put_nowait(server("s1", removed=True))
+        await wait_until(lambda: not bed.servers)
+
+
+async def test_burst_of_changes_costs_few_calls():
+    bed = Bed()
+    bed.store.lists[StoredKind.CONFIGURATION] = [configuration(1, 1)]
+    async with bed:
+        await wait_until(lambda: bed.applied)
+        began = asyncio.get_running_loop().time()
+        bed.store.events[StoredKind.CONFIGURATION].put_nowait(configuration(2, 2))
+        bed.store.events[StoredKind.CONFIGURATION].put_nowait(configuration(3, 3))
+        await wait_until(lambda: bed.applied[-1] == 3)
+        assert asyncio.get_running_loop().time() - began >= directory.BURST_PAUSE_S
+
+
+def test_watch_leaves_time_for_a_new_list_within_the_bound():
+    assert limit_wait(3_000) + 500 < 3_000
+    assert limit_wait(100) == directory.SHORTEST_WAIT_MS
