--- a/tests/pooling/test_dispatch.py
+++ b/tests/pooling/test_dispatch.py
@@ -287,3 +287,15 @@
     answers = await asyncio.gather(*asked)
     assert all(answer.failure is None for answer in answers)
     assert latest.model.servers["s1"].connections <= 3
+
+
+async def test_write_at_a_silent_primary_is_told_why_and_when_to_return(latest):
+    caller = latest.open()
+    await caller.ask(read("r"))
+    latest.model.servers["s1"].up = False
+    latest.host.group.lead.silent_since = read_boot_ms() - 500
+    answer = await caller.ask(write("w1"))
+    assert answer.failure is FailureCode.OVERLOADED
+    assert "the primary gives no answer" in answer.detail
+    hint = int(answer.detail.rpartition("=")[2])
+    assert 1_000 < hint <= 1_500
--- /dev/null
+++ b/tests/pooling/test_host.py
@@ -0,0 +1,98 @@
+"""The application object of a pooling host."""
+
+import asyncio
+from contextlib import asynccontextmanager
+
+from aioprometheus import Registry
+
+from apricotshore.identifiers import DatabaseId, StoreRevision
+from apricotshore.pooling.host import Adapters, PoolingHost
+from apricotshore.pooling.ports import Change, StoredKind
+from apricotshore.pooling.settings import parse_pooling_settings
+from apricotshore.queries import FailureCode
+from apricotshore.routes import Configuration
+from standins.pooled import ModelDialer, ModelGroup, ModelPlatform
+from tests.test_pooling_settings import GOOD
+
+from .support import make_journal, make_route, read, wait_until
+from .test_directory import ScriptedStore
+from .test_dispatch import FakeCaller
+
+SHOP = DatabaseId("shop")
+
+
+@asynccontextmanager
+async def running_host():
+    model = ModelGroup.make()
+    store = ScriptedStore()
+
+    async def close() -> None:
+        return
+
+    host = PoolingHost(
+        settings=parse_pooling_settings(GOOD, "host.ini"),
+        adapters=Adapters(
+            store=store,
+            promoter=ModelPlatform(group=model),
+            dialer=ModelDialer(group=model, who="h"),
+            close=close,
+        ),
+        journal=make_journal(),
+        registry=Registry(),
+    )
+    store.lists[StoredKind.SERVER] = [
+        Change(name=name, content=model.list(server), removed=False)
+        for name, server in model.servers.items()
+    ]
+    await host.start()
+    try:
+        yield host, store
+    finally:
+        await host.stop()
+
+
+def configure(store: ScriptedStore) -> None:
+    content = Configuration(revision=StoreRevision(2), routes={SHOP: make_route()})
+    change = Change(name="main", content=content, removed=False)
+    store.events[StoredKind.CONFIGURATION].put_nowait(change)
+
+
+async def test_callers_wait_for_the_first_configuration():
+    async with running_host() as (host, store):
+        admitting = asyncio.create_task(host.admit(SHOP))
+        await asyncio.sleep(0.1)
+        assert not host.is_ready
+        assert not admitting.done()
+        configure(store)
+        assert await admitting is None
+        assert host.is_ready
+
+
+async def test_unknown_database_is_told_apart_from_a_missing_configuration(
+    monkeypatch,
+):
+    monkeypatch.setattr("apricotshore.pooling.host.LOADING_S", 0.05)
+    async with running_host() as (host, store):
+        assert await host.admit(SHOP) is FailureCode.OVERLOADED
+        configure(store)
+        await wait_until(lambda: host.is_ready)
+        assert await host.admit(DatabaseId("none")) is FailureCode.NO_DATABASE
+
+
+async def test_stopping_host_closes_idle_sessions_and_ends_open_work():
+    async with running_host() as (host, store):
+        configure(store)
+        await wait_until(lambda: host.is_ready)
+        idle, busy = FakeCaller(), FakeCaller()
+        tasks = [asyncio.create_task(host.serve(SHOP, c)) for c in (idle, busy)]
+        assert (await busy.ask(read("r1"))).failure is None
+        await asyncio.sleep(0.2)
+        busy.incoming.put_nowait(read("r2"))
+        await asyncio.sleep(0)
+        host.begin_drain()
+        assert not host.is_ready
+        async with asyncio.timeout(2):
+            assert (await busy.answers.get()).failure is None
+            await asyncio.gather(*tasks, return_exceptions=True)
+        assert not idle.is_open
+        assert not busy.is_open
