Move reads away from servers that answer late or are full

Ruled out: too little capacity (about 13 of 48 slots busy, busiest server at three times the mean); lag (267 retries for servers behind, 113 for full ones).

Change: answers that take longer than way and work, and refusals of full servers, add to a server's expected time, and fade with a half-life of 400 ms.

--- a/src/apricotshore/decisions/placement.py
+++ b/src/apricotshore/decisions/placement.py
@@ -13,6 +13,13 @@
 DISTANCE_COST_MS = (0.0, 15.0, 40.0)
 UNKNOWN_SERVICE_MS = 20.0
 SMOOTHING = 0.1
+# A statement that takes this much longer than the way has queued at the server.
+PLAIN_SERVICE_MS = 40.0
+# What one refusal of a full server adds to its expected time, and the most.
+FULL_COST_MS = 50.0
+LARGEST_DELAY_MS = 300.0
+# Other hosts' load is only seen through answers: what was seen fades.
+DELAY_HALF_LIFE_MS = 400.0
 
 
 class Distance(IntEnum):
@@ -39,6 +46,9 @@
         Statements of this host that it has not answered.
     service_ms
         Smoothed time of a statement.
+    delay_ms, delay_at
+        Smoothed time that statements queued at the server, and when that was
+        last seen.
     behind_until, silent_until
         Until when it is passed over, in milliseconds since boot.
     leaving
@@ -50,15 +60,33 @@
     slots: int
     outstanding: int = 0
     service_ms: float = UNKNOWN_SERVICE_MS
+    delay_ms: float = 0.0
+    delay_at: int = 0
     behind_until: int = 0
     silent_until: int = 0
     leaving: bool = False
 
 
-def observe_answer(load: ServerLoad, took_ms: float) -> None:
+def find_delay(load: ServerLoad, now: int) -> float:
+    """Return for how long a statement would queue at a server at present."""
+    age = max(0, now - load.delay_at)
+    return load.delay_ms * 0.5 ** (age / DELAY_HALF_LIFE_MS)
+
+
+def observe_answer(load: ServerLoad, took_ms: float, now: int) -> None:
     """Take in the time of an answered statement."""
     load.service_ms += SMOOTHING * (took_ms - load.service_ms)
     load.silent_until = 0
+    queued = max(0.0, took_ms - DISTANCE_COST_MS[load.distance] - PLAIN_SERVICE_MS)
+    seen = find_delay(load, now)
+    load.delay_ms = min(LARGEST_DELAY_MS, seen + 2 * SMOOTHING * (queued - seen))
+    load.delay_at = now
+
+
+def observe_full(load: ServerLoad, now: int) -> None:
+    """Take in that a server refused a statement because its queue was full."""
+    load.delay_ms = min(LARGEST_DELAY_MS, find_delay(load, now) + FULL_COST_MS)
+    load.delay_at = now
 
 
 def observe_behind(load: ServerLoad, now: int) -> None:
@@ -71,10 +99,11 @@
     load.silent_until = now + SILENCE_PAUSE_MS
 
 
-def estimate_ms(load: ServerLoad) -> float:
+def estimate_ms(load: ServerLoad, now: int) -> float:
     """Return the expected time of one more statement at a server."""
     queued = max(0, load.outstanding + 1 - load.slots)
-    return DISTANCE_COST_MS[load.distance] + queued * load.service_ms
+    own = queued * load.service_ms
+    return DISTANCE_COST_MS[load.distance] + own + find_delay(load, now)
 
 
 def rank_readers(
@@ -88,6 +117,6 @@
 
     def cost(load: ServerLoad) -> tuple[bool, bool, float, str]:
         behind = load.behind_until > now and load.server != primary
-        return (load.silent_until > now, behind, estimate_ms(load), load.server)
+        return (load.silent_until > now, behind, estimate_ms(load, now), load.server)
 
     return sorted((load for load in loads if not load.leaving), key=cost)
--- a/src/apricotshore/pooling/pool.py
+++ b/src/apricotshore/pooling/pool.py
@@ -224,7 +224,10 @@
             raise
         finally:
             self.load.outstanding -= 1
-        placement.observe_answer(self.load, read_boot_ms() - began)
+        now = read_boot_ms()
+        placement.observe_answer(self.load, now - began, now)
+        if any(a.failure is FailureCode.OVERLOADED for a in answers):
+            placement.observe_full(self.load, now)
         return answers
 
     def drop_older(self, moment: int) -> None:
--- a/tests/test_pooling_decisions.py
+++ b/tests/test_pooling_decisions.py
@@ -116,3 +116,23 @@
     assert waiting.advise_retry_ms(line, 1) == 100
     assert waiting.advise_outage_retry_ms(1_000, 1_500) == 1_500
     assert waiting.advise_outage_retry_ms(1_000, 9_000) == waiting.MIN_RETRY_MS
+
+
+def test_reads_leave_a_server_that_others_keep_busy_and_come_back():
+    """Many hosts share a server: each sees the others only in its answers."""
+    near, far = load(A, Distance.SAME_DATA_CENTRE), load(B, Distance.REMOTE)
+    for _ in range(3):
+        placement.observe_full(near, 1_000)
+    assert rank(near, far, now=1_000) == [B, A]
+    assert rank(near, far, now=3_000) == [A, B]
+
+
+def test_slow_answers_count_as_queueing_beyond_the_way_and_the_work():
+    near, far = load(A, Distance.SAME_DATA_CENTRE), load(B, Distance.REMOTE)
+    for _ in range(10):
+        placement.observe_answer(near, 30.0, 1_000)
+    assert placement.find_delay(near, 1_000) == 0.0
+    for _ in range(10):
+        placement.observe_answer(near, 250.0, 1_000)
+    assert rank(near, far, now=1_000) == [B, A]
+    assert placement.find_delay(near, 1_000) <= placement.LARGEST_DELAY_MS
