--- a/src/apricotshore/pooling/directory.py
+++ b/src/apricotshore/pooling/directory.py
@@ -77,10 +77,8 @@
         self.on_server_gone = on_server_gone
         self.on_configuration = on_configuration
         self.on_lease = on_lease
-        self.waits = {
-            StoredKind.CONFIGURATION: limit_wait(apply_ms),
-            StoredKind.SERVER: limit_wait(leave_ms),
-        }
+        self.waits: dict[StoredKind, int] = {}
+        self.set_bounds(apply_ms, leave_ms)
         self.configuration = EMPTY_CONFIGURATION
         self.listed: set[ServerId] = set()
         self.missing: dict[ServerId, int] = {}
@@ -88,6 +86,13 @@
         self.back_at = 0
         self.has_servers = False
 
+    def set_bounds(self, apply_ms: int, leave_ms: int) -> None:
+        """Set the bounds from which the waits of watches follow."""
+        self.waits = {
+            StoredKind.CONFIGURATION: limit_wait(apply_ms),
+            StoredKind.SERVER: limit_wait(leave_ms),
+        }
+
     @Service.task
     async def _follow_servers(self) -> None:
         await self._follow(StoredKind.SERVER)
--- a/src/apricotshore/pooling/host.py
+++ b/src/apricotshore/pooling/host.py
@@ -179,6 +179,18 @@
         if settings is not None:
             group.set_connections(settings.connections)
 
+    def reload(self, settings: PoolingSettings) -> None:
+        """Put changed settings in force; addresses to listen on stay."""
+        self.settings = settings
+        self.drain.grace_ms = settings.grace_ms
+        self.directory.set_bounds(settings.apply_ms, settings.leave_ms)
+        self.journal.note(
+            Step.RELOADED,
+            grace_ms=settings.grace_ms,
+            apply_ms=settings.apply_ms,
+            leave_ms=settings.leave_ms,
+        )
+
     # -- callers --
 
     async def admit(self, database: DatabaseId) -> FailureCode | None:
@@ -224,7 +236,15 @@
     @property
     def is_ready(self) -> bool:
         """Whether the balancer should send callers here."""
-        return self.drain.began_at is None and self.is_loaded
+        draining = self.drain.began_at is not None
+        return self.is_loaded and self.reaches_servers and not draining
+
+    @property
+    def reaches_servers(self) -> bool:
+        """Whether any backend server has answered lately, or was never asked."""
+        now = read_boot_ms()
+        pools = [p for group in self.groups.values() for p in group.pools.values()]
+        return not pools or any(p.load.silent_until <= now for p in pools)
 
     @property
     def is_loaded(self) -> bool:
--- a/tests/pooling/test_host.py
+++ b/tests/pooling/test_host.py
@@ -96,3 +96,23 @@
             await asyncio.gather(*tasks, return_exceptions=True)
         assert not idle.is_open
         assert not busy.is_open
+
+
+async def test_host_that_reaches_no_server_is_not_ready():
+    async with running_host() as (host, store):
+        configure(store)
+        await wait_until(lambda: host.is_ready)
+        for server in host.adapters.dialer.group.servers.values():
+            server.up = False
+        await wait_until(lambda: not host.is_ready)
+        for server in host.adapters.dialer.group.servers.values():
+            server.up = True
+        await wait_until(lambda: host.is_ready)
+
+
+async def test_changed_settings_are_in_force_without_a_restart():
+    async with running_host() as (host, _):
+        text = GOOD.replace("grace = 6 s", "grace = 9 s\napply-within = 2 s")
+        host.reload(parse_pooling_settings(text, "host.ini"))
+        assert host.drain.grace_ms == 9_000
+        assert host.directory.waits[StoredKind.CONFIGURATION] == 1_000
