Resume replicas that were out of reach when a change of primary ended

Cause: found by reading: a paused replica that gave no answer while the change was settled stayed paused for good, so that the group had one receiver less. Ruled out: keeping the lease open until it answers (it would hold other hosts' changes up for 6 s each time). Change: the holder keeps trying while nobody wrote the lease since. Figures: the new test fails before, passes after.

--- a/src/apricotshore/pooling/changer.py
+++ b/src/apricotshore/pooling/changer.py
@@ -42,6 +42,7 @@
 STORE_RETRY_S = 0.2
 SETTLE_ROUNDS = 5
 OWN_LEASE_POLL_MS = 300
+OWED_PERIOD_MS = 2_000
 
 
 class Changer(Service):
@@ -77,6 +78,8 @@
         self.me = f"{host}/{uuid.uuid4().hex[:8]}"
         self.seen: SeenLease | None = None
         self.looked_at = 0
+        self.owed: set[ServerId] = set()
+        self.paid_at = 0
 
     @Service.task
     async def _watch(self) -> None:
@@ -87,6 +90,7 @@
             if reason is None:
                 reason = await self._find_unfinished()
             if reason is None:
+                await self._resume_owed()
                 continue
             try:
                 await self._change(reason)
@@ -367,8 +371,10 @@
         if await self._write_lease(still_open=True) is None:
             self._note("ended", outcome="lease lost")
             return
+        self.owed = {s for s in self.group.servers if s != self.group.lead.primary}
         for _ in range(SETTLE_ROUNDS):
-            if await self._resume_all():
+            self.owed -= await self._resume(self.owed)
+            if not self.owed:
                 break
             await asyncio.sleep(STEP_PAUSE_S)
         await self._write_lease(still_open=False)
@@ -385,17 +391,37 @@
             return False
         return await self.promoter.promote(self.group.group, primary, self.host, token)
 
-    async def _resume_all(self) -> bool:
-        others = [s for s in self.group.servers if s != self.group.lead.primary]
+    async def _resume(self, servers: set[ServerId]) -> set[ServerId]:
+        """Let servers receive again; returns those that are known to do so."""
+        asked = sorted(servers)
         reports = await asyncio.gather(
-            *(self._command(s, QueryKind.STATUS, Term(0)) for s in others)
+            *(self._command(s, QueryKind.STATUS, Term(0)) for s in asked)
         )
-        paused = [
-            s
-            for s, report in zip(others, reports, strict=True)
-            if report is not None and report.paused_term > 0
-        ]
+        found = {s: r for s, r in zip(asked, reports, strict=True) if r is not None}
+        paused = [s for s, report in found.items() if report.paused_term > 0]
         await asyncio.gather(
             *(self._command(s, QueryKind.RESUME, Term(0)) for s in paused)
         )
-        return not paused and all(report is not None for report in reports)
+        return set(found) - set(paused)
+
+    async def _resume_owed(self) -> None:
+        """Resume servers that could not be reached when the change ended.
+
+        Nobody else does so until the next change; a lease written since then
+        means that there is one, and that its holder settles it.
+        """
+        self.owed &= set(self.group.servers)
+        now = read_boot_ms()
+        if not self.owed or now - self.paid_at < OWED_PERIOD_MS:
+            return
+        self.paid_at = now
+        seen = self.seen
+        try:
+            await self._read_lease()
+        except StoreError as error:
+            self._note("waiting", why=f"store: {error}")
+            return
+        if self.seen is not seen:
+            self.owed.clear()
+            return
+        self.owed -= await self._resume(self.owed)
--- a/tests/pooling/test_changes.py
+++ b/tests/pooling/test_changes.py
@@ -135,3 +135,21 @@
             host.group.writes.begin()
         await wait_until(lambda: model.promotions)
     assert model.lost == []
+
+
+async def test_replica_that_was_out_of_reach_is_resumed_when_it_is_back():
+    model, platform, (host,) = make(1, promote_s=0.2)
+    async with running(host), writing(model):
+        await wait_until(lambda: len(model.acknowledged) > 5)
+        host.list_leaving("s1")
+        await wait_until(lambda: platform.orders)
+        target = platform.orders[0][1]
+        other = model.servers[next(s for s in (S2, S3) if s != target)]
+        assert other.paused_term
+        other.unreachable_by.add("host-0")
+        lease = platform.leases
+        await wait_until(lambda: not next(iter(lease.values())).open, 12.0)
+        assert other.paused_term
+        other.unreachable_by.clear()
+        await wait_until(lambda: not other.paused_term)
+    assert model.lost == []
