Split the dispatch of statements by job; read files in one place

Ruled out: nothing. Change: sessions, preparation, singles, transactions; ini.read_file. No behaviour changes.

--- a/src/apricotshore/cli.py
+++ b/src/apricotshore/cli.py
@@ -22,12 +22,10 @@
 from .exceptions import (
     EXIT_FAILURE,
     ApricotshoreError,
-    InvalidFileError,
     PlatformError,
-    Problem,
 )
 from .identifiers import CallerId, PersonId
-from .ini import parse_address
+from .ini import parse_address, read_file
 from .keys import load_key, save_key, show_public
 from .load import (
     check_history,
@@ -72,16 +70,6 @@
 ]
 
 
-def _read_text(path: Path) -> str:
-    try:
-        return path.read_text()
-    except OSError as error:
-        detail = f"cannot be read: {error.strerror}"
-        raise InvalidFileError(
-            [Problem(source=str(path), section="-", key="", expected=detail)]
-        ) from None
-
-
 def _run_with_platform(
     address: str, work: Callable[[PlatformClient], Awaitable[T]]
 ) -> T:
@@ -180,14 +168,14 @@
 @bundle_app.command(name="check")
 def check_bundle(bundle_file: Path) -> None:
     """Check a bundle file; every fault is listed."""
-    bundle = parse_bundle(_read_text(bundle_file), str(bundle_file))
+    bundle = parse_bundle(read_file(bundle_file), str(bundle_file))
     print(f"{bundle_file}: version {bundle.version}, no faults")
 
 
 @bundle_app.command
 def diff(bundle_file: Path, *, platform: PlatformOption) -> None:
     """List the sections that differ from the bundle in force."""
-    bundle = parse_bundle(_read_text(bundle_file), str(bundle_file))
+    bundle = parse_bundle(read_file(bundle_file), str(bundle_file))
     current = _run_with_platform(platform, operations.read_in_force)
     for line in describe_changes(current.bundle, bundle):
         print(line)
@@ -210,7 +198,7 @@
     platform
         ip:port of the object API.
     """
-    bundle = parse_bundle(_read_text(bundle_file), str(bundle_file))
+    bundle = parse_bundle(read_file(bundle_file), str(bundle_file))
     secret = load_key(key)
 
     async def work(client: PlatformClient) -> str:
@@ -409,7 +397,7 @@
         entries = [_parse_entry(address) for address in entry]
     except ValueError as error:
         raise ApricotshoreError(str(error)) from None
-    password = _read_text(password_file).strip()
+    password = read_file(password_file).strip()
     result = asyncio.run(run_load(scenario, entries, password))
     write_history(history_file, result.operations, result.stored)
     print(summarize(result.operations))
@@ -436,7 +424,7 @@
     since, until
         Unix milliseconds.
     """
-    texts = [_read_text(path) for path in log_files] or [sys.stdin.read()]
+    texts = [read_file(path) for path in log_files] or [sys.stdin.read()]
     records = read_records(line for text in texts for line in text.splitlines())
     found = (
         explain_request(records, request)
--- a/src/apricotshore/ini.py
+++ b/src/apricotshore/ini.py
@@ -4,6 +4,7 @@
 import ipaddress
 import re
 from collections.abc import Callable
+from pathlib import Path
 from typing import TypeVar
 
 from .exceptions import InvalidFileError, Problem
@@ -124,6 +125,23 @@
                 self.complain(key, f"unknown key; known keys: {known}")
 
 
+def read_file(path: Path) -> str:
+    """Return the text of a file.
+
+    Raises
+    ------
+    InvalidFileError
+        When it cannot be read.
+    """
+    try:
+        return path.read_text()
+    except OSError as error:
+        detail = f"cannot be read: {error.strerror}"
+        raise InvalidFileError(
+            [Problem(source=str(path), section="-", key="", expected=detail)]
+        ) from None
+
+
 def read_sections(
     text: str, source: str, problems: list[Problem]
 ) -> dict[str, Section]:
--- a/src/apricotshore/pooling/conversation.py
+++ b/src/apricotshore/pooling/conversation.py
@@ -15,11 +15,12 @@
 )
 from ..routes import Route
 from ..services.clock import read_boot_ms
-from . import dispatch
-from .dispatch import Context, Job, RefusedError, Session, Transaction
+from . import singles, transactions
 from .journal import Step
 from .metrics import PoolingMetrics
-from .ports import CallerLink
+from .ports import CallerLink, LinkLostError
+from .preparation import CONTROL_TIMEOUT_MS
+from .sessions import Context, Job, RefusedError, Session, Transaction, later
 
 _OPENS = {QueryKind.BEGIN: False, QueryKind.BEGIN_READ: True}
 _CHANGES_SESSION = frozenset({QueryKind.SET, QueryKind.PREPARE, QueryKind.DEALLOCATE})
@@ -118,7 +119,7 @@
             return
         transaction.failed = True
         transaction.aborted = why
-        self.context.spawn(dispatch.roll_back(transaction))
+        self.context.spawn(transactions.roll_back(transaction))
         self.context.journal.note(
             Step.TRANSACTION_ENDED, database=self.session.database, why=why
         )
@@ -127,7 +128,7 @@
         transaction = self.session.transaction
         self.session.transaction = None
         if transaction is not None:
-            self.context.spawn(dispatch.roll_back(transaction))
+            self.context.spawn(transactions.roll_back(transaction))
 
     async def _handle(self, query: Query) -> None:
         arrived = read_boot_ms()
@@ -162,7 +163,7 @@
         transaction = self.session.transaction
         if transaction is not None:
             transaction.failed = True
-            self.context.spawn(dispatch.roll_back(transaction))
+            self.context.spawn(transactions.roll_back(transaction))
         return Answer(failure=error.code, detail=error.detail, state=self.state)
 
     # -- statements --
@@ -227,13 +228,13 @@
             raise RefusedError(FailureCode.MALFORMED, "no transaction is open")
         job = Job(query=query, shape=None, route=route, arrived_at=arrived)
         try:
-            answer = await dispatch.run_in_transaction(self.context, session, job)
+            answer = await transactions.run_in_transaction(self.context, session, job)
         except RefusedError as error:
             self._end_transaction()
             return Answer(failure=error.code, detail=error.detail)
         if answer.failure is None:
             if transaction.wrote:
-                session.mark = dispatch.later(session.mark, answer.mark)
+                session.mark = later(session.mark, answer.mark)
             self._release(transaction, answer)
             session.transaction = None
             return answer
@@ -268,10 +269,10 @@
         )
         transaction = session.transaction
         if transaction is None:
-            return await dispatch.run_single(self.context, session, job)
+            return await singles.run_single(self.context, session, job)
         if writes and transaction.read_only:
             raise RefusedError(FailureCode.NOT_PRIMARY, "the transaction only reads")
-        answer = await dispatch.run_in_transaction(self.context, session, job)
+        answer = await transactions.run_in_transaction(self.context, session, job)
         if answer.failure is None and self.link.is_open:
             return Answer(
                 rows=answer.rows,
@@ -304,11 +305,11 @@
         )
         pool, pooled = transaction.pool, transaction.link
         try:
-            answers = await pool.run(pooled, [own], None, dispatch.CONTROL_TIMEOUT_MS)
-        except dispatch.LinkLostError as error:
-            dispatch.drop_transaction(transaction)
+            answers = await pool.run(pooled, [own], None, CONTROL_TIMEOUT_MS)
+        except LinkLostError as error:
+            transactions.drop_transaction(transaction)
             raise RefusedError(FailureCode.ROLLED_BACK, str(error)) from None
         if answers[0].failure is not None:
-            dispatch.drop_transaction(transaction)
+            transactions.drop_transaction(transaction)
             raise RefusedError(FailureCode.ROLLED_BACK, "the value was not set")
         pooled.values[query.name] = query.value
--- a/src/apricotshore/pooling/host.py
+++ b/src/apricotshore/pooling/host.py
@@ -17,12 +17,12 @@
 from .changer import Changer
 from .conversation import Conversation
 from .directory import Directory
-from .dispatch import Context
 from .group import Group
 from .journal import Journal, Step
 from .metrics import PoolingMetrics
 from .ports import CallerLink, Dialer, LeaseRecord, ObjectStore, Promoter
 from .prober import Prober
+from .sessions import Context
 from .settings import PoolingSettings
 
 HOUSEKEEPING_S = 0.5
--- /dev/null
+++ b/src/apricotshore/pooling/preparation.py
@@ -0,0 +1,223 @@
+"""Connections in the state that a session's next statement needs."""
+
+import asyncio
+
+from ..decisions import floors, placement, waiting
+from ..groups import Mark
+from ..queries import Answer, FailureCode, PreparedShape, Query, QueryKind
+from ..routes import Consistency, Route
+from ..services.clock import read_boot_ms
+from .group import Group
+from .pool import PREPARED_LIMIT, NoConnectionError, PooledLink, ServerPool
+from .ports import LinkLostError
+from .sessions import Job, Session, later, refuse_overloaded
+
+CONTROL_TIMEOUT_MS = 500
+NO_PRIMARY_RETRY_MS = 800
+ATTEMPTS = 4
+OVERLOAD_PAUSE_S = 0.02
+
+BEGIN = Query(kind=QueryKind.BEGIN)
+BEGIN_READ = Query(kind=QueryKind.BEGIN_READ)
+ROLLBACK = Query(kind=QueryKind.ROLLBACK)
+RESET = Query(kind=QueryKind.RESET)
+
+
+def find_need(group: Group, session: Session, route: Route, now: int) -> Mark | None:
+    """Return the position that a replica must hold for a read.
+
+    Returns
+    -------
+    Mark or None
+        None when only the primary may serve the read.
+    """
+    if route.consistency is Consistency.LATEST:
+        return None
+    found = floors.find_floor(group.floors, route.staleness_ms, now)
+    if found is None:
+        return None
+    floor = Mark(term=found.term, position=found.position)
+    if route.consistency is Consistency.SESSION:
+        return later(floor, session.mark)
+    return floor
+
+
+def list_preparation(
+    pooled: PooledLink, session: Session, shape: PreparedShape | None
+) -> list[Query]:
+    """List the statements that bring a connection into a session's state."""
+    queries: list[Query] = []
+    crowded = len(pooled.prepared) >= PREPARED_LIMIT
+    if pooled.values != session.values or crowded:
+        if pooled.values or crowded:
+            queries.append(RESET)
+        queries += [
+            Query(kind=QueryKind.SET, name=name, value=value)
+            for name, value in session.values.items()
+        ]
+    is_known = shape is None or (shape.name in pooled.prepared and RESET not in queries)
+    if shape is not None and not is_known:
+        queries.append(Query(kind=QueryKind.PREPARE, name=shape.name, shape=shape))
+    return queries
+
+
+def apply_preparation(pooled: PooledLink, queries: list[Query]) -> None:
+    """Record what the server acknowledged to have prepared."""
+    for query in queries:
+        if query.kind is QueryKind.RESET:
+            pooled.values.clear()
+            pooled.prepared.clear()
+        elif query.kind is QueryKind.SET:
+            pooled.values[query.name] = query.value
+        elif query.kind is QueryKind.PREPARE:
+            pooled.prepared.add(query.name)
+
+
+async def prepare_link(
+    group: Group,
+    pool: ServerPool,
+    pooled: PooledLink,
+    session: Session,
+    shape: PreparedShape | None,
+    begin: Query | None,
+    after: Mark | None,
+) -> Answer | None:
+    """Bring a connection into a session's state and begin a transaction.
+
+    Every answer is awaited before the caller's statement is sent: behind a
+    failed one it would run with other values or outside its transaction.
+
+    Returns
+    -------
+    Answer or None
+        The first failure, None when all went well.
+
+    Raises
+    ------
+    LinkLostError
+        When the connection was lost; nothing of the caller's was sent.
+    """
+    preparation = list_preparation(pooled, session, shape)
+    queries = [*preparation, begin] if begin is not None else preparation
+    if not queries:
+        return None
+    asked_at = read_boot_ms()
+    answers = await pool.run(pooled, queries, after, CONTROL_TIMEOUT_MS)
+    for answer in answers:
+        if answer.failure is not None:
+            return answer
+    apply_preparation(pooled, preparation)
+    if begin is not None and begin.kind is QueryKind.BEGIN:
+        proof = answers[-1].mark
+        if proof is not None:
+            group.observe_lead(pool.server.server, proof, asked_at)
+    return None
+
+
+async def find_primary_pool(group: Group, job: Job) -> ServerPool:
+    """Return the pool of the primary, waiting a little for one to be found."""
+    while True:
+        primary = group.primary
+        pool = group.pools.get(primary) if primary is not None else None
+        if pool is not None and group.lead.silent_since is None:
+            return pool
+        now = read_boot_ms()
+        left_ms = job.give_up_at - now
+        if left_ms <= 0:
+            lead = group.lead
+            why = "no primary" if pool is None else "the primary gives no answer"
+            since = lead.silent_since or group.headless_since
+            raise refuse_overloaded(why, waiting.advise_outage_retry_ms(since, now))
+        group.probe_wanted.set()
+        group.lead_changed.clear()
+        try:
+            await asyncio.wait_for(group.lead_changed.wait(), left_ms / 1000)
+        except TimeoutError:
+            continue
+
+
+async def open_at_primary(
+    group: Group, session: Session, job: Job, begin: Query | None
+) -> tuple[ServerPool, PooledLink]:
+    """Take a prepared connection to the primary.
+
+    Raises
+    ------
+    RefusedError
+        When none can be had; nothing was sent.
+    """
+    detail = "no connection to the primary"
+    for _ in range(ATTEMPTS):
+        pool = await find_primary_pool(group, job)
+        server = pool.server.server
+        try:
+            pooled = await pool.acquire(
+                session.values, job.route.priority, job.give_up_at
+            )
+        except NoConnectionError as error:
+            raise refuse_overloaded(
+                "no free connection to the primary", error.retry_ms
+            ) from None
+        except LinkLostError as error:
+            detail = f"primary unreachable: {error}"
+            group.observe_silence(server)
+            continue
+        try:
+            failed = await prepare_link(
+                group, pool, pooled, session, job.shape, begin, None
+            )
+        except LinkLostError as error:
+            pool.release(pooled, clean=False)
+            detail = f"primary silent: {error}"
+            group.observe_silence(server)
+            continue
+        except BaseException:
+            pool.release(pooled, clean=False)
+            raise
+        if failed is None:
+            return pool, pooled
+        pool.release(pooled, clean=False)
+        detail = f"primary refused: {failed.failure.value if failed.failure else ''}"
+        if failed.failure is FailureCode.NOT_PRIMARY:
+            group.observe_denial(server)
+    raise refuse_overloaded(detail, NO_PRIMARY_RETRY_MS)
+
+
+async def open_at_reader(
+    group: Group, session: Session, job: Job, need: Mark
+) -> tuple[ServerPool, PooledLink] | None:
+    """Take a connection with a read transaction that holds a position.
+
+    Returns
+    -------
+    tuple or None
+        None when no server could begin it.
+    """
+    for pool in group.rank_readers()[:ATTEMPTS]:
+        try:
+            pooled = await pool.acquire(
+                session.values, job.route.priority, job.give_up_at
+            )
+        except (NoConnectionError, LinkLostError):
+            continue
+        try:
+            failed = await prepare_link(
+                group, pool, pooled, session, job.shape, BEGIN_READ, need
+            )
+        except LinkLostError:
+            pool.release(pooled, clean=False)
+            placement.observe_silence(pool.load, read_boot_ms())
+            continue
+        except BaseException:
+            pool.release(pooled, clean=False)
+            raise
+        if failed is None:
+            return pool, pooled
+        behind = failed.failure is FailureCode.BEHIND
+        if behind:
+            placement.observe_behind(pool.load, read_boot_ms())
+        # The connection may be half prepared: only a clean one is kept.
+        pool.release(
+            pooled, clean=behind and not list_preparation(pooled, session, None)
+        )
+    return None
--- a/src/apricotshore/pooling/prober.py
+++ b/src/apricotshore/pooling/prober.py
@@ -9,10 +9,10 @@
 from ..identifiers import ServerId
 from ..queries import FailureCode
 from ..services.clock import read_boot_ms
-from .dispatch import BEGIN, ROLLBACK
 from .group import Group
 from .pool import NoConnectionError, ServerPool
 from .ports import LinkLostError
+from .preparation import BEGIN, ROLLBACK
 
 # Reads accept data that is 1.5 s old: evidence is renewed several times within.
 EVIDENCE_PERIOD_MS = 300
--- a/src/apricotshore/pooling/settings.py
+++ b/src/apricotshore/pooling/settings.py
@@ -6,7 +6,14 @@
 from ..decisions.placement import Distance
 from ..exceptions import InvalidFileError, Problem
 from ..identifiers import DataCentreId, HostId
-from ..ini import Section, parse_address, parse_duration, parse_name, read_sections
+from ..ini import (
+    Section,
+    parse_address,
+    parse_duration,
+    parse_name,
+    read_file,
+    read_sections,
+)
 
 DEFAULT_GRACE_MS = 10_000
 DEFAULT_APPLY_MS = 5_000
@@ -106,11 +113,4 @@
 
 def load_pooling_settings(path: Path) -> PoolingSettings:
     """Read settings from a file; see `parse_pooling_settings`."""
-    try:
-        text = path.read_text()
-    except OSError as error:
-        detail = f"cannot be read: {error.strerror}"
-        raise InvalidFileError(
-            [Problem(source=str(path), section="-", key="", expected=detail)]
-        ) from None
-    return parse_pooling_settings(text, str(path))
+    return parse_pooling_settings(read_file(path), str(path))
--- /dev/null
+++ b/src/apricotshore/pooling/transactions.py
@@ -0,0 +1,136 @@
+"""Statements inside a caller's transaction."""
+
+import asyncio
+
+from ..queries import Answer, FailureCode, Query, QueryKind, TransactionState
+from ..services.clock import read_boot_ms
+from .pool import PooledLink, ServerPool
+from .ports import LinkLostError
+from .preparation import (
+    ATTEMPTS,
+    BEGIN,
+    CONTROL_TIMEOUT_MS,
+    NO_PRIMARY_RETRY_MS,
+    OVERLOAD_PAUSE_S,
+    ROLLBACK,
+    find_need,
+    open_at_primary,
+    open_at_reader,
+)
+from .sessions import (
+    Context,
+    Job,
+    RefusedError,
+    Session,
+    Transaction,
+    refuse_overloaded,
+)
+
+
+async def begin_transaction(
+    context: Context, session: Session, transaction: Transaction, job: Job
+) -> None:
+    """Begin a caller's transaction at a server, if that was not done yet.
+
+    Raises
+    ------
+    RefusedError
+        When no server could begin it.
+    """
+    if transaction.link is not None:
+        return
+    group = context.find_group(transaction.route.group)
+    if group is None:
+        raise refuse_overloaded("no servers are known", NO_PRIMARY_RETRY_MS)
+    found = None
+    if transaction.read_only:
+        need = find_need(group, session, transaction.route, transaction.began_at)
+        if need is not None:
+            found = await open_at_reader(group, session, job, need)
+    if found is None:
+        found = await open_at_primary(group, session, job, BEGIN)
+    transaction.pool, transaction.link = found
+
+
+async def run_in_transaction(context: Context, session: Session, job: Job) -> Answer:
+    """Run a statement or the commit of a caller's transaction."""
+    transaction = session.transaction
+    assert transaction is not None
+    await begin_transaction(context, session, transaction, job)
+    pool, pooled = transaction.pool, transaction.link
+    assert pool is not None
+    assert pooled is not None
+    is_commit = job.query.kind is QueryKind.COMMIT
+    try:
+        answer = await _run_pinned(session, pool, pooled, job)
+    except LinkLostError as error:
+        drop_transaction(transaction)
+        if is_commit and transaction.wrote:
+            raise RefusedError(FailureCode.UNKNOWN_OUTCOME, str(error)) from None
+        raise RefusedError(FailureCode.ROLLED_BACK, str(error)) from None
+    if job.writes:
+        transaction.wrote = True
+    if not is_commit and answer.failure is not None:
+        return _fail_transaction(context, transaction, answer)
+    return answer
+
+
+def _fail_transaction(
+    context: Context, transaction: Transaction, answer: Answer
+) -> Answer:
+    # The commit was never sent: whatever the server did is rolled back.
+    transaction.failed = True
+    context.spawn(roll_back(transaction))
+    return Answer(
+        failure=FailureCode.ROLLED_BACK,
+        detail=answer.failure.value if answer.failure else "",
+        state=TransactionState.FAILED,
+    )
+
+
+async def _run_pinned(
+    session: Session, pool: ServerPool, pooled: PooledLink, job: Job
+) -> Answer:
+    if job.shape is not None and job.shape.name not in pooled.prepared:
+        prepare = Query(kind=QueryKind.PREPARE, name=job.shape.name, shape=job.shape)
+        answers = await pool.run(pooled, [prepare], None, CONTROL_TIMEOUT_MS)
+        if answers[0].failure is not None:
+            return answers[0]
+        pooled.prepared.add(job.shape.name)
+    for attempt in range(ATTEMPTS):
+        left = job.deadline_at - read_boot_ms()
+        if left <= 0:
+            raise LinkLostError("the timeout of the route was reached", sent=False)
+        answers = await pool.run(pooled, [job.query], None, left)
+        answer = answers[0]
+        busy = answer.failure is FailureCode.OVERLOADED
+        if not busy or answer.state is not TransactionState.OPEN:
+            break
+        await asyncio.sleep(OVERLOAD_PAUSE_S * (attempt + 1))
+    return answer
+
+
+def drop_transaction(transaction: Transaction) -> None:
+    """Close the connection of a transaction, which rolls it back."""
+    if transaction.pool is not None and transaction.link is not None:
+        transaction.pool.release(transaction.link, clean=False)
+    transaction.pool = None
+    transaction.link = None
+    transaction.failed = True
+
+
+async def roll_back(transaction: Transaction) -> None:
+    """Roll a transaction back and keep its connection if that succeeds."""
+    pool, pooled = transaction.pool, transaction.link
+    if pool is None or pooled is None:
+        return
+    transaction.pool = None
+    transaction.link = None
+    clean = False
+    try:
+        answers = await pool.run(pooled, [ROLLBACK], None, CONTROL_TIMEOUT_MS)
+        clean = answers[0].failure is None and answers[0].state is TransactionState.IDLE
+    except LinkLostError:
+        clean = False
+    finally:
+        pool.release(pooled, clean=clean)
--- a/src/apricotshore/settings.py
+++ b/src/apricotshore/settings.py
@@ -12,6 +12,7 @@
     parse_count,
     parse_duration,
     parse_name,
+    read_file,
     read_sections,
 )
 
@@ -187,11 +188,4 @@
 
 def load_settings(path: Path) -> Settings:
     """Read settings from a file; see `parse_settings`."""
-    try:
-        text = path.read_text()
-    except OSError as error:
-        detail = f"cannot be read: {error.strerror}"
-        raise InvalidFileError(
-            [Problem(source=str(path), section="-", key="", expected=detail)]
-        ) from None
-    return parse_settings(text, str(path))
+    return parse_settings(read_file(path), str(path))
--- a/tests/pooling/support.py
+++ b/tests/pooling/support.py
@@ -18,10 +18,10 @@
     Term,
 )
 from apricotshore.pooling.changer import Changer
-from apricotshore.pooling.dispatch import Context
 from apricotshore.pooling.group import Group
 from apricotshore.pooling.journal import Journal
 from apricotshore.pooling.prober import Prober
+from apricotshore.pooling.sessions import Context
 from apricotshore.queries import Query, QueryKind
 from apricotshore.routes import Configuration, Consistency, Route
 from standins.pooled import GROUP, ModelDialer, ModelGroup, ModelPlatform
