Answer single statements with an idle session

Cause: found by reading: a latest read runs inside the proxy's own BEGIN, and the server's state after it, T, was passed on. The caller takes the operation for ended outside I and closes its session, with all its values.

Ruled out: wrong rows or receipts (those were right, so no rule caught it).

Change: every answer carries the session's own state.

--- a/src/apricotshore/pooling/conversation.py
+++ b/src/apricotshore/pooling/conversation.py
@@ -1,6 +1,7 @@
 """One caller's session, from its first statement to its end."""
 
 import asyncio
+from dataclasses import replace
 
 from ..decisions import shutdown
 from ..identifiers import DatabaseId
@@ -136,6 +137,8 @@
             answer = await self._answer(query, arrived)
         except RefusedError as error:
             answer = self._refuse(error)
+        # A server's word on the state may speak of the proxy's own transaction.
+        answer = replace(answer, state=self.state)
         self._note(query, answer, read_boot_ms() - arrived)
         await self.link.send(query, answer)
         self.quiet_since = read_boot_ms()
@@ -272,15 +275,7 @@
             return await singles.run_single(self.context, session, job)
         if writes and transaction.read_only:
             raise RefusedError(FailureCode.NOT_PRIMARY, "the transaction only reads")
-        answer = await transactions.run_in_transaction(self.context, session, job)
-        if answer.failure is None and self.link.is_open:
-            return Answer(
-                rows=answer.rows,
-                receipt=answer.receipt,
-                state=TransactionState.OPEN,
-                mark=answer.mark,
-            )
-        return answer
+        return await transactions.run_in_transaction(self.context, session, job)
 
     async def _change_session(self, query: Query) -> Answer:
         session = self.session
--- a/tests/pooling/test_dispatch.py
+++ b/tests/pooling/test_dispatch.py
@@ -299,3 +299,11 @@
     assert "the primary gives no answer" in answer.detail
     hint = int(answer.detail.rpartition("=")[2])
     assert 1_000 < hint <= 1_500
+
+
+@pytest.mark.parametrize("query", [read("r1"), write("w1")])
+async def test_single_statement_leaves_the_session_idle(latest, query):
+    """The read runs inside a transaction of the proxy's own, unseen by its caller."""
+    answer = await latest.open().ask(query)
+    assert answer.failure is None
+    assert answer.state is TransactionState.IDLE
