Name prepared shapes of several words by their digest

Cause: found by reading: a shape with a blank would become part of the text behind the prepared name. Ruled out: refusing such shapes (callers may send them). Change: a digest as the name. Figures: the new test fails before, passes after.

--- a/src/apricotshore/queries.py
+++ b/src/apricotshore/queries.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass, replace
 from enum import Enum
+from hashlib import blake2s
 
 from .groups import Mark, Role
 from .identifiers import RequestId, Term
@@ -96,8 +97,14 @@
 
     @property
     def name(self) -> str:
-        """Name under which every connection prepares this statement."""
-        return f"{self.access.value[0]}_{self.shape}"
+        """Name under which every connection prepares this statement.
+
+        A shape that is not one plain word is replaced by its digest: as a name
+        it would change the meaning of what follows it.
+        """
+        plain = self.shape.isascii() and self.shape.isalnum()
+        word = self.shape if plain else blake2s(self.shape.encode()).hexdigest()
+        return f"{self.access.value[0]}_{word}"
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/tests/platform_adapter/test_lines.py
+++ b/tests/platform_adapter/test_lines.py
@@ -91,3 +91,10 @@
     except lines.LineError:
         return
     assert b"\n" not in lines.encode_query(query, None)[:-2]
+
+
+def test_shape_of_several_words_has_a_name_of_one():
+    query = lines.decode_query("QUERY 5c0e PREPARE s1 WRITE a b")
+    assert query.shape is not None
+    assert query.shape.shape == "a b"
+    assert " " not in query.shape.name
