Log the store's era and each configuration that is not put in force

Cause: the logs couldn't tell whether hosts reject the new configuration after the store's return or never receive it: the branch that rejects one wrote nothing, and no line named the era of the store.

Ruled out: a metric alone (it shows that versions differ, not why).

JsonClient returns status, body and headers. No decision changes.

--- a/src/apricotshore/pooling/ports.py
+++ b/src/apricotshore/pooling/ports.py
@@ -16,6 +16,7 @@
     GroupId,
     HostId,
     ServerId,
+    StoreEra,
     StoreRevision,
 )
 from ..queries import Answer, FailureCode, Query
@@ -113,10 +114,22 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Snapshot:
-    """Objects or changes of a kind, and the revision to continue from."""
+    """Objects or changes of a kind.
+
+    Parameters
+    ----------
+    changes
+        The objects or changes.
+    revision
+        Revision to continue from.
+    era
+        Era of the store in which it answered. Each return of the store from an
+        older copy begins another era, and gives out revisions again.
+    """
 
     changes: tuple[Change, ...]
     revision: StoreRevision
+    era: StoreEra
 
 
 class ObjectStore(Protocol):
--- a/src/apricotshore/pooling/store_watcher.py
+++ b/src/apricotshore/pooling/store_watcher.py
@@ -6,7 +6,7 @@
 from mode import Service
 
 from ..decisions.relays import ListedHost
-from ..identifiers import GroupId, HostId, ServerId, StoreRevision
+from ..identifiers import GroupId, HostId, ServerId, StoreEra, StoreRevision
 from ..routes import EMPTY_CONFIGURATION, Configuration, ListedServer
 from ..services.clock import read_boot_ms
 from .journal import EventKind, Journal
@@ -137,6 +137,7 @@
         self.unavailable: set[StoredKind] = set()
         self.restored_at = 0
         self.servers_listed = False
+        self.era: StoreEra | None = None
 
     def set_bounds(self, apply_ms: int, leave_ms: int, window_ms: int) -> None:
         """Derive the waits of watches and the period of checks from the bounds."""
@@ -214,9 +215,11 @@
             try:
                 if revision is None:
                     snapshot = await self.store.list(kind)
+                    self._observe_era(snapshot.era)
                     changed = self._apply_list(kind, snapshot.changes)
                 else:
                     snapshot = await self._watch(kind, revision)
+                    self._observe_era(snapshot.era)
                     changed = self._apply_changes(kind, snapshot.changes)
                 revision = snapshot.revision
                 self._record_restored(kind)
@@ -247,6 +250,11 @@
             finally:
                 del self.watch_timeouts[kind]
 
+    def _observe_era(self, era: StoreEra) -> None:
+        if self.era is not None and era != self.era:
+            self.journal.record(EventKind.STORE_RESTORED, era=era, earlier_era=self.era)
+        self.era = era
+
     def _record_lost(self, kind: StoredKind, error: StoreError) -> None:
         if kind not in self.unavailable:
             self.unavailable.add(kind)
@@ -299,16 +307,29 @@
             self.journal.record(EventKind.CONFIGURATION_REFUSED, name=change.name)
             return
         if found.revision <= self.configuration.revision:
+            if found != self.configuration:
+                self._record_ignored(found)
             return
         self.configuration = found
         self.journal.record(
             EventKind.CONFIGURATION_APPLIED,
             version=found.version,
+            era=self.era,
             revision=found.revision,
             routes=len(found.routes),
         )
         self.on_configuration(found)
 
+    def _record_ignored(self, found: Configuration) -> None:
+        self.journal.record(
+            EventKind.CONFIGURATION_IGNORED,
+            version=found.version,
+            era=self.era,
+            revision=found.revision,
+            version_in_force=self.configuration.version,
+            revision_in_force=self.configuration.revision,
+        )
+
     def _apply_server(self, change: Change) -> bool:
         server = ServerId(change.name)
         if change.removed:
--- a/src/apricotshore/services/jsonapi.py
+++ b/src/apricotshore/services/jsonapi.py
@@ -2,6 +2,8 @@
 
 import json
 import socket
+from collections.abc import Mapping
+from dataclasses import dataclass
 from typing import Any
 
 import aiohttp
@@ -13,6 +15,25 @@
     """A call got no usable answer; the server may have executed it."""
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class JsonAnswer:
+    """Answer to a call.
+
+    Parameters
+    ----------
+    status
+        HTTP status.
+    body
+        Decoded body, an empty table when there is none.
+    headers
+        Headers; their names compare without regard to case.
+    """
+
+    status: int
+    body: Any
+    headers: Mapping[str, str]
+
+
 def _open_socket(address: aiohttp.AddrInfoType) -> socket.socket:
     family, kind, protocol, _, _ = address
     raw = socket.socket(family=family, type=kind, proto=protocol)
@@ -40,8 +61,8 @@
 
     async def call(
         self, method: str, url: str, timeout_s: float, **kwargs: Any
-    ) -> tuple[int, Any]:
-        """Make a call and return the status and the decoded body.
+    ) -> JsonAnswer:
+        """Make a call and return its answer.
 
         Parameters
         ----------
@@ -63,6 +84,10 @@
                 method, url, timeout=timeout, **kwargs
             ) as response:
                 body = await response.read()
-                return response.status, json.loads(body) if body else {}
+                return JsonAnswer(
+                    status=response.status,
+                    body=json.loads(body) if body else {},
+                    headers=response.headers,
+                )
         except (aiohttp.ClientError, TimeoutError, OSError, ValueError) as error:
             raise NoAnswerError(repr(error)) from None
--- a/src/apricotshore/services/platform.py
+++ b/src/apricotshore/services/platform.py
@@ -72,11 +72,12 @@
         self.calls[purpose] += 1
         headers = {"X-Purpose": purpose.value, **kwargs.pop("headers", {})}
         try:
-            return await self._client.call(
+            answer = await self._client.call(
                 method, f"{self.base}/{path}", timeout_s, headers=headers, **kwargs
             )
         except NoAnswerError as error:
             raise PlatformError(f"the platform did not answer: {error}") from None
+        return answer.status, answer.body
 
     async def read(
         self, kind: ObjectKind, name: str, purpose: Purpose
--- a/standins/in_memory.py
+++ b/standins/in_memory.py
@@ -18,6 +18,7 @@
     HostId,
     Position,
     ServerId,
+    StoreEra,
     StoreRevision,
     Term,
 )
@@ -413,6 +414,7 @@
     down: bool = False
     unanswered_delay_s: float = 0.0
     revision: int = 10
+    era: int = 1
     leases: dict[GroupId, LeaseRecord] = field(default_factory=dict)
     tokens: dict[GroupId, int] = field(default_factory=dict)
     orders: list[tuple[HostId, ServerId, int]] = field(default_factory=list)
@@ -425,7 +427,9 @@
     async def list(self, kind: StoredKind, *, stale: bool = False) -> Snapshot:
         """Return an empty list: tests fill the store watcher themselves."""
         self._check()
-        return Snapshot(changes=(), revision=StoreRevision(self.revision))
+        return Snapshot(
+            changes=(), revision=StoreRevision(self.revision), era=StoreEra(self.era)
+        )
 
     async def watch(
         self, kind: StoredKind, revision: StoreRevision, wait_ms: int
--- a/tests/pooling/test_store_watcher.py
+++ b/tests/pooling/test_store_watcher.py
@@ -2,7 +2,7 @@
 
 import asyncio
 
-from apricotshore.identifiers import StoreRevision
+from apricotshore.identifiers import StoreEra, StoreRevision
 from apricotshore.pooling import store_watcher
 from apricotshore.pooling.ports import (
     Change,
@@ -39,13 +39,18 @@
         self.checks_fail = False
         self.mute = False
         self.listed = 0
+        self.era = 1
         self.watched: list[StoredKind] = []
 
     async def list(self, kind, *, stale=False):
         if self.down or (stale and self.checks_fail):
             raise StoreError("down")
         self.listed += kind is StoredKind.CONFIGURATION
-        return Snapshot(changes=tuple(self.lists[kind]), revision=StoreRevision(1))
+        return Snapshot(
+            changes=tuple(self.lists[kind]),
+            revision=StoreRevision(1),
+            era=StoreEra(self.era),
+        )
 
     async def watch(self, kind, revision, wait_ms):
         self.watched.append(kind)
@@ -58,10 +63,10 @@
             async with asyncio.timeout(wait_ms / 1000):
                 event = await self.events[kind].get()
         except TimeoutError:
-            return Snapshot(changes=(), revision=revision)
+            return Snapshot(changes=(), revision=revision, era=StoreEra(self.era))
         if isinstance(event, Exception):
             raise event
-        return Snapshot(changes=(event,), revision=revision)
+        return Snapshot(changes=(event,), revision=revision, era=StoreEra(self.era))
 
 
 def configuration(revision: int, version: int) -> Change:
