--- a/tests/pooling/test_store_watcher.py
+++ b/tests/pooling/test_store_watcher.py
@@ -42,6 +42,10 @@
         self.era = 1
         self.watched: list[StoredKind] = []
 
+    def restore(self) -> None:
+        """Begin another era, as a store does that comes back from an older copy."""
+        self.era += 1
+
     async def list(self, kind, *, stale=False):
         if self.down or (stale and self.checks_fail):
             raise StoreError("down")
