Order configurations by the operator's version, not by the store's revision

What callers saw: after a restore of the store a confirmed change was not in force: requests went by the former routes until the next restart.

Cause: a configuration was ignored unless its revision was above that of the one in force. A restored store gives revisions out again, so the next version got the revision of the former one.

Ruled out: comparing (era, revision): right after the return the copy holds an older version in a newer era, which would take hosts back to it.

Change: the operator's version orders configurations; an equal version is applied when its content differs.

Conclusion: works because the version is the operator's own and only grows, whatever the store forgets.

--- a/src/apricotshore/pooling/store_watcher.py
+++ b/src/apricotshore/pooling/store_watcher.py
@@ -306,8 +306,8 @@
         if not isinstance(found, Configuration):
             self.journal.record(EventKind.CONFIGURATION_REFUSED, name=change.name)
             return
-        if found.revision <= self.configuration.revision:
-            if found != self.configuration:
+        if not found.replaces(self.configuration):
+            if found.version != self.configuration.version:
                 self._record_ignored(found)
             return
         self.configuration = found
--- a/src/apricotshore/routes.py
+++ b/src/apricotshore/routes.py
@@ -1,6 +1,6 @@
 """Configuration: routes from databases to groups of backend servers."""
 
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from enum import Enum
 
 from .identifiers import (
@@ -79,9 +79,10 @@
     Parameters
     ----------
     revision
-        Store revision at which it was written; the highest one is used.
+        Store revision at which it was written. A restored store gives revisions out
+        again, so they do not order configurations.
     version
-        Version number assigned by the operator.
+        Version number assigned by the operator; the highest one is used.
     routes, groups
         Routes by database and settings by group.
     idle_transaction_ms
@@ -94,6 +95,12 @@
     groups: dict[GroupId, GroupSettings] = field(default_factory=dict)
     idle_transaction_ms: int = DEFAULT_IDLE_TRANSACTION_MS
 
+    def replaces(self, other: "Configuration") -> bool:
+        """Return whether this one, read later than the other, is to replace it."""
+        if self.version != other.version:
+            return self.version > other.version
+        return replace(self, revision=other.revision) != other
+
 
 EMPTY_CONFIGURATION = Configuration(revision=StoreRevision(0))
 
