List the store's objects anew when it was restored

What callers would see: a changed route or a leaving server that this host learns minutes late or never.

Cause: a watch goes on from a revision. A restored store gives revisions out again; once it has passed the watch's revision it sends no 410, and what was written in between never arrives.

Ruled out: comparing revisions for a step back (they may have passed the old one); waiting for the next failed check (a short outage fails none).

A watch answered in another era than it began in counts as lost history; a new era seen by any call interrupts the watches and has them list anew; an answer of an earlier era is dropped.

Evidence: both new watch tests fail without the change, and the five tests of a restored store fail when revisions order configurations again.

Conclusion: a revision is used only in the era that gave it out.

--- a/src/apricotshore/pooling/host.py
+++ b/src/apricotshore/pooling/host.py
@@ -35,6 +35,7 @@
 from .relay_dialer import RelayDialer
 from .sessions import Context
 from .settings import PoolingSettings
+from .store_era import EraTracker
 from .store_watcher import StoreWatcher
 from .supervision import keep_running
 
@@ -106,9 +107,11 @@
         )
         self.background: set[asyncio.Task[None]] = set()
         self.ended = asyncio.Event()
+        self.eras = EraTracker(journal=journal)
         self.store_watcher = StoreWatcher(
             store=adapters.store,
             journal=journal,
+            eras=self.eras,
             apply_ms=settings.apply_ms,
             leave_ms=settings.leave_ms,
             window_ms=settings.window_ms,
--- a/src/apricotshore/pooling/store_watcher.py
+++ b/src/apricotshore/pooling/store_watcher.py
@@ -6,7 +6,7 @@
 from mode import Service
 
 from ..decisions.relays import ListedHost
-from ..identifiers import GroupId, HostId, ServerId, StoreEra, StoreRevision
+from ..identifiers import GroupId, HostId, ServerId
 from ..routes import EMPTY_CONFIGURATION, Configuration, ListedServer
 from ..services.clock import read_boot_ms
 from .journal import EventKind, Journal
@@ -19,6 +19,7 @@
     StoredKind,
     StoreError,
 )
+from .store_era import EraTracker
 from .supervision import keep_running
 
 # A watch that the store stopped answering ends after its wait plus the margin of
@@ -91,6 +92,8 @@
         The platform's store.
     journal
         Journal of the host.
+    eras
+        Tracker of the store's era.
     apply_ms, leave_ms, window_ms
         Bounds within which a new configuration and a leaving server must be
         known, and the time without a fault after which they apply.
@@ -109,6 +112,7 @@
         *,
         store: ObjectStore,
         journal: Journal,
+        eras: EraTracker,
         apply_ms: int,
         leave_ms: int,
         window_ms: int,
@@ -121,6 +125,8 @@
         super().__init__()
         self.store = store
         self.journal = journal
+        self.eras = eras
+        self.eras.listeners.append(self._interrupt_watches)
         self.on_server = on_server
         self.on_server_gone = on_server_gone
         self.on_configuration = on_configuration
@@ -137,7 +143,6 @@
         self.unavailable: set[StoredKind] = set()
         self.restored_at = 0
         self.servers_listed = False
-        self.era: StoreEra | None = None
 
     def set_bounds(self, apply_ms: int, leave_ms: int, window_ms: int) -> None:
         """Derive the waits of watches and the period of checks from the bounds."""
@@ -174,6 +179,8 @@
                 self._record_lost(StoredKind.PRIMARY_CHANGE, error)
                 self._interrupt_watches()
                 continue
+            if not self.eras.accept(snapshot.era):
+                continue
             if StoredKind.PRIMARY_CHANGE in self.unavailable:
                 self._record_restored(StoredKind.PRIMARY_CHANGE)
                 self._interrupt_watches()
@@ -210,50 +217,65 @@
             scope.reschedule(now)
 
     async def _follow(self, kind: StoredKind) -> None:
-        revision: StoreRevision | None = None
+        latest: Snapshot | None = None
         while not self.should_stop:
             try:
-                if revision is None:
-                    snapshot = await self.store.list(kind)
-                    self._observe_era(snapshot.era)
+                if latest is None or latest.era != self.eras.era:
+                    snapshot = await self._list(kind)
                     changed = self._apply_list(kind, snapshot.changes)
                 else:
-                    snapshot = await self._watch(kind, revision)
-                    self._observe_era(snapshot.era)
+                    snapshot = await self._watch(kind, latest)
                     changed = self._apply_changes(kind, snapshot.changes)
-                revision = snapshot.revision
+                latest = snapshot
                 self._record_restored(kind)
                 if snapshot.changes:
                     await asyncio.sleep(BURST_PAUSE_S if changed else QUIET_PAUSE_S)
             except TimeoutError:
                 self.journal.record(EventKind.WATCH_RESTARTED, kind=kind.value)
             except HistoryLostError:
-                revision = None
+                latest = None
             except StoreError as error:
                 self._record_lost(kind, error)
-                revision = None
+                latest = None
                 await asyncio.sleep(RETRY_PAUSE_S)
             self._remove_missing()
 
-    async def _watch(self, kind: StoredKind, revision: StoreRevision) -> Snapshot:
-        """Wait for changes.
+    async def _list(self, kind: StoredKind) -> Snapshot:
+        """List the objects of a kind.
+
+        Raises
+        ------
+        StoreError
+            When the store gave no answer of its latest era.
+        """
+        snapshot = await self.store.list(kind)
+        if not self.eras.accept(snapshot.era):
+            raise StoreError(f"a list of era {snapshot.era}, not {self.eras.era}")
+        return snapshot
+
+    async def _watch(self, kind: StoredKind, latest: Snapshot) -> Snapshot:
+        """Wait for changes after an earlier answer.
 
         Raises
         ------
         TimeoutError
             When `_interrupt_watches` ended the wait.
+        HistoryLostError
+            When the store has dropped the history since then, or was restored: a
+            restored store that has given out the revision again continues from it
+            without an error.
         """
         async with asyncio.timeout(None) as scope:
             self.watch_timeouts[kind] = scope
             try:
-                return await self.store.watch(kind, revision, self.wait_ms[kind])
+                snapshot = await self.store.watch(
+                    kind, latest.revision, self.wait_ms[kind]
+                )
             finally:
                 del self.watch_timeouts[kind]
-
-    def _observe_era(self, era: StoreEra) -> None:
-        if self.era is not None and era != self.era:
-            self.journal.record(EventKind.STORE_RESTORED, era=era, earlier_era=self.era)
-        self.era = era
+        if not self.eras.accept(snapshot.era) or snapshot.era != latest.era:
+            raise HistoryLostError(f"the store was restored after era {latest.era}")
+        return snapshot
 
     def _record_lost(self, kind: StoredKind, error: StoreError) -> None:
         if kind not in self.unavailable:
@@ -314,7 +336,7 @@
         self.journal.record(
             EventKind.CONFIGURATION_APPLIED,
             version=found.version,
-            era=self.era,
+            era=self.eras.era,
             revision=found.revision,
             routes=len(found.routes),
         )
@@ -324,7 +346,7 @@
         self.journal.record(
             EventKind.CONFIGURATION_IGNORED,
             version=found.version,
-            era=self.era,
+            era=self.eras.era,
             revision=found.revision,
             version_in_force=self.configuration.version,
             revision_in_force=self.configuration.revision,
