Watch on from the first page of a list, and drop a list of two eras

What callers would see: a change to an object on an early page, made while a later page was read, is never applied; a list that mixes the copy with what was there before it.

Cause: the watch went on from the revision of the last page; nothing compared the pages' eras.

Ruled out: reading the list again until all pages have one revision (may never end while servers start).

Change: the list's revision is that of its first page; pages of two eras raise StoreError, and the list is read again.

--- a/tests/platform_adapter/test_sockets.py
+++ b/tests/platform_adapter/test_sockets.py
@@ -191,6 +191,42 @@
     assert snapshot.revision == 9
 
 
+async def list_two_pages(*, eras=("2", "2"), revisions=(8, 9)):
+    """List two pages with the given eras and revisions."""
+
+    async def handle(request):
+        page = 1 if "after" in request.query else 0
+        body = {
+            "items": [{"meta": {"name": f"s{page}", "revision": 3}, "spec": {}}],
+            "hasMore": page == 0,
+            "storeRevision": revisions[page],
+        }
+        return web.json_response(body, headers={"Store-Era": eras[page]})
+
+    async with store(handle) as client:
+        return await client.list(StoredKind.SERVER)
+
+
+async def test_change_between_two_pages_of_a_list_is_not_skipped_by_the_watch():
+    assert (await list_two_pages(revisions=(8, 9))).revision == 8
+
+
+async def test_list_whose_pages_are_of_two_eras_is_not_used():
+    assert (await list_two_pages()).era == 2
+    with pytest.raises(StoreError, match="between two pages"):
+        await list_two_pages(eras=("2", "3"))
+
+
+@pytest.mark.parametrize("header", ["", "x", "-1", "²"])
+async def test_answer_without_a_readable_era_is_of_era_0(header):
+    async def handle(request):
+        body = {"items": [], "storeRevision": 1}
+        return web.json_response(body, headers={"Store-Era": header})
+
+    async with store(handle) as client:
+        assert (await client.list(StoredKind.HOST)).era == 0
+
+
 @pytest.mark.parametrize("status", [429, 500, 503])
 async def test_error_statuses_of_the_store_raise_store_errors(status):
     async def handle(request):
