Keep the known servers until the others had time to register in a restored store

What callers would see: statements sent to a server that was leaving before the restore (its connections end within seconds), and servers dropped for a moment although they run, with their connections.

Cause: the list of a restored store was taken for newer than what the host knew. It is older: a leaving server stands there as ready, one that registered after the copy is missing, a gone one is listed again.

Ruled out: ordering entries by their start time or heartbeat number (clocks of servers jump; an entry isn't rewritten while only the number changes, so a server that is alive could be ignored for good).

Change: within 2.5 s of a restore, the time in which servers register again, the list of servers is not applied; changes that arrive by the watch are. It is listed anew after that, and servers still missing are removed.

Evidence: without the change three of the four new tests fail; the fourth (a server that is still missing is removed) passes either way.

Conclusion: a host without earlier knowledge still uses the first list.

--- a/src/apricotshore/pooling/store_watcher.py
+++ b/src/apricotshore/pooling/store_watcher.py
@@ -47,8 +47,8 @@
 FIRST_HOSTS_PERIOD_S = 3.0
 FIRST_HOSTS_LISTS = 4
 EMPTY_HOSTS_PERIOD_S = 1.0
-# Servers whose entries expired while the store was unavailable register again
-# within about 2 s of its return.
+# Servers whose entries expired while the store was unavailable, or were lost with
+# what it forgot, register again within about 2 s of its return.
 RETURN_GRACE_MS = 2_500
 
 
@@ -143,6 +143,8 @@
         self.unavailable: set[StoredKind] = set()
         self.restored_at = 0
         self.servers_listed = False
+        # When the servers are to be listed anew, None after a list that was applied.
+        self.list_servers_at: int | None = None
 
     def set_bounds(self, apply_ms: int, leave_ms: int, window_ms: int) -> None:
         """Derive the waits of watches and the period of checks from the bounds."""
@@ -220,7 +222,7 @@
         latest: Snapshot | None = None
         while not self.should_stop:
             try:
-                if latest is None or latest.era != self.eras.era:
+                if latest is None or self._must_list(kind, latest):
                     snapshot = await self._list(kind)
                     changed = self._apply_list(kind, snapshot.changes)
                 else:
@@ -240,6 +242,18 @@
                 await asyncio.sleep(RETRY_PAUSE_S)
             self._remove_missing()
 
+    def _must_list(self, kind: StoredKind, latest: Snapshot) -> bool:
+        if latest.era != self.eras.era:
+            return True
+        due = self.list_servers_at if kind is StoredKind.SERVER else None
+        return due is not None and read_boot_ms() >= due
+
+    def _choose_wait_ms(self, kind: StoredKind) -> int:
+        wait = self.wait_ms[kind]
+        if kind is not StoredKind.SERVER or self.list_servers_at is None:
+            return wait
+        return max(1, min(wait, self.list_servers_at - read_boot_ms()))
+
     async def _list(self, kind: StoredKind) -> Snapshot:
         """List the objects of a kind.
 
@@ -269,7 +283,7 @@
             self.watch_timeouts[kind] = scope
             try:
                 snapshot = await self.store.watch(
-                    kind, latest.revision, self.wait_ms[kind]
+                    kind, latest.revision, self._choose_wait_ms(kind)
                 )
             finally:
                 del self.watch_timeouts[kind]
@@ -289,11 +303,19 @@
             self.journal.record(EventKind.STORE_BACK, kind=kind.value)
 
     def _apply_list(self, kind: StoredKind, changes: tuple[Change, ...]) -> bool:
-        """Apply a whole list; return whether anything that is used here changed."""
-        changed = self._apply_changes(kind, changes)
+        """Apply a whole list; return whether anything that is used here changed.
+
+        The servers of a store that was just restored are older than those known here,
+        so their list is read again once they had time to register.
+        """
         if kind is not StoredKind.SERVER:
-            return changed
+            return self._apply_changes(kind, changes)
+        if self.servers_listed and self.eras.is_settling(RETURN_GRACE_MS):
+            self.list_servers_at = self.eras.state.seen_at + RETURN_GRACE_MS
+            return True
+        changed = self._apply_changes(kind, changes)
         self.servers_listed = True
+        self.list_servers_at = None
         names = {ServerId(change.name) for change in changes}
         gone = self.listed.keys() - names
         for server in gone:
@@ -307,6 +329,8 @@
         now = read_boot_ms()
         if self.unavailable or now - self.restored_at < RETURN_GRACE_MS:
             return
+        if self.eras.is_settling(RETURN_GRACE_MS):
+            return
         for server in list(self.missing):
             self.missing.pop(server)
             self.listed.pop(server, None)
--- a/tests/pooling/test_restored_store.py
+++ b/tests/pooling/test_restored_store.py
@@ -1,13 +1,19 @@
 """Hosts whose store comes back from an older copy."""
 
+import asyncio
+from contextlib import asynccontextmanager
 from dataclasses import replace
 
 from apricotshore.identifiers import StoreEra
+from apricotshore.pooling import store_watcher
 from apricotshore.pooling.ports import Change, HistoryLostError, StoredKind
 from apricotshore.pooling.store_era import EraTracker
 
 from .support import make_journal, wait_until
-from .test_store_watcher import Bed, configuration
+from .test_store_watcher import Bed, configuration, server
+
+# Time that servers get to register again, in milliseconds.
+GRACE_MS = 1_600
 
 
 async def restore(bed: Bed, listed: Change) -> None:
@@ -78,6 +84,61 @@
         await wait_until(lambda: bed.applied == [11, 14], 0.4)
 
 
+def leave(change: Change) -> Change:
+    return replace(change, content=replace(change.content, leaving=True))
+
+
+@asynccontextmanager
+async def restored_servers(monkeypatch, known: list[Change], copied: list[Change]):
+    """Run a host that knows some servers and reads others from the copy."""
+    monkeypatch.setattr(store_watcher, "RETURN_GRACE_MS", GRACE_MS)
+    bed = Bed()
+    bed.store_watcher.check_period_ms = 20
+    bed.store.lists[StoredKind.SERVER] = known
+    async with bed:
+        await wait_until(lambda: bed.store_watcher.servers_listed)
+        bed.store.lists[StoredKind.SERVER] = copied
+        bed.store.restore()
+        await wait_until(lambda: bed.store_watcher.list_servers_at is not None)
+        yield bed
+
+
+async def test_server_that_leaves_is_not_used_again_because_the_copy_is_older(
+    monkeypatch,
+):
+    gone = leave(server("s1"))
+    async with restored_servers(monkeypatch, [gone], [server("s1")]) as bed:
+        listed = bed.store_watcher.listed
+        await asyncio.sleep(GRACE_MS / 2000)
+        assert listed["s1"].leaving
+        bed.store.lists[StoredKind.SERVER] = [gone]
+        await asyncio.sleep(GRACE_MS / 1000)
+        assert listed["s1"].leaving
+
+
+async def test_server_that_the_copy_lacks_gets_time_to_register_again(monkeypatch):
+    both = [server("s1"), server("s2")]
+    async with restored_servers(monkeypatch, both, [server("s1")]) as bed:
+        await asyncio.sleep(GRACE_MS / 2000)
+        assert bed.servers == {"s1", "s2"}
+        bed.store.lists[StoredKind.SERVER] = both
+        await asyncio.sleep(GRACE_MS / 1000)
+        assert bed.servers == {"s1", "s2"}
+
+
+async def test_server_still_missing_after_that_time_is_removed(monkeypatch):
+    both = [server("s1"), server("s2")]
+    async with restored_servers(monkeypatch, both, [server("s1")]) as bed:
+        await wait_until(lambda: bed.servers == {"s1"}, 2 * GRACE_MS / 1000)
+
+
+async def test_server_that_leaves_after_a_restore_is_known_at_once(monkeypatch):
+    async with restored_servers(monkeypatch, [server("s1")], [server("s1")]) as bed:
+        bed.store.events[StoredKind.SERVER].put_nowait(leave(server("s1")))
+        listed = bed.store_watcher.listed
+        await wait_until(lambda: listed["s1"].leaving, GRACE_MS / 2000)
+
+
 def test_answer_of_an_earlier_era_is_not_accepted():
     eras = EraTracker(journal=make_journal())
     restores = []
