Write a host's entry again in a restored store

What callers would see: where hosts share connections through relays, a host that others no longer list; its connections move at once, and a host that stopped is asked to relay again.

Cause: a host remembered that it had written (or removed) its entry and never did so again, though the store had forgotten it. The list read just after a restore lacks the hosts that started after the copy.

Ruled out: writing the entry at each list (a write each 12 s and host).

Change: the entry belongs to the era in which it was written and is written, or removed while stopping, once in each era.

Conclusion: the copy may still list hosts that stopped for good after it was made; they are avoided as relays like hosts that were killed.

--- a/src/apricotshore/pooling/host.py
+++ b/src/apricotshore/pooling/host.py
@@ -18,6 +18,7 @@
 from .caller_session import CallerSession
 from .group import Group
 from .host_session import HostSession
+from .host_watcher import HostWatcher
 from .journal import EventKind, Journal
 from .metrics import PoolingMetrics
 from .ports import (
@@ -27,7 +28,6 @@
     LeaseRecord,
     ObjectStore,
     Promoter,
-    StoreError,
 )
 from .primary_changer import PrimaryChanger
 from .primary_prover import PrimaryProver
@@ -64,6 +64,17 @@
     close: Callable[[], Awaitable[None]]
 
 
+def _make_entry(settings: PoolingSettings) -> ListedHost | None:
+    """Return a host's entry in the store, None if it is no relay."""
+    if not settings.peer_address:
+        return None
+    return ListedHost(
+        host=settings.host,
+        data_centre=settings.data_centre,
+        address=settings.peer_address,
+    )
+
+
 class PoolingHost(Service):
     """Service that serves callers over pooled connections until it is stopped.
 
@@ -119,14 +130,15 @@
             on_server_gone=self._remove_server,
             on_configuration=self._apply_configuration,
             on_lease=self._observe_lease,
+        )
+        self.host_watcher = HostWatcher(
+            store=adapters.store,
+            journal=journal,
+            eras=self.eras,
+            host=settings.host,
+            entry=_make_entry(settings),
             on_hosts=self._update_hosts,
         )
-        if settings.peer_address:
-            self.store_watcher.own_entry = ListedHost(
-                host=settings.host,
-                data_centre=settings.data_centre,
-                address=settings.peer_address,
-            )
         self.context = Context(
             host=settings.host,
             find_group=self.groups.get,
@@ -136,8 +148,9 @@
         )
 
     async def on_start(self) -> None:
-        """Start the store watcher."""
+        """Start the watchers of the store."""
         await self.add_runtime_dependency(self.store_watcher)
+        await self.add_runtime_dependency(self.host_watcher)
         self.journal.record(
             EventKind.STARTED,
             data_centre=self.settings.data_centre,
@@ -367,19 +380,9 @@
             return
         self.drain.began_at = read_boot_ms()
         self.journal.record(EventKind.STOPPING, sessions=len(self.caller_sessions))
-        self.store_watcher.own_entry = None
-        self._spawn(self._withdraw())
+        self.host_watcher.withdraw()
         self._close_idle()
 
-    async def _withdraw(self) -> None:
-        """Remove this host's entry, so that other hosts choose other relays."""
-        try:
-            await self.adapters.store.remove_host(self.settings.host)
-        except StoreError as error:
-            self.journal.record(
-                EventKind.ERROR, why=f"cannot remove this host's entry: {error}"
-            )
-
     def _close_idle(self) -> None:
         now = read_boot_ms()
         for session in list(self.host_sessions):
--- a/src/apricotshore/pooling/ports.py
+++ b/src/apricotshore/pooling/ports.py
@@ -155,11 +155,11 @@
     async def write_lease(self, group: GroupId, record: LeaseRecord) -> LeaseRecord:
         """Write a lease if it is still at ``record.revision`` (0: absent)."""
 
-    async def write_host(self, host: ListedHost) -> None:
-        """Create or replace the entry of a host."""
+    async def write_host(self, host: ListedHost) -> StoreEra:
+        """Create or replace the entry of a host; return the era of the answer."""
 
-    async def remove_host(self, host: HostId) -> None:
-        """Remove the entry of a host if there is one."""
+    async def remove_host(self, host: HostId) -> StoreEra:
+        """Remove the entry of a host if there is one; return the era of the answer."""
 
 
 class Promoter(Protocol):
--- a/src/apricotshore/pooling/store_watcher.py
+++ b/src/apricotshore/pooling/store_watcher.py
@@ -1,12 +1,11 @@
-"""Watches of configuration, backend servers and hosts in the platform's store."""
+"""Watches of configuration and backend servers in the platform's store."""
 
 import asyncio
 from collections.abc import Callable
 
 from mode import Service
 
-from ..decisions.relays import ListedHost
-from ..identifiers import GroupId, HostId, ServerId
+from ..identifiers import GroupId, ServerId
 from ..routes import EMPTY_CONFIGURATION, Configuration, ListedServer
 from ..services.clock import read_boot_ms
 from .journal import EventKind, Journal
@@ -40,13 +39,6 @@
 SHORTEST_CHECK_MS = 250
 # Within a bound there must be time for a check to fail and a watch to restart.
 CHECK_MARGIN_MS = 1_000
-# Relays are chosen from the listed hosts. The list may be this old, because a
-# relay that is gone is detected when it does not answer.
-HOSTS_PERIOD_S = 12.0
-# While hosts of a fleet start, relays are chosen anew at each list.
-FIRST_HOSTS_PERIOD_S = 3.0
-FIRST_HOSTS_LISTS = 4
-EMPTY_HOSTS_PERIOD_S = 1.0
 # Servers whose entries expired while the store was unavailable, or were lost with
 # what it forgot, register again within about 2 s of its return.
 RETURN_GRACE_MS = 2_500
@@ -68,21 +60,6 @@
     return max(SHORTEST_WAIT_MS, min(wait, LONGEST_WAIT_MS))
 
 
-def choose_hosts_period_s(lists: int, hosts: int) -> float:
-    """Return the pause before the next list of hosts, in seconds.
-
-    Parameters
-    ----------
-    lists
-        Lists read since the start.
-    hosts
-        Hosts in the last of them.
-    """
-    if not hosts:
-        return EMPTY_HOSTS_PERIOD_S
-    return FIRST_HOSTS_PERIOD_S if lists <= FIRST_HOSTS_LISTS else HOSTS_PERIOD_S
-
-
 class StoreWatcher(Service):
     """Service that watches the objects in the store and reports their changes.
 
@@ -103,8 +80,6 @@
         Called when another configuration is put in force.
     on_lease
         Called with each lease on a change of primary that a check reads.
-    on_hosts
-        Called with all listed hosts.
     """
 
     def __init__(
@@ -120,7 +95,6 @@
         on_server_gone: Callable[[ServerId], None],
         on_configuration: Callable[[Configuration], None],
         on_lease: Callable[[GroupId, LeaseRecord], None],
-        on_hosts: Callable[[dict[HostId, ListedHost]], None],
     ) -> None:
         super().__init__()
         self.store = store
@@ -131,8 +105,6 @@
         self.on_server_gone = on_server_gone
         self.on_configuration = on_configuration
         self.on_lease = on_lease
-        self.on_hosts = on_hosts
-        self.own_entry: ListedHost | None = None
         self.check_period_ms = LONGEST_CHECK_MS
         self.wait_ms: dict[StoredKind, int] = {}
         self.set_bounds(apply_ms, leave_ms, window_ms)
@@ -190,29 +162,6 @@
                 if isinstance(change.content, LeaseRecord):
                     self.on_lease(GroupId(change.name), change.content)
 
-    @Service.task
-    @keep_running
-    async def _follow_hosts(self) -> None:
-        """Write this host's entry when it changes, and list all hosts."""
-        written: ListedHost | None = None
-        lists = 0
-        while not self.should_stop:
-            try:
-                if self.own_entry is not None and self.own_entry != written:
-                    await self.store.write_host(self.own_entry)
-                    written = self.own_entry
-                snapshot = await self.store.list(StoredKind.HOST, stale=True)
-            except StoreError as error:
-                self._record_lost(StoredKind.HOST, error)
-                await asyncio.sleep(self.check_period_ms / 1000)
-                continue
-            self._record_restored(StoredKind.HOST)
-            listed = [c.content for c in snapshot.changes]
-            hosts = {h.host: h for h in listed if isinstance(h, ListedHost)}
-            self.on_hosts(hosts)
-            lists += 1
-            await asyncio.sleep(choose_hosts_period_s(lists, len(hosts)))
-
     def _interrupt_watches(self) -> None:
         now = asyncio.get_running_loop().time()
         for scope in self.watch_timeouts.values():
--- a/standins/in_memory.py
+++ b/standins/in_memory.py
@@ -23,6 +23,7 @@
     Term,
 )
 from apricotshore.pooling.ports import (
+    Change,
     ConnectionLostError,
     ConnectionRejectedError,
     HistoryLostError,
@@ -425,12 +426,20 @@
             raise StoreError("down")
 
     async def list(self, kind: StoredKind, *, stale: bool = False) -> Snapshot:
-        """Return an empty list: tests fill the store watcher themselves."""
+        """List the hosts; tests fill the store watcher themselves."""
         self._check()
+        hosts = self.hosts.values() if kind is StoredKind.HOST else ()
         return Snapshot(
-            changes=(), revision=StoreRevision(self.revision), era=StoreEra(self.era)
+            changes=tuple(Change(name=h.host, content=h, removed=False) for h in hosts),
+            revision=StoreRevision(self.revision),
+            era=StoreEra(self.era),
         )
 
+    def restore(self) -> None:
+        """Come back from a copy that holds nothing that hosts wrote."""
+        self.era += 1
+        self.hosts.clear()
+
     async def watch(
         self, kind: StoredKind, revision: StoreRevision, wait_ms: int
     ) -> Snapshot:
@@ -456,15 +465,17 @@
         )
         return self.leases[group]
 
-    async def write_host(self, host: ListedHost) -> None:
+    async def write_host(self, host: ListedHost) -> StoreEra:
         """Create or replace the entry of a host."""
         self._check()
         self.hosts[host.host] = host
+        return StoreEra(self.era)
 
-    async def remove_host(self, host: HostId) -> None:
+    async def remove_host(self, host: HostId) -> StoreEra:
         """Remove the entry of a host if there is one."""
         self._check()
         self.hosts.pop(host, None)
+        return StoreEra(self.era)
 
     async def promote(
         self, group: GroupId, server: ServerId, holder: HostId, token: FencingToken
--- a/tests/pooling/test_store_watcher.py
+++ b/tests/pooling/test_store_watcher.py
@@ -102,7 +102,6 @@
             on_server_gone=lambda s: self.servers.remove(s),
             on_configuration=lambda c: self.applied.append(c.version),
             on_lease=lambda group, record: None,
-            on_hosts=lambda hosts: None,
         )
 
     async def __aenter__(self) -> "Bed":
@@ -260,10 +259,3 @@
         assert not watcher._apply_changes(StoredKind.SERVER, (server(),))
         assert watcher._apply_changes(StoredKind.SERVER, (server(removed=True),))
         assert watcher._apply_changes(StoredKind.SERVER, (server(),))
-
-
-def test_hosts_are_listed_often_only_while_the_fleet_starts():
-    periods = [store_watcher.choose_hosts_period_s(n, 5) for n in range(1, 8)]
-    assert periods == sorted(periods)
-    assert periods[-1] == store_watcher.HOSTS_PERIOD_S
-    assert store_watcher.choose_hosts_period_s(9, 0) < periods[0]
