Let a lease belong to one era of the store

What callers would see after a restore: no change of primary for a long time (refused writes), or two at once, or a replica that stays paused.

Cause: four beliefs about the lease on a change of primary rest on revisions that never go back. (1) The fencing token was the lease's revision: after a restore it is lower than what the promotion API has seen, which refuses every promotion, and it is given out twice. (2) A lease that the copy lacks was taken for free although its holder goes on for seconds. (3) The holder's write could replace a lease of the new era that got the same revision. (4) A change whose open lease was lost left its replicas paused; nobody looked for it.

Ruled out: a counter of our own in the store (goes back as well); a marker of the era that hosts keep in the store (the lease itself can be it); letting the holder go on without the store (others can't see it).

Change: a lease is an object of its group and era. The token is the era above the revision. In an era without a lease all wait for LEASE_MS since they first saw it, except the holder of the lost one. Then one host, the first by rendezvous hashing, finishes what may have been lost: it fences earlier orders, resumes paused servers and leaves a lease of this era. So hosts also do once after the first start. Leases of earlier eras are removed.

--- /dev/null
+++ b/src/apricotshore/decisions/lease.py
@@ -0,0 +1,107 @@
+"""Lease on the change of a group's primary: who may take it, and its fencing token.
+
+A lease belongs to one era of the store. A restored store may have lost the lease
+that a host holds, so in a new era the others wait until it has expired. A change
+that was under way is lost with it, and is finished by the next holder.
+"""
+
+from dataclasses import dataclass
+
+from ..identifiers import FencingToken, StoreEra, StoreRevision
+
+LEASE_MS = 6_000
+# Low bits of a token that hold the revision; the era is above them.
+REVISION_BITS = 40
+# Within this time the other hosts know of a lease that one host wrote.
+RANK_STEP_MS = 5_000
+
+
+@dataclass(kw_only=True, slots=True)
+class ObservedLease:
+    """The lease on a group's change of primary as last read.
+
+    Parameters
+    ----------
+    era
+        Era of the store to which it belongs.
+    revision
+        Revision of the record in that era.
+    holder
+        Name of the changer that wrote it: its host and a random suffix.
+    open
+        Whether the change is still in progress.
+    seen_at
+        When this revision was first read, in milliseconds since boot.
+    """
+
+    era: StoreEra
+    revision: StoreRevision
+    holder: str
+    open: bool
+    seen_at: int
+
+
+@dataclass(kw_only=True, slots=True)
+class LeaseClaim:
+    """What one changer may claim in the store's latest era.
+
+    Parameters
+    ----------
+    holder
+        Name of the changer.
+    held_until
+        End of the time in which no other changer can hold the lease, since this one
+        wrote it; 0 when its last change has ended. In milliseconds since boot.
+    era_seen_at
+        When the host got its first answer of the era, in milliseconds since boot.
+    """
+
+    holder: str
+    held_until: int
+    era_seen_at: int
+
+
+def make_token(era: StoreEra, revision: StoreRevision) -> FencingToken:
+    """Return the fencing token of a lease, which increases with the era."""
+    return FencingToken(era << REVISION_BITS | revision)
+
+
+def may_acquire(lease: ObservedLease | None, claim: LeaseClaim, now: int) -> bool:
+    """Return whether a changer may acquire the lease of the store's latest era.
+
+    Parameters
+    ----------
+    lease
+        The lease of that era, None without one.
+    claim
+        The changer and its times.
+    now
+        Milliseconds since boot.
+    """
+    if lease is None:
+        return now < claim.held_until or now - claim.era_seen_at >= LEASE_MS
+    if not lease.open or lease.holder == claim.holder:
+        return True
+    return now - lease.seen_at >= LEASE_MS
+
+
+def may_be_abandoned(
+    lease: ObservedLease | None, claim: LeaseClaim, rank: int, now: int
+) -> bool:
+    """Return whether this changer is to finish a change that another left.
+
+    An era without a lease may have lost an open one.
+
+    Parameters
+    ----------
+    lease, claim, now
+        See `may_acquire`.
+    rank
+        Number of hosts that are to do it before this one, so that one does it for all.
+    """
+    if not may_acquire(lease, claim, now):
+        return False
+    if lease is not None:
+        return lease.open
+    first_at = claim.era_seen_at + LEASE_MS
+    return bool(claim.held_until) or now >= first_at + rank * RANK_STEP_MS
--- a/src/apricotshore/decisions/primary_change.py
+++ b/src/apricotshore/decisions/primary_change.py
@@ -15,7 +15,6 @@
 from ..queries import ServerReport
 from .position_history import PositionSample
 
-LEASE_MS = 6_000
 # Time into the lease after which no step, and no confirmation, is started.
 STEPS_MS = 2_500
 CONFIRM_MS = 4_500
@@ -410,32 +409,3 @@
     return primary is None or all(
         log_order(after[s]) < log_order(primary) for s in after
     )
-
-
-@dataclass(kw_only=True, slots=True)
-class ObservedLease:
-    """The lease on a group's change of primary as last read.
-
-    Parameters
-    ----------
-    revision
-        Revision of the record; it is the fencing token of its holder.
-    holder
-        Name of the changer that wrote it: its host and a random suffix.
-    open
-        Whether the change is still in progress.
-    seen_at
-        When this revision was first read, in milliseconds since boot.
-    """
-
-    revision: int
-    holder: str
-    open: bool
-    seen_at: int
-
-
-def may_acquire(lease: ObservedLease | None, requester: str, now: int) -> bool:
-    """Return whether a changer may acquire the lease."""
-    if lease is None or not lease.open or lease.holder == requester:
-        return True
-    return now - lease.seen_at >= LEASE_MS
--- a/src/apricotshore/decisions/relays.py
+++ b/src/apricotshore/decisions/relays.py
@@ -9,7 +9,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
-from ..identifiers import DataCentreId, HostId, ServerId
+from ..identifiers import DataCentreId, GroupId, HostId, ServerId
 from .ownership import weigh
 from .placement import Distance
 
@@ -113,6 +113,12 @@
     return ranked[:RELAYS_PER_SERVER]
 
 
+def rank_host(fleet: Fleet, group: GroupId) -> int:
+    """Return how many hosts come before this one for a task of a group."""
+    own = weigh(fleet.local_host, group)
+    return sum(weigh(host, group) > own for host in fleet.hosts)
+
+
 def list_paths(fleet: Fleet, relays: list[ListedHost], now: int) -> list[ListedHost]:
     """List the usable relays, the preferred one first; empty to connect directly."""
     if any(h.host == fleet.local_host for h in relays):
--- a/src/apricotshore/pooling/change_lease.py
+++ b/src/apricotshore/pooling/change_lease.py
@@ -2,13 +2,15 @@
 
 import uuid
 
-from ..decisions import primary_change
-from ..decisions.primary_change import ObservedLease
-from ..identifiers import FencingToken, GroupId, HostId, StoreRevision
+from ..decisions import lease
+from ..decisions.lease import LeaseClaim, ObservedLease
+from ..identifiers import FencingToken, GroupId, HostId, StoreEra, StoreRevision
 from ..services.clock import read_boot_ms
-from .ports import LeaseRecord, ObjectStore, StoreConflictError
+from .ports import LeaseRecord, ObjectStore, StoreConflictError, StoreError
+from .store_era import EraTracker
 
 POLL_MS = 300
+UNSETTLED_PAUSE_MS = 2_000
 
 
 class ChangeLease:
@@ -22,65 +24,157 @@
         This host.
     store
         The platform's store.
+    eras
+        Tracker of the store's era.
     """
 
-    def __init__(self, *, group: GroupId, host: HostId, store: ObjectStore) -> None:
+    def __init__(
+        self, *, group: GroupId, host: HostId, store: ObjectStore, eras: EraTracker
+    ) -> None:
         self.group = group
         self.store = store
+        self.eras = eras
         self.holder = f"{host}/{uuid.uuid4().hex[:8]}"
         self.seen: ObservedLease | None = None
-        self.checked_at = 0
+        self.held_until = 0
+        self.check_after = 0
+        # Era that had no lease when it was last read.
+        self.absent_in: StoreEra | None = None
+        # Earlier eras of which the store still holds a lease.
+        self.outdated: set[StoreEra] = set()
+
+    @property
+    def current(self) -> ObservedLease | None:
+        """Lease of the store's latest era, None without one."""
+        seen = self.seen
+        return seen if seen is not None and seen.era == self.eras.era else None
+
+    def _claim(self) -> LeaseClaim:
+        return LeaseClaim(
+            holder=self.holder,
+            held_until=self.held_until,
+            era_seen_at=self.eras.state.seen_at,
+        )
 
     def observe(self, record: LeaseRecord) -> None:
         """Record a lease from a list that may be older than the one known."""
-        if self.seen is None or record.revision > self.seen.revision:
+        era = self.eras.era
+        if record.era != era:
+            if era is not None and record.era < era:
+                self.outdated.add(record.era)
+            return
+        if self.current is None or record.revision > self.current.revision:
             self._remember(record)
 
     async def read(self) -> None:
-        """Read the stored lease."""
-        record = await self.store.read_lease(self.group)
+        """Read the stored lease of the store's latest era.
+
+        Raises
+        ------
+        StoreError
+            When the store gave no answer of that era.
+        """
+        while True:
+            era = self._get_era()
+            answer = await self.store.read_lease(self.group, era)
+            if not self.eras.accept(answer.era):
+                raise StoreError(f"a lease of era {answer.era}, not {self.eras.era}")
+            if answer.era == era:
+                break
+        record = answer.record
+        self.absent_in = era if record is None else None
         if record is None:
             self.seen = None
-        elif self.seen is None or self.seen.revision != record.revision:
+        elif self.current is None or self.current.revision != record.revision:
             self._remember(record)
 
+    def _get_era(self) -> StoreEra:
+        if self.eras.era is None:
+            raise StoreError("the store has not answered yet")
+        return self.eras.era
+
     def _remember(self, record: LeaseRecord) -> None:
         self.seen = ObservedLease(
+            era=record.era,
             revision=record.revision,
             holder=record.holder,
             open=record.open,
             seen_at=read_boot_ms(),
         )
 
-    async def is_abandoned(self) -> bool:
-        """Return whether a change has ended that left its lease open."""
-        seen = self.seen
+    async def is_abandoned(self, rank: int) -> bool:
+        """Return whether a change has ended, or was lost, that is to be finished.
+
+        Parameters
+        ----------
+        rank
+            Number of hosts that are to finish a lost one before this host.
+        """
         now = read_boot_ms()
-        if seen is None or not seen.open:
-            return False
-        if not primary_change.may_acquire(seen, self.holder, now):
+        if self.eras.era is None or now < self.check_after:
             return False
-        if now - self.checked_at < POLL_MS:
+        if not lease.may_be_abandoned(self.current, self._claim(), rank, now):
             return False
-        self.checked_at = now
+        self.check_after = now + POLL_MS
+        era, seen = self.eras.era, self.current
         await self.read()
-        return self.seen is seen
+        return self.eras.era == era and self.current is seen
+
+    def delay_check(self) -> None:
+        """Delay the next attempt to finish a change that could not be finished."""
+        self.check_after = read_boot_ms() + UNSETTLED_PAUSE_MS
 
     async def acquire(self) -> FencingToken | None:
-        """Take the lease; return its fencing token, None while another holds it."""
+        """Take the lease; return its fencing token, None while another may hold it."""
+        is_absent = self.current is None and self.absent_in == self.eras.era
+        if is_absent and not self._may_acquire():
+            return None
         await self.read()
-        if not primary_change.may_acquire(self.seen, self.holder, read_boot_ms()):
+        if not self._may_acquire():
             return None
         return await self.write(still_open=True)
 
+    def _may_acquire(self) -> bool:
+        return lease.may_acquire(self.current, self._claim(), read_boot_ms())
+
     async def write(self, *, still_open: bool) -> FencingToken | None:
-        """Write the lease; return its fencing token, None on a conflict."""
-        revision = StoreRevision(self.seen.revision if self.seen else 0)
-        record = LeaseRecord(revision=revision, holder=self.holder, open=still_open)
+        """Write the lease; return its fencing token, None on a conflict.
+
+        A lease that a restored store has lost is written again in the new era while no
+        other host can hold it.
+        """
+        era = self._get_era()
+        token = await self._write_once(still_open)
+        if token is not None or self.eras.era == era:
+            return token
+        if self.current is not None or read_boot_ms() >= self.held_until:
+            return None
+        return await self._write_once(still_open)
+
+    async def _write_once(self, still_open: bool) -> FencingToken | None:
+        current = self.current
+        record = LeaseRecord(
+            group=self.group,
+            era=self._get_era(),
+            revision=StoreRevision(current.revision if current else 0),
+            holder=self.holder,
+            open=still_open,
+        )
+        sent_at = read_boot_ms()
         try:
-            written = await self.store.write_lease(self.group, record)
+            answer = await self.store.write_lease(record)
         except StoreConflictError:
             await self.read()
             return None
-        self._remember(written)
-        return FencingToken(written.revision)
+        # Written to a restored store, where nobody asks for a lease of this era.
+        if not self.eras.accept(answer.era) or answer.era != record.era:
+            return None
+        self._remember(answer.record)
+        self.held_until = sent_at + lease.LEASE_MS if still_open else 0
+        return lease.make_token(answer.record.era, answer.record.revision)
+
+    async def release(self) -> None:
+        """Write the lease as released, and remove those of earlier eras."""
+        await self.write(still_open=False)
+        while self.outdated:
+            await self.store.remove_lease(self.group, self.outdated.pop())
--- a/src/apricotshore/pooling/host.py
+++ b/src/apricotshore/pooling/host.py
@@ -198,12 +198,14 @@
             store=self.adapters.store,
             promoter=self.adapters.promoter,
             journal=self.journal,
+            eras=self.eras,
+            rank=lambda: relays.rank_host(self.fleet, group.group),
         )
         self.changers[group.group] = changer
         await self.add_runtime_dependency(changer)
 
-    def _observe_lease(self, name: GroupId, record: LeaseRecord) -> None:
-        changer = self.changers.get(name)
+    def _observe_lease(self, record: LeaseRecord) -> None:
+        changer = self.changers.get(record.group)
         if changer is not None:
             changer.observe_lease(record)
 
--- a/src/apricotshore/pooling/ports.py
+++ b/src/apricotshore/pooling/ports.py
@@ -80,19 +80,58 @@
 
     Parameters
     ----------
+    group
+        The group.
+    era
+        Era of the store to which it belongs; leases of different eras are different
+        objects, so that no write of one era replaces a lease of another.
     revision
-        Revision of its last change.
+        Revision of its last change; 0 when it is not in the store.
     holder
         Name of the changer that wrote it: its host and a random suffix.
     open
         Whether the change is still in progress.
     """
 
+    group: GroupId
+    era: StoreEra
     revision: StoreRevision
     holder: str
     open: bool
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class LeaseRead:
+    """Answer to the read of a lease.
+
+    Parameters
+    ----------
+    era
+        Era of the store in which it answered.
+    record
+        The lease, None without one.
+    """
+
+    era: StoreEra
+    record: LeaseRecord | None
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class LeaseWrite:
+    """Answer to the write of a lease.
+
+    Parameters
+    ----------
+    era
+        Era of the store in which it answered.
+    record
+        The lease as written.
+    """
+
+    era: StoreEra
+    record: LeaseRecord
+
+
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Change:
     """One changed object of a watched kind.
@@ -149,12 +188,15 @@
             When the store has dropped the history after the revision.
         """
 
-    async def read_lease(self, group: GroupId) -> LeaseRecord | None:
-        """Read the lease on a group's change of primary."""
+    async def read_lease(self, group: GroupId, era: StoreEra) -> LeaseRead:
+        """Read an era's lease on a group's change of primary."""
 
-    async def write_lease(self, group: GroupId, record: LeaseRecord) -> LeaseRecord:
+    async def write_lease(self, record: LeaseRecord) -> LeaseWrite:
         """Write a lease if it is still at ``record.revision`` (0: absent)."""
 
+    async def remove_lease(self, group: GroupId, era: StoreEra) -> None:
+        """Remove an era's lease if there is one."""
+
     async def write_host(self, host: ListedHost) -> StoreEra:
         """Create or replace the entry of a host; return the era of the answer."""
 
--- a/src/apricotshore/pooling/primary_changer.py
+++ b/src/apricotshore/pooling/primary_changer.py
@@ -1,7 +1,7 @@
 """Changes of primary: taking the lease, pausing replicas, promoting a server."""
 
 import asyncio
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 
 from mode import Service
 
@@ -33,6 +33,7 @@
     Promoter,
     StoreError,
 )
+from .store_era import EraTracker
 from .supervision import keep_running
 
 TICK_S = 0.1
@@ -59,6 +60,10 @@
         The platform's store, for the lease, and its promotion API.
     journal
         Journal of the host.
+    eras
+        Tracker of the store's era.
+    rank
+        Returns how many hosts are to finish a lost change before this one.
     """
 
     def __init__(
@@ -69,13 +74,16 @@
         store: ObjectStore,
         promoter: Promoter,
         journal: Journal,
+        eras: EraTracker,
+        rank: Callable[[], int],
     ) -> None:
         super().__init__()
         self.group = group
         self.host = host
         self.promoter = promoter
         self.journal = journal
-        self.lease = ChangeLease(group=group.group, host=host, store=store)
+        self.rank = rank
+        self.lease = ChangeLease(group=group.group, host=host, store=store, eras=eras)
         self.unresumed: set[ServerId] = set()
         self.resume_tried_at = 0
 
@@ -111,9 +119,12 @@
         )
 
     async def _find_unfinished(self) -> str | None:
-        """Return "unfinished" if an ended change left its lease open, else None."""
+        """Return "unfinished" if a change is to be finished that others left."""
+        if self.lease.current is None and self.group.primary is None:
+            return None
         try:
-            return "unfinished" if await self.lease.is_abandoned() else None
+            is_abandoned = await self.lease.is_abandoned(self.rank())
+            return "unfinished" if is_abandoned else None
         except StoreError as error:
             self._record("waiting", why=f"store: {error}")
             return None
@@ -345,7 +356,7 @@
             if not self.unresumed:
                 break
             await asyncio.sleep(STEP_PAUSE_S)
-        await self.lease.write(still_open=False)
+        await self.lease.release()
         self._record(
             "ended", outcome="settled", primary=self.group.primary_state.primary
         )
--- a/src/apricotshore/pooling/store_watcher.py
+++ b/src/apricotshore/pooling/store_watcher.py
@@ -5,7 +5,7 @@
 
 from mode import Service
 
-from ..identifiers import GroupId, ServerId
+from ..identifiers import ServerId
 from ..routes import EMPTY_CONFIGURATION, Configuration, ListedServer
 from ..services.clock import read_boot_ms
 from .journal import EventKind, Journal
@@ -94,7 +94,7 @@
         on_server: Callable[[ListedServer], None],
         on_server_gone: Callable[[ServerId], None],
         on_configuration: Callable[[Configuration], None],
-        on_lease: Callable[[GroupId, LeaseRecord], None],
+        on_lease: Callable[[LeaseRecord], None],
     ) -> None:
         super().__init__()
         self.store = store
@@ -160,7 +160,7 @@
                 self._interrupt_watches()
             for change in snapshot.changes:
                 if isinstance(change.content, LeaseRecord):
-                    self.on_lease(GroupId(change.name), change.content)
+                    self.on_lease(change.content)
 
     def _interrupt_watches(self) -> None:
         now = asyncio.get_running_loop().time()
--- a/standins/in_memory.py
+++ b/standins/in_memory.py
@@ -7,7 +7,7 @@
 
 import asyncio
 from collections.abc import Sequence
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from apricotshore.decisions.relays import ListedHost
 from apricotshore.groups import LogPosition, Role
@@ -27,7 +27,9 @@
     ConnectionLostError,
     ConnectionRejectedError,
     HistoryLostError,
+    LeaseRead,
     LeaseRecord,
+    LeaseWrite,
     Snapshot,
     StoreConflictError,
     StoredKind,
@@ -416,11 +418,21 @@
     unanswered_delay_s: float = 0.0
     revision: int = 10
     era: int = 1
-    leases: dict[GroupId, LeaseRecord] = field(default_factory=dict)
+    leases: dict[tuple[GroupId, StoreEra], LeaseRecord] = field(default_factory=dict)
     tokens: dict[GroupId, int] = field(default_factory=dict)
     orders: list[tuple[HostId, ServerId, int]] = field(default_factory=list)
     hosts: dict[HostId, ListedHost] = field(default_factory=dict)
 
+    def __post_init__(self) -> None:
+        """Write the lease of an earlier change of primary that has ended."""
+        self.leases[GROUP, StoreEra(self.era)] = LeaseRecord(
+            group=GROUP,
+            era=StoreEra(self.era),
+            revision=StoreRevision(self.revision),
+            holder="",
+            open=False,
+        )
+
     def _check(self) -> None:
         if self.down:
             raise StoreError("down")
@@ -435,10 +447,15 @@
             era=StoreEra(self.era),
         )
 
-    def restore(self) -> None:
-        """Come back from a copy that holds nothing that hosts wrote."""
+    def restore(self, revision: int = 10) -> None:
+        """Come back from a copy that holds nothing that hosts wrote.
+
+        Promotions and the tokens that were accepted are not part of the store.
+        """
         self.era += 1
+        self.revision = revision
         self.hosts.clear()
+        self.leases.clear()
 
     async def watch(
         self, kind: StoredKind, revision: StoreRevision, wait_ms: int
@@ -446,24 +463,27 @@
         """Raise: the model keeps no history of changes."""
         raise HistoryLostError("no history")
 
-    async def read_lease(self, group: GroupId) -> LeaseRecord | None:
-        """Return the lease on a group's change of primary, None without one."""
+    async def read_lease(self, group: GroupId, era: StoreEra) -> LeaseRead:
+        """Return an era's lease on a group's change of primary."""
         self._check()
-        return self.leases.get(group)
+        record = self.leases.get((group, era))
+        return LeaseRead(era=StoreEra(self.era), record=record)
 
-    async def write_lease(self, group: GroupId, record: LeaseRecord) -> LeaseRecord:
+    async def write_lease(self, record: LeaseRecord) -> LeaseWrite:
         """Write a lease if the stored one is at the record's revision."""
         self._check()
-        old = self.leases.get(group)
+        old = self.leases.get((record.group, record.era))
         if (old.revision if old else 0) != record.revision:
             raise StoreConflictError("another revision")
         self.revision += 1
-        self.leases[group] = LeaseRecord(
-            revision=StoreRevision(self.revision),
-            holder=record.holder,
-            open=record.open,
-        )
-        return self.leases[group]
+        written = replace(record, revision=StoreRevision(self.revision))
+        self.leases[record.group, record.era] = written
+        return LeaseWrite(era=StoreEra(self.era), record=written)
+
+    async def remove_lease(self, group: GroupId, era: StoreEra) -> None:
+        """Remove an era's lease if there is one."""
+        self._check()
+        self.leases.pop((group, era), None)
 
     async def write_host(self, host: ListedHost) -> StoreEra:
         """Create or replace the entry of a host."""
--- a/tests/platform_adapter/test_objects.py
+++ b/tests/platform_adapter/test_objects.py
@@ -93,10 +93,18 @@
 
 
 def test_lease_without_a_revision_is_none():
-    assert decode_lease({"meta": {"name": "g1"}, "spec": {"holder": "h"}}) is None
-    held = decode_lease(make({"holder": "h/1", "open": True}))
+    assert decode_lease({"meta": {"name": "g1.2"}, "spec": {"holder": "h"}}) is None
+    meta = {"name": "g.1.2", "revision": 7}
+    held = decode_lease(make({"holder": "h/1", "open": True}, meta))
     assert held is not None
     assert held.open
+    assert (held.group, held.era) == ("g.1", 2)
+
+
+@pytest.mark.parametrize("name", ["g1", ".2", "g1.", "g1.x"])
+def test_lease_without_a_group_and_an_era_is_none(name):
+    meta = {"name": name, "revision": 7}
+    assert decode_lease(make({"holder": "h/1", "open": True}, meta)) is None
 
 
 def test_words_of_the_platform_occur_only_in_the_adapter():
--- a/tests/platform_adapter/test_sockets.py
+++ b/tests/platform_adapter/test_sockets.py
@@ -9,7 +9,7 @@
 from apricotshore_platform.backends import LineDialer
 from apricotshore_platform.store import PlatformStore
 
-from apricotshore.identifiers import GroupId, HostId, ServerId, StoreRevision
+from apricotshore.identifiers import GroupId, HostId, ServerId, StoreEra, StoreRevision
 from apricotshore.pooling.ports import (
     CallerHandler,
     ConnectionLostError,
@@ -270,12 +270,18 @@
         return web.json_response(body)
 
     async with store(handle) as client:
-        group = GroupId("g1")
-        empty = LeaseRecord(revision=StoreRevision(0), holder="h", open=True)
-        first = await client.write_lease(group, empty)
-        second = await client.write_lease(group, first)
+        empty = LeaseRecord(
+            group=GroupId("g1"),
+            era=StoreEra(2),
+            revision=StoreRevision(0),
+            holder="h",
+            open=True,
+        )
+        first = (await client.write_lease(empty)).record
+        second = (await client.write_lease(first)).record
         with pytest.raises(StoreConflictError):
-            await client.write_lease(group, second)
+            await client.write_lease(second)
+    assert [path.rpartition("/")[2] for _, path, _ in calls[1:]] == ["g1.2", "g1.2"]
     assert [method for method, _, _ in calls] == ["POST", "PUT", "PUT"]
     assert (first.revision, second.revision) == (11, 12)
 
--- a/tests/pooling/support.py
+++ b/tests/pooling/support.py
@@ -14,6 +14,7 @@
     Position,
     RequestId,
     ServerId,
+    StoreEra,
     StoreRevision,
     Term,
 )
@@ -23,6 +24,7 @@
 from apricotshore.pooling.primary_prover import PrimaryProver
 from apricotshore.pooling.prober import Prober
 from apricotshore.pooling.sessions import Context
+from apricotshore.pooling.store_era import EraTracker
 from apricotshore.queries import Query, QueryKind
 from apricotshore.routes import Configuration, Consistency, Route
 from standins.in_memory import GROUP, ModelDialer, ModelGroup, ModelPlatform
@@ -74,6 +76,7 @@
     group: Group
     prober: Prober
     changer: PrimaryChanger
+    eras: EraTracker
 
     @classmethod
     def make(
@@ -97,12 +100,16 @@
         group.log_lost_at = None
         for server in model.servers.values():
             group.update_server(model.list(server))
+        eras = EraTracker(journal=journal)
+        eras.accept(StoreEra(platform.era))
         changer = PrimaryChanger(
             group=group,
             host=HostId(name),
             store=platform,
             promoter=platform,
             journal=journal,
+            eras=eras,
+            rank=lambda: 0,
         )
         return cls(
             name=HostId(name),
@@ -112,6 +119,7 @@
             group=group,
             prober=Prober(group=group),
             changer=changer,
+            eras=eras,
         )
 
     def mark_leaving(self, server: str) -> None:
--- a/tests/pooling/test_store_watcher.py
+++ b/tests/pooling/test_store_watcher.py
@@ -101,7 +101,7 @@
             on_server=lambda s: self.servers.add(s.server),
             on_server_gone=lambda s: self.servers.remove(s),
             on_configuration=lambda c: self.applied.append(c.version),
-            on_lease=lambda group, record: None,
+            on_lease=lambda record: None,
         )
 
     async def __aenter__(self) -> "Bed":
--- a/tests/test_primary_change_races.py
+++ b/tests/test_primary_change_races.py
@@ -11,7 +11,7 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
 
-from apricotshore.decisions import primary_change
+from apricotshore.decisions import lease, primary_change
 from apricotshore.decisions.position_history import PositionSample
 from apricotshore.decisions.primary_change import (
     Abandon,
@@ -160,7 +160,7 @@
 
     # -- the hosts --
 
-    @rule(ms=st.sampled_from([STEP_MS, primary_change.LEASE_MS]))
+    @rule(ms=st.sampled_from([STEP_MS, lease.LEASE_MS]))
     def pass_time(self, ms):
         self.now += ms
 
@@ -176,7 +176,7 @@
 
     @rule(which=st.sampled_from([0, 1]), must_step_down=st.booleans())
     def begin(self, which, must_step_down):
-        if self.lease_open and self.now - self.lease_at < primary_change.LEASE_MS:
+        if self.lease_open and self.now - self.lease_at < lease.LEASE_MS:
             return
         self.lease += 1
         self.lease_open, self.lease_at = True, self.now
