Fence earlier promotions only at a server that proves to be the primary

What callers would see: a change of primary back to the server that was replaced, and commits of the newer primary lost.

Cause: after a restore one host fences what a lost change may have ordered, by promoting the server that it takes for the primary. It compared nothing with the servers; a host that had missed the last change ordered a real promotion of the replaced one. After "unsettled" it also tried again without a pause.

Ruled out: the token (it is the highest, so the platform obeys); skipping the fence (a late order of the lost change would take effect).

Change: the fence first waits, 1 s at most, for a server to prove that it is the primary now, and gives up without one. Where the platform checks no tokens nothing is ordered: it would fence nothing. A change that can't be finished is tried again after 2 s.

Evidence: both new tests fail without the change, pass with it.

Conclusion: what a host remembers of a primary is not enough to order one.

--- a/src/apricotshore/pooling/primary_changer.py
+++ b/src/apricotshore/pooling/primary_changer.py
@@ -45,6 +45,8 @@
 # A primary that is merely overloaded, not cut off, commits within this time.
 ADVANCE_S = 0.4
 RESUME_PERIOD_MS = 2_000
+# Time for a probe to confirm which server is the primary.
+PROBE_MS = 1_000
 
 
 class PrimaryChanger(Service):
@@ -314,19 +316,33 @@
             if report is not None
         }
 
-    async def _confirm(self, attempt: Attempt) -> bool:
-        """Wait for proof that the promoted server is primary; False if none comes."""
-        requested_at = read_boot_ms()
+    async def _confirm(
+        self, deadline: int, expected: ServerId | None = None
+    ) -> ServerId | None:
+        """Wait until a server proves to be the primary from now on.
+
+        Parameters
+        ----------
+        deadline
+            End of the wait, in milliseconds since boot.
+        expected
+            Server to wait for; any server if None.
+
+        Returns
+        -------
+        ServerId or None
+            The primary, None without proof.
+        """
+        asked_at = read_boot_ms()
         primary_state = self.group.primary_state
-        while read_boot_ms() - attempt.started_at < primary_change.CONFIRM_MS:
-            if (
-                primary_state.primary == attempt.target
-                and primary_state.confirmed_at >= requested_at
-            ):
-                return True
+        while read_boot_ms() < deadline:
+            primary = primary_state.primary
+            is_recent = primary_state.confirmed_at >= asked_at
+            if primary is not None and is_recent and expected in (None, primary):
+                return primary
             self.group.probe_wanted.set()
             await asyncio.sleep(STEP_PAUSE_S)
-        return False
+        return None
 
     async def _finish(
         self, attempt: Attempt, token: FencingToken, unfinished: bool
@@ -337,12 +353,14 @@
         would lose a commit that a resumed server helped to acknowledge. The lease
         then stays open, and the next host to take it finishes the change.
         """
-        if attempt.requested and not await self._confirm(attempt):
+        confirm_until = attempt.started_at + primary_change.CONFIRM_MS
+        if attempt.requested and not await self._confirm(confirm_until, attempt.target):
             self._record("unconfirmed", server=attempt.target)
             return
         must_fence = unfinished or (bool(attempt.pause_term) and not attempt.requested)
         if must_fence and not await self._fence(token):
             self._record("ended", outcome="unsettled")
+            self.lease.delay_check()
             return
         if await self.lease.write(still_open=True) is None:
             self._record("ended", outcome="lease lost")
@@ -376,11 +394,15 @@
         """Make the platform reject earlier requests; return whether it does.
 
         Promoting the current primary has no effect but to raise the lowest token
-        that the platform accepts. Without a primary that answers this returns False.
+        that the platform accepts. Promoting one that was replaced would undo the
+        change, so this returns False unless a server proves to be the primary now.
         """
-        primary = self.group.primary_state.primary
-        if primary is None or self.group.primary_state.silent_since is not None:
+        primary = await self._confirm(read_boot_ms() + PROBE_MS)
+        if primary is None:
             return False
+        if self.group.prover is not None:
+            # The platform checks no tokens.
+            return True
         return await self.promoter.promote(self.group.group, primary, self.host, token)
 
     async def _resume(self, servers: set[ServerId]) -> set[ServerId]:
--- a/tests/pooling/test_primary_changer.py
+++ b/tests/pooling/test_primary_changer.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from apricotshore.decisions import leadership
+from apricotshore.decisions import leadership, lease
 from apricotshore.identifiers import ServerId, Term
 from standins.in_memory import ModelGroup, ModelPlatform
 
@@ -182,3 +182,32 @@
         other.unreachable_by.clear()
         await wait_until(lambda: not other.paused_term)
     assert model.lost == []
+
+
+async def test_earlier_orders_are_fenced_at_the_primary_that_is_confirmed_now():
+    """The host still takes a server for the primary that was replaced."""
+    model, platform, (host,) = make(1)
+    model.promote(S2)
+    leadership.observe_primary(host.group.primary_state, S1, Term(1), 1)
+    token = await host.changer.lease.acquire()
+    assert not await host.changer._fence(token)
+    assert platform.orders == []
+    async with writing(model):
+        await wait_until(lambda: model.acknowledged)
+        await host.prober.start()
+        assert await host.changer._fence(token)
+        await host.prober.stop()
+    assert [server for _, server, _ in platform.orders] == [S2]
+    assert model.find_primary().name == S2
+
+
+async def test_change_that_cannot_be_finished_is_tried_again_after_a_pause():
+    model, platform, (host,) = make(1)
+    platform.leases.clear()
+    host.eras.state.seen_at -= lease.LEASE_MS
+    host.group.primary_state.primary = S1
+    model.servers[S1].unreachable_by.add("host-0")
+    await host.changer._change("unfinished")
+    assert not await host.changer.lease.is_abandoned(0)
+    host.changer.lease.check_after = 0
+    assert await host.changer.lease.is_abandoned(0)
