Have the soak's store come back from older copies

Cause: neither the soak nor any test of real processes could show the incident: their store never lost what it had acknowledged.

Change: tests/soak/restores.py, a schedule with a random source of its own: a copy, up to three changes of the configuration, an outage of 0 to 2 s, and the copy is back; the operator writes its version again within 1.5 s. The store names its era in all answers. Each run ends with a change of the configuration that must be in force everywhere, and after each restore no process may use an older configuration than before.

--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -34,6 +34,8 @@
     parser.add_argument("--callers", type=int, default=24)
     parser.add_argument("--connections", type=int, default=40)
     parser.add_argument("--jobs", type=int, default=2)
+    parser.add_argument("--restores", action="store_true")
+    parser.add_argument("--fault-pause", type=float, default=1.0)
     parser.add_argument("--folder", type=Path, default=Path("target/soak"))
     options = parser.parse_args()
     fresh = random.SystemRandom().randrange(1_000_000)
@@ -52,6 +54,8 @@
                 options.callers,
                 options.connections,
                 folder,
+                options.restores,
+                options.fault_pause,
             )
             running[work] = folder
         for work in as_completed(running):
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -298,13 +298,16 @@
 )
 
 
-async def inject_faults(cluster: Cluster, seconds: float) -> list[str]:
-    """Inject random faults, which may overlap; return their times and names."""
+async def inject_faults(cluster: Cluster, seconds: float, pause_s: float) -> list[str]:
+    """Inject random faults, which may overlap; return their times and names.
+
+    ``pause_s`` is the mean time between two of them.
+    """
     ends = now() + seconds
     injected: list[str] = []
     async with asyncio.TaskGroup() as tasks:
         while now() < ends:
-            await asyncio.sleep(cluster.random.expovariate(1.0))
+            await asyncio.sleep(cluster.random.expovariate(1.0) * pause_s)
             kind = cluster.random.choice(FAULTS)
             for _ in range(cluster.random.choice([1, 1, 1, 2])):
                 injected.append(
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -11,8 +11,10 @@
 from .callers import Caller, Database, Record, check_writes
 from .faultlog import FaultLog
 from .faults import Cluster, inject_faults
-from .fleet import APPLY_S, GRACE_S, Host, find_free_port
+from .fleet import GRACE_S, Host, find_free_port
 from .model import Checker, Group, Server, now
+from .operator import Operator
+from .restores import restore_store
 from .servers import LineServer
 from .store import Store, StoreMode
 from .tcpproxy import TcpProxy
@@ -22,7 +24,6 @@
 EXPIRY_S = 3 * HEARTBEAT_S
 WARM_UP_S = 3.0
 RECOVERY_TIMEOUT_S = 12.0
-CHANGE_PAUSE_S = (2.0, 4.0)
 # A statement sent this shortly before a drain closes its connection may be lost.
 LOSS_SLACK_S = 0.2
 
@@ -51,6 +52,10 @@
         Numbers of hosts, groups and callers.
     connections
         Largest number of connections to each server.
+    restores
+        Whether the store comes back from older copies.
+    fault_pause_s
+        Mean time between two faults of other kinds.
     folder
         Folder of the settings and the logs.
     """
@@ -63,6 +68,8 @@
         groups: int,
         callers: int,
         connections: int,
+        restores: bool,
+        fault_pause_s: float,
         folder: Path,
     ) -> None:
         self.seed = seed
@@ -74,8 +81,8 @@
         self.record = Record()
         self.fault_log = FaultLog()
         self.host_count = hosts
-        self.version = 10
-        self.extra: list[str] = []
+        self.restores = restores
+        self.fault_pause_s = fault_pause_s
         self.groups = {
             name: Group(
                 name=name,
@@ -103,6 +110,16 @@
             groups=self.groups, checker=self.checker, random=random.Random(seed + 1)
         )
         self.hosts: list[Host] = []
+        self.operator = Operator(
+            store=self.store,
+            databases=self.databases,
+            groups=list(self.groups),
+            connections=connections,
+            fault_log=self.fault_log,
+            checker=self.checker,
+            hosts=self.hosts,
+            random=self.random,
+        )
         self.servers: dict[str, LineServer] = {}
         self.tasks: list[asyncio.Task] = []
 
@@ -115,9 +132,13 @@
         cluster = await self._set_up()
         try:
             await asyncio.sleep(WARM_UP_S)
-            self.spawn(self._change_configuration())
-            injected = await inject_faults(cluster, seconds)
+            changes = asyncio.create_task(self.operator.change_configuration())
+            restores = asyncio.create_task(self._restore_store())
+            injected = await inject_faults(cluster, seconds, self.fault_pause_s)
+            changes.cancel()
+            await self._end_restores(restores)
             self.checker.violations += await self._recover()
+            await self.operator.check_last_change()
             self._check_drains()
         finally:
             await self._tear_down()
@@ -137,6 +158,20 @@
             folder=self.folder,
         )
 
+    async def _restore_store(self) -> None:
+        if self.restores:
+            rng = random.Random(f"{self.seed}restores")
+            await restore_store(self.store, self.operator, self.fault_log, rng)
+
+    async def _end_restores(self, restores: asyncio.Task[None]) -> None:
+        restores.cancel()
+        await asyncio.wait({restores})
+        self.store.away = False
+        self.operator.write_again()
+        for fault in self.fault_log.faults:
+            if fault.kind == "store-restored" and fault.ended_at is None:
+                fault.ended_at = now()
+
     # -- set up --
 
     async def _set_up(self) -> Cluster:
@@ -144,7 +179,7 @@
             self.spawn(group.replicate())
             for server in group.servers.values():
                 await self._start_server(group, server)
-        self._write_configuration()
+        self.operator.write()
         for number in range(self.host_count):
             await self._add_host(f"h{number}", ZONES[number % len(ZONES)])
         self.spawn(self._report_servers())
@@ -231,84 +266,28 @@
 
     async def _report_servers(self) -> None:
         while True:
+            self._expire_servers()
             for group in self.groups.values():
                 for server in group.servers.values():
-                    expired = not server.up and now() - server.down_since > EXPIRY_S
-                    if expired:
-                        self.store.remove("servers", server.name)
-                    elif server.up and not server.silent:
+                    if server.up and not server.silent and not self.store.away:
                         self.store.write(
                             "servers", server.name, _make_server_spec(group, server)
                         )
             await asyncio.sleep(0.1)
 
-    def _write_configuration(self) -> None:
-        self.version += self.random.randint(1, 9)
-        kinds = {"latest": "primary", "bounded": "bounded_staleness"}
-        routes = [
-            {
-                "database": d.name,
-                "service": d.group.name,
-                "type": kinds.get(d.name.rpartition("-")[2], "read_your_writes"),
-                "maxStalenessMs": int((d.staleness_s or 0) * 1000),
-                "timeoutMs": 1500,
-                "targetLatencyMs": 800,
-                "priority": 1,
-            }
-            for d in self.databases
-        ]
-        first = routes[0]
-        routes += [{**first, "database": name} for name in self.extra]
-        services = [
-            {"name": g, "maxConnections": self.connections} for g in self.groups
-        ]
-        spec = {
-            "version": self.version,
-            "routes": routes,
-            "services": services,
-            "limits": {"txIdleMs": 3000},
-        }
-        self.store.write("config", "main", spec)
-
-    async def _change_configuration(self) -> None:
-        """Add and withdraw databases, and check that hosts apply each in time."""
-        number = 0
-        while True:
-            await asyncio.sleep(self.random.uniform(*CHANGE_PAUSE_S))
-            if self.extra and self.random.random() < 0.5:
-                name, expected = self.extra.pop(0), "ERROR NODATABASE"
+    def _expire_servers(self) -> None:
+        """Remove the entries of servers that are down, and of those that left."""
+        known = {n: s for g in self.groups.values() for n, s in g.servers.items()}
+        for name in list(self.store.objects.get("servers", {})):
+            server = known.get(name)
+            if server is None:
+                since = self.store.restored_at
+            elif server.up:
+                continue
             else:
-                number += 1
-                name, expected = f"extra-{number}", "READY"
-                self.extra.append(name)
-            self._write_configuration()
-            changed_at = now()
-            await asyncio.sleep(APPLY_S)
-            await asyncio.gather(
-                *(self._check_host(h, name, expected, changed_at) for h in self.hosts)
-            )
-
-    async def _check_host(
-        self, host: Host, name: str, expected: str, changed_at: float
-    ) -> None:
-        line = ""
-        try:
-            async with asyncio.timeout(2.0):
-                reader, writer = await asyncio.open_connection(
-                    "127.0.0.1", host.caller_proxy.port
-                )
-                writer.write(f"STARTUP {name} check\r\n".encode())
-                line = (await reader.readline()).decode()
-                writer.close()
-        except (OSError, TimeoutError):
-            return
-        undisturbed = not self.fault_log.find_unplanned(host.name, changed_at, now())
-        planned = self.fault_log.find_planned(host.name, now(), GRACE_S + 12)
-        # A full host may refuse the session; it may not use an outdated configuration.
-        if line and undisturbed and not planned and line[:5] != expected[:5]:
-            self.checker.add_violation(
-                "CONFIG", f"{host.name}: {name} {line!r}, not {expected}"
-            )
+                since = max(server.down_since, self.store.restored_at)
+            if now() - since > EXPIRY_S:
+                self.store.remove("servers", name)
 
     # -- end --
 
@@ -373,6 +352,8 @@
     callers: int = 24,
     connections: int = 40,
     folder: Path | None = None,
+    restores: bool = False,
+    fault_pause_s: float = 1.0,
 ) -> Result:
     """Run one seed and return its result."""
     where = folder or Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
@@ -383,6 +364,8 @@
         groups=groups,
         callers=callers,
         connections=connections,
+        restores=restores,
+        fault_pause_s=fault_pause_s,
         folder=where,
     )
     return asyncio.run(soak.run(seconds))
--- a/tests/soak/store.py
+++ b/tests/soak/store.py
@@ -9,7 +9,7 @@
 
 from aiohttp import web
 
-from .model import PROMOTION_S, Checker, Group
+from .model import PROMOTION_S, Checker, Group, now
 
 PROMOTION_DELAY_S = (1.0, 4.0)
 SILENCE_S = 60.0
@@ -30,6 +30,16 @@
     LOSES_ANSWERS = "loses-answers"
 
 
+@dataclass(frozen=True, kw_only=True)
+class StoreCopy:
+    """Copy of the store's content at one time."""
+
+    revision: int
+    oldest_revision: int
+    objects: dict[str, dict[str, dict[str, Any]]]
+    events: tuple["Event", ...]
+
+
 @dataclass(kw_only=True)
 class Event:
     """Change of an object, as watches report it."""
@@ -59,6 +69,12 @@
     addresses
         Address at which a host reaches a server, by the names of both; by
         an empty name and that of a host, the address at which its peers reach it.
+    era
+        Number of times that it came back from an older copy, plus one.
+    away
+        Whether it resets every connection.
+    restored_at
+        When it last came back, in seconds of the soak's clock.
     """
 
     groups: dict[str, Group]
@@ -67,6 +83,9 @@
     modes: dict[str, StoreMode] = field(default_factory=dict)
     late_promotions: bool = False
     addresses: dict[tuple[str, str], str] = field(default_factory=dict)
+    era: int = 1
+    away: bool = False
+    restored_at: float = 0.0
     revision: int = 7
     oldest_revision: int = 0
     objects: dict[str, dict[str, dict[str, Any]]] = field(default_factory=dict)
@@ -80,7 +99,11 @@
         async def handle(request: web.Request) -> web.StreamResponse:
             return await self._handle(host, request)
 
+        async def name_era(_: web.Request, response: web.StreamResponse) -> None:
+            response.headers["Store-Era"] = str(self.era)
+
         application = web.Application()
+        application.on_response_prepare.append(name_era)
         application.router.add_route("*", "/{path:.*}", handle)
         runner = web.AppRunner(application, access_log=None)
         await runner.setup()
@@ -112,6 +135,25 @@
             Event(revision=self.revision, kind=kind, item=item, deleted=True)
         )
 
+    def copy(self) -> StoreCopy:
+        """Return a copy of the content."""
+        return StoreCopy(
+            revision=self.revision,
+            oldest_revision=self.oldest_revision,
+            objects=copy.deepcopy(self.objects),
+            events=tuple(self.events),
+        )
+
+    def restore(self, earlier: StoreCopy) -> None:
+        """Come back from an earlier copy; what was written since is lost."""
+        self.era += 1
+        self.revision = earlier.revision
+        self.oldest_revision = earlier.oldest_revision
+        self.objects = copy.deepcopy(earlier.objects)
+        self.events = list(earlier.events)
+        self.restored_at = now()
+        self.away = False
+
     def drop_history(self) -> None:
         """Drop the history of changes, so that watches must start again."""
         self.oldest_revision = self.revision
@@ -125,6 +167,8 @@
             await asyncio.sleep(SILENCE_S)
         if mode is StoreMode.RESET and request.transport is not None:
             request.transport.abort()
+        if self.away and request.path != "/promote":
+            return _reset(request)
         if mode in (StoreMode.BUSY, StoreMode.RATE_LIMITED):
             return web.Response(status=503 if mode is StoreMode.BUSY else 429)
         await asyncio.sleep(SLOW_ANSWER_S if mode is StoreMode.SLOW else ANSWER_S)
@@ -173,11 +217,13 @@
         )
 
     async def _watch(self, host: str, request: web.Request, kind: str) -> web.Response:
-        since = int(request.query["watch"])
+        since, era = int(request.query["watch"]), self.era
         loop = asyncio.get_running_loop()
         until = loop.time() + int(request.query["waitMs"]) / 1000
         while True:
-            if since < self.oldest_revision:
+            if self.away or era != self.era:
+                return _reset(request)
+            if not self.oldest_revision <= since <= self.revision:
                 return web.Response(status=410)
             if self.modes.get(host, StoreMode.NORMAL) is StoreMode.SILENT:
                 await asyncio.sleep(SILENCE_S)
@@ -249,3 +295,10 @@
         task = asyncio.get_running_loop().create_task(work)
         self.tasks.add(task)
         task.add_done_callback(self.tasks.discard)
+
+
+def _reset(request: web.Request) -> web.Response:
+    """Reset a request's connection; the response is never sent."""
+    if request.transport is not None:
+        request.transport.abort()
+    return web.Response(status=503)
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -25,6 +25,8 @@
     seconds: float = SECONDS
     hosts: int = 3
     connections: int = 40
+    restores: bool = False
+    fault_pause_s: float = 1.0
     cause: str = ""
 
     def run(self, folder) -> Result:
@@ -35,6 +37,8 @@
             hosts=self.hosts,
             connections=self.connections,
             folder=folder,
+            restores=self.restores,
+            fault_pause_s=self.fault_pause_s,
         )
 
 
@@ -42,6 +46,8 @@
     Case(seed=11),
     Case(seed=12),
     Case(seed=21, hosts=6, connections=10),
+    Case(seed=34, seconds=25.0, restores=True, fault_pause_s=6.0),
+    Case(seed=32, seconds=12.0, hosts=6, connections=10, restores=True),
     Case(seed=1, seconds=12.0, cause="a reload signal during the imports ended a host"),
     Case(seed=1010, seconds=12.0, cause="a reload signal came before the first line"),
     Case(seed=1011, seconds=12.0, cause="the soak assigned one port to two processes"),
