Take over the lease of an earlier process at the same address at once

What callers saw: DRAIN, requests sent to a leaving primary more than 7 s after it had said that it leaves.

Cause: the host that holds the lease on a change of primary was killed. The others wait for 6 s, and the planned change then ends after the 7 s that a leaving server has. After a restore this is likely: all groups take a lease about 6 s after it.

Change: the holder's name holds host, address and process. Two processes can't listen at one address, so a process knows that an earlier one at its own address has ended, and takes its lease at once; the token is higher.

Evidence: both new tests fail without the change, and pass with it.

--- a/src/apricotshore/decisions/lease.py
+++ b/src/apricotshore/decisions/lease.py
@@ -3,11 +3,14 @@
 A lease belongs to one era of the store. A restored store may have lost the lease
 that a host holds, so in a new era the others wait until it has expired. A change
 that was under way is lost with it, and is finished by the next holder.
+
+A holder is one process. Two processes can't listen at one address, so a process knows
+that an earlier one at its own address has ended, and need not wait for its lease.
 """
 
 from dataclasses import dataclass
 
-from ..identifiers import FencingToken, StoreEra, StoreRevision
+from ..identifiers import FencingToken, HostId, StoreEra, StoreRevision
 
 LEASE_MS = 6_000
 # Low bits of a token that hold the revision; the era is above them.
@@ -27,7 +30,7 @@
     revision
         Revision of the record in that era.
     holder
-        Name of the changer that wrote it: its host and a random suffix.
+        Name of the changer that wrote it; see `name_holder`.
     open
         Whether the change is still in progress.
     seen_at
@@ -48,7 +51,7 @@
     Parameters
     ----------
     holder
-        Name of the changer.
+        Name of the changer; see `name_holder`.
     held_until
         End of the time in which no other changer can hold the lease, since this one
         wrote it; 0 when its last change has ended. In milliseconds since boot.
@@ -61,6 +64,18 @@
     era_seen_at: int
 
 
+def name_holder(host: HostId, address: str, process: str) -> str:
+    """Return the name of a changer: its host, its address and an id of its process."""
+    return f"{host}@{address}/{process}"
+
+
+def _has_ended(lease: ObservedLease, claim: LeaseClaim) -> bool:
+    """Return whether the holder is an earlier process at the claimant's address."""
+    machine, _, process = lease.holder.rpartition("/")
+    own_machine, _, own_process = claim.holder.rpartition("/")
+    return bool(machine) and machine == own_machine and process != own_process
+
+
 def make_token(era: StoreEra, revision: StoreRevision) -> FencingToken:
     """Return the fencing token of a lease, which increases with the era."""
     return FencingToken(era << REVISION_BITS | revision)
@@ -80,7 +95,7 @@
     """
     if lease is None:
         return now < claim.held_until or now - claim.era_seen_at >= LEASE_MS
-    if not lease.open or lease.holder == claim.holder:
+    if not lease.open or lease.holder == claim.holder or _has_ended(lease, claim):
         return True
     return now - lease.seen_at >= LEASE_MS
 
--- a/src/apricotshore/pooling/change_lease.py
+++ b/src/apricotshore/pooling/change_lease.py
@@ -20,8 +20,8 @@
     ----------
     group
         The group.
-    host
-        This host.
+    host, address
+        This host, and the address at which only one process of it can listen.
     store
         The platform's store.
     eras
@@ -29,12 +29,18 @@
     """
 
     def __init__(
-        self, *, group: GroupId, host: HostId, store: ObjectStore, eras: EraTracker
+        self,
+        *,
+        group: GroupId,
+        host: HostId,
+        address: str,
+        store: ObjectStore,
+        eras: EraTracker,
     ) -> None:
         self.group = group
         self.store = store
         self.eras = eras
-        self.holder = f"{host}/{uuid.uuid4().hex[:8]}"
+        self.holder = lease.name_holder(host, address, uuid.uuid4().hex[:8])
         self.seen: ObservedLease | None = None
         self.held_until = 0
         self.check_after = 0
--- a/src/apricotshore/pooling/host.py
+++ b/src/apricotshore/pooling/host.py
@@ -195,6 +195,7 @@
         changer = PrimaryChanger(
             group=group,
             host=self.settings.host,
+            address=self.settings.caller_address,
             store=self.adapters.store,
             promoter=self.adapters.promoter,
             journal=self.journal,
--- a/src/apricotshore/pooling/ports.py
+++ b/src/apricotshore/pooling/ports.py
@@ -88,7 +88,7 @@
     revision
         Revision of its last change; 0 when it is not in the store.
     holder
-        Name of the changer that wrote it: its host and a random suffix.
+        Name of the changer that wrote it: its host, address and process.
     open
         Whether the change is still in progress.
     """
--- a/src/apricotshore/pooling/primary_changer.py
+++ b/src/apricotshore/pooling/primary_changer.py
@@ -56,8 +56,8 @@
     ----------
     group
         The group.
-    host
-        This host.
+    host, address
+        This host, and the address at which only one process of it can listen.
     store, promoter
         The platform's store, for the lease, and its promotion API.
     journal
@@ -73,6 +73,7 @@
         *,
         group: Group,
         host: HostId,
+        address: str,
         store: ObjectStore,
         promoter: Promoter,
         journal: Journal,
@@ -85,7 +86,9 @@
         self.promoter = promoter
         self.journal = journal
         self.rank = rank
-        self.lease = ChangeLease(group=group.group, host=host, store=store, eras=eras)
+        self.lease = ChangeLease(
+            group=group.group, host=host, address=address, store=store, eras=eras
+        )
         self.unresumed: set[ServerId] = set()
         self.resume_tried_at = 0
 
--- a/tests/pooling/support.py
+++ b/tests/pooling/support.py
@@ -105,6 +105,7 @@
         changer = PrimaryChanger(
             group=group,
             host=HostId(name),
+            address="10.0.0.9:1",
             store=platform,
             promoter=platform,
             journal=journal,
--- a/tests/pooling/test_restored_leases.py
+++ b/tests/pooling/test_restored_leases.py
@@ -16,7 +16,13 @@
 def make_lease(platform: ModelPlatform, name: str) -> ChangeLease:
     eras = EraTracker(journal=make_journal())
     eras.accept(StoreEra(platform.era))
-    return ChangeLease(group=GROUP, host=HostId(name), store=platform, eras=eras)
+    return ChangeLease(
+        group=GROUP,
+        host=HostId(name),
+        address="10.0.0.9:1",
+        store=platform,
+        eras=eras,
+    )
 
 
 def restore(platform: ModelPlatform, *leases: ChangeLease) -> None:
@@ -167,3 +173,16 @@
         await wait_until(lambda: not next(iter(platform.leases.values())).open)
         assert not await platform.promote(GROUP, S2, HostId("gone"), late)
     assert model.find_primary().name == S1
+
+
+async def test_lease_of_a_killed_process_does_not_keep_its_own_host_waiting():
+    platform = ModelPlatform(group=ModelGroup.make())
+    killed, other = make_lease(platform, "a"), make_lease(platform, "b")
+    token = await killed.acquire()
+    assert await other.acquire() is None
+    restarted = make_lease(platform, "a")
+    assert await restarted.is_abandoned(0) is False
+    await restarted.read()
+    assert await restarted.is_abandoned(0)
+    assert await restarted.acquire() > token
+    assert await killed.write(still_open=False) is None
--- a/tests/test_lease.py
+++ b/tests/test_lease.py
@@ -70,6 +70,19 @@
     assert lease.may_be_abandoned(found, claim(held_until), rank, now) is abandoned
 
 
+@pytest.mark.parametrize(
+    ("holder", "may"),
+    [
+        ("h1@10.0.0.1:1/earlier", True),
+        ("h1@10.0.0.2:1/earlier", False),
+        ("h2@10.0.0.1:1/earlier", False),
+    ],
+)
+def test_lease_of_an_earlier_process_at_the_same_address_is_not_waited_for(holder, may):
+    own = LeaseClaim(holder="h1@10.0.0.1:1/now", held_until=0, era_seen_at=SEEN_AT)
+    assert lease.may_acquire(held(holder), own, SEEN_AT + 1) is may
+
+
 def test_token_of_a_later_era_is_higher_whatever_the_revisions():
     early = lease.make_token(StoreEra(1), StoreRevision(2**40 - 1))
     late = lease.make_token(StoreEra(2), StoreRevision(1))
