Stop sending to a leaving primary before its time is over

Cause: nothing bounded the time that a leaving primary gets new statements; the planned change of primary alone was to end it, and that needs the lease.

Change: each host keeps since when a server is known to be leaving. 0.5 s before the bound of the settings, statements for the primary are refused at once with a retry hint. A host that starts while the server is leaving can't know since when, and gives it the bound less the stability window.

Evidence: the new test fails without the check, passes with it.

Conclusion: the bound no longer depends on the lease.

--- a/src/apricotshore/decisions/placement.py
+++ b/src/apricotshore/decisions/placement.py
@@ -22,6 +22,8 @@
 LARGEST_DELAY_MS = 300.0
 # The load from other hosts is known only from answers, so the estimate decays.
 DELAY_HALF_LIFE_MS = 400.0
+# Time that a statement may take until it reaches the primary.
+SEND_MARGIN_MS = 500
 
 
 class Distance(IntEnum):
@@ -68,6 +70,21 @@
     leaving: bool = False
 
 
+def may_send(leaving_since: int | None, leave_ms: int, now: int) -> bool:
+    """Return whether the primary, which may be leaving, still gets new statements.
+
+    Parameters
+    ----------
+    leaving_since
+        Since when it is known to be leaving, None if it stays.
+    leave_ms
+        Time after which no statement may reach a leaving server.
+    now
+        Milliseconds since boot.
+    """
+    return leaving_since is None or now - leaving_since < leave_ms - SEND_MARGIN_MS
+
+
 def find_delay(load: ServerLoad, now: int) -> float:
     """Return the estimated queueing time at a server now, in milliseconds."""
     age = max(0, now - load.delay_at)
--- a/src/apricotshore/pooling/group.py
+++ b/src/apricotshore/pooling/group.py
@@ -17,6 +17,7 @@
 from .journal import EventKind, Journal
 from .pool import ServerPool
 from .ports import Dialer
+from .settings import DEFAULT_LEAVE_MS, DEFAULT_WINDOW_MS
 
 Locate = Callable[[DataCentreId], Distance]
 
@@ -133,7 +134,10 @@
         self.probe_wanted = asyncio.Event()
         # A log may have been lost before this host started, unknown to it.
         self.log_lost_at: int | None = read_boot_ms()
-        self.leaving_since: int | None = None
+        self.leave_ms = DEFAULT_LEAVE_MS
+        self.window_ms = DEFAULT_WINDOW_MS
+        # Since when each leaving server is known to leave, in milliseconds since boot.
+        self.leaving: dict[ServerId, int] = {}
         self.no_primary_since: int | None = None
 
     # -- changes in the store --
@@ -166,12 +170,13 @@
             pool.load.leaving = server.leaving
         if server.reports_primary and self.primary_state.primary != server.server:
             self.probe_wanted.set()
-        self._update_leaving_since()
+        self._update_leaving(server, is_new=old is None)
 
     def remove_server(self, server: ServerId) -> None:
         """Record that a server was removed from the store."""
         if self.servers.pop(server, None) is None:
             return
+        self.leaving.pop(server, None)
         self.log_lost_at = read_boot_ms()
         self.journal.record(EventKind.SERVER_GONE, group=self.group, server=server)
         self._drop_pool(server)
@@ -215,13 +220,30 @@
         if server in self.servers:
             self.pools[server] = self._make_pool(self.servers[server])
 
-    def _update_leaving_since(self) -> None:
+    def _update_leaving(self, server: ListedServer, *, is_new: bool) -> None:
+        if not server.leaving:
+            self.leaving.pop(server.server, None)
+            return
+        # One that left before this host knew it may be about to end; this host has
+        # to observe the bound once it has run for the window.
+        known_ms = self.window_ms if is_new else 0
+        self.leaving.setdefault(server.server, read_boot_ms() - known_ms)
+
+    @property
+    def leaving_since(self) -> int | None:
+        """Since when the primary is known to be leaving, None if it stays."""
         primary = self.primary
-        leaving = primary is not None and self.servers[primary].leaving
-        if not leaving:
-            self.leaving_since = None
-        elif self.leaving_since is None:
-            self.leaving_since = read_boot_ms()
+        return None if primary is None else self.leaving.get(primary)
+
+    def set_leave_bounds(self, leave_ms: int, window_ms: int) -> None:
+        """Set the time that a leaving server has, and the window without a fault."""
+        self.leave_ms = leave_ms
+        self.window_ms = window_ms
+
+    @property
+    def may_send_to_primary(self) -> bool:
+        """Whether the primary still gets new statements."""
+        return placement.may_send(self.leaving_since, self.leave_ms, read_boot_ms())
 
     # -- answers of servers --
 
@@ -268,7 +290,6 @@
             )
             self.writes.unanswered.clear()
         self.no_primary_since = None
-        self._update_leaving_since()
         self.primary_confirmed.set()
 
     def observe_denial(self, server: ServerId) -> None:
--- a/src/apricotshore/pooling/host.py
+++ b/src/apricotshore/pooling/host.py
@@ -186,6 +186,7 @@
             if not self.settings.fenced:
                 group.prover = PrimaryProver(group=group)
             self.groups[name] = group
+            group.set_leave_bounds(self.settings.leave_ms, self.settings.window_ms)
             self._configure_group(group)
             self._spawn(self._start_group_services(group))
         return group
@@ -264,6 +265,8 @@
         self.store_watcher.set_bounds(
             settings.apply_ms, settings.leave_ms, settings.window_ms
         )
+        for group in self.groups.values():
+            group.set_leave_bounds(settings.leave_ms, settings.window_ms)
         self.journal.record(
             EventKind.RELOADED,
             grace_ms=settings.grace_ms,
--- a/src/apricotshore/pooling/preparation.py
+++ b/src/apricotshore/pooling/preparation.py
@@ -151,17 +151,24 @@
     return refuse_overloaded(detail, retry_ms)
 
 
+def _check_primary_stays(group: Group) -> None:
+    """Raise `RefusedError` if the primary may end before a statement reaches it."""
+    if not group.may_send_to_primary:
+        raise refuse_without_primary(group, "the primary is leaving")
+
+
 async def find_primary_pool(group: Group, job: Job) -> ServerPool:
     """Return the pool of the primary, waiting for one until the job expires.
 
     Raises
     ------
     RefusedError
-        When no primary answers by then.
+        When no primary answers by then, or it is about to end.
     """
     while True:
         primary = group.primary
         pool = group.pools.get(primary) if primary is not None else None
+        _check_primary_stays(group)
         if pool is not None and group.primary_state.silent_since is None:
             return pool
         now = read_boot_ms()
@@ -205,6 +212,7 @@
             group.observe_silence(server)
             continue
         try:
+            _check_primary_stays(group)
             failed = await prepare_link(
                 group, pool, pooled, session, job.shape, begin, None
             )
--- a/tests/pooling/test_caller_session.py
+++ b/tests/pooling/test_caller_session.py
@@ -347,3 +347,28 @@
     answer = await latest.open().ask(query)
     assert answer.failure is None
     assert answer.state is TransactionState.IDLE
+
+
+async def test_leaving_primary_gets_no_statement_once_it_may_end(latest):
+    caller = latest.open()
+    latest.host.group.set_leave_bounds(7_000, 5_000)
+    latest.host.mark_leaving("s1")
+    assert (await caller.ask(write("w1"))).failure is None
+    latest.host.group.leaving["s1"] -= 6_500
+    for query in (write("w2"), read("r2")):
+        answer = await caller.ask(query)
+        assert answer.failure is FailureCode.OVERLOADED
+    await caller.ask(plain(QueryKind.BEGIN))
+    assert (await caller.ask(write("w3"))).failure is FailureCode.OVERLOADED
+    assert not any(latest.queries_of(name) for name in ("w2", "r2", "w3"))
+
+
+async def test_host_that_starts_while_the_primary_leaves_gives_it_less_time(latest):
+    group = latest.host.group
+    group.set_leave_bounds(7_000, 5_000)
+    group.remove_server("s1")
+    latest.host.mark_leaving("s1")
+    group.primary_state.silent_since = None
+    assert group.may_send_to_primary
+    group.leaving["s1"] -= 1_500
+    assert not group.may_send_to_primary
