Share the tracker of the store's era between pooling and entry hosts

Ruled out: a second tracker for entry hosts.

Change: it moves to services/eras.py with the header that names the era; the host itself records that the store was restored. No behaviour changes.

Conclusion: one tracker for both kinds of host.

--- a/src/apricotshore/decisions/store_era.py
+++ b/src/apricotshore/decisions/store_era.py
@@ -29,13 +29,18 @@
         The era, None before the first answer.
     seen_at
         When this host got the first answer of that era, in milliseconds since boot.
-    is_restored
-        Whether this host knew an earlier era.
+    earlier
+        Era that this host knew before, None if it knew none.
     """
 
     era: StoreEra | None = None
     seen_at: int = 0
-    is_restored: bool = False
+    earlier: StoreEra | None = None
+
+    @property
+    def is_restored(self) -> bool:
+        """Whether the store was restored since this host's first answer of it."""
+        return self.earlier is not None
 
 
 def observe_era(state: EraState, era: StoreEra, now: int) -> EraRelation:
@@ -44,7 +49,7 @@
         return EraRelation.CURRENT
     if state.era is not None and era < state.era:
         return EraRelation.OUTDATED
-    state.is_restored = state.era is not None
+    state.earlier = state.era
     state.era = era
     state.seen_at = now
     return EraRelation.NEW
--- a/src/apricotshore/pooling/change_lease.py
+++ b/src/apricotshore/pooling/change_lease.py
@@ -6,8 +6,8 @@
 from ..decisions.lease import LeaseClaim, ObservedLease
 from ..identifiers import FencingToken, GroupId, HostId, StoreEra, StoreRevision
 from ..services.clock import read_boot_ms
+from ..services.eras import EraTracker
 from .ports import LeaseRecord, ObjectStore, StoreConflictError, StoreError
-from .store_era import EraTracker
 
 POLL_MS = 300
 UNSETTLED_PAUSE_MS = 2_000
--- a/src/apricotshore/pooling/host.py
+++ b/src/apricotshore/pooling/host.py
@@ -15,6 +15,7 @@
 from ..queries import FailureCode
 from ..routes import Configuration, ListedServer
 from ..services.clock import read_boot_ms
+from ..services.eras import EraTracker
 from .caller_session import CallerSession
 from .group import Group
 from .host_session import HostSession
@@ -35,7 +36,6 @@
 from .relay_dialer import RelayDialer
 from .sessions import Context
 from .settings import PoolingSettings
-from .store_era import EraTracker
 from .store_watcher import StoreWatcher
 from .supervision import keep_running
 
@@ -118,7 +118,8 @@
         )
         self.background: set[asyncio.Task[None]] = set()
         self.ended = asyncio.Event()
-        self.eras = EraTracker(journal=journal)
+        self.eras = EraTracker()
+        self.eras.listeners.append(self._record_restored)
         self.store_watcher = StoreWatcher(
             store=adapters.store,
             journal=journal,
@@ -174,6 +175,11 @@
 
     # -- changes in the store --
 
+    def _record_restored(self) -> None:
+        self.journal.record(
+            EventKind.STORE_RESTORED, era=self.eras.era, earlier_era=self.eras.earlier
+        )
+
     def _get_group(self, name: GroupId) -> Group:
         group = self.groups.get(name)
         if group is None:
--- a/src/apricotshore/pooling/host_watcher.py
+++ b/src/apricotshore/pooling/host_watcher.py
@@ -7,9 +7,9 @@
 
 from ..decisions.relays import ListedHost
 from ..identifiers import HostId, StoreEra
+from ..services.eras import EraTracker
 from .journal import EventKind, Journal
 from .ports import ObjectStore, StoredKind, StoreError
-from .store_era import EraTracker
 from .supervision import keep_running
 
 # Relays are chosen from the listed hosts. The list may be this old, because a
--- a/src/apricotshore/pooling/primary_changer.py
+++ b/src/apricotshore/pooling/primary_changer.py
@@ -22,6 +22,7 @@
 from ..identifiers import FencingToken, HostId, ServerId, Term
 from ..queries import Query, QueryKind, ServerReport
 from ..services.clock import read_boot_ms
+from ..services.eras import EraTracker
 from .change_lease import ChangeLease
 from .group import Group
 from .journal import EventKind, Journal
@@ -33,7 +34,6 @@
     Promoter,
     StoreError,
 )
-from .store_era import EraTracker
 from .supervision import keep_running
 
 TICK_S = 0.1
--- a/src/apricotshore/pooling/store_watcher.py
+++ b/src/apricotshore/pooling/store_watcher.py
@@ -8,6 +8,7 @@
 from ..identifiers import ServerId
 from ..routes import EMPTY_CONFIGURATION, Configuration, ListedServer
 from ..services.clock import read_boot_ms
+from ..services.eras import EraTracker
 from .journal import EventKind, Journal
 from .ports import (
     Change,
@@ -18,7 +19,6 @@
     StoredKind,
     StoreError,
 )
-from .store_era import EraTracker
 from .supervision import keep_running
 
 # A watch that the store stopped answering ends after its wait plus the margin of
--- a/src/apricotshore/pooling/store_era.py
+++ b/src/apricotshore/services/eras.py
@@ -1,25 +1,28 @@
 """Era of the platform's store, shared by all parts of a host that use the store."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 
 from ..decisions import store_era
 from ..decisions.store_era import EraRelation, EraState
 from ..identifiers import StoreEra
-from ..services.clock import read_boot_ms
-from .journal import EventKind, Journal
+from .clock import read_boot_ms
+
+ERA_HEADER = "Store-Era"
+
+
+def read_era(headers: Mapping[str, str]) -> StoreEra:
+    """Return the era that an answer's headers name, 0 if they name none."""
+    text = headers.get(ERA_HEADER, "")
+    return StoreEra(int(text) if text.isascii() and text.isdigit() else 0)
 
 
 class EraTracker:
     """Tracker of the store's era in its answers.
 
-    Parameters
-    ----------
-    journal
-        Journal of the host.
+    The listeners are called when the store was restored.
     """
 
-    def __init__(self, *, journal: Journal) -> None:
-        self.journal = journal
+    def __init__(self) -> None:
         self.state = EraState()
         self.listeners: list[Callable[[], None]] = []
 
@@ -28,15 +31,15 @@
         """Latest era, None before the first answer of the store."""
         return self.state.era
 
-    def accept(self, era: StoreEra) -> bool:
-        """Record an answer's era; return False if the answer is of an earlier one.
+    @property
+    def earlier(self) -> StoreEra | None:
+        """Era before the latest one, None if the store was not restored."""
+        return self.state.earlier
 
-        The listeners are called when the store was restored.
-        """
-        earlier = self.state.era
+    def accept(self, era: StoreEra) -> bool:
+        """Record an answer's era; return False if the answer is of an earlier one."""
         relation = store_era.observe_era(self.state, era, read_boot_ms())
         if relation is EraRelation.NEW and self.state.is_restored:
-            self.journal.record(EventKind.STORE_RESTORED, era=era, earlier_era=earlier)
             for listener in self.listeners:
                 listener()
         return relation is not EraRelation.OUTDATED
--- a/tests/pooling/support.py
+++ b/tests/pooling/support.py
@@ -24,9 +24,9 @@
 from apricotshore.pooling.primary_prover import PrimaryProver
 from apricotshore.pooling.prober import Prober
 from apricotshore.pooling.sessions import Context
-from apricotshore.pooling.store_era import EraTracker
 from apricotshore.queries import Query, QueryKind
 from apricotshore.routes import Configuration, Consistency, Route
+from apricotshore.services.eras import EraTracker
 from standins.in_memory import GROUP, ModelDialer, ModelGroup, ModelPlatform
 
 
@@ -100,7 +100,7 @@
         group.log_lost_at = None
         for server in model.servers.values():
             group.update_server(model.list(server))
-        eras = EraTracker(journal=journal)
+        eras = EraTracker()
         eras.accept(StoreEra(platform.era))
         changer = PrimaryChanger(
             group=group,
--- a/tests/pooling/test_host_watcher.py
+++ b/tests/pooling/test_host_watcher.py
@@ -6,7 +6,7 @@
 from apricotshore.identifiers import DataCentreId, HostId
 from apricotshore.pooling import host_watcher
 from apricotshore.pooling.host_watcher import HostWatcher
-from apricotshore.pooling.store_era import EraTracker
+from apricotshore.services.eras import EraTracker
 from standins.in_memory import ModelGroup, ModelPlatform
 
 from .support import make_journal, wait_until
@@ -25,7 +25,7 @@
         self.store = ModelPlatform(group=ModelGroup.make())
         self.store.hosts[PEER.host] = PEER
         journal = make_journal()
-        self.eras = EraTracker(journal=journal)
+        self.eras = EraTracker()
         self.lists: list[set[HostId]] = []
         self.watcher = HostWatcher(
             store=self.store,
--- a/tests/pooling/test_restored_leases.py
+++ b/tests/pooling/test_restored_leases.py
@@ -5,16 +5,16 @@
 from apricotshore.decisions import lease
 from apricotshore.identifiers import HostId, ServerId, StoreEra
 from apricotshore.pooling.change_lease import ChangeLease
-from apricotshore.pooling.store_era import EraTracker
+from apricotshore.services.eras import EraTracker
 from standins.in_memory import GROUP, ModelGroup, ModelPlatform
 
-from .support import ModelHost, make_journal, running, wait_until, writing
+from .support import ModelHost, running, wait_until, writing
 
 S1, S2, S3 = ServerId("s1"), ServerId("s2"), ServerId("s3")
 
 
 def make_lease(platform: ModelPlatform, name: str) -> ChangeLease:
-    eras = EraTracker(journal=make_journal())
+    eras = EraTracker()
     eras.accept(StoreEra(platform.era))
     return ChangeLease(
         group=GROUP,
--- a/tests/pooling/test_restored_store.py
+++ b/tests/pooling/test_restored_store.py
@@ -7,9 +7,9 @@
 from apricotshore.identifiers import StoreEra
 from apricotshore.pooling import store_watcher
 from apricotshore.pooling.ports import Change, HistoryLostError, StoredKind
-from apricotshore.pooling.store_era import EraTracker
+from apricotshore.services.eras import EraTracker
 
-from .support import make_journal, wait_until
+from .support import wait_until
 from .test_store_watcher import Bed, configuration, server
 
 # Time that servers get to register again, in milliseconds.
@@ -140,7 +140,7 @@
 
 
 def test_answer_of_an_earlier_era_is_not_accepted():
-    eras = EraTracker(journal=make_journal())
+    eras = EraTracker()
     restores = []
     eras.listeners.append(lambda: restores.append(eras.era))
     accepted = [eras.accept(StoreEra(number)) for number in (3, 3, 4, 3, 4)]
--- a/tests/pooling/test_store_watcher.py
+++ b/tests/pooling/test_store_watcher.py
@@ -11,13 +11,13 @@
     StoredKind,
     StoreError,
 )
-from apricotshore.pooling.store_era import EraTracker
 from apricotshore.pooling.store_watcher import (
     StoreWatcher,
     choose_check_period_ms,
     choose_wait_ms,
 )
 from apricotshore.routes import Configuration
+from apricotshore.services.eras import EraTracker
 from standins.in_memory import ModelGroup
 
 from .support import make_journal, wait_until
@@ -94,7 +94,7 @@
         self.store_watcher = StoreWatcher(
             store=self.store,
             journal=journal,
-            eras=EraTracker(journal=journal),
+            eras=EraTracker(),
             apply_ms=1_600,
             leave_ms=1_600,
             window_ms=1_600,
