Let the platform stand-in come back from an older copy

Cause: entry hosts keep bundles, evidence and versions that the platform gave them; no test could take what it had acknowledged back.

Ruled out: a stand-in that only lowers its version counter (what was written must be gone as well).

Change: "copy" and "restore" among the faults, the header Store-Era in all answers, 410 to a watch from a version that it has not given out.

--- a/standins/platform.py
+++ b/standins/platform.py
@@ -1,6 +1,7 @@
 """Stand-in for the platform's object API.
 
-It supports versions, conditional writes, watches, rate limits and injected faults.
+It supports versions, conditional writes, watches, rate limits and injected faults. It
+can come back from an older copy; each answer names how often it has done so.
 """
 
 import argparse
@@ -13,6 +14,7 @@
 
 MAX_VALUE_BYTES = 1_000_000
 WATCH_S = 20.0
+STORE = web.AppKey("store")
 
 
 @dataclass(kw_only=True)
@@ -29,6 +31,7 @@
     reads_per_s: int = 2_000
     calls: dict[str, int] = field(default_factory=dict)
     window: dict[str, list[float]] = field(default_factory=dict)
+    era: int = 1
 
     def admit(self, access: str, limit: int) -> bool:
         """Return whether a call stays within the rate limit of the last second."""
@@ -46,12 +49,35 @@
         self.notify()
         return self.counter
 
+    def copy(self) -> "StoreCopy":
+        """Return a copy of the objects and of the version counter."""
+        return StoreCopy(objects=dict(self.objects), counter=self.counter)
+
+    def restore(self, earlier: "StoreCopy") -> None:
+        """Come back from a copy: what was written since is lost."""
+        self.era += 1
+        self.objects = dict(earlier.objects)
+        self.counter = earlier.counter
+        self.notify()
+
     def notify(self) -> None:
         """Wake all waiting watches."""
         self.changed.set()
         self.changed = asyncio.Event()
 
 
+@dataclass(frozen=True, kw_only=True)
+class StoreCopy:
+    """Copy of a store's objects."""
+
+    objects: dict[tuple[str, str], tuple[int, object]]
+    counter: int
+
+
+async def _name_era(request: web.Request, response: web.StreamResponse) -> None:
+    response.headers["Store-Era"] = str(request.app[STORE].era)
+
+
 def _key(request: web.Request) -> tuple[str, str]:
     return request.match_info["kind"], request.match_info["name"]
 
@@ -68,6 +94,7 @@
 
     def __init__(self, *, store: Store) -> None:
         self.store = store
+        self.earlier = store.copy()
 
     @web.middleware
     async def inject_faults(self, request: web.Request, handler):
@@ -95,6 +122,9 @@
         """Return an object; with ``watch``, wait for a version above that one."""
         store, key = self.store, _key(request)
         known_version = int(request.query.get("watch", "-1"))
+        if known_version > store.counter:
+            return web.json_response({"error": "no such version"}, status=410)
+        era = store.era
         deadline = time.monotonic() + WATCH_S
         while (
             known_version >= 0 and store.objects.get(key, (0, None))[0] <= known_version
@@ -104,7 +134,7 @@
                 await asyncio.wait_for(store.changed.wait(), remaining_s)
             except TimeoutError:
                 return web.Response(status=304)
-            if store.outage:
+            if store.outage or store.era != era:
                 request.transport.close()
                 return web.Response(status=503)
         return _make_response(store, key)
@@ -132,10 +162,18 @@
         return web.json_response({"items": items})
 
     async def set_faults(self, request: web.Request) -> web.Response:
-        """Set the injected faults; for GET, return the counted calls by purpose."""
+        """Set the injected faults; for GET, return the counted calls by purpose.
+
+        ``copy`` copies the objects, and ``restore`` goes back to the copy.
+        """
         if request.method == "GET":
             return web.json_response({"calls": self.store.calls})
-        for name, value in (await request.json()).items():
+        faults = await request.json()
+        if faults.pop("copy", False):
+            self.earlier = self.store.copy()
+        if faults.pop("restore", False):
+            self.store.restore(self.earlier)
+        for name, value in faults.items():
             setattr(self.store, name, value)
         self.store.notify()
         return web.json_response({})
@@ -147,6 +185,8 @@
     application = web.Application(
         middlewares=[api.inject_faults], client_max_size=MAX_VALUE_BYTES * 2
     )
+    application[STORE] = store
+    application.on_response_prepare.append(_name_era)
     application.router.add_get("/objects/{kind}/{name}", api.read)
     application.router.add_put("/objects/{kind}/{name}", api.write)
     application.router.add_get("/objects/{kind}", api.list_objects)
