Write evidence of a withdrawal again in a restored platform

What callers would see: `bundle prove` no longer proves a withdrawal that was proved before the platform came back from an older copy.

Cause: an owner remembers the evidence that it has written and writes it once; a restored platform has lost it.

Ruled out: writing evidence at each period (two writes a second and host).

Change: when the platform's era changes, evidence written before counts as not written.

Conclusion: a host that neither watches the platform nor writes learns of a new era at its next poll, after 60 s at most.

--- a/src/apricotshore/services/application.py
+++ b/src/apricotshore/services/application.py
@@ -17,7 +17,7 @@
 from ..events import EventLog, Topic
 from ..evidence import EvidenceKey, sign_evidence
 from ..exceptions import PlatformError
-from ..identifiers import SignerId, Term
+from ..identifiers import DatabaseId, SignerId, Term
 from ..keys import load_key
 from ..logs import make_logger
 from ..metrics import Metrics
@@ -139,6 +139,7 @@
         self.pending_evidence: dict[str, DatabaseOwner] = {}
         self.signing_key = _load_evidence_key(settings)
         self.written_evidence: dict[str, str] = {}
+        self.platform.eras.listeners.append(self._rewrite_evidence)
         self.burn = BurnRecord()
         self.draining = False
 
@@ -259,6 +260,14 @@
     def _mark_evidence_pending(self, owner: DatabaseOwner) -> None:
         self.pending_evidence[owner.database] = owner
 
+    def _rewrite_evidence(self) -> None:
+        """Write evidence again that a restored platform may have lost."""
+        for database in self.written_evidence:
+            owner = self.registry.owners.get(DatabaseId(database))
+            if owner is not None:
+                self.pending_evidence[database] = owner
+        self.written_evidence.clear()
+
     def _make_evidence(self, owner: DatabaseOwner) -> DatabaseEvidence | None:
         claim = owner.claim_manager.claim
         if claim is None:
