Wait for an accepted promotion before an earlier process's lease is taken

What callers would see: an acknowledged write is lost.

A promotion that the earlier one ordered, and that the platform has accepted, takes effect some hundred milliseconds later and no token stops it any more. The restarted process finishes the change before that and resumes the paused replicas; what one of them helps to acknowledge is not on the target.

Change: the lease of an earlier process is free 2 s after it was first read.

Conclusion: found by thinking through what the lease's wait stood for besides the holder itself.

--- a/src/apricotshore/decisions/lease.py
+++ b/src/apricotshore/decisions/lease.py
@@ -5,7 +5,8 @@
 that was under way is lost with it, and is finished by the next holder.
 
 A holder is one process. Two processes can't listen at one address, so a process knows
-that an earlier one at its own address has ended, and need not wait for its lease.
+that an earlier one at its own address has ended. It waits only until a promotion that
+the earlier one may have requested has taken effect.
 """
 
 from dataclasses import dataclass
@@ -13,6 +14,8 @@
 from ..identifiers import FencingToken, HostId, StoreEra, StoreRevision
 
 LEASE_MS = 6_000
+# Time within which a promotion that the platform has accepted takes effect.
+PROMOTION_MS = 2_000
 # Low bits of a token that hold the revision; the era is above them.
 REVISION_BITS = 40
 # Within this time the other hosts know of a lease that one host wrote.
@@ -95,9 +98,10 @@
     """
     if lease is None:
         return now < claim.held_until or now - claim.era_seen_at >= LEASE_MS
-    if not lease.open or lease.holder == claim.holder or _has_ended(lease, claim):
+    if not lease.open or lease.holder == claim.holder:
         return True
-    return now - lease.seen_at >= LEASE_MS
+    wait_ms = PROMOTION_MS if _has_ended(lease, claim) else LEASE_MS
+    return now - lease.seen_at >= wait_ms
 
 
 def may_be_abandoned(
--- a/tests/pooling/test_primary_changer.py
+++ b/tests/pooling/test_primary_changer.py
@@ -211,3 +211,23 @@
     assert not await host.changer.lease.is_abandoned(0)
     host.changer.lease.check_after = 0
     assert await host.changer.lease.is_abandoned(0)
+
+
+async def test_host_that_restarts_amid_a_change_waits_for_its_accepted_promotion():
+    model, platform, (host,) = make(1, promote_s=1.0)
+    async with writing(model):
+        async with running(host):
+            await wait_until(lambda: len(model.acknowledged) > 5)
+            host.mark_leaving("s1")
+            await wait_until(lambda: platform.orders)
+            model.servers[platform.orders[0][1]].partitioned = True
+        restarted = ModelHost.make("host-0", model, platform)
+        await restarted.changer.lease.read()
+        async with running(restarted):
+            await wait_until(lambda: model.promotions)
+            await wait_until(
+                lambda: not any(s.paused_term for s in model.servers.values())
+            )
+            await asyncio.sleep(0.2)
+    assert model.lost == []
+    assert len(model.promotions) == 1
--- a/tests/pooling/test_restored_leases.py
+++ b/tests/pooling/test_restored_leases.py
@@ -175,7 +175,10 @@
     assert model.find_primary().name == S1
 
 
-async def test_lease_of_a_killed_process_does_not_keep_its_own_host_waiting():
+async def test_lease_of_a_killed_process_does_not_keep_its_own_host_waiting(
+    monkeypatch,
+):
+    monkeypatch.setattr(lease, "PROMOTION_MS", 100)
     platform = ModelPlatform(group=ModelGroup.make())
     killed, other = make_lease(platform, "a"), make_lease(platform, "b")
     token = await killed.acquire()
@@ -183,6 +186,9 @@
     restarted = make_lease(platform, "a")
     assert await restarted.is_abandoned(0) is False
     await restarted.read()
+    assert not await restarted.is_abandoned(0)
+    await asyncio.sleep(0.15)
+    assert await other.acquire() is None
     assert await restarted.is_abandoned(0)
     assert await restarted.acquire() > token
     assert await killed.write(still_open=False) is None
--- a/tests/test_lease.py
+++ b/tests/test_lease.py
@@ -5,6 +5,7 @@
 from apricotshore.decisions import lease
 from apricotshore.decisions.lease import (
     LEASE_MS,
+    PROMOTION_MS,
     RANK_STEP_MS,
     LeaseClaim,
     ObservedLease,
@@ -71,16 +72,19 @@
 
 
 @pytest.mark.parametrize(
-    ("holder", "may"),
+    ("holder", "after_ms", "may"),
     [
-        ("h1@10.0.0.1:1/earlier", True),
-        ("h1@10.0.0.2:1/earlier", False),
-        ("h2@10.0.0.1:1/earlier", False),
+        ("h1@10.0.0.1:1/earlier", PROMOTION_MS - 1, False),
+        ("h1@10.0.0.1:1/earlier", PROMOTION_MS, True),
+        ("h1@10.0.0.2:1/earlier", PROMOTION_MS, False),
+        ("h2@10.0.0.1:1/earlier", PROMOTION_MS, False),
     ],
 )
-def test_lease_of_an_earlier_process_at_the_same_address_is_not_waited_for(holder, may):
+def test_lease_of_an_earlier_process_is_waited_for_until_its_promotion_took_effect(
+    holder, after_ms, may
+):
     own = LeaseClaim(holder="h1@10.0.0.1:1/now", held_until=0, era_seen_at=SEEN_AT)
-    assert lease.may_acquire(held(holder), own, SEEN_AT + 1) is may
+    assert lease.may_acquire(held(holder), own, SEEN_AT + after_ms) is may
 
 
 def test_token_of_a_later_era_is_higher_whatever_the_revisions():
