Show the store's era in metrics and an entry host's events

Cause: whoever reads only metrics, or `explain` of entry hosts, could not see that the store came back from an older copy.

Ruled out: nothing; the pooling host's log line alone needs all logs.

Change: the gauge apricotshore_store_era, and an event "restored" of entry hosts (topic rollout), checked in two tests.

Figures: none measured; before, no metric named the era, after, one does.

Conclusion: an era that rises, beside versions that don't, shows a restore.

--- a/src/apricotshore/pooling/host.py
+++ b/src/apricotshore/pooling/host.py
@@ -371,7 +371,9 @@
             self.groups.values(),
             len(self.caller_sessions),
             len(self.host_sessions),
-            self.store_watcher.configuration.version,
+        )
+        self.metrics.refresh_store(
+            self.store_watcher.configuration.version, self.eras.era
         )
 
     def _spawn(self, work: Coroutine[None, None, None]) -> None:
--- a/src/apricotshore/pooling/metrics.py
+++ b/src/apricotshore/pooling/metrics.py
@@ -4,6 +4,7 @@
 
 from aioprometheus import Counter, Gauge, Histogram, Registry
 
+from ..identifiers import StoreEra
 from ..queries import Answer, Query
 from ..services.clock import read_boot_ms
 from .group import Group
@@ -46,6 +47,11 @@
             "Version of the configuration in force",
             registry=registry,
         )
+        self.store_era = Gauge(
+            "apricotshore_store_era",
+            "Latest era of the platform's store that was seen",
+            registry=registry,
+        )
         self.connections = Gauge(
             "apricotshore_connections",
             "Connections to backend servers, by server and use",
@@ -72,16 +78,18 @@
         self.statements.inc({"kind": kind, "outcome": outcome})
         self.latency.observe({"kind": kind}, took_ms / 1000)
 
-    def refresh(
-        self, groups: Iterable[Group], sessions: int, host_links: int, version: int
-    ) -> None:
-        """Update the gauges."""
+    def refresh(self, groups: Iterable[Group], sessions: int, host_links: int) -> None:
+        """Update the gauges of sessions, groups and servers."""
         self.sessions.set({}, sessions)
         self.host_links.set({}, host_links)
-        self.configuration.set({}, version)
         for group in groups:
             self._refresh_group(group)
 
+    def refresh_store(self, version: int, era: StoreEra | None) -> None:
+        """Update the gauges of what the store holds."""
+        self.configuration.set({}, version)
+        self.store_era.set({}, era or 0)
+
     def _refresh_group(self, group: Group) -> None:
         labels = {"group": group.group}
         self.term.set(labels, group.primary_state.term)
--- a/src/apricotshore/services/application.py
+++ b/src/apricotshore/services/application.py
@@ -139,7 +139,7 @@
         self.pending_evidence: dict[str, DatabaseOwner] = {}
         self.signing_key = _load_evidence_key(settings)
         self.written_evidence: dict[str, str] = {}
-        self.platform.eras.listeners.append(self._rewrite_evidence)
+        self.platform.eras.listeners.append(self._handle_restore)
         self.burn = BurnRecord()
         self.draining = False
 
@@ -260,8 +260,11 @@
     def _mark_evidence_pending(self, owner: DatabaseOwner) -> None:
         self.pending_evidence[owner.database] = owner
 
-    def _rewrite_evidence(self) -> None:
+    def _handle_restore(self) -> None:
         """Write evidence again that a restored platform may have lost."""
+        eras = self.platform.eras
+        detail = f"era {eras.era} after {eras.earlier}: it came back from an older copy"
+        self.record_event(Topic.ROLLOUT, "platform", "restored", detail)
         for database in self.written_evidence:
             owner = self.registry.owners.get(DatabaseId(database))
             if owner is not None:
--- a/tests/live/test_restored_platform.py
+++ b/tests/live/test_restored_platform.py
@@ -55,6 +55,8 @@
             return (await operations.read_current_bundle(client)).bundle.version == 2
 
         await wait_until(is_back)
+        logs = [path.read_text() for path in deployment.folder.glob("host-*.log")]
+        assert any("restored: era 2 after 1" in text for text in logs)
         assert (await wait_for_proof(deployment)).proved
 
         async def is_accepted() -> bool:
--- a/tests/pooling/test_restored_store.py
+++ b/tests/pooling/test_restored_store.py
@@ -4,8 +4,11 @@
 from contextlib import asynccontextmanager
 from dataclasses import replace
 
+from aioprometheus import Registry
+
 from apricotshore.identifiers import StoreEra
 from apricotshore.pooling import store_watcher
+from apricotshore.pooling.metrics import PoolingMetrics
 from apricotshore.pooling.ports import Change, HistoryLostError, StoredKind
 from apricotshore.services.eras import EraTracker
 
@@ -146,3 +149,10 @@
     accepted = [eras.accept(StoreEra(number)) for number in (3, 3, 4, 3, 4)]
     assert accepted == [True, True, True, False, True]
     assert restores == [4]
+
+
+def test_metrics_show_the_era_and_the_version_in_force():
+    metrics = PoolingMetrics(registry=Registry())
+    metrics.refresh_store(14, StoreEra(2))
+    assert metrics.store_era.get({}) == 2
+    assert metrics.configuration.get({}) == 14
