--- a/src/apricotshore/services/jsonapi.py
+++ b/src/apricotshore/services/jsonapi.py
@@ -43,17 +43,13 @@
 
 
 class JsonClient:
-    """Client of JSON APIs.
+    """Client of JSON APIs that keeps its connections open between calls.
 
-    Parameters
-    ----------
-    keep_open
-        Whether connections stay open between calls. A call that loses a connection
-        that was used before is sent again, unnoticed.
+    The library sends a call that may be repeated (any but ``POST``) once more if its
+    connection is lost, so the server may execute it twice.
     """
 
-    def __init__(self, *, keep_open: bool = True) -> None:
-        self.keep_open = keep_open
+    def __init__(self) -> None:
         self._session: aiohttp.ClientSession | None = None
 
     async def close(self) -> None:
@@ -63,9 +59,7 @@
 
     def _open(self) -> aiohttp.ClientSession:
         if self._session is None:
-            connector = aiohttp.TCPConnector(
-                socket_factory=_open_socket, force_close=not self.keep_open
-            )
+            connector = aiohttp.TCPConnector(socket_factory=_open_socket)
             self._session = aiohttp.ClientSession(connector=connector)
         return self._session
 
--- a/src/apricotshore/services/platform.py
+++ b/src/apricotshore/services/platform.py
@@ -63,13 +63,10 @@
         self.calls: Counter[Purpose] = Counter()
         self.eras = EraTracker()
         self._client = JsonClient()
-        # A watch must not go on in a platform that was restored meanwhile.
-        self._watches = JsonClient(keep_open=False)
 
     async def close(self) -> None:
         """Close every connection."""
         await self._client.close()
-        await self._watches.close()
 
     async def _call(
         self,
@@ -77,13 +74,12 @@
         path: str,
         purpose: Purpose,
         timeout_s: float = CALL_TIMEOUT_S,
-        client: JsonClient | None = None,
         **kwargs: Any,
     ) -> tuple[int, Any]:
         self.calls[purpose] += 1
         headers = {"X-Purpose": purpose.value, **kwargs.pop("headers", {})}
         try:
-            answer = await (client or self._client).call(
+            answer = await self._client.call(
                 method, f"{self.base}/{path}", timeout_s, headers=headers, **kwargs
             )
         except NoAnswerError as error:
@@ -110,9 +106,7 @@
             If the platform did not answer, or has not given out ``seen`` (any more).
         """
         path = f"{kind.value}/{name}?watch={seen}"
-        status, body = await self._call(
-            "GET", path, purpose, WATCH_TIMEOUT_S, self._watches
-        )
+        status, body = await self._call("GET", path, purpose, WATCH_TIMEOUT_S)
         return None if status == 304 else self._parse_object(status, body)
 
     async def list(self, kind: ObjectKind, purpose: Purpose) -> list[Stored]:
