Give caller sessions and session tokens modules of their own

Cause: frontend.py had 561 lines: the listener, the sessions and the tokens, and a session reached into all of the front end.

Ruled out: a mixin (same reach).

No behaviour changes.

Conclusion: what a session uses is named in one place.

--- a/src/apricotshore/services/frontend.py
+++ b/src/apricotshore/services/frontend.py
@@ -1,13 +1,10 @@
-"""MySQL protocol front end: accepts callers and serves their sessions."""
+"""MySQL protocol front end: accepts callers and keeps their sessions."""
 
 import asyncio
-import re
 import ssl
-import uuid
 from collections.abc import Callable
 from contextvars import ContextVar
 from dataclasses import dataclass
-from typing import Any
 
 from mysql_mimic import MysqlServer
 from mysql_mimic.auth import (
@@ -16,71 +13,22 @@
     NativePasswordAuthPlugin,
     User,
 )
-from mysql_mimic.connection import Connection
 from mysql_mimic.constants import DEFAULT_SERVER_CAPABILITIES
-from mysql_mimic.errors import ErrorCode, MysqlError
-from mysql_mimic.session import BaseSession
-from mysql_mimic.types import Capabilities, ServerStatus
-from mysql_mimic.variables import GlobalVariables, SessionVariables
+from mysql_mimic.types import Capabilities
 
 from ..bundles import Bundle, Contract
-from ..decisions.routing import later_position
-from ..groups import LOG_START, LogPosition
-from ..identifiers import (
-    CallerId,
-    DatabaseId,
-    Position,
-    RequestId,
-    SessionId,
-    Term,
-    TransactionId,
-)
-from ..requests import Action, Reply, Request
+from ..identifiers import CallerId
+from ..requests import Request
 from ..settings import Settings
-from ..statements import Statement, StatementError, read_statement
-from ..verdicts import Failure, Reason, Verdict
+from ..verdicts import Failure
+from .callersession import CallerSession, OpenTransaction, SessionContext
 from .clock import read_monotonic_ms
-from .errorcodes import make_error
-from .router import RoutedOutcome, Router, Target
+from .router import RoutedOutcome, Router
 
-TOKEN_VARIABLE = "apricotshore_token"
-SESSION_VARIABLE = "apricotshore_session"
-MAX_TOKEN_DATABASES = 64
-CLOSE_AFTER_ERROR_S = 0.05
 IDLE_BEFORE_CLOSE_MS = 3_000
 
-_SET = re.compile(r"^\s*set\s+(.*)$", re.I | re.S)
-_USER_VARIABLE = re.compile(
-    rf"^@({TOKEN_VARIABLE}|{SESSION_VARIABLE})\s*:?=\s*'([^']*)'$", re.I
-)
-_AUTOCOMMIT = re.compile(
-    r"^(?:@@)?(?:session[\s.]+)?autocommit\s*:?=\s*(0|1|on|off)$", re.I
-)
-_SELECT_TOKEN = re.compile(rf"^\s*select\s+@{TOKEN_VARIABLE}\s*;?\s*$", re.I)
-_SELECT_VARIABLES = re.compile(r"^\s*select\s+@@[\w.@,\s]+(?:limit\s+\d+)?\s*;?$", re.I)
-_SHORT_NAME = re.compile(r"^[A-Za-z0-9_.:@-]{1,64}$")
-
-_LEAVES_TRANSACTION_OPEN = frozenset(
-    {Reason.DATABASE_ERROR, Reason.OVERLOAD, Reason.DEADLINE}
-)
-
-_DRAINING_FAILURE = Failure(
-    verdict=Verdict.NOT_RUN, reason=Reason.DRAINING, detail="this host is draining"
-)
-
 _current_writer: ContextVar[asyncio.StreamWriter] = ContextVar("writer")
 
-Result = Any
-
-
-@dataclass(kw_only=True)
-class OpenTransaction:
-    """An open transaction of a session and the owner that runs it."""
-
-    transaction: TransactionId
-    target: Target
-    request_id: RequestId
-
 
 @dataclass(kw_only=True)
 class FrontendHooks:
@@ -91,322 +39,6 @@
     on_served: Callable[[Request, Failure | None, float], None]
 
 
-def _make_bad_request(detail: str) -> MysqlError:
-    return make_error(
-        Failure(verdict=Verdict.NOT_RUN, reason=Reason.BAD_REQUEST, detail=detail)
-    )
-
-
-def format_token(log_positions: dict[DatabaseId, LogPosition]) -> str:
-    """Return the session token: ``database:term:position``, comma-separated."""
-    return ",".join(
-        f"{d}:{m.term}:{m.position}" for d, m in sorted(log_positions.items())
-    )
-
-
-def parse_token(text: str) -> dict[DatabaseId, LogPosition]:
-    """Parse a session token.
-
-    Raises
-    ------
-    ValueError
-        If the text is not a valid token.
-    """
-    log_positions: dict[DatabaseId, LogPosition] = {}
-    parts = [part for part in text.split(",") if part]
-    if len(parts) > MAX_TOKEN_DATABASES:
-        raise ValueError(f"more than {MAX_TOKEN_DATABASES} databases in a token")
-    for part in parts:
-        database, _, rest = part.partition(":")
-        term, _, position = rest.partition(":")
-        if not (term.isdigit() and position.isdigit()) or len(term + position) > 36:
-            raise ValueError(f"expected database:term:position, got {part!r}")
-        log_position = LogPosition(
-            term=Term(int(term)), position=Position(int(position))
-        )
-        log_positions[DatabaseId(database)] = log_position
-    return log_positions
-
-
-class CallerSession(BaseSession):
-    """Session of one caller's connection.
-
-    Parameters
-    ----------
-    frontend
-        The front end that accepted the connection.
-    """
-
-    def __init__(self, *, frontend: "Frontend") -> None:
-        self.frontend = frontend
-        self.variables = SessionVariables(GlobalVariables())
-        self.username: str | None = None
-        self.database: str | None = None
-        self.connection: Connection | None = None
-        self.session = SessionId(uuid.uuid4().hex)
-        self.log_positions: dict[DatabaseId, LogPosition] = {}
-        self.token_given = False
-        self.session_named = False
-        self.autocommit = True
-        self.open_transaction: OpenTransaction | None = None
-        self.affected_rows = 0
-        self.last_insert_id = 0
-        self.busy = False
-        self.last_used_ms = read_monotonic_ms()
-        self.writer = _current_writer.get()
-        frontend.login_timers[self] = asyncio.get_running_loop().call_later(
-            frontend.settings.login_ms / 1000, self.writer.transport.abort
-        )
-
-    # -- life cycle --
-
-    async def init(self, connection: Connection) -> None:
-        """Set up the session after a complete handshake."""
-        self.frontend.on_login(self)
-        if self.username is None:
-            raise MysqlError("access denied", ErrorCode.ACCESS_DENIED_ERROR)
-        self.connection = connection
-        plain_ok = connection.ok
-
-        def make_ok(**kwargs: Any) -> bytes:
-            if not kwargs:
-                kwargs = {
-                    "affected_rows": self.affected_rows,
-                    "last_insert_id": self.last_insert_id,
-                }
-            return plain_ok(**kwargs)
-
-        # The library offers sessions no way to report affected rows, so the method
-        # that builds OK packets is replaced.
-        connection.ok = make_ok
-        self._update_status_flags()
-
-    async def close(self) -> None:
-        """Remove the session and roll back its open transaction."""
-        self.frontend.remove_session(self)
-        if self.open_transaction is not None and self.username is not None:
-            open_transaction, self.open_transaction = self.open_transaction, None
-            statement = read_statement("ROLLBACK")
-            request = self._make_request(statement, Action.ROLLBACK, open_transaction)
-            self.frontend.roll_back(request, open_transaction)
-
-    async def reset(self) -> None:
-        """Reset the session's state, as for COM_CHANGE_USER."""
-        self.log_positions.clear()
-        self.token_given = False
-
-    async def use(self, database: str) -> None:
-        """Set the default database."""
-        self.database = database
-
-    def _update_status_flags(self) -> None:
-        if self.connection is None:
-            return
-        flags = ServerStatus(0)
-        if self.open_transaction is not None:
-            flags |= ServerStatus.SERVER_STATUS_IN_TRANS
-        if self.autocommit:
-            flags |= ServerStatus.SERVER_STATUS_AUTOCOMMIT
-        self.connection.status_flags = flags
-
-    # -- queries --
-
-    async def handle_query(self, sql: str, attrs: dict[str, str]) -> Result:
-        """Execute one statement of the caller."""
-        self.affected_rows = self.last_insert_id = 0
-        if self.username is None:
-            raise MysqlError("access denied", ErrorCode.ACCESS_DENIED_ERROR)
-        if self.frontend.draining and self.open_transaction is None:
-            self._close_after_error()
-            raise make_error(_DRAINING_FAILURE)
-        self.busy = True
-        try:
-            return await self._handle(sql)
-        except StatementError as error:
-            raise _make_bad_request(str(error)) from None
-        finally:
-            self.busy = False
-            self.last_used_ms = read_monotonic_ms()
-            self._update_status_flags()
-
-    def _close_after_error(self) -> None:
-        # The error must arrive before the connection closes: after a bare close
-        # the caller could not know whether its request ran.
-        loop = asyncio.get_running_loop()
-        loop.call_later(CLOSE_AFTER_ERROR_S, self.writer.close)
-
-    async def _handle(self, sql: str) -> Result:
-        if match := _SET.match(sql):
-            return self._set_variables(match.group(1).strip().rstrip(";"))
-        if _SELECT_TOKEN.match(sql):
-            return [(format_token(self.log_positions),)], [f"@{TOKEN_VARIABLE}"]
-        if _SELECT_VARIABLES.match(sql):
-            return self._select_variables(sql)
-        statement = read_statement(sql)
-        if statement.action is None:
-            raise _make_bad_request("this statement is not served")
-        if self.open_transaction is None and statement.action in (
-            Action.COMMIT,
-            Action.ROLLBACK,
-        ):
-            return None
-        if self.open_transaction is not None and statement.action is Action.BEGIN:
-            await self._commit_implicitly()
-        if self._opens_transaction(statement):
-            await self._begin(statement)
-        return await self._forward(statement, statement.action)
-
-    def _opens_transaction(self, statement: Statement) -> bool:
-        # With autocommit off only a write opens a transaction. Reads outside a
-        # transaction run on their own, so that replicas can serve them.
-        return (
-            not self.autocommit
-            and self.open_transaction is None
-            and statement.action is Action.WRITE
-        )
-
-    async def _begin(self, statement: Statement) -> None:
-        begin = read_statement("BEGIN")
-        tagged = Statement(
-            text=begin.text,
-            action=Action.BEGIN,
-            fingerprint=begin.fingerprint,
-            tags=statement.tags,
-        )
-        await self._forward(tagged, Action.BEGIN)
-
-    async def _commit_implicitly(self) -> None:
-        await self._forward(read_statement("COMMIT"), Action.COMMIT)
-
-    async def _forward(self, statement: Statement, action: Action) -> Result:
-        open_transaction = self.open_transaction
-        request = self._make_request(statement, action, open_transaction)
-        started = asyncio.get_running_loop().time()
-        target = open_transaction.target if open_transaction else None
-        routed = await self.frontend.router.route(request, target)
-        took_s = asyncio.get_running_loop().time() - started
-        failure = routed.outcome.failure
-        self.frontend.hooks.on_served(request, failure, took_s)
-        if failure is not None:
-            self._apply_failure(action, failure)
-            raise make_error(failure)
-        reply = routed.outcome.reply
-        assert reply is not None
-        self._apply_reply(request, action, reply, routed.target)
-        if reply.columns:
-            return list(reply.rows), list(reply.columns)
-        self.affected_rows = reply.affected_rows
-        self.last_insert_id = reply.last_insert_id
-        return None
-
-    def _apply_failure(self, action: Action, failure: Failure) -> None:
-        ends = action in (Action.COMMIT, Action.ROLLBACK)
-        if ends or failure.reason not in _LEAVES_TRANSACTION_OPEN:
-            self.open_transaction = None
-
-    def _apply_reply(
-        self, request: Request, action: Action, reply: Reply, target: Target | None
-    ) -> None:
-        old = self.log_positions.get(request.database, LOG_START)
-        if reply.log_position.position:
-            self.log_positions[request.database] = later_position(
-                old, reply.log_position
-            )
-        if action is Action.BEGIN and target is not None:
-            self.open_transaction = OpenTransaction(
-                transaction=reply.transaction,
-                target=target,
-                request_id=request.request_id,
-            )
-        elif action in (Action.COMMIT, Action.ROLLBACK):
-            self.open_transaction = None
-
-    def _make_request(
-        self,
-        statement: Statement,
-        action: Action,
-        open_transaction: OpenTransaction | None,
-    ) -> Request:
-        tags = statement.tags
-        database = self._find_database()
-        kind = self.frontend.hooks.get_bundle().find_kind(tags.kind)
-        for name in (tags.request_id, tags.session):
-            if name and not _SHORT_NAME.match(name):
-                raise _make_bad_request(f"expected a short plain name, got {name!r}")
-        request_id = RequestId(tags.request_id)
-        if tags.idempotent is False and not request_id:
-            request_id = RequestId(uuid.uuid4().hex)
-        if open_transaction is not None:
-            request_id = open_transaction.request_id
-        token = self.log_positions.get(database, LOG_START)
-        session_named = self.session_named or bool(tags.session)
-        return Request(
-            caller=CallerId(self.username or ""),
-            database=database,
-            session=SessionId(tags.session) or self.session,
-            sql=statement.text,
-            action=action,
-            fingerprint=statement.fingerprint,
-            kind=kind.kind,
-            request_id=request_id,
-            token=token,
-            # An unnamed session has this connection only, so the positions seen
-            # here cover all its writes. A named session may have written over
-            # other connections.
-            has_token=self.token_given or (bool(token.position) and not session_named),
-            session_named=session_named,
-            staleness_ms=tags.staleness_ms or 0,
-            deadline_ms=tags.deadline_ms or kind.deadline_ms,
-            transaction=open_transaction.transaction
-            if open_transaction
-            else TransactionId(""),
-            idempotent=tags.idempotent is True,
-        )
-
-    def _find_database(self) -> DatabaseId:
-        if self.database:
-            return DatabaseId(self.database)
-        contract = self.frontend.find_contract(self.username or "")
-        if contract is not None and len(contract.databases) == 1:
-            return contract.databases[0]
-        raise MysqlError("no database selected", ErrorCode.NO_DB_ERROR)
-
-    # -- variables --
-
-    def _set_variables(self, text: str) -> None:
-        if match := _USER_VARIABLE.match(text):
-            self._set_user_variable(match.group(1).lower(), match.group(2))
-        elif match := _AUTOCOMMIT.match(text):
-            self.autocommit = match.group(1).lower() in ("1", "on")
-
-    def _set_user_variable(self, name: str, value: str) -> None:
-        if name == SESSION_VARIABLE:
-            if not _SHORT_NAME.match(value):
-                raise _make_bad_request(f"expected a short plain name, got {value!r}")
-            self.session = SessionId(value)
-            self.session_named = True
-            return
-        try:
-            positions = parse_token(value)
-        except ValueError as error:
-            raise _make_bad_request(str(error)) from None
-        for database, log_position in positions.items():
-            self.log_positions[database] = later_position(
-                self.log_positions.get(database, LOG_START), log_position
-            )
-        self.token_given = True
-
-    def _select_variables(self, sql: str) -> Result:
-        names = re.findall(r"@@(?:session\.|global\.)?(\w+)", sql, re.I)
-        row = []
-        for name in names:
-            try:
-                row.append(self.variables.get(name.lower()))
-            except MysqlError:
-                row.append(None)
-        return [tuple(row)], [f"@@{name}" for name in names]
-
-
 class _BundleIdentityProvider(IdentityProvider):
     """Identity provider that reads users from the bundle in force."""
 
@@ -486,8 +118,17 @@
         self.connection_count = 0
         self.draining = False
         self.jobs: set[asyncio.Task[RoutedOutcome]] = set()
+        self.context = SessionContext(
+            router=router,
+            get_bundle=hooks.get_bundle,
+            is_draining=lambda: self.draining,
+            on_login=self.register_session,
+            on_close=self.remove_session,
+            on_served=hooks.on_served,
+            roll_back=self.roll_back,
+        )
         self.server = _LimitedServer(
-            session_factory=lambda: CallerSession(frontend=self),
+            session_factory=self._open_session,
             # Some drivers fail if the server announces CLIENT_DEPRECATE_EOF.
             capabilities=DEFAULT_SERVER_CAPABILITIES
             & ~Capabilities.CLIENT_DEPRECATE_EOF,
@@ -505,7 +146,15 @@
         """Return a caller's contract in the bundle in force."""
         return self.hooks.get_bundle().callers.get(CallerId(username))
 
-    def on_login(self, session: CallerSession) -> None:
+    def _open_session(self) -> CallerSession:
+        writer = _current_writer.get()
+        session = CallerSession(context=self.context, writer=writer)
+        self.login_timers[session] = asyncio.get_running_loop().call_later(
+            self.settings.login_ms / 1000, writer.transport.abort
+        )
+        return session
+
+    def register_session(self, session: CallerSession) -> None:
         """Stop a session's login timer and register the session."""
         timer = self.login_timers.pop(session, None)
         if timer is not None:
