Move commands to a group's servers out of the primary changer

Ruled out: nothing.

The test that replaces is_cut_off finds it in its new place. No behaviour changes.

Conclusion: the changer holds the order of steps alone.

--- /dev/null
+++ b/src/apricotshore/pooling/group_commands.py
@@ -0,0 +1,98 @@
+"""Commands to the servers of a group during a change of its primary."""
+
+import asyncio
+from collections.abc import Iterable
+
+from ..decisions import primary_change
+from ..groups import LogPosition
+from ..identifiers import ServerId, Term
+from ..queries import Query, QueryKind, ServerReport
+from .group import Group
+from .journal import EventKind
+from .pool import NoConnectionError
+from .ports import ConnectionLostError
+
+COMMAND_TIMEOUT_MS = 400
+COMMAND_PRIORITY = -2
+# A primary that is merely overloaded, not cut off, commits within this time.
+ADVANCE_S = 0.4
+NO_TERM = Term(0)
+
+
+def record_phase(group: Group, phase: str, **details: object) -> None:
+    """Record a phase of a change of primary in the journal."""
+    group.journal.record(
+        EventKind.PRIMARY_CHANGE, group=group.group, phase=phase, **details
+    )
+
+
+class GroupCommands:
+    """Sends commands to the servers of one group.
+
+    Parameters
+    ----------
+    group
+        The group.
+    """
+
+    def __init__(self, *, group: Group) -> None:
+        self.group = group
+
+    async def run(
+        self, server: ServerId, kind: QueryKind, term: Term = NO_TERM
+    ) -> ServerReport | None:
+        """Run a command at a server; return its report, None without one."""
+        pool = self.group.pools.get(server)
+        if pool is None:
+            return None
+        query = Query(kind=kind, term=term)
+        try:
+            answer = await pool.run_alone(query, COMMAND_PRIORITY, COMMAND_TIMEOUT_MS)
+        except (NoConnectionError, ConnectionLostError) as error:
+            record_phase(self.group, "no-answer", server=server, why=str(error))
+            return None
+        if answer.report is None:
+            why = str(answer.failure)
+            record_phase(
+                self.group, "refused", server=server, command=kind.value, why=why
+            )
+        return answer.report
+
+    async def run_all(
+        self, servers: Iterable[ServerId], kind: QueryKind, term: Term = NO_TERM
+    ) -> dict[ServerId, ServerReport]:
+        """Run a command at several servers; return the reports of those that answer."""
+        asked = list(servers)
+        reports = await asyncio.gather(*(self.run(s, kind, term) for s in asked))
+        return {s: r for s, r in zip(asked, reports, strict=True) if r is not None}
+
+    async def is_cut_off(self) -> bool:
+        """Return whether the primary's commits reach no replica."""
+        primary = self.group.primary
+        if primary is None:
+            return True
+        replicas = [s for s in self.group.servers if s != primary]
+        before, leader = await asyncio.gather(
+            self._read_logs(replicas), self._read_logs([primary])
+        )
+        await asyncio.sleep(ADVANCE_S)
+        after = await self._read_logs(replicas)
+        cut_off = primary_change.is_cut_off(leader.get(primary), before, after)
+        record_phase(
+            self.group, "stall", cut_off=cut_off, primary=primary, replicas=after
+        )
+        return cut_off
+
+    async def _read_logs(
+        self, servers: Iterable[ServerId]
+    ) -> dict[ServerId, LogPosition]:
+        """Return the ends of the servers' logs, without servers that do not answer."""
+        reports = await self.run_all(servers, QueryKind.STATUS)
+        return {server: report.received for server, report in reports.items()}
+
+    async def resume(self, servers: Iterable[ServerId]) -> set[ServerId]:
+        """Resume paused servers; return those that were found not paused."""
+        found = await self.run_all(sorted(servers), QueryKind.STATUS)
+        paused = [s for s, report in found.items() if report.paused_term > 0]
+        await self.run_all(paused, QueryKind.RESUME)
+        return set(found) - set(paused)
--- a/src/apricotshore/pooling/primary_changer.py
+++ b/src/apricotshore/pooling/primary_changer.py
@@ -1,7 +1,7 @@
 """Changes of primary: taking the lease, pausing replicas, promoting a server."""
 
 import asyncio
-from collections.abc import Callable, Sequence
+from collections.abc import Callable
 
 from mode import Service
 
@@ -18,17 +18,15 @@
     Wait,
     read_status,
 )
-from ..groups import LogPosition
 from ..identifiers import FencingToken, HostId, ServerId, Term
-from ..queries import Query, QueryKind, ServerReport
+from ..queries import QueryKind
 from ..services.clock import read_boot_ms
 from ..services.eras import EraTracker
 from .change_lease import ChangeLease
 from .group import Group
-from .journal import EventKind, Journal
-from .pool import NoConnectionError
+from .group_commands import GroupCommands, record_phase
+from .journal import Journal
 from .ports import (
-    ConnectionLostError,
     LeaseRecord,
     ObjectStore,
     Promoter,
@@ -38,12 +36,8 @@
 
 TICK_S = 0.1
 STEP_PAUSE_S = 0.05
-COMMAND_TIMEOUT_MS = 400
-COMMAND_PRIORITY = -2
 STORE_RETRY_S = 0.2
 RESUME_ROUNDS = 5
-# A primary that is merely overloaded, not cut off, commits within this time.
-ADVANCE_S = 0.4
 RESUME_PERIOD_MS = 2_000
 # Time for a probe to confirm which server is the primary.
 PROBE_MS = 1_000
@@ -89,6 +83,7 @@
         self.lease = ChangeLease(
             group=group.group, host=host, address=address, store=store, eras=eras
         )
+        self.commands = GroupCommands(group=group)
         self.unresumed: set[ServerId] = set()
         self.resume_tried_at = 0
 
@@ -139,15 +134,13 @@
         self.lease.observe(record)
 
     def _record(self, phase: str, **details: object) -> None:
-        self.journal.record(
-            EventKind.PRIMARY_CHANGE, group=self.group.group, phase=phase, **details
-        )
+        record_phase(self.group, phase, **details)
 
     # -- change --
 
     async def _change(self, reason: str) -> None:
         began = read_boot_ms()
-        if reason == "stalled" and not await self._is_cut_off():
+        if reason == "stalled" and not await self.commands.is_cut_off():
             self.group.writes.unanswered.clear()
             return
         if reason != "unfinished" and not self._is_needed(reason):
@@ -264,61 +257,14 @@
         kind: QueryKind,
         term: Term,
     ) -> None:
-        reports = await asyncio.gather(
-            *(self._command(server, kind, term) for server in servers)
-        )
-        for server, report in zip(servers, reports, strict=True):
+        reports = await self.commands.run_all(servers, kind, term)
+        for server in servers:
+            report = reports.get(server)
             if report is None:
                 primary_change.remove_status(attempt, server)
                 continue
             primary_change.update_status(attempt, server, read_status(report))
 
-    async def _command(
-        self, server: ServerId, kind: QueryKind, term: Term
-    ) -> ServerReport | None:
-        pool = self.group.pools.get(server)
-        if pool is None:
-            return None
-        query = Query(kind=kind, term=term)
-        try:
-            answer = await pool.run_alone(query, COMMAND_PRIORITY, COMMAND_TIMEOUT_MS)
-        except (NoConnectionError, ConnectionLostError) as error:
-            self._record("no-answer", server=server, why=str(error))
-            return None
-        if answer.report is None:
-            self._record(
-                "refused", server=server, command=kind.value, why=str(answer.failure)
-            )
-        return answer.report
-
-    async def _is_cut_off(self) -> bool:
-        """Return whether the primary's commits reach no replica."""
-        primary = self.group.primary
-        if primary is None:
-            return True
-        replicas = [s for s in self.group.servers if s != primary]
-        before, leader = await asyncio.gather(
-            self._read_logs(replicas), self._read_logs([primary])
-        )
-        await asyncio.sleep(ADVANCE_S)
-        after = await self._read_logs(replicas)
-        cut_off = primary_change.is_cut_off(leader.get(primary), before, after)
-        self._record("stall", cut_off=cut_off, primary=primary, replicas=after)
-        return cut_off
-
-    async def _read_logs(
-        self, servers: Sequence[ServerId]
-    ) -> dict[ServerId, LogPosition]:
-        """Return the ends of the servers' logs, without servers that do not answer."""
-        reports = await asyncio.gather(
-            *(self._command(s, QueryKind.STATUS, Term(0)) for s in servers)
-        )
-        return {
-            server: report.received
-            for server, report in zip(servers, reports, strict=True)
-            if report is not None
-        }
-
     async def _confirm(
         self, deadline: int, expected: ServerId | None = None
     ) -> ServerId | None:
@@ -373,7 +319,7 @@
             s for s in self.group.servers if s != self.group.primary_state.primary
         }
         for _ in range(RESUME_ROUNDS):
-            self.unresumed -= await self._resume(self.unresumed)
+            self.unresumed -= await self.commands.resume(self.unresumed)
             if not self.unresumed:
                 break
             await asyncio.sleep(STEP_PAUSE_S)
@@ -391,7 +337,7 @@
             return
         term = Term(max(group.primary_state.term, attempt.from_term + 1))
         self._record("yielding", server=replaced, term=term)
-        await self._command(replaced, QueryKind.STEP_DOWN, term)
+        await self.commands.run(replaced, QueryKind.STEP_DOWN, term)
 
     async def _fence(self, token: FencingToken) -> bool:
         """Make the platform reject earlier requests; return whether it does.
@@ -408,19 +354,6 @@
             return True
         return await self.promoter.promote(self.group.group, primary, self.host, token)
 
-    async def _resume(self, servers: set[ServerId]) -> set[ServerId]:
-        """Resume paused servers; return those that were found not paused."""
-        asked = sorted(servers)
-        reports = await asyncio.gather(
-            *(self._command(s, QueryKind.STATUS, Term(0)) for s in asked)
-        )
-        found = {s: r for s, r in zip(asked, reports, strict=True) if r is not None}
-        paused = [s for s, report in found.items() if report.paused_term > 0]
-        await asyncio.gather(
-            *(self._command(s, QueryKind.RESUME, Term(0)) for s in paused)
-        )
-        return set(found) - set(paused)
-
     async def _resume_remaining(self) -> None:
         """Resume servers that could not be reached when the change ended.
 
@@ -441,4 +374,4 @@
         if self.lease.seen is not seen:
             self.unresumed.clear()
             return
-        self.unresumed -= await self._resume(self.unresumed)
+        self.unresumed -= await self.commands.resume(self.unresumed)
