Run an owner's requests in a module of its own

Ruled out: moving the queue as well (half of the owner's state with it).

Two numbers without a name get one. No behaviour changes.

Conclusion: the owner keeps the claim and the queue.

--- a/src/apricotshore/services/application.py
+++ b/src/apricotshore/services/application.py
@@ -279,7 +279,7 @@
             m.host for m in self.members.list_live() if m.bundle >= claim.bundle
         )
         last_admitted = {
-            c: t for c, t in owner.admitted_at.items() if c in owner.withdrawn
+            c: t for c, t in owner.runner.admitted_at.items() if c in owner.withdrawn
         }
         refused = {c: n for c, n in owner.refusals.items() if c in owner.withdrawn}
         return DatabaseEvidence(
@@ -387,7 +387,7 @@
         for purpose, count in self.platform.calls.items():
             metrics.platform_calls.set({"purpose": purpose.value}, count)
         for owner in owners:
-            for server, count in owner.reads_served.items():
+            for server, count in owner.runner.reads_served.items():
                 labels = {"database": owner.database, "server": server}
                 metrics.reads.set(labels, count)
             for server, pool in owner.pools.items():
--- a/src/apricotshore/services/owner.py
+++ b/src/apricotshore/services/owner.py
@@ -3,41 +3,40 @@
 import asyncio
 import itertools
 import uuid
-from collections import OrderedDict
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, replace
 
 from mode import Service
 
 from ..bundles import Bundle
-from ..decisions import admission, failover, retry, routing, sessions
+from ..decisions import admission, retry, routing, sessions
 from ..decisions.admission import (
-    Assignment,
     Backlog,
     FlowId,
     Policy,
     Rejection,
     Ticket,
 )
-from ..decisions.retry import WriteStage
 from ..decisions.routing import GroupView, ReadRequirement
 from ..decisions.sessions import SessionKey, SessionPositions
 from ..events import Topic
-from ..groups import Claim, ServerStatus
+from ..groups import Claim
 from ..identifiers import CallerId, DatabaseId, HostId, ServerId
-from ..requests import Action, Outcome, Redirect, Reply, Request
-from ..verdicts import Failure, Reason, Verdict
-from . import executor
+from ..requests import Action, Outcome, Redirect, Request
+from ..verdicts import Failure, Reason
 from .backends import (
     BackendPool,
     Endpoint,
-    LostConnectionError,
-    StatementError,
 )
 from .claimmanager import ClaimHooks, ClaimManager
-from .clock import read_monotonic_ms, read_wall_ms
-from .executor import Progress, RequestFailedError
+from .clock import read_monotonic_ms
 from .groupwatch import GroupWatch, WatchHooks
+from .requestrunner import (
+    PendingRequest,
+    RequestRunner,
+    RunnerHooks,
+    make_refusal,
+)
 from .transactions import TransactionTable
 
 DISPATCH_PERIOD_S = 0.02
@@ -46,31 +45,9 @@
 MAX_CONCURRENT_OWNERS = 2
 RESERVED_FOR_SINGLE_WRITES = 2
 FENCE_RETRY_S = 0.1
-
-
-@dataclass(kw_only=True)
-class PendingRequest:
-    """A request that is queued or running.
-
-    Parameters
-    ----------
-    request
-        The request.
-    origin
-        Entry host that sent it.
-    deadline_at
-        Monotonic milliseconds of its deadline.
-    answer
-        Completed with the outcome.
-    job
-        Task that runs the request; None while it is queued.
-    """
-
-    request: Request
-    origin: HostId
-    deadline_at: int
-    answer: asyncio.Future[Outcome]
-    job: asyncio.Task[None] | None = None
+DRAIN_RETRY_MS = 50
+# Slots of the primary while it is not known.
+DEFAULT_SLOTS = 3
 
 
 @dataclass(kw_only=True)
@@ -95,17 +72,6 @@
     on_bundle_behind: Callable[[], None]
 
 
-def _make_refusal(reason: Reason, detail: str, retry_ms: int = 0) -> Outcome:
-    return Outcome(
-        failure=Failure(
-            verdict=Verdict.NOT_RUN,
-            reason=reason,
-            detail=detail,
-            retry_after_ms=retry_ms,
-        )
-    )
-
-
 class DatabaseOwner(Service):
     """Serves one database for all hosts while this host holds its claim.
 
@@ -172,11 +138,20 @@
         self.transactions = TransactionTable()
         self.pending: dict[int, PendingRequest] = {}
         self.ticket_numbers = itertools.count(1)
-        self.admitted_at: OrderedDict[CallerId, int] = OrderedDict()
         self.refusals: dict[CallerId, int] = {}
-        self.reads_served: dict[ServerId, int] = {}
         self.withdrawn: frozenset[CallerId] = frozenset()
-        self.retries = retry.RetryBudget()
+        self.runner = RequestRunner(
+            view=self.view,
+            pools=self.pools,
+            sessions=self.sessions,
+            transactions=self.transactions,
+            failover=self.watch.coordinator.state,
+            hooks=RunnerHooks(
+                free_slot=self._free_slot,
+                requeue=self._requeue,
+                complete=self._complete,
+            ),
+        )
 
     # -- set-up --
 
@@ -279,7 +254,7 @@
         other = self.claim_manager.find_other_owner()
         if other is not None:
             return Outcome(redirect=Redirect(host=other.host, address=other.address))
-        return _make_refusal(Reason.NOT_OWNER, "this host does not own the database")
+        return make_refusal(Reason.NOT_OWNER, "this host does not own the database")
 
     def _mark_unfit(self, detail: str) -> None:
         if not self.unfit:
@@ -332,7 +307,7 @@
         dropped = admission.cancel_queued(
             self.backlog, lambda ticket: ticket.flow.caller == caller
         )
-        refused = _make_refusal(Reason.CALLER_REFUSED, "the caller was withdrawn")
+        refused = make_refusal(Reason.CALLER_REFUSED, "the caller was withdrawn")
         for ticket in dropped:
             self._complete(ticket.number, refused)
         for pending in list(self.pending.values()):
@@ -375,7 +350,7 @@
             answer=asyncio.get_running_loop().create_future(),
         )
         self.pending[number] = pending
-        retry.deposit(self.retries)
+        retry.deposit(self.runner.retries)
         self.dispatch()
         try:
             return await pending.answer
@@ -387,13 +362,15 @@
             return self._redirect()
         if not self._is_allowed(request.caller):
             self.refusals[request.caller] = self.refusals.get(request.caller, 0) + 1
-            return _make_refusal(
+            return make_refusal(
                 Reason.CALLER_REFUSED, "the caller has no contract here"
             )
         if self.draining and not request.transaction:
-            return _make_refusal(Reason.NOT_OWNER, "this host is draining", 50)
+            return make_refusal(
+                Reason.NOT_OWNER, "this host is draining", DRAIN_RETRY_MS
+            )
         if request.transaction and not self.transactions.find(request.transaction):
-            return _make_refusal(
+            return make_refusal(
                 Reason.TRANSACTION_LOST, "the transaction was rolled back"
             )
         return None
@@ -413,9 +390,11 @@
 
     def _count_slots(self, request: Request) -> int:
         if request.action is Action.READ and not request.transaction:
-            return max(sum(self.backlog.slots.values()) - 3, 1)
+            return max(sum(self.backlog.slots.values()) - DEFAULT_SLOTS, 1)
         primary = self.view.primary
-        return self.backlog.slots.get(primary, 3) if primary else 3
+        if primary is None:
+            return DEFAULT_SLOTS
+        return self.backlog.slots.get(primary, DEFAULT_SLOTS)
 
     def _report_shed(self, request: Request, failure: Failure) -> None:
         subject = f"{request.caller}/{request.kind}"
@@ -463,7 +442,7 @@
             elif pending is None:
                 admission.finish(self.backlog, decision.ticket.number, now)
             else:
-                pending.job = asyncio.create_task(self._serve(decision, pending))
+                pending.job = asyncio.create_task(self.runner.serve(decision, pending))
 
     @Service.task
     async def _dispatch_loop(self) -> None:
@@ -482,64 +461,13 @@
         if pending is not None and not pending.answer.done():
             pending.answer.set_result(outcome)
 
-    # -- running --
-
-    async def _serve(self, assignment: Assignment, pending: PendingRequest) -> None:
-        number = assignment.ticket.number
-        request = pending.request
-
-        def free_slot() -> None:
-            admission.finish(self.backlog, number, read_monotonic_ms())
-            self.dispatch()
-
-        def note_status(status: ServerStatus) -> None:
-            # Reads refresh the status of busy replicas between two probes.
-            routing.observe_status(self.view, status, started_at)
-
-        started_at = read_monotonic_ms()
-        progress = Progress(on_executed=free_slot, on_status=note_status)
-        try:
-            reply = await self._run(assignment, pending, progress)
-            outcome = Outcome(reply=reply)
-            self._record_success(request, reply)
-        except RequestFailedError as error:
-            outcome = Outcome(failure=error.failure)
-        except LostConnectionError as error:
-            free_slot()
-            routing.observe_silence(self.view, assignment.server)
-            if self._requeue(assignment.ticket, request, progress):
-                return
-            outcome = self._make_lost_outcome(progress, error)
-        except StatementError as error:
-            outcome = self._make_rejected_outcome(error)
-        except asyncio.CancelledError:
-            outcome = self._make_lost_outcome(
-                progress, LostConnectionError("the caller was withdrawn")
-            )
-        self._record_commit(progress, started_at)
-        self._complete(number, outcome)
-        free_slot()
-
-    def _record_commit(self, progress: Progress, sent_at: int) -> None:
-        if progress.stage >= WriteStage.COMMIT_SENT:
-            durable = progress.stage is WriteStage.DURABLE
-            state = self.watch.coordinator.state
-            failover.record_commit(state, durable, sent_at, read_monotonic_ms())
-
-    def _requeue(self, ticket: Ticket, request: Request, progress: Progress) -> bool:
-        """Queue a request again after its connection was lost.
+    def _free_slot(self, number: int) -> None:
+        admission.finish(self.backlog, number, read_monotonic_ms())
+        self.dispatch()
 
-        Returns
-        -------
-        bool
-            False when the request must not be repeated.
-        """
-        repeatable = request.action is Action.READ or retry.may_resend_write(
-            progress.stage
-        )
-        if request.transaction or not repeatable:
-            return False
-        if not self.owning or not retry.withdraw(self.retries):
+    def _requeue(self, ticket: Ticket, request: Request) -> bool:
+        """Queue a request again; return False if it can't be run here any more."""
+        if not self.owning or not retry.withdraw(self.runner.retries):
             return False
         slots = self._count_slots(request)
         now = read_monotonic_ms()
@@ -548,59 +476,6 @@
         self.dispatch()
         return True
 
-    def _record_success(self, request: Request, reply: Reply) -> None:
-        key = SessionKey(caller=request.caller, session=request.session)
-        sessions.record_position(self.sessions, key, reply.log_position)
-        self.admitted_at[request.caller] = read_wall_ms()
-        if request.action is Action.READ:
-            self.reads_served[reply.server] = self.reads_served.get(reply.server, 0) + 1
-
-    def _make_rejected_outcome(self, error: StatementError) -> Outcome:
-        if error.code in executor.FENCED_CODES:
-            return _make_refusal(Reason.NO_PRIMARY, error.text, 100)
-        failure = Failure(
-            verdict=Verdict.NOT_RUN,
-            reason=Reason.DATABASE_ERROR,
-            detail=error.text,
-            error_code=error.code,
-        )
-        return Outcome(failure=failure)
-
-    def _make_lost_outcome(
-        self, progress: Progress, error: LostConnectionError
-    ) -> Outcome:
-        return Outcome(failure=executor.make_lost_failure(progress, error))
-
-    async def _run(
-        self, assignment: Assignment, pending: PendingRequest, progress: Progress
-    ) -> Reply:
-        request = pending.request
-        if request.transaction:
-            return await self.transactions.run(request, pending.deadline_at, progress)
-        server = assignment.server
-        pool = self.pools[server]
-        connection = await pool.acquire(self.view.term)
-        if request.action is Action.BEGIN:
-            return await self.transactions.begin(
-                request, pending.origin, server, pool, connection
-            )
-        remaining_s = max(pending.deadline_at - read_monotonic_ms(), 1) / 1000
-        try:
-            if request.action is Action.READ:
-                run = executor.run_replica_read
-                if server == self.view.primary:
-                    run = executor.run_primary_read
-                return await run(connection, request, server, remaining_s, progress)
-            if request.action is Action.RESOLVE:
-                return await executor.resolve(
-                    connection, request, server, progress, read_wall_ms()
-                )
-            return await executor.run_write(
-                connection, request, server, remaining_s, progress, read_wall_ms()
-            )
-        finally:
-            pool.release(connection)
-
     def drop_origin(self, origin: HostId) -> None:
         """Roll back the transactions of an entry host whose peer link was lost."""
         self.transactions.rollback_origin(origin)
