Start watches of the bundle again at once after a wait without a change

What callers would see: a bundle in force up to 5 s later than needed.

Cause: ends a watch after 8 s; each end without a change counted as a failure, so the pause before the next one doubled up to 5 s.

Ruled out: no pause at all (a platform that is down would be asked all the time).

Change: the read that follows a watch resets the pause. It also belongs to the era that was known before it, so that an answer of a former era is not taken for one of a later era.

--- a/src/apricotshore/services/bundlemanager.py
+++ b/src/apricotshore/services/bundlemanager.py
@@ -224,10 +224,12 @@
                     await self.sleep(SLOW_POLL_S * random.uniform(0.5, 1.0))
                     await self.update_from_platform()
                     continue
-                if seen_in is None or seen_in != self.platform.eras.era:
+                era = self.platform.eras.era
+                if seen_in is None or seen_in != era:
                     stored = await self.update_from_platform()
                     seen = 0 if stored is None else stored.version
-                    seen_in = self.platform.eras.era
+                    seen_in = era
+                    backoff_s = INITIAL_BACKOFF_S
                     continue
                 stored = await self.platform.watch(
                     ObjectKind.BUNDLE, CURRENT_KEY, seen, Purpose.ROLLOUT
--- a/tests/test_restored_platform.py
+++ b/tests/test_restored_platform.py
@@ -135,6 +135,17 @@
             await wait_in_force(manager, 3)
 
 
+async def test_watches_without_a_change_do_not_delay_the_next_bundle(monkeypatch):
+    monkeypatch.setattr(platform, "WATCH_TIMEOUT_S", 0.02)
+    async with run_platform() as (_, client):
+        await accept(client, 1)
+        async with running_manager(client, make_bundle(1)) as manager:
+            await asyncio.sleep(3.0)
+            await accept(client, 2, "6 s")
+            async with asyncio.timeout(1.0):
+                await wait_in_force(manager, 2)
+
+
 async def test_bundle_is_written_back_to_a_platform_that_lost_everything():
     async with run_platform() as (store, client):
         earlier = store.copy()
