Write evidence in a service of its own, and log when it can't be written

Ruled out: a line at each try (one a second for each database in an outage).

A failure is recorded once until the next success ("not recorded").

Conclusion: the application builds and stops services again, no more.

--- a/src/apricotshore/services/application.py
+++ b/src/apricotshore/services/application.py
@@ -1,7 +1,6 @@
 """Application of one host: builds, starts and stops its services."""
 
 import asyncio
-import random
 import ssl
 from dataclasses import dataclass
 from pathlib import Path
@@ -13,11 +12,9 @@
 from ..decisions.admission import Policy
 from ..decisions.burn import BurnKey, BurnRecord
 from ..decisions.membership import Member, MemberState
-from ..decisions.rollout import DatabaseEvidence
 from ..events import EventLog, Topic
-from ..evidence import EvidenceKey, sign_evidence
-from ..exceptions import PlatformError
-from ..identifiers import DatabaseId, SignerId, Term
+from ..evidence import EvidenceKey
+from ..identifiers import SignerId, Term
 from ..keys import load_key
 from ..logs import make_logger
 from ..metrics import Metrics
@@ -28,16 +25,15 @@
 from .backends import open_connection as open_backend
 from .bundlemanager import BundleManager
 from .clock import read_monotonic_ms, read_wall_ms
+from .evidencewriter import EvidenceWriter
 from .frontend import Frontend, FrontendHooks
 from .members import MembershipService
-from .owner import DatabaseOwner
 from .peers import PeerHandlers, PeerLinks, PeerServer, make_peer_contexts
-from .platform import ObjectKind, PlatformClient, Purpose
+from .platform import PlatformClient
 from .registry import OwnerRegistry, RegistryHooks
 from .router import Router
 from .statuspage import StatusPage
 
-EVIDENCE_PERIOD_S = 2.0
 DRAIN_POLL_S = 0.05
 DRAIN_NOTICE_S = 0.3
 
@@ -103,7 +99,7 @@
             links=self.links,
             hooks=RegistryHooks(
                 record_event=self.record_event,
-                on_fenced=self._mark_evidence_pending,
+                on_fenced=lambda owner: self.evidence_writer.request(owner),
                 on_bundle_behind=self.bundle_manager.request_update,
             ),
             policy=policy,
@@ -136,10 +132,15 @@
             is_ready=self._is_ready,
             refresh=self._refresh_metrics,
         )
-        self.pending_evidence: dict[str, DatabaseOwner] = {}
-        self.signing_key = _load_evidence_key(settings)
-        self.written_evidence: dict[str, str] = {}
-        self.platform.eras.listeners.append(self._handle_restore)
+        self.platform.eras.listeners.append(self._record_restore)
+        self.evidence_writer = EvidenceWriter(
+            host=settings.host,
+            platform=self.platform,
+            members=self.members,
+            owners=self.registry.owners,
+            signing_key=_load_evidence_key(settings),
+            record_event=self.record_event,
+        )
         self.burn = BurnRecord()
         self.draining = False
 
@@ -192,6 +193,7 @@
         await self.add_runtime_dependency(self.members)
         await self.add_runtime_dependency(self.bundle_manager)
         await self.add_runtime_dependency(self.registry)
+        await self.add_runtime_dependency(self.evidence_writer)
         await self.frontend.start()
         log.info("started", extra={"host": self.settings.host})
 
@@ -252,76 +254,13 @@
             detail = f"{closed} connections closed at version {new.version}"
             self.record_event(Topic.WITHDRAWAL, "callers", "cut", detail)
 
-    def _is_ready(self) -> bool:
-        return not self.draining and self.bundle_manager.root is not None
-
-    # -- evidence --
-
-    def _mark_evidence_pending(self, owner: DatabaseOwner) -> None:
-        self.pending_evidence[owner.database] = owner
-
-    def _handle_restore(self) -> None:
-        """Write evidence again that a restored platform may have lost."""
+    def _record_restore(self) -> None:
         eras = self.platform.eras
         detail = f"era {eras.era} after {eras.earlier}: it came back from an older copy"
         self.record_event(Topic.ROLLOUT, "platform", "restored", detail)
-        for database in self.written_evidence:
-            owner = self.registry.owners.get(DatabaseId(database))
-            if owner is not None:
-                self.pending_evidence[database] = owner
-        self.written_evidence.clear()
-
-    def _make_evidence(self, owner: DatabaseOwner) -> DatabaseEvidence | None:
-        claim = owner.claim_manager.claim
-        if claim is None:
-            return None
-        hosts = tuple(
-            m.host for m in self.members.list_live() if m.bundle >= claim.bundle
-        )
-        last_admitted = {
-            c: t for c, t in owner.runner.admitted_at.items() if c in owner.withdrawn
-        }
-        refused = {c: n for c, n in owner.refusals.items() if c in owner.withdrawn}
-        return DatabaseEvidence(
-            database=owner.database,
-            version=claim.bundle,
-            owner=self.settings.host,
-            fence=owner.sessions.min_position,
-            servers=owner.claim_manager.list_evidence(),
-            hosts=tuple(sorted(hosts)),
-            last_admitted_ms=tuple(sorted(last_admitted.items())),
-            refused=tuple(sorted(refused.items())),
-        )
 
-    @Service.task
-    async def _evidence_loop(self) -> None:
-        while not self.should_stop:
-            await self.sleep(EVIDENCE_PERIOD_S * random.uniform(0.2, 0.4))
-            for owner in list(self.registry.owners.values()):
-                if owner.withdrawn:
-                    self.pending_evidence.setdefault(owner.database, owner)
-            for database, owner in list(self.pending_evidence.items()):
-                await self._write_evidence(database, owner)
-
-    async def _write_evidence(self, database: str, owner: DatabaseOwner) -> None:
-        evidence = self._make_evidence(owner)
-        if evidence is None:
-            self.pending_evidence.pop(database, None)
-            return
-        value = sign_evidence(evidence, self.signing_key)
-        if self.written_evidence.get(database) == value:
-            self.pending_evidence.pop(database, None)
-            return
-        try:
-            await self.platform.write(
-                ObjectKind.EVIDENCE, database, value, Purpose.EVIDENCE
-            )
-        except PlatformError:
-            return
-        self.written_evidence[database] = value
-        self.pending_evidence.pop(database, None)
-        text = f"version {evidence.version} fenced at {len(evidence.servers)} servers"
-        self.record_event(Topic.WITHDRAWAL, database, "recorded", text)
+    def _is_ready(self) -> bool:
+        return not self.draining and self.bundle_manager.root is not None
 
     # -- messages --
 
