Call the end of a store's outage "back", not "restored"

Cause: in the watchers "restored" meant both the end of an outage and the return from an older copy; a newcomer can't tell them apart.

Ruled out: other words for the older copy (store-restored is in the logs).

Conclusion: read as a newcomer.

--- a/src/apricotshore/pooling/host_watcher.py
+++ b/src/apricotshore/pooling/host_watcher.py
@@ -108,7 +108,7 @@
                 self._record_lost(error)
                 await self._pause(RETRY_PERIOD_S)
                 continue
-            self._record_restored()
+            self._record_back()
             self.on_hosts(hosts)
             lists += 1
             await self._pause(choose_hosts_period_s(lists, len(hosts)))
@@ -148,7 +148,7 @@
                 EventKind.STORE_LOST, kind=StoredKind.HOST.value, why=str(error)
             )
 
-    def _record_restored(self) -> None:
+    def _record_back(self) -> None:
         if not self.is_available:
             self.is_available = True
             self.journal.record(EventKind.STORE_BACK, kind=StoredKind.HOST.value)
--- a/src/apricotshore/pooling/store_watcher.py
+++ b/src/apricotshore/pooling/store_watcher.py
@@ -113,7 +113,7 @@
         self.listed: dict[ServerId, ListedServer] = {}
         self.missing: dict[ServerId, int] = {}
         self.unavailable: set[StoredKind] = set()
-        self.restored_at = 0
+        self.back_at = 0
         self.servers_listed = False
         # When the servers are to be listed anew, None after a list that was applied.
         self.list_servers_at: int | None = None
@@ -156,7 +156,7 @@
             if not self.eras.accept(snapshot.era):
                 continue
             if StoredKind.PRIMARY_CHANGE in self.unavailable:
-                self._record_restored(StoredKind.PRIMARY_CHANGE)
+                self._record_back(StoredKind.PRIMARY_CHANGE)
                 self._interrupt_watches()
             for change in snapshot.changes:
                 if isinstance(change.content, LeaseRecord):
@@ -178,7 +178,7 @@
                     snapshot = await self._watch(kind, latest)
                     changed = self._apply_changes(kind, snapshot.changes)
                 latest = snapshot
-                self._record_restored(kind)
+                self._record_back(kind)
                 if snapshot.changes:
                     await asyncio.sleep(BURST_PAUSE_S if changed else QUIET_PAUSE_S)
             except TimeoutError:
@@ -245,10 +245,10 @@
             self.unavailable.add(kind)
             self.journal.record(EventKind.STORE_LOST, kind=kind.value, why=str(error))
 
-    def _record_restored(self, kind: StoredKind) -> None:
+    def _record_back(self, kind: StoredKind) -> None:
         if kind in self.unavailable:
             self.unavailable.discard(kind)
-            self.restored_at = read_boot_ms()
+            self.back_at = read_boot_ms()
             self.journal.record(EventKind.STORE_BACK, kind=kind.value)
 
     def _apply_list(self, kind: StoredKind, changes: tuple[Change, ...]) -> bool:
@@ -276,7 +276,7 @@
 
     def _remove_missing(self) -> None:
         now = read_boot_ms()
-        if self.unavailable or now - self.restored_at < RETURN_GRACE_MS:
+        if self.unavailable or now - self.back_at < RETURN_GRACE_MS:
             return
         if self.eras.is_settling(RETURN_GRACE_MS):
             return
