--- /dev/null
+++ b/review/fakes/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for the platform, the backends and the consumers of the cases."""
