Review case 3: a replica that the store no longer lists loses commits

Cause: a replica whose entry was removed while it is alive is no member for a change of primary any more. It is not paused, and the primary acknowledges commits with it alone until the promotion takes effect.

Nothing is fixed.

--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,30 +1,87 @@
-"""Entry of another writer with a number that no double can hold."""
+"""Replica that the store no longer lists, during a change of primary.
 
+Each round cuts one replica of each service off from the store, until its entry has been
+removed, and then replaces the primary. Everyone else still reaches the replica. While
+the promotion is on its way, the new backend receives nothing.
+"""
+
+import asyncio
 from pathlib import Path
 
-from fakes.deployment import run_case
-from fakes.platform import RAW_NUMBER
+from fakes.database import Service
+from fakes.deployment import BROKEN, HELD, NOT_RUN, Deployment, run_case
+from fakes.load import Load
 from fakes.record import Record
-from fakes.recovery import SERVICE, play_final_fault
-
-ENTRY = {
-    "service": SERVICE,
-    "address": "127.0.0.1:9",
-    "zone": "braga-a",
-    "version": "v1",
-    "slots": f"{RAW_NUMBER}1e999",
-    "state": "ready",
-    "coldRemainingMs": 0,
-    "sequence": 1,
-    "dbRole": "replica",
-    "born": 1,
-}
+
+SERVICES = ("db1", "db2", "db3")
+# One way between geos.
+RECEIVE_S = [(0.012, 0.016)] * 3
+FIRST_ROUND_S = 9.0
+ROUND_S = 17.0
+ROUNDS = 2
+CUT_S = 8.0
+# From the start of the cut to that of the primary's replacement.
+GAP_S = 4.0
+# From the start of the new backend to the time in which it receives nothing.
+DEAF_AFTER_S = 1.6
+DEAF_S = 2.0
+DRAIN_S = 8.0
+WRITERS = 8
+
+
+async def make_deaf(service: Service, known: set[str]) -> None:
+    """Have the backend that started last receive nothing for a while."""
+    await asyncio.sleep(DEAF_AFTER_S)
+    new = next(b for name, b in service.backends.items() if name not in known)
+    service.record.show(f"{new.name} receives nothing for {DEAF_S:.1f} s")
+    new.deaf = True
+    await asyncio.sleep(DEAF_S)
+    new.deaf = False
+
+
+async def play_round(deployment: Deployment, service: Service) -> None:
+    """Cut a replica off from the store, and replace the primary."""
+    primary = service.primary
+    replica = next(
+        b for b in service.backends.values() if b is not primary and not b.draining
+    )
+    deployment.cut_from_store(replica)
+    await asyncio.sleep(GAP_S)
+    known = set(service.backends)
+    deployment.platform.spawn(deployment.replace(primary, primary.zone, DRAIN_S))
+    deployment.platform.spawn(make_deaf(service, known))
+    await asyncio.sleep(CUT_S - GAP_S)
+    deployment.join_store(replica)
 
 
 async def play(record: Record, folder: Path, has_trouble: bool) -> int:
     """Play the case and return its exit status."""
-    entry = ENTRY if has_trouble else None
-    return await play_final_fault(record, folder, "i-other", entry)
+    deployment = Deployment(record=record, folder=folder)
+    try:
+        await deployment.start_platform()
+        for name in SERVICES:
+            await deployment.add_service(name, RECEIVE_S)
+            deployment.add_route(f"orders-{name}", name)
+        deployment.write_configuration()
+        if not await deployment.start_hosts():
+            return NOT_RUN
+        load = Load(record=record, hosts=deployment.hosts)
+        for name in SERVICES:
+            load.add(f"orders-{name}", "TRANSACTION", WRITERS, 0.02)
+        await asyncio.sleep(FIRST_ROUND_S)
+        services = list(deployment.services.values())
+        for _ in range(ROUNDS):
+            if has_trouble:
+                for service in services:
+                    deployment.platform.spawn(play_round(deployment, service))
+            await asyncio.sleep(ROUND_S)
+        await load.stop()
+    finally:
+        await deployment.stop()
+    kept = sum(len(service.acknowledged) for service in services)
+    lost = sum(len(service.lost) for service in services)
+    record.show(f"{kept + lost} commits acknowledged, {lost} of them lost")
+    return BROKEN if lost else HELD if kept else NOT_RUN
 
 
 if __name__ == "__main__":
--- a/review/fakes/database.py
+++ b/review/fakes/database.py
@@ -98,6 +98,7 @@
         self.applied = 0
         self.paused_term = 0
         self.dark = False
+        self.deaf = False
         self.draining = False
         self.cold_ms = 0
         self.born = int(time.time() * 1000)
@@ -155,7 +156,7 @@
             if primary is self:
                 self.applied = len(self.log)
                 continue
-            if self.paused_term or self.dark or primary.dark:
+            if self.paused_term or self.deaf or self.dark or primary.dark:
                 next_entry = None
                 continue
             while len(self.log) < len(primary.log):
--- a/review/fakes/deployment.py
+++ b/review/fakes/deployment.py
@@ -64,6 +64,7 @@
         self.routes: list[dict[str, Any]] = []
         self.version = 3
         self.numbers = itertools.count()
+        self.cut_off: set[Backend] = set()
 
     async def start_platform(self) -> None:
         """Start the platform."""
@@ -152,13 +153,25 @@
         missed = 0
         service = backend.service
         while service.backends.get(backend.name) is backend:
-            missed = missed + 1 if backend.dark else 0
-            if not backend.dark:
+            is_silent = backend.dark or backend in self.cut_off
+            missed = missed + 1 if is_silent else 0
+            if not is_silent:
                 self.report(backend)
             elif missed == MISSED_HEARTBEATS:
                 self.platform.remove("servers", backend.name)
+                self.record.show(f"the entry of {backend.name} is removed")
             await asyncio.sleep(HEARTBEAT_S)
 
+    def cut_from_store(self, backend: Backend) -> None:
+        """Cut a backend off from the store; all others still reach it."""
+        self.cut_off.add(backend)
+        self.record.show(f"{backend.name} is cut off from the store")
+
+    def join_store(self, backend: Backend) -> None:
+        """End the cut between a backend and the store."""
+        self.cut_off.discard(backend)
+        self.record.show(f"{backend.name} reaches the store again")
+
     def report(self, backend: Backend) -> None:
         """Write the entry of a backend, if more than its sequence has changed."""
         self.platform.write_changed(
