--- a/review/1/case.py
+++ b/review/1/case.py
@@ -32,9 +32,9 @@
     primary = service.primary
     staying = [b for b in service.backends.values() if not b.draining]
     replica = next(b for b in staying if b is not primary)
-    deployment.platform.spawn(deployment.replace(primary, replica.zone, DRAIN_S))
+    await deployment.replace(primary, replica.zone, DRAIN_S)
     await asyncio.sleep(GAP_S)
-    deployment.platform.spawn(deployment.replace(replica, primary.zone, DRAIN_S))
+    await deployment.replace(replica, primary.zone, DRAIN_S)
 
 
 async def play(record: Record, folder: Path, has_trouble: bool) -> int:
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -29,16 +29,6 @@
 WRITERS = 8
 
 
-async def make_deaf(service: Service, known: set[str]) -> None:
-    """Have the backend that started last receive nothing for a while."""
-    await asyncio.sleep(DEAF_AFTER_S)
-    new = next(b for name, b in service.backends.items() if name not in known)
-    service.record.show(f"{new.name} receives nothing for {DEAF_S:.1f} s")
-    new.deaf = True
-    await asyncio.sleep(DEAF_S)
-    new.deaf = False
-
-
 async def play_round(deployment: Deployment, service: Service) -> None:
     """Cut a replica off from the store, and replace the primary."""
     primary = service.primary
@@ -47,9 +37,8 @@
     )
     deployment.cut_from_store(replica)
     await asyncio.sleep(GAP_S)
-    known = set(service.backends)
-    deployment.platform.spawn(deployment.replace(primary, primary.zone, DRAIN_S))
-    deployment.platform.spawn(make_deaf(service, known))
+    new = await deployment.replace(primary, primary.zone, DRAIN_S)
+    deployment.platform.spawn(new.be_deaf(DEAF_AFTER_S, DEAF_S))
     await asyncio.sleep(CUT_S - GAP_S)
     deployment.join_store(replica)
 
--- a/review/fakes/database.py
+++ b/review/fakes/database.py
@@ -181,6 +181,24 @@
             writer.transport.abort()
         self.dark = False
 
+    async def be_deaf(self, after_s: float, for_s: float) -> None:
+        """Receive nothing for a while."""
+        await asyncio.sleep(after_s)
+        self.service.record.show(f"{self.name} receives nothing for {for_s:.1f} s")
+        self.deaf = True
+        await asyncio.sleep(for_s)
+        self.deaf = False
+
+    async def restart(self, after_s: float, down_s: float) -> None:
+        """Crash, and come back with the log; a pause ends with that."""
+        await asyncio.sleep(after_s)
+        self.go_dark()
+        self.service.record.show(f"{self.name} crashes")
+        await asyncio.sleep(down_s)
+        self.paused_term = 0
+        self.come_back()
+        self.service.record.show(f"{self.name} is back")
+
     # -- connections --
 
     async def _handle(
--- a/review/fakes/deployment.py
+++ b/review/fakes/deployment.py
@@ -116,10 +116,13 @@
         self.record.show(f"{backend.name} starts in {zone}")
         return backend
 
-    async def replace(self, old: Backend, zone: str, drain_s: float) -> None:
-        """Replace a backend: the new one starts first, then the old one drains."""
-        service = old.service
-        await self.add_backend(service, zone)
+    async def replace(self, old: Backend, zone: str, drain_s: float) -> Backend:
+        """Start the replacement of a backend, return it, and let the old one drain."""
+        new = await self.add_backend(old.service, zone)
+        self.platform.spawn(self._drain(old, drain_s))
+        return new
+
+    async def _drain(self, old: Backend, drain_s: float) -> None:
         await asyncio.sleep(DRAIN_AFTER_S)
         old.draining = True
         self.report(old)
@@ -128,7 +131,7 @@
         if old.is_primary:
             return
         old.end()
-        service.backends.pop(old.name)
+        old.service.backends.pop(old.name)
         self.platform.remove("servers", old.name)
         self.record.show(f"{old.name} is gone")
 
