Move the triggers of a change of primary into a module of their own

Text moved, no behaviour changed. Measured: tests/pooling/test_primary_changer.py, test_primary_change_races.py and test_primary_proof.py pass before and after.

--- /dev/null
+++ b/src/apricotshore/decisions/change_triggers.py
@@ -0,0 +1,86 @@
+"""Triggers of a change of primary: when a host begins one, and why."""
+
+from dataclasses import dataclass
+
+from ..groups import LogPosition
+from ..identifiers import ServerId
+from .primary_change import log_order
+
+# A primary that does not answer for this long is replaced.
+SILENCE_LIMIT_MS = 700
+# Commits without an answer for this long indicate a partitioned primary.
+STALL_LIMIT_MS = 700
+STAGGER_STEP_MS = 50
+
+
+def stagger_ms(host: str, group: str) -> int:
+    """Return the delay of a host before it starts a change of primary.
+
+    Different delays keep hosts from starting at the same time.
+    """
+    return sum(f"{host}/{group}".encode()) % 5 * STAGGER_STEP_MS
+
+
+@dataclass(kw_only=True, slots=True)
+class ChangeConditions:
+    """Conditions under which a primary is replaced, as one host observes them.
+
+    Parameters
+    ----------
+    leaving_since
+        Since when the primary is leaving.
+    silent_since
+        Since when it has not answered.
+    stalled_since
+        Since when the oldest commit is unanswered.
+    no_primary_since
+        Since when no server proves to be the primary.
+    """
+
+    leaving_since: int | None = None
+    silent_since: int | None = None
+    stalled_since: int | None = None
+    no_primary_since: int | None = None
+
+
+def find_reason(conditions: ChangeConditions, stagger: int, now: int) -> str | None:
+    """Return why the primary is to be replaced now, None if it is to stay."""
+    limits = (
+        ("leaving", conditions.leaving_since, 0),
+        ("silent", conditions.silent_since, SILENCE_LIMIT_MS),
+        ("stalled", conditions.stalled_since, STALL_LIMIT_MS),
+        ("headless", conditions.no_primary_since, SILENCE_LIMIT_MS),
+    )
+    for reason, since, limit in limits:
+        if since is not None and now - since >= limit + stagger:
+            return reason
+    return None
+
+
+def is_cut_off(
+    primary: LogPosition | None,
+    before: dict[ServerId, LogPosition],
+    after: dict[ServerId, LogPosition],
+) -> bool:
+    """Return whether a primary with stalled commits is partitioned from its replicas.
+
+    The replicas of an overloaded primary still advance; a partitioned primary has
+    log entries that no replica has received.
+
+    Parameters
+    ----------
+    primary
+        End of the primary's log, None if it did not answer: commits that wait
+        for a replica may occupy all its slots.
+    before, after
+        Ends of the replicas' logs at two points in time, without the replicas
+        that did not answer.
+    """
+    answered = before.keys() & after.keys()
+    if not answered or any(
+        log_order(after[s]) > log_order(before[s]) for s in answered
+    ):
+        return False
+    return primary is None or all(
+        log_order(after[s]) < log_order(primary) for s in after
+    )
--- a/src/apricotshore/pooling/group_commands.py
+++ b/src/apricotshore/pooling/group_commands.py
@@ -3,7 +3,7 @@
 import asyncio
 from collections.abc import Iterable
 
-from ..decisions import primary_change
+from ..decisions import change_triggers
 from ..groups import LogPosition
 from ..identifiers import ServerId, Term
 from ..queries import Query, QueryKind, ServerReport
@@ -77,7 +77,7 @@
         )
         await asyncio.sleep(ADVANCE_S)
         after = await self._read_logs(replicas)
-        cut_off = primary_change.is_cut_off(leader.get(primary), before, after)
+        cut_off = change_triggers.is_cut_off(leader.get(primary), before, after)
         record_phase(
             self.group, "stall", cut_off=cut_off, primary=primary, replicas=after
         )
--- a/src/apricotshore/pooling/primary_changer.py
+++ b/src/apricotshore/pooling/primary_changer.py
@@ -5,11 +5,11 @@
 
 from mode import Service
 
-from ..decisions import position_history, primary_change
+from ..decisions import change_triggers, position_history, primary_change
+from ..decisions.change_triggers import ChangeConditions
 from ..decisions.primary_change import (
     Abandon,
     Attempt,
-    ChangeConditions,
     Member,
     Pause,
     Promote,
@@ -90,10 +90,10 @@
     @Service.task
     @keep_running
     async def _watch(self) -> None:
-        stagger = primary_change.stagger_ms(self.host, self.group.group)
+        stagger = change_triggers.stagger_ms(self.host, self.group.group)
         while not self.should_stop:
             await asyncio.sleep(TICK_S)
-            reason = primary_change.find_reason(
+            reason = change_triggers.find_reason(
                 self._observe_conditions(), stagger, read_boot_ms()
             )
             if reason is None:
