Have the primary step down before another server is promoted

Cause: a change paused the replicas that the host knew, ordered the promotion, and relied until its effect (1,000 ms) on the leaving primary acknowledging only with the target. A replica that started meanwhile was neither paused nor counted. Watching the list more often would only narrow the time.

Change: the order of events holds the promise. The primary steps down and names the end of its log; from then on nobody can acknowledge. A server whose log reaches that end is promoted, else one that holds most of what a newly read list answers, else the former primary. Pauses remain for a primary that gives no answer, and the list is read anew between them and the order. The steps moved to pooling/change_steps.py, the state to decisions/change_attempt.py. New log lines: `yielded` with the end of the log, the term and the server replaced in `began`, each phase once while it repeats.

--- /dev/null
+++ b/src/apricotshore/decisions/change_attempt.py
@@ -0,0 +1,209 @@
+"""State and steps of one change of primary."""
+
+from dataclasses import dataclass, field
+
+from ..groups import LogPosition, Role
+from ..identifiers import ServerId, Term
+from ..queries import ServerReport
+
+
+def log_order(log_position: LogPosition) -> tuple[int, int]:
+    """Return the sort key of a log position."""
+    return (log_position.term, log_position.position)
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Member:
+    """A backend server that may hold acknowledged commits."""
+
+    server: ServerId
+    leaving: bool = False
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class MemberStatus:
+    """Status of a member during a change of primary.
+
+    Parameters
+    ----------
+    log_position
+        Position of its last log entry.
+    term, paused_term
+        Its term and the term of its pause.
+    is_primary
+        Whether it is the primary.
+    """
+
+    log_position: LogPosition
+    term: Term
+    paused_term: Term
+    is_primary: bool
+
+
+def read_status(report: ServerReport) -> MemberStatus:
+    """Return a member's status from its answer to a command."""
+    return MemberStatus(
+        log_position=report.received,
+        term=report.term,
+        paused_term=report.paused_term,
+        is_primary=report.role is Role.PRIMARY,
+    )
+
+
+@dataclass(kw_only=True, slots=True)
+class Attempt:
+    """One change of primary, run by this host.
+
+    Parameters
+    ----------
+    from_term
+        Term of the primary that is to be replaced.
+    replaced
+        The primary at the start, None without one.
+    must_step_down
+        Whether the primary is replaced even if it answers.
+    is_cut_off
+        Whether its commits reach no replica.
+    started_at
+        When it began, in milliseconds since boot.
+    primary_end
+        A position that its log had while it was the primary, in this change.
+    final_end
+        End of its log after it has stepped down, None before.
+    stepped_down_at
+        When that was known.
+    unanswered_since
+        Since when the primary has answered no command.
+    pause_term
+        Term sent with pauses.
+    statuses
+        Latest status of each member.
+    listed
+        Whether the store's list was read after the last pause or step-down.
+    target
+        Server to be promoted.
+    target_since
+        When the target was chosen.
+    rejected
+        Servers that the platform refused to promote.
+    requested
+        Server whose promotion was requested and may still take effect.
+    """
+
+    from_term: Term
+    started_at: int
+    replaced: ServerId | None = None
+    must_step_down: bool = False
+    is_cut_off: bool = False
+    primary_end: LogPosition | None = None
+    final_end: LogPosition | None = None
+    stepped_down_at: int = 0
+    unanswered_since: int | None = None
+    pause_term: Term = Term(0)
+    statuses: dict[ServerId, MemberStatus] = field(default_factory=dict)
+    listed: bool = False
+    target: ServerId | None = None
+    target_since: int = 0
+    rejected: set[ServerId] = field(default_factory=set)
+    requested: ServerId | None = None
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class RequestStatus:
+    """Action: request the status of servers."""
+
+    servers: tuple[ServerId, ...]
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Pause:
+    """Action: pause replication at servers."""
+
+    servers: tuple[ServerId, ...]
+    term: Term
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class StepDown:
+    """Action: make the primary a replica."""
+
+    server: ServerId
+    term: Term
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class ListServers:
+    """Action: read the list of servers in the store anew."""
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Promote:
+    """Action: request the promotion of a server from the platform."""
+
+    server: ServerId
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Wait:
+    """Action: wait, because no other step is possible yet."""
+
+    why: str
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Abandon:
+    """Action: abandon the change, because another server is the primary now."""
+
+    leader: ServerId
+
+
+Step = RequestStatus | Pause | StepDown | ListServers | Promote | Wait | Abandon
+
+
+def observe_primary_end(attempt: Attempt, log_position: LogPosition) -> None:
+    """Record a position that the replaced primary had while it was the primary."""
+    if attempt.primary_end is None:
+        attempt.primary_end = log_position
+
+
+def update_status(
+    attempt: Attempt, server: ServerId, status: MemberStatus, now: int
+) -> None:
+    """Store the status of a member, and whether the primary has stepped down."""
+    attempt.statuses[server] = status
+    if server != attempt.replaced:
+        return
+    attempt.unanswered_since = None
+    if status.is_primary:
+        observe_primary_end(attempt, status.log_position)
+    elif attempt.final_end is None and _keeps_log(attempt, status):
+        attempt.final_end = status.log_position
+        attempt.stepped_down_at = now
+        attempt.listed = False
+        # What the others held before may have grown until the primary stepped down.
+        attempt.statuses = {server: status}
+
+
+def _keeps_log(attempt: Attempt, status: MemberStatus) -> bool:
+    """Return whether a server that was the primary still holds what it had then."""
+    known = attempt.primary_end
+    return known is not None and log_order(status.log_position) >= log_order(known)
+
+
+def observe_refusal(attempt: Attempt, server: ServerId) -> None:
+    """Record that a member answered, but refused a command.
+
+    A primary that is merely overloaded is asked again. One that is cut off may be
+    full of commits that wait for a replica, and never accept a command.
+    """
+    if server == attempt.replaced and not attempt.is_cut_off:
+        attempt.unanswered_since = None
+
+
+def remove_status(attempt: Attempt, server: ServerId, now: int) -> None:
+    """Remove the status of a member that gave no answer."""
+    attempt.statuses.pop(server, None)
+    if attempt.target == server:
+        attempt.target = None
+    if server == attempt.replaced and attempt.unanswered_since is None:
+        attempt.unanswered_since = now
--- a/src/apricotshore/decisions/primary_change.py
+++ b/src/apricotshore/decisions/primary_change.py
@@ -1,156 +1,54 @@
-"""Change of primary: which server may be promoted, and when.
+"""Change of primary: its steps, in an order that loses no acknowledged commit.
 
-A commit is acknowledged once the primary and one replica have stored it. A change
-of primary therefore pauses replication at every replica except the target, and
-promotes a server whose log is at least as long as any log that may hold an
-acknowledged commit. While the others are paused, no commit can be acknowledged
-that the target has not stored, so even a delayed promotion loses no commit.
+A commit is acknowledged once the primary and one replica have stored it. Which
+replica that was cannot be known: servers join, restart and lose their entries at
+any time. So the order of the steps keeps the promise, not what is known of servers:
+
+1. The primary steps down and names the end of its log. From then on nobody can
+   acknowledge a commit, whoever else joins, restarts or is not listed.
+2. A server whose log reaches that end is promoted.
+
+A primary that gives no answer cannot step down. Then replication is paused at every
+other server that can be found except the target.
 """
 
 from collections.abc import Iterable
-from dataclasses import dataclass, field
 
-from ..groups import LogPosition, Role
+from ..groups import LogPosition
 from ..identifiers import ServerId, Term
-from ..queries import ServerReport
+from .change_attempt import (
+    Abandon,
+    Attempt,
+    ListServers,
+    Member,
+    Pause,
+    Promote,
+    RequestStatus,
+    Step,
+    StepDown,
+    Wait,
+    log_order,
+)
 from .position_history import PositionSample
 
 # Time into the lease after which no step, and no confirmation, is started.
 STEPS_MS = 2_500
 CONFIRM_MS = 4_500
+# The same for steps that follow once there is no primary any more.
+STEPS_WITHOUT_PRIMARY_MS = 3_500
 # Longest wait for the target to receive the log entries of the other members.
 CATCH_UP_MS = 300
-# Without enough answers for this long, the primary is asked to step down.
+# For this long after the primary stepped down, only the target is asked: a server
+# that gives no answer would delay the others.
+TARGET_ALONE_MS = 100
+# A primary steps down after this time although no replica has caught up with it.
 STEP_DOWN_AFTER_MS = 800
+# A primary that answers none of its commands for this long is taken for silent.
+NO_ANSWER_LIMIT_MS = 700
 # An acknowledged commit is stored on the primary and on one replica.
 COPIES_PER_COMMIT = 2
 
 
-@dataclass(frozen=True, kw_only=True, slots=True)
-class Member:
-    """A backend server that may hold acknowledged commits."""
-
-    server: ServerId
-    leaving: bool = False
-
-
-@dataclass(frozen=True, kw_only=True, slots=True)
-class MemberStatus:
-    """Status of a member during a change of primary.
-
-    Parameters
-    ----------
-    log_position
-        Position of its last log entry.
-    term, paused_term
-        Its term and the term of its pause.
-    is_primary
-        Whether it is the primary.
-    """
-
-    log_position: LogPosition
-    term: Term
-    paused_term: Term
-    is_primary: bool
-
-
-def read_status(report: ServerReport) -> MemberStatus:
-    """Return a member's status from its answer to a command."""
-    return MemberStatus(
-        log_position=report.received,
-        term=report.term,
-        paused_term=report.paused_term,
-        is_primary=report.role is Role.PRIMARY,
-    )
-
-
-@dataclass(kw_only=True, slots=True)
-class Attempt:
-    """One change of primary, run by this host.
-
-    Parameters
-    ----------
-    from_term
-        Term of the primary that is to be replaced.
-    replaced
-        The primary at the start, None without one.
-    must_step_down
-        Whether the primary is replaced even if it answers.
-    started_at
-        When it began, in milliseconds since boot.
-    pause_term
-        Term sent with pauses.
-    statuses
-        Latest status of each member.
-    target
-        Server to be promoted.
-    target_since
-        When the target was chosen.
-    rejected
-        Servers that the platform refused to promote.
-    requested
-        Whether a promotion was requested that may still take effect.
-    """
-
-    from_term: Term
-    started_at: int
-    replaced: ServerId | None = None
-    must_step_down: bool = False
-    pause_term: Term = Term(0)
-    statuses: dict[ServerId, MemberStatus] = field(default_factory=dict)
-    target: ServerId | None = None
-    target_since: int = 0
-    rejected: set[ServerId] = field(default_factory=set)
-    requested: bool = False
-
-
-@dataclass(frozen=True, kw_only=True, slots=True)
-class RequestStatus:
-    """Action: request the status of servers."""
-
-    servers: tuple[ServerId, ...]
-
-
-@dataclass(frozen=True, kw_only=True, slots=True)
-class Pause:
-    """Action: pause replication at servers."""
-
-    servers: tuple[ServerId, ...]
-    term: Term
-
-
-@dataclass(frozen=True, kw_only=True, slots=True)
-class StepDown:
-    """Action: make the primary a replica."""
-
-    server: ServerId
-    term: Term
-
-
-@dataclass(frozen=True, kw_only=True, slots=True)
-class Promote:
-    """Action: request the promotion of a server from the platform."""
-
-    server: ServerId
-
-
-@dataclass(frozen=True, kw_only=True, slots=True)
-class Wait:
-    """Action: wait, because no other step is possible yet."""
-
-    why: str
-
-
-@dataclass(frozen=True, kw_only=True, slots=True)
-class Abandon:
-    """Action: abandon the change, because another server is the primary now."""
-
-    leader: ServerId
-
-
-Step = RequestStatus | Pause | StepDown | Promote | Wait | Abandon
-
-
 def find_primary(attempt: Attempt) -> ServerId | None:
     """Return a primary that need not be replaced, None without one.
 
@@ -167,23 +65,6 @@
     return None
 
 
-def log_order(log_position: LogPosition) -> tuple[int, int]:
-    """Return the sort key of a log position."""
-    return (log_position.term, log_position.position)
-
-
-def update_status(attempt: Attempt, server: ServerId, status: MemberStatus) -> None:
-    """Store the status of a member."""
-    attempt.statuses[server] = status
-
-
-def remove_status(attempt: Attempt, server: ServerId) -> None:
-    """Remove the status of a member that gave no answer."""
-    attempt.statuses.pop(server, None)
-    if attempt.target == server:
-        attempt.target = None
-
-
 def _is_paused(attempt: Attempt, server: ServerId) -> bool:
     status = attempt.statuses[server]
     return bool(attempt.pause_term) and status.paused_term >= attempt.pause_term
@@ -223,6 +104,12 @@
     return best.server
 
 
+def _set_target(attempt: Attempt, server: ServerId | None, now: int) -> None:
+    if server != attempt.target:
+        attempt.target = server
+        attempt.target_since = now
+
+
 def _prefer_responsive(
     attempt: Attempt, servers: tuple[ServerId, ...]
 ) -> tuple[ServerId, ...]:
@@ -257,30 +144,179 @@
     now
         Milliseconds since boot.
     """
+    if attempt.requested is not None:
+        return _plan_until_effect()
     leader = find_primary(attempt)
     if leader is not None:
         return Abandon(leader=leader)
+    if attempt.final_end is not None:
+        return _plan_after_step_down(attempt, members, since_loss, lossless, now)
+    if _can_step_down(attempt, now):
+        return _plan_step_down(attempt, members, now)
+    return _plan_with_pauses(attempt, members, since_loss, lossless, now)
+
+
+def _can_step_down(attempt: Attempt, now: int) -> bool:
+    """Return whether the primary is to be asked, as it may still answer."""
+    if not attempt.must_step_down or attempt.replaced is None:
+        return False
+    status = attempt.statuses.get(attempt.replaced)
+    if status is not None and not status.is_primary:
+        return False
+    since = attempt.unanswered_since
+    return since is None or now - since < NO_ANSWER_LIMIT_MS
+
+
+def _choose_pause_term(attempt: Attempt) -> Term:
+    if not attempt.pause_term:
+        terms = [
+            max(s.term, s.paused_term, s.log_position.term)
+            for s in attempt.statuses.values()
+        ]
+        attempt.pause_term = Term(max(attempt.from_term, *terms) + 1)
+    return attempt.pause_term
+
+
+def _list_names(members: Iterable[Member]) -> tuple[ServerId, ...]:
+    return tuple(m.server for m in members)
+
+
+def _reaches(attempt: Attempt, server: ServerId, end: LogPosition) -> bool:
+    return log_order(attempt.statuses[server].log_position) >= log_order(end)
+
+
+def _plan_step_down(attempt: Attempt, members: tuple[Member, ...], now: int) -> Step:
+    """Have the primary step down once a server that answers has caught up."""
+    primary = attempt.replaced
+    assert primary is not None
+    followers = [m for m in _list_followers(attempt, members) if m.server != primary]
+    if not followers:
+        return RequestStatus(servers=_list_names(members))
+    end = attempt.primary_end
+    is_late = now - attempt.started_at >= STEP_DOWN_AFTER_MS
+    if end is None and not is_late:
+        return RequestStatus(servers=_list_names(members))
+    full = [m for m in followers if end and _reaches(attempt, m.server, end)]
+    if attempt.target not in _list_names(full):
+        _set_target(attempt, _choose_target(attempt, full or followers), now)
+    target = attempt.target
+    if target is None:
+        return RequestStatus(servers=_list_names(members))
+    if not full and not is_late:
+        return RequestStatus(servers=_list_names(followers))
+    status = attempt.statuses.get(primary)
+    terms = (attempt.from_term, status.term if status is not None else 0)
+    return StepDown(server=primary, term=Term(max(*terms, attempt.pause_term - 1) + 1))
+
+
+def _plan_after_step_down(
+    attempt: Attempt,
+    members: tuple[Member, ...],
+    since_loss: PositionSample | None,
+    lossless: bool,
+    now: int,
+) -> Step:
+    """Promote a server that holds all that the former primary has stored.
+
+    Nobody acknowledges a commit meanwhile. If no server receives the rest, it was
+    never acknowledged, provided that every server has answered that was listed
+    after the primary stepped down; else the former primary alone holds it.
+    """
+    end = attempt.final_end
+    assert end is not None
+    followers = _list_followers(attempt, members)
+    others = [m for m in followers if m.server != attempt.replaced]
+    full = [m for m in others if _reaches(attempt, m.server, end)]
+    target = attempt.target
+    if target is None or target not in _list_names(full):
+        target = _choose_target(attempt, full)
+    if target is not None:
+        return _request(attempt, target, now)
+    return _plan_incomplete(attempt, members, others, since_loss, lossless, now)
+
+
+def _plan_incomplete(
+    attempt: Attempt,
+    members: tuple[Member, ...],
+    others: list[Member],
+    since_loss: PositionSample | None,
+    lossless: bool,
+    now: int,
+) -> Step:
+    """Find who is to be promoted while no server is known to hold all."""
+    asked = tuple(s for s in _list_names(members) if s != attempt.replaced)
+    since = now - attempt.stepped_down_at
+    if since < TARGET_ALONE_MS and attempt.target is not None:
+        return RequestStatus(servers=(attempt.target,))
+    if since < CATCH_UP_MS:
+        return RequestStatus(servers=asked)
+    if not attempt.listed:
+        return ListServers()
+    missing = tuple(m.server for m in members if m.server not in attempt.statuses)
+    if missing and since < NO_ANSWER_LIMIT_MS:
+        return RequestStatus(servers=missing)
+    target = _choose_target(attempt, others)
+    if target is not None and not missing:
+        needed = [_read_order(attempt, m.server) for m in others]
+        if not lossless:
+            proven = since_loss or attempt.final_end
+            needed.append((proven.term, proven.position))
+        if _read_order(attempt, target) >= max(needed):
+            return _request(attempt, target, now)
+    former = [m for m in members if m.server == attempt.replaced]
+    target = _choose_target(attempt, _list_followers(attempt, former))
+    if target is None:
+        return RequestStatus(servers=_list_names(members))
+    return _request(attempt, target, now)
+
+
+def _read_order(attempt: Attempt, server: ServerId) -> tuple[int, int]:
+    return log_order(attempt.statuses[server].log_position)
+
+
+def _request(attempt: Attempt, target: ServerId, now: int) -> Step:
+    """Return the promotion of a server."""
+    _set_target(attempt, target, now)
+    return Promote(server=target)
+
+
+def _find_unpaused(
+    attempt: Attempt, members: tuple[Member, ...]
+) -> tuple[ServerId, ...]:
+    return tuple(
+        m.server
+        for m in _list_followers(attempt, members)
+        if m.server != attempt.target and not _is_paused(attempt, m.server)
+    )
+
+
+def _plan_until_effect() -> Step:
+    """Wait until the requested promotion takes effect."""
+    return Wait(why="the promotion takes effect")
+
+
+def _plan_with_pauses(
+    attempt: Attempt,
+    members: tuple[Member, ...],
+    since_loss: PositionSample | None,
+    lossless: bool,
+    now: int,
+) -> Step:
+    """Pause every server that answers except the target, and promote that one."""
     missing = tuple(m.server for m in members if m.server not in attempt.statuses)
     followers = _list_followers(attempt, members)
     if len(missing) >= COPIES_PER_COMMIT or not followers:
-        return _request_step_down(attempt, members, now) or RequestStatus(
-            servers=_prefer_responsive(attempt, missing)
-        )
+        servers = missing or _list_names(members)
+        return RequestStatus(servers=_prefer_responsive(attempt, servers))
     if attempt.target is None or attempt.target not in attempt.statuses:
-        attempt.target = _choose_target(attempt, followers)
-        attempt.target_since = now
+        _set_target(attempt, _choose_target(attempt, followers), now)
     if attempt.target is None:
-        return RequestStatus(servers=tuple(m.server for m in members))
-    highest = max(
-        max(r.term, r.paused_term, r.log_position.term)
-        for r in attempt.statuses.values()
-    )
-    if not attempt.pause_term:
-        attempt.pause_term = Term(max(highest, attempt.from_term) + 1)
-    others = [m.server for m in followers if m.server != attempt.target]
-    unpaused = tuple(s for s in others if not _is_paused(attempt, s))
+        return RequestStatus(servers=_list_names(members))
+    term = _choose_pause_term(attempt)
+    unpaused = _find_unpaused(attempt, members)
     if unpaused:
-        return Pause(servers=unpaused, term=attempt.pause_term)
+        attempt.listed = False
+        return Pause(servers=unpaused, term=term)
     return _plan_promotion(attempt, members, followers, since_loss, lossless, now)
 
 
@@ -295,39 +331,24 @@
     target = attempt.target
     if target is None:
         return Wait(why="no server can be promoted")
-    known = {m.server for m in followers}
+    known = set(_list_names(followers))
     unknown = tuple(m.server for m in members if m.server not in known)
     if len(unknown) >= COPIES_PER_COMMIT:
-        return _request_step_down(attempt, members, now) or RequestStatus(
-            servers=_prefer_responsive(attempt, unknown)
-        )
-    reached = log_order(attempt.statuses[target].log_position)
-    needed = max(log_order(attempt.statuses[s].log_position) for s in known)
+        return RequestStatus(servers=_prefer_responsive(attempt, unknown))
+    reached = _read_order(attempt, target)
+    needed = max(_read_order(attempt, s) for s in known)
     if reached < needed:
         if now - attempt.target_since < CATCH_UP_MS:
             return RequestStatus(servers=(target,))
         if not _is_paused(attempt, target):
             return Pause(servers=(target,), term=attempt.pause_term)
-        attempt.target = _choose_target(attempt, followers)
-        attempt.target_since = now
+        attempt.target = None
+        _set_target(attempt, _choose_target(attempt, followers), now)
         return RequestStatus(servers=tuple(known))
     if unknown and not lossless:
         proven = None if since_loss is None else (since_loss.term, since_loss.position)
         if proven is None or reached < proven:
-            return _request_step_down(attempt, members, now) or RequestStatus(
-                servers=(*unknown, target)
-            )
-    return Promote(server=target)
-
-
-def _request_step_down(
-    attempt: Attempt, members: tuple[Member, ...], now: int
-) -> Step | None:
-    if now - attempt.started_at < STEP_DOWN_AFTER_MS:
-        return None
-    for member in members:
-        status = attempt.statuses.get(member.server)
-        if status is not None and status.is_primary:
-            term = Term(max(attempt.pause_term, status.term + 1))
-            return StepDown(server=member.server, term=term)
-    return None
+            return RequestStatus(servers=(*unknown, target))
+    if not attempt.listed:
+        return ListServers()
+    return _request(attempt, target, now)
--- a/src/apricotshore/decisions/primary_proof.py
+++ b/src/apricotshore/decisions/primary_proof.py
@@ -16,7 +16,8 @@
 from enum import Enum
 
 from ..identifiers import ServerId, Term
-from .primary_change import COPIES_PER_COMMIT, MemberStatus
+from .change_attempt import MemberStatus
+from .primary_change import COPIES_PER_COMMIT
 
 
 class ProbeResult(Enum):
--- /dev/null
+++ b/src/apricotshore/pooling/change_steps.py
@@ -0,0 +1,242 @@
+"""Steps of one change of primary: commands, the lease and the promotion."""
+
+import asyncio
+from collections.abc import Awaitable, Callable, Iterable
+
+from ..decisions import change_attempt, position_history, primary_change
+from ..decisions.change_attempt import (
+    Abandon,
+    Attempt,
+    ListServers,
+    Member,
+    Pause,
+    Promote,
+    RequestStatus,
+    Step,
+    StepDown,
+    Wait,
+    read_status,
+)
+from ..groups import LogPosition
+from ..identifiers import FencingToken, HostId, Position, ServerId, Term
+from ..queries import QueryKind
+from ..services.clock import read_boot_ms
+from .change_lease import ChangeLease
+from .group import Group
+from .group_commands import NO_TERM, GroupCommands, record_phase
+from .ports import Promoter, StoreError
+
+# Pause before servers are asked again, and while a promotion is awaited.
+STATUS_PAUSE_S = 0.02
+EFFECT_PAUSE_S = 0.05
+
+
+class ChangeSteps:
+    """Runs the steps of one change of primary while its host holds the lease.
+
+    Parameters
+    ----------
+    group
+        The group.
+    host
+        This host.
+    lease, token
+        The lease, which this host holds, and its fencing token.
+    promoter
+        The platform's promotion API.
+    commands
+        Sends commands to the servers of the group.
+    refresh_servers
+        Reads the list of servers in the store anew.
+    attempt
+        The change.
+    """
+
+    def __init__(
+        self,
+        *,
+        group: Group,
+        host: HostId,
+        lease: ChangeLease,
+        promoter: Promoter,
+        commands: GroupCommands,
+        refresh_servers: Callable[[], Awaitable[None]],
+        attempt: Attempt,
+        token: FencingToken,
+    ) -> None:
+        self.group = group
+        self.host = host
+        self.lease = lease
+        self.promoter = promoter
+        self.commands = commands
+        self.refresh_servers = refresh_servers
+        self.attempt = attempt
+        self.token = token
+        self.requested_at = 0
+        self.last_phase: tuple[object, ...] = ()
+
+    def may_go_on(self, is_needed: bool) -> bool:
+        """Return whether another step is due.
+
+        Parameters
+        ----------
+        is_needed
+            Whether the reason for the change still holds. Once the primary has
+            stepped down, or a promotion was requested, the change goes on anyway.
+        """
+        attempt = self.attempt
+        age = read_boot_ms() - attempt.started_at
+        if attempt.requested is not None:
+            return age < primary_change.CONFIRM_MS and not self.is_settled()
+        if attempt.final_end is not None:
+            return age < primary_change.STEPS_WITHOUT_PRIMARY_MS
+        return is_needed and age < primary_change.STEPS_MS
+
+    def is_settled(self) -> bool:
+        """Return whether the server whose promotion was requested leads now."""
+        primary_state = self.group.primary_state
+        return (
+            primary_state.primary == self.attempt.requested
+            and primary_state.confirmed_at >= self.requested_at
+        )
+
+    async def take_step(self) -> bool:
+        """Run the next step; return False when the change ends with it."""
+        self._observe_primary_end()
+        match self._plan():
+            case Abandon(leader=leader):
+                self._record("abandoned", leader=leader)
+                self.group.probe_wanted.set()
+                return False
+            case step:
+                await self._run(step)
+                return True
+
+    def _plan(self) -> Step:
+        group = self.group
+        since_loss = None
+        if group.log_lost_at is not None:
+            since_loss = position_history.find_since(
+                group.position_history, group.log_lost_at
+            )
+        return primary_change.plan_step(
+            self.attempt,
+            self._list_members(),
+            since_loss,
+            group.log_lost_at is None,
+            read_boot_ms(),
+        )
+
+    async def _run(self, step: Step) -> None:
+        match step:
+            case RequestStatus(servers=servers):
+                await self._command_all(servers, QueryKind.STATUS)
+                await asyncio.sleep(STATUS_PAUSE_S)
+            case Pause(servers=servers, term=term):
+                self._record("pausing", servers=servers, term=term)
+                await self._command_all(servers, QueryKind.PAUSE, term)
+            case StepDown(server=server, term=term):
+                await self._step_down(server, term)
+            case ListServers():
+                await self._list_servers()
+            case Promote(server=server):
+                await self._promote(server)
+            case Wait(why=why):
+                self._record("waiting", why=why)
+                self.group.probe_wanted.set()
+                await asyncio.sleep(EFFECT_PAUSE_S)
+
+    def _record(self, phase: str, **details: object) -> None:
+        """Record a phase, once while it repeats."""
+        if self.last_phase != (phase, details):
+            self.last_phase = (phase, details)
+            record_phase(self.group, phase, **details)
+
+    def _list_members(self) -> tuple[Member, ...]:
+        return tuple(
+            Member(server=s.server, leaving=s.leaving)
+            for s in self.group.servers.values()
+        )
+
+    def _observe_primary_end(self) -> None:
+        """Take a position that the primary proved in this change, if it is too busy.
+
+        A status takes one of its slots, and is refused while there is none.
+        """
+        group, attempt = self.group, self.attempt
+        if group.primary_state.primary != attempt.replaced:
+            return
+        sample = position_history.find_since(group.position_history, attempt.started_at)
+        if sample is not None:
+            change_attempt.observe_primary_end(
+                attempt,
+                LogPosition(term=Term(sample.term), position=Position(sample.position)),
+            )
+
+    # -- commands --
+
+    async def _command_all(
+        self, servers: Iterable[ServerId], kind: QueryKind, term: Term = NO_TERM
+    ) -> None:
+        await asyncio.gather(*(self._command(s, kind, term) for s in servers))
+
+    async def _command(self, server: ServerId, kind: QueryKind, term: Term) -> None:
+        reply = await self.commands.ask(server, kind, term)
+        if reply.report is not None:
+            change_attempt.update_status(
+                self.attempt, server, read_status(reply.report), read_boot_ms()
+            )
+            return
+        change_attempt.remove_status(self.attempt, server, read_boot_ms())
+        if reply.refused:
+            change_attempt.observe_refusal(self.attempt, server)
+
+    async def _step_down(self, server: ServerId, term: Term) -> None:
+        self._record("yielding", server=server, term=term)
+        await self._command(server, QueryKind.STEP_DOWN, term)
+        end = self.attempt.final_end
+        if end is None:
+            await asyncio.sleep(STATUS_PAUSE_S)
+            return
+        self._record("yielded", server=server, mark=f"{end.term}.{end.position}")
+
+    # -- the platform --
+
+    async def _list_servers(self) -> None:
+        try:
+            await self.refresh_servers()
+        except StoreError as error:
+            self._record("waiting", why=f"store: {error}")
+            await asyncio.sleep(EFFECT_PAUSE_S)
+            return
+        self.attempt.listed = True
+
+    async def _promote(self, server: ServerId) -> None:
+        attempt = self.attempt
+        status = attempt.statuses.get(server)
+        self._record(
+            "promoting",
+            server=server,
+            token=self.token,
+            mark=f"{status.log_position.term}.{status.log_position.position}"
+            if status is not None
+            else "",
+        )
+        self.requested_at = read_boot_ms()
+        try:
+            accepted = await self.promoter.promote(
+                self.group.group, server, self.host, self.token
+            )
+        except StoreError as error:
+            # The promotion may still take effect: servers stay paused until that is
+            # known.
+            attempt.requested = server
+            self._record("promotion-unknown", server=server, why=str(error))
+            await asyncio.sleep(EFFECT_PAUSE_S)
+            return
+        if accepted:
+            attempt.requested = server
+            return
+        self._record("promotion-refused", server=server)
+        attempt.rejected.add(server)
+        attempt.target = None
--- a/src/apricotshore/pooling/group_commands.py
+++ b/src/apricotshore/pooling/group_commands.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Iterable
+from dataclasses import dataclass
 
 from ..decisions import change_triggers
 from ..groups import LogPosition
@@ -26,6 +27,22 @@
     )
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class CommandReply:
+    """Reply of a server to a command.
+
+    Parameters
+    ----------
+    report
+        Its report, None without one.
+    refused
+        Whether it answered without a report.
+    """
+
+    report: ServerReport | None = None
+    refused: bool = False
+
+
 class GroupCommands:
     """Sends commands to the servers of one group.
 
@@ -38,25 +55,31 @@
     def __init__(self, *, group: Group) -> None:
         self.group = group
 
-    async def run(
+    async def ask(
         self, server: ServerId, kind: QueryKind, term: Term = NO_TERM
-    ) -> ServerReport | None:
-        """Run a command at a server; return its report, None without one."""
+    ) -> CommandReply:
+        """Run a command at a server; return its reply."""
         pool = self.group.pools.get(server)
         if pool is None:
-            return None
+            return CommandReply()
         query = Query(kind=kind, term=term)
         try:
             answer = await pool.run_alone(query, COMMAND_PRIORITY, COMMAND_TIMEOUT_MS)
         except (NoConnectionError, ConnectionLostError) as error:
             record_phase(self.group, "no-answer", server=server, why=str(error))
-            return None
+            return CommandReply()
         if answer.report is None:
             why = str(answer.failure)
             record_phase(
                 self.group, "refused", server=server, command=kind.value, why=why
             )
-        return answer.report
+        return CommandReply(report=answer.report, refused=answer.report is None)
+
+    async def run(
+        self, server: ServerId, kind: QueryKind, term: Term = NO_TERM
+    ) -> ServerReport | None:
+        """Run a command at a server; return its report, None without one."""
+        return (await self.ask(server, kind, term)).report
 
     async def run_all(
         self, servers: Iterable[ServerId], kind: QueryKind, term: Term = NO_TERM
--- a/src/apricotshore/pooling/host.py
+++ b/src/apricotshore/pooling/host.py
@@ -208,6 +208,7 @@
             journal=self.journal,
             eras=self.eras,
             rank=lambda: relays.rank_host(self.fleet, group.group),
+            refresh_servers=self.store_watcher.refresh_servers,
         )
         self.changers[group.group] = changer
         await self.add_runtime_dependency(changer)
--- a/src/apricotshore/pooling/primary_changer.py
+++ b/src/apricotshore/pooling/primary_changer.py
@@ -1,28 +1,19 @@
 """Changes of primary: taking the lease, pausing replicas, promoting a server."""
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 
 from mode import Service
 
-from ..decisions import change_triggers, position_history, primary_change
+from ..decisions import change_triggers
+from ..decisions.change_attempt import Attempt
 from ..decisions.change_triggers import ChangeConditions
-from ..decisions.primary_change import (
-    Abandon,
-    Attempt,
-    Member,
-    Pause,
-    Promote,
-    RequestStatus,
-    StepDown,
-    Wait,
-    read_status,
-)
 from ..identifiers import FencingToken, HostId, ServerId, Term
 from ..queries import QueryKind
 from ..services.clock import read_boot_ms
 from ..services.eras import EraTracker
 from .change_lease import ChangeLease
+from .change_steps import ChangeSteps
 from .group import Group
 from .group_commands import GroupCommands, record_phase
 from .journal import Journal
@@ -60,6 +51,8 @@
         Tracker of the store's era.
     rank
         Returns how many hosts are to finish a lost change before this one.
+    refresh_servers
+        Reads the list of servers in the store anew.
     """
 
     def __init__(
@@ -73,6 +66,7 @@
         journal: Journal,
         eras: EraTracker,
         rank: Callable[[], int],
+        refresh_servers: Callable[[], Awaitable[None]],
     ) -> None:
         super().__init__()
         self.group = group
@@ -80,6 +74,7 @@
         self.promoter = promoter
         self.journal = journal
         self.rank = rank
+        self.refresh_servers = refresh_servers
         self.lease = ChangeLease(
             group=group.group, host=host, address=address, store=store, eras=eras
         )
@@ -149,25 +144,39 @@
         if token is None:
             await asyncio.sleep(STORE_RETRY_S)
             return
-        primary_state = self.group.primary_state
+        attempt = self._make_attempt(reason, began)
         self._record(
-            "began", reason=reason, token=token, replaced=primary_state.primary
+            "began",
+            reason=reason,
+            token=token,
+            replaced=attempt.replaced,
+            term=attempt.from_term,
         )
-        attempt = Attempt(
+        work = ChangeSteps(
+            group=self.group,
+            host=self.host,
+            lease=self.lease,
+            promoter=self.promoter,
+            commands=self.commands,
+            refresh_servers=self.refresh_servers,
+            attempt=attempt,
+            token=token,
+        )
+        while work.may_go_on(self._is_needed(reason)):
+            if not await work.take_step():
+                break
+        await self._finish(work, reason == "unfinished")
+
+    def _make_attempt(self, reason: str, began: int) -> Attempt:
+        primary_state = self.group.primary_state
+        replaced = self.group.primary or primary_state.primary
+        return Attempt(
             from_term=primary_state.term,
             started_at=began,
-            replaced=primary_state.primary,
+            replaced=replaced,
             must_step_down=reason in ("leaving", "stalled"),
+            is_cut_off=reason == "stalled",
         )
-        while (
-            read_boot_ms() - began < primary_change.STEPS_MS and not attempt.requested
-        ):
-            if not self._is_needed(reason):
-                break
-            if not await self._take_step(attempt, token):
-                break
-            await asyncio.sleep(STEP_PAUSE_S)
-        await self._finish(attempt, token, reason == "unfinished")
 
     def _is_needed(self, reason: str) -> bool:
         conditions = self._observe_conditions()
@@ -188,126 +197,22 @@
             )
         return True
 
-    def _list_members(self) -> tuple[Member, ...]:
-        return tuple(
-            Member(server=s.server, leaving=s.leaving)
-            for s in self.group.servers.values()
-        )
-
-    async def _take_step(self, attempt: Attempt, token: FencingToken) -> bool:
-        """Run the next step; return False when the change is abandoned."""
-        group = self.group
-        now = read_boot_ms()
-        since_loss = None
-        if group.log_lost_at is not None:
-            since_loss = position_history.find_since(
-                group.position_history, group.log_lost_at
-            )
-        step = primary_change.plan_step(
-            attempt, self._list_members(), since_loss, group.log_lost_at is None, now
-        )
-        match step:
-            case RequestStatus(servers=servers):
-                await self._command_all(attempt, servers, QueryKind.STATUS, Term(0))
-            case Pause(servers=servers, term=term):
-                self._record("pausing", servers=servers, term=term)
-                await self._command_all(attempt, servers, QueryKind.PAUSE, term)
-            case StepDown(server=server, term=term):
-                self._record("yielding", server=server, term=term)
-                await self._command_all(attempt, (server,), QueryKind.STEP_DOWN, term)
-            case Promote(server=server):
-                await self._promote(attempt, server, token)
-            case Wait(why=why):
-                self._record("waiting", why=why)
-            case Abandon(leader=leader):
-                self._record("abandoned", leader=leader)
-                group.probe_wanted.set()
-                return False
-        return True
-
-    async def _promote(
-        self, attempt: Attempt, server: ServerId, token: FencingToken
-    ) -> None:
-        group = self.group.group
-        log_position = attempt.statuses[server].log_position
-        self._record(
-            "promoting",
-            server=server,
-            token=token,
-            mark=f"{log_position.term}.{log_position.position}",
-        )
-        try:
-            accepted = await self.promoter.promote(group, server, self.host, token)
-        except StoreError as error:
-            # The promotion may still take effect: servers stay paused until that is
-            # known.
-            attempt.requested = True
-            self._record("promotion-unknown", server=server, why=str(error))
-            return
-        attempt.requested = accepted
-        if not accepted:
-            attempt.rejected.add(server)
-            attempt.target = None
-            self._record("promotion-refused", server=server)
-
-    async def _command_all(
-        self,
-        attempt: Attempt,
-        servers: tuple[ServerId, ...],
-        kind: QueryKind,
-        term: Term,
-    ) -> None:
-        reports = await self.commands.run_all(servers, kind, term)
-        for server in servers:
-            report = reports.get(server)
-            if report is None:
-                primary_change.remove_status(attempt, server)
-                continue
-            primary_change.update_status(attempt, server, read_status(report))
-
-    async def _confirm(
-        self, deadline: int, expected: ServerId | None = None
-    ) -> ServerId | None:
-        """Wait until a server proves to be the primary from now on.
-
-        Parameters
-        ----------
-        deadline
-            End of the wait, in milliseconds since boot.
-        expected
-            Server to wait for; any server if None.
-
-        Returns
-        -------
-        ServerId or None
-            The primary, None without proof.
-        """
-        asked_at = read_boot_ms()
-        primary_state = self.group.primary_state
-        while read_boot_ms() < deadline:
-            primary = primary_state.primary
-            is_recent = primary_state.confirmed_at >= asked_at
-            if primary is not None and is_recent and expected in (None, primary):
-                return primary
-            self.group.probe_wanted.set()
-            await asyncio.sleep(STEP_PAUSE_S)
-        return None
+    # -- end --
 
-    async def _finish(
-        self, attempt: Attempt, token: FencingToken, unfinished: bool
-    ) -> None:
+    async def _finish(self, work: ChangeSteps, unfinished: bool) -> None:
         """Resume paused servers and release the lease.
 
         While a requested promotion may still take effect, servers stay paused: it
         would lose a commit that a resumed server helped to acknowledge. The lease
         then stays open, and the next host to take it finishes the change.
         """
-        confirm_until = attempt.started_at + primary_change.CONFIRM_MS
-        if attempt.requested and not await self._confirm(confirm_until, attempt.target):
-            self._record("unconfirmed", server=attempt.target)
+        attempt = work.attempt
+        if attempt.requested is not None and not work.is_settled():
+            self._record("unconfirmed", server=attempt.requested)
             return
-        must_fence = unfinished or (bool(attempt.pause_term) and not attempt.requested)
-        if must_fence and not await self._fence(token):
+        has_paused = bool(attempt.pause_term)
+        must_fence = unfinished or (has_paused and attempt.requested is None)
+        if must_fence and not await self._fence(work.token):
             self._record("ended", outcome="unsettled")
             self.lease.delay_check()
             return
@@ -315,30 +220,56 @@
             self._record("ended", outcome="lease lost")
             return
         await self._step_down_replaced(attempt)
-        self.unresumed = {
-            s for s in self.group.servers if s != self.group.primary_state.primary
-        }
+        if must_fence or has_paused:
+            await self._resume_all()
+        await self.lease.release()
+        self._record(
+            "ended", outcome="settled", primary=self.group.primary_state.primary
+        )
+
+    async def _resume_all(self) -> None:
+        primary = self.group.primary_state.primary
+        self.unresumed = {s for s in self.group.servers if s != primary}
         for _ in range(RESUME_ROUNDS):
             self.unresumed -= await self.commands.resume(self.unresumed)
             if not self.unresumed:
                 break
             await asyncio.sleep(STEP_PAUSE_S)
-        await self.lease.release()
-        self._record(
-            "ended", outcome="settled", primary=self.group.primary_state.primary
-        )
 
     async def _step_down_replaced(self, attempt: Attempt) -> None:
         """Make the replaced primary a replica where it may go on answering."""
         group = self.group
         replaced = attempt.replaced
-        is_needed = group.prover is not None and attempt.requested
-        if not is_needed or replaced is None or replaced == attempt.target:
+        is_needed = group.prover is not None and attempt.requested is not None
+        if not is_needed or replaced is None or replaced == attempt.requested:
             return
         term = Term(max(group.primary_state.term, attempt.from_term + 1))
         self._record("yielding", server=replaced, term=term)
         await self.commands.run(replaced, QueryKind.STEP_DOWN, term)
 
+    async def _confirm(self, deadline: int) -> ServerId | None:
+        """Wait until a server proves to be the primary from now on.
+
+        Parameters
+        ----------
+        deadline
+            End of the wait, in milliseconds since boot.
+
+        Returns
+        -------
+        ServerId or None
+            The primary, None without proof.
+        """
+        asked_at = read_boot_ms()
+        primary_state = self.group.primary_state
+        while read_boot_ms() < deadline:
+            primary = primary_state.primary
+            if primary is not None and primary_state.confirmed_at >= asked_at:
+                return primary
+            self.group.probe_wanted.set()
+            await asyncio.sleep(STEP_PAUSE_S)
+        return None
+
     async def _fence(self, token: FencingToken) -> bool:
         """Make the platform reject earlier requests; return whether it does.
 
--- a/src/apricotshore/pooling/primary_prover.py
+++ b/src/apricotshore/pooling/primary_prover.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass
 
 from ..decisions import placement, primary_proof
-from ..decisions.primary_change import MemberStatus, read_status
+from ..decisions.change_attempt import MemberStatus, read_status
 from ..decisions.primary_proof import Finding, PrimaryProof, ProbeResult, Round
 from ..groups import LogPosition
 from ..identifiers import ServerId, Term
--- a/src/apricotshore/pooling/store_watcher.py
+++ b/src/apricotshore/pooling/store_watcher.py
@@ -216,6 +216,20 @@
             raise StoreError(f"a list of era {snapshot.era}, not {self.eras.era}")
         return snapshot
 
+    async def refresh_servers(self) -> None:
+        """Read the list of servers now, and apply those that are new or changed.
+
+        Servers that it lacks are left to the watch.
+
+        Raises
+        ------
+        StoreError
+            When the store gave no answer of its latest era.
+        """
+        snapshot = await self._list(StoredKind.SERVER)
+        if not self.eras.is_settling(RETURN_GRACE_MS):
+            self._apply_changes(StoredKind.SERVER, snapshot.changes)
+
     async def _watch(self, kind: StoredKind, latest: Snapshot) -> Snapshot:
         """Wait for changes after an earlier answer.
 
--- a/standins/in_memory.py
+++ b/standins/in_memory.py
@@ -87,6 +87,8 @@
         Whether it runs statements but sends no answers.
     busy
         Whether it rejects statements as overloaded.
+    listed
+        Whether the store lists it.
     """
 
     name: ServerId
@@ -101,6 +103,7 @@
     mute: bool = False
     unreachable_by: set[str] = field(default_factory=set)
     busy: bool = False
+    listed: bool = True
     connections: int = 0
     started_ms: int = 1
 
@@ -144,6 +147,14 @@
             group.servers[name] = ModelServer(name=name, is_primary=number == 1)
         return group
 
+    def add_server(self, name: ServerId) -> ModelServer:
+        """Start a replica with a copy of the primary's log, and return it."""
+        primary = self.find_primary()
+        log = list(primary.log) if primary is not None else []
+        server = ModelServer(name=name, log=log, applied=len(log), term=self.term)
+        self.servers[name] = server
+        return server
+
     def find_primary(self) -> ModelServer | None:
         """Return the primary of the highest term, None without one."""
         leaders = [s for s in self.servers.values() if s.is_primary]
--- a/tests/pooling/support.py
+++ b/tests/pooling/support.py
@@ -102,6 +102,13 @@
             group.update_server(model.list(server))
         eras = EraTracker()
         eras.accept(StoreEra(platform.era))
+
+        async def refresh_servers() -> None:
+            for server in model.servers.values():
+                if server.listed:
+                    leaving = server.name in group.leaving
+                    group.update_server(model.list(server, leaving=leaving))
+
         changer = PrimaryChanger(
             group=group,
             host=HostId(name),
@@ -111,6 +118,7 @@
             journal=journal,
             eras=eras,
             rank=lambda: 0,
+            refresh_servers=refresh_servers,
         )
         return cls(
             name=HostId(name),
--- /dev/null
+++ b/tests/pooling/test_events_amid_changes.py
@@ -0,0 +1,113 @@
+"""Events between the steps of a change of primary lose no acknowledged write.
+
+Each test is named after a failure; the target of the promotion receives nothing, so
+only the server of the event can help to acknowledge.
+"""
+
+import asyncio
+
+import pytest
+
+from apricotshore.identifiers import ServerId
+from standins.in_memory import ModelGroup, ModelPlatform
+
+from .support import ModelHost, running, wait_until, writing
+
+S1, S2, S3, S4 = (ServerId(f"s{n}") for n in (1, 2, 3, 4))
+
+
+def make(**faults) -> tuple[ModelGroup, ModelPlatform, ModelHost]:
+    model = ModelGroup.make()
+    platform = ModelPlatform(group=model, **faults)
+    return model, platform, ModelHost.make("host-0", model, platform)
+
+
+def replace_leaving(model: ModelGroup, host: ModelHost) -> None:
+    host.mark_leaving("s1")
+
+
+def replace_silent(model: ModelGroup, host: ModelHost) -> None:
+    """The host can't reach the primary, which goes on acknowledging."""
+    model.servers[S1].unreachable_by.add("host-0")
+
+
+async def isolate_target(model: ModelGroup, platform: ModelPlatform) -> ServerId:
+    """Wait for a promotion to be requested, and have its target receive nothing."""
+    await wait_until(lambda: platform.orders)
+    target = platform.orders[0][1]
+    model.servers[target].partitioned = True
+    return target
+
+
+async def test_replica_that_starts_amid_a_change_of_primary_loses_no_commit():
+    """Failure 1: a new replica helped the leaving primary to acknowledge."""
+    model, platform, host = make(promote_s=0.5)
+    async with running(host), writing(model):
+        await wait_until(lambda: len(model.acknowledged) > 5)
+        replace_leaving(model, host)
+        await isolate_target(model, platform)
+        model.add_server(S4)
+        await wait_until(lambda: model.promotions)
+    assert model.lost == []
+
+
+async def test_replica_that_starts_before_its_entry_is_known_loses_no_commit():
+    """Failure 1: the host's list of servers is older than the new replica."""
+    model, platform, host = make(promote_s=0.5)
+    async with running(host), writing(model):
+        await wait_until(lambda: len(model.acknowledged) > 5)
+        model.add_server(S4)
+        model.servers[S2].partitioned = model.servers[S3].partitioned = True
+        await asyncio.sleep(0.1)
+        replace_leaving(model, host)
+        await wait_until(lambda: model.promotions)
+    assert model.lost == []
+
+
+async def test_replica_that_starts_before_a_silent_primary_is_replaced_is_found():
+    """Failure 1, silent primary: the list of servers is read anew after the pauses."""
+    model, platform, host = make(promote_s=0.5)
+    async with running(host), writing(model):
+        await wait_until(lambda: len(model.acknowledged) > 5)
+        model.add_server(S4)
+        replace_silent(model, host)
+        await isolate_target(model, platform)
+        await wait_until(lambda: model.promotions)
+    assert model.lost == []
+
+
+@pytest.mark.parametrize("replace", [replace_leaving])
+async def test_live_replica_whose_entry_was_removed_loses_no_commit(replace):
+    """Failure 3: a change neither asked nor paused a replica without an entry."""
+    model, platform, host = make(promote_s=0.5)
+    async with running(host), writing(model):
+        await wait_until(lambda: len(model.acknowledged) > 5)
+        model.servers[S3].listed = False
+        host.group.update_server(model.list(model.add_server(S4)))
+        host.group.remove_server(S3)
+        await wait_until(lambda: host.group.primary_state.primary == S1)
+        await asyncio.sleep(0.7)
+        replace(model, host)
+        await isolate_target(model, platform)
+        await wait_until(lambda: model.promotions)
+    assert model.lost == []
+
+
+@pytest.mark.parametrize("replace", [replace_leaving])
+async def test_paused_replica_that_restarts_amid_a_change_loses_no_commit(replace):
+    """Failure 4: nobody paused it again until the promotion took effect."""
+    model, platform, host = make(promote_s=0.8)
+    async with running(host), writing(model):
+        await wait_until(lambda: len(model.acknowledged) > 5)
+        replace(model, host)
+        target = await isolate_target(model, platform)
+        other = model.servers[next(s for s in (S2, S3) if s != target)]
+        other.up = False
+        await asyncio.sleep(0.1)
+        other.up, other.paused_term = True, 0
+        # A host can't know of the restart before it has asked again.
+        other.partitioned = replace is replace_silent
+        await asyncio.sleep(0.3)
+        other.partitioned = False
+        await wait_until(lambda: model.promotions)
+    assert model.lost == []
--- a/tests/pooling/test_primary_changer.py
+++ b/tests/pooling/test_primary_changer.py
@@ -77,7 +77,7 @@
     model, platform, (host,) = make(1, promote_s=0.8)
     async with running(host), writing(model):
         await wait_until(lambda: len(model.acknowledged) > 5)
-        host.mark_leaving("s1")
+        model.servers[S1].unreachable_by.add("host-0")
         await wait_until(lambda: platform.orders)
         target = platform.orders[0][1]
         other = next(s for s in (S2, S3) if s != target)
@@ -88,6 +88,20 @@
     assert model.lost == []
 
 
+async def test_leaving_primary_acknowledges_nothing_once_a_promotion_is_requested():
+    model, platform, (host,) = make(1, promote_s=0.8)
+    async with running(host), writing(model):
+        await wait_until(lambda: len(model.acknowledged) > 5)
+        host.mark_leaving("s1")
+        await wait_until(lambda: platform.orders)
+        count = len(model.acknowledged)
+        while not model.promotions:
+            assert len(model.acknowledged) == count
+            await asyncio.sleep(0.01)
+        await wait_until(lambda: len(model.acknowledged) > count)
+    assert model.lost == []
+
+
 @pytest.mark.parametrize("unanswered_delay_s", [0.3, 1.5, 3.0])
 async def test_unanswered_promotion_loses_no_write(unanswered_delay_s):
     model, _, hosts = make(unanswered_delay_s=unanswered_delay_s)
@@ -170,7 +184,7 @@
     model, platform, (host,) = make(1, promote_s=0.2)
     async with running(host), writing(model):
         await wait_until(lambda: len(model.acknowledged) > 5)
-        host.mark_leaving("s1")
+        model.servers[S1].unreachable_by.add("host-0")
         await wait_until(lambda: platform.orders)
         target = platform.orders[0][1]
         other = model.servers[next(s for s in (S2, S3) if s != target)]
--- a/tests/test_primary_change_races.py
+++ b/tests/test_primary_change_races.py
@@ -11,11 +11,11 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
 
-from apricotshore.decisions import lease, primary_change
-from apricotshore.decisions.position_history import PositionSample
-from apricotshore.decisions.primary_change import (
+from apricotshore.decisions import change_attempt, lease, primary_change
+from apricotshore.decisions.change_attempt import (
     Abandon,
     Attempt,
+    ListServers,
     Member,
     MemberStatus,
     Pause,
@@ -23,6 +23,7 @@
     RequestStatus,
     StepDown,
 )
+from apricotshore.decisions.position_history import PositionSample
 from apricotshore.groups import LogPosition
 from apricotshore.identifiers import Position, ServerId, Term
 
@@ -207,7 +208,7 @@
     def run_step(self, which, reached):
         host = self.hosts[which]
         attempt = host.attempt
-        if attempt is None or attempt.requested:
+        if attempt is None:
             return
         if self.now - attempt.started_at >= primary_change.STEPS_MS:
             host.attempt = None
@@ -230,29 +231,36 @@
             case RequestStatus(servers=servers):
                 self._report_statuses(attempt, servers, reached)
             case Pause(servers=servers, term=term):
-                for name in reached & set(servers):
-                    if self.servers[name].up and not self.servers[name].is_primary:
-                        self.servers[name].paused = int(term)
+                self._pause(servers, term, reached)
                 self._report_statuses(attempt, servers, reached)
             case StepDown(server=server):
-                if server in reached and self.servers[server].up:
-                    self.servers[server].is_primary = False
+                self._step_down(server, reached)
                 self._report_statuses(attempt, (server,), reached)
+            case ListServers():
+                attempt.listed = True
             case Promote(server=server):
                 self.requested_promotions.append((server, host.token))
-                attempt.requested = True
+                attempt.requested = server
             case Abandon():
                 host.attempt = None
 
+    def _pause(self, servers, term, reached):
+        for name in reached & set(servers):
+            if self.servers[name].up and not self.servers[name].is_primary:
+                self.servers[name].paused = int(term)
+
+    def _step_down(self, name, reached):
+        if name in reached and self.servers[name].up:
+            self.servers[name].is_primary = False
+
     def _report_statuses(self, attempt, servers, reached):
         for name in servers:
             server = self.servers[name]
             if name in reached and server.up:
-                primary_change.update_status(
-                    attempt, name, server.read(self.term, self.now)
-                )
+                status = server.read(self.term, self.now)
+                change_attempt.update_status(attempt, name, status, self.now)
             else:
-                primary_change.remove_status(attempt, name)
+                change_attempt.remove_status(attempt, name, self.now)
 
     @invariant()
     def nothing_acknowledged_is_lost(self):
--- a/tests/test_primary_proof.py
+++ b/tests/test_primary_proof.py
@@ -2,11 +2,11 @@
 
 import pytest
 
-from apricotshore.decisions.primary_change import (
+from apricotshore.decisions.change_attempt import (
     Attempt,
     MemberStatus,
-    find_primary,
 )
+from apricotshore.decisions.primary_change import find_primary
 from apricotshore.decisions.primary_proof import (
     ProbeResult,
     Round,
