Record a promotion's target before requesting it, and finish that one

Cause: the host gave up waiting 4.5 s after the change began, saw the former primary lead, raised the token by promoting that one (200, nothing changes) and resumed the paused replicas. A newer token refuses orders that are yet to be carried out; one that was accepted 0.9 s before still took effect.

Change, by order of events: the lease names the target before its promotion is requested. The request is repeated until it is accepted, which changes nothing once the target leads. Whoever takes an open lease finishes that promotion: a primary that answers steps down first, the same target is requested with the newer token. If that target can't be reached and the former primary leads, the fence is followed by the time that an accepted promotion takes (PROMOTION_MS), with all pauses in force. Another target is only promoted while all others are paused.

Related paths: a lease that a restored store has lost names nobody, so a change that is finished there waits as well.

The model platform now takes promote_s for late orders too, as for all others.

--- a/src/apricotshore/decisions/change_attempt.py
+++ b/src/apricotshore/decisions/change_attempt.py
@@ -64,6 +64,8 @@
         Whether the primary is replaced even if it answers.
     is_cut_off
         Whether its commits reach no replica.
+    inherited
+        Server whose promotion an earlier holder of the lease may have requested.
     started_at
         When it began, in milliseconds since boot.
     primary_end
@@ -84,10 +86,14 @@
         Server to be promoted.
     target_since
         When the target was chosen.
+    recorded
+        Target that the lease names.
     rejected
         Servers that the platform refused to promote.
     requested
         Server whose promotion was requested and may still take effect.
+    accepted
+        Whether the platform has accepted that request.
     """
 
     from_term: Term
@@ -95,6 +101,7 @@
     replaced: ServerId | None = None
     must_step_down: bool = False
     is_cut_off: bool = False
+    inherited: ServerId | None = None
     primary_end: LogPosition | None = None
     final_end: LogPosition | None = None
     stepped_down_at: int = 0
@@ -104,8 +111,10 @@
     listed: bool = False
     target: ServerId | None = None
     target_since: int = 0
+    recorded: ServerId | None = None
     rejected: set[ServerId] = field(default_factory=set)
     requested: ServerId | None = None
+    accepted: bool = False
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -136,6 +145,13 @@
     """Action: read the list of servers in the store anew."""
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class RecordTarget:
+    """Action: record in the lease which server is to be promoted."""
+
+    server: ServerId
+
+
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Promote:
     """Action: request the promotion of a server from the platform."""
@@ -157,7 +173,16 @@
     leader: ServerId
 
 
-Step = RequestStatus | Pause | StepDown | ListServers | Promote | Wait | Abandon
+Step = (
+    RequestStatus
+    | Pause
+    | StepDown
+    | ListServers
+    | RecordTarget
+    | Promote
+    | Wait
+    | Abandon
+)
 
 
 def observe_primary_end(attempt: Attempt, log_position: LogPosition) -> None:
--- a/src/apricotshore/decisions/lease.py
+++ b/src/apricotshore/decisions/lease.py
@@ -11,7 +11,7 @@
 
 from dataclasses import dataclass
 
-from ..identifiers import FencingToken, HostId, StoreEra, StoreRevision
+from ..identifiers import FencingToken, HostId, ServerId, StoreEra, StoreRevision
 
 LEASE_MS = 6_000
 # Time within which a promotion that the platform has accepted takes effect.
@@ -38,6 +38,8 @@
         Whether the change is still in progress.
     seen_at
         When this revision was first read, in milliseconds since boot.
+    target
+        Server whose promotion its holder may have requested, None without one.
     """
 
     era: StoreEra
@@ -45,6 +47,7 @@
     holder: str
     open: bool
     seen_at: int
+    target: ServerId | None = None
 
 
 @dataclass(kw_only=True, slots=True)
--- a/src/apricotshore/decisions/primary_change.py
+++ b/src/apricotshore/decisions/primary_change.py
@@ -10,6 +10,10 @@
 
 A primary that gives no answer cannot step down. Then replication is paused at every
 other server that can be found except the target.
+
+The target is recorded in the lease before its promotion is requested. While that
+promotion may take effect, no other server is promoted: a repeated request for the
+same server changes nothing.
 """
 
 from collections.abc import Iterable
@@ -23,6 +27,7 @@
     Member,
     Pause,
     Promote,
+    RecordTarget,
     RequestStatus,
     Step,
     StepDown,
@@ -90,6 +95,10 @@
             m.server,
         ),
     )
+    best_end = attempt.statuses[best.server].log_position
+    inherited = attempt.inherited
+    if inherited in _list_names(candidates) and _reaches(attempt, inherited, best_end):
+        return inherited
     staying = [
         m
         for m in candidates
@@ -145,7 +154,7 @@
         Milliseconds since boot.
     """
     if attempt.requested is not None:
-        return _plan_until_effect()
+        return _plan_until_effect(attempt)
     leader = find_primary(attempt)
     if leader is not None:
         return Abandon(leader=leader)
@@ -200,10 +209,12 @@
     if attempt.target not in _list_names(full):
         _set_target(attempt, _choose_target(attempt, full or followers), now)
     target = attempt.target
-    if target is None:
+    if target is None or attempt.inherited not in (None, target):
         return RequestStatus(servers=_list_names(members))
     if not full and not is_late:
         return RequestStatus(servers=_list_names(followers))
+    if attempt.recorded != target:
+        return RecordTarget(server=target)
     status = attempt.statuses.get(primary)
     terms = (attempt.from_term, status.term if status is not None else 0)
     return StepDown(server=primary, term=Term(max(*terms, attempt.pause_term - 1) + 1))
@@ -231,7 +242,7 @@
     if target is None or target not in _list_names(full):
         target = _choose_target(attempt, full)
     if target is not None:
-        return _request(attempt, target, now)
+        return _request(attempt, members, target, now)
     return _plan_incomplete(attempt, members, others, since_loss, lossless, now)
 
 
@@ -262,21 +273,31 @@
             proven = since_loss or attempt.final_end
             needed.append((proven.term, proven.position))
         if _read_order(attempt, target) >= max(needed):
-            return _request(attempt, target, now)
+            return _request(attempt, members, target, now)
     former = [m for m in members if m.server == attempt.replaced]
     target = _choose_target(attempt, _list_followers(attempt, former))
     if target is None:
         return RequestStatus(servers=_list_names(members))
-    return _request(attempt, target, now)
+    return _request(attempt, members, target, now)
 
 
 def _read_order(attempt: Attempt, server: ServerId) -> tuple[int, int]:
     return log_order(attempt.statuses[server].log_position)
 
 
-def _request(attempt: Attempt, target: ServerId, now: int) -> Step:
-    """Return the promotion of a server."""
+def _request(
+    attempt: Attempt, members: tuple[Member, ...], target: ServerId, now: int
+) -> Step:
+    """Return the next step towards the promotion of a server."""
     _set_target(attempt, target, now)
+    if attempt.inherited not in (None, target):
+        # The other promotion may take effect first; only the target may then help
+        # to acknowledge.
+        unpaused = _find_unpaused(attempt, members)
+        if unpaused:
+            return Pause(servers=unpaused, term=_choose_pause_term(attempt))
+    if attempt.recorded != target:
+        return RecordTarget(server=target)
     return Promote(server=target)
 
 
@@ -290,8 +311,11 @@
     )
 
 
-def _plan_until_effect() -> Step:
-    """Wait until the requested promotion takes effect."""
+def _plan_until_effect(attempt: Attempt) -> Step:
+    """Request the promotion until it is accepted, and wait for its effect."""
+    assert attempt.requested is not None
+    if not attempt.accepted:
+        return Promote(server=attempt.requested)
     return Wait(why="the promotion takes effect")
 
 
@@ -351,4 +375,4 @@
             return RequestStatus(servers=(*unknown, target))
     if not attempt.listed:
         return ListServers()
-    return _request(attempt, target, now)
+    return _request(attempt, members, target, now)
--- a/src/apricotshore/pooling/change_lease.py
+++ b/src/apricotshore/pooling/change_lease.py
@@ -4,7 +4,14 @@
 
 from ..decisions import lease
 from ..decisions.lease import LeaseClaim, ObservedLease
-from ..identifiers import FencingToken, GroupId, HostId, StoreEra, StoreRevision
+from ..identifiers import (
+    FencingToken,
+    GroupId,
+    HostId,
+    ServerId,
+    StoreEra,
+    StoreRevision,
+)
 from ..services.clock import read_boot_ms
 from ..services.eras import EraTracker
 from .ports import LeaseRecord, ObjectStore, StoreConflictError, StoreError
@@ -106,6 +113,7 @@
             holder=record.holder,
             open=record.open,
             seen_at=read_boot_ms(),
+            target=record.target,
         )
 
     async def is_abandoned(self, rank: int) -> bool:
@@ -138,26 +146,36 @@
         await self.read()
         if not self._may_acquire():
             return None
-        return await self.write(still_open=True)
+        return await self.write(still_open=True, target=self.target)
+
+    @property
+    def target(self) -> ServerId | None:
+        """Server whose promotion may have been requested in an unfinished change."""
+        current = self.current
+        return current.target if current is not None and current.open else None
 
     def _may_acquire(self) -> bool:
         return lease.may_acquire(self.current, self._claim(), read_boot_ms())
 
-    async def write(self, *, still_open: bool) -> FencingToken | None:
+    async def write(
+        self, *, still_open: bool, target: ServerId | None = None
+    ) -> FencingToken | None:
         """Write the lease; return its fencing token, None on a conflict.
 
         A lease that a restored store has lost is written again in the new era while no
         other host can hold it.
         """
         era = self._get_era()
-        token = await self._write_once(still_open)
+        token = await self._write_once(still_open, target)
         if token is not None or self.eras.era == era:
             return token
         if self.current is not None or read_boot_ms() >= self.held_until:
             return None
-        return await self._write_once(still_open)
+        return await self._write_once(still_open, target)
 
-    async def _write_once(self, still_open: bool) -> FencingToken | None:
+    async def _write_once(
+        self, still_open: bool, target: ServerId | None
+    ) -> FencingToken | None:
         current = self.current
         record = LeaseRecord(
             group=self.group,
@@ -165,6 +183,7 @@
             revision=StoreRevision(current.revision if current else 0),
             holder=self.holder,
             open=still_open,
+            target=target,
         )
         sent_at = read_boot_ms()
         try:
--- a/src/apricotshore/pooling/change_steps.py
+++ b/src/apricotshore/pooling/change_steps.py
@@ -11,6 +11,7 @@
     Member,
     Pause,
     Promote,
+    RecordTarget,
     RequestStatus,
     Step,
     StepDown,
@@ -72,6 +73,7 @@
         self.refresh_servers = refresh_servers
         self.attempt = attempt
         self.token = token
+        self.leased_at = read_boot_ms()
         self.requested_at = 0
         self.last_phase: tuple[object, ...] = ()
 
@@ -104,6 +106,10 @@
         """Run the next step; return False when the change ends with it."""
         self._observe_primary_end()
         match self._plan():
+            case Promote(server=server):
+                return await self._promote(server)
+            case RecordTarget(server=server):
+                return await self._record_target(server)
             case Abandon(leader=leader):
                 self._record("abandoned", leader=leader)
                 self.group.probe_wanted.set()
@@ -139,8 +145,6 @@
                 await self._step_down(server, term)
             case ListServers():
                 await self._list_servers()
-            case Promote(server=server):
-                await self._promote(server)
             case Wait(why=why):
                 self._record("waiting", why=why)
                 self.group.probe_wanted.set()
@@ -166,7 +170,7 @@
         group, attempt = self.group, self.attempt
         if group.primary_state.primary != attempt.replaced:
             return
-        sample = position_history.find_since(group.position_history, attempt.started_at)
+        sample = position_history.find_since(group.position_history, self.leased_at)
         if sample is not None:
             change_attempt.observe_primary_end(
                 attempt,
@@ -211,7 +215,23 @@
             return
         self.attempt.listed = True
 
-    async def _promote(self, server: ServerId) -> None:
+    async def _record_target(self, server: ServerId) -> bool:
+        """Record the target in the lease; return False if the lease is lost."""
+        try:
+            token = await self.lease.write(still_open=True, target=server)
+        except StoreError as error:
+            self._record("waiting", why=f"store: {error}")
+            await asyncio.sleep(EFFECT_PAUSE_S)
+            return True
+        if token is None:
+            self._record("lease-lost", server=server)
+            return False
+        self.token = token
+        self.attempt.recorded = server
+        return True
+
+    async def _promote(self, server: ServerId) -> bool:
+        """Request a promotion; return False if a request can't be taken back."""
         attempt = self.attempt
         status = attempt.statuses.get(server)
         self._record(
@@ -222,7 +242,7 @@
             if status is not None
             else "",
         )
-        self.requested_at = read_boot_ms()
+        self.requested_at = self.requested_at or read_boot_ms()
         try:
             accepted = await self.promoter.promote(
                 self.group.group, server, self.host, self.token
@@ -233,10 +253,14 @@
             attempt.requested = server
             self._record("promotion-unknown", server=server, why=str(error))
             await asyncio.sleep(EFFECT_PAUSE_S)
-            return
+            return True
         if accepted:
             attempt.requested = server
-            return
+            attempt.accepted = True
+            return True
         self._record("promotion-refused", server=server)
+        if attempt.requested is not None:
+            return False
         attempt.rejected.add(server)
         attempt.target = None
+        return True
--- a/src/apricotshore/pooling/ports.py
+++ b/src/apricotshore/pooling/ports.py
@@ -91,6 +91,8 @@
         Name of the changer that wrote it: its host, address and process.
     open
         Whether the change is still in progress.
+    target
+        Server whose promotion may have been requested, None without one.
     """
 
     group: GroupId
@@ -98,6 +100,7 @@
     revision: StoreRevision
     holder: str
     open: bool
+    target: ServerId | None = None
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/src/apricotshore/pooling/primary_changer.py
+++ b/src/apricotshore/pooling/primary_changer.py
@@ -5,7 +5,7 @@
 
 from mode import Service
 
-from ..decisions import change_triggers
+from ..decisions import change_triggers, lease
 from ..decisions.change_attempt import Attempt
 from ..decisions.change_triggers import ChangeConditions
 from ..identifiers import FencingToken, HostId, ServerId, Term
@@ -150,6 +150,7 @@
             reason=reason,
             token=token,
             replaced=attempt.replaced,
+            inherited=attempt.inherited,
             term=attempt.from_term,
         )
         work = ChangeSteps(
@@ -170,11 +171,15 @@
     def _make_attempt(self, reason: str, began: int) -> Attempt:
         primary_state = self.group.primary_state
         replaced = self.group.primary or primary_state.primary
+        inherited = self.lease.target
         return Attempt(
             from_term=primary_state.term,
             started_at=began,
             replaced=replaced,
-            must_step_down=reason in ("leaving", "stalled"),
+            inherited=inherited,
+            recorded=inherited,
+            must_step_down=reason in ("leaving", "stalled")
+            or inherited not in (None, replaced),
             is_cut_off=reason == "stalled",
         )
 
@@ -187,7 +192,7 @@
         if reason == "headless":
             return conditions.no_primary_since is not None
         if reason == "unfinished":
-            return any(
+            return self.lease.target is not None or any(
                 since is not None
                 for since in (
                     conditions.leaving_since,
@@ -212,7 +217,9 @@
             return
         has_paused = bool(attempt.pause_term)
         must_fence = unfinished or (has_paused and attempt.requested is None)
-        if must_fence and not await self._fence(work.token):
+        if must_fence and not await self._fence(
+            work.token, unfinished=unfinished, inherited=attempt.inherited
+        ):
             self._record("ended", outcome="unsettled")
             self.lease.delay_check()
             return
@@ -270,20 +277,36 @@
             await asyncio.sleep(STEP_PAUSE_S)
         return None
 
-    async def _fence(self, token: FencingToken) -> bool:
+    async def _fence(
+        self,
+        token: FencingToken,
+        *,
+        unfinished: bool = False,
+        inherited: ServerId | None = None,
+    ) -> bool:
         """Make the platform reject earlier requests; return whether it does.
 
         Promoting the current primary has no effect but to raise the lowest token
         that the platform accepts. Promoting one that was replaced would undo the
         change, so this returns False unless a server proves to be the primary now.
+
+        A request that was accepted before the token was raised still takes effect,
+        unless it names the primary. Servers stay paused until it has.
         """
         primary = await self._confirm(read_boot_ms() + PROBE_MS)
         if primary is None:
             return False
-        if self.group.prover is not None:
-            # The platform checks no tokens.
+        promote = self.promoter.promote
+        # Without a prover the platform checks tokens.
+        if self.group.prover is None and not await promote(
+            self.group.group, primary, self.host, token
+        ):
+            return False
+        if not unfinished or primary == inherited:
             return True
-        return await self.promoter.promote(self.group.group, primary, self.host, token)
+        self._record("awaiting", server=inherited, primary=primary)
+        await asyncio.sleep(lease.PROMOTION_MS / 1000)
+        return await self._confirm(read_boot_ms() + PROBE_MS) is not None
 
     async def _resume_remaining(self) -> None:
         """Resume servers that could not be reached when the change ended.
--- a/standins/in_memory.py
+++ b/standins/in_memory.py
@@ -522,7 +522,7 @@
                 group,
                 server,
                 token,
-                0.0,
+                self.promote_s,
             )
             raise StoreError("no answer")
         return self._accept_promotion(group, server, token, self.promote_s)
--- a/tests/pooling/test_events_amid_changes.py
+++ b/tests/pooling/test_events_amid_changes.py
@@ -111,3 +111,17 @@
         other.partitioned = False
         await wait_until(lambda: model.promotions)
     assert model.lost == []
+
+
+async def test_promotion_that_was_accepted_before_a_newer_token_loses_no_commit():
+    """Failure 2: the change ended while the late promotion was taking effect."""
+    model, platform, host = make(promote_s=1.0, unanswered_delay_s=3.9)
+    async with running(host), writing(model):
+        await wait_until(lambda: len(model.acknowledged) > 5)
+        model.servers[S1].up = False
+        await isolate_target(model, platform)
+        await asyncio.sleep(1.5)
+        model.servers[S1].up = True
+        await wait_until(lambda: model.promotions, 12.0)
+        await asyncio.sleep(0.2)
+    assert model.lost == []
--- a/tests/test_primary_change_races.py
+++ b/tests/test_primary_change_races.py
@@ -20,6 +20,7 @@
     MemberStatus,
     Pause,
     Promote,
+    RecordTarget,
     RequestStatus,
     StepDown,
 )
@@ -238,6 +239,8 @@
                 self._report_statuses(attempt, (server,), reached)
             case ListServers():
                 attempt.listed = True
+            case RecordTarget(server=server):
+                attempt.recorded = server
             case Promote(server=server):
                 self.requested_promotions.append((server, host.token))
                 attempt.requested = server
