Ask and pause servers that have lost their entry in the store

Cause: a removed entry dropped the server from the members of a change, so it was neither asked nor paused while it still received. With a silent primary it was open.

Change: a group keeps the last four servers whose entry was removed, for commands only, until they are listed again or another server is listed at their address. A change that pauses asks and pauses them too and counts their logs. Those that are gone delay nobody: their answers are awaited for 0.2 s in all, and a missing one doesn't count. They aren't promoted, and get no statements: for those, a missing entry still means gone.

--- a/src/apricotshore/decisions/change_attempt.py
+++ b/src/apricotshore/decisions/change_attempt.py
@@ -14,10 +14,21 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Member:
-    """A backend server that may hold acknowledged commits."""
+    """A backend server that may hold acknowledged commits.
+
+    Parameters
+    ----------
+    server
+        The server.
+    leaving
+        Whether it is being removed from the group.
+    listed
+        Whether the store lists it. One that lost its entry may still receive.
+    """
 
     server: ServerId
     leaving: bool = False
+    listed: bool = True
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/src/apricotshore/decisions/primary_change.py
+++ b/src/apricotshore/decisions/primary_change.py
@@ -84,7 +84,7 @@
 
 
 def _choose_target(attempt: Attempt, followers: list[Member]) -> ServerId | None:
-    candidates = [m for m in followers if m.server not in attempt.rejected]
+    candidates = [m for m in followers if m.listed and m.server not in attempt.rejected]
     if not candidates:
         return None
     best = max(
@@ -263,7 +263,9 @@
         return RequestStatus(servers=asked)
     if not attempt.listed:
         return ListServers()
-    missing = tuple(m.server for m in members if m.server not in attempt.statuses)
+    missing = tuple(
+        m.server for m in members if m.listed and m.server not in attempt.statuses
+    )
     if missing and since < NO_ANSWER_LIMIT_MS:
         return RequestStatus(servers=missing)
     target = _choose_target(attempt, others)
@@ -328,8 +330,9 @@
 ) -> Step:
     """Pause every server that answers except the target, and promote that one."""
     missing = tuple(m.server for m in members if m.server not in attempt.statuses)
+    listed = {m.server for m in members if m.listed}
     followers = _list_followers(attempt, members)
-    if len(missing) >= COPIES_PER_COMMIT or not followers:
+    if len(listed & set(missing)) >= COPIES_PER_COMMIT or not followers:
         servers = missing or _list_names(members)
         return RequestStatus(servers=_prefer_responsive(attempt, servers))
     if attempt.target is None or attempt.target not in attempt.statuses:
@@ -356,7 +359,7 @@
     if target is None:
         return Wait(why="no server can be promoted")
     known = set(_list_names(followers))
-    unknown = tuple(m.server for m in members if m.server not in known)
+    unknown = tuple(m.server for m in members if m.listed and m.server not in known)
     if len(unknown) >= COPIES_PER_COMMIT:
         return RequestStatus(servers=_prefer_responsive(attempt, unknown))
     reached = _read_order(attempt, target)
--- a/src/apricotshore/pooling/change_steps.py
+++ b/src/apricotshore/pooling/change_steps.py
@@ -30,6 +30,8 @@
 # Pause before servers are asked again, and while a promotion is awaited.
 STATUS_PAUSE_S = 0.02
 EFFECT_PAUSE_S = 0.05
+# Longest wait for servers that the store no longer lists; most of them are gone.
+UNLISTED_WAIT_S = 0.2
 
 
 class ChangeSteps:
@@ -76,6 +78,8 @@
         self.leased_at = read_boot_ms()
         self.requested_at = 0
         self.last_phase: tuple[object, ...] = ()
+        # Commands that run without being waited for, by server.
+        self.sent: dict[ServerId, asyncio.Task[None]] = {}
 
     def may_go_on(self, is_needed: bool) -> bool:
         """Return whether another step is due.
@@ -157,10 +161,12 @@
             record_phase(self.group, phase, **details)
 
     def _list_members(self) -> tuple[Member, ...]:
-        return tuple(
-            Member(server=s.server, leaving=s.leaving)
-            for s in self.group.servers.values()
-        )
+        group = self.group
+        listed = [
+            Member(server=s.server, leaving=s.leaving) for s in group.servers.values()
+        ]
+        unlisted = [Member(server=s, listed=False) for s in group.unlisted]
+        return (*listed, *unlisted)
 
     def _observe_primary_end(self) -> None:
         """Take a position that the primary proved in this change, if it is too busy.
@@ -182,7 +188,21 @@
     async def _command_all(
         self, servers: Iterable[ServerId], kind: QueryKind, term: Term = NO_TERM
     ) -> None:
-        await asyncio.gather(*(self._command(s, kind, term) for s in servers))
+        asked = list(servers)
+        for server in self.group.unlisted.keys() & set(asked):
+            self._send(server, kind, term)
+        listed = [s for s in asked if s not in self.group.unlisted]
+        if not listed:
+            await asyncio.sleep(STATUS_PAUSE_S)
+        await asyncio.gather(*(self._command(s, kind, term) for s in listed))
+
+    def _send(self, server: ServerId, kind: QueryKind, term: Term) -> None:
+        """Run a command without waiting for it, unless the last one still runs."""
+        if server in self.sent:
+            return
+        task = asyncio.get_running_loop().create_task(self._command(server, kind, term))
+        self.sent[server] = task
+        task.add_done_callback(lambda _: self.sent.pop(server))
 
     async def _command(self, server: ServerId, kind: QueryKind, term: Term) -> None:
         reply = await self.commands.ask(server, kind, term)
@@ -213,6 +233,8 @@
             self._record("waiting", why=f"store: {error}")
             await asyncio.sleep(EFFECT_PAUSE_S)
             return
+        if self.sent:
+            await asyncio.wait(self.sent.values(), timeout=UNLISTED_WAIT_S)
         self.attempt.listed = True
 
     async def _record_target(self, server: ServerId) -> bool:
--- a/src/apricotshore/pooling/group.py
+++ b/src/apricotshore/pooling/group.py
@@ -19,6 +19,9 @@
 from .ports import Dialer
 from .settings import DEFAULT_LEAVE_MS, DEFAULT_WINDOW_MS
 
+# Servers without an entry that still get commands.
+MAX_UNLISTED = 4
+
 Locate = Callable[[DataCentreId], Distance]
 
 
@@ -122,6 +125,9 @@
         self.relay_count = 0
         self.servers: dict[ServerId, ListedServer] = {}
         self.pools: dict[ServerId, ServerPool] = {}
+        # Pools of servers whose entry was removed. They get commands only: one that
+        # is cut off from the store may still receive and acknowledge.
+        self.unlisted: dict[ServerId, ServerPool] = {}
         self.primary_state = PrimaryState()
         # Set where a replaced primary may go on answering.
         self.prover: PrimarySource | None = None
@@ -145,6 +151,7 @@
     def update_server(self, server: ListedServer) -> None:
         """Record a server that was listed or changed in the store."""
         old = self.servers.get(server.server)
+        self._forget_unlisted(server)
         self.servers[server.server] = server
         if old is not None and old.started_ms != server.started_ms:
             self.log_lost_at = read_boot_ms()
@@ -174,8 +181,10 @@
 
     def remove_server(self, server: ServerId) -> None:
         """Record that a server was removed from the store."""
-        if self.servers.pop(server, None) is None:
+        removed = self.servers.pop(server, None)
+        if removed is None:
             return
+        self._keep_unlisted(removed)
         self.leaving.pop(server, None)
         self.log_lost_at = read_boot_ms()
         self.journal.record(EventKind.SERVER_GONE, group=self.group, server=server)
@@ -183,6 +192,34 @@
         leadership.observe_silence(self.primary_state, server, read_boot_ms())
         self.probe_wanted.set()
 
+    def _keep_unlisted(self, server: ListedServer) -> None:
+        while len(self.unlisted) >= MAX_UNLISTED:
+            self._close_unlisted(next(iter(self.unlisted)))
+        self.unlisted[server.server] = self._make_pool(server)
+
+    def _forget_unlisted(self, listed: ListedServer) -> None:
+        """Forget a server that is listed again, or whose address another has taken."""
+        for server, pool in list(self.unlisted.items()):
+            if server == listed.server or pool.server.address == listed.address:
+                self._close_unlisted(server)
+
+    def _close_unlisted(self, server: ServerId) -> None:
+        self.unlisted.pop(server).close()
+
+    def find_pool(self, server: ServerId) -> ServerPool | None:
+        """Return the pool of a server, whether it is listed or not."""
+        return self.pools.get(server) or self.unlisted.get(server)
+
+    def close_pools(self) -> None:
+        """Close every connection."""
+        for pool in (*self.pools.values(), *self.unlisted.values()):
+            pool.close()
+
+    def close_idle(self) -> None:
+        """Close connections that have been idle for too long."""
+        for pool in (*self.pools.values(), *self.unlisted.values()):
+            pool.close_idle()
+
     def set_connections(self, connections: int) -> None:
         """Set the limit of connections per server."""
         self.connections = connections
--- a/src/apricotshore/pooling/group_commands.py
+++ b/src/apricotshore/pooling/group_commands.py
@@ -58,8 +58,8 @@
     async def ask(
         self, server: ServerId, kind: QueryKind, term: Term = NO_TERM
     ) -> CommandReply:
-        """Run a command at a server; return its reply."""
-        pool = self.group.pools.get(server)
+        """Run a command at a server, listed or not; return its reply."""
+        pool = self.group.find_pool(server)
         if pool is None:
             return CommandReply()
         query = Query(kind=kind, term=term)
--- a/src/apricotshore/pooling/host.py
+++ b/src/apricotshore/pooling/host.py
@@ -167,8 +167,7 @@
         for task in self.caller_sessions.values():
             task.cancel()
         for group in self.groups.values():
-            for pool in group.pools.values():
-                pool.close()
+            group.close_pools()
         await self.adapters.close()
         self.journal.record(EventKind.STOPPED, sessions=len(self.caller_sessions))
         self.journal.flush()
@@ -417,8 +416,7 @@
             await asyncio.sleep(HOUSEKEEPING_S if self.is_ready else 0.1)
             self.journal.flush()
             for group in self.groups.values():
-                for pool in group.pools.values():
-                    pool.close_idle()
+                group.close_idle()
             if self.drain.began_at is None:
                 continue
             self._close_idle()
--- a/src/apricotshore/pooling/primary_changer.py
+++ b/src/apricotshore/pooling/primary_changer.py
@@ -235,8 +235,8 @@
         )
 
     async def _resume_all(self) -> None:
-        primary = self.group.primary_state.primary
-        self.unresumed = {s for s in self.group.servers if s != primary}
+        known = {*self.group.servers, *self.group.unlisted}
+        self.unresumed = known - {self.group.primary_state.primary}
         for _ in range(RESUME_ROUNDS):
             self.unresumed -= await self.commands.resume(self.unresumed)
             if not self.unresumed:
@@ -314,7 +314,7 @@
         No other host does this before the next change. When the lease has been
         written since, there is a next change, and its holder resumes them.
         """
-        self.unresumed &= set(self.group.servers)
+        self.unresumed &= {*self.group.servers, *self.group.unlisted}
         now = read_boot_ms()
         if not self.unresumed or now - self.resume_tried_at < RESUME_PERIOD_MS:
             return
--- a/tests/pooling/test_events_amid_changes.py
+++ b/tests/pooling/test_events_amid_changes.py
@@ -76,7 +76,7 @@
     assert model.lost == []
 
 
-@pytest.mark.parametrize("replace", [replace_leaving])
+@pytest.mark.parametrize("replace", [replace_leaving, replace_silent])
 async def test_live_replica_whose_entry_was_removed_loses_no_commit(replace):
     """Failure 3: a change neither asked nor paused a replica without an entry."""
     model, platform, host = make(promote_s=0.5)
