Hold the others until a promotion takes effect, and check every order of events

Cause: after the order nobody looked at the pauses again, though a restart ends one. The base's record: order 11.209, crash 11.466, back 11.767, leads 12.211; the first lost commit follows the target's `mark`. With a primary that answers, stepping down first closed this. With a silent one it was open: it may be back before the promotion takes effect.

Change: until the effect, every server but the target is paused again and the replaced primary is told to step down, each without waiting for the others (new log phase `holding`). Commands that still run when a change ends are ended with it.

--- a/src/apricotshore/decisions/change_attempt.py
+++ b/src/apricotshore/decisions/change_attempt.py
@@ -105,6 +105,8 @@
         Server whose promotion was requested and may still take effect.
     accepted
         Whether the platform has accepted that request.
+    held
+        Whether the others were told to hold since it was last requested.
     """
 
     from_term: Term
@@ -126,6 +128,7 @@
     rejected: set[ServerId] = field(default_factory=set)
     requested: ServerId | None = None
     accepted: bool = False
+    held: bool = False
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -151,6 +154,18 @@
     term: Term
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Hold:
+    """Action: keep commits from being acknowledged while a promotion is under way.
+
+    Replication is paused at servers, and a primary that returned steps down.
+    """
+
+    servers: tuple[ServerId, ...]
+    primary: ServerId | None
+    term: Term
+
+
 @dataclass(frozen=True, kw_only=True, slots=True)
 class ListServers:
     """Action: read the list of servers in the store anew."""
@@ -188,6 +203,7 @@
     RequestStatus
     | Pause
     | StepDown
+    | Hold
     | ListServers
     | RecordTarget
     | Promote
--- a/src/apricotshore/decisions/primary_change.py
+++ b/src/apricotshore/decisions/primary_change.py
@@ -9,7 +9,8 @@
 2. A server whose log reaches that end is promoted.
 
 A primary that gives no answer cannot step down. Then replication is paused at every
-other server that can be found except the target.
+other server that can be found except the target, and again until the promotion
+takes effect; a primary that returns in that time is told to step down.
 
 The target is recorded in the lease before its promotion is requested. While that
 promotion may take effect, no other server is promoted: a repeated request for the
@@ -23,6 +24,7 @@
 from .change_attempt import (
     Abandon,
     Attempt,
+    Hold,
     ListServers,
     Member,
     Pause,
@@ -154,7 +156,7 @@
         Milliseconds since boot.
     """
     if attempt.requested is not None:
-        return _plan_until_effect(attempt)
+        return _plan_until_effect(attempt, members)
     leader = find_primary(attempt)
     if leader is not None:
         return Abandon(leader=leader)
@@ -313,12 +315,21 @@
     )
 
 
-def _plan_until_effect(attempt: Attempt) -> Step:
-    """Request the promotion until it is accepted, and wait for its effect."""
+def _plan_until_effect(attempt: Attempt, members: tuple[Member, ...]) -> Step:
+    """Request the promotion until it is accepted, and hold the others meanwhile."""
     assert attempt.requested is not None
-    if not attempt.accepted:
+    may_hold = bool(attempt.pause_term)
+    if not attempt.accepted and (attempt.held or not may_hold):
         return Promote(server=attempt.requested)
-    return Wait(why="the promotion takes effect")
+    if not may_hold:
+        return Wait(why="the promotion takes effect")
+    others = tuple(
+        s
+        for s in _list_names(members)
+        if s not in (attempt.requested, attempt.replaced)
+    )
+    primary = attempt.replaced if attempt.replaced != attempt.requested else None
+    return Hold(servers=others, primary=primary, term=attempt.pause_term)
 
 
 def _plan_with_pauses(
--- a/src/apricotshore/pooling/change_steps.py
+++ b/src/apricotshore/pooling/change_steps.py
@@ -7,6 +7,7 @@
 from ..decisions.change_attempt import (
     Abandon,
     Attempt,
+    Hold,
     ListServers,
     Member,
     Pause,
@@ -24,7 +25,7 @@
 from ..services.clock import read_boot_ms
 from .change_lease import ChangeLease
 from .group import Group
-from .group_commands import NO_TERM, GroupCommands, record_phase
+from .group_commands import COMMAND_TIMEOUT_MS, NO_TERM, GroupCommands, record_phase
 from .ports import Promoter, StoreError
 
 # Pause before servers are asked again, and while a promotion is awaited.
@@ -32,6 +33,9 @@
 EFFECT_PAUSE_S = 0.05
 # Longest wait for servers that the store no longer lists; most of them are gone.
 UNLISTED_WAIT_S = 0.2
+# Commands that are repeated until a promotion takes effect: one without an answer
+# must not delay the next.
+HOLD_TIMEOUT_MS = 200
 
 
 class ChangeSteps:
@@ -147,6 +151,8 @@
                 await self._command_all(servers, QueryKind.PAUSE, term)
             case StepDown(server=server, term=term):
                 await self._step_down(server, term)
+            case Hold():
+                await self._hold(step)
             case ListServers():
                 await self._list_servers()
             case Wait(why=why):
@@ -200,12 +206,32 @@
         """Run a command without waiting for it, unless the last one still runs."""
         if server in self.sent:
             return
-        task = asyncio.get_running_loop().create_task(self._command(server, kind, term))
+        task = asyncio.get_running_loop().create_task(
+            self._command(server, kind, term, HOLD_TIMEOUT_MS)
+        )
         self.sent[server] = task
-        task.add_done_callback(lambda _: self.sent.pop(server))
+        task.add_done_callback(lambda done: self._forget(server, done))
+
+    def _forget(self, server: ServerId, done: asyncio.Task[None]) -> None:
+        del self.sent[server]
+        if not done.cancelled() and done.exception() is not None:
+            self._record("failed", server=server, why=repr(done.exception()))
+
+    async def stop(self) -> None:
+        """End the commands that still run: a late pause would outlast the change."""
+        sent = list(self.sent.values())
+        for task in sent:
+            task.cancel()
+        await asyncio.gather(*sent, return_exceptions=True)
 
-    async def _command(self, server: ServerId, kind: QueryKind, term: Term) -> None:
-        reply = await self.commands.ask(server, kind, term)
+    async def _command(
+        self,
+        server: ServerId,
+        kind: QueryKind,
+        term: Term,
+        timeout_ms: int = COMMAND_TIMEOUT_MS,
+    ) -> None:
+        reply = await self.commands.ask(server, kind, term, timeout_ms)
         if reply.report is not None:
             change_attempt.update_status(
                 self.attempt, server, read_status(reply.report), read_boot_ms()
@@ -224,6 +250,16 @@
             return
         self._record("yielded", server=server, mark=f"{end.term}.{end.position}")
 
+    async def _hold(self, step: Hold) -> None:
+        self._record("holding", servers=step.servers, primary=step.primary)
+        self.attempt.held = True
+        for server in step.servers:
+            self._send(server, QueryKind.PAUSE, step.term)
+        if step.primary is not None:
+            self._send(step.primary, QueryKind.STEP_DOWN, step.term)
+        self.group.probe_wanted.set()
+        await asyncio.sleep(EFFECT_PAUSE_S)
+
     # -- the platform --
 
     async def _list_servers(self) -> None:
@@ -273,6 +309,7 @@
             # The promotion may still take effect: servers stay paused until that is
             # known.
             attempt.requested = server
+            attempt.held = False
             self._record("promotion-unknown", server=server, why=str(error))
             await asyncio.sleep(EFFECT_PAUSE_S)
             return True
--- a/src/apricotshore/pooling/group_commands.py
+++ b/src/apricotshore/pooling/group_commands.py
@@ -56,7 +56,11 @@
         self.group = group
 
     async def ask(
-        self, server: ServerId, kind: QueryKind, term: Term = NO_TERM
+        self,
+        server: ServerId,
+        kind: QueryKind,
+        term: Term = NO_TERM,
+        timeout_ms: int = COMMAND_TIMEOUT_MS,
     ) -> CommandReply:
         """Run a command at a server, listed or not; return its reply."""
         pool = self.group.find_pool(server)
@@ -64,7 +68,7 @@
             return CommandReply()
         query = Query(kind=kind, term=term)
         try:
-            answer = await pool.run_alone(query, COMMAND_PRIORITY, COMMAND_TIMEOUT_MS)
+            answer = await pool.run_alone(query, COMMAND_PRIORITY, timeout_ms)
         except (NoConnectionError, ConnectionLostError) as error:
             record_phase(self.group, "no-answer", server=server, why=str(error))
             return CommandReply()
--- a/src/apricotshore/pooling/primary_changer.py
+++ b/src/apricotshore/pooling/primary_changer.py
@@ -163,9 +163,12 @@
             attempt=attempt,
             token=token,
         )
-        while work.may_go_on(self._is_needed(reason)):
-            if not await work.take_step():
-                break
+        try:
+            while work.may_go_on(self._is_needed(reason)):
+                if not await work.take_step():
+                    break
+        finally:
+            await work.stop()
         await self._finish(work, reason == "unfinished")
 
     def _make_attempt(self, reason: str, began: int) -> Attempt:
--- a/tests/pooling/test_events_amid_changes.py
+++ b/tests/pooling/test_events_amid_changes.py
@@ -93,7 +93,7 @@
     assert model.lost == []
 
 
-@pytest.mark.parametrize("replace", [replace_leaving])
+@pytest.mark.parametrize("replace", [replace_leaving, replace_silent])
 async def test_paused_replica_that_restarts_amid_a_change_loses_no_commit(replace):
     """Failure 4: nobody paused it again until the promotion took effect."""
     model, platform, host = make(promote_s=0.8)
--- /dev/null
+++ b/tests/test_primary_change_order.py
@@ -0,0 +1,299 @@
+"""A change of primary loses no commit, whatever comes between its steps.
+
+The events are lost and late answers, joins, restarts, removed entries, replicas that
+receive nothing, hosts that end, and newer tokens.
+"""
+
+import copy
+from collections.abc import Callable, Mapping
+
+import pytest
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    invariant,
+    rule,
+    run_state_machine_as_test,
+)
+
+from apricotshore.decisions import lease
+from apricotshore.identifiers import ServerId
+
+from .changemodel import FIRST, JOINING, SERVERS, ChangeModel
+
+Event = Callable[[ChangeModel], None]
+HOSTS = st.sampled_from([0, 1])
+ANY = st.sampled_from(SERVERS)
+SOME = st.sets(ANY, max_size=2)
+
+
+class PlannedChange(RuleBasedStateMachine):
+    """A primary that answers, though not always, is replaced."""
+
+    as_before = False
+
+    def __init__(self):
+        super().__init__()
+        self.model = ChangeModel(as_before=self.as_before)
+
+    @rule(name=ANY)
+    def commit(self, name):
+        self.model.commit_with(name)
+
+    @rule()
+    def write(self):
+        self.model.write()
+
+    @rule(which=HOSTS)
+    def begin(self, which):
+        if self.model.hosts[which].attempt is None:
+            self.model.begin(which, must_step_down=True)
+
+    @rule(which=HOSTS, steps=st.integers(1, 12))
+    def run_steps(self, which, steps):
+        for _ in range(steps):
+            self.model.run_step(which)
+
+    @rule()
+    def finish_promotion(self):
+        self.model.finish_promotion()
+
+    @invariant()
+    def nothing_acknowledged_is_lost(self):
+        assert not self.model.lost
+
+
+class Interrupted(PlannedChange):
+    """Replicas join, restart, lose their entries and receive nothing meanwhile."""
+
+    @rule(name=ANY)
+    def hear_or_not(self, name):
+        self.model.hear_or_not(name)
+
+    @rule()
+    def join(self):
+        self.model.join()
+
+    @rule(name=ANY, which=HOSTS)
+    def unlist(self, name, which):
+        self.model.unlist(name)
+        self.model.watch(which)
+
+    @rule(name=ANY)
+    def restart(self, name):
+        self.model.restart(name)
+
+
+class SilentPrimary(RuleBasedStateMachine):
+    """A silent primary is replaced, and may be back; a promotion may come late."""
+
+    def __init__(self):
+        super().__init__()
+        self.model = ChangeModel()
+
+    @rule(name=st.sampled_from(FIRST[1:]))
+    def commit(self, name):
+        self.model.commit_with(name)
+
+    @rule(which=HOSTS)
+    def begin(self, which):
+        if self.model.hosts[which].attempt is None:
+            self.model.crash(FIRST[0])
+            self.model.begin(which, must_step_down=False)
+
+    @rule(which=HOSTS, steps=st.integers(1, 100), is_late=st.booleans())
+    def run_steps(self, which, steps, is_late):
+        for _ in range(steps):
+            self.model.run_step(which, is_late=is_late)
+
+    @rule()
+    def primary_returns(self):
+        self.model.come_back(FIRST[0])
+
+    @rule()
+    def carry_out_late(self):
+        self.model.carry_out_late()
+
+    @rule()
+    def finish_promotion(self):
+        self.model.finish_promotion()
+
+    @rule(which=HOSTS)
+    def finish_change(self, which):
+        finish_change(self.model, which)
+
+    @rule()
+    def lease_expires(self):
+        self.model.pass_time(lease.LEASE_MS)
+
+    @rule(which=HOSTS)
+    def stop_host(self, which):
+        self.model.stop_host(which)
+
+    @invariant()
+    def nothing_acknowledged_is_lost(self):
+        assert not self.model.lost
+
+
+class AnyOrder(Interrupted):
+    """All events at once, at a primary that answers in the end."""
+
+    @rule(which=HOSTS, reached=st.sets(ANY), unanswered=SOME, is_late=st.booleans())
+    def run_lossy_step(self, which, reached, unanswered, is_late):
+        primary = self.model.primary
+        # A primary without an answer for longer is taken for silent; see LatePromotion.
+        attempt = self.model.hosts[which].attempt
+        since = attempt.unanswered_since if attempt is not None else None
+        is_near = since is not None and self.model.now - since >= 600
+        if primary is not None and is_near:
+            reached, unanswered = reached | {primary.name}, unanswered - {primary.name}
+        self.model.run_step(which, reached, unanswered, is_late=is_late)
+
+    @rule(name=ANY)
+    def become_empty(self, name):
+        requested = {t for t, _ in self.model.late} | {
+            t for t, _ in self.model.accepted
+        }
+        for host in self.model.hosts:
+            if host.attempt is not None:
+                requested.add(host.attempt.recorded)
+        if name not in requested:
+            self.model.become_empty(name)
+
+    @rule(which=HOSTS)
+    def watch(self, which):
+        self.model.watch(which)
+
+    @rule(which=HOSTS)
+    def probe(self, which):
+        self.model.probe(which)
+
+    @rule()
+    def carry_out_late(self):
+        self.model.carry_out_late()
+
+    @rule(ms=st.sampled_from([50, 400, lease.LEASE_MS]))
+    def pass_time(self, ms):
+        self.model.pass_time(ms)
+
+    @rule(which=HOSTS)
+    def stop_host(self, which):
+        self.model.stop_host(which)
+
+
+HOLD = settings(max_examples=500, stateful_step_count=40, deadline=None)
+
+
+@pytest.mark.parametrize("events", [Interrupted, SilentPrimary, AnyOrder])
+def test_decisions_lose_no_commit(events):
+    run_state_machine_as_test(events, settings=HOLD)
+
+
+# -- every order of a few events --
+
+
+def replace_silent_primary(model: ChangeModel, *, is_late: bool) -> None:
+    if model.hosts[0].attempt is None:
+        model.crash(FIRST[0])
+        model.begin(0, must_step_down=False)
+    for _ in range(8):
+        model.run_step(0, is_late=is_late)
+
+
+def return_and_wait(model: ChangeModel) -> None:
+    model.come_back(FIRST[0])
+    for _ in range(100):
+        model.run_step(0)
+
+
+def finish_change(model: ChangeModel, which: int) -> None:
+    if not model.lease.open or model.hosts[which].attempt is not None:
+        return
+    model.begin(which, must_step_down=False)
+    for _ in range(8):
+        model.run_step(which)
+
+
+def replace_leaving_primary(model: ChangeModel, steps: int) -> None:
+    if model.hosts[0].attempt is None:
+        model.begin(0, must_step_down=True)
+    for _ in range(steps):
+        model.run_step(0)
+
+
+def unlist(model: ChangeModel, name: ServerId) -> None:
+    model.unlist(name)
+    model.watch(0)
+
+
+PLANNED: Mapping[str, Event] = {
+    "commit with s2": lambda model: model.commit_with(FIRST[1]),
+    "change": lambda model: replace_leaving_primary(model, 1),
+    "change until requested": lambda model: replace_leaving_primary(model, 7),
+    "s3 deaf or not": lambda model: model.hear_or_not(FIRST[2]),
+    "promotion": ChangeModel.finish_promotion,
+}
+LATE: Mapping[str, Event] = {
+    "commit with s2": lambda model: model.commit_with(FIRST[1]),
+    "commit with s3": lambda model: model.commit_with(FIRST[2]),
+    "change": lambda model: replace_silent_primary(model, is_late=False),
+    "change, late": lambda model: replace_silent_primary(model, is_late=True),
+    "primary returns": return_and_wait,
+    "late request": ChangeModel.carry_out_late,
+    "promotion": ChangeModel.finish_promotion,
+    "a finishes": lambda model: finish_change(model, 0),
+    "b finishes": lambda model: finish_change(model, 1),
+    "a stops": lambda model: model.stop_host(0),
+    "lease expires": lambda model: model.pass_time(lease.LEASE_MS),
+}
+FAILURES: Mapping[str, Mapping[str, Event]] = {
+    "1, a replica that starts amid a change": {
+        **PLANNED,
+        "s4 joins": ChangeModel.join,
+        "commit with s4": lambda model: model.commit_with(JOINING),
+    },
+    "2, a late promotion accepted before a newer token": LATE,
+    "3, a live replica whose entry was removed": {
+        **PLANNED,
+        "s2 unlisted": lambda model: unlist(model, FIRST[1]),
+    },
+    "4, a paused replica that restarts": {
+        **PLANNED,
+        "s2 restarts": lambda model: model.restart(FIRST[1]),
+    },
+}
+DEPTH = 6
+
+
+def find_loss(
+    model: ChangeModel, events: Mapping[str, Event]
+) -> tuple[str, ...] | None:
+    """Return the shortest order of events that loses a commit, None without one."""
+    states: dict[str, tuple[tuple[str, ...], ChangeModel]] = {"": ((), model)}
+    seen: set[str] = set()
+    for _ in range(DEPTH):
+        found = {}
+        for path, before in states.values():
+            for name, event in events.items():
+                after = copy.deepcopy(before)
+                event(after)
+                if after.lost:
+                    return (*path, name)
+                key = repr(vars(after))
+                if key not in seen:
+                    seen.add(key)
+                    found[key] = ((*path, name), after)
+        states = found
+    return None
+
+
+@pytest.mark.parametrize("failure", FAILURES)
+def test_decisions_before_lose_a_commit_in_some_order(failure):
+    """The model finds each of the four failures in the decisions as they were."""
+    assert find_loss(ChangeModel(as_before=True), FAILURES[failure]) is not None
+
+
+@pytest.mark.parametrize("failure", FAILURES)
+def test_decisions_lose_no_commit_in_any_order_of_six_events(failure):
+    assert find_loss(ChangeModel(), FAILURES[failure]) is None
--- a/tests/test_primary_change_races.py
+++ b/tests/test_primary_change_races.py
@@ -15,6 +15,7 @@
 from apricotshore.decisions.change_attempt import (
     Abandon,
     Attempt,
+    Hold,
     ListServers,
     Member,
     MemberStatus,
@@ -237,13 +238,17 @@
             case StepDown(server=server):
                 self._step_down(server, reached)
                 self._report_statuses(attempt, (server,), reached)
+            case Hold(servers=servers, primary=primary, term=term):
+                attempt.held = True
+                self._pause(servers, term, reached)
+                self._step_down(primary, reached)
             case ListServers():
                 attempt.listed = True
             case RecordTarget(server=server):
                 attempt.recorded = server
             case Promote(server=server):
                 self.requested_promotions.append((server, host.token))
-                attempt.requested = server
+                attempt.requested, attempt.held = server, False
             case Abandon():
                 host.attempt = None
 
