Let an entry of the store that can't be read cost only itself

Cause, three places where one entry ended more than itself. (1) Decoding: 1e999 becomes infinity, and int() raised OverflowError, which decode_server didn't catch. (2) Before that: the library refuses the whole text of a list or a watch for one value that is nested too deeply (RecursionError, caught by nobody), a number of more than 4,300 digits or bytes that are no text. (3) Later use: port 70000 raised OverflowError in connecting; names with blanks or line ends would have gone into the servers' protocol.

A list goes on from the last name that can be read. What applying an entry raises is logged and ends with it.

--- a/src/apricotshore/pooling/store_watcher.py
+++ b/src/apricotshore/pooling/store_watcher.py
@@ -349,6 +349,11 @@
             return True
         was_missing = self.missing.pop(server, None) is not None
         known = self.listed.get(server)
+        try:
+            self.on_server(change.content)
+        except Exception as error:
+            # What one entry says must not keep the others from being followed.
+            self.journal.record(EventKind.ERROR, server=server, why=repr(error))
+            return True
         self.listed[server] = change.content
-        self.on_server(change.content)
         return was_missing or known != change.content
--- a/src/apricotshore/services/eras.py
+++ b/src/apricotshore/services/eras.py
@@ -8,12 +8,14 @@
 from .clock import read_boot_ms
 
 ERA_HEADER = "Store-Era"
+MAX_ERA_DIGITS = 15
 
 
 def read_era(headers: Mapping[str, str]) -> StoreEra:
     """Return the era that an answer's headers name, 0 if they name none."""
     text = headers.get(ERA_HEADER, "")
-    return StoreEra(int(text) if text.isascii() and text.isdigit() else 0)
+    is_number = text.isascii() and text.isdigit() and len(text) <= MAX_ERA_DIGITS
+    return StoreEra(int(text) if is_number else 0)
 
 
 class EraTracker:
--- a/src/apricotshore/services/jsonapi.py
+++ b/src/apricotshore/services/jsonapi.py
@@ -2,7 +2,7 @@
 
 import json
 import socket
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 from typing import Any
 
@@ -47,9 +47,15 @@
 
     The library sends a call that may be repeated (any but ``POST``) once more if its
     connection is lost, so the server may execute it twice.
+
+    Parameters
+    ----------
+    decode
+        Decodes the bodies of answers; raises `ValueError` for one that is not JSON.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, *, decode: Callable[[bytes], Any] = json.loads) -> None:
+        self._decode = decode
         self._session: aiohttp.ClientSession | None = None
 
     async def close(self) -> None:
@@ -90,7 +96,7 @@
                 body = await response.read()
                 return JsonAnswer(
                     status=response.status,
-                    body=json.loads(body) if body else {},
+                    body=self._decode(body) if body else {},
                     headers=response.headers,
                 )
         except (aiohttp.ClientError, TimeoutError, OSError, ValueError) as error:
--- a/tests/platform_adapter/test_objects.py
+++ b/tests/platform_adapter/test_objects.py
@@ -86,7 +86,21 @@
 
 @pytest.mark.parametrize(
     "change",
-    [{"state": "resting"}, {"address": "nowhere"}, {"slots": "3"}, {"born": True}],
+    [
+        {"state": "resting"},
+        {"address": "nowhere"},
+        {"address": "127.0.0.1:70000"},
+        {"address": "127.0.0.1:0"},
+        {"address": "host\r\n:80"},
+        {"slots": "3"},
+        {"slots": float("inf")},
+        {"slots": float("nan")},
+        {"slots": 10**400},
+        {"slots": -1},
+        {"service": "g1 x\r\nQUERY"},
+        {"service": "\ud800"},
+        {"born": True},
+    ],
 )
 def test_server_with_an_invalid_value_is_none(change):
     assert decode_server(make({**ENTRY, **change})) is None
--- a/tests/platform_adapter/test_sockets.py
+++ b/tests/platform_adapter/test_sockets.py
@@ -191,6 +191,51 @@
     assert snapshot.revision == 9
 
 
+GOOD_ENTRY = (
+    b'{"meta": {"name": "i-good", "revision": 3}, "spec": {"service": "g1",'
+    b' "zone": "z", "address": "127.0.0.1:80", "slots": 3, "state": "ready"}}'
+)
+ODD_ENTRY = b'{"meta": {"name": "i-odd", "revision": 4}, "spec": {"slots": '
+ODD_VALUES = {
+    "deep": b"[" * 100_000 + b"]" * 100_000,
+    "long number": b"9" * 5_000,
+    "infinite": b"1e999",
+    "bytes": b'"\xff"',
+}
+
+
+@pytest.mark.parametrize("value", ODD_VALUES.values(), ids=ODD_VALUES)
+async def test_odd_entry_ends_neither_the_list_nor_the_watch(value):
+    """Other operators' report: machines that read the list stopped following it."""
+    odd = ODD_ENTRY + value + b"}}"
+
+    async def handle(request):
+        if "watch" in request.query:
+            events = b'{"object": ' + odd + b'}, {"object": ' + GOOD_ENTRY + b"}"
+            text = b'{"events": [' + events + b'], "storeRevision": 9}'
+        else:
+            text = b'{"items": [' + odd + b"," + GOOD_ENTRY + b'], "storeRevision": 9}'
+        return web.Response(body=text, content_type="application/json")
+
+    async with store(handle) as client:
+        listed = await client.list(StoredKind.SERVER)
+        watched = await client.watch(StoredKind.SERVER, StoreRevision(8), 100)
+    for snapshot in (listed, watched):
+        assert [change.name for change in snapshot.changes] == ["i-odd", "i-good"]
+        assert snapshot.changes[0].content is None
+        assert snapshot.changes[1].content.address == "127.0.0.1:80"
+
+
+async def test_list_that_cannot_be_continued_ends():
+    async def handle(request):
+        body = {"items": [{"meta": {}}], "hasMore": True, "storeRevision": 9}
+        return web.json_response(body)
+
+    async with store(handle) as client:
+        with pytest.raises(StoreError, match="no name"):
+            await client.list(StoredKind.SERVER)
+
+
 async def list_two_pages(*, eras=("2", "2"), revisions=(8, 9)):
     """List two pages with the given eras and revisions."""
 
--- a/tests/pooling/test_store_watcher.py
+++ b/tests/pooling/test_store_watcher.py
@@ -259,3 +259,21 @@
         assert not watcher._apply_changes(StoredKind.SERVER, (server(),))
         assert watcher._apply_changes(StoredKind.SERVER, (server(removed=True),))
         assert watcher._apply_changes(StoredKind.SERVER, (server(),))
+
+
+async def test_entry_whose_use_fails_costs_only_itself():
+    """Other operators' report: one odd entry ended the watch of all servers."""
+    bed = Bed()
+
+    def refuse_first(found):
+        if found.server == "s1":
+            raise OverflowError("port must be 0-65535")
+        bed.servers.add(found.server)
+
+    bed.store_watcher.on_server = refuse_first
+    bed.store.lists[StoredKind.SERVER] = [server("s1"), server("s2")]
+    async with bed:
+        await wait_until(lambda: bed.servers == {"s2"})
+        bed.store.events[StoredKind.SERVER].put_nowait(server("s1"))
+        bed.store.events[StoredKind.SERVER].put_nowait(server("s3"))
+        await wait_until(lambda: bed.servers == {"s2", "s3"})
