Have the soak replace servers, with events between the steps of a change

`--releases`: a new server starts before the old one leaves, receives nothing for a while, and meanwhile a replica is replaced, restarts or loses its entry; on a schedule of its own, so that other seeds test what they tested.

--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -35,6 +35,7 @@
     parser.add_argument("--connections", type=int, default=40)
     parser.add_argument("--jobs", type=int, default=2)
     parser.add_argument("--restores", action="store_true")
+    parser.add_argument("--releases", action="store_true")
     parser.add_argument("--fault-pause", type=float, default=1.0)
     parser.add_argument("--folder", type=Path, default=Path("target/soak"))
     options = parser.parse_args()
@@ -56,6 +57,7 @@
                 folder,
                 options.restores,
                 options.fault_pause,
+                options.releases,
             )
             running[work] = folder
         for work in as_completed(running):
--- a/tests/soak/model.py
+++ b/tests/soak/model.py
@@ -110,6 +110,8 @@
         Share of statements whose answer is lost, and that are refused with BUSY.
     slowness
         Factor by which statements take longer.
+    unlisted
+        Whether the store lacks its entry although it runs.
     """
 
     name: str
@@ -128,6 +130,7 @@
     lost_share: float = 0.0
     busy_share: float = 0.0
     slowness: float = 1.0
+    unlisted: bool = False
     started_ms: int = field(default_factory=lambda: int(time.time() * 1000))
     down_since: float = 0.0
     next_receive_at: float = 0.0
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -14,6 +14,7 @@
 from .fleet import GRACE_S, Host, find_free_port
 from .model import Checker, Group, Server, now
 from .operator import Operator
+from .releases import Releases, replace_servers
 from .restores import restore_store
 from .servers import LineServer
 from .store import Store, StoreMode
@@ -54,6 +55,8 @@
         Largest number of connections to each server.
     restores
         Whether the store comes back from older copies.
+    releases
+        Whether servers are replaced, with events amid the changes of primary.
     fault_pause_s
         Mean time between two faults of other kinds.
     folder
@@ -69,6 +72,7 @@
         callers: int,
         connections: int,
         restores: bool,
+        releases: bool,
         fault_pause_s: float,
         folder: Path,
     ) -> None:
@@ -82,6 +86,7 @@
         self.fault_log = FaultLog()
         self.host_count = hosts
         self.restores = restores
+        self.releases = releases
         self.fault_pause_s = fault_pause_s
         self.groups = {
             name: Group(
@@ -134,9 +139,12 @@
             await asyncio.sleep(WARM_UP_S)
             changes = asyncio.create_task(self.operator.change_configuration())
             restores = asyncio.create_task(self._restore_store())
+            releases = asyncio.create_task(self._replace_servers(cluster))
             injected = await inject_faults(cluster, seconds, self.fault_pause_s)
             await _end(changes)
             await _end(restores)
+            await _end(releases)
+            self._end_releases()
             self._heal_store()
             self.checker.violations += await self._recover()
             await self.operator.check_last_change()
@@ -164,6 +172,39 @@
             rng = random.Random(f"{self.seed}restores")
             await restore_store(self.store, self.operator, self.fault_log, rng)
 
+    async def _replace_servers(self, cluster: Cluster) -> None:
+        if self.releases:
+            await replace_servers(
+                Releases(
+                    cluster=cluster,
+                    join=self._join_server,
+                    retire=self._retire_server,
+                    random=random.Random(f"{self.seed}releases"),
+                )
+            )
+
+    def _end_releases(self) -> None:
+        for group in self.groups.values():
+            for server in group.servers.values():
+                server.leaving = server.unlisted = server.receive_paused = False
+                server.up = True
+
+    async def _join_server(self, group: Group, zone: str) -> Server:
+        """Start a server with a copy of the primary's log."""
+        primary = group.find_primary()
+        log = list(primary.log) if primary is not None else []
+        name = f"{group.name}-{len(self.servers)}"
+        server = Server(name=name, zone=zone, log=log, applied=len(log))
+        await self._start_server(group, server)
+        group.servers[name] = server
+        return server
+
+    def _retire_server(self, group: Group, server: Server) -> None:
+        server.up = False
+        self.servers[server.name].drop_connections()
+        del group.servers[server.name]
+        self.store.remove("servers", server.name)
+
     def _heal_store(self) -> None:
         self.store.away = False
         self.operator.write_again()
@@ -268,7 +309,9 @@
             self._expire_servers()
             for group in self.groups.values():
                 for server in group.servers.values():
-                    if server.up and not server.silent and not self.store.away:
+                    if server.unlisted:
+                        self.store.remove("servers", server.name)
+                    elif server.up and not server.silent and not self.store.away:
                         self.store.write(
                             "servers", server.name, _make_server_spec(group, server)
                         )
@@ -361,6 +404,7 @@
     folder: Path | None = None,
     restores: bool = False,
     fault_pause_s: float = 1.0,
+    releases: bool = False,
 ) -> Result:
     """Run one seed and return its result."""
     where = folder or Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
@@ -372,6 +416,7 @@
         callers=callers,
         connections=connections,
         restores=restores,
+        releases=releases,
         fault_pause_s=fault_pause_s,
         folder=where,
     )
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -26,6 +26,7 @@
     hosts: int = 3
     connections: int = 40
     restores: bool = False
+    releases: bool = False
     fault_pause_s: float = 1.0
     cause: str = ""
 
@@ -38,6 +39,7 @@
             connections=self.connections,
             folder=folder,
             restores=self.restores,
+            releases=self.releases,
             fault_pause_s=self.fault_pause_s,
         )
 
@@ -48,6 +50,7 @@
     Case(seed=21, hosts=6, connections=10),
     Case(seed=34, seconds=25.0, restores=True, fault_pause_s=6.0),
     Case(seed=32, seconds=12.0, hosts=6, connections=10, restores=True),
+    Case(seed=41, seconds=16.0, releases=True, fault_pause_s=6.0),
     Case(seed=1, seconds=12.0, cause="a reload signal during the imports ended a host"),
     Case(seed=1010, seconds=12.0, cause="a reload signal came before the first line"),
     Case(seed=1011, seconds=12.0, cause="the soak assigned one port to two processes"),
