Have a primary that this host can't reach step down through other hosts

"Silent" was one host's view.

Change: before a silent primary is replaced, up to four other hosts, of different data centres first, are asked at once to have it step down (STATUS and STEPDOWN over the peer address, which serves any host's statements already). If one reaches it, the change goes on as for a primary that answers. If none does within 0.25 s, the pauses remain.

Test: test_live_primary_that_only_other_hosts_reach_steps_down_through_them; without the other host in its list, as the code before behaves, it fails. A dead primary that six other hosts don't reach is still replaced.

--- a/src/apricotshore/decisions/change_attempt.py
+++ b/src/apricotshore/decisions/change_attempt.py
@@ -101,6 +101,8 @@
         Target that the lease names.
     rejected
         Servers that the platform refused to promote.
+    asked_others
+        Whether other hosts were asked to reach a silent primary.
     requested
         Server whose promotion was requested and may still take effect.
     accepted
@@ -126,6 +128,7 @@
     target_since: int = 0
     recorded: ServerId | None = None
     rejected: set[ServerId] = field(default_factory=set)
+    asked_others: bool = False
     requested: ServerId | None = None
     accepted: bool = False
     held: bool = False
@@ -154,6 +157,14 @@
     term: Term
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class AskOthers:
+    """Action: have a silent primary step down through hosts that may reach it."""
+
+    server: ServerId
+    term: Term
+
+
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Hold:
     """Action: keep commits from being acknowledged while a promotion is under way.
@@ -203,6 +214,7 @@
     RequestStatus
     | Pause
     | StepDown
+    | AskOthers
     | Hold
     | ListServers
     | RecordTarget
--- a/src/apricotshore/decisions/primary_change.py
+++ b/src/apricotshore/decisions/primary_change.py
@@ -8,9 +8,10 @@
    acknowledge a commit, whoever else joins, restarts or is not listed.
 2. A server whose log reaches that end is promoted.
 
-A primary that gives no answer cannot step down. Then replication is paused at every
-other server that can be found except the target, and again until the promotion
-takes effect; a primary that returns in that time is told to step down.
+A primary that gives no answer may be reached by other hosts. If by none that is asked,
+replication is paused at every other server that can be found except the target, and
+again until the promotion takes effect; a primary that returns in that time is told to
+step down.
 
 The target is recorded in the lease before its promotion is requested. While that
 promotion may take effect, no other server is promoted: a repeated request for the
@@ -23,6 +24,7 @@
 from ..identifiers import ServerId, Term
 from .change_attempt import (
     Abandon,
+    AskOthers,
     Attempt,
     Hold,
     ListServers,
@@ -387,6 +389,9 @@
         proven = None if since_loss is None else (since_loss.term, since_loss.position)
         if proven is None or reached < proven:
             return RequestStatus(servers=(*unknown, target))
+    silent = attempt.replaced
+    if silent is not None and silent not in known and not attempt.asked_others:
+        return AskOthers(server=silent, term=attempt.pause_term)
     if not attempt.listed:
         return ListServers()
     return _request(attempt, members, target, now)
--- a/src/apricotshore/decisions/relays.py
+++ b/src/apricotshore/decisions/relays.py
@@ -6,6 +6,7 @@
 knows the same hosts; if views differ, a host only uses another relay.
 """
 
+from collections import Counter
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
@@ -18,6 +19,8 @@
 # Several, so that some may fail; few, so that each has enough connections to
 # serve statements concurrently.
 RELAYS_PER_SERVER = 4
+# Hosts that are asked at once to reach a server for another one.
+DETOURS_PER_SERVER = 4
 FIRST_BACKOFF_MS = 2_000
 MAX_BACKOFF_MS = 16_000
 
@@ -113,6 +116,18 @@
     return ranked[:RELAYS_PER_SERVER]
 
 
+def list_detours(fleet: Fleet, server: ServerId) -> list[ListedHost]:
+    """List other hosts that may reach a server, of different data centres first."""
+    others = [h for h in fleet.hosts.values() if h.host != fleet.local_host]
+    ranked = sorted(others, key=lambda h: -weigh(h.host, server))
+    counts: Counter[DataCentreId] = Counter()
+    places: dict[HostId, int] = {}
+    for host in ranked:
+        places[host.host] = counts[host.data_centre]
+        counts[host.data_centre] += 1
+    return sorted(ranked, key=lambda h: places[h.host])[:DETOURS_PER_SERVER]
+
+
 def rank_host(fleet: Fleet, group: GroupId) -> int:
     """Return how many hosts come before this one for a task of a group."""
     own = weigh(fleet.local_host, group)
--- a/src/apricotshore/pooling/change_steps.py
+++ b/src/apricotshore/pooling/change_steps.py
@@ -6,6 +6,7 @@
 from ..decisions import change_attempt, position_history, primary_change
 from ..decisions.change_attempt import (
     Abandon,
+    AskOthers,
     Attempt,
     Hold,
     ListServers,
@@ -24,6 +25,7 @@
 from ..queries import QueryKind
 from ..services.clock import read_boot_ms
 from .change_lease import ChangeLease
+from .detours import Detours
 from .group import Group
 from .group_commands import COMMAND_TIMEOUT_MS, NO_TERM, GroupCommands, record_phase
 from .ports import Promoter, StoreError
@@ -55,6 +57,8 @@
         Sends commands to the servers of the group.
     refresh_servers
         Reads the list of servers in the store anew.
+    detours
+        Reaches servers through other hosts.
     attempt
         The change.
     """
@@ -68,6 +72,7 @@
         promoter: Promoter,
         commands: GroupCommands,
         refresh_servers: Callable[[], Awaitable[None]],
+        detours: Detours,
         attempt: Attempt,
         token: FencingToken,
     ) -> None:
@@ -77,6 +82,7 @@
         self.promoter = promoter
         self.commands = commands
         self.refresh_servers = refresh_servers
+        self.detours = detours
         self.attempt = attempt
         self.token = token
         self.leased_at = read_boot_ms()
@@ -151,6 +157,8 @@
                 await self._command_all(servers, QueryKind.PAUSE, term)
             case StepDown(server=server, term=term):
                 await self._step_down(server, term)
+            case AskOthers(server=server, term=term):
+                await self._ask_others(server, term)
             case Hold():
                 await self._hold(step)
             case ListServers():
@@ -250,6 +258,21 @@
             return
         self._record("yielded", server=server, mark=f"{end.term}.{end.position}")
 
+    async def _ask_others(self, server: ServerId, term: Term) -> None:
+        """Have a silent primary step down through other hosts, if one reaches it."""
+        self.attempt.asked_others = True
+        pool = self.group.find_pool(server)
+        if pool is None:
+            return
+        reports = await self.detours.step_down(pool.server, term)
+        for report in reports:
+            change_attempt.update_status(
+                self.attempt, server, read_status(report), read_boot_ms()
+            )
+        end = self.attempt.final_end
+        mark = f"{end.term}.{end.position}" if end is not None else ""
+        self._record("asked-others", server=server, answers=len(reports), mark=mark)
+
     async def _hold(self, step: Hold) -> None:
         self._record("holding", servers=step.servers, primary=step.primary)
         self.attempt.held = True
--- /dev/null
+++ b/src/apricotshore/pooling/detours.py
@@ -0,0 +1,85 @@
+"""Commands to a server that this host can't reach, run by other hosts."""
+
+import asyncio
+from dataclasses import replace
+
+from ..decisions import relays
+from ..decisions.relays import Fleet, ListedHost
+from ..identifiers import Term
+from ..queries import Query, QueryKind, ServerReport
+from ..routes import ListedServer
+from .journal import EventKind, Journal
+from .ports import ConnectionLostError, ConnectionRejectedError, Dialer
+
+# Two connections one after the other, each to another region, and two commands.
+DETOUR_TIMEOUT_S = 0.25
+
+
+class Detours:
+    """Reaches servers through other hosts of the fleet.
+
+    Parameters
+    ----------
+    direct
+        Opens connections; a host serves its servers under its own address.
+    fleet
+        The known hosts.
+    journal
+        Journal of the host.
+    """
+
+    def __init__(self, *, direct: Dialer, fleet: Fleet, journal: Journal) -> None:
+        self.direct = direct
+        self.fleet = fleet
+        self.journal = journal
+
+    async def step_down(
+        self, server: ListedServer, term: Term
+    ) -> tuple[ServerReport, ...]:
+        """Have a server step down, through whichever host reaches it first.
+
+        Returns
+        -------
+        tuple of ServerReport
+            Its reports before and after; empty if nobody reached it in time.
+        """
+        hosts = relays.list_detours(self.fleet, server.server)
+        asked = [
+            asyncio.create_task(self._step_down_through(host, server, term))
+            for host in hosts
+        ]
+        try:
+            async with asyncio.timeout(DETOUR_TIMEOUT_S):
+                for reply in asyncio.as_completed(asked):
+                    if reports := await reply:
+                        return reports
+        except TimeoutError:
+            return ()
+        finally:
+            for task in asked:
+                task.cancel()
+        return ()
+
+    async def _step_down_through(
+        self, host: ListedHost, server: ListedServer, term: Term
+    ) -> tuple[ServerReport, ...]:
+        through = replace(server, address=host.address)
+        queries = (
+            Query(kind=QueryKind.STATUS),
+            Query(kind=QueryKind.STEP_DOWN, term=term),
+        )
+        try:
+            link = await self.direct.dial(through, DETOUR_TIMEOUT_S)
+            try:
+                answers = await link.run(queries, None, DETOUR_TIMEOUT_S)
+            finally:
+                link.close()
+        except (ConnectionLostError, ConnectionRejectedError) as error:
+            self.journal.record(
+                EventKind.DETOUR_FAILED,
+                server=server.server,
+                through=host.host,
+                why=str(error),
+            )
+            return ()
+        return tuple(a.report for a in answers if a.report is not None)
--- a/src/apricotshore/pooling/host.py
+++ b/src/apricotshore/pooling/host.py
@@ -17,6 +17,7 @@
 from ..services.clock import read_boot_ms
 from ..services.eras import EraTracker
 from .caller_session import CallerSession
+from .detours import Detours
 from .group import Group
 from .host_session import HostSession
 from .host_watcher import HostWatcher
@@ -208,6 +209,9 @@
             eras=self.eras,
             rank=lambda: relays.rank_host(self.fleet, group.group),
             refresh_servers=self.store_watcher.refresh_servers,
+            detours=Detours(
+                direct=self.adapters.dialer, fleet=self.fleet, journal=self.journal
+            ),
         )
         self.changers[group.group] = changer
         await self.add_runtime_dependency(changer)
--- a/src/apricotshore/pooling/journal.py
+++ b/src/apricotshore/pooling/journal.py
@@ -38,6 +38,7 @@
     PRIMARY_CHANGE = "handover"
     HOSTS_LISTED = "hosts-listed"
     RELAY_FAILED = "holder-failed"
+    DETOUR_FAILED = "detour-failed"
     REQUEST_SERVED = "request-served"
     REQUEST_RETRIED = "request-retried"
     REQUEST_FAILED = "request-failed"
@@ -54,6 +55,7 @@
         EventKind.CALLER_REFUSED,
         EventKind.TRANSACTION_ENDED,
         EventKind.RELAY_FAILED,
+        EventKind.DETOUR_FAILED,
     }
 )
 
--- a/src/apricotshore/pooling/primary_changer.py
+++ b/src/apricotshore/pooling/primary_changer.py
@@ -14,6 +14,7 @@
 from ..services.eras import EraTracker
 from .change_lease import ChangeLease
 from .change_steps import ChangeSteps
+from .detours import Detours
 from .group import Group
 from .group_commands import GroupCommands, record_phase
 from .journal import Journal
@@ -53,6 +54,8 @@
         Returns how many hosts are to finish a lost change before this one.
     refresh_servers
         Reads the list of servers in the store anew.
+    detours
+        Reaches servers through other hosts.
     """
 
     def __init__(
@@ -67,6 +70,7 @@
         eras: EraTracker,
         rank: Callable[[], int],
         refresh_servers: Callable[[], Awaitable[None]],
+        detours: Detours,
     ) -> None:
         super().__init__()
         self.group = group
@@ -75,6 +79,7 @@
         self.journal = journal
         self.rank = rank
         self.refresh_servers = refresh_servers
+        self.detours = detours
         self.lease = ChangeLease(
             group=group.group, host=host, address=address, store=store, eras=eras
         )
@@ -160,6 +165,7 @@
             promoter=self.promoter,
             commands=self.commands,
             refresh_servers=self.refresh_servers,
+            detours=self.detours,
             attempt=attempt,
             token=token,
         )
--- a/tests/changemodel.py
+++ b/tests/changemodel.py
@@ -10,6 +10,7 @@
 from apricotshore.decisions import change_attempt, lease, primary_change
 from apricotshore.decisions.change_attempt import (
     Abandon,
+    AskOthers,
     Hold,
     ListServers,
     Member,
@@ -94,6 +95,8 @@
         self.servers[FIRST[0]].is_primary = True
         self.term = 1
         self.written = 0
+        # Whether other hosts don't reach the primary either.
+        self.is_dark = False
         self.acked: set[int] = set()
         self.lost: set[int] = set()
         self.lost_log_at: int | None = None
@@ -325,6 +328,12 @@
             case StepDown(server=server):
                 self._step_down(server, reached)
                 self._report(host, (server,), answers)
+            case AskOthers(server=server):
+                host.attempt.asked_others = True
+                if self.servers[server].up and not self.is_dark:
+                    self._report(host, (server,), SERVERS)
+                    self._step_down(server, SERVERS)
+                    self._report(host, (server,), SERVERS)
             case Hold(servers=servers, primary=primary, term=term):
                 host.attempt.held = True
                 self._pause(servers, term, reached)
--- a/tests/pooling/support.py
+++ b/tests/pooling/support.py
@@ -7,9 +7,11 @@
 from dataclasses import dataclass
 
 from apricotshore.decisions.placement import Distance
+from apricotshore.decisions.relays import Fleet, ListedHost
 from apricotshore.groups import LogPosition
 from apricotshore.identifiers import (
     DatabaseId,
+    DataCentreId,
     HostId,
     Position,
     RequestId,
@@ -18,6 +20,7 @@
     StoreRevision,
     Term,
 )
+from apricotshore.pooling.detours import Detours
 from apricotshore.pooling.group import Group
 from apricotshore.pooling.journal import Journal
 from apricotshore.pooling.primary_changer import PrimaryChanger
@@ -25,9 +28,15 @@
 from apricotshore.pooling.prober import Prober
 from apricotshore.pooling.sessions import Context
 from apricotshore.queries import Query, QueryKind
-from apricotshore.routes import Configuration, Consistency, Route
+from apricotshore.routes import Configuration, Consistency, ListedServer, Route
 from apricotshore.services.eras import EraTracker
-from standins.in_memory import GROUP, ModelDialer, ModelGroup, ModelPlatform
+from standins.in_memory import (
+    GROUP,
+    ModelConnection,
+    ModelDialer,
+    ModelGroup,
+    ModelPlatform,
+)
 
 
 def read(request: str = "r1") -> Query:
@@ -65,6 +74,17 @@
     return Journal(host="h", descriptor=os.open(os.devnull, os.O_WRONLY))
 
 
+@dataclass(kw_only=True)
+class OtherHosts:
+    """Dialer that reaches servers through other hosts, at whose addresses it dials."""
+
+    group: ModelGroup
+
+    async def dial(self, server: ListedServer, timeout_s: float) -> ModelConnection:
+        other = ModelDialer(group=self.group, host_name=server.address)
+        return await other.dial(server, timeout_s)
+
+
 @dataclass(kw_only=True)
 class ModelHost:
     """A host in front of a model group."""
@@ -77,6 +97,7 @@
     prober: Prober
     changer: PrimaryChanger
     eras: EraTracker
+    fleet: Fleet
 
     @classmethod
     def make(
@@ -109,6 +130,7 @@
                     leaving = server.name in group.leaving
                     group.update_server(model.list(server, leaving=leaving))
 
+        fleet = Fleet(local_host=HostId(name))
         changer = PrimaryChanger(
             group=group,
             host=HostId(name),
@@ -119,6 +141,9 @@
             eras=eras,
             rank=lambda: 0,
             refresh_servers=refresh_servers,
+            detours=Detours(
+                direct=OtherHosts(group=model), fleet=fleet, journal=journal
+            ),
         )
         return cls(
             name=HostId(name),
@@ -129,7 +154,15 @@
             prober=Prober(group=group),
             changer=changer,
             eras=eras,
+            fleet=fleet,
+        )
+
+    def add_other_host(self, address: str) -> None:
+        """List another host, known by its address."""
+        host = ListedHost(
+            host=HostId(address), data_centre=DataCentreId("a"), address=address
         )
+        self.fleet.hosts[host.host] = host
 
     def mark_leaving(self, server: str) -> None:
         """Report a server as leaving."""
--- a/tests/pooling/test_events_amid_changes.py
+++ b/tests/pooling/test_events_amid_changes.py
@@ -125,3 +125,30 @@
         await wait_until(lambda: model.promotions, 12.0)
         await asyncio.sleep(0.2)
     assert model.lost == []
+
+
+async def test_live_primary_that_only_other_hosts_reach_steps_down_through_them():
+    """Failure 1, primary cut off from the host: a new replica helped it go on."""
+    model, platform, host = make(promote_s=0.5)
+    host.add_other_host("10.0.0.7:1")
+    async with running(host), writing(model):
+        await wait_until(lambda: len(model.acknowledged) > 5)
+        replace_silent(model, host)
+        await isolate_target(model, platform)
+        count = len(model.acknowledged)
+        model.add_server(S4)
+        while not model.promotions:
+            assert len(model.acknowledged) == count
+            await asyncio.sleep(0.01)
+    assert model.lost == []
+
+
+async def test_dead_primary_is_replaced_although_no_host_reaches_it():
+    model, _, host = make()
+    for number in range(6):
+        host.add_other_host(f"10.0.0.{number}:1")
+    async with running(host), writing(model):
+        await wait_until(lambda: len(model.acknowledged) > 5)
+        model.servers[S1].up = model.servers[S1].is_primary = False
+        await wait_until(lambda: model.promotions)
+    assert model.lost == []
--- a/tests/test_primary_change_races.py
+++ b/tests/test_primary_change_races.py
@@ -14,6 +14,7 @@
 from apricotshore.decisions import change_attempt, lease, primary_change
 from apricotshore.decisions.change_attempt import (
     Abandon,
+    AskOthers,
     Attempt,
     Hold,
     ListServers,
@@ -242,6 +243,8 @@
                 attempt.held = True
                 self._pause(servers, term, reached)
                 self._step_down(primary, reached)
+            case AskOthers():
+                attempt.asked_others = True
             case ListServers():
                 attempt.listed = True
             case RecordTarget(server=server):
