--- a/tests/changemodel.py
+++ b/tests/changemodel.py
@@ -347,7 +347,7 @@
             return not is_done and age < primary_change.CONFIRM_MS
         if not self.as_before and attempt.final_end is not None:
             return age < primary_change.STEPS_WITHOUT_PRIMARY_MS
-        is_needed = attempt.must_step_down or self.primary is None
+        is_needed = attempt.must_step_down or self.is_dark or self.primary is None
         return is_needed and age < primary_change.STEPS_MS
 
     def _leads(self, name: ServerId) -> bool:
--- a/tests/test_primary_change_order.py
+++ b/tests/test_primary_change_order.py
@@ -297,3 +297,49 @@
 @pytest.mark.parametrize("failure", FAILURES)
 def test_decisions_lose_no_commit_in_any_order_of_six_events(failure):
     assert find_loss(ChangeModel(), FAILURES[failure]) is None
+
+
+# -- a primary that no host reaches, and that is back before the effect --
+
+
+def make_dark() -> ChangeModel:
+    model = ChangeModel()
+    model.is_dark = True
+    return model
+
+
+def replace_dark_primary(model: ChangeModel) -> None:
+    """Run a change up to its order; the primary lives, but answers nobody."""
+    others = set(SERVERS) - {FIRST[0]}
+    if model.hosts[0].attempt is None:
+        model.begin(0, must_step_down=False)
+    while model.hosts[0].attempt is not None and not model.accepted:
+        model.run_step(0, others)
+
+
+def come_to_light(model: ChangeModel) -> None:
+    model.is_dark = False
+
+
+def commit_in_light(model: ChangeModel, name: ServerId) -> None:
+    """Commit, if hosts reach the primary."""
+    if not model.is_dark:
+        model.commit_with(name)
+
+
+DARK: Mapping[str, Event] = {
+    "change": replace_dark_primary,
+    "primary is back": come_to_light,
+    "commit with s2": lambda model: commit_in_light(model, FIRST[1]),
+    "commit with s4": lambda model: commit_in_light(model, JOINING),
+    "s2 restarts": lambda model: model.restart(FIRST[1]),
+    "s3 deaf or not": lambda model: model.hear_or_not(FIRST[2]),
+    "s4 joins": ChangeModel.join,
+    "hold": lambda model: model.run_step(0),
+    "promotion": ChangeModel.finish_promotion,
+}
+
+
+def test_dark_primary_that_is_back_before_the_effect_loses_no_commit():
+    """Open: it acknowledges with a server that joined before it is asked again."""
+    assert find_loss(make_dark(), DARK) is None
