Count a leaving primary's time from when the store may have taken its report

Cause: a watch pauses for up to 1.5 s after a change that isn't used, and the time was counted from when the host learned of the report, with 0.5 s to spare.

Change: the time counts from 1.6 s before that, the pause and a call. Changes of primary begin at the report as before, so a statement is refused earlier only where the primary was not replaced for 4.9 s.

Test: test_time_of_a_leaving_primary_counts_from_its_report failed before, passes now.

--- a/src/apricotshore/pooling/group.py
+++ b/src/apricotshore/pooling/group.py
@@ -19,6 +19,8 @@
 from .ports import Dialer
 from .settings import DEFAULT_LEAVE_MS, DEFAULT_WINDOW_MS
 
+# A host learns of a change in the store after a pause of its watch and one call.
+LEARNED_AFTER_MS = 1_600
 # Servers without an entry that still get commands.
 MAX_UNLISTED = 4
 
@@ -263,7 +265,7 @@
             return
         # One that left before this host knew it may be about to end; this host has
         # to observe the bound once it has run for the window.
-        known_ms = self.window_ms if is_new else 0
+        known_ms = self.window_ms if is_new else LEARNED_AFTER_MS
         self.leaving.setdefault(server.server, read_boot_ms() - known_ms)
 
     @property
--- a/tests/pooling/test_caller_session.py
+++ b/tests/pooling/test_caller_session.py
@@ -5,8 +5,9 @@
 import pytest
 from aioprometheus import Registry
 
-from apricotshore.decisions import shutdown
+from apricotshore.decisions import placement, shutdown
 from apricotshore.identifiers import DatabaseId, RequestId
+from apricotshore.pooling import store_watcher
 from apricotshore.pooling.caller_session import CallerSession
 from apricotshore.pooling.metrics import PoolingMetrics
 from apricotshore.pooling.pool import ServerPool
@@ -372,3 +373,13 @@
     assert group.may_send_to_primary
     group.leaving["s1"] -= 1_500
     assert not group.may_send_to_primary
+
+
+async def test_time_of_a_leaving_primary_counts_from_its_report(latest):
+    """Review, DRAIN: the host learned of the report up to 1.5 s after it."""
+    group = latest.host.group
+    group.set_leave_bounds(7_000, 5_000)
+    latest.host.mark_leaving("s1")
+    pause_ms = int(store_watcher.QUIET_PAUSE_S * 1_000)
+    group.leaving["s1"] -= 7_000 - placement.SEND_MARGIN_MS - pause_ms
+    assert not group.may_send_to_primary
