--- /dev/null
+++ b/src/apricotshore/decisions/change_targets.py
@@ -0,0 +1,126 @@
+"""Members of a group during a change of primary, and which of them is promoted."""
+
+from collections.abc import Iterable
+
+from ..groups import LogPosition
+from ..identifiers import ServerId, Term
+from .change_attempt import (
+    Attempt,
+    Member,
+    Pause,
+    Promote,
+    RecordTarget,
+    Step,
+    log_order,
+)
+
+# An acknowledged commit is stored on the primary and on one replica.
+COPIES_PER_COMMIT = 2
+# Longest wait for the target to receive the log entries of the other members.
+CATCH_UP_MS = 300
+
+
+def list_names(members: Iterable[Member]) -> tuple[ServerId, ...]:
+    """Return the names of members."""
+    return tuple(m.server for m in members)
+
+
+def read_order(attempt: Attempt, server: ServerId) -> tuple[int, int]:
+    """Return the sort key of the end of a member's log."""
+    return log_order(attempt.statuses[server].log_position)
+
+
+def reaches(attempt: Attempt, server: ServerId, end: LogPosition) -> bool:
+    """Return whether a member's log reaches a position."""
+    return log_order(attempt.statuses[server].log_position) >= log_order(end)
+
+
+def is_paused(attempt: Attempt, server: ServerId) -> bool:
+    """Return whether a member is paused with the term of this change."""
+    status = attempt.statuses[server]
+    return bool(attempt.pause_term) and status.paused_term >= attempt.pause_term
+
+
+def list_followers(attempt: Attempt, members: Iterable[Member]) -> list[Member]:
+    """Return the members that answered, without primaries."""
+    return [
+        m
+        for m in members
+        if m.server in attempt.statuses and not attempt.statuses[m.server].is_primary
+    ]
+
+
+def find_unpaused(
+    attempt: Attempt, members: tuple[Member, ...]
+) -> tuple[ServerId, ...]:
+    """Return the followers but the target that are not paused."""
+    return tuple(
+        m.server
+        for m in list_followers(attempt, members)
+        if m.server != attempt.target and not is_paused(attempt, m.server)
+    )
+
+
+def choose_pause_term(attempt: Attempt) -> Term:
+    """Return the term of pauses, above all that are known; it is kept."""
+    if not attempt.pause_term:
+        terms = [
+            max(s.term, s.paused_term, s.log_position.term)
+            for s in attempt.statuses.values()
+        ]
+        attempt.pause_term = Term(max(attempt.from_term, *terms) + 1)
+    return attempt.pause_term
+
+
+def choose_target(attempt: Attempt, followers: list[Member]) -> ServerId | None:
+    """Return the best follower to promote, None without one."""
+    candidates = [m for m in followers if m.listed and m.server not in attempt.rejected]
+    if not candidates:
+        return None
+    best = max(
+        candidates,
+        key=lambda m: (
+            log_order(attempt.statuses[m.server].log_position),
+            not m.leaving,
+            m.server,
+        ),
+    )
+    best_end = attempt.statuses[best.server].log_position
+    inherited = attempt.inherited
+    if inherited in list_names(candidates) and reaches(attempt, inherited, best_end):
+        return inherited
+    staying = [
+        m
+        for m in candidates
+        if not m.leaving
+        and attempt.statuses[m.server].log_position.term
+        == attempt.statuses[best.server].log_position.term
+    ]
+    if best.leaving and staying and not is_paused(attempt, best.server):
+        return max(
+            staying, key=lambda m: log_order(attempt.statuses[m.server].log_position)
+        ).server
+    return best.server
+
+
+def set_target(attempt: Attempt, server: ServerId | None, now: int) -> None:
+    """Set the target, and since when it is the target."""
+    if server != attempt.target:
+        attempt.target = server
+        attempt.target_since = now
+
+
+def request_promotion(
+    attempt: Attempt, members: tuple[Member, ...], target: ServerId, now: int
+) -> Step:
+    """Return the next step towards the promotion of a server."""
+    set_target(attempt, target, now)
+    if attempt.inherited not in (None, target):
+        # The other promotion may take effect first; only the target may then help
+        # to acknowledge.
+        unpaused = find_unpaused(attempt, members)
+        if unpaused:
+            return Pause(servers=unpaused, term=choose_pause_term(attempt))
+    if attempt.recorded != target:
+        return RecordTarget(server=target)
+    return Promote(server=target)
--- a/src/apricotshore/decisions/primary_proof.py
+++ b/src/apricotshore/decisions/primary_proof.py
@@ -17,7 +17,7 @@
 
 from ..identifiers import ServerId, Term
 from .change_attempt import MemberStatus
-from .primary_change import COPIES_PER_COMMIT
+from .change_targets import COPIES_PER_COMMIT
 
 
 class ProbeResult(Enum):
--- /dev/null
+++ b/src/apricotshore/decisions/silent_primary.py
@@ -0,0 +1,106 @@
+"""Replacement of a primary that gives no answer, and so cannot step down.
+
+Replication is paused at every other server that can be found, except the target. Other
+hosts are asked to have the primary step down, and the list of servers is read anew,
+before the promotion is requested.
+"""
+
+from ..identifiers import ServerId
+from .change_attempt import (
+    AskOthers,
+    Attempt,
+    ListServers,
+    Member,
+    Pause,
+    RequestStatus,
+    Step,
+    Wait,
+)
+from .change_targets import (
+    CATCH_UP_MS,
+    COPIES_PER_COMMIT,
+    choose_pause_term,
+    choose_target,
+    find_unpaused,
+    is_paused,
+    list_followers,
+    list_names,
+    read_order,
+    request_promotion,
+    set_target,
+)
+from .position_history import PositionSample
+
+
+def plan_with_pauses(
+    attempt: Attempt,
+    members: tuple[Member, ...],
+    since_loss: PositionSample | None,
+    lossless: bool,
+    now: int,
+) -> Step:
+    """Pause every server that answers except the target, and promote that one."""
+    missing = tuple(m.server for m in members if m.server not in attempt.statuses)
+    listed = {m.server for m in members if m.listed}
+    followers = list_followers(attempt, members)
+    if len(listed & set(missing)) >= COPIES_PER_COMMIT or not followers:
+        servers = missing or list_names(members)
+        return RequestStatus(servers=_prefer_responsive(attempt, servers))
+    if attempt.target is None or attempt.target not in attempt.statuses:
+        set_target(attempt, choose_target(attempt, followers), now)
+    if attempt.target is None:
+        return RequestStatus(servers=list_names(members))
+    term = choose_pause_term(attempt)
+    unpaused = find_unpaused(attempt, members)
+    if unpaused:
+        attempt.listed = False
+        return Pause(servers=unpaused, term=term)
+    return _plan_promotion(attempt, members, followers, since_loss, lossless, now)
+
+
+def _plan_promotion(
+    attempt: Attempt,
+    members: tuple[Member, ...],
+    followers: list[Member],
+    since_loss: PositionSample | None,
+    lossless: bool,
+    now: int,
+) -> Step:
+    target = attempt.target
+    if target is None:
+        return Wait(why="no server can be promoted")
+    known = set(list_names(followers))
+    unknown = tuple(m.server for m in members if m.listed and m.server not in known)
+    if len(unknown) >= COPIES_PER_COMMIT:
+        return RequestStatus(servers=_prefer_responsive(attempt, unknown))
+    reached = read_order(attempt, target)
+    needed = max(read_order(attempt, s) for s in known)
+    if reached < needed:
+        if now - attempt.target_since < CATCH_UP_MS:
+            return RequestStatus(servers=(target,))
+        if not is_paused(attempt, target):
+            return Pause(servers=(target,), term=attempt.pause_term)
+        attempt.target = None
+        set_target(attempt, choose_target(attempt, followers), now)
+        return RequestStatus(servers=tuple(known))
+    if unknown and not lossless:
+        proven = None if since_loss is None else (since_loss.term, since_loss.position)
+        if proven is None or reached < proven:
+            return RequestStatus(servers=(*unknown, target))
+    silent = attempt.replaced
+    if silent is not None and silent not in known and not attempt.asked_others:
+        return AskOthers(server=silent, term=attempt.pause_term)
+    if not attempt.listed:
+        return ListServers()
+    return request_promotion(attempt, members, target, now)
+
+
+def _prefer_responsive(
+    attempt: Attempt, servers: tuple[ServerId, ...]
+) -> tuple[ServerId, ...]:
+    """Leave out the unresponsive primary if other servers can be asked.
+
+    Its answer is rarely needed, and waiting for it delays the others.
+    """
+    others = tuple(s for s in servers if s != attempt.replaced)
+    return servers if attempt.must_step_down or not others else others
