Fence what an open lease may have left, whatever a change began for

Test: test_change_that_takes_an_open_lease_is_fenced_before_it_is_released failed before (no order was sent), passes now.

--- a/src/apricotshore/pooling/primary_changer.py
+++ b/src/apricotshore/pooling/primary_changer.py
@@ -175,7 +175,10 @@
                     break
         finally:
             await work.stop()
-        await self._finish(work, reason == "unfinished")
+        # An open lease may have left a request, whatever this change began for.
+        await self._finish(
+            work, reason == "unfinished" or attempt.inherited is not None
+        )
 
     def _make_attempt(self, reason: str, began: int) -> Attempt:
         primary_state = self.group.primary_state
--- a/tests/pooling/test_events_amid_changes.py
+++ b/tests/pooling/test_events_amid_changes.py
@@ -5,9 +5,11 @@
 """
 
 import asyncio
+from dataclasses import replace
 
 import pytest
 
+from apricotshore.decisions.lease import LEASE_MS
 from apricotshore.identifiers import ServerId
 from standins.in_memory import ModelGroup, ModelPlatform
 
@@ -76,8 +78,8 @@
     assert model.lost == []
 
 
-@pytest.mark.parametrize("replace", [replace_leaving, replace_silent])
-async def test_live_replica_whose_entry_was_removed_loses_no_commit(replace):
+@pytest.mark.parametrize("change", [replace_leaving, replace_silent])
+async def test_live_replica_whose_entry_was_removed_loses_no_commit(change):
     """Failure 3: a change neither asked nor paused a replica without an entry."""
     model, platform, host = make(promote_s=0.5)
     async with running(host), writing(model):
@@ -87,26 +89,26 @@
         host.group.remove_server(S3)
         await wait_until(lambda: host.group.primary_state.primary == S1)
         await asyncio.sleep(0.7)
-        replace(model, host)
+        change(model, host)
         await isolate_target(model, platform)
         await wait_until(lambda: model.promotions)
     assert model.lost == []
 
 
-@pytest.mark.parametrize("replace", [replace_leaving, replace_silent])
-async def test_paused_replica_that_restarts_amid_a_change_loses_no_commit(replace):
+@pytest.mark.parametrize("change", [replace_leaving, replace_silent])
+async def test_paused_replica_that_restarts_amid_a_change_loses_no_commit(change):
     """Failure 4: nobody paused it again until the promotion took effect."""
     model, platform, host = make(promote_s=0.8)
     async with running(host), writing(model):
         await wait_until(lambda: len(model.acknowledged) > 5)
-        replace(model, host)
+        change(model, host)
         target = await isolate_target(model, platform)
         other = model.servers[next(s for s in (S2, S3) if s != target)]
         other.up = False
         await asyncio.sleep(0.1)
         other.up, other.paused_term = True, 0
         # A host can't know of the restart before it has asked again.
-        other.partitioned = replace is replace_silent
+        other.partitioned = change is replace_silent
         await asyncio.sleep(0.3)
         other.partitioned = False
         await wait_until(lambda: model.promotions)
@@ -152,3 +154,21 @@
         model.servers[S1].up = model.servers[S1].is_primary = False
         await wait_until(lambda: model.promotions)
     assert model.lost == []
+
+
+async def test_change_that_takes_an_open_lease_is_fenced_before_it_is_released():
+    """Failure 2: a release alone would forget the earlier holder's request."""
+    model, platform, host = make()
+    (key, lease), *_ = platform.leases.items()
+    platform.leases[key] = replace(lease, open=True, holder="host-9", target=S2)
+    model.servers[S2].up = False
+    async with running(host), writing(model):
+        await wait_until(lambda: host.group.primary_state.primary == S1)
+        changer = host.changer
+        await changer.lease.read()
+        changer.lease.current.seen_at -= LEASE_MS
+        host.group.writes.unanswered = []
+        host.mark_leaving("s1")
+        await wait_until(lambda: not platform.leases[key].open, 12.0)
+    assert platform.orders
+    assert model.lost == []
