--- a/src/apricotshore/pooling/change_steps.py
+++ b/src/apricotshore/pooling/change_steps.py
@@ -22,7 +22,7 @@
 )
 from ..groups import LogPosition
 from ..identifiers import FencingToken, HostId, Position, ServerId, Term
-from ..queries import QueryKind
+from ..queries import QueryKind, ServerReport
 from ..services.clock import read_boot_ms
 from .change_lease import ChangeLease
 from .detours import Detours
@@ -90,6 +90,8 @@
         self.last_phase: tuple[object, ...] = ()
         # Commands that run without being waited for, by server.
         self.sent: dict[ServerId, asyncio.Task[None]] = {}
+        # Answers of a silent primary through other hosts, once they were asked.
+        self.detour: asyncio.Task[tuple[ServerReport, ...]] | None = None
 
     def may_go_on(self, is_needed: bool) -> bool:
         """Return whether another step is due.
@@ -154,6 +156,7 @@
                 await asyncio.sleep(STATUS_PAUSE_S)
             case Pause(servers=servers, term=term):
                 self._record("pausing", servers=servers, term=term)
+                self._begin_detour(term)
                 await self._command_all(servers, QueryKind.PAUSE, term)
             case StepDown(server=server, term=term):
                 await self._step_down(server, term)
@@ -227,10 +230,12 @@
 
     async def stop(self) -> None:
         """End the commands that still run: a late pause would outlast the change."""
-        sent = list(self.sent.values())
-        for task in sent:
+        running: list[asyncio.Task] = list(self.sent.values())
+        if self.detour is not None:
+            running.append(self.detour)
+        for task in running:
             task.cancel()
-        await asyncio.gather(*sent, return_exceptions=True)
+        await asyncio.gather(*running, return_exceptions=True)
 
     async def _command(
         self,
@@ -261,10 +266,10 @@
     async def _ask_others(self, server: ServerId, term: Term) -> None:
         """Have a silent primary step down through other hosts, if one reaches it."""
         self.attempt.asked_others = True
-        pool = self.group.find_pool(server)
-        if pool is None:
+        self._begin_detour(term)
+        if self.detour is None:
             return
-        reports = await self.detours.step_down(pool.server, term)
+        reports = await self.detour
         for report in reports:
             change_attempt.update_status(
                 self.attempt, server, read_status(report), read_boot_ms()
@@ -273,6 +278,17 @@
         mark = f"{end.term}.{end.position}" if end is not None else ""
         self._record("asked-others", server=server, answers=len(reports), mark=mark)
 
+    def _begin_detour(self, term: Term) -> None:
+        """Have other hosts ask a silent primary, beside the pauses."""
+        silent = self.attempt.replaced
+        if self.detour is not None or silent is None or silent in self.attempt.statuses:
+            return
+        pool = self.group.find_pool(silent)
+        if pool is not None:
+            self.detour = asyncio.get_running_loop().create_task(
+                self.detours.step_down(pool.server, term)
+            )
+
     async def _hold(self, step: Hold) -> None:
         self._record("holding", servers=step.servers, primary=step.primary)
         self.attempt.held = True
