Resume whom a change may have paused, and nobody who is long gone

Found by reading the new end of a change. (1) A planned change pauses nobody and resumed nobody, so a server that an earlier change had left paused stayed so. (2) A change with pauses asked the servers without an entry to resume, five rounds of 0.4 s each while they were gone, with the lease held, and read the lease every 2 s for them afterwards.

Change: every change lists the servers to be found not paused; a server without an entry only if it answered in this change. A planned change leaves the list to the rounds after it.

Tests: test_server_that_an_earlier_change_left_paused_is_resumed_by_a_planned_one and test_gone_servers_do_not_delay_the_end_of_a_change failed before, pass now. The model's servers have addresses of their own now: with one for all, a list hid those without an entry. tests/pooling: 123 passed.

--- a/src/apricotshore/pooling/primary_changer.py
+++ b/src/apricotshore/pooling/primary_changer.py
@@ -239,6 +239,7 @@
             self._record("ended", outcome="lease lost")
             return
         await self._step_down_replaced(attempt)
+        self._list_unresumed(attempt)
         if must_fence or has_paused:
             await self._resume_all()
         await self.lease.release()
@@ -246,9 +247,16 @@
             "ended", outcome="settled", primary=self.group.primary_state.primary
         )
 
-    async def _resume_all(self) -> None:
-        known = {*self.group.servers, *self.group.unlisted}
+    def _list_unresumed(self, attempt: Attempt) -> None:
+        """List the servers that are to be found not paused.
+
+        An earlier change may have left one paused that it could not reach.
+        """
+        unlisted = self.group.unlisted.keys() & attempt.statuses.keys()
+        known = {*self.group.servers, *unlisted}
         self.unresumed = known - {self.group.primary_state.primary}
+
+    async def _resume_all(self) -> None:
         for _ in range(RESUME_ROUNDS):
             self.unresumed -= await self.commands.resume(self.unresumed)
             if not self.unresumed:
--- a/standins/in_memory.py
+++ b/standins/in_memory.py
@@ -165,7 +165,7 @@
         return ListedServer(
             server=server.name,
             group=GROUP,
-            address="10.0.0.1:1",
+            address=f"10.0.0.{list(self.servers).index(server.name) + 1}:1",
             data_centre=DataCentreId("braga-a"),
             slots=3,
             leaving=leaving,
--- a/tests/pooling/test_events_amid_changes.py
+++ b/tests/pooling/test_events_amid_changes.py
@@ -11,10 +11,13 @@
 
 from apricotshore.decisions.lease import LEASE_MS
 from apricotshore.identifiers import ServerId
+from apricotshore.services.clock import read_boot_ms
 from standins.in_memory import ModelGroup, ModelPlatform
 
 from .support import ModelHost, running, wait_until, writing
 
+# Time that a command to a server that gives no answer takes.
+UNREACHABLE_ROUND_MS = 400
 S1, S2, S3, S4 = (ServerId(f"s{n}") for n in (1, 2, 3, 4))
 
 
@@ -172,3 +175,34 @@
         await wait_until(lambda: not platform.leases[key].open, 12.0)
     assert platform.orders
     assert model.lost == []
+
+
+async def test_server_that_an_earlier_change_left_paused_is_resumed_by_a_planned_one():
+    model, _, host = make()
+    async with running(host), writing(model):
+        await wait_until(lambda: len(model.acknowledged) > 5)
+        model.servers[S2].paused_term = 2
+        replace_leaving(model, host)
+        await wait_until(lambda: model.promotions)
+        await wait_until(lambda: not model.servers[S2].paused_term)
+    assert model.lost == []
+
+
+async def test_gone_servers_do_not_delay_the_end_of_a_change():
+    model, platform, host = make()
+    async with running(host), writing(model):
+        await wait_until(lambda: len(model.acknowledged) > 5)
+        for number in range(4):
+            gone = model.add_server(ServerId(f"gone-{number}"))
+            host.group.update_server(model.list(gone))
+            gone.up = gone.listed = False
+            host.group.remove_server(gone.name)
+        host.group.log_lost_at = None
+        model.servers[S1].up = model.servers[S1].is_primary = False
+        model.servers[S1].listed = False
+        host.group.remove_server(S1)
+        host.group.log_lost_at = None
+        await wait_until(lambda: model.promotions)
+        promoted_at = read_boot_ms()
+        await wait_until(lambda: not next(iter(platform.leases.values())).open)
+    assert read_boot_ms() - promoted_at < UNREACHABLE_ROUND_MS
