--- a/standins/in_memory.py
+++ b/standins/in_memory.py
@@ -162,10 +162,12 @@
 
     def list(self, server: ModelServer, *, leaving: bool = False) -> ListedServer:
         """Return a server as the store would list it."""
+        names = list(self.servers)
+        number = names.index(server.name) + 1 if server.name in names else 0
         return ListedServer(
             server=server.name,
             group=GROUP,
-            address=f"10.0.0.{list(self.servers).index(server.name) + 1}:1",
+            address=f"10.0.0.{number}:1",
             data_centre=DataCentreId("braga-a"),
             slots=3,
             leaving=leaving,
