Reproduce three faults of changes of primary amid late acknowledgements

Cause: the stand-ins drop a commit that waits for a replica when its primary steps down, and never let that server lead again, so no test asked what happens otherwise. And no test looked at what the next holder of a lease does once the promotion of the former one has taken effect. Change: the stand-in group can acknowledge such commits late; three tests, which are known red until their fixes.

--- a/standins/in_memory.py
+++ b/standins/in_memory.py
@@ -127,9 +127,13 @@
     ----------
     replaced_goes_on
         Whether a replaced primary goes on until it is told to step down.
+    acknowledges_late
+        Whether a primary that has stepped down goes on to send its log, and
+        acknowledges a commit that waited for a replica.
     """
 
     replaced_goes_on: bool = False
+    acknowledges_late: bool = False
     servers: dict[ServerId, ModelServer] = field(default_factory=dict)
     term: int = 1
     acknowledged: list[str] = field(default_factory=list)
@@ -180,7 +184,10 @@
         entry = (primary.term, len(primary.log) + 1, text)
         primary.log.append(entry)
         primary.applied = len(primary.log)
-        while primary.is_primary and primary.up:
+        term = self.term
+        while primary.up and (
+            primary.is_primary or (self.acknowledges_late and self.term == term)
+        ):
             if self._replicate(primary, entry):
                 self.acknowledged.append(text)
                 return True
--- /dev/null
+++ b/tests/pooling/test_late_acknowledgement.py
@@ -0,0 +1,69 @@
+"""Commits that are acknowledged late, amid a change of primary, are not lost.
+
+Whether a primary that has stepped down acknowledges a commit that waited for a replica
+is not stated; nor is whether it leads again after a crash. Replicas receive at different
+times.
+"""
+
+import asyncio
+
+from apricotshore.identifiers import ServerId
+from standins.in_memory import ModelGroup, ModelPlatform
+
+from .support import ModelHost, running, wait_until, writing
+
+S1, S2, S3 = (ServerId(f"s{n}") for n in (1, 2, 3))
+
+
+def make() -> tuple[ModelGroup, ModelPlatform, ModelHost]:
+    model = ModelGroup.make()
+    model.acknowledges_late = True
+    platform = ModelPlatform(group=model, promote_s=0.5)
+    return model, platform, ModelHost.make("host-0", model, platform)
+
+
+async def test_commit_that_waits_for_a_replica_at_the_step_down_is_not_lost():
+    """A replica that isn't the target receives it while the promotion is awaited."""
+    model, platform, host = make()
+    async with running(host), writing(model):
+        await wait_until(lambda: len(model.acknowledged) > 5)
+        model.servers[S2].partitioned = model.servers[S3].partitioned = True
+        await asyncio.sleep(0.1)
+        host.mark_leaving("s1")
+        await wait_until(lambda: platform.orders)
+        other = S2 if platform.orders[0][1] == S3 else S3
+        model.servers[other].partitioned = False
+        await wait_until(lambda: model.promotions)
+    assert model.lost == []
+
+
+async def test_primary_that_leads_again_after_its_step_down_loses_no_commit():
+    """It crashed and came back before the effect; the target receives a bit later."""
+    model, platform, host = make()
+    async with running(host), writing(model):
+        await wait_until(lambda: len(model.acknowledged) > 5)
+        host.mark_leaving("s1")
+        await wait_until(lambda: platform.orders)
+        target = platform.orders[0][1]
+        model.servers[target].partitioned = True
+        model.servers[S1].is_primary = True
+        await wait_until(lambda: model.promotions)
+    assert model.lost == []
+
+
+async def test_unfinished_change_leaves_the_promoted_server_that_leads_in_place():
+    """The next holder asked everybody but the primary, and replaced it."""
+    model = ModelGroup.make()
+    platform = ModelPlatform(group=model, promote_s=0.3)
+    host = ModelHost.make("host-0", model, platform)
+    async with writing(model):
+        async with running(host):
+            await wait_until(lambda: len(model.acknowledged) > 5)
+            host.mark_leaving("s1")
+            await wait_until(lambda: platform.orders)
+        restarted = ModelHost.make("host-0", model, platform)
+        await restarted.changer.lease.read()
+        async with running(restarted):
+            await wait_until(lambda: not restarted.changer.lease.seen.open)
+    assert model.lost == []
+    assert [server for server, _ in model.promotions] == [platform.orders[0][1]]
