Ask the primary too in a change that an earlier holder left

What callers saw: after the holder of the lease ended amid a change whose promotion then took effect, the next holder replaced the promoted server, healthy and leading, by pauses alone: a second gap in writes, and a change while the primary acknowledges, which any replica that isn't paused turns into lost commits. Cause: a change that need not step the primary down was taken for one of a silent primary, and asked all servers but that one. Change: only a change that began since the primary is silent leaves it out.

--- a/src/apricotshore/decisions/change_attempt.py
+++ b/src/apricotshore/decisions/change_attempt.py
@@ -73,6 +73,8 @@
         The primary at the start, None without one.
     must_step_down
         Whether the primary is replaced even if it answers.
+    is_silent
+        Whether the primary is taken for silent, so that its answer is not waited for.
     is_cut_off
         Whether its commits reach no replica.
     inherited
@@ -115,6 +117,7 @@
     started_at: int
     replaced: ServerId | None = None
     must_step_down: bool = False
+    is_silent: bool = False
     is_cut_off: bool = False
     inherited: ServerId | None = None
     primary_end: LogPosition | None = None
--- a/src/apricotshore/decisions/silent_primary.py
+++ b/src/apricotshore/decisions/silent_primary.py
@@ -98,9 +98,9 @@
 def _prefer_responsive(
     attempt: Attempt, servers: tuple[ServerId, ...]
 ) -> tuple[ServerId, ...]:
-    """Leave out the unresponsive primary if other servers can be asked.
+    """Leave out a silent primary if other servers can be asked.
 
     Its answer is rarely needed, and waiting for it delays the others.
     """
     others = tuple(s for s in servers if s != attempt.replaced)
-    return servers if attempt.must_step_down or not others else others
+    return others if attempt.is_silent and others else servers
--- a/src/apricotshore/pooling/primary_changer.py
+++ b/src/apricotshore/pooling/primary_changer.py
@@ -192,6 +192,7 @@
             recorded=inherited,
             must_step_down=reason in ("leaving", "stalled")
             or inherited not in (None, replaced),
+            is_silent=reason == "silent",
             is_cut_off=reason == "stalled",
         )
 
