Pause the other replicas too once the primary has stepped down

What callers saw: one or two acknowledged commits missing after a change of primary, which a replica had received. Cause: the step-down was the only barrier in a change whose primary answers, and it was taken to end every acknowledgement. A commit that waits for a replica at that moment may be acknowledged later, by a replica that isn't the target; a primary that crashes after it stepped down may lead again. Change: the step-down is followed by pauses of all others, sent beside the question to the target that was needed anyway; the former primary is asked too, so that its end grows with it, and is told to step down again if it leads. If no server reaches the end, the target is paused as well, and the longest log holds all that was acknowledged. Pauses use the term of the step-down, so that one that comes after the effect is refused.

--- a/src/apricotshore/decisions/change_attempt.py
+++ b/src/apricotshore/decisions/change_attempt.py
@@ -152,6 +152,18 @@
     term: Term
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Secure:
+    """Action: pause servers and request the status of others at the same time.
+
+    Only the answers of the servers that are asked are waited for.
+    """
+
+    paused: tuple[ServerId, ...]
+    term: Term
+    asked: tuple[ServerId, ...]
+
+
 @dataclass(frozen=True, kw_only=True, slots=True)
 class StepDown:
     """Action: make the primary a replica."""
@@ -216,6 +228,7 @@
 Step = (
     RequestStatus
     | Pause
+    | Secure
     | StepDown
     | AskOthers
     | Hold
@@ -243,7 +256,12 @@
     attempt.unanswered_since = None
     if status.is_primary:
         observe_primary_end(attempt, status.log_position)
-    elif attempt.final_end is None and _keeps_log(attempt, status):
+        # One that crashed after it had stepped down may lead again.
+        attempt.final_end = None
+    elif attempt.final_end is not None:
+        # A commit that was being run may have been stored since it stepped down.
+        attempt.final_end = max(attempt.final_end, status.log_position, key=log_order)
+    elif _keeps_log(attempt, status):
         attempt.final_end = status.log_position
         attempt.stepped_down_at = now
         attempt.listed = False
--- a/src/apricotshore/decisions/change_targets.py
+++ b/src/apricotshore/decisions/change_targets.py
@@ -7,6 +7,7 @@
 from .change_attempt import (
     Attempt,
     Member,
+    MemberStatus,
     Pause,
     Promote,
     RecordTarget,
@@ -61,8 +62,17 @@
     )
 
 
+def next_term(status: MemberStatus) -> Term:
+    """Return the term above that of a member."""
+    return Term(status.term + 1)
+
+
 def choose_pause_term(attempt: Attempt) -> Term:
-    """Return the term of pauses, above all that are known; it is kept."""
+    """Return the term of pauses, above all that are known; it is kept.
+
+    It is the next term where no server was left paused, so that a pause that comes
+    after the promotion's effect is refused.
+    """
     if not attempt.pause_term:
         terms = [
             max(s.term, s.paused_term, s.log_position.term)
--- a/src/apricotshore/decisions/primary_change.py
+++ b/src/apricotshore/decisions/primary_change.py
@@ -2,16 +2,19 @@
 
 A commit is acknowledged once the primary and one replica have stored it. Which
 replica that was cannot be known: servers join, restart and lose their entries at
-any time. So the order of the steps keeps the promise, not what is known of servers:
+any time. So two barriers keep commits from being acknowledged that the promoted
+server lacks, and each of them is enough alone:
 
-1. The primary steps down and names the end of its log. From then on nobody can
-   acknowledge a commit, whoever else joins, restarts or is not listed.
-2. A server whose log reaches that end is promoted.
+1. The primary steps down and names the end of its log.
+2. Replication is paused at every other server except the target, and again until
+   the promotion takes effect. A commit that the former primary still acknowledges,
+   as it waited for a replica or as the primary leads again, is then on the target.
+
+A server that reaches the end of the log is promoted. If none does, the target is paused
+as well, and the longest log holds whatever was acknowledged.
 
 A primary that gives no answer may be reached by other hosts. If by none that is asked,
-replication is paused at every other server that can be found except the target, and
-again until the promotion takes effect; a primary that returns in that time is told to
-step down.
+only the second barrier is left; a primary that returns is told to step down.
 
 The target is recorded in the lease before its promotion is requested. While that
 promotion may take effect, no other server is promoted: a repeated request for the
@@ -25,18 +28,24 @@
     Hold,
     ListServers,
     Member,
+    Pause,
     Promote,
     RecordTarget,
     RequestStatus,
+    Secure,
     Step,
     StepDown,
     Wait,
+    log_order,
 )
 from .change_targets import (
     CATCH_UP_MS,
+    choose_pause_term,
     choose_target,
+    is_paused,
     list_followers,
     list_names,
+    next_term,
     reaches,
     read_order,
     request_promotion,
@@ -50,9 +59,9 @@
 CONFIRM_MS = 4_500
 # The same for steps that follow once there is no primary any more.
 STEPS_WITHOUT_PRIMARY_MS = 3_500
-# For this long after the primary stepped down, only the target is asked: a server
-# that gives no answer would delay the others.
-TARGET_ALONE_MS = 100
+# For this long after the primary stepped down, only the target's answer is waited
+# for, and a promotion waits for the pauses of the others.
+SECURE_MS = 100
 # A primary steps down after this time although no replica has caught up with it.
 STEP_DOWN_AFTER_MS = 800
 # A primary that answers none of its commands for this long is taken for silent.
@@ -143,8 +152,10 @@
     if attempt.recorded != target:
         return RecordTarget(server=target)
     status = attempt.statuses.get(primary)
-    terms = (attempt.from_term, status.term if status is not None else 0)
-    return StepDown(server=primary, term=Term(max(*terms, attempt.pause_term - 1) + 1))
+    term = choose_pause_term(attempt)
+    return StepDown(
+        server=primary, term=term if status is None else max(term, next_term(status))
+    )
 
 
 def _plan_after_step_down(
@@ -154,50 +165,85 @@
     lossless: bool,
     now: int,
 ) -> Step:
-    """Promote a server that holds all that the former primary has stored.
+    """Promote a server that holds all that the former primary has stored."""
+    others = tuple(m for m in members if m.server != attempt.replaced)
+    full = _list_full(attempt, others)
+    is_waiting = now - attempt.stepped_down_at < SECURE_MS
+    if attempt.target not in full and not is_waiting:
+        candidates = [m for m in others if m.server in full]
+        set_target(attempt, choose_target(attempt, candidates), now)
+    target = attempt.target
+    if target is None or target not in full:
+        return _plan_incomplete(attempt, members, others, since_loss, lossless, now)
+    unpaused = _list_unsecured(attempt, others)
+    if is_waiting and any(m.server in unpaused for m in others if m.listed):
+        return _secure(attempt, unpaused)
+    return request_promotion(attempt, members, target, now)
+
+
+def _list_full(attempt: Attempt, others: tuple[Member, ...]) -> tuple[ServerId, ...]:
+    """Return the followers that hold all that any server is known to hold."""
+    assert attempt.final_end is not None
+    followers = list_names(list_followers(attempt, others))
+    end = max(
+        [log_order(attempt.final_end), *(read_order(attempt, s) for s in followers)]
+    )
+    return tuple(s for s in followers if read_order(attempt, s) >= end)
+
 
-    Nobody acknowledges a commit meanwhile. If no server receives the rest, it was
-    never acknowledged, provided that every server has answered that was listed
-    after the primary stepped down; else the former primary alone holds it.
+def _list_unsecured(
+    attempt: Attempt, others: tuple[Member, ...]
+) -> tuple[ServerId, ...]:
+    """Return the servers but the target that are not known to be paused."""
+    return tuple(
+        server
+        for server in list_names(others)
+        if server != attempt.target
+        and not (server in attempt.statuses and is_paused(attempt, server))
+    )
+
+
+def _secure(attempt: Attempt, unpaused: tuple[ServerId, ...]) -> Secure:
+    """Pause servers, and ask the target whether it has received the rest.
+
+    The former primary is asked as well: it may lead again, or have stored a commit
+    that it was running when it stepped down.
     """
-    end = attempt.final_end
-    assert end is not None
-    followers = list_followers(attempt, members)
-    others = [m for m in followers if m.server != attempt.replaced]
-    full = [m for m in others if reaches(attempt, m.server, end)]
-    target = attempt.target
-    if target is None or target not in list_names(full):
-        target = choose_target(attempt, full)
-    if target is not None:
-        return request_promotion(attempt, members, target, now)
-    return _plan_incomplete(attempt, members, others, since_loss, lossless, now)
+    asked = tuple(s for s in (attempt.target, attempt.replaced) if s is not None)
+    return Secure(paused=unpaused, term=choose_pause_term(attempt), asked=asked)
 
 
 def _plan_incomplete(
     attempt: Attempt,
     members: tuple[Member, ...],
-    others: list[Member],
+    others: tuple[Member, ...],
     since_loss: PositionSample | None,
     lossless: bool,
     now: int,
 ) -> Step:
-    """Find who is to be promoted while no server is known to hold all."""
-    asked = tuple(s for s in list_names(members) if s != attempt.replaced)
+    """Find who is to be promoted while no server is known to hold all.
+
+    The rest of the log may still arrive at any server, and be acknowledged by that.
+    So all of them are paused before the longest log is taken for complete.
+    """
     since = now - attempt.stepped_down_at
-    if since < TARGET_ALONE_MS and attempt.target is not None:
-        return RequestStatus(servers=(attempt.target,))
+    unpaused = _list_unsecured(attempt, others)
     if since < CATCH_UP_MS:
-        return RequestStatus(servers=asked)
+        return _secure(attempt, unpaused)
     if not attempt.listed:
         return ListServers()
     missing = tuple(
-        m.server for m in members if m.listed and m.server not in attempt.statuses
+        m.server for m in others if m.listed and m.server not in attempt.statuses
     )
     if missing and since < NO_ANSWER_LIMIT_MS:
-        return RequestStatus(servers=missing)
-    target = choose_target(attempt, others)
+        return Pause(servers=missing, term=choose_pause_term(attempt))
+    followers = list_followers(attempt, others)
+    receiving = tuple(m.server for m in followers if not is_paused(attempt, m.server))
+    if receiving:
+        return Pause(servers=receiving, term=choose_pause_term(attempt))
+    target = choose_target(attempt, followers)
     if target is not None and not missing:
-        needed = [read_order(attempt, m.server) for m in others]
+        needed = [read_order(attempt, m.server) for m in followers]
         if not lossless:
             proven = since_loss or attempt.final_end
             needed.append((proven.term, proven.position))
--- a/src/apricotshore/pooling/change_steps.py
+++ b/src/apricotshore/pooling/change_steps.py
@@ -15,6 +15,7 @@
     Promote,
     RecordTarget,
     RequestStatus,
+    Secure,
     Step,
     StepDown,
     Wait,
@@ -158,6 +159,8 @@
                 self._record("pausing", servers=servers, term=term)
                 self._begin_detour(term)
                 await self._command_all(servers, QueryKind.PAUSE, term)
+            case Secure():
+                await self._secure(step)
             case StepDown(server=server, term=term):
                 await self._step_down(server, term)
             case AskOthers(server=server, term=term):
@@ -254,6 +257,20 @@
         if reply.refused:
             change_attempt.observe_refusal(self.attempt, server)
 
+    async def _secure(self, step: Secure) -> None:
+        """Pause servers beside asking others, and wait for the first answer."""
+        self._record("pausing", servers=step.paused, term=step.term)
+        for server in step.paused:
+            self._send(server, QueryKind.PAUSE, step.term)
+        for server in step.asked:
+            self._send(server, QueryKind.STATUS, NO_TERM)
+        if self.sent:
+            await asyncio.wait(
+                self.sent.values(),
+                timeout=STATUS_PAUSE_S,
+                return_when=asyncio.FIRST_COMPLETED,
+            )
+
     async def _step_down(self, server: ServerId, term: Term) -> None:
         self._record("yielding", server=server, term=term)
         await self._command(server, QueryKind.STEP_DOWN, term)
--- a/tests/changemodel.py
+++ b/tests/changemodel.py
@@ -19,6 +19,7 @@
     Promote,
     RecordTarget,
     RequestStatus,
+    Secure,
     StepDown,
 )
 from apricotshore.decisions.position_history import PositionSample
@@ -325,6 +326,9 @@
             case Pause(servers=servers, term=term):
                 self._pause(servers, term, reached)
                 self._report(host, servers, answers)
+            case Secure(paused=paused, term=term, asked=asked):
+                self._pause(paused, term, reached)
+                self._report(host, (*paused, *asked), answers)
             case StepDown(server=server):
                 self._step_down(server, reached)
                 self._report(host, (server,), answers)
--- a/tests/pooling/test_late_acknowledgement.py
+++ b/tests/pooling/test_late_acknowledgement.py
@@ -1,8 +1,8 @@
 """Commits that are acknowledged late, amid a change of primary, are not lost.
 
-Whether a primary that has stepped down acknowledges a commit that waited for a replica
-is not stated; nor is whether it leads again after a crash. Replicas receive at different
-times.
+Nothing says that a primary which has stepped down does not acknowledge a commit that
+waited for a replica, or that it does not lead again after a crash. Replicas receive at
+different times.
 """
 
 import asyncio
--- a/tests/test_primary_change_races.py
+++ b/tests/test_primary_change_races.py
@@ -24,6 +24,7 @@
     Promote,
     RecordTarget,
     RequestStatus,
+    Secure,
     StepDown,
 )
 from apricotshore.decisions.position_history import PositionSample
@@ -233,9 +234,10 @@
         match step:
             case RequestStatus(servers=servers):
                 self._report_statuses(attempt, servers, reached)
-            case Pause(servers=servers, term=term):
+            case Pause(servers=servers, term=term) | Secure(paused=servers, term=term):
                 self._pause(servers, term, reached)
-                self._report_statuses(attempt, servers, reached)
+                asked = step.asked if isinstance(step, Secure) else ()
+                self._report_statuses(attempt, (*servers, *asked), reached)
             case StepDown(server=server):
                 self._step_down(server, reached)
                 self._report_statuses(attempt, (server,), reached)
