Ask for a silent primary again until the promotion takes effect

What callers saw: a primary that no host reached comes back to some hosts before the promotion of another takes effect, and acknowledges until this host reaches it. Cause: other hosts were asked once, before the order, and the list of servers was read once. Measured: the new test failed (the primary wasn't asked within 0.6 s of its return) and passes.

--- a/src/apricotshore/pooling/change_steps.py
+++ b/src/apricotshore/pooling/change_steps.py
@@ -93,6 +93,8 @@
         self.sent: dict[ServerId, asyncio.Task[None]] = {}
         # Answers of a silent primary through other hosts, once they were asked.
         self.detour: asyncio.Task[tuple[ServerReport, ...]] | None = None
+        # Search for new servers and for the primary while a promotion is awaited.
+        self.search: asyncio.Task[None] | None = None
 
     def may_go_on(self, is_needed: bool) -> bool:
         """Return whether another step is due.
@@ -234,8 +236,7 @@
     async def stop(self) -> None:
         """End the commands that still run: a late pause would outlast the change."""
         running: list[asyncio.Task] = list(self.sent.values())
-        if self.detour is not None:
-            running.append(self.detour)
+        running += [t for t in (self.detour, self.search) if t is not None]
         for task in running:
             task.cancel()
         await asyncio.gather(*running, return_exceptions=True)
@@ -249,9 +250,7 @@
     ) -> None:
         reply = await self.commands.ask(server, kind, term, timeout_ms)
         if reply.report is not None:
-            change_attempt.update_status(
-                self.attempt, server, read_status(reply.report), read_boot_ms()
-            )
+            self._update_status(server, reply.report)
             return
         change_attempt.remove_status(self.attempt, server, read_boot_ms())
         if reply.refused:
@@ -271,6 +270,11 @@
                 return_when=asyncio.FIRST_COMPLETED,
             )
 
+    def _update_status(self, server: ServerId, report: ServerReport) -> None:
+        change_attempt.update_status(
+            self.attempt, server, read_status(report), read_boot_ms()
+        )
+
     async def _step_down(self, server: ServerId, term: Term) -> None:
         self._record("yielding", server=server, term=term)
         await self._command(server, QueryKind.STEP_DOWN, term)
@@ -288,9 +292,7 @@
             return
         reports = await self.detour
         for report in reports:
-            change_attempt.update_status(
-                self.attempt, server, read_status(report), read_boot_ms()
-            )
+            self._update_status(server, report)
         end = self.attempt.final_end
         mark = f"{end.term}.{end.position}" if end is not None else ""
         self._record("asked-others", server=server, answers=len(reports), mark=mark)
@@ -313,9 +315,27 @@
             self._send(server, QueryKind.PAUSE, step.term)
         if step.primary is not None:
             self._send(step.primary, QueryKind.STEP_DOWN, step.term)
+            self._begin_search(step.primary, step.term)
         self.group.probe_wanted.set()
         await asyncio.sleep(EFFECT_PAUSE_S)
 
+    def _begin_search(self, primary: ServerId, term: Term) -> None:
+        """Search again while the former primary may lead: a server may have joined."""
+        status = self.attempt.statuses.get(primary)
+        may_lead = status is None or status.is_primary
+        if may_lead and (self.search is None or self.search.done()):
+            self.search = asyncio.get_running_loop().create_task(
+                self._search(primary, term)
+            )
+
+    async def _search(self, primary: ServerId, term: Term) -> None:
+        await self._list_servers()
+        pool = self.group.find_pool(primary)
+        if pool is None:
+            return
+        for report in await self.detours.step_down(pool.server, term):
+            self._update_status(primary, report)
+
     # -- the platform --
 
     async def _list_servers(self) -> None:
--- a/tests/pooling/test_late_acknowledgement.py
+++ b/tests/pooling/test_late_acknowledgement.py
@@ -67,3 +67,38 @@
             await wait_until(lambda: not restarted.changer.lease.seen.open)
     assert model.lost == []
     assert [server for server, _ in model.promotions] == [platform.orders[0][1]]
+
+
+async def test_silent_primary_that_returns_to_other_hosts_is_asked_again():
+    """Other hosts were asked once only, before the promotion was requested."""
+    model = ModelGroup.make()
+    platform = ModelPlatform(group=model, promote_s=1.0)
+    host = ModelHost.make("host-0", model, platform)
+    host.add_other_host("10.0.0.2:7")
+    model.servers[S1].unreachable_by = {"host-0", "10.0.0.2:7"}
+    async with running(host), writing(model):
+        await wait_until(lambda: platform.orders)
+        target = platform.orders[0][1]
+        model.servers[target].partitioned = True
+        other = S2 if target == S3 else S3
+        model.servers[S1].unreachable_by.remove("10.0.0.2:7")
+        await wait_until(lambda: not model.servers[S1].is_primary, 0.6)
+        model.servers[other].paused_term = 0
+        await wait_until(lambda: model.promotions)
+    assert model.lost == []
+
+
+async def test_change_that_ends_without_a_promotion_after_the_step_down_goes_on():
+    """No server answered in time after the primary had stepped down."""
+    model = ModelGroup.make()
+    platform = ModelPlatform(group=model, promote_s=0.05)
+    host = ModelHost.make("host-0", model, platform)
+    async with running(host), writing(model):
+        await wait_until(lambda: len(model.acknowledged) > 5)
+        host.mark_leaving("s1")
+        await wait_until(lambda: not model.servers[S1].is_primary)
+        model.servers[S2].busy = model.servers[S3].busy = True
+        await asyncio.sleep(4.0)
+        model.servers[S2].busy = model.servers[S3].busy = False
+        await wait_until(lambda: model.promotions, 3.0)
+    assert model.lost == []
