Keep the lease of a change that stepped the primary down and promoted nobody

Cause: such a change has paused servers and no primary, so the fence at its end can't confirm one and would wait 2 s before the next attempt; before the pauses, it released the lease and left the group to whoever missed its primary. Change: the lease stays open, and the same host goes on at once.

--- a/src/apricotshore/pooling/primary_changer.py
+++ b/src/apricotshore/pooling/primary_changer.py
@@ -228,6 +228,10 @@
         if attempt.requested is not None and not work.is_settled():
             self._record("unconfirmed", server=attempt.requested)
             return
+        if attempt.final_end is not None and attempt.requested is None:
+            # Nobody leads. The lease stays open, so that this host goes on at once.
+            self._record("ended", outcome="no primary")
+            return
         has_paused = bool(attempt.pause_term)
         must_fence = unfinished or (has_paused and attempt.requested is None)
         if must_fence and not await self._fence(
