--- a/src/apricotshore/decisions/primary_change.py
+++ b/src/apricotshore/decisions/primary_change.py
@@ -170,8 +170,8 @@
     full = _list_full(attempt, others)
     is_waiting = now - attempt.stepped_down_at < SECURE_MS
     if attempt.target not in full and not is_waiting:
-        candidates = [m for m in others if m.server in full]
-        set_target(attempt, choose_target(attempt, candidates), now)
+        other = choose_target(attempt, [m for m in others if m.server in full])
+        set_target(attempt, other or attempt.target, now)
     target = attempt.target
     if target is None or target not in full:
         return _plan_incomplete(attempt, members, others, since_loss, lossless, now)
--- a/src/apricotshore/pooling/change_steps.py
+++ b/src/apricotshore/pooling/change_steps.py
@@ -258,7 +258,8 @@
 
     async def _secure(self, step: Secure) -> None:
         """Pause servers beside asking others, and wait for the first answer."""
-        self._record("pausing", servers=step.paused, term=step.term)
+        if step.paused:
+            self._record("pausing", servers=step.paused, term=step.term)
         for server in step.paused:
             self._send(server, QueryKind.PAUSE, step.term)
         for server in step.asked:
