Record every new answer of a server to a command of a change

An accepted RESUME, which is answered without a report, was written as "refused".

Change: phase "answered" in GroupCommands.ask with role, term, position, paused term and time. The same answer of a server to the same command is written once a change; at most 32 servers are remembered. An accepted RESUME is "answered" too.

--- a/src/apricotshore/pooling/group_commands.py
+++ b/src/apricotshore/pooling/group_commands.py
@@ -2,12 +2,13 @@
 
 import asyncio
 from collections.abc import Iterable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from ..decisions import change_triggers
 from ..groups import LogPosition
 from ..identifiers import ServerId, Term
 from ..queries import Query, QueryKind, ServerReport
+from ..services.clock import read_boot_ms
 from .group import Group
 from .journal import EventKind
 from .pool import NoConnectionError
@@ -18,6 +19,8 @@
 # A primary that is merely overloaded, not cut off, commits within this time.
 ADVANCE_S = 0.4
 NO_TERM = Term(0)
+# Servers whose last answers are remembered, so as not to record them twice.
+MAX_REMEMBERED = 32
 
 
 def record_phase(group: Group, phase: str, **details: object) -> None:
@@ -27,6 +30,23 @@
     )
 
 
+def format_position(log_position: LogPosition) -> str:
+    """Return a log position as ``TERM.NUMBER``."""
+    return f"{log_position.term}.{log_position.position}"
+
+
+def _describe_report(report: ServerReport | None) -> dict[str, object]:
+    """Return the keys of a line for a report."""
+    if report is None:
+        return {}
+    return {
+        "role": report.role.value,
+        "term": report.term,
+        "received": format_position(report.received),
+        "paused_term": report.paused_term,
+    }
+
+
 @dataclass(frozen=True, kw_only=True, slots=True)
 class CommandReply:
     """Reply of a server to a command.
@@ -43,6 +63,47 @@
     refused: bool = False
 
 
+@dataclass(kw_only=True)
+class RecordedAnswers:
+    """Last recorded answers of servers to commands.
+
+    Parameters
+    ----------
+    reports
+        Last recorded report of each server.
+    commands
+        Commands to which each server gave that report.
+    """
+
+    reports: dict[ServerId, ServerReport] = field(default_factory=dict)
+    commands: dict[ServerId, set[QueryKind]] = field(default_factory=dict)
+
+    def add(
+        self, server: ServerId, kind: QueryKind, report: ServerReport | None
+    ) -> bool:
+        """Remember an answer; return whether it differs from what is remembered."""
+        if report is not None and self.reports.get(server) != report:
+            self.commands.pop(server, None)
+            self.reports[server] = report
+        known = self.commands.setdefault(server, set())
+        if kind in known:
+            return False
+        known.add(kind)
+        self._limit()
+        return True
+
+    def _limit(self) -> None:
+        while len(self.commands) > MAX_REMEMBERED:
+            oldest = next(iter(self.commands))
+            del self.commands[oldest]
+            self.reports.pop(oldest, None)
+
+    def clear(self) -> None:
+        """Forget all answers."""
+        self.reports.clear()
+        self.commands.clear()
+
+
 class GroupCommands:
     """Sends commands to the servers of one group.
 
@@ -54,6 +115,11 @@
 
     def __init__(self, *, group: Group) -> None:
         self.group = group
+        self.recorded = RecordedAnswers()
+
+    def begin_change(self) -> None:
+        """Have every server's first answer recorded again: a change begins."""
+        self.recorded.clear()
 
     async def ask(
         self,
@@ -67,18 +133,41 @@
         if pool is None:
             return CommandReply()
         query = Query(kind=kind, term=term)
+        asked_at = read_boot_ms()
         try:
             answer = await pool.run_alone(query, COMMAND_PRIORITY, timeout_ms)
         except (NoConnectionError, ConnectionLostError) as error:
             record_phase(self.group, "no-answer", server=server, why=str(error))
             return CommandReply()
-        if answer.report is None:
+        # RESUME is answered without a report.
+        is_resumed = kind is QueryKind.RESUME and answer.failure is None
+        if answer.report is None and not is_resumed:
             why = str(answer.failure)
             record_phase(
                 self.group, "refused", server=server, command=kind.value, why=why
             )
+        else:
+            self._record_answer(server, kind, answer.report, asked_at)
         return CommandReply(report=answer.report, refused=answer.report is None)
 
+    def _record_answer(
+        self,
+        server: ServerId,
+        kind: QueryKind,
+        report: ServerReport | None,
+        asked_at: int,
+    ) -> None:
+        if not self.recorded.add(server, kind, report):
+            return
+        record_phase(
+            self.group,
+            "answered",
+            server=server,
+            command=kind.value,
+            **_describe_report(report),
+            took_ms=read_boot_ms() - asked_at,
+        )
+
     async def run(
         self, server: ServerId, kind: QueryKind, term: Term = NO_TERM
     ) -> ServerReport | None:
--- a/src/apricotshore/pooling/primary_changer.py
+++ b/src/apricotshore/pooling/primary_changer.py
@@ -150,6 +150,7 @@
             await asyncio.sleep(STORE_RETRY_S)
             return
         attempt = self._make_attempt(reason, began)
+        self.commands.begin_change()
         self._record(
             "began",
             reason=reason,
--- /dev/null
+++ b/tests/pooling/test_change_records.py
@@ -0,0 +1,138 @@
+"""A change of primary can be told from its lines alone."""
+
+import os
+from collections.abc import Callable
+from pathlib import Path
+
+import pytest
+
+from apricotshore.groups import Role
+from apricotshore.identifiers import ServerId, Term
+from apricotshore.pooling.group_commands import MAX_REMEMBERED, RecordedAnswers
+from apricotshore.pooling.journal import EventKind, Journal
+from apricotshore.pooling.trace import Record, read_records
+from apricotshore.queries import QueryKind, ServerReport
+from standins.in_memory import ModelGroup, ModelPlatform
+
+from .support import ModelHost, log_position, running, wait_until, writing
+
+S1, S2, S3 = ServerId("s1"), ServerId("s2"), ServerId("s3")
+# Lines of `handover` that one planned change in the model may cost.
+PLANNED_LINES = 24
+
+
+def keep_journal(host: ModelHost, path: Path) -> Callable[[], list[Record]]:
+    """Have a host write to a file; return a reader of its records."""
+    journal = Journal(
+        host=str(host.name),
+        descriptor=os.open(path, os.O_WRONLY | os.O_CREAT | os.O_TRUNC),
+    )
+    host.group.journal = host.changer.journal = journal
+    return lambda: list(read_records(path.read_text().splitlines()))
+
+
+def find_phases(records: list[Record], phase: str) -> list[Record]:
+    return [r for r in records if r.details.get("phase") == phase]
+
+
+def report(number: int, paused_term: int = 0) -> ServerReport:
+    return ServerReport(
+        role=Role.REPLICA,
+        term=Term(1),
+        received=log_position(1, number),
+        paused_term=Term(paused_term),
+    )
+
+
+@pytest.fixture
+def one_host(tmp_path):
+    model = ModelGroup.make()
+    platform = ModelPlatform(group=model, promote_s=0.3)
+    host = ModelHost.make("host-0", model, platform)
+    return model, platform, host, keep_journal(host, tmp_path / "host-0.log")
+
+
+async def run_planned_change(model: ModelGroup, host: ModelHost) -> None:
+    async with running(host), writing(model):
+        await wait_until(lambda: len(model.acknowledged) > 5)
+        host.mark_leaving("s1")
+        await wait_until(lambda: model.promotions)
+        await wait_until(lambda: not host.changer.unresumed and host.group.primary)
+        # The round that resumes who an earlier change left paused.
+        await wait_until(lambda: host.changer.resume_tried_at)
+
+
+async def run_crash(model: ModelGroup, host: ModelHost) -> None:
+    async with running(host), writing(model):
+        await wait_until(lambda: len(model.acknowledged) > 5)
+        model.servers[S1].up = model.servers[S1].is_primary = False
+        await wait_until(lambda: model.promotions)
+        await wait_until(lambda: not any(s.paused_term for s in model.servers.values()))
+
+
+async def test_answers_to_commands_are_recorded(one_host):
+    model, _, host, records = one_host
+    await run_planned_change(model, host)
+    answered = find_phases(records(), "answered")
+    (step_down,) = [r for r in answered if r.details["command"] == "step-down"]
+    (yielded,) = find_phases(records(), "yielded")
+    assert step_down.details["server"] == S1
+    assert step_down.details["role"] == "replica"
+    assert step_down.details["term"] == 2
+    assert step_down.details["received"] == yielded.details["mark"]
+    assert step_down.details["paused_term"] == 0
+    assert step_down.details["took_ms"] >= 0
+    assert {r.details["server"] for r in answered} == {S1, S2, S3}
+
+
+async def test_accepted_resume_is_recorded_as_answered(one_host):
+    model, _, host, records = one_host
+    await run_crash(model, host)
+    resumed = [
+        r for r in records() if r.details.get("command") == QueryKind.RESUME.value
+    ]
+    assert [r.details["phase"] for r in resumed] == ["answered"]
+    assert "role" not in resumed[0].details
+
+
+async def test_repeated_holds_cost_no_lines(one_host):
+    model, platform, host, records = one_host
+    platform.promote_s = 1.2
+    await run_crash(model, host)
+    pauses = [
+        (r.details["server"], r.details["received"], r.details["term"])
+        for r in find_phases(records(), "answered")
+        if r.details["command"] == "pause"
+    ]
+    assert pauses and len(pauses) == len(set(pauses))
+
+
+async def test_planned_change_costs_few_lines(one_host):
+    model, _, host, records = one_host
+    await run_planned_change(model, host)
+    lines = [r for r in records() if r.step is EventKind.PRIMARY_CHANGE]
+    assert len(lines) <= PLANNED_LINES
+
+
+def test_answer_is_recorded_again_only_after_another_one():
+    recorded = RecordedAnswers()
+    pause, status = QueryKind.PAUSE, QueryKind.STATUS
+    assert recorded.add(S1, pause, report(5, 2))
+    assert not recorded.add(S1, pause, report(5, 2))
+    assert recorded.add(S1, status, report(5, 2))
+    assert not recorded.add(S1, pause, report(5, 2))
+    assert recorded.add(S2, pause, report(5, 2))
+    assert recorded.add(S1, status, report(6, 2))
+    assert recorded.add(S1, pause, report(5, 2))
+    assert recorded.add(S1, QueryKind.RESUME, None)
+    assert not recorded.add(S1, QueryKind.RESUME, None)
+    assert not recorded.add(S1, pause, report(5, 2))
+    recorded.clear()
+    assert recorded.add(S1, pause, report(5, 2))
+
+
+def test_remembered_answers_are_bounded():
+    recorded = RecordedAnswers()
+    for number in range(3 * MAX_REMEMBERED):
+        assert recorded.add(ServerId(f"s{number}"), QueryKind.STATUS, report(1))
+    assert len(recorded.commands) == len(recorded.reports) == MAX_REMEMBERED
