Record every write of the lease on a change of primary

Change: ChangeLease takes a callable `record` and records "leased", "lease-conflict" (whose lease was found) and "lease-unknown" (no answer of the store). A line names the revision, whether it is open, the target, the writer, and the former holder if that was another.

--- a/src/apricotshore/pooling/change_lease.py
+++ b/src/apricotshore/pooling/change_lease.py
@@ -1,6 +1,7 @@
 """Lease on the change of one group's primary, kept in the platform's store."""
 
 import uuid
+from collections.abc import Callable
 
 from ..decisions import lease
 from ..decisions.lease import LeaseClaim, ObservedLease
@@ -20,6 +21,10 @@
 UNSETTLED_PAUSE_MS = 2_000
 
 
+def _omit(phase: str, **details: object) -> None:
+    """Record nothing."""
+
+
 class ChangeLease:
     """Lease that allows one host at a time to change a group's primary.
 
@@ -33,6 +38,8 @@
         The platform's store.
     eras
         Tracker of the store's era.
+    record
+        Records a phase with its details.
     """
 
     def __init__(
@@ -43,9 +50,11 @@
         address: str,
         store: ObjectStore,
         eras: EraTracker,
+        record: Callable[..., None] = _omit,
     ) -> None:
         self.group = group
         self.store = store
+        self.record = record
         self.eras = eras
         self.holder = lease.name_holder(host, address, uuid.uuid4().hex[:8])
         self.seen: ObservedLease | None = None
@@ -190,7 +199,12 @@
             answer = await self.store.write_lease(record)
         except StoreConflictError:
             await self.read()
+            self._record_write("lease-conflict", record, current, found=self.seen)
             return None
+        except StoreError as error:
+            self._record_write("lease-unknown", record, current, why=str(error))
+            raise
+        self._record_write("leased", answer.record, current)
         # Written to a restored store, where nobody asks for a lease of this era.
         if not self.eras.accept(answer.era) or answer.era != record.era:
             return None
@@ -198,6 +212,32 @@
         self.held_until = sent_at + lease.LEASE_MS if still_open else 0
         return lease.make_token(answer.record.era, answer.record.revision)
 
+    def _record_write(
+        self,
+        phase: str,
+        record: LeaseRecord,
+        former: ObservedLease | None,
+        found: ObservedLease | None = None,
+        why: str | None = None,
+    ) -> None:
+        """Record a write and the lease of another that it replaces, or was to."""
+        other = former if former and former.holder != self.holder else None
+        self.record(
+            phase,
+            revision=record.revision,
+            era=record.era,
+            open=record.open,
+            target=record.target,
+            holder=self.holder,
+            former_revision=former and former.revision,
+            former=other and other.holder,
+            former_open=other and other.open,
+            found=found and found.holder,
+            found_revision=found and found.revision,
+            found_open=found and found.open,
+            why=why,
+        )
+
     async def release(self) -> None:
         """Write the lease as released, and remove those of earlier eras."""
         await self.write(still_open=False)
--- a/src/apricotshore/pooling/primary_changer.py
+++ b/src/apricotshore/pooling/primary_changer.py
@@ -81,7 +81,12 @@
         self.refresh_servers = refresh_servers
         self.detours = detours
         self.lease = ChangeLease(
-            group=group.group, host=host, address=address, store=store, eras=eras
+            group=group.group,
+            host=host,
+            address=address,
+            store=store,
+            eras=eras,
+            record=self._record,
         )
         self.commands = GroupCommands(group=group)
         self.unresumed: set[ServerId] = set()
--- a/tests/pooling/test_change_records.py
+++ b/tests/pooling/test_change_records.py
@@ -6,13 +6,17 @@
 
 import pytest
 
+from apricotshore.decisions import lease as lease_rules
 from apricotshore.groups import Role
-from apricotshore.identifiers import ServerId, Term
+from apricotshore.identifiers import HostId, ServerId, StoreEra, Term
+from apricotshore.pooling.change_lease import ChangeLease
 from apricotshore.pooling.group_commands import MAX_REMEMBERED, RecordedAnswers
 from apricotshore.pooling.journal import EventKind, Journal
+from apricotshore.pooling.ports import StoreError
 from apricotshore.pooling.trace import Record, read_records
 from apricotshore.queries import QueryKind, ServerReport
-from standins.in_memory import ModelGroup, ModelPlatform
+from apricotshore.services.eras import EraTracker
+from standins.in_memory import GROUP, ModelGroup, ModelPlatform
 
 from .support import ModelHost, log_position, running, wait_until, writing
 
@@ -136,3 +140,78 @@
     for number in range(3 * MAX_REMEMBERED):
         assert recorded.add(ServerId(f"s{number}"), QueryKind.STATUS, report(1))
     assert len(recorded.commands) == len(recorded.reports) == MAX_REMEMBERED
+
+
+def make_recorded_lease(platform: ModelPlatform, name: str, lines: list) -> ChangeLease:
+    eras = EraTracker()
+    eras.accept(StoreEra(platform.era))
+    return ChangeLease(
+        group=GROUP,
+        host=HostId(name),
+        address=f"10.0.0.9:{len(name)}",
+        store=platform,
+        eras=eras,
+        record=lambda phase, **details: lines.append((phase, details)),
+    )
+
+
+async def test_writes_of_the_lease_are_recorded():
+    lines = []
+    lease = make_recorded_lease(ModelPlatform(group=ModelGroup.make()), "host-a", lines)
+    await lease.acquire()
+    await lease.write(still_open=True, target=S2)
+    await lease.release()
+    assert [phase for phase, _ in lines] == ["leased"] * 3
+    written = [details for _, details in lines]
+    assert [d["open"] for d in written] == [True, True, False]
+    assert [d["target"] for d in written] == [None, S2, None]
+    assert {d["holder"] for d in written} == {lease.holder}
+    # The model's store holds a released lease of nobody at the start.
+    assert [d["former"] for d in written] == ["", None, None]
+    assert [d["former_open"] for d in written] == [False, None, None]
+    revisions = [d["revision"] for d in written]
+    assert revisions == sorted(set(revisions))
+    assert [d["former_revision"] for d in written] == [10, *revisions[:2]]
+
+
+async def test_conflict_names_the_lease_that_was_found():
+    platform = ModelPlatform(group=ModelGroup.make())
+    lines = []
+    first = make_recorded_lease(platform, "host-a", lines)
+    second = make_recorded_lease(platform, "host-bb", lines)
+    await first.read()
+    assert await second.acquire()
+    assert await first.write(still_open=True) is None
+    phase, details = lines[-1]
+    assert phase == "lease-conflict"
+    assert details["holder"] == first.holder
+    assert details["found"] == second.holder
+    assert details["found_revision"] == second.seen.revision
+    assert details["found_open"] is True
+
+
+async def test_write_over_another_lease_names_its_holder(monkeypatch):
+    monkeypatch.setattr(lease_rules, "LEASE_MS", 0)
+    platform = ModelPlatform(group=ModelGroup.make())
+    lines = []
+    first = make_recorded_lease(platform, "host-a", lines)
+    second = make_recorded_lease(platform, "host-bb", lines)
+    await first.acquire()
+    await second.acquire()
+    phase, details = lines[-1]
+    assert phase == "leased"
+    assert (details["holder"], details["former"]) == (second.holder, first.holder)
+    assert details["former_open"] is True
+
+
+async def test_write_without_an_answer_is_recorded(one_host):
+    _, platform, _, _ = one_host
+    lines = []
+    lease = make_recorded_lease(platform, "host-a", lines)
+    await lease.acquire()
+    platform.down = True
+    with pytest.raises(StoreError):
+        await lease.write(still_open=True, target=S2)
+    phase, details = lines[-1]
+    assert phase == "lease-unknown"
+    assert details["target"] == S2 and details["why"]
