Record where the promoted server's log stood when it was first seen to lead

Cause: a line named the position of the order, none the position at its effect, so nothing told what the new primary had received in between.

Change: phase "settled" names both and the time between, from the first position sample of the new term. The first sample may hold entries of the new term already.

--- a/src/apricotshore/pooling/change_steps.py
+++ b/src/apricotshore/pooling/change_steps.py
@@ -27,7 +27,14 @@
 from .change_lease import ChangeLease
 from .detours import Detours
 from .group import Group
-from .group_commands import COMMAND_TIMEOUT_MS, NO_TERM, GroupCommands, record_phase
+from .group_commands import (
+    COMMAND_TIMEOUT_MS,
+    NO_TERM,
+    GroupCommands,
+    format_position,
+    record_phase,
+    record_settled,
+)
 from .ports import Promoter, StoreError
 
 # Pause before servers are asked again, and while a promotion is awaited.
@@ -87,6 +94,8 @@
         self.token = token
         self.leased_at = read_boot_ms()
         self.requested_at = 0
+        # Log position that the target had when it was ordered.
+        self.ordered_mark = ""
         self.last_phase: tuple[object, ...] = ()
         # Commands that run without being waited for, by server.
         self.sent: dict[ServerId, asyncio.Task[None]] = {}
@@ -118,6 +127,11 @@
             and primary_state.confirmed_at >= self.requested_at
         )
 
+    def record_settled(self) -> None:
+        """Record where the log of the promoted server stood when it led."""
+        if self.attempt.requested is not None and self.is_settled():
+            record_settled(self.group, self.ordered_mark, self.requested_at)
+
     async def take_step(self) -> bool:
         """Run the next step; return False when the change ends with it."""
         self._observe_primary_end()
@@ -331,14 +345,9 @@
         """Request a promotion; return False if a request can't be taken back."""
         attempt = self.attempt
         status = attempt.statuses.get(server)
-        self._record(
-            "promoting",
-            server=server,
-            token=self.token,
-            mark=f"{status.log_position.term}.{status.log_position.position}"
-            if status is not None
-            else "",
-        )
+        mark = format_position(status.log_position) if status is not None else ""
+        self.ordered_mark = mark
+        self._record("promoting", server=server, token=self.token, mark=mark)
         self.requested_at = self.requested_at or read_boot_ms()
         try:
             accepted = await self.promoter.promote(
--- a/src/apricotshore/pooling/group_commands.py
+++ b/src/apricotshore/pooling/group_commands.py
@@ -35,6 +35,40 @@
     return f"{log_position.term}.{log_position.position}"
 
 
+def record_settled(group: Group, mark: str, requested_at: int) -> None:
+    """Record where a promoted server's log stood when it was first seen to lead.
+
+    Parameters
+    ----------
+    group
+        The group, whose primary is the promoted server.
+    mark
+        Log position that the server had when it was ordered.
+    requested_at
+        When it was ordered, in milliseconds since boot.
+    """
+    state = group.primary_state
+    # A former primary may have been sampled after the order, too.
+    first = next(
+        (
+            sample
+            for sample in group.position_history.samples
+            if sample.asked_at >= requested_at and sample.term >= state.term
+        ),
+        None,
+    )
+    seen_at = first.asked_at if first is not None else read_boot_ms()
+    record_phase(
+        group,
+        "settled",
+        server=state.primary,
+        term=state.term,
+        mark=mark,
+        received=f"{first.term}.{first.position}" if first is not None else None,
+        after_ms=seen_at - requested_at,
+    )
+
+
 def _describe_report(report: ServerReport | None) -> dict[str, object]:
     """Return the keys of a line for a report."""
     if report is None:
--- a/src/apricotshore/pooling/primary_changer.py
+++ b/src/apricotshore/pooling/primary_changer.py
@@ -181,6 +181,7 @@
                     break
         finally:
             await work.stop()
+        work.record_settled()
         # An open lease may have left a request, whatever this change began for.
         await self._finish(
             work, reason == "unfinished" or attempt.inherited is not None
--- a/tests/pooling/test_change_records.py
+++ b/tests/pooling/test_change_records.py
@@ -111,6 +111,30 @@
     assert pauses and len(pauses) == len(set(pauses))
 
 
+async def test_effect_names_the_position_of_the_order_and_of_the_new_primary(one_host):
+    model, _, host, records = one_host
+    await run_planned_change(model, host)
+    (ordered,) = find_phases(records(), "promoting")
+    (settled,) = find_phases(records(), "settled")
+    assert settled.details["server"] == ordered.details["server"]
+    assert settled.details["mark"] == ordered.details["mark"]
+    assert settled.details["term"] == 2
+    term, number = map(int, settled.details["received"].split("."))
+    assert (term, number) >= tuple(map(int, ordered.details["mark"].split(".")))
+    # The model promotes after 300 ms, and a probe follows within a tick.
+    assert 300 <= settled.details["after_ms"] <= 1_000
+
+
+async def test_change_without_an_effect_records_none(one_host):
+    model, platform, host, records = one_host
+    platform.promote_s = 60.0
+    async with running(host), writing(model):
+        await wait_until(lambda: len(model.acknowledged) > 5)
+        host.mark_leaving("s1")
+        await wait_until(lambda: find_phases(records(), "unconfirmed"), 20.0)
+    assert find_phases(records(), "settled") == []
+
+
 async def test_planned_change_costs_few_lines(one_host):
     model, _, host, records = one_host
     await run_planned_change(model, host)
