Record steps of the time of day, and the boot clock on lines of changes

Cause: a line carries nothing but the time of day.

Change: "clock-stepped" before the first line after a step of more than 250 ms, from the difference to the boot clock, read with each line; a step whose line finds the buffer full is reported with the next. `boot_ms` on started, handover and clock-stepped.

--- a/src/apricotshore/pooling/journal.py
+++ b/src/apricotshore/pooling/journal.py
@@ -5,11 +5,13 @@
 import sys
 from enum import Enum
 
-from ..services.clock import read_boot_ms, read_wall_ms
+from ..services.clock import read_boot_ms, read_wall_ms, read_wall_offset_ms
 
 BUFFER_BYTES = 262_144
 LINES_PER_S = 60
 FAILURE_LINES_PER_S = 120
+# A smaller change of the time of day between two lines is none that matters.
+STEP_MS = 250
 
 
 class EventKind(Enum):
@@ -45,9 +47,14 @@
     CALLER_REFUSED = "caller-refused"
     TRANSACTION_ENDED = "transaction-ended"
     LINES_OMITTED = "lines-omitted"
+    CLOCK_STEPPED = "clock-stepped"
     ERROR = "error"
 
 
+# Kinds whose lines also carry the boot clock, which nobody steps.
+_BOOT_KINDS = frozenset(
+    {EventKind.STARTED, EventKind.PRIMARY_CHANGE, EventKind.CLOCK_STEPPED}
+)
 _SAMPLED = frozenset({EventKind.REQUEST_SERVED, EventKind.REQUEST_RETRIED})
 _FAILURES = frozenset(
     {
@@ -78,6 +85,7 @@
         self.buffer = bytearray()
         self.omitted = 0
         self.second = 0
+        self.wall_offset = read_wall_offset_ms()
         self.counts = {EventKind.REQUEST_SERVED: 0, EventKind.REQUEST_FAILED: 0}
 
     def record(self, step: EventKind, **details: object) -> None:
@@ -104,14 +112,33 @@
         return True
 
     def _write(self, step: EventKind, details: dict[str, object]) -> None:
+        self._observe_clock()
+        self._append(step, details)
+
+    def _append(self, step: EventKind, details: dict[str, object]) -> bool:
+        """Add a line to the buffer; return False if it is omitted."""
         line = {"time": read_wall_ms(), "host": self.host, "step": step.value}
         line.update((k, v) for k, v in details.items() if v is not None)
+        if step in _BOOT_KINDS:
+            line["boot_ms"] = read_boot_ms()
         data = json.dumps(line, separators=(",", ":"), default=str).encode() + b"\n"
         if len(self.buffer) + len(data) > BUFFER_BYTES:
             self.omitted += 1
-            return
+            return False
         self.buffer += data
         self.flush()
+        return True
+
+    def _observe_clock(self) -> None:
+        """Record a step of the time of day since the last line."""
+        offset = read_wall_offset_ms()
+        stepped_ms = offset - self.wall_offset
+        is_stepped = abs(stepped_ms) > STEP_MS
+        # A step whose line is omitted is reported with the next line.
+        if not is_stepped or self._append(
+            EventKind.CLOCK_STEPPED, {"stepped_ms": stepped_ms}
+        ):
+            self.wall_offset = offset
 
     def flush(self) -> None:
         """Write as much of the buffer as the descriptor accepts now."""
--- a/src/apricotshore/services/clock.py
+++ b/src/apricotshore/services/clock.py
@@ -20,3 +20,12 @@
     while the machine is suspended.
     """
     return time.clock_gettime_ns(time.CLOCK_BOOTTIME) // 1_000_000
+
+
+def read_wall_offset_ms() -> int:
+    """Return how far the time of day is ahead of the boot clock.
+
+    It changes when the time of day is stepped.
+    """
+    offset_ns = time.time_ns() - time.clock_gettime_ns(time.CLOCK_BOOTTIME)
+    return offset_ns // 1_000_000
