Count changes of primary by outcome, and servers still to be resumed

Cause: metrics showed of a change only the term; one that ended unsettled, unconfirmed or without its lease, or left servers paused, moved no metric.

Change: apricotshore_primary_changes_total{group,reason,outcome}, counted where phases are recorded, and apricotshore_unresumed_servers{group}; both set with the other gauges. A change that an unanswered store ends has no outcome line and isn't counted.

--- a/src/apricotshore/pooling/group.py
+++ b/src/apricotshore/pooling/group.py
@@ -14,6 +14,7 @@
 from ..identifiers import DataCentreId, GroupId, ServerId, Term
 from ..routes import DEFAULT_CONNECTIONS, ListedServer
 from ..services.clock import read_boot_ms
+from .change_counts import ChangeCounts
 from .journal import EventKind, Journal
 from .pool import ServerPool
 from .ports import Dialer
@@ -138,6 +139,7 @@
         self.position_history = PositionHistory()
         self.sample_period_ms = position_history.choose_period_ms(())
         self.writes = PendingWrites()
+        self.changes = ChangeCounts()
         self.primary_confirmed = asyncio.Event()
         self.probe_wanted = asyncio.Event()
         # A log may have been lost before this host started, unknown to it.
--- a/src/apricotshore/pooling/group_commands.py
+++ b/src/apricotshore/pooling/group_commands.py
@@ -24,7 +24,8 @@
 
 
 def record_phase(group: Group, phase: str, **details: object) -> None:
-    """Record a phase of a change of primary in the journal."""
+    """Record a phase of a change of primary in the journal, and count changes."""
+    group.changes.observe(phase, details)
     group.journal.record(
         EventKind.PRIMARY_CHANGE, group=group.group, phase=phase, **details
     )
--- a/src/apricotshore/pooling/host.py
+++ b/src/apricotshore/pooling/host.py
@@ -379,6 +379,9 @@
         self.metrics.refresh_store(
             self.store_watcher.configuration.version, self.eras.era
         )
+        self.metrics.refresh_unresumed(
+            {name: len(changer.unresumed) for name, changer in self.changers.items()}
+        )
 
     def _spawn(self, work: Coroutine[None, None, None]) -> None:
         task = asyncio.get_running_loop().create_task(work)
--- a/src/apricotshore/pooling/metrics.py
+++ b/src/apricotshore/pooling/metrics.py
@@ -1,10 +1,10 @@
 """Metrics of a pooling host."""
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 
 from aioprometheus import Counter, Gauge, Histogram, Registry
 
-from ..identifiers import StoreEra
+from ..identifiers import GroupId, StoreEra
 from ..queries import Answer, Query
 from ..services.clock import read_boot_ms
 from .group import Group
@@ -70,6 +70,16 @@
         self.term = Gauge(
             "apricotshore_term", "Highest term seen, by group", registry=registry
         )
+        self.changes = Counter(
+            "apricotshore_primary_changes_total",
+            "Changes of primary that this host ran, by group, reason and outcome",
+            registry=registry,
+        )
+        self.unresumed = Gauge(
+            "apricotshore_unresumed_servers",
+            "Servers that this host has still to find not paused, by group",
+            registry=registry,
+        )
 
     def observe(self, query: Query, answer: Answer, took_ms: int) -> None:
         """Count an answered statement and its latency."""
@@ -90,9 +100,16 @@
         self.configuration.set({}, version)
         self.store_era.set({}, era or 0)
 
+    def refresh_unresumed(self, counts: Mapping[GroupId, int]) -> None:
+        """Update the gauge of servers that are still to be resumed."""
+        for group, count in counts.items():
+            self.unresumed.set({"group": group}, count)
+
     def _refresh_group(self, group: Group) -> None:
         labels = {"group": group.group}
         self.term.set(labels, group.primary_state.term)
+        for (reason, outcome), count in group.changes.outcomes.items():
+            self.changes.set({**labels, "reason": reason, "outcome": outcome}, count)
         if group.position_history.samples:
             age = read_boot_ms() - group.position_history.samples[-1].asked_at
             self.evidence_age.set(labels, age / 1000)
--- a/tests/pooling/test_change_records.py
+++ b/tests/pooling/test_change_records.py
@@ -5,13 +5,16 @@
 from pathlib import Path
 
 import pytest
+from aioprometheus import Registry
 
 from apricotshore.decisions import lease as lease_rules
 from apricotshore.groups import Role
 from apricotshore.identifiers import HostId, ServerId, StoreEra, Term
+from apricotshore.pooling.change_counts import ChangeCounts
 from apricotshore.pooling.change_lease import ChangeLease
 from apricotshore.pooling.group_commands import MAX_REMEMBERED, RecordedAnswers
 from apricotshore.pooling.journal import EventKind, Journal
+from apricotshore.pooling.metrics import PoolingMetrics
 from apricotshore.pooling.ports import StoreError
 from apricotshore.pooling.trace import Record, read_records
 from apricotshore.queries import QueryKind, ServerReport
@@ -239,3 +242,39 @@
     phase, details = lines[-1]
     assert phase == "lease-unknown"
     assert details["target"] == S2 and details["why"]
+
+
+def count(*phases: tuple[str, dict]) -> dict[tuple[str, str], int]:
+    counts = ChangeCounts()
+    for phase, details in phases:
+        counts.observe(phase, details)
+    return dict(counts.outcomes)
+
+
+def test_changes_are_counted_by_reason_and_outcome():
+    began = ("began", {"reason": "silent"})
+    settled = ("ended", {"outcome": "settled"})
+    assert count(began, settled, began, settled) == {("silent", "settled"): 2}
+    assert count(began, ("ended", {"outcome": "lease lost"})) == {
+        ("silent", "lease lost"): 1
+    }
+    assert count(began, ("unconfirmed", {"server": S2})) == {
+        ("silent", "unconfirmed"): 1
+    }
+    assert count(began, ("abandoned", {}), settled, began, settled) == {
+        ("silent", "abandoned"): 1,
+        ("silent", "settled"): 1,
+    }
+    assert count(began, began, settled, settled) == {("silent", "settled"): 1}
+
+
+async def test_metrics_count_changes_and_servers_to_be_resumed(one_host):
+    model, _, host, _ = one_host
+    await run_planned_change(model, host)
+    metrics = PoolingMetrics(registry=Registry())
+    metrics.refresh([host.group], 0, 0)
+    metrics.refresh([host.group], 0, 0)
+    labels = {"group": GROUP, "reason": "leaving", "outcome": "settled"}
+    assert metrics.changes.get(labels) == 1
+    metrics.refresh_unresumed({GROUP: 2})
+    assert metrics.unresumed.get({"group": GROUP}) == 2
