Tell the changes of primary of one group from the logs of all hosts

Steps of a host's time of day are taken out with `boot_ms`. Marks: a host that acts, or resumes a server, while another's change goes on; a lease written over, released or taken over from another holder.

The logs of a planned change of the in-memory model are told without a mark.

--- a/src/apricotshore/cli.py
+++ b/src/apricotshore/cli.py
@@ -37,6 +37,7 @@
 )
 from .load.runner import EntryHost
 from .logs import make_handler
+from .pooling.change_story import tell_changes
 from .pooling.settings import load_pooling_settings
 from .pooling.trace import explain_request, read_records, select_records
 from .services import operations
@@ -413,6 +414,7 @@
     group: str = "",
     since: int = 0,
     until: int = 1 << 62,
+    changes: bool = False,
 ) -> None:
     """Show the actions of pooling hosts, from their event lines.
 
@@ -426,16 +428,23 @@
         Group or database; used only without a request.
     since, until
         Time range in Unix milliseconds.
+    changes
+        Tell the changes of primary of the group, with steps of the hosts' clocks
+        taken out; ``!!`` marks hosts that act at the same time.
     """
+    if changes and not group:
+        raise ApricotshoreError("--changes needs a --group")
     texts = [read_file(path) for path in log_files] or [sys.stdin.read()]
     records = read_records(line for text in texts for line in text.splitlines())
-    found = (
-        explain_request(records, request)
-        if request
-        else select_records(records, group, since, until)
-    )
-    for record in found:
-        print(record.describe())
+    if request:
+        found = [r.describe() for r in explain_request(records, request)]
+    elif changes:
+        found = tell_changes(records, group, since, until)
+    else:
+        selected = select_records(records, group, since, until)
+        found = [r.describe() for r in selected]
+    for line in found:
+        print(line)
     if not found:
         raise ApricotshoreError(
             f"no event lines match request {request!r} and group {group!r}"
--- a/tests/test_trace.py
+++ b/tests/test_trace.py
@@ -1,6 +1,9 @@
 import json
 import os
 
+import pytest
+
+from apricotshore.pooling.change_story import order_records, tell_changes
 from apricotshore.pooling.journal import (
     BUFFER_BYTES,
     FAILURE_LINES_PER_S,
@@ -141,3 +144,153 @@
     monkeypatch.setattr("apricotshore.pooling.journal.BUFFER_BYTES", BUFFER_BYTES)
     journal.record(EventKind.STOPPED)
     assert read_lines(reader)[0]["stepped_ms"] == 5_000
+
+
+def line(time_ms, host, step="handover", **details):
+    table = {"time": time_ms, "host": host, "step": step}
+    if step == "handover":
+        table["group"] = "g"
+    return json.dumps({**table, **details}, separators=(",", ":"))
+
+
+def make_change(start, host, holder):
+    """Return the lines of a planned change that goes well."""
+    return [
+        line(start, host, phase="leased", holder=holder, revision=1, open=True),
+        line(start + 1, host, phase="began", reason="leaving", replaced="s1"),
+        line(start + 5, host, phase="yielded", server="s1", mark="1.9"),
+        line(start + 9, host, phase="promoting", server="s2", mark="1.9"),
+        line(start + 600, host, phase="settled", server="s2", received="2.1"),
+        line(start + 601, host, phase="leased", holder=holder, open=False),
+        line(start + 602, host, phase="ended", outcome="settled"),
+    ]
+
+
+def tell(lines):
+    return tell_changes(read_records(lines), "g")
+
+
+def find_marks(lines):
+    return [told for told in tell(lines) if told.startswith("!!")]
+
+
+def test_changes_of_a_group_are_told_in_order():
+    lines = make_change(5_000, "b", "b/2") + make_change(1_000, "a", "a/1")
+    lines.append(line(1_300, "c", "lead-found", group="g", server="s2"))
+    lines.append(line(1_301, "c", "lead-found", group="other", server="s9"))
+    lines.append(line(1_302, "c", "request-failed", group="g"))
+    lines.append(line(500, "a", "started"))
+    told = tell(lines)
+    assert [int(each.split()[0]) for each in told] == [
+        500,
+        *(1_000, 1_001, 1_005, 1_009, 1_300, 1_600, 1_601, 1_602),
+        *(5_000, 5_001, 5_005, 5_009, 5_600, 5_601, 5_602),
+    ]
+    assert "mark=1.9" in told[3]
+    assert find_marks(lines) == []
+
+
+def test_two_hosts_that_change_at_the_same_time_are_marked():
+    lines = make_change(1_000, "a", "a/1") + make_change(1_007, "b", "b/2")
+    marks = find_marks(lines)
+    assert marks[:2] == [
+        "!! overlap: b acts (leased) while a's change of 1001 goes on",
+        "!! overlap: b begins a change while a's change of 1001 goes on",
+    ]
+    assert any("a acts (promoting) while b's change" in mark for mark in marks)
+
+
+def test_resume_of_a_host_amid_the_change_of_another_is_marked():
+    resume = line(1_100, "b", phase="answered", server="s3", command="resume")
+    marks = find_marks([*make_change(1_000, "a", "a/1"), resume])
+    assert marks == ["!! overlap: b resumes a server while a's change of 1001 goes on"]
+    late = line(2_000, "b", phase="answered", server="s3", command="resume")
+    assert find_marks([*make_change(1_000, "a", "a/1"), late]) == []
+
+
+@pytest.mark.parametrize("is_open", [True, False])
+def test_lease_written_over_that_of_another_amid_a_change_is_marked(is_open):
+    over = {"holder": "a/1", "former": "b/2", "former_open": True}
+    lines = make_change(1_000, "a", "a/1")
+    lines.insert(4, line(1_500, "a", phase="leased", open=is_open, **over))
+    assert find_marks(lines) == ["!! lease: a writes over that of b/2 (open)"]
+
+
+def test_lease_released_by_a_host_that_does_not_hold_it_is_marked():
+    over = {"holder": "a/1", "former": "b/2", "former_open": True}
+    lines = [line(1_500, "a", phase="leased", open=False, **over)]
+    assert find_marks(lines) == ["!! lease: a writes over that of b/2 (open)"]
+
+
+def test_lease_that_is_taken_over_is_marked_as_that():
+    over = {"holder": "a/1", "former": "b/2", "open": True}
+    open_one = line(1_500, "a", phase="leased", former_open=True, **over)
+    assert find_marks([open_one]) == ["!! lease: a takes over the open one of b/2"]
+    released = line(1_500, "a", phase="leased", former_open=False, **over)
+    assert find_marks([released]) == []
+
+
+def test_change_of_a_host_that_stopped_overlaps_with_none():
+    lines = make_change(1_000, "a", "a/1")[:4]
+    lines.append(line(1_020, "a", "stopped"))
+    assert find_marks([*lines, *make_change(1_030, "b", "b/2")]) == []
+
+
+def test_records_of_a_host_keep_their_order_when_its_clock_is_stepped():
+    lines = [
+        line(10_000, "a", "started", boot_ms=500),
+        line(10_100, "a", phase="began", boot_ms=600),
+        line(5_200, "a", "clock-stepped", stepped_ms=-5_000, boot_ms=700),
+        line(5_300, "a", "lead-found", group="g"),
+        line(5_400, "a", phase="ended", boot_ms=900),
+        line(10_350, "b", "lead-found", group="g"),
+        line(5_500, "a", "started", boot_ms=100),
+        line(5_600, "a", "lead-found", group="g"),
+    ]
+    ordered = order_records(read_records(lines))
+    assert [(r.host, r.time_ms) for r in ordered] == [
+        ("a", 10_000),
+        ("a", 10_100),
+        ("a", 10_200),
+        ("a", 10_300),
+        ("b", 10_350),
+        ("a", 10_400),
+        ("a", 10_500),
+        ("a", 10_600),
+    ]
+
+
+def test_rounding_of_the_clocks_does_not_swap_records():
+    lines = [
+        line(1_000, "a", phase="began", boot_ms=500),
+        line(1_001, "a", phase="yielding", boot_ms=500),
+        line(1_001, "a", "lead-lost", group="g"),
+        line(1_001, "a", phase="yielded", boot_ms=501),
+    ]
+    found = order_records(read_records(lines))
+    assert [r.details.get("phase") for r in found] == [
+        "began",
+        "yielding",
+        None,
+        "yielded",
+    ]
+
+
+def test_command_tells_the_changes_of_a_group(tmp_path):
+    path = tmp_path / "a.log"
+    lines = make_change(1_000, "a", "a/1") + make_change(1_007, "b", "b/2")
+    path.write_text("\n".join(lines))
+    done = run_command("trace", str(path), "--group", "g", "--changes")
+    assert done.returncode == 0
+    assert "!! overlap: b begins a change" in done.stdout
+    without_group = run_command("trace", str(path), "--changes")
+    assert without_group.returncode == 1
+    assert "--changes needs a --group" in without_group.stderr
+    missing = run_command("trace", str(path), "--group", "h", "--changes")
+    assert missing.returncode == 1
+
+
+def test_change_without_a_last_line_is_over_after_a_while():
+    lines = make_change(1_000, "a", "a/1")[:4]
+    assert find_marks([*lines, *make_change(30_900, "b", "b/2")])
+    assert find_marks([*lines, *make_change(31_001, "b", "b/2")]) == []
