--- a/src/apricotshore/pooling/primary_changer.py
+++ b/src/apricotshore/pooling/primary_changer.py
@@ -81,7 +81,12 @@
         self.refresh_servers = refresh_servers
         self.detours = detours
         self.lease = ChangeLease(
-            group=group.group, host=host, address=address, store=store, eras=eras
+            group=group.group,
+            host=host,
+            address=address,
+            store=store,
+            eras=eras,
+            record=self._record,
         )
         self.commands = GroupCommands(group=group)
         self.unresumed: set[ServerId] = set()
@@ -150,6 +155,7 @@
             await asyncio.sleep(STORE_RETRY_S)
             return
         attempt = self._make_attempt(reason, began)
+        self.commands.begin_change()
         self._record(
             "began",
             reason=reason,
@@ -175,6 +181,7 @@
                     break
         finally:
             await work.stop()
+        work.record_settled()
         # An open lease may have left a request, whatever this change began for.
         await self._finish(
             work, reason == "unfinished" or attempt.inherited is not None
