--- a/tests/latechangemodel.py
+++ b/tests/latechangemodel.py
@@ -11,7 +11,7 @@
 from apricotshore.identifiers import ServerId
 from apricotshore.queries import QueryKind
 
-from .changemodel import FIRST, SERVERS, STEP_MS, ChangeModel, Host, Server
+from .changemodel import FIRST, JOINING, SERVERS, STEP_MS, ChangeModel, Host, Server
 
 Entry = tuple[int, int]
 
@@ -41,6 +41,11 @@
         # Commands that were sent and may arrive at any time.
         self.in_flight: list[tuple[QueryKind, ServerId, int]] = []
         self.is_sending_late = False
+        # Servers that may receive although they were paused or not known: they
+        # restarted, joined or were resumed, and weren't paused since.
+        self.freed: set[ServerId] = set()
+        # Commits that a freed server acknowledged.
+        self.acked_by_freed: set[int] = set()
         # What a frozen host is about to do.
         self.meant: dict[int, Any] = {}
 
@@ -53,6 +58,23 @@
     def _find_replaced(self) -> ServerId | None:
         return super()._find_replaced() or self.source
 
+    def receive(self, name: ServerId) -> None:
+        """Have a replica receive the log, which acknowledges it."""
+        before = set(self.acked)
+        super().receive(name)
+        if name in self.freed:
+            self.acked_by_freed |= self.acked - before
+
+    def restart(self, name: ServerId) -> None:
+        """Have a replica restart with its log; a pause ends with that."""
+        super().restart(name)
+        self.freed.add(name)
+
+    def join(self) -> None:
+        """Have a replica join with the log that replicas receive, and register."""
+        super().join()
+        self.freed.add(JOINING)
+
     def store_late(self) -> None:
         """Store a commit that was being run when the primary stepped down, once."""
         source = self.servers[self.source]
@@ -113,8 +135,10 @@
             return
         if kind is QueryKind.RESUME:
             server.paused = 0
+            self.freed.add(name)
         elif term > self.term and kind is QueryKind.PAUSE and not server.is_primary:
             server.paused = max(server.paused, int(term))
+            self.freed.discard(name)
         elif term > self.term and kind is QueryKind.STEP_DOWN and server.is_primary:
             server.is_primary = False
             self.stepped_down_at, self.may_store = self.now, True
--- a/tests/test_primary_change_order.py
+++ b/tests/test_primary_change_order.py
@@ -20,7 +20,7 @@
 from apricotshore.identifiers import ServerId
 
 from .changemodel import FIRST, JOINING, SERVERS, ChangeModel
-from .eventsearch import Event, find_loss
+from .eventsearch import Event, find_loss, find_losses
 
 HOSTS = st.sampled_from([0, 1])
 ANY = st.sampled_from(SERVERS)
@@ -263,6 +263,7 @@
     },
 }
 
+
 @pytest.mark.parametrize("failure", FAILURES)
 def test_decisions_before_lose_a_commit_in_some_order(failure):
     """The model finds each of the four failures in the decisions as they were."""
@@ -318,3 +319,66 @@
 def test_dark_primary_that_is_back_before_the_effect_loses_no_commit():
     """Open: it acknowledges with a server that joined before it is asked again."""
     assert find_loss(make_dark(), DARK) is None
+
+
+class DarkChange(ChangeModel):
+    """A change of a dark primary that keeps what a loss needs.
+
+    `unheld` names the servers that restarted or joined, without a Hold since the later
+    of that and the primary's return; `needed` the commits that such a server helped
+    to acknowledge.
+    """
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.is_dark = True
+        self.started: set[ServerId] = set()
+        self.unheld: set[ServerId] = set()
+        self.needed: set[int] = set()
+
+    def receive(self, name: ServerId) -> None:
+        before = set(self.acked)
+        super().receive(name)
+        if name in self.unheld:
+            self.needed |= self.acked - before
+
+    def restart(self, name: ServerId) -> None:
+        super().restart(name)
+        self._start(name)
+
+    def join(self) -> None:
+        super().join()
+        self._start(JOINING)
+
+    def _start(self, name: ServerId) -> None:
+        self.started.add(name)
+        if not self.is_dark:
+            self.unheld.add(name)
+
+    def come_to_light(self) -> None:
+        if self.is_dark:
+            self.is_dark = False
+            self.unheld |= self.started
+
+    def hold(self) -> None:
+        attempt = self.hosts[0].attempt
+        is_held = attempt is not None and attempt.requested is not None
+        self.run_step(0, set(SERVERS) - ({FIRST[0]} if self.is_dark else set()))
+        if is_held and self.hosts[0].attempt is not None and not self.is_dark:
+            self.unheld.clear()
+
+
+def test_loss_by_a_dark_primary_needs_a_start_of_its_helper_and_no_hold_since():
+    """Return, restart or join of the helper, and no Hold before the commit."""
+    events = {
+        **DARK,
+        "primary is back": DarkChange.come_to_light,
+        "commit with s3": lambda model: commit_in_light(model, FIRST[2]),
+        "s3 restarts": lambda model: model.restart(FIRST[2]),
+        "s4 joins": DarkChange.join,
+        "s2 deaf or not": lambda model: model.hear_or_not(FIRST[1]),
+        "hold": DarkChange.hold,
+    }
+    losses = list(find_losses(DarkChange(), events, 7))
+    assert losses
+    assert [order for order, model in losses if not model.lost <= model.needed] == []
