Pause a target that another server has replaced

Cause: 100 ms after the step-down, another server that holds the end becomes the target. The first target was never paused, and was not asked again before the order: it could receive a commit that was stored after the step-down, and acknowledge it.

Change: the first 100 ms, in which an order waits for the pauses of the others, begin anew with a new target.

Result: test_target_that_was_replaced_by_another_receives_and_acknowledges, which lost a commit, passes.

--- a/src/apricotshore/decisions/primary_change.py
+++ b/src/apricotshore/decisions/primary_change.py
@@ -168,14 +168,16 @@
     """Promote a server that holds all that the former primary has stored."""
     others = tuple(m for m in members if m.server != attempt.replaced)
     full = _list_full(attempt, others)
-    is_waiting = now - attempt.stepped_down_at < SECURE_MS
-    if attempt.target not in full and not is_waiting:
+    if attempt.target not in full and now - attempt.stepped_down_at >= SECURE_MS:
         other = choose_target(attempt, [m for m in others if m.server in full])
         set_target(attempt, other or attempt.target, now)
     target = attempt.target
     if target is None or target not in full:
         return _plan_incomplete(attempt, members, others, since_loss, lossless, now)
     unpaused = _list_unsecured(attempt, others)
+    # A target that was replaced by another has to be paused as well.
+    secured_since = max(attempt.stepped_down_at, attempt.target_since)
+    is_waiting = now - secured_since < SECURE_MS
     if is_waiting and any(m.server in unpaused for m in others if m.listed):
         return _secure(attempt, unpaused)
     return request_promotion(attempt, members, target, now)
