Number the writes of a lease, so that extending one takes effect

Cause: a PUT that changes nothing does not increase the revision (PROTOCOL.md), and a lease that its holder writes again mostly says the same. Its holder counted another LEASE_MS from it, while the other hosts saw no new revision and took the lease at the end of its first time; a holder that acquired its own lease again got the same token. The model's store increased the revision with every write.

Change: a lease names the number of the write (0 from an earlier release). The model's store takes an unchanged write for none. The fuzz test of the decoders knows the field.

--- a/src/apricotshore/pooling/change_lease.py
+++ b/src/apricotshore/pooling/change_lease.py
@@ -49,6 +49,7 @@
         self.eras = eras
         self.holder = lease.name_holder(host, address, uuid.uuid4().hex[:8])
         self.seen: ObservedLease | None = None
+        self.writes = 0
         self.held_until = 0
         self.check_after = 0
         # Era that had no lease when it was last read.
@@ -177,6 +178,7 @@
         self, still_open: bool, target: ServerId | None
     ) -> FencingToken | None:
         current = self.current
+        self.writes += 1
         record = LeaseRecord(
             group=self.group,
             era=self._get_era(),
@@ -184,6 +186,7 @@
             holder=self.holder,
             open=still_open,
             target=target,
+            number=self.writes,
         )
         sent_at = read_boot_ms()
         try:
--- a/src/apricotshore/pooling/ports.py
+++ b/src/apricotshore/pooling/ports.py
@@ -93,6 +93,9 @@
         Whether the change is still in progress.
     target
         Server whose promotion may have been requested, None without one.
+    number
+        Number of the write among those of its holder. The store takes a write that
+        changes nothing for none, and others would see the lease expire.
     """
 
     group: GroupId
@@ -101,6 +104,7 @@
     holder: str
     open: bool
     target: ServerId | None = None
+    number: int = 0
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/standins/in_memory.py
+++ b/standins/in_memory.py
@@ -483,11 +483,16 @@
         return LeaseRead(era=StoreEra(self.era), record=record)
 
     async def write_lease(self, record: LeaseRecord) -> LeaseWrite:
-        """Write a lease if the stored one is at the record's revision."""
+        """Write a lease if the stored one is at the record's revision.
+
+        A write that changes nothing does not increase the revision.
+        """
         self._check()
         old = self.leases.get((record.group, record.era))
         if (old.revision if old else 0) != record.revision:
             raise StoreConflictError("another revision")
+        if record == old:
+            return LeaseWrite(era=StoreEra(self.era), record=old)
         self.revision += 1
         written = replace(record, revision=StoreRevision(self.revision))
         self.leases[record.group, record.era] = written
--- a/tests/platform_adapter/test_lenient.py
+++ b/tests/platform_adapter/test_lenient.py
@@ -92,7 +92,8 @@
         | st.dictionaries(
             st.sampled_from(
                 ["meta", "spec", "name", "revision", "service", "address", "zone"]
-                + ["slots", "state", "born", "dbRole", "holder", "target", "open"]
+                + ["slots", "state", "born", "dbRole"]
+                + ["holder", "target", "open", "number"]
             ),
             inner,
             max_size=8,
