Write a lease only over what this changer wrote last

Cause: each write carried the revision that the host had last seen, which lists and the read after a conflict keep fresh. A holder that was slow or stopped past its lease wrote over, or released, the lease that another host had taken since, with the target recorded in it. A holder that knew of a restore wrote to the new era after its time. And a write that the store got twice, or whose answer was lost, ended the change.

Change: write() sends the revision of the changer's own last write; only acquire() sends one that it has read and may take. After a conflict, a record of this changer is its own: the number tells whether it is this write, or an earlier one on which it is written once more, without counting time from that one.

--- a/src/apricotshore/pooling/change_lease.py
+++ b/src/apricotshore/pooling/change_lease.py
@@ -18,6 +18,8 @@
 
 POLL_MS = 300
 UNSETTLED_PAUSE_MS = 2_000
+# An own write that took effect unnoticed, a call that was sent twice, and one more.
+WRITE_TRIES = 3
 
 
 class ChangeLease:
@@ -49,6 +51,8 @@
         self.eras = eras
         self.holder = lease.name_holder(host, address, uuid.uuid4().hex[:8])
         self.seen: ObservedLease | None = None
+        # What this changer wrote last; nothing else is ever written over by `write`.
+        self.own: LeaseRecord | None = None
         self.writes = 0
         self.held_until = 0
         self.check_after = 0
@@ -80,8 +84,8 @@
         if self.current is None or record.revision > self.current.revision:
             self._remember(record)
 
-    async def read(self) -> None:
-        """Read the stored lease of the store's latest era.
+    async def read(self) -> LeaseRecord | None:
+        """Read the stored lease of the store's latest era; return None without one.
 
         Raises
         ------
@@ -101,6 +105,7 @@
             self.seen = None
         elif self.current is None or self.current.revision != record.revision:
             self._remember(record)
+        return record
 
     def _get_era(self) -> StoreEra:
         if self.eras.era is None:
@@ -147,7 +152,9 @@
         await self.read()
         if not self._may_acquire():
             return None
-        return await self.write(still_open=True, target=self.target)
+        current = self.current
+        base = current.revision if current is not None else StoreRevision(0)
+        return await self._write(base, still_open=True, target=self.target)
 
     @property
     def target(self) -> ServerId | None:
@@ -161,45 +168,69 @@
     async def write(
         self, *, still_open: bool, target: ServerId | None = None
     ) -> FencingToken | None:
-        """Write the lease; return its fencing token, None on a conflict.
+        """Write the lease; return its fencing token, None if it is lost.
 
-        A lease that a restored store has lost is written again in the new era while no
-        other host can hold it.
+        Only what this changer wrote last is written over: another host may have
+        taken the lease since. A lease that a restored store has lost is written
+        again in the new era while no other host can hold it.
         """
+        own = self.own
+        base = StoreRevision(0)
+        if own is not None and own.era == self.eras.era:
+            base = own.revision
+        elif own is not None and read_boot_ms() >= self.held_until:
+            return None
+        return await self._write(base, still_open=still_open, target=target)
+
+    async def _write(
+        self, base: StoreRevision, *, still_open: bool, target: ServerId | None
+    ) -> FencingToken | None:
         era = self._get_era()
-        token = await self._write_once(still_open, target)
+        token = await self._write_in_era(base, still_open, target)
         if token is not None or self.eras.era == era:
             return token
         if self.current is not None or read_boot_ms() >= self.held_until:
             return None
-        return await self._write_once(still_open, target)
+        return await self._write_in_era(StoreRevision(0), still_open, target)
 
-    async def _write_once(
-        self, still_open: bool, target: ServerId | None
+    async def _write_in_era(
+        self, base: StoreRevision, still_open: bool, target: ServerId | None
     ) -> FencingToken | None:
-        current = self.current
-        self.writes += 1
-        record = LeaseRecord(
-            group=self.group,
-            era=self._get_era(),
-            revision=StoreRevision(current.revision if current else 0),
-            holder=self.holder,
-            open=still_open,
-            target=target,
-            number=self.writes,
-        )
-        sent_at = read_boot_ms()
-        try:
-            answer = await self.store.write_lease(record)
-        except StoreConflictError:
-            await self.read()
-            return None
-        # Written to a restored store, where nobody asks for a lease of this era.
-        if not self.eras.accept(answer.era) or answer.era != record.era:
-            return None
-        self._remember(answer.record)
-        self.held_until = sent_at + lease.LEASE_MS if still_open else 0
-        return lease.make_token(answer.record.era, answer.record.revision)
+        era = self._get_era()
+        for _ in range(WRITE_TRIES):
+            self.writes += 1
+            record = LeaseRecord(
+                group=self.group,
+                era=era,
+                revision=base,
+                holder=self.holder,
+                open=still_open,
+                target=target,
+                number=self.writes,
+            )
+            sent_at = read_boot_ms()
+            try:
+                answer = await self.store.write_lease(record)
+            except StoreConflictError:
+                stored = await self.read()
+                if stored is None or (stored.era, stored.holder) != (era, self.holder):
+                    return None
+                # This changer's own write, whose answer was lost.
+                if stored.number == record.number:
+                    return self._keep(stored, sent_at)
+                base = stored.revision
+                continue
+            # Written to a restored store, where nobody asks for a lease of this era.
+            if not self.eras.accept(answer.era) or answer.era != era:
+                return None
+            self._remember(answer.record)
+            return self._keep(answer.record, sent_at)
+        return None
+
+    def _keep(self, record: LeaseRecord, sent_at: int) -> FencingToken:
+        self.own = record
+        self.held_until = sent_at + lease.LEASE_MS if record.open else 0
+        return lease.make_token(record.era, record.revision)
 
     async def release(self) -> None:
         """Write the lease as released, and remove those of earlier eras."""
--- a/tests/pooling/test_lost_leases.py
+++ b/tests/pooling/test_lost_leases.py
@@ -2,10 +2,99 @@
 
 import asyncio
 
+import pytest
+
 from apricotshore.decisions import lease
-from standins.in_memory import ModelGroup, ModelPlatform
+from apricotshore.identifiers import ServerId, StoreEra
+from apricotshore.pooling.ports import (
+    LeaseRecord,
+    LeaseWrite,
+    StoreError,
+)
+from standins.in_memory import GROUP, ModelGroup, ModelPlatform
+
+from .test_restored_leases import make_lease, restore
+
+S2, S3 = ServerId("s2"), ServerId("s3")
+KEY = GROUP, StoreEra(1)
+
+
+async def take_expired(platform: ModelPlatform) -> LeaseRecord:
+    """Have another host take a lease once it has expired, and record a target."""
+    taker = make_lease(platform, "b")
+    await taker.read()
+    await asyncio.sleep(lease.LEASE_MS / 1000 + 0.02)
+    assert await taker.acquire()
+    assert await taker.write(still_open=True, target=S2)
+    return platform.leases[KEY]
+
+
+@pytest.mark.parametrize("learn", ["list", "conflict"])
+@pytest.mark.parametrize("still_open", [True, False])
+async def test_slow_holder_does_not_write_over_a_lease_taken_since(
+    learn, still_open, monkeypatch
+):
+    monkeypatch.setattr(lease, "LEASE_MS", 100)
+    platform = ModelPlatform(group=ModelGroup.make())
+    former = make_lease(platform, "a")
+    assert await former.acquire()
+    taken = await take_expired(platform)
+    if learn == "list":
+        former.observe(taken)
+    else:
+        assert await former.write(still_open=True, target=S3) is None
+    assert await former.write(still_open=still_open, target=S3) is None
+    assert platform.leases[KEY] == taken
+
+
+async def test_slow_holder_does_not_write_to_a_restored_store():
+    platform = ModelPlatform(group=ModelGroup.make())
+    former = make_lease(platform, "a")
+    assert await former.acquire()
+    former.held_until = 0
+    restore(platform, former)
+    assert await former.write(still_open=True) is None
+    assert (GROUP, StoreEra(2)) not in platform.leases
+
+
+class RepeatingPlatform(ModelPlatform):
+    """Store that gets each write twice, as after a lost connection."""
+
+    async def write_lease(self, record: LeaseRecord) -> LeaseWrite:
+        await super().write_lease(record)
+        return await super().write_lease(record)
+
+
+async def test_write_that_the_store_gets_twice_keeps_the_lease():
+    platform = RepeatingPlatform(group=ModelGroup.make())
+    holder = make_lease(platform, "a")
+    assert await holder.acquire()
+    token = await holder.write(still_open=True, target=S2)
+    stored = platform.leases[KEY]
+    assert token == lease.make_token(stored.era, stored.revision)
+    assert stored.target == S2
+
+
+async def test_write_whose_answer_is_lost_is_followed_by_the_next():
+    platform = ModelPlatform(group=ModelGroup.make())
+    holder = make_lease(platform, "a")
+    await holder.acquire()
+    held_until = holder.held_until
+    write_lease = platform.write_lease
+
+    async def lose_answer(record: LeaseRecord) -> LeaseWrite:
+        platform.write_lease = write_lease
+        await write_lease(record)
+        raise StoreError("no answer")
 
-from .test_restored_leases import make_lease
+    platform.write_lease = lose_answer
+    with pytest.raises(StoreError):
+        await holder.write(still_open=True, target=S2)
+    assert holder.held_until == held_until
+    token = await holder.write(still_open=True, target=S3)
+    stored = platform.leases[KEY]
+    assert token == lease.make_token(stored.era, stored.revision)
+    assert stored.target == S3
 
 
 async def test_extended_lease_is_not_taken_at_the_end_of_its_first_time(monkeypatch):
