Resume servers without asking for their status first

Cause: at the end of a change each server was asked for its status and then sent RESUME, two round trips under the lease, and a server whose pause had just ended was counted as paused until the next round.

Change: RESUME is sent at once; its reply is the same row and shows whether a pause is left.

Measured: test_servers_are_resumed_without_a_look_at_them_first failed with "assert {'s3'} == {'s2', 's3'}" and passes now, as do test_lost_leases.py, test_primary_changer.py and test_relays.py (41 tests).

--- a/src/apricotshore/pooling/group_commands.py
+++ b/src/apricotshore/pooling/group_commands.py
@@ -118,8 +118,6 @@
         return {server: report.received for server, report in reports.items()}
 
     async def resume(self, servers: Iterable[ServerId]) -> set[ServerId]:
-        """Resume paused servers; return those that were found not paused."""
-        found = await self.run_all(sorted(servers), QueryKind.STATUS)
-        paused = [s for s, report in found.items() if report.paused_term > 0]
-        await self.run_all(paused, QueryKind.RESUME)
-        return set(found) - set(paused)
+        """Resume paused servers; return those that are not paused any more."""
+        found = await self.run_all(sorted(servers), QueryKind.RESUME)
+        return {s for s, report in found.items() if report.paused_term == 0}
--- a/standins/in_memory.py
+++ b/standins/in_memory.py
@@ -287,8 +287,7 @@
         failure = await self._execute(query, after)
         rows = ("row",) if query.kind is QueryKind.READ and failure is None else ()
         report = None
-        reports = (QueryKind.STATUS, QueryKind.PAUSE, QueryKind.STEP_DOWN)
-        if query.kind in reports and failure is None:
+        if query.kind in _COMMAND_KINDS and failure is None:
             report = ServerReport(
                 role=Role.PRIMARY if server.is_primary else Role.REPLICA,
                 term=Term(server.term),
--- a/tests/pooling/test_lost_leases.py
+++ b/tests/pooling/test_lost_leases.py
@@ -11,8 +11,10 @@
     LeaseWrite,
     StoreError,
 )
+from apricotshore.queries import QueryKind
 from standins.in_memory import GROUP, ModelGroup, ModelPlatform
 
+from .support import ModelHost
 from .test_restored_leases import make_lease, restore
 
 S2, S3 = ServerId("s2"), ServerId("s3")
@@ -107,3 +109,22 @@
     assert await holder.write(still_open=True)
     await asyncio.sleep(0.15)
     assert await other.acquire() is None
+
+
+# -- resumes --
+
+
+def make_host() -> tuple[ModelGroup, ModelPlatform, ModelHost]:
+    model = ModelGroup.make()
+    platform = ModelPlatform(group=model)
+    return model, platform, ModelHost.make("host-0", model, platform)
+
+
+async def test_servers_are_resumed_without_a_look_at_them_first():
+    model, _, host = make_host()
+    assert await host.changer.lease.acquire()
+    model.servers[S2].paused_term = 5
+    assert await host.changer.commands.resume({S2, S3}) == {S2, S3}
+    assert not model.servers[S2].paused_term
+    kinds = [query.kind for link in host.dialer.links for query, _ in link.received]
+    assert kinds == [QueryKind.RESUME, QueryKind.RESUME]
