Resume servers left over from a change only under the lease

Cause: a host that could not resume a server at the end of its change compared the lease with the one seen when the same call began, which the list of leases keeps fresh. It resumed what the next holder had paused. It also did while its own next change was unconfirmed, and sent RESUME after it had looked, with no lease.

Change: the host gives up unless the stored lease is one that it released itself. If a server is found paused, it takes the lease, resumes and releases it; if it can't have it, the next holder resumes all servers.

Measured: test_server_that_the_next_holder_paused_stays_paused and test_server_stays_ paused_while_an_own_promotion_is_unconfirmed failed with "assert 0 == 5", test_server_is_ not_resumed_while_another_host_may_begin_a_change with "assert [False] == [True]" (was the lease open at RESUME). All of test_lost_leases.py passes now, as do the tests of test_ primary_changer.py on resumed and paused servers.

--- a/src/apricotshore/pooling/change_lease.py
+++ b/src/apricotshore/pooling/change_lease.py
@@ -156,6 +156,17 @@
         base = current.revision if current is not None else StoreRevision(0)
         return await self._write(base, still_open=True, target=self.target)
 
+    async def is_released(self) -> bool:
+        """Return whether the stored lease is one that this changer released.
+
+        Raises
+        ------
+        StoreError
+            When the store gave no answer.
+        """
+        stored = await self.read()
+        return stored is not None and not stored.open and stored.holder == self.holder
+
     @property
     def target(self) -> ServerId | None:
         """Server whose promotion may have been requested in an unfinished change."""
--- a/src/apricotshore/pooling/group_commands.py
+++ b/src/apricotshore/pooling/group_commands.py
@@ -117,6 +117,14 @@
         reports = await self.run_all(servers, QueryKind.STATUS)
         return {server: report.received for server, report in reports.items()}
 
+    async def find_paused(
+        self, servers: Iterable[ServerId]
+    ) -> tuple[set[ServerId], set[ServerId]]:
+        """Return which servers are found not paused, and which paused."""
+        found = await self.run_all(sorted(servers), QueryKind.STATUS)
+        paused = {s for s, report in found.items() if report.paused_term > 0}
+        return set(found) - paused, paused
+
     async def resume(self, servers: Iterable[ServerId]) -> set[ServerId]:
         """Resume paused servers; return those that are not paused any more."""
         found = await self.run_all(sorted(servers), QueryKind.RESUME)
--- a/src/apricotshore/pooling/primary_changer.py
+++ b/src/apricotshore/pooling/primary_changer.py
@@ -339,13 +339,21 @@
         if not self.unresumed or now - self.resume_tried_at < RESUME_PERIOD_MS:
             return
         self.resume_tried_at = now
-        seen = self.lease.seen
         try:
-            await self.lease.read()
+            if not await self.lease.is_released():
+                self.unresumed.clear()
+                return
+            running, paused = await self.commands.find_paused(self.unresumed)
+            self.unresumed -= running
+            if paused:
+                await self._resume_alone(paused)
         except StoreError as error:
             self._record("waiting", why=f"store: {error}")
-            return
-        if self.lease.seen is not seen:
+
+    async def _resume_alone(self, paused: set[ServerId]) -> None:
+        """Resume servers while no host can begin a change."""
+        if await self.lease.acquire() is None:
             self.unresumed.clear()
             return
-        self.unresumed -= await self.commands.resume(self.unresumed)
+        self.unresumed -= await self.commands.resume(paused)
+        await self.lease.release()
--- a/tests/pooling/test_lost_leases.py
+++ b/tests/pooling/test_lost_leases.py
@@ -11,13 +11,13 @@
     LeaseWrite,
     StoreError,
 )
-from apricotshore.queries import QueryKind
-from standins.in_memory import GROUP, ModelGroup, ModelPlatform
+from apricotshore.queries import Query, QueryKind
+from standins.in_memory import GROUP, ModelConnection, ModelGroup, ModelPlatform
 
 from .support import ModelHost
 from .test_restored_leases import make_lease, restore
 
-S2, S3 = ServerId("s2"), ServerId("s3")
+S1, S2, S3 = ServerId("s1"), ServerId("s2"), ServerId("s3")
 KEY = GROUP, StoreEra(1)
 
 
@@ -120,6 +120,65 @@
     return model, platform, ModelHost.make("host-0", model, platform)
 
 
+async def end_change_unresumed(host: ModelHost, server: ServerId) -> None:
+    """End a change that could not resume one server."""
+    assert await host.changer.lease.acquire()
+    await host.changer.lease.release()
+    host.changer.unresumed = {server}
+
+
+async def test_server_that_the_next_holder_paused_stays_paused():
+    model, platform, host = make_host()
+    await end_change_unresumed(host, S2)
+    assert await make_lease(platform, "b").acquire()
+    model.servers[S2].paused_term = 5
+    host.changer.observe_lease(platform.leases[KEY])
+    await host.changer._resume_remaining()
+    assert model.servers[S2].paused_term == 5
+    assert not host.changer.unresumed
+
+
+async def test_server_stays_paused_while_an_own_promotion_is_unconfirmed():
+    model, _, host = make_host()
+    await end_change_unresumed(host, S2)
+    assert await host.changer.lease.acquire()
+    model.servers[S2].paused_term = 5
+    await host.changer._resume_remaining()
+    assert model.servers[S2].paused_term == 5
+
+
+async def test_server_is_not_resumed_while_another_host_may_begin_a_change(
+    monkeypatch,
+):
+    model, platform, host = make_host()
+    await end_change_unresumed(host, S2)
+    model.servers[S2].paused_term = 5
+    was_held = []
+    run_command = ModelConnection._run_command
+
+    def observe(link: ModelConnection, query: Query) -> None:
+        if query.kind is QueryKind.RESUME:
+            was_held.append(platform.leases[KEY].open)
+        run_command(link, query)
+
+    monkeypatch.setattr(ModelConnection, "_run_command", observe)
+    await host.changer._resume_remaining()
+    assert not model.servers[S2].paused_term
+    assert was_held == [True]
+    assert not platform.leases[KEY].open
+    assert not host.changer.unresumed
+
+
+async def test_lease_is_not_taken_while_no_server_is_found_paused():
+    model, platform, host = make_host()
+    await end_change_unresumed(host, S2)
+    model.servers[S2].up = False
+    before = platform.leases[KEY]
+    await host.changer._resume_remaining()
+    assert platform.leases[KEY] == before
+    assert host.changer.unresumed == {S2}
+
+
 async def test_servers_are_resumed_without_a_look_at_them_first():
     model, _, host = make_host()
     assert await host.changer.lease.acquire()
