Send nothing of a change once its lease has expired

Cause: a holder that was stopped (SIGSTOP) went on inside its step when it woke: PAUSE, RESUME, STEPDOWN, also through other hosts, and the promotion. Nothing compared the time with the end of the lease. And a fence, up to 4.6 s after up to 4.5 s of steps, could outlast the lease, since nothing extended it.

Change: is_held() (held_until less HELD_MARGIN_MS, no other holder known) is looked at when a command has its connection, right before it is sent, before each promotion request, step and round of resumes. A holder whose time is over ends with the phase "lease-expired"; STATUS is sent without a lease. The lease is extended before a fence.

The margin is 50 ms.

--- a/src/apricotshore/decisions/lease.py
+++ b/src/apricotshore/decisions/lease.py
@@ -14,6 +14,8 @@
 from ..identifiers import FencingToken, HostId, ServerId, StoreEra, StoreRevision
 
 LEASE_MS = 6_000
+# What a holder sends this long before its lease expires has arrived by then.
+HELD_MARGIN_MS = 50
 # Time within which a promotion that the platform has accepted takes effect.
 PROMOTION_MS = 2_000
 # Low bits of a token that hold the revision; the era is above them.
@@ -107,6 +109,18 @@
     return now - lease.seen_at >= wait_ms
 
 
+def is_held(lease: ObservedLease | None, claim: LeaseClaim, now: int) -> bool:
+    """Return whether no other changer can hold the lease yet.
+
+    Parameters
+    ----------
+    lease, claim, now
+        See `may_acquire`.
+    """
+    is_taken = lease is not None and lease.holder != claim.holder
+    return not is_taken and now < claim.held_until - HELD_MARGIN_MS
+
+
 def may_be_abandoned(
     lease: ObservedLease | None, claim: LeaseClaim, rank: int, now: int
 ) -> bool:
--- a/src/apricotshore/pooling/change_lease.py
+++ b/src/apricotshore/pooling/change_lease.py
@@ -84,6 +84,14 @@
         if self.current is None or record.revision > self.current.revision:
             self._remember(record)
 
+    def is_held(self, now: int) -> bool:
+        """Return whether this changer still holds the lease.
+
+        A process may be stopped right after it has looked; it looks right before it
+        sends, as nothing more is possible.
+        """
+        return lease.is_held(self.current, self._claim(), now)
+
     async def read(self) -> LeaseRecord | None:
         """Read the stored lease of the store's latest era; return None without one.
 
@@ -156,6 +164,11 @@
         base = current.revision if current is not None else StoreRevision(0)
         return await self._write(base, still_open=True, target=self.target)
 
+    async def extend(self) -> FencingToken | None:
+        """Write the lease again, for another `LEASE_MS`; see `write`."""
+        target = self.own.target if self.own is not None else None
+        return await self.write(still_open=True, target=target)
+
     async def is_released(self) -> bool:
         """Return whether the stored lease is one that this changer released.
 
--- a/src/apricotshore/pooling/change_steps.py
+++ b/src/apricotshore/pooling/change_steps.py
@@ -100,9 +100,12 @@
         ----------
         is_needed
             Whether the reason for the change still holds. Once the primary has
-            stepped down, or a promotion was requested, the change goes on anyway.
+            stepped down, or a promotion was requested, the change goes on anyway,
+            but not beyond the lease.
         """
         attempt = self.attempt
+        if not self.is_held():
+            return False
         age = read_boot_ms() - attempt.started_at
         if attempt.requested is not None:
             return age < primary_change.CONFIRM_MS and not self.is_settled()
@@ -110,6 +113,13 @@
             return age < primary_change.STEPS_WITHOUT_PRIMARY_MS
         return is_needed and age < primary_change.STEPS_MS
 
+    def is_held(self) -> bool:
+        """Return whether this host still holds the lease; record it when it doesn't."""
+        is_held = self.lease.is_held(read_boot_ms())
+        if not is_held:
+            self._record("lease-expired")
+        return is_held
+
     def is_settled(self) -> bool:
         """Return whether the server whose promotion was requested leads now."""
         primary_state = self.group.primary_state
@@ -286,7 +296,7 @@
         pool = self.group.find_pool(silent)
         if pool is not None:
             self.detour = asyncio.get_running_loop().create_task(
-                self.detours.step_down(pool.server, term)
+                self.detours.step_down(pool.server, term, self.is_held)
             )
 
     async def _hold(self, step: Hold) -> None:
@@ -330,6 +340,8 @@
     async def _promote(self, server: ServerId) -> bool:
         """Request a promotion; return False if a request can't be taken back."""
         attempt = self.attempt
+        if not self.is_held():
+            return False
         status = attempt.statuses.get(server)
         self._record(
             "promoting",
--- a/src/apricotshore/pooling/detours.py
+++ b/src/apricotshore/pooling/detours.py
@@ -1,6 +1,7 @@
 """Commands to a server that this host can't reach, run by other hosts."""
 
 import asyncio
+from collections.abc import Callable
 from dataclasses import replace
 
 from ..decisions import relays
@@ -34,10 +35,17 @@
         self.journal = journal
 
     async def step_down(
-        self, server: ListedServer, term: Term
+        self, server: ListedServer, term: Term, may_send: Callable[[], bool]
     ) -> tuple[ServerReport, ...]:
         """Have a server step down, through whichever host reaches it first.
 
+        Parameters
+        ----------
+        server, term
+            The server and the term to step down with.
+        may_send
+            Returns whether the command may be sent, once a host is connected.
+
         Returns
         -------
         tuple of ServerReport
@@ -45,7 +53,7 @@
         """
         hosts = relays.list_detours(self.fleet, server.server)
         asked = [
-            asyncio.create_task(self._step_down_through(host, server, term))
+            asyncio.create_task(self._step_down_through(host, server, term, may_send))
             for host in hosts
         ]
         try:
@@ -61,7 +69,11 @@
         return ()
 
     async def _step_down_through(
-        self, host: ListedHost, server: ListedServer, term: Term
+        self,
+        host: ListedHost,
+        server: ListedServer,
+        term: Term,
+        may_send: Callable[[], bool],
     ) -> tuple[ServerReport, ...]:
         through = replace(server, address=host.address)
         queries = (
@@ -71,6 +83,8 @@
         try:
             link = await self.direct.dial(through, DETOUR_TIMEOUT_S)
             try:
+                if not may_send():
+                    raise ConnectionLostError("the lease has expired", sent=False)
                 answers = await link.run(queries, None, DETOUR_TIMEOUT_S)
             finally:
                 link.close()
--- a/src/apricotshore/pooling/group_commands.py
+++ b/src/apricotshore/pooling/group_commands.py
@@ -1,16 +1,17 @@
 """Commands to the servers of a group during a change of its primary."""
 
 import asyncio
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 
 from ..decisions import change_triggers
 from ..groups import LogPosition
 from ..identifiers import ServerId, Term
 from ..queries import Query, QueryKind, ServerReport
+from ..services.clock import read_boot_ms
 from .group import Group
 from .journal import EventKind
-from .pool import NoConnectionError
+from .pool import NoConnectionError, WithheldError
 from .ports import ConnectionLostError
 
 COMMAND_TIMEOUT_MS = 400
@@ -50,10 +51,14 @@
     ----------
     group
         The group.
+    is_held
+        Returns whether this host holds the lease at a moment, in milliseconds since
+        boot. Without the lease, only STATUS is sent.
     """
 
-    def __init__(self, *, group: Group) -> None:
+    def __init__(self, *, group: Group, is_held: Callable[[int], bool]) -> None:
         self.group = group
+        self.is_held = is_held
 
     async def ask(
         self,
@@ -67,8 +72,15 @@
         if pool is None:
             return CommandReply()
         query = Query(kind=kind, term=term)
+
+        def may_send() -> bool:
+            return kind is QueryKind.STATUS or self.is_held(read_boot_ms())
+
         try:
-            answer = await pool.run_alone(query, COMMAND_PRIORITY, timeout_ms)
+            answer = await pool.run_alone(query, COMMAND_PRIORITY, timeout_ms, may_send)
+        except WithheldError as error:
+            record_phase(self.group, "lease-expired", withheld=str(error))
+            return CommandReply()
         except (NoConnectionError, ConnectionLostError) as error:
             record_phase(self.group, "no-answer", server=server, why=str(error))
             return CommandReply()
--- a/src/apricotshore/pooling/pool.py
+++ b/src/apricotshore/pooling/pool.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import itertools
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
 from ..decisions import placement, quota, wait_queue
@@ -26,6 +27,10 @@
 PREPARED_LIMIT = 200
 
 
+class WithheldError(Exception):
+    """Statement that was not sent, as it may not be sent any more."""
+
+
 class NoConnectionError(Exception):
     """Failure to acquire a connection in time; nothing was sent.
 
@@ -244,11 +249,26 @@
             placement.observe_full(self.load, now)
         return answers
 
-    async def run_alone(self, query: Query, priority: int, timeout_ms: int) -> Answer:
+    async def run_alone(
+        self,
+        query: Query,
+        priority: int,
+        timeout_ms: int,
+        may_send: Callable[[], bool] = lambda: True,
+    ) -> Answer:
         """Run one statement of the proxy's own on a connection of its own.
 
+        Parameters
+        ----------
+        query, priority, timeout_ms
+            The statement, its priority for a connection, and its time limit.
+        may_send
+            Returns whether it may be sent, once there is a connection.
+
         Raises
         ------
+        WithheldError
+            When it may not be sent any more.
         NoConnectionError
             When no connection became free in time.
         ConnectionLostError
@@ -257,6 +277,9 @@
         pooled = await self.acquire({}, priority, read_boot_ms() + timeout_ms)
         clean = False
         try:
+            if not may_send():
+                clean = True
+                raise WithheldError(f"{query.kind.value} to {self.server.server!r}")
             answers = await self.run(pooled, [query], None, timeout_ms)
             clean = True
         finally:
--- a/src/apricotshore/pooling/primary_changer.py
+++ b/src/apricotshore/pooling/primary_changer.py
@@ -83,7 +83,7 @@
         self.lease = ChangeLease(
             group=group.group, host=host, address=address, store=store, eras=eras
         )
-        self.commands = GroupCommands(group=group)
+        self.commands = GroupCommands(group=group, is_held=self.lease.is_held)
         self.unresumed: set[ServerId] = set()
         self.resume_tried_at = 0
 
@@ -175,6 +175,8 @@
                     break
         finally:
             await work.stop()
+        if not work.is_held():
+            return
         # An open lease may have left a request, whatever this change began for.
         await self._finish(
             work, reason == "unfinished" or attempt.inherited is not None
@@ -229,8 +231,13 @@
             return
         has_paused = bool(attempt.pause_term)
         must_fence = unfinished or (has_paused and attempt.requested is None)
+        # A fence takes up to 4.6 s, more than may be left of the lease.
+        token = await self.lease.extend() if must_fence else work.token
+        if token is None:
+            self._record("ended", outcome="lease lost")
+            return
         if must_fence and not await self._fence(
-            work.token, unfinished=unfinished, inherited=attempt.inherited
+            token, unfinished=unfinished, inherited=attempt.inherited
         ):
             self._record("ended", outcome="unsettled")
             self.lease.delay_check()
@@ -258,6 +265,9 @@
 
     async def _resume_all(self) -> None:
         for _ in range(RESUME_ROUNDS):
+            if not self.lease.is_held(read_boot_ms()):
+                self._record("lease-expired", unresumed=self.unresumed)
+                break
             self.unresumed -= await self.commands.resume(self.unresumed)
             if not self.unresumed:
                 break
@@ -317,6 +327,9 @@
         if primary is None:
             return False
         promote = self.promoter.promote
+        if not self.lease.is_held(read_boot_ms()):
+            self._record("lease-expired")
+            return False
         # Without a prover the platform checks tokens.
         if self.group.prover is None and not await promote(
             self.group.group, primary, self.host, token
--- a/tests/pooling/test_lost_leases.py
+++ b/tests/pooling/test_lost_leases.py
@@ -1,20 +1,23 @@
 """A host whose lease has expired, or was taken by another host, changes nothing."""
 
 import asyncio
+from dataclasses import replace
 
 import pytest
 
 from apricotshore.decisions import lease
-from apricotshore.identifiers import ServerId, StoreEra
+from apricotshore.identifiers import ServerId, StoreEra, Term
+from apricotshore.pooling.change_steps import ChangeSteps
 from apricotshore.pooling.ports import (
     LeaseRecord,
     LeaseWrite,
     StoreError,
 )
 from apricotshore.queries import Query, QueryKind
+from apricotshore.services.clock import read_boot_ms
 from standins.in_memory import GROUP, ModelConnection, ModelGroup, ModelPlatform
 
-from .support import ModelHost
+from .support import ModelHost, running, wait_until, writing
 from .test_restored_leases import make_lease, restore
 
 S1, S2, S3 = ServerId("s1"), ServerId("s2"), ServerId("s3")
@@ -187,3 +190,104 @@
     assert not model.servers[S2].paused_term
     kinds = [query.kind for link in host.dialer.links for query, _ in link.received]
     assert kinds == [QueryKind.RESUME, QueryKind.RESUME]
+
+
+# -- expiry --
+
+
+@pytest.mark.parametrize(
+    "kind", [QueryKind.PAUSE, QueryKind.RESUME, QueryKind.STEP_DOWN]
+)
+async def test_holder_that_was_stopped_past_its_lease_sends_no_command(kind):
+    model, _, host = make_host()
+    assert await host.changer.lease.acquire()
+    host.changer.lease.held_until = read_boot_ms() - 1
+    await host.changer.commands.run(S2, kind, Term(5))
+    sent = [query.kind for link in host.dialer.links for query, _ in link.received]
+    assert sent == []
+
+
+async def test_lease_that_expires_while_a_command_gets_its_connection(monkeypatch):
+    model, _, host = make_host()
+    assert await host.changer.lease.acquire()
+    dial = host.dialer.dial
+
+    async def dial_and_stop(server, timeout_s):
+        link = await dial(server, timeout_s)
+        host.changer.lease.held_until = read_boot_ms() - 1
+        return link
+
+    monkeypatch.setattr(host.dialer, "dial", dial_and_stop)
+    await host.changer.commands.run(S2, QueryKind.PAUSE, Term(5))
+    assert not model.servers[S2].paused_term
+
+
+async def test_lease_that_expires_while_another_host_is_asked(monkeypatch):
+    model, _, host = make_host()
+    host.add_other_host("10.0.0.7:1")
+    assert await host.changer.lease.acquire()
+    detours = host.changer.detours
+    dial = detours.direct.dial
+
+    async def dial_and_stop(server, timeout_s):
+        link = await dial(server, timeout_s)
+        host.changer.lease.held_until = read_boot_ms() - 1
+        return link
+
+    monkeypatch.setattr(detours.direct, "dial", dial_and_stop)
+    host.group.primary_state.primary = S1
+    model.servers[S1].unreachable_by.add("host-0")
+    await host.changer._change("requested")
+    assert model.servers[S1].is_primary
+
+
+async def test_holder_that_was_stopped_after_the_step_down_requests_no_promotion(
+    monkeypatch,
+):
+    model, platform, host = make_host()
+    is_held = []
+    step_down, promote = ChangeSteps._step_down, platform.promote
+    stops = [1]
+
+    async def step_down_and_stop(work, server, term):
+        await step_down(work, server, term)
+        if stops:
+            stops.pop()
+            work.lease.held_until = read_boot_ms() - 1
+
+    async def observe(*args):
+        is_held.append(host.changer.lease.held_until > read_boot_ms())
+        return await promote(*args)
+
+    monkeypatch.setattr(ChangeSteps, "_step_down", step_down_and_stop)
+    monkeypatch.setattr(platform, "promote", observe)
+    async with running(host), writing(model):
+        await wait_until(lambda: len(model.acknowledged) > 5)
+        host.mark_leaving("s1")
+        await wait_until(lambda: model.promotions)
+    assert is_held
+    assert all(is_held)
+    assert model.lost == []
+
+
+async def test_lease_is_not_taken_while_a_slow_change_is_fenced(monkeypatch):
+    monkeypatch.setattr(lease, "LEASE_MS", 1_500)
+    monkeypatch.setattr(lease, "PROMOTION_MS", 1_000)
+    model, platform, host = make_host()
+    platform.leases[KEY] = replace(platform.leases[KEY], open=True, holder="host-9")
+    stop = ChangeSteps.stop
+
+    async def stop_slowly(work):
+        await asyncio.sleep(0.9)
+        await stop(work)
+
+    monkeypatch.setattr(ChangeSteps, "stop", stop_slowly)
+    other = make_lease(platform, "b")
+    async with running(host), writing(model):
+        await wait_until(lambda: host.group.primary_state.primary == S1)
+        await host.changer.lease.read()
+        host.changer.lease.current.seen_at -= lease.LEASE_MS
+        await wait_until(lambda: host.changer.lease.held_until)
+        while platform.leases[KEY].open:
+            assert await other.acquire() is None
+            await asyncio.sleep(0.02)
