Bound the whole of a command by its timeout

Cause: the timeout of a command held for its answer alone. Getting a connection took up to 0.5 s of dialing more, and the next command to that server was not sent meanwhile: with HOLD_TIMEOUT_MS of 200, a pause was repeated after 0.7 s at the worst.

Change: run_alone() bounds getting a connection by the same time, and leaves the rest of it for the answer. The pool itself ends the answer's wait, not a timeout around it, so idle connections that may be dead too are still closed then.

Measured: test_command_that_hangs_while_dialing_ends_at_its_timeout failed with "(889174 - 888672) < 300" and passes now; test_pool.py and test_sockets.py pass (38).

--- a/src/apricotshore/pooling/pool.py
+++ b/src/apricotshore/pooling/pool.py
@@ -261,7 +261,8 @@
         Parameters
         ----------
         query, priority, timeout_ms
-            The statement, its priority for a connection, and its time limit.
+            The statement, its priority for a connection, and the time limit for
+            getting one and the answer together.
         may_send
             Returns whether it may be sent, once there is a connection.
 
@@ -274,13 +275,20 @@
         ConnectionLostError
             When the server cannot be reached or gave no answer.
         """
-        pooled = await self.acquire({}, priority, read_boot_ms() + timeout_ms)
+        expires_at = read_boot_ms() + timeout_ms
+        try:
+            async with asyncio.timeout(timeout_ms / 1000):
+                pooled = await self.acquire({}, priority, expires_at)
+        except TimeoutError:
+            why = f"no connection within {timeout_ms} ms"
+            raise ConnectionLostError(why, sent=False) from None
+        left_ms = max(expires_at - read_boot_ms(), 1)
         clean = False
         try:
             if not may_send():
                 clean = True
                 raise WithheldError(f"{query.kind.value} to {self.server.server!r}")
-            answers = await self.run(pooled, [query], None, timeout_ms)
+            answers = await self.run(pooled, [query], None, left_ms)
             clean = True
         finally:
             self.release(pooled, clean=clean)
--- a/tests/pooling/test_lost_leases.py
+++ b/tests/pooling/test_lost_leases.py
@@ -291,3 +291,14 @@
         while platform.leases[KEY].open:
             assert await other.acquire() is None
             await asyncio.sleep(0.02)
+
+
+# -- late commands --
+
+
+async def test_command_that_hangs_while_dialing_ends_at_its_timeout():
+    model, _, host = make_host()
+    model.servers[S2].unreachable_by.add("host-0")
+    began = read_boot_ms()
+    await host.changer.commands.ask(S2, QueryKind.STATUS, timeout_ms=200)
+    assert read_boot_ms() - began < 300
