--- a/tests/pooling/test_lost_leases.py
+++ b/tests/pooling/test_lost_leases.py
@@ -1,14 +1,18 @@
 """A host whose lease has expired, or was taken by another host, changes nothing."""
 
 import asyncio
+import socket
+from contextlib import suppress
 from dataclasses import replace
 
 import pytest
+from apricotshore_platform.backends import LineDialer
 
 from apricotshore.decisions import lease
 from apricotshore.identifiers import ServerId, StoreEra, Term
 from apricotshore.pooling.change_steps import ChangeSteps
 from apricotshore.pooling.ports import (
+    ConnectionLostError,
     LeaseRecord,
     LeaseWrite,
     StoreError,
@@ -302,3 +306,35 @@
     began = read_boot_ms()
     await host.changer.commands.ask(S2, QueryKind.STATUS, timeout_ms=200)
     assert read_boot_ms() - began < 300
+
+
+@pytest.mark.parametrize("ends", ["times out", "is cancelled"])
+async def test_command_held_up_by_the_network_is_not_delivered_later(ends):
+    """The server's full receive buffer stands for the network."""
+    listener = socket.socket()
+    listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4_096)
+    listener.bind(("127.0.0.1", 0))
+    listener.listen()
+    listener.setblocking(False)
+    loop = asyncio.get_running_loop()
+    model = ModelGroup.make()
+    port = listener.getsockname()[1]
+    server = replace(model.list(model.servers[S2]), address=f"127.0.0.1:{port}")
+    dial = asyncio.create_task(LineDialer().dial(server, 1.0))
+    peer, _ = await loop.sock_accept(listener)
+    await loop.sock_recv(peer, 1_000)
+    await loop.sock_sendall(peer, b"READY I -\r\n")
+    link = await dial
+    statuses = [Query(kind=QueryKind.STATUS)] * 30_000
+    queries = [*statuses, Query(kind=QueryKind.PAUSE, term=Term(5))]
+    run = asyncio.create_task(link.run(queries, None, 0.2))
+    await asyncio.sleep(0.1)
+    if ends == "is cancelled":
+        run.cancel()
+    with pytest.raises((ConnectionLostError, asyncio.CancelledError)):
+        await run
+    delivered = b""
+    with peer, listener, suppress(ConnectionResetError):
+        while data := await asyncio.wait_for(loop.sock_recv(peer, 65_536), 2.0):
+            delivered += data
+    assert b"PAUSE" not in delivered
