--- a/src/apricotshore/pooling/change_steps.py
+++ b/src/apricotshore/pooling/change_steps.py
@@ -112,9 +112,12 @@
         ----------
         is_needed
             Whether the reason for the change still holds. Once the primary has
-            stepped down, or a promotion was requested, the change goes on anyway.
+            stepped down, or a promotion was requested, the change goes on anyway,
+            but not beyond the lease.
         """
         attempt = self.attempt
+        if not self.is_held():
+            return False
         age = read_boot_ms() - attempt.started_at
         if attempt.requested is not None:
             return age < primary_change.CONFIRM_MS and not self.is_settled()
@@ -122,6 +125,13 @@
             return age < primary_change.STEPS_WITHOUT_PRIMARY_MS
         return is_needed and age < primary_change.STEPS_MS
 
+    def is_held(self) -> bool:
+        """Return whether this host still holds the lease; record it when it doesn't."""
+        is_held = self.lease.is_held(read_boot_ms())
+        if not is_held:
+            self._record("lease-expired")
+        return is_held
+
     def is_settled(self) -> bool:
         """Return whether the server whose promotion was requested leads now."""
         primary_state = self.group.primary_state
@@ -320,7 +330,7 @@
         pool = self.group.find_pool(silent)
         if pool is not None:
             self.detour = asyncio.get_running_loop().create_task(
-                self.detours.step_down(pool.server, term)
+                self.detours.step_down(pool.server, term, self.is_held)
             )
 
     async def _hold(self, step: Hold) -> None:
@@ -382,6 +392,8 @@
     async def _promote(self, server: ServerId) -> bool:
         """Request a promotion; return False if a request can't be taken back."""
         attempt = self.attempt
+        if not self.is_held():
+            return False
         status = attempt.statuses.get(server)
         mark = format_position(status.log_position) if status is not None else ""
         self.ordered_mark = mark
--- a/src/apricotshore/pooling/group_commands.py
+++ b/src/apricotshore/pooling/group_commands.py
@@ -1,7 +1,7 @@
 """Commands to the servers of a group during a change of its primary."""
 
 import asyncio
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 
 from ..decisions import change_triggers
@@ -11,7 +11,7 @@
 from ..services.clock import read_boot_ms
 from .group import Group
 from .journal import EventKind
-from .pool import NoConnectionError
+from .pool import NoConnectionError, WithheldError
 from .ports import ConnectionLostError
 
 COMMAND_TIMEOUT_MS = 400
@@ -146,10 +146,14 @@
     ----------
     group
         The group.
+    is_held
+        Returns whether this host holds the lease at a moment, in milliseconds since
+        boot. Without the lease, only STATUS is sent.
     """
 
-    def __init__(self, *, group: Group) -> None:
+    def __init__(self, *, group: Group, is_held: Callable[[int], bool]) -> None:
         self.group = group
+        self.is_held = is_held
         self.recorded = RecordedAnswers()
 
     def begin_change(self) -> None:
@@ -169,8 +173,15 @@
             return CommandReply()
         query = Query(kind=kind, term=term)
         asked_at = read_boot_ms()
+
+        def may_send() -> bool:
+            return kind is QueryKind.STATUS or self.is_held(read_boot_ms())
+
         try:
-            answer = await pool.run_alone(query, COMMAND_PRIORITY, timeout_ms)
+            answer = await pool.run_alone(query, COMMAND_PRIORITY, timeout_ms, may_send)
+        except WithheldError as error:
+            record_phase(self.group, "lease-expired", withheld=str(error))
+            return CommandReply()
         except (NoConnectionError, ConnectionLostError) as error:
             record_phase(self.group, "no-answer", server=server, why=str(error))
             return CommandReply()
@@ -241,9 +252,15 @@
         reports = await self.run_all(servers, QueryKind.STATUS)
         return {server: report.received for server, report in reports.items()}
 
-    async def resume(self, servers: Iterable[ServerId]) -> set[ServerId]:
-        """Resume paused servers; return those that were found not paused."""
+    async def find_paused(
+        self, servers: Iterable[ServerId]
+    ) -> tuple[set[ServerId], set[ServerId]]:
+        """Return which servers are found not paused, and which paused."""
         found = await self.run_all(sorted(servers), QueryKind.STATUS)
-        paused = [s for s, report in found.items() if report.paused_term > 0]
-        await self.run_all(paused, QueryKind.RESUME)
-        return set(found) - set(paused)
+        paused = {s for s, report in found.items() if report.paused_term > 0}
+        return set(found) - paused, paused
+
+    async def resume(self, servers: Iterable[ServerId]) -> set[ServerId]:
+        """Resume paused servers; return those that are not paused any more."""
+        found = await self.run_all(sorted(servers), QueryKind.RESUME)
+        return {s for s, report in found.items() if report.paused_term == 0}
--- a/src/apricotshore/pooling/primary_changer.py
+++ b/src/apricotshore/pooling/primary_changer.py
@@ -88,7 +88,7 @@
             eras=eras,
             record=self._record,
         )
-        self.commands = GroupCommands(group=group)
+        self.commands = GroupCommands(group=group, is_held=self.lease.is_held)
         self.unresumed: set[ServerId] = set()
         self.resume_tried_at = 0
 
@@ -182,6 +182,8 @@
         finally:
             await work.stop()
         work.record_settled()
+        if not work.is_held():
+            return
         # An open lease may have left a request, whatever this change began for.
         await self._finish(
             work, reason == "unfinished" or attempt.inherited is not None
@@ -241,8 +243,13 @@
             return
         has_paused = bool(attempt.pause_term)
         must_fence = unfinished or (has_paused and attempt.requested is None)
+        # A fence takes up to 4.6 s, more than may be left of the lease.
+        token = await self.lease.extend() if must_fence else work.token
+        if token is None:
+            self._record("ended", outcome="lease lost")
+            return
         if must_fence and not await self._fence(
-            work.token, unfinished=unfinished, inherited=attempt.inherited
+            token, unfinished=unfinished, inherited=attempt.inherited
         ):
             self._record("ended", outcome="unsettled")
             self.lease.delay_check()
@@ -270,6 +277,9 @@
 
     async def _resume_all(self) -> None:
         for _ in range(RESUME_ROUNDS):
+            if not self.lease.is_held(read_boot_ms()):
+                self._record("lease-expired", unresumed=self.unresumed)
+                break
             self.unresumed -= await self.commands.resume(self.unresumed)
             if not self.unresumed:
                 break
@@ -329,6 +339,9 @@
         if primary is None:
             return False
         promote = self.promoter.promote
+        if not self.lease.is_held(read_boot_ms()):
+            self._record("lease-expired")
+            return False
         # Without a prover the platform checks tokens.
         if self.group.prover is None and not await promote(
             self.group.group, primary, self.host, token
@@ -351,13 +364,21 @@
         if not self.unresumed or now - self.resume_tried_at < RESUME_PERIOD_MS:
             return
         self.resume_tried_at = now
-        seen = self.lease.seen
         try:
-            await self.lease.read()
+            if not await self.lease.is_released():
+                self.unresumed.clear()
+                return
+            running, paused = await self.commands.find_paused(self.unresumed)
+            self.unresumed -= running
+            if paused:
+                await self._resume_alone(paused)
         except StoreError as error:
             self._record("waiting", why=f"store: {error}")
-            return
-        if self.lease.seen is not seen:
+
+    async def _resume_alone(self, paused: set[ServerId]) -> None:
+        """Resume servers while no host can begin a change."""
+        if await self.lease.acquire() is None:
             self.unresumed.clear()
             return
-        self.unresumed -= await self.commands.resume(self.unresumed)
+        self.unresumed -= await self.commands.resume(paused)
+        await self.lease.release()
