Wait longer for the pause of a server that answered, and pause the target last

Cause: searches over late commands and late commits found four orders that lose a commit in the new decisions where one barrier fails as well: a PAUSE that misses its server for over 0.1 s; a target that is paused with all others, so that only a server whose pause ends receives what the primary still delivers; commands with a term that a primary which leads again has reached. The search that asks other hosts again looks at the lease, too, and records when it fails.

--- a/src/apricotshore/decisions/change_attempt.py
+++ b/src/apricotshore/decisions/change_attempt.py
@@ -73,6 +73,8 @@
         The primary at the start, None without one.
     must_step_down
         Whether the primary is replaced even if it answers.
+    heard
+        Servers that answered in this change.
     is_silent
         Whether the primary is taken for silent, so that its answer is not waited for.
     is_cut_off
@@ -117,6 +119,7 @@
     started_at: int
     replaced: ServerId | None = None
     must_step_down: bool = False
+    heard: set[ServerId] = field(default_factory=set)
     is_silent: bool = False
     is_cut_off: bool = False
     inherited: ServerId | None = None
@@ -251,13 +254,16 @@
 ) -> None:
     """Store the status of a member, and whether the primary has stepped down."""
     attempt.statuses[server] = status
+    attempt.heard.add(server)
     if server != attempt.replaced:
         return
     attempt.unanswered_since = None
     if status.is_primary:
         observe_primary_end(attempt, status.log_position)
-        # One that crashed after it had stepped down may lead again.
+        # One that crashed after it had stepped down may lead again, in a later term.
         attempt.final_end = None
+        if attempt.pause_term and status.term >= attempt.pause_term:
+            attempt.pause_term = Term(status.term + 1)
     elif attempt.final_end is not None:
         # A commit that was being run may have been stored since it stepped down.
         attempt.final_end = max(attempt.final_end, status.log_position, key=log_order)
--- a/src/apricotshore/decisions/primary_change.py
+++ b/src/apricotshore/decisions/primary_change.py
@@ -59,8 +59,8 @@
 CONFIRM_MS = 4_500
 # The same for steps that follow once there is no primary any more.
 STEPS_WITHOUT_PRIMARY_MS = 3_500
-# For this long after the primary stepped down, only the target's answer is waited
-# for, and a promotion waits for the pauses of the others.
+# For this long after the primary stepped down, only its target may be promoted, and a
+# promotion waits for the pause of a server that has not answered before.
 SECURE_MS = 100
 # A primary steps down after this time although no replica has caught up with it.
 STEP_DOWN_AFTER_MS = 800
@@ -175,14 +175,29 @@
     if target is None or target not in full:
         return _plan_incomplete(attempt, members, others, since_loss, lossless, now)
     unpaused = _list_unsecured(attempt, others)
-    # A target that was replaced by another has to be paused as well.
-    secured_since = max(attempt.stepped_down_at, attempt.target_since)
-    is_waiting = now - secured_since < SECURE_MS
-    if is_waiting and any(m.server in unpaused for m in others if m.listed):
+    if _must_wait_for(attempt, others, unpaused, now):
         return _secure(attempt, unpaused)
     return request_promotion(attempt, members, target, now)
 
 
+def _must_wait_for(
+    attempt: Attempt,
+    others: tuple[Member, ...],
+    unpaused: tuple[ServerId, ...],
+    now: int,
+) -> bool:
+    """Return whether the promotion is to wait for pauses.
+
+    A server that answered in this change is waited for longer than one that did not.
+    """
+    # A target that was replaced by another has to be paused as well.
+    since = now - max(attempt.stepped_down_at, attempt.target_since)
+    waited = [m.server for m in others if m.listed and m.server in unpaused]
+    if attempt.heard.intersection(waited):
+        return since < CATCH_UP_MS
+    return bool(waited) and since < SECURE_MS
+
+
 def _list_full(attempt: Attempt, others: tuple[Member, ...]) -> tuple[ServerId, ...]:
     """Return the followers that hold all that any server is known to hold."""
     assert attempt.final_end is not None
@@ -226,7 +241,8 @@
     """Find who is to be promoted while no server is known to hold all.
 
     The rest of the log may still arrive at any server, and be acknowledged by that.
-    So all of them are paused before the longest log is taken for complete.
+    So all but the target are paused before the longest log is taken for complete, and
+    the target as well if another is ahead of it.
     """
     since = now - attempt.stepped_down_at
     unpaused = _list_unsecured(attempt, others)
@@ -240,10 +256,14 @@
     if missing and since < NO_ANSWER_LIMIT_MS:
         return Pause(servers=missing, term=choose_pause_term(attempt))
     followers = list_followers(attempt, others)
-    receiving = tuple(m.server for m in followers if not is_paused(attempt, m.server))
+    target = _choose_longest(attempt, followers)
+    receiving = tuple(
+        m.server
+        for m in followers
+        if m.server != target and not is_paused(attempt, m.server)
+    )
     if receiving:
         return Pause(servers=receiving, term=choose_pause_term(attempt))
-    target = choose_target(attempt, followers)
     if target is not None and not missing:
         needed = [read_order(attempt, m.server) for m in followers]
         if not lossless:
@@ -258,6 +278,15 @@
     return request_promotion(attempt, members, target, now)
 
 
+def _choose_longest(attempt: Attempt, followers: list[Member]) -> ServerId | None:
+    """Return the follower with the longest log, the present target if it has it."""
+    best = choose_target(attempt, followers)
+    target = attempt.target
+    if best is None or target not in list_names(followers):
+        return best
+    return target if read_order(attempt, target) >= read_order(attempt, best) else best
+
+
 def _plan_until_effect(attempt: Attempt, members: tuple[Member, ...]) -> Step:
     """Request the promotion until it is accepted, and hold the others meanwhile."""
     assert attempt.requested is not None
--- a/src/apricotshore/pooling/change_steps.py
+++ b/src/apricotshore/pooling/change_steps.py
@@ -40,6 +40,8 @@
 
 # Pause before servers are asked again, and while a promotion is awaited.
 STATUS_PAUSE_S = 0.02
+# Pause after the first of several answers: the others often come with it.
+ANSWER_PAUSE_S = 0.003
 EFFECT_PAUSE_S = 0.05
 # Longest wait for servers that the store no longer lists; most of them are gone.
 UNLISTED_WAIT_S = 0.2
@@ -254,6 +256,9 @@
 
     def _forget(self, server: ServerId, done: asyncio.Task[None]) -> None:
         del self.sent[server]
+        self._record_failure(server, done)
+
+    def _record_failure(self, server: ServerId, done: asyncio.Task[None]) -> None:
         if not done.cancelled() and done.exception() is not None:
             self._record("failed", server=server, why=repr(done.exception()))
 
@@ -294,6 +299,7 @@
                 timeout=STATUS_PAUSE_S,
                 return_when=asyncio.FIRST_COMPLETED,
             )
+        await asyncio.sleep(ANSWER_PAUSE_S)
 
     def _update_status(self, server: ServerId, report: ServerReport) -> None:
         change_attempt.update_status(
@@ -352,13 +358,17 @@
             self.search = asyncio.get_running_loop().create_task(
                 self._search(primary, term)
             )
+            self.search.add_done_callback(
+                lambda done: self._record_failure(primary, done)
+            )
 
     async def _search(self, primary: ServerId, term: Term) -> None:
         await self._list_servers()
         pool = self.group.find_pool(primary)
         if pool is None:
             return
-        for report in await self.detours.step_down(pool.server, term):
+        reports = await self.detours.step_down(pool.server, term, self.is_held)
+        for report in reports:
             self._update_status(primary, report)
 
     # -- the platform --
