--- a/tests/pooling/test_lost_leases.py
+++ b/tests/pooling/test_lost_leases.py
@@ -9,7 +9,7 @@
 from apricotshore_platform.backends import LineDialer
 
 from apricotshore.decisions import lease
-from apricotshore.identifiers import ServerId, StoreEra, Term
+from apricotshore.identifiers import RequestId, ServerId, StoreEra, Term
 from apricotshore.pooling.change_steps import ChangeSteps
 from apricotshore.pooling.ports import (
     ConnectionLostError,
@@ -308,8 +308,15 @@
     assert read_boot_ms() - began < 300
 
 
+HELD_UP = [
+    Query(kind=QueryKind.PAUSE, term=Term(5)),
+    Query(kind=QueryKind.WRITE, request=RequestId("w1"), text="WRITE a PAUSE"),
+]
+
+
+@pytest.mark.parametrize("held_up", HELD_UP, ids=["command", "write"])
 @pytest.mark.parametrize("ends", ["times out", "is cancelled"])
-async def test_command_held_up_by_the_network_is_not_delivered_later(ends):
+async def test_statement_held_up_by_the_network_is_not_delivered_later(ends, held_up):
     """The server's full receive buffer stands for the network."""
     listener = socket.socket()
     listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4_096)
@@ -325,8 +332,8 @@
     await loop.sock_recv(peer, 1_000)
     await loop.sock_sendall(peer, b"READY I -\r\n")
     link = await dial
-    statuses = [Query(kind=QueryKind.STATUS)] * 30_000
-    queries = [*statuses, Query(kind=QueryKind.PAUSE, term=Term(5))]
+    reads = [Query(kind=QueryKind.READ, request=RequestId("r"), text="READ a")] * 30_000
+    queries = [*reads, held_up]
     run = asyncio.create_task(link.run(queries, None, 0.2))
     await asyncio.sleep(0.1)
     if ends == "is cancelled":
