Don't take a server that refuses a command as overloaded for silent

Cause: in a change that began since a host knows no primary, or that others left, a primary that is too busy to tell its status counted as one without an answer, and another server was promoted. Right after a promotion that is likely: everybody's writes come at once. Change: such a server is asked again. A primary that is cut off, and full of commits that wait, is still replaced.

--- a/src/apricotshore/decisions/change_attempt.py
+++ b/src/apricotshore/decisions/change_attempt.py
@@ -75,6 +75,8 @@
         Whether the primary is replaced even if it answers.
     heard
         Servers that answered in this change.
+    busy
+        Servers that refused their last command.
     is_silent
         Whether the primary is taken for silent, so that its answer is not waited for.
     is_cut_off
@@ -120,6 +122,7 @@
     replaced: ServerId | None = None
     must_step_down: bool = False
     heard: set[ServerId] = field(default_factory=set)
+    busy: set[ServerId] = field(default_factory=set)
     is_silent: bool = False
     is_cut_off: bool = False
     inherited: ServerId | None = None
@@ -255,6 +258,7 @@
     """Store the status of a member, and whether the primary has stepped down."""
     attempt.statuses[server] = status
     attempt.heard.add(server)
+    attempt.busy.discard(server)
     if server != attempt.replaced:
         return
     attempt.unanswered_since = None
@@ -287,6 +291,7 @@
     A primary that is merely overloaded is asked again. One that is cut off may be
     full of commits that wait for a replica, and never accept a command.
     """
+    attempt.busy.add(server)
     if server == attempt.replaced and not attempt.is_cut_off:
         attempt.unanswered_since = None
 
@@ -294,6 +299,7 @@
 def remove_status(attempt: Attempt, server: ServerId, now: int) -> None:
     """Remove the status of a member that gave no answer."""
     attempt.statuses.pop(server, None)
+    attempt.busy.discard(server)
     if attempt.target == server:
         attempt.target = None
     if server == attempt.replaced and attempt.unanswered_since is None:
--- a/src/apricotshore/decisions/silent_primary.py
+++ b/src/apricotshore/decisions/silent_primary.py
@@ -43,7 +43,9 @@
     missing = tuple(m.server for m in members if m.server not in attempt.statuses)
     listed = {m.server for m in members if m.listed}
     followers = list_followers(attempt, members)
-    if len(listed & set(missing)) >= COPIES_PER_COMMIT or not followers:
+    # A server that is merely overloaded may be the primary.
+    has_busy = bool(attempt.busy.intersection(missing)) and not attempt.is_cut_off
+    if has_busy or len(listed & set(missing)) >= COPIES_PER_COMMIT or not followers:
         servers = missing or list_names(members)
         return RequestStatus(servers=_prefer_responsive(attempt, servers))
     if attempt.target is None or attempt.target not in attempt.statuses:
