--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -6,6 +6,7 @@
 from concurrent.futures import ProcessPoolExecutor, as_completed
 from pathlib import Path
 
+from .changes import ALL_KINDS
 from .run import Result, run_seed
 
 
@@ -18,6 +19,7 @@
     )
     if result.violations:
         (folder / "played.txt").write_text("\n".join(result.injected) + "\n")
+        (folder / "violations.txt").write_text("\n".join(result.violations) + "\n")
         for line in result.violations[:5]:
             print(f"  {line}", flush=True)
         print(f"  {len(result.violations)} in all; logs in {folder}", flush=True)
@@ -36,6 +38,7 @@
     parser.add_argument("--jobs", type=int, default=2)
     parser.add_argument("--restores", action="store_true")
     parser.add_argument("--releases", action="store_true")
+    parser.add_argument("--changes", nargs="?", const=ALL_KINDS, default="")
     parser.add_argument("--fault-pause", type=float, default=1.0)
     parser.add_argument("--folder", type=Path, default=Path("target/soak"))
     options = parser.parse_args()
@@ -58,6 +61,7 @@
                 options.restores,
                 options.fault_pause,
                 options.releases,
+                options.changes,
             )
             running[work] = folder
         for work in as_completed(running):
--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -298,9 +298,10 @@
             self._update_own_position(request)
 
     def _update_own_position(self, request: str) -> None:
-        for _, entry in reversed(self.caller.database.group.acknowledged):
-            if request in entry.writes:
-                self.own_position = max(self.own_position or (0, 0), entry.position)
+        for known in reversed(self.caller.database.group.acknowledged):
+            if request in known.entry.writes:
+                position = known.entry.position
+                self.own_position = max(self.own_position or (0, 0), position)
                 return
 
     async def _run_transaction(self, operation: int) -> None:
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -195,7 +195,7 @@
         server.down_since = now()
         cluster.servers[server.name].drop_connections()
         await asyncio.sleep(cluster.choose_duration())
-        server.up = True
+        group.restart(server)
 
     await _fault_server(cluster, "crash", apply)
 
@@ -301,8 +301,11 @@
 async def inject_faults(cluster: Cluster, seconds: float, pause_s: float) -> list[str]:
     """Inject random faults, which may overlap; return their times and names.
 
-    ``pause_s`` is the mean time between two of them.
+    ``pause_s`` is the mean time between two of them; 0 means none.
     """
+    if not pause_s:
+        await asyncio.sleep(seconds)
+        return []
     ends = now() + seconds
     injected: list[str] = []
     async with asyncio.TaskGroup() as tasks:
--- a/tests/soak/releases.py
+++ b/tests/soak/releases.py
@@ -120,7 +120,7 @@
     replica.up = False
     releases.cluster.servers[replica.name].drop_connections()
     await asyncio.sleep(releases.random.uniform(*DOWN_S))
-    replica.up, replica.paused_term = True, 0
+    group.restart(replica)
 
 
 async def unlist_replica(releases: Releases, group: Group) -> None:
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -9,10 +9,11 @@
 from pathlib import Path
 
 from .callers import Caller, Database, Record, check_writes
+from .changes import change_primaries
 from .faultlog import FaultLog
 from .faults import Cluster, inject_faults
 from .fleet import GRACE_S, Host, find_free_port
-from .model import Checker, Group, Server, now
+from .model import Checker, Group, Leeway, Server, now
 from .operator import Operator
 from .releases import Releases, replace_servers
 from .restores import restore_store
@@ -27,6 +28,9 @@
 RECOVERY_TIMEOUT_S = 12.0
 # A statement sent this shortly before a drain closes its connection may be lost.
 LOSS_SLACK_S = 0.2
+CHANGES_LEEWAY = Leeway(
+    delivers_after_step_down=True, leads_after_crash=True, own_delays=True
+)
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -57,8 +61,10 @@
         Whether the store comes back from older copies.
     releases
         Whether servers are replaced, with events amid the changes of primary.
+    changes
+        Kind of the rounds of changes of primary, or all of them; empty for none.
     fault_pause_s
-        Mean time between two faults of other kinds.
+        Mean time between two faults of other kinds; 0 for none of them.
     folder
         Folder of the settings and the logs.
     """
@@ -73,6 +79,7 @@
         connections: int,
         restores: bool,
         releases: bool,
+        changes: str,
         fault_pause_s: float,
         folder: Path,
     ) -> None:
@@ -87,6 +94,7 @@
         self.host_count = hosts
         self.restores = restores
         self.releases = releases
+        self.changes = changes
         self.fault_pause_s = fault_pause_s
         self.groups = {
             name: Group(
@@ -94,6 +102,7 @@
                 zones=ZONES,
                 checker=self.checker,
                 random=random.Random(f"{seed}{name}"),
+                leeway=CHANGES_LEEWAY if changes else Leeway(),
             )
             for name in (f"g{i}" for i in range(groups))
         }
@@ -140,10 +149,12 @@
             changes = asyncio.create_task(self.operator.change_configuration())
             restores = asyncio.create_task(self._restore_store())
             releases = asyncio.create_task(self._replace_servers(cluster))
+            primaries = asyncio.create_task(self._change_primaries(cluster))
             injected = await inject_faults(cluster, seconds, self.fault_pause_s)
             await _end(changes)
             await _end(restores)
             await _end(releases)
+            await _end(primaries)
             self._end_releases()
             self._heal_store()
             self.checker.violations += await self._recover()
@@ -151,6 +162,8 @@
             self._check_drains()
         finally:
             await self._tear_down()
+            notes = "\n".join(self.checker.notes)
+            (self.folder / "notes.txt").write_text(f"{notes}\n")
         check_writes(self.record, list(self.groups.values()), self.checker)
         for host in self.hosts:
             for code in host.crash_codes:
@@ -174,14 +187,20 @@
 
     async def _replace_servers(self, cluster: Cluster) -> None:
         if self.releases:
-            await replace_servers(
-                Releases(
-                    cluster=cluster,
-                    join=self._join_server,
-                    retire=self._retire_server,
-                    random=random.Random(f"{self.seed}releases"),
-                )
-            )
+            await replace_servers(self._make_releases(cluster, "releases"))
+
+    async def _change_primaries(self, cluster: Cluster) -> None:
+        if self.changes:
+            releases = self._make_releases(cluster, "changes")
+            await change_primaries(releases, self.changes)
+
+    def _make_releases(self, cluster: Cluster, source: str) -> Releases:
+        return Releases(
+            cluster=cluster,
+            join=self._join_server,
+            retire=self._retire_server,
+            random=random.Random(f"{self.seed}{source}"),
+        )
 
     def _end_releases(self) -> None:
         for group in self.groups.values():
@@ -405,6 +424,7 @@
     restores: bool = False,
     fault_pause_s: float = 1.0,
     releases: bool = False,
+    changes: str = "",
 ) -> Result:
     """Run one seed and return its result."""
     where = folder or Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
@@ -417,6 +437,7 @@
         connections=connections,
         restores=restores,
         releases=releases,
+        changes=changes,
         fault_pause_s=fault_pause_s,
         folder=where,
     )
--- a/tests/soak/servers.py
+++ b/tests/soak/servers.py
@@ -316,6 +316,5 @@
         return self._do_status(connection, rest)
 
     def _do_stepdown(self, connection: Connection, rest: str):
-        if int(rest) > self.group.term:
-            self.server.is_primary = False
+        self.group.step_down(self.server, int(rest))
         return self._do_status(connection, rest)
--- a/tests/soak/store.py
+++ b/tests/soak/store.py
@@ -276,8 +276,11 @@
         group = self.groups[service]
         highest, accepted_holder = self.tokens.get(service, (0, ""))
         server = group.servers.get(name)
+        order = f"order of {name} by {holder} with {token}"
         if token < highest or server is None or not server.up:
+            self.checker.add_note(f"{order}, refused")
             return False
+        self.checker.add_note(order)
         if token == highest and accepted_holder not in ("", holder):
             self.checker.add_violation(
                 "ONE", f"{accepted_holder} and {holder} promote with {token}"
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -27,6 +27,7 @@
     connections: int = 40
     restores: bool = False
     releases: bool = False
+    changes: str = ""
     fault_pause_s: float = 1.0
     cause: str = ""
 
@@ -40,6 +41,7 @@
             folder=folder,
             restores=self.restores,
             releases=self.releases,
+            changes=self.changes,
             fault_pause_s=self.fault_pause_s,
         )
 
