--- a/tests/soak/changes.py
+++ b/tests/soak/changes.py
@@ -19,11 +19,14 @@
 POLL_S = 0.005
 PAUSE_S = (0.2, 1.2)
 CUT_S = (1.2, 3.5)
+# A cut that is aimed at a change ends this long after the step-down.
+AIMED_SHARE = 0.5
+AFTER_STEP_DOWN_S = (0.0, 1.3)
 # Between the ends of the cut for the first replica and the last.
 HEAL_SPREAD_S = 0.5
 STEP_DOWN_TIMEOUT_S = 5.0
 # From the step-down to the crash, which is over before most promotions take effect.
-CRASH_AFTER_S = (0.0, 0.15)
+CRASH_AFTER_S = (0.0, 0.1)
 DOWN_S = (0.05, 0.4)
 HIDDEN_S = (2.0, 5.0)
 EVENT_AFTER_S = (0.3, 2.0)
@@ -31,7 +34,7 @@
 LATE_S = (1.0, 4.0)
 # Longest wait for the end of a change, in which more faults may come.
 SETTLE_S = 6.0
-HIT_SHARES = (0.8, 0.5)
+HIT_SHARES = (0.6, 0.5)
 HIT_AFTER_S = (0.0, 0.4)
 FREEZE_S = (0.5, 8.0)
 DELAY_S = (0.02, 0.15)
@@ -120,9 +123,13 @@
         [rng.uniform(0, HEAL_SPREAD_S) for _ in replicas],
     )
     heals[0] = 0.0
+    is_aimed, after_s = rng.random() < AIMED_SHARE, rng.uniform(*AFTER_STEP_DOWN_S)
     primary.partitioned = True
     try:
-        await asyncio.sleep(cut_s)
+        if not is_aimed:
+            await asyncio.sleep(cut_s)
+        elif await _wait_until(lambda: not primary.is_primary, STEP_DOWN_TIMEOUT_S):
+            await asyncio.sleep(after_s)
         for replica in replicas:
             replica.receive_paused = True
         primary.partitioned = False
--- a/tests/soak/model.py
+++ b/tests/soak/model.py
@@ -64,11 +64,14 @@
         is back, unless another server was promoted.
     own_delays
         Whether each replica receives at a delay of its own.
+    promotion_s
+        Range of the time from an order to its effect.
     """
 
     delivers_after_step_down: bool = False
     leads_after_crash: bool = False
     own_delays: bool = False
+    promotion_s: tuple[float, float] = (PROMOTION_S, PROMOTION_S)
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -249,6 +252,13 @@
             return self.servers.get(self.leader.name)
         return self.find_primary()
 
+    def draw_promotion(self) -> float:
+        """Return the time from an order to its effect, in seconds."""
+        shortest, longest = self.leeway.promotion_s
+        if shortest == longest:
+            return shortest
+        return self.random.uniform(shortest, longest)
+
     def draw_delays(self, random: random.Random) -> None:
         """Draw for each server the delay at which it receives."""
         for server in self.servers.values():
@@ -358,7 +368,8 @@
         commits = "; ".join(
             f"{a.entry.position} by {a.server} with {'+'.join(a.receivers)}, "
             f"{effect - a.at:.3f} s before the effect and "
-            f"{a.at - a.entry.committed_at:.3f} s after its start{', after the step-down' * a.after_step_down}"
+            f"{a.at - a.entry.committed_at:.3f} s after its start"
+            f"{', after the step-down' * a.after_step_down}"
             for a in lost
         )
         return (
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -29,7 +29,10 @@
 # A statement sent this shortly before a drain closes its connection may be lost.
 LOSS_SLACK_S = 0.2
 CHANGES_LEEWAY = Leeway(
-    delivers_after_step_down=True, leads_after_crash=True, own_delays=True
+    delivers_after_step_down=True,
+    leads_after_crash=True,
+    own_delays=True,
+    promotion_s=(0.4, 1.0),
 )
 
 
--- a/tests/soak/store.py
+++ b/tests/soak/store.py
@@ -9,7 +9,7 @@
 
 from aiohttp import web
 
-from .model import PROMOTION_S, Checker, Group, now
+from .model import Checker, Group, now
 
 PROMOTION_DELAY_S = (1.0, 4.0)
 SILENCE_S = 60.0
@@ -291,7 +291,7 @@
         return True
 
     async def _finish_promotion(self, group: Group, name: str) -> None:
-        await asyncio.sleep(PROMOTION_S)
+        await asyncio.sleep(group.draw_promotion())
         group.promote(name)
 
     def _spawn(self, work: Any) -> None:
