--- a/tests/soak/changes.py
+++ b/tests/soak/changes.py
@@ -13,8 +13,8 @@
 from .fleet import Host
 from .model import Group, Server, now
 from .releases import Event, Releases, restart_replica
+from .store import LEASES
 
-LEASES = "handovers"
 ALL_KINDS = "all"
 POLL_S = 0.005
 PAUSE_S = (0.2, 1.2)
@@ -37,6 +37,8 @@
 HIT_SHARES = (0.6, 0.5)
 HIT_AFTER_S = (0.0, 0.4)
 FREEZE_S = (0.5, 8.0)
+# Freezes from which a holder wakes while the next one is at work.
+LONG_FREEZE_S = (6.0, 8.0)
 DELAY_S = (0.02, 0.15)
 HIT_S = (0.5, 4.0)
 WAYS = ((True, True), (True, False), (False, True))
@@ -51,10 +53,13 @@
     releases
         What rounds need.
     kind
-        Name of the only kind of round to play, or ALL_KINDS.
+        Name of the only kind of round to play, or ALL_KINDS; after a colon the name
+        of the only fault at holders, or another word for none.
     """
     rng, cluster = releases.random, releases.cluster
+    kind, _, hit = kind.partition(":")
     kinds = [r for r in ROUNDS if kind in (ALL_KINDS, r.__name__)]
+    holder_hits = [h for h in HITS if hit in ("", h.__name__)]
     async with asyncio.TaskGroup() as hits:
         while True:
             await asyncio.sleep(rng.uniform(*PAUSE_S))
@@ -62,29 +67,37 @@
             play = rng.choice(kinds)
             if group.name in cluster.faulted_groups or group.find_primary() is None:
                 continue
-            await _play_round(releases, group, play, hits)
+            hitting = asyncio.create_task(
+                _hit_holders(releases, group, holder_hits, hits)
+            )
+            try:
+                await _play_round(releases, group, play)
+            finally:
+                await _stop(hitting)
 
 
-async def _play_round(
-    releases: Releases, group: Group, play: Event, hits: asyncio.TaskGroup
-) -> None:
+async def _stop(task: asyncio.Task[None]) -> None:
+    """Cancel a task; raise its error if it has failed."""
+    task.cancel()
+    await asyncio.wait({task})
+    if not task.cancelled():
+        task.result()
+
+
+async def _play_round(releases: Releases, group: Group, play: Event) -> None:
     cluster = releases.cluster
     cluster.faulted_groups[group.name] = "change"
     cluster.checker.add_note(f"round {play.__name__} of {group.name}")
     fault = cluster.fault_log.begin(f"change-{play.__name__}", "")
     group.draw_delays(releases.random)
-    hitting = asyncio.create_task(_hit_holders(releases, group, hits))
     try:
         await play(releases, group)
         await _wait_until(lambda: _has_settled(cluster, group), SETTLE_S)
     finally:
-        hitting.cancel()
         fault.ended_at = now()
         for server in group.servers.values():
             server.leaving = False
         del cluster.faulted_groups[group.name]
-    if not hitting.cancelled() and hitting.done():
-        hitting.result()
 
 
 async def _wait_until(is_true: Callable[[], bool], timeout_s: float) -> bool:
@@ -218,21 +231,24 @@
 
 
 async def _hit_holders(
-    releases: Releases, group: Group, hits: asyncio.TaskGroup
+    releases: Releases,
+    group: Group,
+    kinds: list[Hit],
+    tasks: asyncio.TaskGroup,
 ) -> None:
     """Inject a fault at the holder of the lease, and maybe at the next one too."""
     rng, cluster = releases.random, releases.cluster
     done: list[str] = []
     for share in HIT_SHARES:
-        if rng.random() >= share:
+        if rng.random() >= share or not kinds:
             return
         while (name := _find_holder(cluster, group)) in ("", *done):
             await asyncio.sleep(POLL_S)
         done.append(name)
         await asyncio.sleep(rng.uniform(*HIT_AFTER_S))
-        hit = rng.choice(HITS)
+        hit = rng.choice(kinds)
         host = next(h for h in cluster.hosts if h.name == name)
-        hits.create_task(_record_hit(cluster, host, hit, rng))
+        tasks.create_task(_record_hit(cluster, host, hit, rng))
 
 
 async def _record_hit(
@@ -253,7 +269,7 @@
     """Pause the host's process and resume it."""
     host.send_signal(signal.SIGSTOP)
     try:
-        await asyncio.sleep(rng.uniform(*FREEZE_S))
+        await asyncio.sleep(rng.uniform(*rng.choice([FREEZE_S, LONG_FREEZE_S])))
     finally:
         host.send_signal(signal.SIGCONT)
 
--- a/tests/soak/store.py
+++ b/tests/soak/store.py
@@ -16,6 +16,10 @@
 SLOW_ANSWER_S = 0.4
 ANSWER_S = 0.004
 WATCH_POLL_S = 0.01
+LEASES = "handovers"
+# Age at which a lease may be taken by another host, and by the next process of one.
+LEASE_S = 6.0
+NEXT_PROCESS_S = 2.0
 
 
 class StoreMode(Enum):
@@ -91,6 +95,7 @@
     objects: dict[str, dict[str, dict[str, Any]]] = field(default_factory=dict)
     events: list[Event] = field(default_factory=list)
     tokens: dict[str, tuple[int, str]] = field(default_factory=dict)
+    leased_at: dict[str, float] = field(default_factory=dict)
     tasks: set[asyncio.Task[None]] = field(default_factory=set)
 
     async def listen(self, host: str) -> int:
@@ -247,9 +252,26 @@
             return web.Response(status=404)
         if old is not None and expected_revision not in (None, old["meta"]["revision"]):
             return web.json_response(old, status=409)
+        if kind == LEASES:
+            self._check_lease(name, old["spec"] if old else {}, body["spec"])
         self.write(kind, name, body["spec"])
         return web.json_response(self.objects[kind][name])
 
+    def _check_lease(self, name: str, old: dict[str, Any], new: dict[str, Any]) -> None:
+        """Record a violation if a host writes over the lease that another holds."""
+        target = f", target {new['target']}" if new.get("target") else ""
+        state = "open" if new["open"] else "released"
+        self.checker.add_note(f"lease {name}: {new['holder']} {state}{target}")
+        before, after = (s.get("holder", "").rpartition("/")[0] for s in (old, new))
+        age_s = now() - self.leased_at.get(name, 0.0)
+        is_taken = old.get("open") and old["holder"] != new["holder"]
+        if is_taken and age_s < (NEXT_PROCESS_S if before == after else LEASE_S):
+            detail = (
+                f"{after} wrote over the lease {name} of {before}, {age_s:.3f} s old"
+            )
+            self.checker.add_violation("ONE", detail)
+        self.leased_at[name] = now()
+
     async def _handle_promotion(
         self, request: web.Request, body: dict[str, Any]
     ) -> web.StreamResponse:
