--- a/tests/soak/changes.py
+++ b/tests/soak/changes.py
@@ -11,7 +11,7 @@
 
 from .faults import Cluster
 from .fleet import Host
-from .model import Group, Server, now
+from .model import Group, now
 from .releases import Event, Releases, restart_replica
 from .store import LEASES
 
@@ -20,10 +20,10 @@
 PAUSE_S = (0.2, 1.2)
 CUT_S = (1.2, 3.5)
 # A cut that is aimed at a change ends this long after the step-down.
-AIMED_SHARE = 0.5
-AFTER_STEP_DOWN_S = (0.0, 1.3)
-# Between the ends of the cut for the first replica and the last.
-HEAL_SPREAD_S = 0.5
+AIMED_SHARE = 0.7
+AFTER_STEP_DOWN_S = (0.2, 1.1)
+# In it the cut ends for one replica after the other.
+HEAL_SPREAD_S = (0.2, 1.0)
 STEP_DOWN_TIMEOUT_S = 5.0
 # From the step-down to the crash, which is over before most promotions take effect.
 CRASH_AFTER_S = (0.0, 0.1)
@@ -114,54 +114,53 @@
     return is_led and not _find_holder(cluster, group)
 
 
-def _find_holder(cluster: Cluster, group: Group) -> str:
-    """Return the name of the host that holds the group's open lease, '' without one."""
-    leases: dict[str, Any] = cluster.store.objects.get(LEASES, {})
-    for name, item in leases.items():
+def _find_lease(cluster: Cluster, group: Group) -> dict[str, Any]:
+    """Return the group's open lease, an empty one without one."""
+    for name, item in cluster.store.objects.get(LEASES, {}).items():
         if name.rpartition(".")[0] == group.name and item["spec"].get("open"):
-            return item["spec"]["holder"].partition("@")[0]
-    return ""
+            return item["spec"]
+    return {}
+
+
+def _find_holder(cluster: Cluster, group: Group) -> str:
+    """Return the name of the host that holds the open lease, '' without one."""
+    return _find_lease(cluster, group).get("holder", "").partition("@")[0]
 
 
 # -- rounds --
 
 
 async def cut_primary(releases: Releases, group: Group) -> None:
-    """Cut the primary from its replicas; the cut heals for one after the other."""
+    """Cut the primary from its replicas; the cut heals for one after the other.
+
+    A cut that is aimed at a change heals after the step-down, for the target last.
+    """
     rng = releases.random
     primary, *replicas = sorted(group.servers.values(), key=lambda s: not s.is_primary)
     rng.shuffle(replicas)
-    cut_s, heals = (
-        rng.uniform(*CUT_S),
-        [rng.uniform(0, HEAL_SPREAD_S) for _ in replicas],
-    )
-    heals[0] = 0.0
-    is_aimed, after_s = rng.random() < AIMED_SHARE, rng.uniform(*AFTER_STEP_DOWN_S)
+    cut_s, after_s = rng.uniform(*CUT_S), rng.uniform(*AFTER_STEP_DOWN_S)
+    spread_s, is_aimed = rng.uniform(*HEAL_SPREAD_S), rng.random() < AIMED_SHARE
     primary.partitioned = True
     try:
         if not is_aimed:
             await asyncio.sleep(cut_s)
         elif await _wait_until(lambda: not primary.is_primary, STEP_DOWN_TIMEOUT_S):
             await asyncio.sleep(after_s)
+            target = _find_lease(releases.cluster, group).get("target")
+            replicas.sort(key=lambda s: s.name == target)
         for replica in replicas:
             replica.receive_paused = True
         primary.partitioned = False
-        waited_s = 0.0
-        for heal_s, replica in sorted(zip(heals, replicas, strict=True), key=_get_time):
-            await asyncio.sleep(heal_s - waited_s)
-            waited_s = heal_s
+        for replica in replicas:
             replica.receive_paused = False
             group.checker.add_note(f"{replica.name} receives again from {primary.name}")
+            await asyncio.sleep(spread_s / len(replicas))
     finally:
         primary.partitioned = False
         for replica in replicas:
             replica.receive_paused = False
 
 
-def _get_time(heal: tuple[float, Server]) -> float:
-    return heal[0]
-
-
 async def crash_stepped_down(releases: Releases, group: Group) -> None:
     """Have the primary leave, and crash briefly just after it stepped down."""
     rng = releases.random
