--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -24,6 +24,7 @@
     seed: int
     seconds: float = SECONDS
     hosts: int = 3
+    callers: int = 24
     connections: int = 40
     restores: bool = False
     releases: bool = False
@@ -37,6 +38,7 @@
             self.seed,
             self.seconds,
             hosts=self.hosts,
+            callers=self.callers,
             connections=self.connections,
             folder=folder,
             restores=self.restores,
@@ -53,6 +55,15 @@
     Case(seed=34, seconds=25.0, restores=True, fault_pause_s=6.0),
     Case(seed=32, seconds=12.0, hosts=6, connections=10, restores=True),
     Case(seed=41, seconds=16.0, releases=True, fault_pause_s=6.0),
+    Case(
+        seed=983,
+        seconds=18.0,
+        callers=48,
+        connections=150,
+        changes="cut_primary:none",
+        fault_pause_s=0.0,
+        cause="a stepped-down primary acknowledged with a replica that was not ordered",
+    ),
     Case(seed=1, seconds=12.0, cause="a reload signal during the imports ended a host"),
     Case(seed=1010, seconds=12.0, cause="a reload signal came before the first line"),
     Case(seed=1011, seconds=12.0, cause="the soak assigned one port to two processes"),
