Stop a host amid a planned change while its target is down

Cause: with s2 up both hosts choose the same target, so a late order that the platform doesn't refuse went unnoticed.

Change: the target is down from the stop until the next holder has ended; then the late command or order comes.

--- a/tests/test_primary_change_stops.py
+++ b/tests/test_primary_change_stops.py
@@ -169,8 +169,11 @@
         model.pass_time(lease.PROMOTION_MS)
 
 
-def stop(model: StopModel, way: str) -> None:
-    """Have host a stop, and time pass until another may take the lease."""
+def stop(model: StopModel, way: str, down: ServerId | None = None) -> None:
+    """Have host a stop, and time pass until another may take the lease.
+
+    A server may be down from then on.
+    """
     wait_ms = lease.LEASE_MS
     if way == "late-command":
         model.take_last_step(0)
@@ -183,7 +186,9 @@
         model.lease.written_at = model.now + wait_ms - lease.LEASE_MS
     if model.case == "crashed-back":
         model.come_back(S1)
-    model.trace.append(f"a: {way}, left {model.lease}")
+    if down is not None:
+        model.crash(down)
+    model.trace.append(f"a: {way}, left {model.lease}; {down} is down")
     model.commit()
     model.pass_time(wait_ms)
     model.commit()
@@ -221,13 +226,18 @@
     finish(model)
     assert is_settled(model), "\n".join(model.trace)
     leader = model.primary
+    finish_late(model)
+    return model, leader
+
+
+def finish_late(model: StopModel) -> None:
+    """Have host a wake, what it sent arrive, and a crashed primary be back."""
     model.wake(0)
     model.commit()
     run_steps(model, 0, LONGEST)
     model.deliver_all()
     model.pass_time(lease.PROMOTION_MS)
     model.come_back(S1)
-    return model, leader
 
 
 def check_end(model: StopModel) -> None:
@@ -261,3 +271,23 @@
     model, _ = run_through(case, first, steps, way)
     finish(model)
     check_end(model)
+
+
+@pytest.mark.parametrize(("case", "first", "steps", "way"), list_stops(("planned",)))
+def test_stop_while_the_target_is_down(
+    case: str, first: ServerId, steps: int, way: str
+):
+    """The next holder promotes another; a late order is for the one that is back."""
+    model = begin_change(case, first)
+    run_steps(model, 0, steps)
+    target = model.lease.target or S2
+    stop(model, way, down=target)
+    finish(model)
+    assert is_settled(model), "\n".join(model.trace)
+    leader = model.primary
+    model.come_back(target)
+    for _ in range(2):
+        model.commit()
+    finish_late(model)
+    check_end(model)
+    assert model.primary is leader, "\n".join(model.trace)
