--- a/src/apricotshore/decisions/change_attempt.py
+++ b/src/apricotshore/decisions/change_attempt.py
@@ -113,6 +113,8 @@
         Server whose promotion was requested and may still take effect.
     accepted
         Whether the platform has accepted that request.
+    is_requesting
+        Whether a request is being made.
     held
         Whether the others were told to hold since it was last requested.
     """
@@ -140,6 +142,7 @@
     asked_others: bool = False
     requested: ServerId | None = None
     accepted: bool = False
+    is_requesting: bool = False
     held: bool = False
 
 
--- a/src/apricotshore/decisions/primary_change.py
+++ b/src/apricotshore/decisions/primary_change.py
@@ -291,7 +291,8 @@
     """Request the promotion until it is accepted, and hold the others meanwhile."""
     assert attempt.requested is not None
     may_hold = bool(attempt.pause_term)
-    if not attempt.accepted and (attempt.held or not may_hold):
+    may_request = not attempt.accepted and not attempt.is_requesting
+    if may_request and (attempt.held or not may_hold):
         return Promote(server=attempt.requested)
     if not may_hold:
         return Wait(why="the promotion takes effect")
--- a/src/apricotshore/pooling/change_steps.py
+++ b/src/apricotshore/pooling/change_steps.py
@@ -97,6 +97,8 @@
         self.token = token
         self.leased_at = read_boot_ms()
         self.requested_at = 0
+        # Whether an earlier request may still take effect.
+        self.is_repeated = False
         # Log position that the target had when it was ordered.
         self.ordered_mark = ""
         self.last_phase: tuple[object, ...] = ()
@@ -104,6 +106,8 @@
         self.sent: dict[ServerId, asyncio.Task[None]] = {}
         # Answers of a silent primary through other hosts, once they were asked.
         self.detour: asyncio.Task[tuple[ServerReport, ...]] | None = None
+        # Request for a promotion, beside the commands that hold the others.
+        self.order: asyncio.Task[bool | None] | None = None
         # Search for new servers and for the primary while a promotion is awaited.
         self.search: asyncio.Task[None] | None = None
 
@@ -149,6 +153,10 @@
 
     async def take_step(self) -> bool:
         """Run the next step; return False when the change ends with it."""
+        if self.order is not None and self.order.done():
+            order, self.order = self.order, None
+            if not self._observe_order(order.result()):
+                return False
         self._observe_primary_end()
         match self._plan():
             case Promote(server=server):
@@ -265,7 +273,7 @@
     async def stop(self) -> None:
         """End the commands that still run: a late pause would outlast the change."""
         running: list[asyncio.Task] = list(self.sent.values())
-        running += [t for t in (self.detour, self.search) if t is not None]
+        running += [t for t in (self.detour, self.search, self.order) if t is not None]
         for task in running:
             task.cancel()
         await asyncio.gather(*running, return_exceptions=True)
@@ -400,7 +408,7 @@
         return True
 
     async def _promote(self, server: ServerId) -> bool:
-        """Request a promotion; return False if a request can't be taken back."""
+        """Begin to request a promotion; return False without the lease."""
         attempt = self.attempt
         if not self.is_held():
             return False
@@ -409,25 +417,40 @@
         self.ordered_mark = mark
         self._record("promoting", server=server, token=self.token, mark=mark)
         self.requested_at = self.requested_at or read_boot_ms()
+        self.is_repeated = attempt.requested is not None
+        attempt.requested = server
+        attempt.is_requesting = True
+        self.order = asyncio.get_running_loop().create_task(self._order(server))
+        await asyncio.wait({self.order}, timeout=EFFECT_PAUSE_S)
+        return True
+
+    async def _order(self, server: ServerId) -> bool | None:
+        """Request a promotion; return whether it was accepted, None if unknown."""
         try:
-            accepted = await self.promoter.promote(
+            return await self.promoter.promote(
                 self.group.group, server, self.host, self.token
             )
         except StoreError as error:
-            # The promotion may still take effect: servers stay paused until that is
-            # known.
-            attempt.requested = server
-            attempt.held = False
             self._record("promotion-unknown", server=server, why=str(error))
-            await asyncio.sleep(EFFECT_PAUSE_S)
-            return True
-        if accepted:
-            attempt.requested = server
-            attempt.accepted = True
+            return None
+
+    def _observe_order(self, accepted: bool | None) -> bool:
+        """Take the answer to a request; return False if one can't be taken back.
+
+        Without an answer the promotion may still take effect: the others are held
+        until that is known.
+        """
+        attempt = self.attempt
+        attempt.is_requesting = False
+        if accepted is not False:
+            attempt.accepted = bool(accepted)
+            attempt.held = attempt.held and attempt.accepted
             return True
+        server = attempt.requested
         self._record("promotion-refused", server=server)
-        if attempt.requested is not None:
+        if self.is_repeated or server is None:
             return False
+        attempt.requested = None
         attempt.rejected.add(server)
         attempt.target = None
         return True
