Order a promotion only on fresh answers, and notice logs that were lost

Change: followers whose answer is older than 0.2 s are paused or asked again before the order; a server whose log ends before an end that it had in this change counts as missing. A change that goes well has answers of one round trip and asks nobody again.

--- a/src/apricotshore/decisions/change_attempt.py
+++ b/src/apricotshore/decisions/change_attempt.py
@@ -77,6 +77,12 @@
         Servers that answered in this change.
     busy
         Servers that refused their last command.
+    answered_at
+        When each server last answered.
+    ends
+        Furthest end of each server's log in this change.
+    shrunk
+        Servers whose log has ended before that: they lost it.
     is_silent
         Whether the primary is taken for silent, so that its answer is not waited for.
     is_cut_off
@@ -125,6 +131,9 @@
     must_step_down: bool = False
     heard: set[ServerId] = field(default_factory=set)
     busy: set[ServerId] = field(default_factory=set)
+    answered_at: dict[ServerId, int] = field(default_factory=dict)
+    ends: dict[ServerId, tuple[int, int]] = field(default_factory=dict)
+    shrunk: set[ServerId] = field(default_factory=set)
     is_silent: bool = False
     is_cut_off: bool = False
     inherited: ServerId | None = None
@@ -262,6 +271,8 @@
     attempt.statuses[server] = status
     attempt.heard.add(server)
     attempt.busy.discard(server)
+    attempt.answered_at[server] = now
+    _observe_end(attempt, server, log_order(status.log_position))
     if server != attempt.replaced:
         return
     attempt.unanswered_since = None
@@ -282,6 +293,16 @@
         attempt.statuses = {server: status}
 
 
+def _observe_end(attempt: Attempt, server: ServerId, end: tuple[int, int]) -> None:
+    """Record a server whose log ends before it did, until it has received the rest."""
+    furthest = max(end, attempt.ends.get(server, end))
+    attempt.ends[server] = furthest
+    if end < furthest:
+        attempt.shrunk.add(server)
+    else:
+        attempt.shrunk.discard(server)
+
+
 def _keeps_log(attempt: Attempt, status: MemberStatus) -> bool:
     """Return whether a server that was the primary still holds what it had then."""
     known = attempt.primary_end
--- a/src/apricotshore/decisions/change_targets.py
+++ b/src/apricotshore/decisions/change_targets.py
@@ -11,12 +11,16 @@
     Pause,
     Promote,
     RecordTarget,
+    Secure,
     Step,
     log_order,
 )
 
 # An acknowledged commit is stored on the primary and on one replica.
 COPIES_PER_COMMIT = 2
+# Age of an answer on which a promotion may still be requested. A pause or a log may be
+# gone since, if its server has restarted.
+FRESH_MS = 200
 # Longest wait for the target to receive the log entries of the other members.
 CATCH_UP_MS = 300
 
@@ -133,4 +137,23 @@
             return Pause(servers=unpaused, term=choose_pause_term(attempt))
     if attempt.recorded != target:
         return RecordTarget(server=target)
+    stale = _list_stale(attempt, members, now)
+    if stale:
+        return Secure(
+            paused=tuple(s for s in stale if s not in (target, attempt.replaced)),
+            term=choose_pause_term(attempt),
+            asked=(target,),
+        )
     return Promote(server=target)
+
+
+def _list_stale(
+    attempt: Attempt, members: tuple[Member, ...], now: int
+) -> tuple[ServerId, ...]:
+    """Return the followers whose last answer is too old to rely on."""
+    return tuple(
+        m.server
+        for m in list_followers(attempt, members)
+        if (m.server != attempt.replaced or m.server == attempt.target)
+        and now - attempt.answered_at[m.server] > FRESH_MS
+    )
--- a/src/apricotshore/decisions/primary_change.py
+++ b/src/apricotshore/decisions/primary_change.py
@@ -251,7 +251,9 @@
     if not attempt.listed:
         return ListServers()
     missing = tuple(
-        m.server for m in others if m.listed and m.server not in attempt.statuses
+        m.server
+        for m in others
+        if m.listed and (m.server not in attempt.statuses or m.server in attempt.shrunk)
     )
     if missing and since < NO_ANSWER_LIMIT_MS:
         return Pause(servers=missing, term=choose_pause_term(attempt))
--- a/src/apricotshore/decisions/silent_primary.py
+++ b/src/apricotshore/decisions/silent_primary.py
@@ -71,12 +71,12 @@
     target = attempt.target
     if target is None:
         return Wait(why="no server can be promoted")
-    known = set(list_names(followers))
+    known = set(list_names(followers)) - attempt.shrunk
     unknown = tuple(m.server for m in members if m.listed and m.server not in known)
     if len(unknown) >= COPIES_PER_COMMIT:
         return RequestStatus(servers=_prefer_responsive(attempt, unknown))
     reached = read_order(attempt, target)
-    needed = max(read_order(attempt, s) for s in known)
+    needed = max(attempt.ends[s] for s in list_names(followers))
     if reached < needed:
         if now - attempt.target_since < CATCH_UP_MS:
             return RequestStatus(servers=(target,))
