Have the next holder tell a former primary that leads again to step down

Cause: a host that takes a change over after the step-down knows no primary, so it had none to tell; and if it learned before its order who led, it gave the change up although an order of the former holder could still take effect. Change: whoever reports to lead while a promotion is awaited is told to step down; a leader that is not the server that an earlier holder may have ordered is replaced by that one. Also: a draining host leaves new changes to others, and exits only once a change that has stepped a primary down has ended.

--- a/src/apricotshore/decisions/primary_change.py
+++ b/src/apricotshore/decisions/primary_change.py
@@ -110,8 +110,10 @@
     if attempt.requested is not None:
         return _plan_until_effect(attempt, members)
     leader = find_primary(attempt)
-    if leader is not None:
+    if leader is not None and attempt.inherited in (None, leader):
         return Abandon(leader=leader)
+    if leader is not None:
+        _replace_leader(attempt, leader)
     if attempt.final_end is not None:
         return _plan_after_step_down(attempt, members, since_loss, lossless, now)
     if _can_step_down(attempt, now):
@@ -119,6 +121,17 @@
     return plan_with_pauses(attempt, members, since_loss, lossless, now)
 
 
+def _replace_leader(attempt: Attempt, leader: ServerId) -> None:
+    """Replace a server that leads although an earlier holder may have ordered another.
+
+    That promotion may still take effect, and this host did not know the leader.
+    """
+    attempt.replaced = leader
+    attempt.must_step_down = True
+    attempt.unanswered_since = None
+    attempt.primary_end = attempt.statuses[leader].log_position
+
+
 def _can_step_down(attempt: Attempt, now: int) -> bool:
     """Return whether the primary is to be asked, as it may still answer."""
     if not attempt.must_step_down or attempt.replaced is None:
@@ -298,8 +311,27 @@
         return Promote(server=attempt.requested)
     if not may_hold:
         return Wait(why="the promotion takes effect")
+    former = _find_former(attempt)
     others = tuple(
-        s for s in list_names(members) if s not in (attempt.requested, attempt.replaced)
+        s
+        for s in list_names(members)
+        if s not in (attempt.requested, attempt.replaced, former)
+    )
+    return Hold(servers=others, primary=former, term=attempt.pause_term)
+
+
+def _find_former(attempt: Attempt) -> ServerId | None:
+    """Return the server to be told to step down while a promotion is awaited.
+
+    A holder that took the change over may learn who led only when it leads again.
+    """
+    if attempt.replaced not in (None, attempt.requested):
+        return attempt.replaced
+    return next(
+        (
+            server
+            for server, status in attempt.statuses.items()
+            if status.is_primary and server != attempt.requested
+        ),
+        None,
     )
-    primary = attempt.replaced if attempt.replaced != attempt.requested else None
-    return Hold(servers=others, primary=primary, term=attempt.pause_term)
--- a/src/apricotshore/decisions/shutdown.py
+++ b/src/apricotshore/decisions/shutdown.py
@@ -77,11 +77,21 @@
     return began is not None and now - began >= drain.grace_ms * TRANSACTION_SHARE
 
 
-def should_exit(drain: Drain, sessions: int, now: int) -> bool:
-    """Return whether the process is to exit."""
+def should_exit(drain: Drain, busy: int, now: int) -> bool:
+    """Return whether the process is to exit.
+
+    Parameters
+    ----------
+    drain
+        The shutdown.
+    busy
+        Number of open sessions, and of changes that others would have to wait for.
+    now
+        Milliseconds since boot.
+    """
     began = drain.began_at
     if began is None:
         return False
     if now - began >= drain.grace_ms * END_SHARE:
         return True
-    return sessions == 0 and now - began >= BALANCER_DELAY_MS
+    return busy == 0 and now - began >= BALANCER_DELAY_MS
--- a/src/apricotshore/pooling/change_lease.py
+++ b/src/apricotshore/pooling/change_lease.py
@@ -101,6 +101,12 @@
         """
         return lease.is_held(self.current, self._claim(), now)
 
+    @property
+    def is_own_open(self) -> bool:
+        """Whether the latest known lease is an open one of this changer."""
+        current = self.current
+        return current is not None and current.open and current.holder == self.holder
+
     async def read(self) -> LeaseRecord | None:
         """Read the stored lease of the store's latest era; return None without one.
 
--- a/src/apricotshore/pooling/change_steps.py
+++ b/src/apricotshore/pooling/change_steps.py
@@ -138,6 +138,11 @@
             self._record("lease-expired")
         return is_held
 
+    def is_critical(self) -> bool:
+        """Return whether the primary has stepped down, or another may be promoted."""
+        attempt = self.attempt
+        return attempt.final_end is not None or attempt.requested is not None
+
     def is_settled(self) -> bool:
         """Return whether the server whose promotion was requested leads now."""
         primary_state = self.group.primary_state
--- a/src/apricotshore/pooling/host.py
+++ b/src/apricotshore/pooling/host.py
@@ -402,6 +402,8 @@
         self.drain.began_at = read_boot_ms()
         self.journal.record(EventKind.STOPPING, sessions=len(self.caller_sessions))
         self.host_watcher.withdraw()
+        for changer in self.changers.values():
+            changer.is_draining = True
         self._close_idle()
 
     def _close_idle(self) -> None:
@@ -428,5 +430,7 @@
                 continue
             self._close_idle()
             open_sessions = len(self.caller_sessions) + len(self.host_sessions)
-            if shutdown.should_exit(self.drain, open_sessions, read_boot_ms()):
+            changing = sum(c.is_critical for c in self.changers.values())
+            busy = open_sessions + changing
+            if shutdown.should_exit(self.drain, busy, read_boot_ms()):
                 self.ended.set()
--- a/src/apricotshore/pooling/primary_changer.py
+++ b/src/apricotshore/pooling/primary_changer.py
@@ -91,6 +91,9 @@
         self.commands = GroupCommands(group=group, is_held=self.lease.is_held)
         self.unresumed: set[ServerId] = set()
         self.resume_tried_at = 0
+        # Whether the host stops, and leaves new changes to others.
+        self.is_draining = False
+        self.work: ChangeSteps | None = None
 
     @Service.task
     @keep_running
@@ -103,7 +106,7 @@
             )
             if reason is None:
                 reason = await self._find_unfinished()
-            if reason is None:
+            if reason is None or self._leaves_changes:
                 await self._resume_remaining()
                 continue
             try:
@@ -112,6 +115,17 @@
                 self._record("waiting", why=f"store: {error}")
                 await asyncio.sleep(STORE_RETRY_S)
 
+    @property
+    def _leaves_changes(self) -> bool:
+        """Whether a change is left to the other hosts, if there are any."""
+        others = self.detours.fleet.hosts.keys() - {self.host}
+        return self.is_draining and bool(others) and not self.lease.is_own_open
+
+    @property
+    def is_critical(self) -> bool:
+        """Whether this host has ended a primary's lead, and promoted nobody so far."""
+        return self.work is not None and self.work.is_critical()
+
     def _observe_conditions(self) -> ChangeConditions:
         group = self.group
         if len(group.servers) < 2:
@@ -175,11 +189,13 @@
             attempt=attempt,
             token=token,
         )
+        self.work = work
         try:
             while work.may_go_on(self._is_needed(reason)):
                 if not await work.take_step():
                     break
         finally:
+            self.work = None
             await work.stop()
         work.record_settled()
         if not work.is_held():
