--- a/src/apricotshore/pooling/change_steps.py
+++ b/src/apricotshore/pooling/change_steps.py
@@ -139,9 +139,9 @@
         return is_held
 
     def is_critical(self) -> bool:
-        """Return whether the primary has stepped down, or another may be promoted."""
+        """Return whether the primary has stepped down and no promotion is accepted."""
         attempt = self.attempt
-        return attempt.final_end is not None or attempt.requested is not None
+        return attempt.final_end is not None and not attempt.accepted
 
     def is_settled(self) -> bool:
         """Return whether the server whose promotion was requested leads now."""
--- a/src/apricotshore/pooling/primary_changer.py
+++ b/src/apricotshore/pooling/primary_changer.py
@@ -31,6 +31,8 @@
 STORE_RETRY_S = 0.2
 RESUME_ROUNDS = 5
 RESUME_PERIOD_MS = 2_000
+# Longest wait of a stop for a promotion to be accepted.
+STOP_WAIT_MS = 1_500
 # Time for a probe to confirm which server is the primary.
 PROBE_MS = 1_000
 
@@ -95,6 +97,15 @@
         self.is_draining = False
         self.work: ChangeSteps | None = None
 
+    async def on_stop(self) -> None:
+        """Wait for a change that has ended a primary's lead to have another promoted.
+
+        Other hosts would have to wait for the lease.
+        """
+        deadline = read_boot_ms() + STOP_WAIT_MS
+        while self.is_critical and read_boot_ms() < deadline:
+            await asyncio.sleep(STEP_PAUSE_S)
+
     @Service.task
     @keep_running
     async def _watch(self) -> None:
