Make the request for a promotion a module of its own

Change: the request, its answer and what it settles move to promotion_request.py; no behaviour changes.

--- a/src/apricotshore/pooling/change_steps.py
+++ b/src/apricotshore/pooling/change_steps.py
@@ -32,11 +32,10 @@
     COMMAND_TIMEOUT_MS,
     NO_TERM,
     GroupCommands,
-    format_position,
     record_phase,
-    record_settled,
 )
 from .ports import Promoter, StoreError
+from .promotion_request import PromotionRequest
 
 # Pause before servers are asked again, and while a promotion is awaited.
 STATUS_PAUSE_S = 0.02
@@ -87,27 +86,21 @@
         token: FencingToken,
     ) -> None:
         self.group = group
-        self.host = host
         self.lease = lease
-        self.promoter = promoter
         self.commands = commands
         self.refresh_servers = refresh_servers
         self.detours = detours
         self.attempt = attempt
         self.token = token
         self.leased_at = read_boot_ms()
-        self.requested_at = 0
-        # Whether an earlier request may still take effect.
-        self.is_repeated = False
-        # Log position that the target had when it was ordered.
-        self.ordered_mark = ""
         self.last_phase: tuple[object, ...] = ()
         # Commands that run without being waited for, by server.
         self.sent: dict[ServerId, asyncio.Task[None]] = {}
         # Answers of a silent primary through other hosts, once they were asked.
         self.detour: asyncio.Task[tuple[ServerReport, ...]] | None = None
-        # Request for a promotion, beside the commands that hold the others.
-        self.order: asyncio.Task[bool | None] | None = None
+        self.promotion = PromotionRequest(
+            group=group, host=host, promoter=promoter, attempt=attempt
+        )
         # Search for new servers and for the primary while a promotion is awaited.
         self.search: asyncio.Task[None] | None = None
 
@@ -126,7 +119,7 @@
             return False
         age = read_boot_ms() - attempt.started_at
         if attempt.requested is not None:
-            return age < primary_change.CONFIRM_MS and not self.is_settled()
+            return age < primary_change.CONFIRM_MS and not self.promotion.is_settled()
         if attempt.final_end is not None:
             return age < primary_change.STEPS_WITHOUT_PRIMARY_MS
         return is_needed and age < primary_change.STEPS_MS
@@ -143,25 +136,10 @@
         attempt = self.attempt
         return attempt.final_end is not None and not attempt.accepted
 
-    def is_settled(self) -> bool:
-        """Return whether the server whose promotion was requested leads now."""
-        primary_state = self.group.primary_state
-        return (
-            primary_state.primary == self.attempt.requested
-            and primary_state.confirmed_at >= self.requested_at
-        )
-
-    def record_settled(self) -> None:
-        """Record where the log of the promoted server stood when it led."""
-        if self.attempt.requested is not None and self.is_settled():
-            record_settled(self.group, self.ordered_mark, self.requested_at)
-
     async def take_step(self) -> bool:
         """Run the next step; return False when the change ends with it."""
-        if self.order is not None and self.order.done():
-            order, self.order = self.order, None
-            if not self._observe_order(order.result()):
-                return False
+        if not self.promotion.observe():
+            return False
         self._observe_primary_end()
         match self._plan():
             case Promote(server=server):
@@ -278,7 +256,8 @@
     async def stop(self) -> None:
         """End the commands that still run: a late pause would outlast the change."""
         running: list[asyncio.Task] = list(self.sent.values())
-        running += [t for t in (self.detour, self.search, self.order) if t is not None]
+        others = (self.detour, self.search, self.promotion.call)
+        running += [task for task in others if task is not None]
         for task in running:
             task.cancel()
         await asyncio.gather(*running, return_exceptions=True)
@@ -414,48 +393,7 @@
 
     async def _promote(self, server: ServerId) -> bool:
         """Begin to request a promotion; return False without the lease."""
-        attempt = self.attempt
         if not self.is_held():
             return False
-        status = attempt.statuses.get(server)
-        mark = format_position(status.log_position) if status is not None else ""
-        self.ordered_mark = mark
-        self._record("promoting", server=server, token=self.token, mark=mark)
-        self.requested_at = self.requested_at or read_boot_ms()
-        self.is_repeated = attempt.requested is not None
-        attempt.requested = server
-        attempt.is_requesting = True
-        self.order = asyncio.get_running_loop().create_task(self._order(server))
-        await asyncio.wait({self.order}, timeout=EFFECT_PAUSE_S)
-        return True
-
-    async def _order(self, server: ServerId) -> bool | None:
-        """Request a promotion; return whether it was accepted, None if unknown."""
-        try:
-            return await self.promoter.promote(
-                self.group.group, server, self.host, self.token
-            )
-        except StoreError as error:
-            self._record("promotion-unknown", server=server, why=str(error))
-            return None
-
-    def _observe_order(self, accepted: bool | None) -> bool:
-        """Take the answer to a request; return False if one can't be taken back.
-
-        Without an answer the promotion may still take effect: the others are held
-        until that is known.
-        """
-        attempt = self.attempt
-        attempt.is_requesting = False
-        if accepted is not False:
-            attempt.accepted = bool(accepted)
-            attempt.held = attempt.held and attempt.accepted
-            return True
-        server = attempt.requested
-        self._record("promotion-refused", server=server)
-        if self.is_repeated or server is None:
-            return False
-        attempt.requested = None
-        attempt.rejected.add(server)
-        attempt.target = None
+        await self.promotion.make(server, self.token, EFFECT_PAUSE_S)
         return True
--- a/src/apricotshore/pooling/primary_changer.py
+++ b/src/apricotshore/pooling/primary_changer.py
@@ -208,7 +208,7 @@
         finally:
             self.work = None
             await work.stop()
-        work.record_settled()
+        work.promotion.record_settled()
         if not work.is_held():
             return
         # An open lease may have left a request, whatever this change began for.
@@ -261,7 +261,7 @@
         then stays open, and the next host to take it finishes the change.
         """
         attempt = work.attempt
-        if attempt.requested is not None and not work.is_settled():
+        if attempt.requested is not None and not work.promotion.is_settled():
             self._record("unconfirmed", server=attempt.requested)
             return
         if attempt.final_end is not None and attempt.requested is None:
