--- a/src/apricotshore/decisions/change_attempt.py
+++ b/src/apricotshore/decisions/change_attempt.py
@@ -172,10 +172,7 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Secure:
-    """Action: pause servers and request the status of others at the same time.
-
-    Only the answers of the servers that are asked are waited for.
-    """
+    """Action: pause servers and request the status of others at the same time."""
 
     paused: tuple[ServerId, ...]
     term: Term
--- a/src/apricotshore/decisions/primary_change.py
+++ b/src/apricotshore/decisions/primary_change.py
@@ -10,8 +10,8 @@
    the promotion takes effect. A commit that the former primary still acknowledges,
    as it waited for a replica or as the primary leads again, is then on the target.
 
-A server that reaches the end of the log is promoted. If none does, the target is paused
-as well, and the longest log holds whatever was acknowledged.
+A server that reaches the end of the log is promoted. If none does, the longest log
+among the target and the paused servers holds whatever was acknowledged.
 
 A primary that gives no answer may be reached by other hosts. If by none that is asked,
 only the second barrier is left; a primary that returns is told to step down.
