Don't wait twice for a change amid the end of a host

Cause: a host that drains waits for such a change until nearly the end of its grace; its changer then waited again, up to 1.5 s, with all connections closed, and would have been killed. Change: the changer of a drained host doesn't wait. A test shows that a draining host leaves new changes to others, and runs them where there are none.

--- a/src/apricotshore/pooling/primary_changer.py
+++ b/src/apricotshore/pooling/primary_changer.py
@@ -100,10 +100,11 @@
     async def on_stop(self) -> None:
         """Wait for a change that has ended a primary's lead to have another promoted.
 
-        Other hosts would have to wait for the lease.
+        Other hosts would have to wait for the lease. A host that has drained has
+        waited for that already, and has closed its connections.
         """
         deadline = read_boot_ms() + STOP_WAIT_MS
-        while self.is_critical and read_boot_ms() < deadline:
+        while self.is_critical and not self.is_draining and read_boot_ms() < deadline:
             await asyncio.sleep(STEP_PAUSE_S)
 
     @Service.task
--- a/tests/pooling/test_interrupted_changes.py
+++ b/tests/pooling/test_interrupted_changes.py
@@ -124,6 +124,20 @@
     assert gap < 3.0
 
 
+async def test_draining_host_leaves_a_change_to_the_others():
+    """It would be stopped amid the change."""
+    model, platform, host = make()
+    host.add_other_host("10.0.0.2:7")
+    host.changer.is_draining = True
+    async with running(host), writing(model):
+        await wait_until(lambda: len(model.acknowledged) > 5)
+        host.mark_leaving("s1")
+        await asyncio.sleep(1.0)
+        assert model.servers[S1].is_primary
+        host.fleet.hosts.clear()
+        await wait_until(lambda: model.promotions)
+
+
 async def test_next_holder_has_a_former_primary_that_leads_again_step_down():
     """The next holder took nobody for the replaced primary."""
     model = ModelGroup.make()
