Don't promote the supposed primary to raise the token

Cause: what callers saw is acknowledged commits gone after a promotion. A change that had requested nothing ended with a promotion of the server that a BEGIN had confirmed. No server steps down or is paused for that order, and if another one leads by the time it is carried out, its last commits are lost. Change: a change that requested nothing ends with who leads, as every request names the target in the lease. Only where a restored store lost the lease is the token raised, for a server that leads before and after the call and is recorded as the target. The test of that call loses only its parameter.

--- a/src/apricotshore/decisions/primary_change.py
+++ b/src/apricotshore/decisions/primary_change.py
@@ -158,7 +158,7 @@
     if attempt.target not in list_names(full):
         set_target(attempt, choose_target(attempt, full or followers), now)
     target = attempt.target
-    if target is None or attempt.inherited not in (None, target):
+    if target is None or (attempt.inherited not in (None, target) and not is_late):
         return RequestStatus(servers=list_names(members))
     if not full and not is_late:
         return RequestStatus(servers=list_names(followers))
--- a/src/apricotshore/pooling/change_lease.py
+++ b/src/apricotshore/pooling/change_lease.py
@@ -67,6 +67,8 @@
         self.check_after = 0
         # Era that had no lease when it was last read.
         self.absent_in: StoreEra | None = None
+        # Whether the store has come back without a lease that may have been open.
+        self.follows_lost = False
         # Earlier eras of which the store still holds a lease.
         self.outdated: set[StoreEra] = set()
 
@@ -176,6 +178,10 @@
         if not self._may_acquire():
             return None
         current = self.current
+        if current is None:
+            self.follows_lost = self.eras.earlier is not None
+        elif current.holder != self.holder:
+            self.follows_lost = False
         base = current.revision if current is not None else StoreRevision(0)
         return await self._write(base, still_open=True, target=self.target)
 
@@ -306,5 +312,6 @@
     async def release(self) -> None:
         """Write the lease as released, and remove those of earlier eras."""
         await self.write(still_open=False)
+        self.follows_lost = False
         while self.outdated:
             await self.store.remove_lease(self.group, self.outdated.pop())
--- a/src/apricotshore/pooling/primary_changer.py
+++ b/src/apricotshore/pooling/primary_changer.py
@@ -269,25 +269,14 @@
             # Nobody leads. The lease stays open, so that this host goes on at once.
             self._record("ended", outcome="no primary")
             return
-        has_paused = bool(attempt.pause_term)
-        must_fence = unfinished or (has_paused and attempt.requested is None)
-        # A fence takes up to 4.6 s, more than may be left of the lease.
-        token = await self.lease.extend() if must_fence else work.token
-        if token is None:
-            self._record("ended", outcome="lease lost")
-            return
-        if must_fence and not await self._fence(
-            token, unfinished=unfinished, inherited=attempt.inherited
-        ):
-            self._record("ended", outcome="unsettled")
-            self.lease.delay_check()
+        if attempt.requested is None and not await self._settle(attempt, unfinished):
             return
         if await self.lease.write(still_open=True) is None:
             self._record("ended", outcome="lease lost")
             return
         await self._step_down_replaced(attempt)
         self._list_unresumed(attempt)
-        if must_fence or has_paused:
+        if unfinished or attempt.pause_term:
             await self._resume_all()
         await self.lease.release()
         self._record(
@@ -347,39 +336,59 @@
             await asyncio.sleep(STEP_PAUSE_S)
         return None
 
-    async def _fence(
-        self,
-        token: FencingToken,
-        *,
-        unfinished: bool = False,
-        inherited: ServerId | None = None,
-    ) -> bool:
-        """Make the platform reject earlier requests; return whether it does.
+    async def _settle(self, attempt: Attempt, unfinished: bool) -> bool:
+        """Return whether a change that requested nothing may end with who leads now.
 
-        Promoting the current primary has no effect but to raise the lowest token
-        that the platform accepts. Promoting one that was replaced would undo the
-        change, so this returns False unless a server proves to be the primary now.
+        Every request names the target that its lease records, and is followed until
+        that server leads or another was promoted in its place. So only a lease that
+        a restored store has lost leaves requests that this host doesn't know.
+        """
+        # The waits below may take longer than the rest of the lease.
+        if await self.lease.extend() is None:
+            self._record("ended", outcome="lease lost")
+            return False
+        if await self._is_led(attempt, unfinished):
+            return True
+        self._record("ended", outcome="unsettled")
+        self.lease.delay_check()
+        return False
 
-        A request that was accepted before the token was raised still takes effect,
-        unless it names the primary. Servers stay paused until it has.
+    async def _is_led(self, attempt: Attempt, unfinished: bool) -> bool:
+        """Return whether a server leads that no earlier request will replace."""
+        primary = await self._confirm(read_boot_ms() + PROBE_MS)
+        if primary is None or attempt.inherited not in (None, primary):
+            return False
+        if not unfinished or primary == attempt.inherited:
+            return True
+        if self.lease.follows_lost and not await self._fence():
+            return False
+        self._record("awaiting", primary=primary)
+        await asyncio.sleep(lease.PROMOTION_MS / 1000)
+        return await self._confirm(read_boot_ms() + PROBE_MS) is not None
+
+    async def _fence(self) -> bool:
+        """Make the platform reject requests of a lost lease; return whether it does.
+
+        Promoting the server that leads changes nothing but the lowest token that the
+        platform accepts. One that leads no more would be promoted, so it has to lead
+        before and after, and is the target that the lease records: if it doesn't, the
+        next change steps the leader down and follows that promotion.
         """
         primary = await self._confirm(read_boot_ms() + PROBE_MS)
         if primary is None:
             return False
-        promote = self.promoter.promote
-        if not self.lease.is_held(read_boot_ms()):
+        # Without a prover the platform checks tokens.
+        if self.group.prover is not None:
+            return True
+        token = await self.lease.write(still_open=True, target=primary)
+        if token is None or not self.lease.is_held(read_boot_ms()):
             self._record("lease-expired")
             return False
-        # Without a prover the platform checks tokens.
-        if self.group.prover is None and not await promote(
-            self.group.group, primary, self.host, token
-        ):
+        self._record("fencing", server=primary, token=token)
+        group = self.group.group
+        if not await self.promoter.promote(group, primary, self.host, token):
             return False
-        if not unfinished or primary == inherited:
-            return True
-        self._record("awaiting", server=inherited, primary=primary)
-        await asyncio.sleep(lease.PROMOTION_MS / 1000)
-        return await self._confirm(read_boot_ms() + PROBE_MS) is not None
+        return await self._confirm(read_boot_ms() + PROBE_MS) == primary
 
     async def _resume_remaining(self) -> None:
         """Resume servers that could not be reached when the change ended.
--- a/tests/pooling/test_primary_changer.py
+++ b/tests/pooling/test_primary_changer.py
@@ -203,13 +203,13 @@
     model, platform, (host,) = make(1)
     model.promote(S2)
     leadership.observe_primary(host.group.primary_state, S1, Term(1), 1)
-    token = await host.changer.lease.acquire()
-    assert not await host.changer._fence(token)
+    await host.changer.lease.acquire()
+    assert not await host.changer._fence()
     assert platform.orders == []
     async with writing(model):
         await wait_until(lambda: model.acknowledged)
         await host.prober.start()
-        assert await host.changer._fence(token)
+        assert await host.changer._fence()
         await host.prober.stop()
     assert [server for _, server, _ in platform.orders] == [S2]
     assert model.find_primary().name == S2
