Let the model's servers learn of a change in their own time

Cause: the in-memory servers share one term, show it at once and receive at once, so no test can ask what an order does when it is carried out while they still differ.

Change: fields for a shown term that is old, BEGIN accepted after another leads, a delay of receipt, terms checked by PAUSE and STEPDOWN, and pauses ended by an effect. Their defaults keep the behaviour of before.

--- a/standins/in_memory.py
+++ b/standins/in_memory.py
@@ -48,6 +48,7 @@
 GROUP = GroupId("ledger")
 HANG_S = 60.0
 Entry = tuple[int, int, str]
+Log = list[Entry]
 _POSITION_KINDS = (QueryKind.BEGIN, QueryKind.BEGIN_READ, QueryKind.READ)
 _COMMAND_KINDS = (
     QueryKind.STATUS,
@@ -89,6 +90,13 @@
         Whether it rejects statements as overloaded.
     listed
         Whether the store lists it.
+    shown_term
+        Term that its reports show while it doesn't show the one that it has adopted,
+        None where they are the same.
+    begins_late
+        Whether it accepts BEGIN although another leads, as it hasn't learnt it yet.
+    receive_s
+        Delay from the writing of an entry until this server can receive it.
     """
 
     name: ServerId
@@ -104,6 +112,9 @@
     unreachable_by: set[str] = field(default_factory=set)
     busy: bool = False
     listed: bool = True
+    shown_term: int | None = None
+    begins_late: bool = False
+    receive_s: float = 0.0
     connections: int = 0
     started_ms: int = 1
 
@@ -130,10 +141,19 @@
     acknowledges_late
         Whether a primary that has stepped down goes on to send its log, and
         acknowledges a commit that waited for a replica.
+    checks_terms
+        Whether PAUSE and STEPDOWN need a term above that of the server, and change
+        nothing at a server in the other role.
+    promotion_resumes
+        Whether the effect of a promotion ends the pauses of all servers.
     """
 
     replaced_goes_on: bool = False
     acknowledges_late: bool = False
+    checks_terms: bool = False
+    promotion_resumes: bool = False
+    # When each entry was written, in seconds of the loop's clock.
+    written_at: dict[Entry, float] = field(default_factory=dict)
     servers: dict[ServerId, ModelServer] = field(default_factory=dict)
     term: int = 1
     acknowledged: list[str] = field(default_factory=list)
@@ -183,6 +203,7 @@
         """Append an entry and return whether it was acknowledged."""
         entry = (primary.term, len(primary.log) + 1, text)
         primary.log.append(entry)
+        self.written_at[entry] = asyncio.get_running_loop().time()
         primary.applied = len(primary.log)
         term = self.term
         while primary.up and (
@@ -202,15 +223,23 @@
             if replica is primary or not able or not follows:
                 continue
             if entry not in replica.log:
-                replica.log = list(primary.log)
+                replica.log = self._list_received(primary, replica)
                 if replica.lag_s:
                     loop = asyncio.get_running_loop()
                     loop.call_later(replica.lag_s, self._apply, replica)
                 else:
                     self._apply(replica)
-            received = True
+            received = received or entry in replica.log
         return received
 
+    def _list_received(self, primary: ModelServer, replica: ModelServer) -> Log:
+        """Return what a replica has received of a primary's log by now."""
+        if not replica.receive_s:
+            return list(primary.log)
+        latest = asyncio.get_running_loop().time() - replica.receive_s
+        ready = [e for e in primary.log if self.written_at.get(e, 0.0) <= latest]
+        return replica.log if len(ready) < len(replica.log) else ready
+
     def _apply(self, replica: ModelServer) -> None:
         replica.applied = len(replica.log)
 
@@ -231,6 +260,9 @@
                 server.term = self.term
         target.is_primary = True
         target.paused_term = 0
+        if self.promotion_resumes:
+            for server in self.servers.values():
+                server.paused_term = 0
         target.applied = len(target.log)
         held = {text for _, _, text in target.log}
         self.lost += [text for text in self.acknowledged if text not in held]
@@ -297,7 +329,9 @@
         if query.kind in _COMMAND_KINDS and failure is None:
             report = ServerReport(
                 role=Role.PRIMARY if server.is_primary else Role.REPLICA,
-                term=Term(server.term),
+                term=Term(
+                    server.term if server.shown_term is None else server.shown_term
+                ),
                 received=server.end,
                 paused_term=Term(server.paused_term),
             )
@@ -337,6 +371,8 @@
         return self._change_session(query)
 
     def _run_command(self, query: Query) -> None:
+        if self.group.checks_terms and self._is_void(query):
+            return
         if query.kind is QueryKind.PAUSE:
             self.server.paused_term = int(query.term)
         elif query.kind is QueryKind.RESUME:
@@ -345,9 +381,19 @@
             self.server.is_primary = False
             self.server.term = int(query.term)
 
+    def _is_void(self, query: Query) -> bool:
+        """Return whether a server that checks terms leaves a command without effect."""
+        server = self.server
+        if query.kind is QueryKind.PAUSE:
+            return server.is_primary or query.term <= server.term
+        if query.kind is QueryKind.STEP_DOWN:
+            return not server.is_primary or query.term <= server.term
+        return False
+
     def _change_session(self, query: Query) -> FailureCode | None:
         kind = query.kind
-        if kind is QueryKind.BEGIN and not self.server.is_primary:
+        leads = self.server.is_primary or self.server.begins_late
+        if kind is QueryKind.BEGIN and not leads:
             return FailureCode.NOT_PRIMARY
         if kind in (QueryKind.BEGIN, QueryKind.BEGIN_READ):
             self.state = TransactionState.OPEN
