Hold until the effect at a stop, and leave unfinished changes to others

Cause: a host that was stopped ended once its order was accepted, 0.6 to 1 s before the effect. Nobody repeated pauses and step-downs then, and other hosts waited 6 s for its lease. Change: a stop waits for the effect, up to 1.5 s (a drain up to its own end); the lease is then left to whoever takes it first. Whoever leads beside the target while an order is awaited is told to step down, with a term above its own; a leader beside an inherited target at once. Measured: test_accepted_order_of_a_stopped_host_finds_nobody_that_acknowledges failed before.

--- a/src/apricotshore/decisions/primary_change.py
+++ b/src/apricotshore/decisions/primary_change.py
@@ -144,9 +144,15 @@
 
 
 def _plan_step_down(attempt: Attempt, members: tuple[Member, ...], now: int) -> Step:
-    """Have the primary step down once a server that answers has caught up."""
+    """Have the primary step down once a server that answers has caught up.
+
+    It steps down at once if the promotion of another server may be awaited.
+    """
     primary = attempt.replaced
     assert primary is not None
+    if attempt.inherited not in (None, primary):
+        set_target(attempt, attempt.inherited, now)
+        return _step_down(attempt, primary)
     followers = [m for m in list_followers(attempt, members) if m.server != primary]
     if not followers:
         return RequestStatus(servers=list_names(members))
@@ -158,12 +164,16 @@
     if attempt.target not in list_names(full):
         set_target(attempt, choose_target(attempt, full or followers), now)
     target = attempt.target
-    if target is None or (attempt.inherited not in (None, target) and not is_late):
+    if target is None:
         return RequestStatus(servers=list_names(members))
     if not full and not is_late:
         return RequestStatus(servers=list_names(followers))
     if attempt.recorded != target:
         return RecordTarget(server=target)
+    return _step_down(attempt, primary)
+
+
+def _step_down(attempt: Attempt, primary: ServerId) -> StepDown:
     status = attempt.statuses.get(primary)
     term = choose_pause_term(attempt)
     return StepDown(
@@ -311,22 +321,24 @@
         return Promote(server=attempt.requested)
     if not may_hold:
         return Wait(why="the promotion takes effect")
-    former = _find_former(attempt)
+    leader = _find_other_leader(attempt)
+    if leader is not None:
+        _raise_pause_term(attempt, leader)
+    replaced = attempt.replaced if attempt.replaced != attempt.requested else None
+    told = leader or replaced
     others = tuple(
         s
         for s in list_names(members)
-        if s not in (attempt.requested, attempt.replaced, former)
+        if s not in (attempt.requested, replaced, told)
     )
-    return Hold(servers=others, primary=former, term=attempt.pause_term)
+    return Hold(servers=others, primary=told, term=attempt.pause_term)
 
 
-def _find_former(attempt: Attempt) -> ServerId | None:
-    """Return the server to be told to step down while a promotion is awaited.
+def _find_other_leader(attempt: Attempt) -> ServerId | None:
+    """Return a server that leads although another one's promotion is awaited.
 
-    A holder that took the change over may learn who led only when it leads again.
+    It may be the former primary, or a server that an earlier holder had promoted.
     """
-    if attempt.replaced not in (None, attempt.requested):
-        return attempt.replaced
     return next(
         (
             server
@@ -335,3 +347,11 @@
         ),
         None,
     )
+
+
+def _raise_pause_term(attempt: Attempt, leader: ServerId) -> None:
+    """Raise the term of commands above that of a server which leads.
+
+    Another promotion has taken effect, so that the term of the change is refused.
+    """
+    attempt.pause_term = max(attempt.pause_term, next_term(attempt.statuses[leader]))
--- a/src/apricotshore/pooling/change_lease.py
+++ b/src/apricotshore/pooling/change_lease.py
@@ -2,6 +2,7 @@
 
 import uuid
 from collections.abc import Callable
+from dataclasses import replace
 
 from ..decisions import lease
 from ..decisions.lease import LeaseClaim, ObservedLease
@@ -309,6 +310,26 @@
             why=why,
         )
 
+    async def hand_on(self) -> None:
+        """Leave the lease of an unfinished change to whoever takes it first.
+
+        From the start of this call on, this changer doesn't hold it.
+        """
+        own = self.own
+        if own is None or not own.open or not self.is_held(read_boot_ms()):
+            return
+        self.held_until = 0
+        former = self.current
+        record = replace(own, holder=lease.NOBODY)
+        try:
+            answer = await self.store.write_lease(record)
+        except StoreError as error:
+            self._record_write("lease-unknown", record, former, why=str(error))
+            return
+        self._record_write("handed-on", answer.record, former)
+        if self.eras.accept(answer.era):
+            self.observe(answer.record)
+
     async def release(self) -> None:
         """Write the lease as released, and remove those of earlier eras."""
         await self.write(still_open=False)
--- a/src/apricotshore/pooling/change_steps.py
+++ b/src/apricotshore/pooling/change_steps.py
@@ -132,9 +132,11 @@
         return is_held
 
     def is_critical(self) -> bool:
-        """Return whether the primary has stepped down and no promotion is accepted."""
+        """Return whether the others have to be held until a promotion takes effect."""
         attempt = self.attempt
-        return attempt.final_end is not None and not attempt.accepted
+        if attempt.requested is not None:
+            return not self.promotion.is_settled()
+        return attempt.final_end is not None
 
     async def take_step(self) -> bool:
         """Run the next step; return False when the change ends with it."""
--- a/src/apricotshore/pooling/host.py
+++ b/src/apricotshore/pooling/host.py
@@ -164,7 +164,8 @@
         gc.freeze()
 
     async def on_stop(self) -> None:
-        """Cancel the callers' sessions and close every connection."""
+        """Leave changes of primary to other hosts, and close every connection."""
+        await asyncio.gather(*(changer.stop() for changer in self.changers.values()))
         for task in self.caller_sessions.values():
             task.cancel()
         for group in self.groups.values():
--- a/src/apricotshore/pooling/primary_changer.py
+++ b/src/apricotshore/pooling/primary_changer.py
@@ -31,7 +31,7 @@
 STORE_RETRY_S = 0.2
 RESUME_ROUNDS = 5
 RESUME_PERIOD_MS = 2_000
-# Longest wait of a stop for a promotion to be accepted.
+# Longest wait of a stop for a promotion to take effect.
 STOP_WAIT_MS = 1_500
 # Time for a probe to confirm which server is the primary.
 PROBE_MS = 1_000
@@ -98,14 +98,15 @@
         self.work: ChangeSteps | None = None
 
     async def on_stop(self) -> None:
-        """Wait for a change that has ended a primary's lead to have another promoted.
+        """Wait for a promotion to take effect, and leave the rest to other hosts.
 
-        Other hosts would have to wait for the lease. A host that has drained has
-        waited for that already, and has closed its connections.
+        Until then this host holds the other servers; nobody does once it has ended.
+        A host that has drained has waited for that already.
         """
         deadline = read_boot_ms() + STOP_WAIT_MS
         while self.is_critical and not self.is_draining and read_boot_ms() < deadline:
             await asyncio.sleep(STEP_PAUSE_S)
+        await self.lease.hand_on()
 
     @Service.task
     @keep_running
@@ -135,7 +136,7 @@
 
     @property
     def is_critical(self) -> bool:
-        """Whether this host has ended a primary's lead, and promoted nobody so far."""
+        """Whether this host has ended a primary's lead or requested a promotion."""
         return self.work is not None and self.work.is_critical()
 
     def _observe_conditions(self) -> ChangeConditions:
