Keep answers to earlier questions from replacing later ones

Cause: of two proofs of the same term the one that came later won, also one to an earlier question. A former primary that answers late took the lead back from its successor, a denial or a silence from before a proof ended the lead that was proven since, and its log position became a sample.

Change: each answer counts from when its question was sent. A denial is kept with its time until a later proof. A later term still wins whenever it was asked for, unless the same server denied its lead to a later question. Probes say when they asked; statements of callers (preparation, autocommit) don't yet, and count as asked now.

test_primary_is_unknown_after_a_denial passes the time of the question, which observe_denial needs now; it asserts the same.

--- a/src/apricotshore/decisions/leadership.py
+++ b/src/apricotshore/decisions/leadership.py
@@ -17,32 +17,54 @@
     term
         Highest term in which a server proved to be the primary.
     confirmed_at
-        When the primary last proved its lead, in milliseconds since boot.
+        When the primary was last asked a question that proved its lead, in
+        milliseconds since boot.
     silent_since
         Since when the primary gives no answer, None while it answers.
     refused
-        Servers that denied leading since the last proof.
+        Servers that denied leading since the last proof, and when they were asked.
     """
 
     primary: ServerId | None = None
     term: Term = Term(0)
     confirmed_at: int = 0
     silent_since: int | None = None
-    refused: set[ServerId] = field(default_factory=set)
+    refused: dict[ServerId, int] = field(default_factory=dict)
+
+
+def is_outdated(
+    state: PrimaryState, server: ServerId, term: Term, asked_at: int
+) -> bool:
+    """Return whether a proof of a server's lead shows less than what is known.
+
+    Answers may come in another order than their questions were sent.
+    """
+    if asked_at < state.refused.get(server, asked_at):
+        return True
+    if term != state.term:
+        return term < state.term
+    return state.primary not in (None, server) and asked_at < state.confirmed_at
 
 
 def observe_primary(
-    state: PrimaryState, server: ServerId, term: Term, now: int
+    state: PrimaryState, server: ServerId, term: Term, asked_at: int
 ) -> bool:
     """Record that a server proved to be the primary; return whether it changed."""
-    if term < state.term:
+    if is_outdated(state, server, term, asked_at):
         return False
     changed = state.primary != server or state.term != term
+    if state.primary in (None, server):
+        state.confirmed_at = max(state.confirmed_at, asked_at)
+    else:
+        state.confirmed_at = asked_at
     state.primary = server
     state.term = term
-    state.confirmed_at = max(state.confirmed_at, now)
     state.silent_since = None
-    state.refused.clear()
+    state.refused = {
+        other: denied_at
+        for other, denied_at in state.refused.items()
+        if other != server and denied_at > asked_at
+    }
     return changed
 
 
@@ -52,17 +74,23 @@
         state.silent_since = None
 
 
-def observe_denial(state: PrimaryState, server: ServerId) -> bool:
+def observe_denial(state: PrimaryState, server: ServerId, asked_at: int) -> bool:
     """Record that a server denied its role; return whether it was the primary."""
-    state.refused.add(server)
+    if state.primary == server and asked_at < state.confirmed_at:
+        return False
+    state.refused[server] = max(asked_at, state.refused.get(server, asked_at))
     if state.primary != server:
         return False
     state.primary = None
     return True
 
 
-def observe_silence(state: PrimaryState, server: ServerId, now: int) -> None:
+def observe_silence(
+    state: PrimaryState, server: ServerId, asked_at: int, now: int
+) -> None:
     """Record that a server gave no answer."""
+    if asked_at < state.confirmed_at:
+        return
     if state.primary == server and state.silent_since is None:
         state.silent_since = now
 
--- a/src/apricotshore/pooling/group.py
+++ b/src/apricotshore/pooling/group.py
@@ -193,7 +193,8 @@
         self.log_lost_at = read_boot_ms()
         self.journal.record(EventKind.SERVER_GONE, group=self.group, server=server)
         self._drop_pool(server)
-        leadership.observe_silence(self.primary_state, server, read_boot_ms())
+        now = read_boot_ms()
+        leadership.observe_silence(self.primary_state, server, now, now)
         self.probe_wanted.set()
 
     def _keep_unlisted(self, server: ListedServer) -> None:
@@ -306,10 +307,8 @@
                 server=server, log_position=log_position, asked_at=asked_at
             )
             return
-        if log_position.term < self.primary_state.term:
-            return
-        self.observe_position(log_position, asked_at)
-        self.observe_primary(server, log_position.term, asked_at)
+        if self.observe_primary(server, log_position.term, asked_at):
+            self.observe_position(log_position, asked_at)
 
     def observe_proof(self, server: ServerId, since: int) -> None:
         """Record that a server that began a transaction was primary at ``since``."""
@@ -321,32 +320,50 @@
         """Record the log position that the primary had at ``asked_at`` or later."""
         position_history.observe(self.position_history, log_position, asked_at)
 
-    def observe_primary(self, server: ServerId, term: Term, asked_at: int) -> None:
-        """Record that a server is the primary, unless a later term is known."""
-        if term < self.primary_state.term:
-            return
-        if leadership.observe_primary(self.primary_state, server, term, asked_at):
+    def observe_primary(self, server: ServerId, term: Term, asked_at: int) -> bool:
+        """Record that a server is the primary; return False if more is known."""
+        state = self.primary_state
+        if leadership.is_outdated(state, server, term, asked_at):
+            return False
+        if leadership.observe_primary(state, server, term, asked_at):
             self.journal.record(
                 EventKind.PRIMARY_FOUND, group=self.group, server=server, term=term
             )
             self.writes.unanswered.clear()
         self.no_primary_since = None
         self.primary_confirmed.set()
+        return True
+
+    def observe_denial(self, server: ServerId, asked_at: int | None = None) -> None:
+        """Record that a server denied being the primary.
 
-    def observe_denial(self, server: ServerId) -> None:
-        """Record that a server denied being the primary."""
-        if leadership.observe_denial(self.primary_state, server):
+        Parameters
+        ----------
+        server
+            The server.
+        asked_at
+            When it was asked, in milliseconds since boot; None means now.
+        """
+        asked_at = read_boot_ms() if asked_at is None else asked_at
+        if leadership.observe_denial(self.primary_state, server, asked_at):
             self.journal.record(EventKind.PRIMARY_LOST, group=self.group, server=server)
             self.primary_confirmed.clear()
             if self.no_primary_since is None:
                 self.no_primary_since = read_boot_ms()
             self.probe_wanted.set()
 
-    def observe_silence(self, server: ServerId) -> None:
-        """Record that a server gave no answer."""
+    def observe_silence(self, server: ServerId, asked_at: int | None = None) -> None:
+        """Record that a server gave no answer.
+
+        Parameters
+        ----------
+        server, asked_at
+            See `observe_denial`.
+        """
         now = read_boot_ms()
+        asked_at = now if asked_at is None else asked_at
         was_silent = self.primary_state.silent_since
-        leadership.observe_silence(self.primary_state, server, now)
+        leadership.observe_silence(self.primary_state, server, asked_at, now)
         if was_silent is None and self.primary_state.silent_since is not None:
             self.journal.record(
                 EventKind.PRIMARY_SILENT, group=self.group, server=server
--- a/src/apricotshore/pooling/primary_prover.py
+++ b/src/apricotshore/pooling/primary_prover.py
@@ -12,7 +12,7 @@
 from ..services.clock import read_boot_ms
 from .group import Group
 from .journal import EventKind
-from .pool import NoConnectionError, ServerPool
+from .pool import NoConnectionError, PooledConnection, ServerPool
 from .ports import ConnectionLostError
 from .preparation import BEGIN, ROLLBACK
 
@@ -47,24 +47,27 @@
     """Ask a server whether it is the primary, by beginning a transaction."""
     server = pool.server.server
     queries = [BEGIN, ROLLBACK] if server == group.primary else [BEGIN]
+    asked_at = read_boot_ms()
     try:
-        reply = await _begin(pool, queries)
+        pooled = await pool.acquire({}, PRIORITY, asked_at + TIMEOUT_MS)
+        asked_at = read_boot_ms()
+        reply = await _begin(pool, pooled, queries, asked_at)
     except NoConnectionError:
         return Reply(result=ProbeResult.UNKNOWN)
     except ConnectionLostError:
         placement.observe_silence(pool.load, read_boot_ms())
-        group.observe_silence(server)
+        group.observe_silence(server, asked_at)
         return Reply(result=ProbeResult.NO_ANSWER)
     if reply.result is ProbeResult.NOT_PRIMARY:
-        group.observe_denial(server)
+        group.observe_denial(server, asked_at)
     return reply
 
 
-async def _begin(pool: ServerPool, queries: list[Query]) -> Reply:
-    pooled = await pool.acquire({}, PRIORITY, read_boot_ms() + TIMEOUT_MS)
+async def _begin(
+    pool: ServerPool, pooled: PooledConnection, queries: list[Query], asked_at: int
+) -> Reply:
     clean = False
     try:
-        asked_at = read_boot_ms()
         answers = await pool.run(pooled, queries, None, TIMEOUT_MS)
         # A transaction that was not rolled back ends with its connection.
         clean = answers[-1].state is TransactionState.IDLE
--- a/tests/test_pooling_decisions.py
+++ b/tests/test_pooling_decisions.py
@@ -56,7 +56,7 @@
 def test_primary_is_unknown_after_a_denial():
     primary_state = PrimaryState()
     leadership.observe_primary(primary_state, A, Term(1), 1)
-    assert leadership.observe_denial(primary_state, A)
+    assert leadership.observe_denial(primary_state, A, 2)
     assert leadership.find_primary(primary_state, []) is None
 
 
