Take a server's term from its status where the primary changes

Cause: the term of a server that began a transaction was that of the end of its log, so a new primary led the former term until its first commit. The proofs of both carried one term, and a former primary that didn't know of its successor yet took the lead back.

Change: a server that isn't known as the primary, or whose term isn't known, is asked for its status on the same connection once it has begun a transaction. A lower term than is known counts as a denial. Samples of log positions keep the log's term. The stand-in gets servers that refuse commands, or learn late of a promotion.

Known: `received` of `settled` is empty while nothing is committed in the new term, as group_commands.record_settled compares samples with that term.

--- a/src/apricotshore/decisions/leadership.py
+++ b/src/apricotshore/decisions/leadership.py
@@ -16,6 +16,9 @@
         Server that led when last asked, None while unknown.
     term
         Highest term in which a server proved to be the primary.
+    is_term_read
+        Whether the primary's status names that term. The end of its log shows an
+        earlier one until its first commit.
     confirmed_at
         When the primary was last asked a question that proved its lead, in
         milliseconds since boot.
@@ -27,11 +30,46 @@
 
     primary: ServerId | None = None
     term: Term = Term(0)
+    is_term_read: bool = False
     confirmed_at: int = 0
     silent_since: int | None = None
     refused: dict[ServerId, int] = field(default_factory=dict)
 
 
+def needs_status(state: PrimaryState, server: ServerId) -> bool:
+    """Return whether a server that says that it leads is to be asked for its term."""
+    return server != state.primary or not state.is_term_read
+
+
+def choose_term(
+    state: PrimaryState, server: ServerId, log_term: Term, status_term: Term | None
+) -> Term | None:
+    """Return the term of a server that began a transaction as the primary.
+
+    Parameters
+    ----------
+    state
+        What is known of the primary.
+    server
+        The server.
+    log_term
+        Term of the end of its log.
+    status_term
+        Term that its status names, None without a status.
+
+    Returns
+    -------
+    Term or None
+        None when it can't be told whether the server or the known primary leads.
+    """
+    if status_term is not None:
+        return max(status_term, log_term)
+    if server == state.primary:
+        return max(state.term, log_term)
+    is_led = state.primary is not None and state.silent_since is None
+    return None if is_led else log_term
+
+
 def is_outdated(
     state: PrimaryState, server: ServerId, term: Term, asked_at: int
 ) -> bool:
@@ -47,7 +85,12 @@
 
 
 def observe_primary(
-    state: PrimaryState, server: ServerId, term: Term, asked_at: int
+    state: PrimaryState,
+    server: ServerId,
+    term: Term,
+    asked_at: int,
+    *,
+    is_term_read: bool = False,
 ) -> bool:
     """Record that a server proved to be the primary; return whether it changed."""
     if is_outdated(state, server, term, asked_at):
@@ -59,6 +102,7 @@
         state.confirmed_at = asked_at
     state.primary = server
     state.term = term
+    state.is_term_read = is_term_read or (state.is_term_read and not changed)
     state.silent_since = None
     state.refused = {
         other: denied_at
--- a/src/apricotshore/pooling/group.py
+++ b/src/apricotshore/pooling/group.py
@@ -295,20 +295,43 @@
         return leadership.find_primary(self.primary_state, list(self.servers.values()))
 
     def observe_begin(
-        self, server: ServerId, log_position: LogPosition, asked_at: int
-    ) -> None:
+        self,
+        server: ServerId,
+        log_position: LogPosition,
+        asked_at: int,
+        status_term: Term | None = None,
+    ) -> bool:
         """Record that a server began a transaction as the primary.
 
         That proves it to be the primary only where a replaced one stops at once.
+
+        Parameters
+        ----------
+        server
+            The server.
+        log_position
+            End of its log.
+        asked_at
+            When it was asked, in milliseconds since boot.
+        status_term
+            Term that its status named after that, None without one.
+
+        Returns
+        -------
+        bool
+            Whether that shows it to be the primary.
         """
         if self.prover is not None:
             leadership.observe_answer(self.primary_state, server)
             self.begun = BegunTransaction(
                 server=server, log_position=log_position, asked_at=asked_at
             )
-            return
-        if self.observe_primary(server, log_position.term, asked_at):
-            self.observe_position(log_position, asked_at)
+            return False
+        log_term = log_position.term
+        if not self.observe_primary(server, log_term, asked_at, status_term):
+            return False
+        self.observe_position(log_position, asked_at)
+        return True
 
     def observe_proof(self, server: ServerId, since: int) -> None:
         """Record that a server that began a transaction was primary at ``since``."""
@@ -320,12 +343,34 @@
         """Record the log position that the primary had at ``asked_at`` or later."""
         position_history.observe(self.position_history, log_position, asked_at)
 
-    def observe_primary(self, server: ServerId, term: Term, asked_at: int) -> bool:
-        """Record that a server is the primary; return False if more is known."""
+    def observe_primary(
+        self,
+        server: ServerId,
+        log_term: Term,
+        asked_at: int,
+        status_term: Term | None = None,
+    ) -> bool:
+        """Record that a server is the primary; return False if more is known.
+
+        Parameters
+        ----------
+        server, asked_at, status_term
+            See `observe_begin`.
+        log_term
+            Term of the end of its log.
+        """
         state = self.primary_state
+        term = leadership.choose_term(state, server, log_term, status_term)
+        if term is None:
+            return False
         if leadership.is_outdated(state, server, term, asked_at):
+            if term < state.term:
+                self.observe_denial(server, asked_at)
             return False
-        if leadership.observe_primary(state, server, term, asked_at):
+        is_read = status_term is not None
+        if leadership.observe_primary(
+            state, server, term, asked_at, is_term_read=is_read
+        ):
             self.journal.record(
                 EventKind.PRIMARY_FOUND, group=self.group, server=server, term=term
             )
--- a/src/apricotshore/pooling/primary_prover.py
+++ b/src/apricotshore/pooling/primary_prover.py
@@ -1,12 +1,12 @@
 """Rounds of questions that prove a group's primary, shared by all who need one."""
 
 import asyncio
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
-from ..decisions import placement, primary_proof
+from ..decisions import leadership, placement, primary_proof
 from ..decisions.change_attempt import MemberStatus, read_status
 from ..decisions.primary_proof import Finding, PrimaryProof, ProbeResult, Round
-from ..groups import LogPosition
+from ..groups import LogPosition, Role
 from ..identifiers import ServerId, Term
 from ..queries import FailureCode, Query, QueryKind, TransactionState
 from ..services.clock import read_boot_ms
@@ -36,22 +36,32 @@
         End of the server's log if it is the primary.
     asked_at
         When it was asked, in milliseconds since boot.
+    term
+        Term that its status named after that, None if it wasn't read.
     """
 
     result: ProbeResult
     log_position: LogPosition | None = None
     asked_at: int = 0
+    term: Term | None = None
 
 
 async def ask_for_primary(group: Group, pool: ServerPool) -> Reply:
-    """Ask a server whether it is the primary, by beginning a transaction."""
+    """Ask a server whether it is the primary, by beginning a transaction.
+
+    One that isn't known as the primary is asked for its term as well. Where rounds of
+    questions prove the primary, they do that, as the answers of a round are awaited.
+    """
     server = pool.server.server
     queries = [BEGIN, ROLLBACK] if server == group.primary else [BEGIN]
+    wants_term = group.prover is None and leadership.needs_status(
+        group.primary_state, server
+    )
     asked_at = read_boot_ms()
     try:
         pooled = await pool.acquire({}, PRIORITY, asked_at + TIMEOUT_MS)
         asked_at = read_boot_ms()
-        reply = await _begin(pool, pooled, queries, asked_at)
+        reply = await _begin(pool, pooled, queries, asked_at, wants_term)
     except NoConnectionError:
         return Reply(result=ProbeResult.UNKNOWN)
     except ConnectionLostError:
@@ -64,25 +74,53 @@
 
 
 async def _begin(
-    pool: ServerPool, pooled: PooledConnection, queries: list[Query], asked_at: int
+    pool: ServerPool,
+    pooled: PooledConnection,
+    queries: list[Query],
+    asked_at: int,
+    wants_term: bool,
 ) -> Reply:
     clean = False
     try:
         answers = await pool.run(pooled, queries, None, TIMEOUT_MS)
+        began, state = answers[0], answers[-1].state
+        reply = Reply(result=ProbeResult.UNKNOWN)
+        if began.failure is None and began.log_position is not None:
+            reply = Reply(
+                result=ProbeResult.PRIMARY,
+                log_position=began.log_position,
+                asked_at=asked_at,
+            )
+            if wants_term:
+                rollback = [ROLLBACK] if state is not TransactionState.IDLE else []
+                reply, state = await _read_term(pool, pooled, rollback, reply)
+        elif began.failure is FailureCode.NOT_PRIMARY:
+            reply = Reply(result=ProbeResult.NOT_PRIMARY)
         # A transaction that was not rolled back ends with its connection.
-        clean = answers[-1].state is TransactionState.IDLE
+        clean = state is TransactionState.IDLE
     finally:
         pool.release(pooled, clean=clean)
-    began = answers[0]
-    if began.failure is None and began.log_position is not None:
-        return Reply(
-            result=ProbeResult.PRIMARY,
-            log_position=began.log_position,
-            asked_at=asked_at,
-        )
-    if began.failure is FailureCode.NOT_PRIMARY:
-        return Reply(result=ProbeResult.NOT_PRIMARY)
-    return Reply(result=ProbeResult.UNKNOWN)
+    return reply
+
+
+async def _read_term(
+    pool: ServerPool, pooled: PooledConnection, rollback: list[Query], reply: Reply
+) -> tuple[Reply, TransactionState | None]:
+    """Read the term of a server that began a transaction; return how it is left.
+
+    One that refuses that, or gives no answer, is the primary of an unknown term.
+    """
+    queries = [*rollback, Query(kind=QueryKind.STATUS)]
+    try:
+        answers = await pool.run(pooled, queries, None, STATUS_TIMEOUT_MS)
+    except ConnectionLostError:
+        return reply, None
+    state, report = answers[-1].state, answers[-1].report
+    if report is None:
+        return reply, state
+    if report.role is not Role.PRIMARY:
+        return Reply(result=ProbeResult.NOT_PRIMARY), state
+    return replace(reply, term=report.term), state
 
 
 async def _skip() -> Reply:
@@ -164,7 +202,9 @@
         finding = primary_proof.judge(round_)
         self._record_change(round_, finding)
         if finding.primary is not None:
-            self._apply(finding, replies[finding.primary], began_at)
+            reply = replies[finding.primary]
+            if await self._observe_primary(round_, finding.primary, reply):
+                self._apply(finding, reply, began_at)
         for server in finding.replaced:
             await self._step_down(server, finding.term)
 
@@ -221,12 +261,26 @@
             return Reply(result=ProbeResult.NO_ANSWER)
         return await ask_for_primary(self.group, pool)
 
+    async def _observe_primary(
+        self, round_: Round, primary: ServerId, reply: Reply
+    ) -> bool:
+        """Record the primary that a round shows; return False if more is known."""
+        group, log_position = self.group, reply.log_position
+        if log_position is None:
+            return True
+        status, asked_at = round_.statuses.get(primary), reply.asked_at
+        if status is None and leadership.needs_status(group.primary_state, primary):
+            asked_at = read_boot_ms()
+            status = await self._read_status(primary)
+        if status is not None and not status.is_primary:
+            group.observe_denial(primary, asked_at)
+            return False
+        term = None if status is None else status.term
+        return group.observe_primary(primary, log_position.term, reply.asked_at, term)
+
     def _apply(self, finding: Finding, reply: Reply, began_at: int) -> None:
         group, primary = self.group, finding.primary
         assert primary is not None
-        if reply.log_position is not None:
-            term = Term(max(finding.term, reply.log_position.term))
-            group.observe_primary(primary, term, reply.asked_at)
         if not finding.proven or group.primary != primary:
             return
         group.proof = PrimaryProof(server=primary, asked_at=began_at)
--- a/src/apricotshore/pooling/prober.py
+++ b/src/apricotshore/pooling/prober.py
@@ -53,6 +53,8 @@
         primary_state = self.group.primary_state
         if primary_state.primary is None or primary_state.silent_since is not None:
             return True
+        if not primary_state.is_term_read:
+            return True
         age = position_history.find_age(self.group.position_history, read_boot_ms())
         return age is None or age >= self.group.sample_period_ms
 
@@ -64,7 +66,7 @@
         if self.group.prover is not None:
             proven = await self.group.prover.sample()
             self._observe_no_primary(is_certain=self.group.prover.heard_all)
-            if proven is None:
+            if proven is None or not self.group.primary_state.is_term_read:
                 await asyncio.sleep(SEARCH_PERIOD_S)
             return
         candidates = leadership.list_candidates(
@@ -74,6 +76,8 @@
             return
         first = await self._ask(candidates[0].server)
         if first is ProbeResult.PRIMARY:
+            if not self.group.primary_state.is_term_read:
+                await asyncio.sleep(SEARCH_PERIOD_S)
             return
         results = await asyncio.gather(*(self._ask(s.server) for s in candidates[1:]))
         is_certain = ProbeResult.UNKNOWN not in (first, *results)
@@ -94,6 +98,8 @@
         if pool is None:
             return ProbeResult.NO_ANSWER
         reply = await ask_for_primary(self.group, pool)
-        if reply.log_position is not None:
-            self.group.observe_begin(server, reply.log_position, reply.asked_at)
-        return reply.result
+        if reply.log_position is None or self.group.observe_begin(
+            server, reply.log_position, reply.asked_at, reply.term
+        ):
+            return reply.result
+        return ProbeResult.UNKNOWN if reply.term is None else ProbeResult.NOT_PRIMARY
--- a/standins/in_memory.py
+++ b/standins/in_memory.py
@@ -87,6 +87,10 @@
         Whether it runs statements but sends no answers.
     busy
         Whether it rejects statements as overloaded.
+    refuses_commands
+        Whether it rejects commands as overloaded, and nothing else.
+    learns_after_s
+        Time after the promotion of another server in which it goes on as before.
     listed
         Whether the store lists it.
     """
@@ -103,6 +107,8 @@
     mute: bool = False
     unreachable_by: set[str] = field(default_factory=set)
     busy: bool = False
+    refuses_commands: bool = False
+    learns_after_s: float = 0.0
     listed: bool = True
     connections: int = 0
     started_ms: int = 1
@@ -225,8 +231,11 @@
             return
         self.term += 1
         self.promotions.append((name, self.term))
+        others = [s for s in self.servers.values() if s is not target]
+        late = [s for s in others if s.learns_after_s]
         for server in self.servers.values():
-            if not (self.replaced_goes_on and server.is_primary):
+            goes_on = self.replaced_goes_on and server.is_primary
+            if not goes_on and server not in late:
                 server.is_primary = False
                 server.term = self.term
         target.is_primary = True
@@ -235,11 +244,30 @@
         held = {text for _, _, text in target.log}
         self.lost += [text for text in self.acknowledged if text not in held]
         for server in self.servers.values():
-            if server.is_primary:
-                continue
-            if server.log[: len(target.log)] != target.log:
-                server.log = server.log[: len(target.log)]
-                server.applied = min(server.applied, len(server.log))
+            if not server.is_primary and server not in late:
+                self._roll_back(server, target)
+        for server in late:
+            asyncio.get_running_loop().call_later(
+                server.learns_after_s, self._learn, server, target, self.term
+            )
+
+    def _roll_back(self, server: ModelServer, target: ModelServer) -> None:
+        if server.log[: len(target.log)] != target.log:
+            server.log = server.log[: len(target.log)]
+            server.applied = min(server.applied, len(server.log))
+
+    def _learn(self, server: ModelServer, target: ModelServer, term: int) -> None:
+        """Have a server learn of a promotion that took effect before."""
+        if self.term != term or (self.replaced_goes_on and server.is_primary):
+            return
+        server.is_primary = False
+        server.term = term
+        kept = [entry for entry in server.log if entry in target.log]
+        gone = {text for _, _, text in server.log} - {text for _, _, text in kept}
+        self.lost += [
+            text for text in self.acknowledged if text in gone and text not in self.lost
+        ]
+        server.log, server.applied = kept, min(server.applied, len(kept))
 
 
 class ModelConnection:
@@ -317,7 +345,9 @@
         self, query: Query, after: LogPosition | None
     ) -> FailureCode | None:
         kind = query.kind
-        if self.server.busy:
+        if self.server.busy or (
+            self.server.refuses_commands and kind in _COMMAND_KINDS
+        ):
             return FailureCode.OVERLOADED
         if self.state is TransactionState.FAILED and kind is not QueryKind.ROLLBACK:
             return FailureCode.MALFORMED
