Order nobody while a server that leads has not stepped down

Cause: a server that says it leads, in a term below one that a replica adopted from a command, was taken for one that had been replaced. Another server was ordered while it acknowledged. And a PAUSE whose term a server had passed since the first one was refused, for the rest of the change.

Change: a change remembers who says that it leads. A leader that isn't recognised steps down before an order and before the repetition of one; its log counts as the end of the log as well. One that answers nothing for 700 ms is taken for silent, as a primary is; one that is too busy isn't. Terms of commands are raised above what servers have adopted since. While a second leader is told to step down until the effect, the first, a replica now, is paused.

The models of the searches can have servers adopt a term; by default none does.

--- a/src/apricotshore/decisions/change_attempt.py
+++ b/src/apricotshore/decisions/change_attempt.py
@@ -99,6 +99,11 @@
         When that was known.
     unanswered_since
         Since when the primary has answered no command.
+    leaders
+        Servers that say that they lead and have not stepped down, and since when each
+        has answered no command, None while it answers.
+    leader_told_at
+        When a server other than the replaced primary was last told to step down.
     pause_term
         Term sent with pauses.
     statuses
@@ -141,6 +146,8 @@
     final_end: LogPosition | None = None
     stepped_down_at: int = 0
     unanswered_since: int | None = None
+    leaders: dict[ServerId, int | None] = field(default_factory=dict)
+    leader_told_at: int | None = None
     pause_term: Term = Term(0)
     statuses: dict[ServerId, MemberStatus] = field(default_factory=dict)
     listed: bool = False
@@ -270,7 +277,13 @@
     attempt.busy.discard(server)
     attempt.answered_at[server] = now
     _observe_end(attempt, server, log_order(status.log_position))
+    was_leader = server in attempt.leaders
+    attempt.leaders.pop(server, None)
+    if status.is_primary:
+        attempt.leaders[server] = None
     if server != attempt.replaced:
+        if was_leader and not status.is_primary and attempt.final_end is not None:
+            _observe_other_end(attempt, server, status, now)
         return
     attempt.unanswered_since = None
     if status.is_primary:
@@ -290,6 +303,18 @@
         attempt.statuses = {server: status}
 
 
+def _observe_other_end(
+    attempt: Attempt, server: ServerId, status: MemberStatus, now: int
+) -> None:
+    """Add the log of a server that led beside the replaced primary, until now."""
+    assert attempt.final_end is not None
+    attempt.final_end = max(attempt.final_end, status.log_position, key=log_order)
+    attempt.stepped_down_at = now
+    attempt.listed = False
+    kept = (server, attempt.replaced)
+    attempt.statuses = {s: v for s, v in attempt.statuses.items() if s in kept}
+
+
 def _observe_end(attempt: Attempt, server: ServerId, end: tuple[int, int]) -> None:
     """Record a server whose log ends before it did, until it has received the rest."""
     furthest = max(end, attempt.ends.get(server, end))
@@ -313,7 +338,11 @@
     full of commits that wait for a replica, and never accept a command.
     """
     attempt.busy.add(server)
-    if server == attempt.replaced and not attempt.is_cut_off:
+    if server == attempt.replaced and attempt.is_cut_off:
+        return
+    if server in attempt.leaders:
+        attempt.leaders[server] = None
+    if server == attempt.replaced:
         attempt.unanswered_since = None
 
 
@@ -323,5 +352,7 @@
     attempt.busy.discard(server)
     if attempt.target == server:
         attempt.target = None
+    if server in attempt.leaders and attempt.leaders[server] is None:
+        attempt.leaders[server] = now
     if server == attempt.replaced and attempt.unanswered_since is None:
         attempt.unanswered_since = now
--- a/src/apricotshore/decisions/primary_change.py
+++ b/src/apricotshore/decisions/primary_change.py
@@ -16,6 +16,9 @@
 A primary that gives no answer may be reached by other hosts. If by none that is asked,
 only the second barrier is left; a primary that returns is told to step down.
 
+Nobody is promoted while a server says that it leads and has not stepped down in this
+change, whatever its term: it may go on acknowledging.
+
 The target is recorded in the lease before its promotion is requested. While that
 promotion may take effect, no other server is promoted: a repeated request for the
 same server changes nothing.
@@ -66,12 +69,15 @@
 STEP_DOWN_AFTER_MS = 800
 # A primary that answers none of its commands for this long is taken for silent.
 NO_ANSWER_LIMIT_MS = 700
+# Pause before a server that went on leading is told to step down again.
+LEADER_PAUSE_MS = 20
 
 
 def find_primary(attempt: Attempt) -> ServerId | None:
     """Return a primary that need not be replaced, None without one.
 
-    A server that leads a lower term than others have adopted was replaced already.
+    A server that leads a lower term than others have adopted may have been replaced
+    already. It isn't recognised, and steps down before another is promoted.
     """
     newest = max((s.term for s in attempt.statuses.values()), default=Term(0))
     for server, status in attempt.statuses.items():
@@ -108,12 +114,15 @@
         Milliseconds since boot.
     """
     if attempt.requested is not None:
-        return _plan_until_effect(attempt, members)
+        return _plan_until_effect(attempt, members, now)
     leader = find_primary(attempt)
     if leader is not None and attempt.inherited in (None, leader):
         return Abandon(leader=leader)
     if leader is not None:
         _replace_leader(attempt, leader)
+    other = _find_other_leader(attempt, now)
+    if other is not None:
+        return _plan_other_leader(attempt, members, other, now)
     if attempt.final_end is not None:
         return _plan_after_step_down(attempt, members, since_loss, lossless, now)
     if _can_step_down(attempt, now):
@@ -126,10 +135,66 @@
 
     That promotion may still take effect, and this host did not know the leader.
     """
+    if attempt.replaced != leader:
+        attempt.final_end = None
     attempt.replaced = leader
     attempt.must_step_down = True
     attempt.unanswered_since = None
-    attempt.primary_end = attempt.statuses[leader].log_position
+    status = attempt.statuses.get(leader)
+    attempt.primary_end = None if status is None else status.log_position
+
+
+def _find_other_leader(attempt: Attempt, now: int) -> ServerId | None:
+    """Return a server that leads beside the primary that this change replaces.
+
+    A primary that leads, and is not recognised, is replaced although it answers.
+    """
+    leaders = _list_leaders(attempt, now)
+    _raise_pause_term(attempt, leaders)
+    if leaders and attempt.replaced is None:
+        _replace_leader(attempt, leaders[0])
+    if attempt.replaced in leaders:
+        attempt.must_step_down = True
+    return next((s for s in leaders if s != attempt.replaced), None)
+
+
+def _list_leaders(attempt: Attempt, now: int) -> list[ServerId]:
+    """List the servers that lead, except the one whose promotion was requested.
+
+    One that answers nothing for a while is taken for silent.
+    """
+    return [
+        server
+        for server, since in attempt.leaders.items()
+        if server != attempt.requested
+        and (since is None or now - since < NO_ANSWER_LIMIT_MS)
+    ]
+
+
+def _raise_pause_term(attempt: Attempt, leaders: list[ServerId]) -> None:
+    """Have later commands carry a term above all that servers have adopted since.
+
+    A server refuses a command of a lower term.
+    """
+    known = attempt.statuses
+    newest = max((s.term for s in known.values()), default=Term(0))
+    led = max((known[s].term for s in leaders if s in known), default=Term(0))
+    is_passed = newest > attempt.pause_term or led >= attempt.pause_term
+    if attempt.pause_term and is_passed:
+        attempt.pause_term = Term(newest + 1)
+
+
+def _plan_other_leader(
+    attempt: Attempt, members: tuple[Member, ...], leader: ServerId, now: int
+) -> Step:
+    """Have a server step down that leads beside the replaced primary."""
+    told_at = attempt.leader_told_at
+    was_told = told_at is not None and now - told_at < LEADER_PAUSE_MS
+    if was_told and attempt.final_end is not None:
+        others = tuple(m for m in members if m.server not in (attempt.replaced, leader))
+        return _secure(attempt, _list_unsecured(attempt, others))
+    attempt.leader_told_at = now
+    return StepDown(server=leader, term=choose_pause_term(attempt))
 
 
 def _can_step_down(attempt: Attempt, now: int) -> bool:
@@ -302,36 +367,30 @@
     return target if read_order(attempt, target) >= read_order(attempt, best) else best
 
 
-def _plan_until_effect(attempt: Attempt, members: tuple[Member, ...]) -> Step:
+def _plan_until_effect(attempt: Attempt, members: tuple[Member, ...], now: int) -> Step:
     """Request the promotion until it is accepted, and hold the others meanwhile."""
     assert attempt.requested is not None
+    leaders = _list_leaders(attempt, now)
+    if leaders:
+        _raise_pause_term(attempt, leaders)
     may_hold = bool(attempt.pause_term)
-    may_request = not attempt.accepted and not attempt.is_requesting
+    may_request = not attempt.accepted and not attempt.is_requesting and not leaders
     if may_request and (attempt.held or not may_hold):
         return Promote(server=attempt.requested)
     if not may_hold:
         return Wait(why="the promotion takes effect")
-    former = _find_former(attempt)
+    former = _find_former(attempt, leaders)
     others = tuple(
-        s
-        for s in list_names(members)
-        if s not in (attempt.requested, attempt.replaced, former)
+        s for s in list_names(members) if s not in (attempt.requested, former)
     )
     return Hold(servers=others, primary=former, term=attempt.pause_term)
 
 
-def _find_former(attempt: Attempt) -> ServerId | None:
+def _find_former(attempt: Attempt, leaders: list[ServerId]) -> ServerId | None:
     """Return the server to be told to step down while a promotion is awaited.
 
     A holder that took the change over may learn who led only when it leads again.
     """
-    if attempt.replaced not in (None, attempt.requested):
-        return attempt.replaced
-    return next(
-        (
-            server
-            for server, status in attempt.statuses.items()
-            if status.is_primary and server != attempt.requested
-        ),
-        None,
-    )
+    if leaders and attempt.replaced not in leaders:
+        return leaders[0]
+    return attempt.replaced if attempt.replaced != attempt.requested else None
--- a/tests/changemodel.py
+++ b/tests/changemodel.py
@@ -36,7 +36,7 @@
 
 @dataclass
 class Server:
-    """A server's log, role and pause."""
+    """A server's log, role and pause, and a term that it adopted from a command."""
 
     name: ServerId
     log: list[tuple[int, int]] = field(default_factory=list)
@@ -45,13 +45,14 @@
     up: bool = True
     is_deaf: bool = False
     is_listed: bool = True
+    adopted: int = 0
 
     def read(self, term: int) -> MemberStatus:
         """Return the status that the server reports."""
         last = self.log[-1][0] if self.log else 0
         return MemberStatus(
             log_position=LogPosition(term=Term(last), position=Position(len(self.log))),
-            term=Term(term),
+            term=Term(max(term, self.adopted)),
             paused_term=Term(self.paused),
             is_primary=self.is_primary,
         )
--- a/tests/latechangemodel.py
+++ b/tests/latechangemodel.py
@@ -133,13 +133,14 @@
         server = self.servers[name]
         if not server.up:
             return
+        newest = max(self.term, server.adopted)
         if kind is QueryKind.RESUME:
             server.paused = 0
             self.freed.add(name)
-        elif term > self.term and kind is QueryKind.PAUSE and not server.is_primary:
+        elif term > newest and kind is QueryKind.PAUSE and not server.is_primary:
             server.paused = max(server.paused, int(term))
             self.freed.discard(name)
-        elif term > self.term and kind is QueryKind.STEP_DOWN and server.is_primary:
+        elif term > newest and kind is QueryKind.STEP_DOWN and server.is_primary:
             server.is_primary = False
             self.stepped_down_at, self.may_store = self.now, True
 
