Look at the reason for a change again once the lease is held

Cause: a host began a change for "headless" or "leaving" right after another host's change had ended, on what it knew before. A leader that it didn't recognise then was told to step down.

Change: for these two reasons all servers are asked who leads after the lease is acquired, for up to 300 ms (700 ms where rounds prove the primary). Without any answer, or if the reason doesn't hold by the answers, the change ends without a command. A change that an earlier holder left a target of is finished as before.

--- a/src/apricotshore/pooling/group.py
+++ b/src/apricotshore/pooling/group.py
@@ -35,6 +35,10 @@
     def heard_all(self) -> bool:
         """Whether no server was too busy to answer the last round."""
 
+    @property
+    def has_answers(self) -> bool:
+        """Whether any server has answered the last round."""
+
     def prove(self, since: int) -> Awaitable[ServerId | None]:
         """Return the server that was primary at ``since``, None without a proof."""
 
--- a/src/apricotshore/pooling/primary_changer.py
+++ b/src/apricotshore/pooling/primary_changer.py
@@ -24,6 +24,7 @@
     Promoter,
     StoreError,
 )
+from .primary_prover import is_answer, probe_server
 from .supervision import keep_running
 
 TICK_S = 0.1
@@ -35,6 +36,12 @@
 STOP_WAIT_MS = 1_500
 # Time for a probe to confirm which server is the primary.
 PROBE_MS = 1_000
+# Reasons that another host's change may have ended while this host took the lease.
+PASSING_REASONS = ("headless", "leaving")
+# Time for the servers to say who leads once the lease is held: an answer, or a round
+# of questions that waits for a silent primary.
+ANSWERS_MS = 300
+ROUND_MS = 700
 
 
 class PrimaryChanger(Service):
@@ -180,6 +187,9 @@
         if token is None:
             await asyncio.sleep(STORE_RETRY_S)
             return
+        leased_at = read_boot_ms()
+        is_confirmed = await self._confirm_reason(reason)
+        began += read_boot_ms() - leased_at
         attempt = self._make_attempt(reason, began)
         self.commands.begin_change()
         self._record(
@@ -202,8 +212,10 @@
             token=token,
         )
         self.work = work
+        if not is_confirmed:
+            self._record("abandoned", leader=self.group.primary)
         try:
-            while work.may_go_on(self._is_needed(reason)):
+            while is_confirmed and work.may_go_on(self._is_needed(reason)):
                 if not await work.take_step():
                     break
         finally:
@@ -217,6 +229,37 @@
             work, reason == "unfinished" or attempt.inherited is not None
         )
 
+    async def _confirm_reason(self, reason: str) -> bool:
+        """Return whether the reason still holds by answers since the lease is held.
+
+        A change that another host left is finished in any case.
+        """
+        if reason not in PASSING_REASONS or self.lease.target is not None:
+            return True
+        return await self._ask_anew() and self._is_needed(reason)
+
+    async def _ask_anew(self) -> bool:
+        """Ask the servers who leads; return whether any has answered in time."""
+        group = self.group
+        if group.prover is not None:
+            try:
+                async with asyncio.timeout(ROUND_MS / 1000):
+                    await group.prover.sample()
+            except TimeoutError:
+                return False
+            return group.prover.has_answers
+        questions = [
+            asyncio.create_task(probe_server(group, pool))
+            for pool in group.pools.values()
+        ]
+        if not questions:
+            return False
+        done, waiting = await asyncio.wait(questions, timeout=ANSWERS_MS / 1000)
+        for question in waiting:
+            question.cancel()
+        await asyncio.gather(*waiting, return_exceptions=True)
+        return any(is_answer(question.result()) for question in done)
+
     def _make_attempt(self, reason: str, began: int) -> Attempt:
         primary_state = self.group.primary_state
         replaced = self.group.primary or primary_state.primary
--- a/src/apricotshore/pooling/primary_prover.py
+++ b/src/apricotshore/pooling/primary_prover.py
@@ -123,6 +123,21 @@
     return replace(reply, term=report.term), state
 
 
+def is_answer(result: ProbeResult) -> bool:
+    """Return whether a server said whether it is the primary."""
+    return result in (ProbeResult.PRIMARY, ProbeResult.NOT_PRIMARY)
+
+
+async def probe_server(group: Group, pool: ServerPool) -> ProbeResult:
+    """Ask a server whether it is the primary, and record what that shows."""
+    reply = await ask_for_primary(group, pool)
+    if reply.log_position is None or group.observe_begin(
+        pool.server.server, reply.log_position, reply.asked_at, reply.term
+    ):
+        return reply.result
+    return ProbeResult.UNKNOWN if reply.term is None else ProbeResult.NOT_PRIMARY
+
+
 async def _skip() -> Reply:
     return Reply(result=ProbeResult.UNKNOWN)
 
@@ -142,6 +157,7 @@
         self.round_began_at = 0
         self.sample_wanted = False
         self.heard_all = False
+        self.has_answers = False
         self.is_proven = False
         self.asking: dict[ServerId, asyncio.Task[Reply]] = {}
 
@@ -191,6 +207,7 @@
             known_term=state.term,
         )
         self.heard_all = ProbeResult.UNKNOWN not in round_.results.values()
+        self.has_answers = any(map(is_answer, round_.results.values()))
         unsettled = primary_proof.list_unsettled(round_)
         if unsettled:
             found = await asyncio.gather(*map(self._read_status, unsettled))
--- a/src/apricotshore/pooling/prober.py
+++ b/src/apricotshore/pooling/prober.py
@@ -9,7 +9,7 @@
 from ..identifiers import ServerId
 from ..services.clock import read_boot_ms
 from .group import Group
-from .primary_prover import ask_for_primary
+from .primary_prover import probe_server
 from .supervision import keep_running
 
 SEARCH_PERIOD_S = 0.1
@@ -97,9 +97,4 @@
         pool = self.group.pools.get(server)
         if pool is None:
             return ProbeResult.NO_ANSWER
-        reply = await ask_for_primary(self.group, pool)
-        if reply.log_position is None or self.group.observe_begin(
-            server, reply.log_position, reply.asked_at, reply.term
-        ):
-            return reply.result
-        return ProbeResult.UNKNOWN if reply.term is None else ProbeResult.NOT_PRIMARY
+        return await probe_server(self.group, pool)
