--- a/src/apricotshore/pooling/group.py
+++ b/src/apricotshore/pooling/group.py
@@ -35,6 +35,10 @@
     def heard_all(self) -> bool:
         """Whether no server was too busy to answer the last round."""
 
+    @property
+    def has_answers(self) -> bool:
+        """Whether any server has answered the last round."""
+
     def prove(self, since: int) -> Awaitable[ServerId | None]:
         """Return the server that was primary at ``since``, None without a proof."""
 
@@ -193,7 +197,8 @@
         self.log_lost_at = read_boot_ms()
         self.journal.record(EventKind.SERVER_GONE, group=self.group, server=server)
         self._drop_pool(server)
-        leadership.observe_silence(self.primary_state, server, read_boot_ms())
+        now = read_boot_ms()
+        leadership.observe_silence(self.primary_state, server, now, now)
         self.probe_wanted.set()
 
     def _keep_unlisted(self, server: ListedServer) -> None:
@@ -294,22 +299,43 @@
         return leadership.find_primary(self.primary_state, list(self.servers.values()))
 
     def observe_begin(
-        self, server: ServerId, log_position: LogPosition, asked_at: int
-    ) -> None:
+        self,
+        server: ServerId,
+        log_position: LogPosition,
+        asked_at: int,
+        status_term: Term | None = None,
+    ) -> bool:
         """Record that a server began a transaction as the primary.
 
         That proves it to be the primary only where a replaced one stops at once.
+
+        Parameters
+        ----------
+        server
+            The server.
+        log_position
+            End of its log.
+        asked_at
+            When it was asked, in milliseconds since boot.
+        status_term
+            Term that its status named after that, None without one.
+
+        Returns
+        -------
+        bool
+            Whether that shows it to be the primary.
         """
         if self.prover is not None:
             leadership.observe_answer(self.primary_state, server)
             self.begun = BegunTransaction(
                 server=server, log_position=log_position, asked_at=asked_at
             )
-            return
-        if log_position.term < self.primary_state.term:
-            return
+            return False
+        log_term = log_position.term
+        if not self.observe_primary(server, log_term, asked_at, status_term):
+            return False
         self.observe_position(log_position, asked_at)
-        self.observe_primary(server, log_position.term, asked_at)
+        return True
 
     def observe_proof(self, server: ServerId, since: int) -> None:
         """Record that a server that began a transaction was primary at ``since``."""
@@ -321,32 +347,72 @@
         """Record the log position that the primary had at ``asked_at`` or later."""
         position_history.observe(self.position_history, log_position, asked_at)
 
-    def observe_primary(self, server: ServerId, term: Term, asked_at: int) -> None:
-        """Record that a server is the primary, unless a later term is known."""
-        if term < self.primary_state.term:
-            return
-        if leadership.observe_primary(self.primary_state, server, term, asked_at):
+    def observe_primary(
+        self,
+        server: ServerId,
+        log_term: Term,
+        asked_at: int,
+        status_term: Term | None = None,
+    ) -> bool:
+        """Record that a server is the primary; return False if more is known.
+
+        Parameters
+        ----------
+        server, asked_at, status_term
+            See `observe_begin`.
+        log_term
+            Term of the end of its log.
+        """
+        state = self.primary_state
+        term = leadership.choose_term(state, server, log_term, status_term)
+        if term is None:
+            return False
+        if leadership.is_outdated(state, server, term, asked_at):
+            if term < state.term:
+                self.observe_denial(server, asked_at)
+            return False
+        is_read = status_term is not None
+        if leadership.observe_primary(
+            state, server, term, asked_at, is_term_read=is_read
+        ):
             self.journal.record(
                 EventKind.PRIMARY_FOUND, group=self.group, server=server, term=term
             )
             self.writes.unanswered.clear()
         self.no_primary_since = None
         self.primary_confirmed.set()
+        return True
+
+    def observe_denial(self, server: ServerId, asked_at: int | None = None) -> None:
+        """Record that a server denied being the primary.
 
-    def observe_denial(self, server: ServerId) -> None:
-        """Record that a server denied being the primary."""
-        if leadership.observe_denial(self.primary_state, server):
+        Parameters
+        ----------
+        server
+            The server.
+        asked_at
+            When it was asked, in milliseconds since boot; None means now.
+        """
+        asked_at = read_boot_ms() if asked_at is None else asked_at
+        if leadership.observe_denial(self.primary_state, server, asked_at):
             self.journal.record(EventKind.PRIMARY_LOST, group=self.group, server=server)
             self.primary_confirmed.clear()
             if self.no_primary_since is None:
                 self.no_primary_since = read_boot_ms()
             self.probe_wanted.set()
 
-    def observe_silence(self, server: ServerId) -> None:
-        """Record that a server gave no answer."""
+    def observe_silence(self, server: ServerId, asked_at: int | None = None) -> None:
+        """Record that a server gave no answer.
+
+        Parameters
+        ----------
+        server, asked_at
+            See `observe_denial`.
+        """
         now = read_boot_ms()
+        asked_at = now if asked_at is None else asked_at
         was_silent = self.primary_state.silent_since
-        leadership.observe_silence(self.primary_state, server, now)
+        leadership.observe_silence(self.primary_state, server, asked_at, now)
         if was_silent is None and self.primary_state.silent_since is not None:
             self.journal.record(
                 EventKind.PRIMARY_SILENT, group=self.group, server=server
