Order nobody while a stepped-down primary still runs statements

Cause: a statement that runs at the step-down may store a commit after the order. With all replicas but the target paused it waits, and is acknowledged thanks to the first one that an effect or a RESUME frees, if the target had stopped to receive. It is missing at the promoted server. Servers are resumed once they show the term of the promoted one, after 200 ms in any case.

--- a/src/apricotshore/decisions/change_attempt.py
+++ b/src/apricotshore/decisions/change_attempt.py
@@ -4,7 +4,7 @@
 
 from ..groups import LogPosition, Role
 from ..identifiers import ServerId, Term
-from ..queries import ServerReport
+from ..queries import QueryKind, ServerReport
 
 
 def log_order(log_position: LogPosition) -> tuple[int, int]:
@@ -43,21 +43,31 @@
         Its term and the term of its pause.
     is_primary
         Whether it is the primary.
+    running
+        Statements that it runs besides the command that is answered.
     """
 
     log_position: LogPosition
     term: Term
     paused_term: Term
     is_primary: bool
+    running: int = 0
 
 
-def read_status(report: ServerReport) -> MemberStatus:
-    """Return a member's status from its answer to a command."""
+def read_status(
+    report: ServerReport, kind: QueryKind = QueryKind.STATUS
+) -> MemberStatus:
+    """Return a member's status from its answer to a command.
+
+    A STATUS takes a slot of its own, and is counted with the statements that run.
+    """
+    own = 1 if kind is QueryKind.STATUS else 0
     return MemberStatus(
         log_position=report.received,
         term=report.term,
         paused_term=report.paused_term,
         is_primary=report.role is Role.PRIMARY,
+        running=max(report.busy - own, 0),
     )
 
 
@@ -97,6 +107,8 @@
         End of its log after it has stepped down, None before.
     stepped_down_at
         When that was known.
+    is_quiet
+        Whether no statement that it began as the primary runs at it any more.
     unanswered_since
         Since when the primary has answered no command.
     leaders
@@ -145,6 +157,7 @@
     primary_end: LogPosition | None = None
     final_end: LogPosition | None = None
     stepped_down_at: int = 0
+    is_quiet: bool = False
     unanswered_since: int | None = None
     leaders: dict[ServerId, int | None] = field(default_factory=dict)
     leader_told_at: int | None = None
@@ -294,9 +307,11 @@
             attempt.pause_term = Term(status.term + 1)
     elif attempt.final_end is not None:
         # A commit that was being run may have been stored since it stepped down.
+        attempt.is_quiet = not status.running
         attempt.final_end = max(attempt.final_end, status.log_position, key=log_order)
     elif _keeps_log(attempt, status):
         attempt.final_end = status.log_position
+        attempt.is_quiet = not status.running
         attempt.stepped_down_at = now
         attempt.listed = False
         # What the others held before may have grown until the primary stepped down.
--- a/src/apricotshore/decisions/primary_change.py
+++ b/src/apricotshore/decisions/primary_change.py
@@ -263,7 +263,7 @@
     if target is None or target not in full:
         return _plan_incomplete(attempt, members, others, since_loss, lossless, now)
     unpaused = _list_unsecured(attempt, others)
-    if _must_wait_for(attempt, others, unpaused, now):
+    if _must_wait_for(attempt, others, unpaused, now) or _may_grow(attempt, now):
         return _secure(attempt, unpaused)
     return request_promotion(attempt, members, target, now)
 
@@ -286,6 +286,16 @@
     return bool(waited) and since < SECURE_MS
 
 
+def _may_grow(attempt: Attempt, now: int) -> bool:
+    """Return whether the former primary may still store a commit that it was running.
+
+    The target may receive nothing more once its promotion is requested, so what is
+    stored later would wait for a replica that is resumed.
+    """
+    limit_ms = CATCH_UP_MS if attempt.replaced in attempt.statuses else SECURE_MS
+    return not attempt.is_quiet and now - attempt.stepped_down_at < limit_ms
+
+
 def _list_full(attempt: Attempt, others: tuple[Member, ...]) -> tuple[ServerId, ...]:
     """Return the followers that hold all that any server is known to hold."""
     assert attempt.final_end is not None
--- a/src/apricotshore/pooling/change_steps.py
+++ b/src/apricotshore/pooling/change_steps.py
@@ -273,7 +273,7 @@
     ) -> None:
         reply = await self.commands.ask(server, kind, term, timeout_ms)
         if reply.report is not None:
-            self._update_status(server, reply.report)
+            self._update_status(server, reply.report, kind)
             return
         change_attempt.remove_status(self.attempt, server, read_boot_ms())
         if reply.refused:
@@ -295,9 +295,14 @@
             )
         await asyncio.sleep(ANSWER_PAUSE_S)
 
-    def _update_status(self, server: ServerId, report: ServerReport) -> None:
+    def _update_status(
+        self,
+        server: ServerId,
+        report: ServerReport,
+        kind: QueryKind = QueryKind.STEP_DOWN,
+    ) -> None:
         change_attempt.update_status(
-            self.attempt, server, read_status(report), read_boot_ms()
+            self.attempt, server, read_status(report, kind), read_boot_ms()
         )
 
     async def _step_down(self, server: ServerId, term: Term) -> None:
--- a/src/apricotshore/pooling/primary_changer.py
+++ b/src/apricotshore/pooling/primary_changer.py
@@ -8,7 +8,7 @@
 from ..decisions import change_triggers, lease
 from ..decisions.change_attempt import Attempt
 from ..decisions.change_triggers import ChangeConditions
-from ..identifiers import FencingToken, HostId, ServerId, Term
+from ..identifiers import HostId, ServerId, Term
 from ..queries import QueryKind
 from ..services.clock import read_boot_ms
 from ..services.eras import EraTracker
@@ -32,6 +32,8 @@
 STORE_RETRY_S = 0.2
 RESUME_ROUNDS = 5
 RESUME_PERIOD_MS = 2_000
+# Time for paused servers to learn who leads; one may only learn it once resumed.
+LEARN_MS = 200
 # Longest wait of a stop for a promotion to take effect.
 STOP_WAIT_MS = 1_500
 # Time for a probe to confirm which server is the primary.
@@ -313,7 +315,7 @@
             # Nobody leads. The lease stays open, so that this host goes on at once.
             self._record("ended", outcome="no primary")
             return
-        if attempt.requested is None and not await self._settle(attempt, unfinished):
+        if unfinished and attempt.requested is None and not await self._settle(attempt):
             return
         if await self.lease.write(still_open=True) is None:
             self._record("ended", outcome="lease lost")
@@ -337,11 +339,21 @@
         self.unresumed = known - {self.group.primary_state.primary}
 
     async def _resume_all(self) -> None:
+        """Resume servers once they have learnt who leads.
+
+        One that has not would receive from the former primary, and help it to
+        acknowledge what it has stored last.
+        """
+        began = read_boot_ms()
+        term = self.group.primary_state.term
         for _ in range(RESUME_ROUNDS):
             if not self.lease.is_held(read_boot_ms()):
                 self._record("lease-expired", unresumed=self.unresumed)
                 break
-            self.unresumed -= await self.commands.resume(self.unresumed)
+            ready = await self.commands.find_following(self.unresumed, term)
+            if read_boot_ms() - began >= LEARN_MS:
+                ready = self.unresumed
+            self.unresumed -= await self.commands.resume(ready)
             if not self.unresumed:
                 break
             await asyncio.sleep(STEP_PAUSE_S)
@@ -380,8 +392,8 @@
             await asyncio.sleep(STEP_PAUSE_S)
         return None
 
-    async def _settle(self, attempt: Attempt, unfinished: bool) -> bool:
-        """Return whether a change that requested nothing may end with who leads now.
+    async def _settle(self, attempt: Attempt) -> bool:
+        """Return whether a change that others left may end with who leads now.
 
         Every request names the target that its lease records, and is followed until
         that server leads or another was promoted in its place. So only a lease that
@@ -391,18 +403,18 @@
         if await self.lease.extend() is None:
             self._record("ended", outcome="lease lost")
             return False
-        if await self._is_led(attempt, unfinished):
+        if await self._is_led(attempt.inherited):
             return True
         self._record("ended", outcome="unsettled")
         self.lease.delay_check()
         return False
 
-    async def _is_led(self, attempt: Attempt, unfinished: bool) -> bool:
+    async def _is_led(self, inherited: ServerId | None) -> bool:
         """Return whether a server leads that no earlier request will replace."""
         primary = await self._confirm(read_boot_ms() + PROBE_MS)
-        if primary is None or attempt.inherited not in (None, primary):
+        if primary is None or inherited not in (None, primary):
             return False
-        if not unfinished or primary == attempt.inherited:
+        if primary == inherited:
             return True
         if self.lease.follows_lost and not await self._fence():
             return False
--- a/src/apricotshore/queries.py
+++ b/src/apricotshore/queries.py
@@ -1,6 +1,6 @@
 """Statements and their answers, independent of the wire protocol."""
 
-from dataclasses import dataclass, replace
+from dataclasses import dataclass, field, replace
 from enum import Enum
 from hashlib import blake2s
 
@@ -161,12 +161,16 @@
         Position of the last log entry that it has received, applied or not.
     paused_term
         Term of the pause in effect, 0 for none.
+    busy
+        Statements that it runs, with the one that is answered; it doesn't count when
+        reports are compared.
     """
 
     role: Role
     term: Term
     received: LogPosition
     paused_term: Term
+    busy: int = field(default=0, compare=False)
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
