Step a leader down at once only when its log is known

Cause: the step-down for an inherited target came before the leader's first status, so that the end of its log never counted and the change went on without one. Change: it waits for that status.

--- a/src/apricotshore/decisions/primary_change.py
+++ b/src/apricotshore/decisions/primary_change.py
@@ -215,7 +215,8 @@
     """
     primary = attempt.replaced
     assert primary is not None
-    if attempt.inherited not in (None, primary):
+    is_known = attempt.primary_end is not None
+    if is_known and attempt.inherited not in (None, primary):
         set_target(attempt, attempt.inherited, now)
         return _step_down(attempt, primary)
     followers = [m for m in list_followers(attempt, members) if m.server != primary]
--- a/src/apricotshore/pooling/change_lease.py
+++ b/src/apricotshore/pooling/change_lease.py
@@ -20,6 +20,8 @@
 
 POLL_MS = 300
 UNSETTLED_PAUSE_MS = 2_000
+# Time between two looks at a lease that another host holds.
+FOLLOW_MS = 500
 # An own write that took effect unnoticed, a call that was sent twice, and one more.
 WRITE_TRIES = 3
 
@@ -160,6 +162,10 @@
         if self.eras.era is None or now < self.check_after:
             return False
         if not lease.may_be_abandoned(self.current, self._claim(), rank, now):
+            if self.current is not None and self.current.open:
+                # Its holder may leave it to others.
+                self.check_after = now + FOLLOW_MS
+                await self.read()
             return False
         self.check_after = now + POLL_MS
         era, seen = self.eras.era, self.current
--- a/src/apricotshore/pooling/primary_changer.py
+++ b/src/apricotshore/pooling/primary_changer.py
@@ -317,6 +317,10 @@
             return
         if unfinished and attempt.requested is None and not await self._settle(attempt):
             return
+        if work.promotion.is_unanswered:
+            # Carried out later, it would have this server lead again after its own
+            # successor was requested.
+            await self._fence()
         if await self.lease.write(still_open=True) is None:
             self._record("ended", outcome="lease lost")
             return
--- a/src/apricotshore/pooling/promotion_request.py
+++ b/src/apricotshore/pooling/promotion_request.py
@@ -38,6 +38,8 @@
         self.mark = ""
         # Whether an earlier request may still take effect.
         self.is_repeated = False
+        # Whether a request got no answer, and may be carried out at any time.
+        self.is_unanswered = False
         self.call: asyncio.Task[bool | None] | None = None
 
     async def make(self, server: ServerId, token: FencingToken, wait_s: float) -> None:
@@ -61,6 +63,7 @@
             )
         except StoreError as error:
             self._record("promotion-unknown", server=server, why=str(error))
+            self.is_unanswered = True
             return None
 
     def observe(self) -> bool:
--- a/standins/in_memory.py
+++ b/standins/in_memory.py
@@ -148,7 +148,7 @@
         Whether a primary that has stepped down goes on to send its log, and
         acknowledges a commit that waited for a replica.
     checks_terms
-        Whether PAUSE and STEPDOWN need a term above that of the server, and change
+        Whether pauses and step-downs need a term above that of the server, and change
         nothing at a server in the other role.
     promotion_resumes
         Whether the effect of a promotion ends the pauses of all servers.
--- a/tests/pooling/test_orders_of_promotions.py
+++ b/tests/pooling/test_orders_of_promotions.py
@@ -401,24 +401,29 @@
 
 
 async def test_accepted_order_of_a_stopped_host_finds_nobody_that_acknowledges():
-    """A host may stop once its order is accepted; its holds end with it.
+    """A host is stopped once its order is accepted; its holds would end with it.
 
     The former primary crashes and leads again, and a replica restarts, 0.1 s later.
     """
     model, platform = make_group()
     host = ModelHost.make("host-0", model, platform)
-    async with writing(model):
-        await wait_until(lambda: len(model.acknowledged) > 5)
-        async with running(host):
-            host.mark_leaving("s1")
-            await wait_until(lambda: platform.orders)
+
+    async def lead_again() -> None:
+        await asyncio.sleep(0.1)
         assert not model.promotions
         target = platform.orders[0][1]
         other = S2 if target == S3 else S3
-        await asyncio.sleep(0.1)
         model.servers[S1].is_primary = True
         model.servers[other].paused_term = 0
         model.servers[target].receive_s = RECEIVE_S
+
+    async with writing(model):
+        await wait_until(lambda: len(model.acknowledged) > 5)
+        async with running(host):
+            host.mark_leaving("s1")
+            await wait_until(lambda: platform.orders)
+            event = asyncio.create_task(lead_again())
+        await event
         await wait_for_effects(model, 1)
     assert model.lost == []
 
