Add rounds of changes of all groups at once to the soak

Cause: the soak faults one group at a time and never stops all hosts amid changes, and its servers see two to six promotions a seed.

`python -v` shows that the hosts of each tree import that tree's packages only.

--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -7,6 +7,7 @@
 from pathlib import Path
 
 from .changes import ALL_KINDS
+from .fleet import ROOT
 from .run import Result, run_seed
 
 
@@ -31,14 +32,23 @@
     parser.add_argument("--first", type=int, help="first seed; random if not given")
     parser.add_argument("--seeds", type=int, default=1)
     parser.add_argument("--seconds", type=float, default=20.0)
-    parser.add_argument("--hosts", type=int, default=3)
-    parser.add_argument("--groups", type=int, default=2)
+    parser.add_argument("--hosts", type=int, help="3; 6 in rounds")
+    parser.add_argument("--groups", type=int, help="2; 3 in rounds")
     parser.add_argument("--callers", type=int, default=24)
     parser.add_argument("--connections", type=int, default=40)
     parser.add_argument("--jobs", type=int, default=2)
     parser.add_argument("--restores", action="store_true")
     parser.add_argument("--releases", action="store_true")
     parser.add_argument("--changes", nargs="?", const=ALL_KINDS, default="")
+    parser.add_argument(
+        "--rounds",
+        type=int,
+        default=0,
+        help="change all primaries and stop all hosts this often, instead of faults",
+    )
+    parser.add_argument(
+        "--code", type=Path, default=ROOT, help="tree whose code the hosts run"
+    )
     parser.add_argument("--fault-pause", type=float, default=1.0)
     parser.add_argument("--folder", type=Path, default=Path("target/soak"))
     options = parser.parse_args()
@@ -53,8 +63,8 @@
                 run_seed,
                 seed,
                 options.seconds,
-                options.hosts,
-                options.groups,
+                options.hosts or (6 if options.rounds else 3),
+                options.groups or (3 if options.rounds else 2),
                 options.callers,
                 options.connections,
                 folder,
@@ -62,6 +72,8 @@
                 options.fault_pause,
                 options.releases,
                 options.changes,
+                options.rounds,
+                options.code.resolve(),
             )
             running[work] = folder
         for work in as_completed(running):
--- a/tests/soak/changes.py
+++ b/tests/soak/changes.py
@@ -92,7 +92,7 @@
     group.draw_delays(releases.random)
     try:
         await play(releases, group)
-        await _wait_until(lambda: _has_settled(cluster, group), SETTLE_S)
+        await wait_until(lambda: _has_settled(cluster, group), SETTLE_S)
     finally:
         fault.ended_at = now()
         for server in group.servers.values():
@@ -100,7 +100,7 @@
         del cluster.faulted_groups[group.name]
 
 
-async def _wait_until(is_true: Callable[[], bool], timeout_s: float) -> bool:
+async def wait_until(is_true: Callable[[], bool], timeout_s: float) -> bool:
     """Wait until a condition holds; return whether it does."""
     ends = now() + timeout_s
     while not is_true() and now() < ends:
@@ -111,7 +111,7 @@
 def _has_settled(cluster: Cluster, group: Group) -> bool:
     primary = group.find_primary()
     is_led = primary is not None and not primary.leaving
-    return is_led and not _find_holder(cluster, group)
+    return is_led and not find_holder(cluster, group)
 
 
 def _find_lease(cluster: Cluster, group: Group) -> dict[str, Any]:
@@ -122,7 +122,7 @@
     return {}
 
 
-def _find_holder(cluster: Cluster, group: Group) -> str:
+def find_holder(cluster: Cluster, group: Group) -> str:
     """Return the name of the host that holds the open lease, '' without one."""
     return _find_lease(cluster, group).get("holder", "").partition("@")[0]
 
@@ -144,7 +144,7 @@
     try:
         if not is_aimed:
             await asyncio.sleep(cut_s)
-        elif await _wait_until(lambda: not primary.is_primary, STEP_DOWN_TIMEOUT_S):
+        elif await wait_until(lambda: not primary.is_primary, STEP_DOWN_TIMEOUT_S):
             await asyncio.sleep(after_s)
             target = _find_lease(releases.cluster, group).get("target")
             replicas.sort(key=lambda s: s.name == target)
@@ -169,7 +169,7 @@
         return
     primary.leaving = True
     crash_after_s, down_s = rng.uniform(*CRASH_AFTER_S), rng.uniform(*DOWN_S)
-    if not await _wait_until(lambda: not primary.is_primary, STEP_DOWN_TIMEOUT_S):
+    if not await wait_until(lambda: not primary.is_primary, STEP_DOWN_TIMEOUT_S):
         return
     await asyncio.sleep(crash_after_s)
     primary.up = False
@@ -241,7 +241,7 @@
     for share in HIT_SHARES:
         if rng.random() >= share or not kinds:
             return
-        while (name := _find_holder(cluster, group)) in ("", *done):
+        while (name := find_holder(cluster, group)) in ("", *done):
             await asyncio.sleep(POLL_S)
         done.append(name)
         await asyncio.sleep(rng.uniform(*HIT_AFTER_S))
--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -75,6 +75,8 @@
     ----------
     folder
         Folder of its settings and its log.
+    code
+        Tree whose code it runs.
     store_proxy
         Proxy through which it reaches the store.
     caller_proxy, peer_proxy
@@ -92,6 +94,7 @@
     caller_proxy: TcpProxy
     ready_port: int
     peer_proxy: TcpProxy
+    code: Path = ROOT
     server_proxies: dict[str, TcpProxy] = field(default_factory=dict)
     process: asyncio.subprocess.Process | None = None
     restarts: int = 0
@@ -125,12 +128,14 @@
     async def keep_running(self) -> None:
         """Start the process, and restart it whenever it ends."""
         environment = {**os.environ, "APRICOTSHORE_SETTINGS": str(self.path)}
+        # The entry point finds the packages of its own tree, and no others may be seen.
+        environment.pop("PYTHONPATH", None)
         log = (self.folder / f"{self.name}.log").open("ab")
         while True:
             self.killed = self.stopping = False
             self.process = await asyncio.create_subprocess_exec(
                 sys.executable,
-                str(ROOT / "platform" / "serve.py"),
+                str(self.code / "platform" / "serve.py"),
                 env=environment,
                 stdout=log,
                 stderr=log,
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -12,11 +12,12 @@
 from .changes import change_primaries
 from .faultlog import FaultLog
 from .faults import Cluster, inject_faults
-from .fleet import GRACE_S, Host, find_free_port
+from .fleet import GRACE_S, ROOT, Host, find_free_port
 from .model import Checker, Group, Leeway, Server, now
 from .operator import Operator
 from .releases import Releases, replace_servers
 from .restores import restore_store
+from .rounds import play_rounds
 from .servers import LineServer
 from .store import Store, StoreMode
 from .tcpproxy import TcpProxy
@@ -34,6 +35,7 @@
     own_delays=True,
     promotion_s=(0.4, 1.0),
 )
+ROUNDS_LEEWAY = CHANGES_LEEWAY
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -70,6 +72,11 @@
         Mean time between two faults of other kinds; 0 for none of them.
     folder
         Folder of the settings and the logs.
+    rounds
+        Number of rounds in which the primaries of all groups change and all hosts are
+        stopped, in place of other faults; 0 for none of them.
+    code
+        Tree whose code the hosts run.
     """
 
     def __init__(
@@ -85,11 +92,15 @@
         changes: str,
         fault_pause_s: float,
         folder: Path,
+        rounds: int = 0,
+        code: Path = ROOT,
     ) -> None:
         self.seed = seed
         self.callers = callers
         self.connections = connections
         self.folder = folder
+        self.rounds = rounds
+        self.code = code
         self.random = random.Random(seed)
         self.checker = Checker()
         self.record = Record()
@@ -105,7 +116,7 @@
                 zones=ZONES,
                 checker=self.checker,
                 random=random.Random(f"{seed}{name}"),
-                leeway=CHANGES_LEEWAY if changes else Leeway(),
+                leeway=_choose_leeway(changes, rounds),
             )
             for name in (f"g{i}" for i in range(groups))
         }
@@ -153,7 +164,7 @@
             restores = asyncio.create_task(self._restore_store())
             releases = asyncio.create_task(self._replace_servers(cluster))
             primaries = asyncio.create_task(self._change_primaries(cluster))
-            injected = await inject_faults(cluster, seconds, self.fault_pause_s)
+            injected = await self._inject_faults(cluster, seconds)
             await _end(changes)
             await _end(restores)
             await _end(releases)
@@ -183,6 +194,12 @@
             folder=self.folder,
         )
 
+    async def _inject_faults(self, cluster: Cluster, seconds: float) -> list[str]:
+        if self.rounds:
+            releases = self._make_releases(cluster, "rounds")
+            return await play_rounds(releases, self.rounds)
+        return await inject_faults(cluster, seconds, self.fault_pause_s)
+
     async def _restore_store(self) -> None:
         if self.restores:
             rng = random.Random(f"{self.seed}restores")
@@ -298,6 +315,7 @@
             caller_proxy=caller_proxy,
             ready_port=find_free_port(),
             peer_proxy=peer_proxy,
+            code=self.code,
         )
         self.store.addresses[("", name)] = f"127.0.0.1:{peer_proxy.port}"
         for server in self.servers:
@@ -394,6 +412,13 @@
                 await process.wait()
 
 
+def _choose_leeway(changes: str, rounds: int) -> Leeway:
+    """Return what servers may do in this run."""
+    if rounds:
+        return ROUNDS_LEEWAY
+    return CHANGES_LEEWAY if changes else Leeway()
+
+
 async def _end(task: asyncio.Task[None]) -> None:
     """Cancel a task and raise its error if it had failed before."""
     task.cancel()
@@ -428,6 +453,8 @@
     fault_pause_s: float = 1.0,
     releases: bool = False,
     changes: str = "",
+    rounds: int = 0,
+    code: Path = ROOT,
 ) -> Result:
     """Run one seed and return its result."""
     where = folder or Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
@@ -443,5 +470,7 @@
         changes=changes,
         fault_pause_s=fault_pause_s,
         folder=where,
+        rounds=rounds,
+        code=code,
     )
     return asyncio.run(soak.run(seconds))
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from .compare import count_violations
 from .run import Result, run_seed
 
 MAX_PARALLEL = 3
@@ -24,12 +25,14 @@
     seed: int
     seconds: float = SECONDS
     hosts: int = 3
+    groups: int = 2
     callers: int = 24
     connections: int = 40
     restores: bool = False
     releases: bool = False
     changes: str = ""
     fault_pause_s: float = 1.0
+    rounds: int = 0
     cause: str = ""
 
     def run(self, folder) -> Result:
@@ -38,6 +41,7 @@
             self.seed,
             self.seconds,
             hosts=self.hosts,
+            groups=self.groups,
             callers=self.callers,
             connections=self.connections,
             folder=folder,
@@ -45,6 +49,7 @@
             releases=self.releases,
             changes=self.changes,
             fault_pause_s=self.fault_pause_s,
+            rounds=self.rounds,
         )
 
 
@@ -55,6 +60,7 @@
     Case(seed=34, seconds=25.0, restores=True, fault_pause_s=6.0),
     Case(seed=32, seconds=12.0, hosts=6, connections=10, restores=True),
     Case(seed=41, seconds=16.0, releases=True, fault_pause_s=6.0),
+    Case(seed=51, hosts=4, groups=3, rounds=2),
     Case(
         seed=983,
         seconds=18.0,
@@ -105,3 +111,26 @@
     result = results[case.seed]
     assert result.violations == [], case.cause
     assert result.served > 300
+
+
+def test_comparison_counts_commits_promotions_and_other_violations(tmp_path):
+    result = Result(
+        seed=1,
+        violations=[
+            "1.0 LOST: g0-2 became primary of term 3 with (2, 5), without 2: "
+            "(2, 6) by g0-1 with g0-3; (2, 7) by g0-1 with g0-3",
+            "2.0 LOST: g1-2 became primary of term 2 with (1, 5), without 1: "
+            "(1, 6) by g1-1 with g1-3",
+            "3.0 LOST: 3-17 was acknowledged",
+            "4.000 RECOVER: [('h0', 'g1')] not served",
+        ],
+        served=10,
+        promotions=4,
+        restarts=0,
+        injected=[],
+        folder=tmp_path,
+    )
+    tally = count_violations(result)
+    assert (tally.lost_commits, tally.losing_promotions) == (3, 2)
+    assert (tally.losing_runs, tally.promotions) == (1, 4)
+    assert tally.others == {"LOST-TO-CALLER": 1, "RECOVER": 1}
