Let leaving primaries of the rounds be replaced, and longer faults outlast the hosts

Cause: on the platform a primary that leaves ends, and its log goes to a new server, also when no host runs. A host that is stopped drains for 6 s, so faults of at most 5 s were over before the next hosts began.

Change: half the leaving primaries are replaced after 7 to 9 s; faults last up to 7 s.

--- a/tests/soak/rounds.py
+++ b/tests/soak/rounds.py
@@ -12,6 +12,7 @@
 from .changes import cut_primary, find_holder, wait_until
 from .faultlog import Fault
 from .faults import Cluster
+from .fleet import LEAVE_S
 from .model import Group, now
 from .releases import Event, Releases
 
@@ -20,7 +21,9 @@
 STOP_SPACINGS_S = (0.0, 0.1)
 STOP_SIGNALS = (signal.SIGTERM, signal.SIGTERM, signal.SIGKILL)
 START_SPREAD_S = (0.0, 0.2)
-AWAY_S = (1.0, 5.0)
+AWAY_S = (1.0, 7.0)
+REPLACED_SHARE = 0.5
+DRAIN_S = (LEAVE_S, LEAVE_S + 2.0)
 LEAVE_TIMEOUT_S = 8.0
 SETTLE_TIMEOUT_S = 10.0
 # Callers write in peace for this long, so that each round begins with new commits.
@@ -153,11 +156,19 @@
 
 
 async def leave(releases: Releases, group: Group) -> None:
-    """Have the primary leave."""
+    """Have the primary leave; it may stay after all, or be replaced in time."""
+    rng = releases.random
+    is_replaced, drain_s = rng.random() < REPLACED_SHARE, rng.uniform(*DRAIN_S)
     primary = group.find_primary()
-    if primary is not None:
-        primary.leaving = True
+    if primary is None:
+        return
+    primary.leaving = True
+    if not is_replaced:
         await wait_until(lambda: not primary.is_primary, LEAVE_TIMEOUT_S)
+        return
+    await asyncio.sleep(drain_s)
+    await releases.cluster.replace_server(group, primary)
+    group.checker.add_note(f"{primary.name} has left")
 
 
 async def crash(releases: Releases, group: Group) -> None:
