Let servers of the soak learn a promotion each in its own time

Cause: the soak's servers shared one memory: one term, a promotion that all learnt in one instant, commands that took no slot and were carried out at once.

Change: fields of Leeway, off by default, and REAL_LEEWAY, which turns them on: own terms and log numbers, late learning (strict or lax former primaries, the latter's acknowledgements after the effect as LATE-ACK), what ends a pause and what raises a term, BUSY after a roll-back and without a slot, late commands and answers, the platform's idea of the present primary. Effects, learnings, pauses, resumes and step-downs are noted.

--- a/tests/soak/model.py
+++ b/tests/soak/model.py
@@ -17,6 +17,11 @@
 MAX_RECEIVE_PAUSE_S = 0.03
 # Delay from a commit to its receipt, of each replica its own.
 RECEIVE_DELAY_S = (0.001, 0.06)
+# Delay until a server learns a promotion, of most servers and of the others.
+LEARNING_S = (0.0, 0.1)
+LONG_LEARNING_S = (0.1, 0.4)
+LONG_LEARNING_SHARE = 0.2
+ROLL_BACK_S = (0.05, 0.3)
 
 
 def now() -> float:
@@ -66,12 +71,61 @@
         Whether each replica receives at a delay of its own.
     promotion_s
         Range of the time from an order to its effect.
+    own_terms
+        Whether each server but the promoted one learns a promotion at a time of its
+        own, shows its own term, numbers its own log, and takes nothing up again that
+        it had before a crash. Otherwise all learn at the effect.
+    leads_until_learnt
+        Whether a former primary goes on leading, with the replicas that have not
+        learnt either, until it learns that another server was promoted. Otherwise
+        it loses the lead at the effect, and only its term is late.
+    learning_ends_pauses
+        Whether a server that learns a promotion ends its pause.
+    step_down_raises_term, pause_raises_term
+        Whether a server takes the term of a STEPDOWN or a PAUSE for its newest.
+    terms_above_servers
+        Whether the next term is above the terms of all servers. Otherwise the
+        platform counts by itself.
+    promotes_stepped_down
+        Whether a primary that has stepped down can be promoted like any other.
+        Otherwise it is the present primary until another server is promoted.
+    roll_back_is_busy
+        Whether a server is busy for a moment after it has rolled commits back.
+    commands_take_slots
+        Whether commands take a slot, and are refused when none is free.
+    slots
+        Number of statements that a server runs at a time.
+    work_s
+        Range of the time that a statement takes.
+    late_answer_share, late_command_share
+        Share of commands that are answered long after they were carried out, and that
+        are carried out long after they arrived, though nobody waits any more.
+    late_promotion_share
+        Share of promotions that are answered long after they were accepted.
+    first_term, first_number
+        Term and number of the log at the start.
     """
 
     delivers_after_step_down: bool = False
     leads_after_crash: bool = False
     own_delays: bool = False
     promotion_s: tuple[float, float] = (PROMOTION_S, PROMOTION_S)
+    own_terms: bool = False
+    leads_until_learnt: bool = False
+    learning_ends_pauses: bool = False
+    step_down_raises_term: bool = False
+    pause_raises_term: bool = False
+    terms_above_servers: bool = False
+    promotes_stepped_down: bool = True
+    roll_back_is_busy: bool = False
+    commands_take_slots: bool = False
+    slots: int = 4
+    work_s: tuple[float, float] = (0.0, 0.004)
+    late_answer_share: float = 0.0
+    late_command_share: float = 0.0
+    late_promotion_share: float = 0.0
+    first_term: int = 1
+    first_number: int = 1
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -155,6 +209,16 @@
         Factor by which statements take longer.
     unlisted
         Whether the store lacks its entry although it runs.
+    term
+        Newest term that it knows, as it shows it.
+    followed_term
+        Term whose primary it is, or receives from; 0 until its group knows it.
+    learns_at
+        When it learns the newest promotion, None once it has.
+    busy_until
+        End of the time in which it refuses everything after a roll-back.
+    restarts
+        Number of times that it crashed and came back.
     """
 
     name: str
@@ -178,6 +242,11 @@
     down_since: float = 0.0
     next_receive_at: float = 0.0
     receive_delay_s: float = 0.0
+    term: int = 0
+    followed_term: int = 0
+    learns_at: float | None = None
+    busy_until: float = 0.0
+    restarts: int = 0
 
     @property
     def position(self) -> tuple[int, int]:
@@ -214,43 +283,99 @@
         self.leeway = leeway
         self.random = random
         self.checker = checker
-        self.term = 1
-        self.indexes = itertools.count(1)
+        # Term of the newest promotion, as the platform counts.
+        self.term = leeway.first_term
+        self.indexes = itertools.count(leeway.first_number)
         self.servers = {
             f"{name}-{i}": Server(name=f"{name}-{i}", zone=zone)
             for i, zone in enumerate(zones, 1)
         }
         self.acknowledged: list[Acknowledgement] = []
         self.promotions = 0
+        self.promoted_at = 0.0
         # The server that leads this term, or led it until it stepped down.
         self.leader = next(iter(self.servers.values()))
         self.leader.is_primary = True
+        # The same for each term.
+        self.leaders = {self.term: self.leader}
+        for server in self.servers.values():
+            self.admit(server)
 
     def find_primary(self) -> Server | None:
-        """Return the primary, None when there is none."""
-        return next((s for s in self.servers.values() if s.is_primary), None)
+        """Return the primary of the newest term, None when there is none."""
+        primaries = [s for s in self.servers.values() if s.is_primary]
+        return max(primaries, key=lambda s: s.followed_term, default=None)
+
+    def admit(self, server: Server) -> None:
+        """Have a new server follow the newest primary that this group had."""
+        if server.followed_term:
+            return
+        server.term = server.followed_term = self.term
+        if self.leeway.own_terms:
+            self._roll_back(server)
+
+    def is_present(self, server: Server) -> bool:
+        """Return whether the platform takes a server for the present primary."""
+        is_leading = server.is_primary or not self.leeway.promotes_stepped_down
+        return server is self.leader and is_leading
+
+    # -- commands --
 
     def step_down(self, server: Server, term: int) -> None:
         """Make a primary of a lower term a replica."""
-        if term <= self.term:
+        if term <= server.term:
             return
         if server.is_primary:
-            self.checker.add_note(f"{server.name} steps down for term {term}")
+            detail = f"for term {term}, at {server.received_position}"
+            self.checker.add_note(f"{server.name} steps down {detail}")
         server.is_primary = False
+        if self.leeway.step_down_raises_term:
+            server.term = term
+
+    def pause(self, server: Server, term: int) -> None:
+        """Stop a replica from receiving, if the term is above its newest."""
+        if term <= server.term or server.is_primary:
+            return
+        if server.paused_term != term:
+            detail = f"for term {term}, at {server.received_position}"
+            self.checker.add_note(f"{server.name} pauses {detail}")
+        server.paused_term = term
+        if self.leeway.pause_raises_term:
+            server.term = term
+
+    def resume(self, server: Server) -> None:
+        """Have a paused replica receive again."""
+        if server.paused_term:
+            detail = f"of term {server.term}, at {server.received_position}"
+            self.checker.add_note(f"{server.name} {detail}, is resumed")
+        server.paused_term = 0
 
     def restart(self, server: Server) -> None:
         """Start a server that crashed, with its log."""
         server.up = True
         server.paused_term = 0
+        server.restarts += 1
+        if self.leeway.own_terms:
+            if server.followed_term < self.term:
+                self._learn(server)
+            server.term = server.followed_term
         if self.leeway.leads_after_crash and server is self.leader:
             server.is_primary = True
             self.checker.add_note(f"{server.name} is back and leads term {self.term}")
 
-    def _find_source(self) -> Server | None:
-        """Return the server whose log is delivered, None without one."""
-        if self.leeway.delivers_after_step_down:
-            return self.servers.get(self.leader.name)
-        return self.find_primary()
+    # -- replication --
+
+    def _find_source(self, replica: Server) -> Server | None:
+        """Return the server from which a replica receives, None without one."""
+        leader = self.leaders[replica.followed_term]
+        if leader.name not in self.servers or leader is replica:
+            return None
+        # It may have learnt of its successor before this replica.
+        if leader.followed_term != replica.followed_term:
+            return None
+        if leader.is_primary or self.leeway.delivers_after_step_down:
+            return leader
+        return None
 
     def draw_promotion(self) -> float:
         """Return the time from an order to its effect, in seconds."""
@@ -267,13 +392,19 @@
     async def replicate(self) -> None:
         """Copy log entries to the replicas until cancelled."""
         while True:
-            source = self._find_source()
-            for server in self.servers.values():
-                self._apply(server)
-                if source is not None and server is not source:
-                    self._receive(source, server)
+            self.advance()
             await asyncio.sleep(REPLICATION_PERIOD_S)
 
+    def advance(self) -> None:
+        """Have each server learn, apply and receive what is due."""
+        for server in self.servers.values():
+            if server.up and server.learns_at is not None and server.learns_at <= now():
+                self._learn(server)
+            self._apply(server)
+            source = self._find_source(server)
+            if source is not None:
+                self._receive(source, server)
+
     def _receive(self, primary: Server, replica: Server) -> None:
         linked = (
             primary.up
@@ -302,8 +433,8 @@
     async def commit(self, server: Server, writes: tuple[str, ...]) -> bool:
         """Append a commit and return whether a replica acknowledged it."""
         entry = Entry(
-            term=self.term,
-            index=next(self.indexes),
+            term=server.followed_term,
+            index=self._number_commit(server),
             writes=writes,
             committed_at=now(),
         )
@@ -316,51 +447,119 @@
             ]
             if receivers:
                 server.applied = max(server.applied, at)
-                self.acknowledged.append(
-                    Acknowledgement(
-                        at=now(),
-                        entry=entry,
-                        server=server.name,
-                        receivers=tuple(receivers),
-                        after_step_down=not server.is_primary,
-                    )
+                acknowledgement = Acknowledgement(
+                    at=now(),
+                    entry=entry,
+                    server=server.name,
+                    receivers=tuple(receivers),
+                    after_step_down=not server.is_primary,
                 )
+                if entry.term == self.term:
+                    self.acknowledged.append(acknowledgement)
+                else:
+                    self._record_late_acknowledgement(acknowledgement)
                 return True
             await asyncio.sleep(REPLICATION_PERIOD_S)
         return False
 
+    def _number_commit(self, server: Server) -> int:
+        if not self.leeway.own_terms:
+            return next(self.indexes)
+        return server.log[-1].index + 1 if server.log else self.leeway.first_number
+
     def _may_acknowledge(self, server: Server, entry: Entry) -> bool:
         if not server.up or server.silent:
             return False
-        if self.leeway.delivers_after_step_down:
-            return entry.term == self.term
-        return server.is_primary
+        known = server.followed_term if self.leeway.leads_until_learnt else self.term
+        if entry.term != known:
+            return False
+        return server.is_primary or self.leeway.delivers_after_step_down
+
+    def _record_late_acknowledgement(self, late: Acknowledgement) -> None:
+        entry = late.entry
+        self.checker.add_violation(
+            "LATE-ACK",
+            f"{self.leader.name} was primary of term {self.term}, without 1: "
+            f"{entry.position} {'+'.join(entry.writes)} by {late.server} with "
+            f"{'+'.join(late.receivers)}, {late.at - self.promoted_at:.3f} s after the "
+            f"effect and {late.at - entry.committed_at:.3f} s after its start"
+            f"{', after the step-down' * late.after_step_down}",
+        )
+
+    # -- promotions --
 
     def promote(self, name: str) -> None:
         """Make a server the primary of the next term, with the log it has received."""
         target = self.servers.get(name)
-        if target is None or not target.up or target.is_primary:
+        if target is None or not target.up or self.is_present(target):
             return
-        self.term += 1
+        former, former_term = self.leader, self.term
+        self.term = self._find_next_term()
         self.promotions += 1
-        self.leader = target
+        self.promoted_at = now()
+        self.leader = self.leaders[self.term] = target
         held = {id(entry) for entry in target.log}
         lost = [a for a in self.acknowledged if id(a.entry) not in held]
         if lost:
             self.checker.add_violation("LOST", self._describe_loss(target, lost))
             self.acknowledged = [a for a in self.acknowledged if id(a.entry) in held]
-        self.checker.add_note(f"{name} leads term {self.term}")
-        for server in self.servers.values():
-            server.is_primary = server is target
-            shared = 0
-            for mine, theirs in zip(server.log, target.log, strict=False):
-                if mine is not theirs:
-                    break
-                shared += 1
-            server.truncate(shared)
+        self.checker.add_note(
+            f"{name} leads term {self.term}, at {target.received_position}; "
+            f"{former.name} led term {former_term}, at {former.received_position}"
+        )
+        target.is_primary = True
+        target.term = target.followed_term = self.term
+        target.learns_at = None
         target.paused_term = 0
         target.applied = len(target.log)
         target.scheduled_applies.clear()
+        for server in self.servers.values():
+            if server is target:
+                continue
+            if not self.leeway.own_terms:
+                self._learn(server)
+                continue
+            server.learns_at = now() + self._draw_learning()
+            if not self.leeway.leads_until_learnt:
+                server.is_primary = False
+
+    def _find_next_term(self) -> int:
+        if not self.leeway.terms_above_servers:
+            return self.term + 1
+        return max(self.term, *(s.term for s in self.servers.values())) + 1
+
+    def _draw_learning(self) -> float:
+        is_long = self.random.random() < LONG_LEARNING_SHARE
+        return self.random.uniform(*(LONG_LEARNING_S if is_long else LEARNING_S))
+
+    def _learn(self, server: Server) -> None:
+        """Have a server learn the newest promotion, and follow its primary."""
+        server.learns_at = None
+        server.is_primary = False
+        server.followed_term = self.term
+        server.term = max(server.term, self.term)
+        dropped = self._roll_back(server)
+        if self.leeway.learning_ends_pauses:
+            server.paused_term = 0
+        if not self.leeway.own_terms:
+            return
+        if dropped and self.leeway.roll_back_is_busy:
+            server.busy_until = now() + self.random.uniform(*ROLL_BACK_S)
+        self.checker.add_note(
+            f"{server.name} learns term {self.term}, at {server.received_position}, "
+            f"{dropped} rolled back, paused {server.paused_term}"
+        )
+
+    def _roll_back(self, server: Server) -> int:
+        """Drop what the newest primary's log lacks; return how many commits."""
+        shared = 0
+        for mine, theirs in zip(server.log, self.leader.log, strict=False):
+            if mine is not theirs:
+                break
+            shared += 1
+        dropped = len(server.log) - shared
+        server.truncate(shared)
+        return dropped
 
     def _describe_loss(self, target: Server, lost: list[Acknowledgement]) -> str:
         """Return who lost what, and who had acknowledged and received it."""
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -34,6 +34,25 @@
     own_delays=True,
     promotion_s=(0.4, 1.0),
 )
+# Servers as processes of their own, each with what it has learnt so far.
+REAL_LEEWAY = Leeway(
+    delivers_after_step_down=True,
+    leads_after_crash=True,
+    own_delays=True,
+    promotion_s=(0.4, 1.0),
+    own_terms=True,
+    learning_ends_pauses=True,
+    step_down_raises_term=True,
+    terms_above_servers=True,
+    promotes_stepped_down=False,
+    roll_back_is_busy=True,
+    commands_take_slots=True,
+    slots=3,
+    work_s=(0.005, 0.03),
+    late_answer_share=0.05,
+    late_command_share=0.02,
+    late_promotion_share=0.1,
+)
 
 
 @dataclass(frozen=True, kw_only=True)
--- a/tests/soak/servers.py
+++ b/tests/soak/servers.py
@@ -6,10 +6,13 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
-from .model import Checker, Group, SentStatement, Server
+from .model import Checker, Group, SentStatement, Server, now
 
-SLOTS = 4
-MAX_WORK_S = 0.004
+COMMANDS = ("STATUS", "PAUSE", "RESUME", "STEPDOWN")
+# Time that a command takes of its slot.
+COMMAND_S = 0.002
+# Lateness of a command, and of the answer to one.
+LATE_S = (0.05, 0.5)
 HANG_POLL_S = 0.05
 HANDSHAKE_S = 0.005
 
@@ -60,7 +63,9 @@
         self.checker = checker
         self.connections = connections
         self.random = random
-        self.slots = asyncio.Semaphore(SLOTS)
+        self.leeway = group.leeway
+        self.slots = asyncio.Semaphore(self.leeway.slots)
+        group.admit(server)
         self.writers: set[asyncio.StreamWriter] = set()
         self.transaction_connections: dict[int, int] = {}
         self.port = 0
@@ -151,11 +156,13 @@
         verb, _, rest = text.partition(" ")
         if connection.failed and verb != "ROLLBACK":
             return (), "ERROR MALFORMED failed transaction"
+        restarts = self.server.restarts
         if verb in ("READ", "WRITE", "EXECUTE", "COMMIT"):
             async with self.slots:
-                work = MAX_WORK_S * self.random.random() * self.server.slowness
+                work = self.random.uniform(*self.leeway.work_s) * self.server.slowness
                 await asyncio.sleep(work)
-                if self.random.random() < self.server.busy_share:
+                self._check_running(restarts)
+                if self.random.random() < self.server.busy_share or self._is_busy():
                     return (), "ERROR BUSY"
                 if not self._check_statement(connection, request, verb, rest):
                     return (), "ERROR FAILED"
@@ -173,8 +180,45 @@
         if handler is None:
             self.checker.add_violation("UNASKED", f"unknown statement {text!r}")
             return (), "ERROR MALFORMED"
+        if verb in COMMANDS and self.leeway.commands_take_slots:
+            return await self._run_command(lambda: handler(connection, rest))
+        if verb == "BEGIN" and self._is_busy():
+            return (), "ERROR BUSY"
         return handler(connection, rest)
 
+    async def _run_command(
+        self, carry_out: Callable[[], tuple[tuple[str, ...], str]]
+    ) -> tuple[tuple[str, ...], str]:
+        restarts = self.server.restarts
+        if not await self._take_slot():
+            return (), "ERROR BUSY"
+        self._check_running(restarts)
+        answer = carry_out()
+        if self.random.random() < self.leeway.late_answer_share:
+            await asyncio.sleep(self.random.uniform(*LATE_S))
+        return answer
+
+    async def _take_slot(self) -> bool:
+        """Run a command up to its effect; return False when no slot is free for it."""
+        if self.random.random() < self.leeway.late_command_share:
+            await asyncio.sleep(self.random.uniform(*LATE_S))
+            await self._wait_while_silent()
+        if self.slots.locked() or self._is_busy():
+            return False
+        async with self.slots:
+            await asyncio.sleep(COMMAND_S * self.random.random())
+        return True
+
+    def _is_busy(self) -> bool:
+        """Return whether the server is busy after a roll-back."""
+        return now() < self.server.busy_until
+
+    def _check_running(self, restarts: int) -> None:
+        """Raise if the server has crashed since it had restarted so many times."""
+        has_crashed = self.server.restarts != restarts or not self.server.up
+        if self.leeway.own_terms and has_crashed:
+            raise ConnectionResetError
+
     def _check_statement(
         self, connection: Connection, request: str, verb: str, rest: str
     ) -> bool:
@@ -253,7 +297,12 @@
         return (), f"COMPLETE {self.checker.issue_receipt(request, ())}"
 
     async def _hang(self, connection: Connection) -> None:
-        """Wait without an answer until the peer closes the connection."""
+        """Wait without an answer until the peer closes the connection.
+
+        Servers that lose the lead in their own time don't keep a slot for it.
+        """
+        if self.leeway.own_terms:
+            connection.writer.transport.abort()
         while not (connection.reader.at_eof() or connection.writer.is_closing()):
             await asyncio.sleep(HANG_POLL_S)
         raise ConnectionResetError
@@ -270,7 +319,7 @@
                 await self._hang(connection)
         return (), f"COMPLETE {self.checker.issue_receipt(request, ())}"
 
-    # -- statements that take no slot; _run finds them by name --
+    # -- statements and commands; _run finds them by name --
 
     def _do_begin(self, connection: Connection, rest: str):
         if rest != "READ" and not self.server.is_primary:
@@ -303,16 +352,15 @@
         server = self.server
         role = "primary" if server.is_primary else "replica"
         received = "{}.{}".format(*server.received_position)
-        row = f"{role} {self.group.term} {received} {server.paused_term} 0 0 0"
+        row = f"{role} {server.term} {received} {server.paused_term} 0 0 0"
         return (row,), "COMPLETE -"
 
     def _do_pause(self, connection: Connection, rest: str):
-        if int(rest) > self.group.term and not self.server.is_primary:
-            self.server.paused_term = int(rest)
+        self.group.pause(self.server, int(rest))
         return self._do_status(connection, rest)
 
     def _do_resume(self, connection: Connection, rest: str):
-        self.server.paused_term = 0
+        self.group.resume(self.server)
         return self._do_status(connection, rest)
 
     def _do_stepdown(self, connection: Connection, rest: str):
--- a/tests/soak/store.py
+++ b/tests/soak/store.py
@@ -14,6 +14,8 @@
 PROMOTION_DELAY_S = (1.0, 4.0)
 SILENCE_S = 60.0
 SLOW_ANSWER_S = 0.4
+# From a promotion that was accepted to an answer that comes late.
+LATE_PROMOTION_S = (0.1, 1.5)
 ANSWER_S = 0.004
 WATCH_POLL_S = 0.01
 LEASES = "handovers"
@@ -284,9 +286,11 @@
         if self.late_promotions:
             self._spawn(self._promote_late(*promotion))
             await asyncio.sleep(SILENCE_S)
-        return web.json_response(
-            {}, status=200 if self._accept_promotion(*promotion) else 409
-        )
+        status = 200 if self._accept_promotion(*promotion) else 409
+        late_share = self.groups[body["service"]].leeway.late_promotion_share
+        if late_share and self.random.random() < late_share:
+            await asyncio.sleep(self.random.uniform(*LATE_PROMOTION_S))
+        return web.json_response({}, status=status)
 
     async def _promote_late(self, *promotion: Any) -> None:
         await asyncio.sleep(self.random.uniform(*PROMOTION_DELAY_S))
@@ -308,7 +312,7 @@
                 "ONE", f"{accepted_holder} and {holder} promote with {token}"
             )
         self.tokens[service] = (token, holder)
-        if not server.is_primary:
+        if not group.is_present(server):
             self._spawn(self._finish_promotion(group, name))
         return True
 
