Note late commands of the soak's servers, and test two more lines

Change: a note for each PAUSE, RESUME and STEPDOWN carried out late; the tests of both lines ask for what they missed.

--- a/tests/soak/servers.py
+++ b/tests/soak/servers.py
@@ -181,28 +181,33 @@
             self.checker.add_violation("UNASKED", f"unknown statement {text!r}")
             return (), "ERROR MALFORMED"
         if verb in COMMANDS and self.leeway.commands_take_slots:
-            return await self._run_command(lambda: handler(connection, rest))
+            return await self._run_command(verb, lambda: handler(connection, rest))
         if verb == "BEGIN" and self._is_busy():
             return (), "ERROR BUSY"
         return handler(connection, rest)
 
     async def _run_command(
-        self, carry_out: Callable[[], tuple[tuple[str, ...], str]]
+        self, verb: str, carry_out: Callable[[], tuple[tuple[str, ...], str]]
     ) -> tuple[tuple[str, ...], str]:
         restarts = self.server.restarts
+        late_s = 0.0
+        if self.random.random() < self.leeway.late_command_share:
+            late_s = self.random.uniform(*LATE_S)
+            await asyncio.sleep(late_s)
+            await self._wait_while_silent()
         if not await self._take_slot():
             return (), "ERROR BUSY"
         self._check_running(restarts)
+        if late_s and verb != "STATUS":
+            name = self.server.name
+            self.checker.add_note(f"{name} carries out {verb} {late_s:.3f} s late")
         answer = carry_out()
         if self.random.random() < self.leeway.late_answer_share:
             await asyncio.sleep(self.random.uniform(*LATE_S))
         return answer
 
     async def _take_slot(self) -> bool:
-        """Run a command up to its effect; return False when no slot is free for it."""
-        if self.random.random() < self.leeway.late_command_share:
-            await asyncio.sleep(self.random.uniform(*LATE_S))
-            await self._wait_while_silent()
+        """Occupy a slot up to a command's effect; return False when none is free."""
         if self.slots.locked() or self._is_busy():
             return False
         async with self.slots:
--- a/tests/soak/test_model.py
+++ b/tests/soak/test_model.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from .model import LONG_LEARNING_S, ROLL_BACK_S, Checker, Group, Leeway
+from .model import LONG_LEARNING_S, ROLL_BACK_S, Checker, Group, Leeway, Server
 from .run import REAL_LEEWAY
 from .servers import Connection, LineServer
 from .store import Store
@@ -190,12 +190,16 @@
         assert group.term == group.servers["g-2"].term == expected
 
 
-def test_server_that_joins_follows_the_newest_primary(clock):
+async def test_server_that_joins_follows_the_newest_primary(clock):
     group = make_group(REAL_LEEWAY)
+    deafen(group, "g-2")
+    assert await commit(group, "g-1", "w")
     group.promote("g-2")
-    new = replace(group.servers["g-3"], name="g-4", term=0, followed_term=0)
+    new = Server(name="g-4", zone="a", log=list(group.servers["g-1"].log), applied=1)
     group.admit(new)
     assert new.term == new.followed_term == 2
+    assert new.log == []
+    assert new.applied == 0
 
 
 # -- the former primary --
@@ -250,14 +254,14 @@
     group = make_group(LAX)
     promote_slowly(group, "g-2", {"g-1": 0.0, "g-3": 0.3})
     group.advance()
-    waiting = asyncio.create_task(group.commit(group.servers["g-2"], ("new",)))
-    await asyncio.sleep(0)
-    deafen(group, "g-1")
+    assert await commit(group, "g-2", "new")
+    clock.at_s += 0.1
     group.advance()
+    assert [e.writes for e in group.servers["g-1"].log] == [("new",)]
     assert group.servers["g-3"].log == []
     clock.at_s += 0.4
     group.advance()
-    assert await asyncio.wait_for(waiting, WAIT_S)
+    assert [e.writes for e in group.servers["g-3"].log] == [("new",)]
 
 
 async def test_commit_that_the_promoted_server_lacks_is_lost(clock):
