--- a/tests/soak/model.py
+++ b/tests/soak/model.py
@@ -100,6 +100,10 @@
     late_answer_share, late_command_share
         Share of commands that are answered long after they were carried out, and that
         are carried out long after they arrived, though nobody waits any more.
+    target_stops_receiving
+        Whether a server receives nothing more once its promotion is accepted.
+    commits_after_step_down
+        Whether a statement that runs when its primary steps down still commits.
     late_promotion_share
         Share of promotions that are answered long after they were accepted.
     first_term, first_number
@@ -123,6 +127,8 @@
     work_s: tuple[float, float] = (0.0, 0.004)
     late_answer_share: float = 0.0
     late_command_share: float = 0.0
+    target_stops_receiving: bool = False
+    commits_after_step_down: bool = False
     late_promotion_share: float = 0.0
     first_term: int = 1
     first_number: int = 1
@@ -219,6 +225,8 @@
         End of the time in which it refuses everything after a roll-back.
     restarts
         Number of times that it crashed and came back.
+    is_ordered
+        Whether a promotion of it was accepted that has not taken effect.
     """
 
     name: str
@@ -247,6 +255,7 @@
     learns_at: float | None = None
     busy_until: float = 0.0
     restarts: int = 0
+    is_ordered: bool = False
 
     @property
     def position(self) -> tuple[int, int]:
@@ -413,6 +422,8 @@
         )
         if not linked or replica.receive_paused or replica.paused_term:
             return
+        if replica.is_ordered and self.leeway.target_stops_receiving:
+            return
         if now() < replica.next_receive_at:
             return
         missing = primary.log[len(replica.log) :]
@@ -491,6 +502,8 @@
     def promote(self, name: str) -> None:
         """Make a server the primary of the next term, with the log it has received."""
         target = self.servers.get(name)
+        if target is not None:
+            target.is_ordered = False
         if target is None or not target.up or self.is_present(target):
             return
         former, former_term = self.leader, self.term
--- a/tests/soak/servers.py
+++ b/tests/soak/servers.py
@@ -159,6 +159,7 @@
         restarts = self.server.restarts
         if verb in ("READ", "WRITE", "EXECUTE", "COMMIT"):
             async with self.slots:
+                has_led = self.server.is_primary and self.leeway.commits_after_step_down
                 work = self.random.uniform(*self.leeway.work_s) * self.server.slowness
                 await asyncio.sleep(work)
                 self._check_running(restarts)
@@ -167,7 +168,7 @@
                 if not self._check_statement(connection, request, verb, rest):
                     return (), "ERROR FAILED"
                 return await self._execute(
-                    connection, request, verb, rest, min_position
+                    connection, request, verb, rest, min_position, has_led
                 )
         if (
             verb == "BEGIN"
@@ -275,8 +276,10 @@
         verb: str,
         rest: str,
         min_position: tuple[int, int] | None,
+        has_led: bool,
     ) -> tuple[tuple[str, ...], str]:
         server = self.server
+        leads = server.is_primary or has_led
         writes = verb == "WRITE"
         if verb == "EXECUTE":
             shape = connection.prepared.get(rest.partition(" ")[0])
@@ -285,10 +288,10 @@
             writes = shape.startswith("WRITE")
         if min_position is not None and server.position < min_position:
             return (), "ERROR LAGGING"
-        demoted = connection.transaction == "plain" and not server.is_primary
+        demoted = connection.transaction == "plain" and not leads
         if verb == "COMMIT":
-            return await self._commit(connection, request)
-        if demoted or (writes and not server.is_primary):
+            return await self._commit(connection, request, leads)
+        if demoted or (writes and not leads):
             connection.failed = bool(connection.transaction)
             return (), "ERROR READONLY"
         if not writes:
@@ -313,12 +316,12 @@
         raise ConnectionResetError
 
     async def _commit(
-        self, connection: Connection, request: str
+        self, connection: Connection, request: str, leads: bool
     ) -> tuple[tuple[str, ...], str]:
         writes, connection.writes = tuple(connection.writes), []
         connection.transaction, connection.operation = "", None
         if writes:
-            if not self.server.is_primary:
+            if not leads:
                 return (), "ERROR READONLY"
             if not await self.group.commit(self.server, writes):
                 await self._hang(connection)
--- a/tests/soak/store.py
+++ b/tests/soak/store.py
@@ -313,6 +313,7 @@
             )
         self.tokens[service] = (token, holder)
         if not group.is_present(server):
+            server.is_ordered = True
             self._spawn(self._finish_promotion(group, name))
         return True
 
