--- a/tests/soak/model.py
+++ b/tests/soak/model.py
@@ -79,6 +79,9 @@
         Whether a former primary goes on leading, with the replicas that have not
         learnt either, until it learns that another server was promoted. Otherwise
         it loses the lead at the effect, and only its term is late.
+    effect_ends_pauses
+        Whether the effect of a promotion ends the pauses of all servers, also of those
+        that learn it later.
     learning_ends_pauses
         Whether a server that learns a promotion ends its pause.
     step_down_raises_term, pause_raises_term
@@ -116,6 +119,7 @@
     promotion_s: tuple[float, float] = (PROMOTION_S, PROMOTION_S)
     own_terms: bool = False
     leads_until_learnt: bool = False
+    effect_ends_pauses: bool = False
     learning_ends_pauses: bool = False
     step_down_raises_term: bool = False
     pause_raises_term: bool = False
@@ -451,6 +455,8 @@
         )
         server.log.append(entry)
         at = len(server.log)
+        if not server.is_primary:
+            self.checker.add_note(f"{server.name} commits {entry.position} late")
         while self._may_acknowledge(server, entry):
             others = [s for s in self.servers.values() if s is not server]
             receivers = [
@@ -529,6 +535,8 @@
         for server in self.servers.values():
             if server is target:
                 continue
+            if self.leeway.effect_ends_pauses:
+                server.paused_term = 0
             if not self.leeway.own_terms:
                 self._learn(server)
                 continue
