--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -6,8 +6,8 @@
 import tempfile
 from collections.abc import Coroutine
 from dataclasses import dataclass, replace
-from typing import Any
 from pathlib import Path
+from typing import Any
 
 from .callers import Caller, Database, Record, check_writes
 from .changes import change_primaries
