--- a/tests/soak/servers.py
+++ b/tests/soak/servers.py
@@ -3,13 +3,17 @@
 import asyncio
 import itertools
 import random
-from collections.abc import Callable
+from collections.abc import AsyncIterator, Callable
+from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
 
-from .model import Checker, Group, SentStatement, Server
+from .model import Checker, Group, SentStatement, Server, now
 
-SLOTS = 4
-MAX_WORK_S = 0.004
+COMMANDS = ("STATUS", "PAUSE", "RESUME", "STEPDOWN")
+# Time that a command takes of its slot.
+COMMAND_S = 0.002
+# Lateness of a command, and of the answer to one.
+LATE_S = (0.05, 0.5)
 HANG_POLL_S = 0.05
 HANDSHAKE_S = 0.005
 
@@ -60,7 +64,10 @@
         self.checker = checker
         self.connections = connections
         self.random = random
-        self.slots = asyncio.Semaphore(SLOTS)
+        self.leeway = group.leeway
+        self.slots = asyncio.Semaphore(self.leeway.slots)
+        self.running = 0
+        group.admit(server)
         self.writers: set[asyncio.StreamWriter] = set()
         self.transaction_connections: dict[int, int] = {}
         self.port = 0
@@ -151,16 +158,19 @@
         verb, _, rest = text.partition(" ")
         if connection.failed and verb != "ROLLBACK":
             return (), "ERROR MALFORMED failed transaction"
+        restarts = self.server.restarts
         if verb in ("READ", "WRITE", "EXECUTE", "COMMIT"):
-            async with self.slots:
-                work = MAX_WORK_S * self.random.random() * self.server.slowness
+            async with self.slots, self._counted():
+                has_led = self.server.is_primary and self.leeway.commits_after_step_down
+                work = self.random.uniform(*self.leeway.work_s) * self.server.slowness
                 await asyncio.sleep(work)
-                if self.random.random() < self.server.busy_share:
+                self._check_running(restarts)
+                if self.random.random() < self.server.busy_share or self._is_busy():
                     return (), "ERROR BUSY"
                 if not self._check_statement(connection, request, verb, rest):
                     return (), "ERROR FAILED"
                 return await self._execute(
-                    connection, request, verb, rest, min_position
+                    connection, request, verb, rest, min_position, has_led
                 )
         if (
             verb == "BEGIN"
@@ -173,8 +183,59 @@
         if handler is None:
             self.checker.add_violation("UNASKED", f"unknown statement {text!r}")
             return (), "ERROR MALFORMED"
+        if verb in COMMANDS and self.leeway.commands_take_slots:
+            return await self._run_command(verb, lambda: handler(connection, rest))
+        if verb == "BEGIN" and self._is_busy():
+            return (), "ERROR BUSY"
         return handler(connection, rest)
 
+    @asynccontextmanager
+    async def _counted(self) -> AsyncIterator[None]:
+        """Count a statement that runs."""
+        self.running += 1
+        try:
+            yield
+        finally:
+            self.running -= 1
+
+    async def _run_command(
+        self, verb: str, carry_out: Callable[[], tuple[tuple[str, ...], str]]
+    ) -> tuple[tuple[str, ...], str]:
+        restarts = self.server.restarts
+        late_s = 0.0
+        if self.random.random() < self.leeway.late_command_share:
+            late_s = self.random.uniform(*LATE_S)
+            await asyncio.sleep(late_s)
+            await self._wait_while_silent()
+        if not await self._take_slot():
+            return (), "ERROR BUSY"
+        self._check_running(restarts)
+        if late_s and verb != "STATUS":
+            name = self.server.name
+            self.checker.add_note(f"{name} carries out {verb} {late_s:.3f} s late")
+        answer = carry_out()
+        if self.random.random() < self.leeway.late_answer_share:
+            await asyncio.sleep(self.random.uniform(*LATE_S))
+        return answer
+
+    async def _take_slot(self) -> bool:
+        """Occupy a slot up to a command's effect; return False when none is free."""
+        if self.slots.locked() or self._is_busy():
+            return False
+        async with self.slots:
+            await asyncio.sleep(COMMAND_S * self.random.random())
+        return True
+
+    def _is_busy(self) -> bool:
+        """Return whether the server is busy after a roll-back."""
+        return now() < self.server.busy_until
+
+    def _check_running(self, restarts: int) -> None:
+        """Raise if the server has crashed since it had restarted so many times."""
+        has_crashed = self.server.restarts != restarts or not self.server.up
+        if self.leeway.own_terms and has_crashed:
+            raise ConnectionResetError
+
     def _check_statement(
         self, connection: Connection, request: str, verb: str, rest: str
     ) -> bool:
@@ -226,8 +287,10 @@
         verb: str,
         rest: str,
         min_position: tuple[int, int] | None,
+        has_led: bool,
     ) -> tuple[tuple[str, ...], str]:
         server = self.server
+        leads = server.is_primary or has_led
         writes = verb == "WRITE"
         if verb == "EXECUTE":
             shape = connection.prepared.get(rest.partition(" ")[0])
@@ -236,10 +299,10 @@
             writes = shape.startswith("WRITE")
         if min_position is not None and server.position < min_position:
             return (), "ERROR LAGGING"
-        demoted = connection.transaction == "plain" and not server.is_primary
+        demoted = connection.transaction == "plain" and not leads
         if verb == "COMMIT":
-            return await self._commit(connection, request)
-        if demoted or (writes and not server.is_primary):
+            return await self._commit(connection, request, leads)
+        if demoted or (writes and not leads):
             connection.failed = bool(connection.transaction)
             return (), "ERROR READONLY"
         if not writes:
@@ -253,24 +316,29 @@
         return (), f"COMPLETE {self.checker.issue_receipt(request, ())}"
 
     async def _hang(self, connection: Connection) -> None:
-        """Wait without an answer until the peer closes the connection."""
+        """Wait without an answer until the peer closes the connection.
+
+        Servers that lose the lead in their own time don't keep a slot for it.
+        """
+        if self.leeway.own_terms:
+            connection.writer.transport.abort()
         while not (connection.reader.at_eof() or connection.writer.is_closing()):
             await asyncio.sleep(HANG_POLL_S)
         raise ConnectionResetError
 
     async def _commit(
-        self, connection: Connection, request: str
+        self, connection: Connection, request: str, leads: bool
     ) -> tuple[tuple[str, ...], str]:
         writes, connection.writes = tuple(connection.writes), []
         connection.transaction, connection.operation = "", None
         if writes:
-            if not self.server.is_primary:
+            if not leads:
                 return (), "ERROR READONLY"
             if not await self.group.commit(self.server, writes):
                 await self._hang(connection)
         return (), f"COMPLETE {self.checker.issue_receipt(request, ())}"
 
-    # -- statements that take no slot; _run finds them by name --
+    # -- statements and commands; _run finds them by name --
 
     def _do_begin(self, connection: Connection, rest: str):
         if rest != "READ" and not self.server.is_primary:
@@ -300,21 +368,25 @@
         return (), "COMPLETE -"
 
     def _do_status(self, connection: Connection, rest: str):
+        # A STATUS counts itself.
+        return self._report(1)
+
+    def _report(self, is_counted: int):
         server = self.server
         role = "primary" if server.is_primary else "replica"
         received = "{}.{}".format(*server.received_position)
-        row = f"{role} {self.group.term} {received} {server.paused_term} 0 0 0"
+        busy = self.running + is_counted
+        row = f"{role} {server.term} {received} {server.paused_term} 0 {busy} 0"
         return (row,), "COMPLETE -"
 
     def _do_pause(self, connection: Connection, rest: str):
-        if int(rest) > self.group.term and not self.server.is_primary:
-            self.server.paused_term = int(rest)
-        return self._do_status(connection, rest)
+        self.group.pause(self.server, int(rest))
+        return self._report(0)
 
     def _do_resume(self, connection: Connection, rest: str):
-        self.server.paused_term = 0
-        return self._do_status(connection, rest)
+        self.group.resume(self.server)
+        return self._report(0)
 
     def _do_stepdown(self, connection: Connection, rest: str):
         self.group.step_down(self.server, int(rest))
-        return self._do_status(connection, rest)
+        return self._report(0)
