Follow the lease of another host, which may leave it

Cause: a host that has no reason of its own for a change read another's lease from the list only, and would not see that it was left.

--- a/src/apricotshore/pooling/change_lease.py
+++ b/src/apricotshore/pooling/change_lease.py
@@ -68,6 +68,7 @@
         self.writes = 0
         self.held_until = 0
         self.check_after = 0
+        self.follow_after = 0
         # Era that had no lease when it was last read.
         self.absent_in: StoreEra | None = None
         # Whether the store has come back without a lease that may have been open.
@@ -162,16 +163,20 @@
         if self.eras.era is None or now < self.check_after:
             return False
         if not lease.may_be_abandoned(self.current, self._claim(), rank, now):
-            if self.current is not None and self.current.open:
-                # Its holder may leave it to others.
-                self.check_after = now + FOLLOW_MS
-                await self.read()
+            await self._follow(now)
             return False
         self.check_after = now + POLL_MS
         era, seen = self.eras.era, self.current
         await self.read()
         return self.eras.era == era and self.current is seen
 
+    async def _follow(self, now: int) -> None:
+        """Read an open lease again from time to time: it may be left to others."""
+        is_open = self.current is not None and self.current.open
+        if is_open and now >= self.follow_after:
+            self.follow_after = now + FOLLOW_MS
+            await self.read()
+
     def delay_check(self) -> None:
         """Delay the next attempt to finish a change that could not be finished."""
         self.check_after = read_boot_ms() + UNSETTLED_PAUSE_MS
