--- a/src/apricotshore/decisions/leadership.py
+++ b/src/apricotshore/decisions/leadership.py
@@ -19,6 +19,9 @@
     is_term_read
         Whether the primary's status names that term. The end of its log shows an
         earlier one until its first commit.
+    found_at
+        When the primary was first asked a question that proved its lead, in
+        milliseconds since boot.
     confirmed_at
         When the primary was last asked a question that proved its lead, in
         milliseconds since boot.
@@ -31,6 +34,7 @@
     primary: ServerId | None = None
     term: Term = Term(0)
     is_term_read: bool = False
+    found_at: int = 0
     confirmed_at: int = 0
     silent_since: int | None = None
     refused: dict[ServerId, int] = field(default_factory=dict)
@@ -96,10 +100,10 @@
     if is_outdated(state, server, term, asked_at):
         return False
     changed = state.primary != server or state.term != term
-    if state.primary in (None, server):
+    if state.primary == server:
         state.confirmed_at = max(state.confirmed_at, asked_at)
     else:
-        state.confirmed_at = asked_at
+        state.found_at = state.confirmed_at = asked_at
     state.primary = server
     state.term = term
     state.is_term_read = is_term_read or (state.is_term_read and not changed)
--- a/src/apricotshore/pooling/group_commands.py
+++ b/src/apricotshore/pooling/group_commands.py
@@ -50,14 +50,9 @@
     """
     state = group.primary_state
     # A former primary may have been sampled after the order, too.
-    first = next(
-        (
-            sample
-            for sample in group.position_history.samples
-            if sample.asked_at >= requested_at and sample.term >= state.term
-        ),
-        None,
-    )
+    since = max(requested_at, state.found_at)
+    samples = group.position_history.samples
+    first = next((sample for sample in samples if sample.asked_at >= since), None)
     seen_at = first.asked_at if first is not None else read_boot_ms()
     record_phase(
         group,
