--- a/src/apricotshore/pooling/host.py
+++ b/src/apricotshore/pooling/host.py
@@ -381,7 +381,10 @@
             self.store_watcher.configuration.version, self.eras.era
         )
         self.metrics.refresh_unresumed(
-            {name: len(changer.unresumed) for name, changer in self.changers.items()}
+            {
+                name: len(changer.resumption.unresumed)
+                for name, changer in self.changers.items()
+            }
         )
 
     def _spawn(self, work: Coroutine[None, None, None]) -> None:
--- a/src/apricotshore/pooling/primary_changer.py
+++ b/src/apricotshore/pooling/primary_changer.py
@@ -25,15 +25,12 @@
     StoreError,
 )
 from .primary_prover import is_answer, probe_server
+from .resumption import Resumption
 from .supervision import keep_running
 
 TICK_S = 0.1
 STEP_PAUSE_S = 0.05
 STORE_RETRY_S = 0.2
-RESUME_ROUNDS = 5
-RESUME_PERIOD_MS = 2_000
-# Time for paused servers to learn who leads; one may only learn it once resumed.
-LEARN_MS = 200
 # Longest wait of a stop for a promotion to take effect.
 STOP_WAIT_MS = 1_500
 # Time for a probe to confirm which server is the primary.
@@ -100,8 +97,9 @@
             record=self._record,
         )
         self.commands = GroupCommands(group=group, is_held=self.lease.is_held)
-        self.unresumed: set[ServerId] = set()
-        self.resume_tried_at = 0
+        self.resumption = Resumption(
+            group=group, lease=self.lease, commands=self.commands
+        )
         # Whether the host stops, and leaves new changes to others.
         self.is_draining = False
         self.work: ChangeSteps | None = None
@@ -129,7 +127,7 @@
             if reason is None:
                 reason = await self._find_unfinished()
             if reason is None or self._leaves_changes:
-                await self._resume_remaining()
+                await self.resumption.resume_remaining()
                 continue
             try:
                 await self._change(reason)
@@ -325,43 +323,14 @@
             self._record("ended", outcome="lease lost")
             return
         await self._step_down_replaced(attempt)
-        self._list_unresumed(attempt)
+        self.resumption.begin(attempt)
         if unfinished or attempt.pause_term:
-            await self._resume_all()
+            await self.resumption.resume_all()
         await self.lease.release()
         self._record(
             "ended", outcome="settled", primary=self.group.primary_state.primary
         )
 
-    def _list_unresumed(self, attempt: Attempt) -> None:
-        """List the servers that are to be found not paused.
-
-        An earlier change may have left one paused that it could not reach.
-        """
-        unlisted = self.group.unlisted.keys() & attempt.statuses.keys()
-        known = {*self.group.servers, *unlisted}
-        self.unresumed = known - {self.group.primary_state.primary}
-
-    async def _resume_all(self) -> None:
-        """Resume servers once they have learnt who leads.
-
-        One that has not would receive from the former primary, and help it to
-        acknowledge what it has stored last.
-        """
-        began = read_boot_ms()
-        term = self.group.primary_state.term
-        for _ in range(RESUME_ROUNDS):
-            if not self.lease.is_held(read_boot_ms()):
-                self._record("lease-expired", unresumed=self.unresumed)
-                break
-            ready = await self.commands.find_following(self.unresumed, term)
-            if read_boot_ms() - began >= LEARN_MS:
-                ready = self.unresumed
-            self.unresumed -= await self.commands.resume(ready)
-            if not self.unresumed:
-                break
-            await asyncio.sleep(STEP_PAUSE_S)
-
     async def _step_down_replaced(self, attempt: Attempt) -> None:
         """Make the replaced primary a replica where it may go on answering."""
         group = self.group
@@ -449,33 +418,3 @@
         if not await self.promoter.promote(group, primary, self.host, token):
             return False
         return await self._confirm(read_boot_ms() + PROBE_MS) == primary
-
-    async def _resume_remaining(self) -> None:
-        """Resume servers that could not be reached when the change ended.
-
-        No other host does this before the next change. When the lease has been
-        written since, there is a next change, and its holder resumes them.
-        """
-        self.unresumed &= {*self.group.servers, *self.group.unlisted}
-        now = read_boot_ms()
-        if not self.unresumed or now - self.resume_tried_at < RESUME_PERIOD_MS:
-            return
-        self.resume_tried_at = now
-        try:
-            if not await self.lease.is_released():
-                self.unresumed.clear()
-                return
-            running, paused = await self.commands.find_paused(self.unresumed)
-            self.unresumed -= running
-            if paused:
-                await self._resume_alone(paused)
-        except StoreError as error:
-            self._record("waiting", why=f"store: {error}")
-
-    async def _resume_alone(self, paused: set[ServerId]) -> None:
-        """Resume servers while no host can begin a change."""
-        if await self.lease.acquire() is None:
-            self.unresumed.clear()
-            return
-        self.unresumed -= await self.commands.resume(paused)
-        await self.lease.release()
--- /dev/null
+++ b/src/apricotshore/pooling/resumption.py
@@ -0,0 +1,107 @@
+"""Resumption of the servers that a change of primary has paused."""
+
+import asyncio
+
+from ..decisions.change_attempt import Attempt
+from ..identifiers import ServerId
+from ..services.clock import read_boot_ms
+from .change_lease import ChangeLease
+from .group import Group
+from .group_commands import GroupCommands, record_phase
+from .ports import StoreError
+
+ROUNDS = 5
+ROUND_PAUSE_S = 0.05
+RETRY_MS = 2_000
+# Time for paused servers to learn who leads; one may only learn it once resumed.
+LEARN_MS = 200
+
+
+class Resumption:
+    """Resumes servers at the end of a change, and later those it could not reach.
+
+    Parameters
+    ----------
+    group
+        The group.
+    lease
+        The lease on its change of primary.
+    commands
+        Sends commands to its servers.
+
+    Attributes
+    ----------
+    unresumed
+        Servers that are to be found not paused.
+    """
+
+    def __init__(
+        self, *, group: Group, lease: ChangeLease, commands: GroupCommands
+    ) -> None:
+        self.group = group
+        self.lease = lease
+        self.commands = commands
+        self.unresumed: set[ServerId] = set()
+        self.tried_at = 0
+
+    def begin(self, attempt: Attempt) -> None:
+        """List the servers that are to be found not paused.
+
+        An earlier change may have left one paused that it could not reach.
+        """
+        unlisted = self.group.unlisted.keys() & attempt.statuses.keys()
+        known = {*self.group.servers, *unlisted}
+        self.unresumed = known - {self.group.primary_state.primary}
+
+    async def resume_all(self) -> None:
+        """Resume servers once they have learnt who leads.
+
+        One that has not would receive from the former primary, and help it to
+        acknowledge what it has stored last.
+        """
+        began = read_boot_ms()
+        term = self.group.primary_state.term
+        for _ in range(ROUNDS):
+            if not self.lease.is_held(read_boot_ms()):
+                self._record("lease-expired", unresumed=self.unresumed)
+                break
+            ready = await self.commands.find_following(self.unresumed, term)
+            if read_boot_ms() - began >= LEARN_MS:
+                ready = self.unresumed
+            self.unresumed -= await self.commands.resume(ready)
+            if not self.unresumed:
+                break
+            await asyncio.sleep(ROUND_PAUSE_S)
+
+    async def resume_remaining(self) -> None:
+        """Resume servers that could not be reached when the change ended.
+
+        No other host does this before the next change. When the lease has been
+        written since, there is a next change, and its holder resumes them.
+        """
+        self.unresumed &= {*self.group.servers, *self.group.unlisted}
+        now = read_boot_ms()
+        if not self.unresumed or now - self.tried_at < RETRY_MS:
+            return
+        self.tried_at = now
+        try:
+            if not await self.lease.is_released():
+                self.unresumed.clear()
+                return
+            running, paused = await self.commands.find_paused(self.unresumed)
+            self.unresumed -= running
+            if paused:
+                await self._resume_alone(paused)
+        except StoreError as error:
+            self._record("waiting", why=f"store: {error}")
+
+    async def _resume_alone(self, paused: set[ServerId]) -> None:
+        """Resume servers while no host can begin a change."""
+        if await self.lease.acquire() is None:
+            self.unresumed.clear()
+            return
+        self.unresumed -= await self.commands.resume(paused)
+        await self.lease.release()
+
+    def _record(self, phase: str, **details: object) -> None:
+        record_phase(self.group, phase, **details)
--- a/tests/pooling/support.py
+++ b/tests/pooling/support.py
@@ -20,6 +20,7 @@
     StoreRevision,
     Term,
 )
+from apricotshore.pooling.change_lease import ChangeLease
 from apricotshore.pooling.detours import Detours
 from apricotshore.pooling.group import Group
 from apricotshore.pooling.journal import Journal
@@ -74,6 +75,18 @@
     return Journal(host="h", descriptor=os.open(os.devnull, os.O_WRONLY))
 
 
+def make_lease(platform: ModelPlatform, name: str) -> ChangeLease:
+    eras = EraTracker()
+    eras.accept(StoreEra(platform.era))
+    return ChangeLease(
+        group=GROUP,
+        host=HostId(name),
+        address="10.0.0.9:1",
+        store=platform,
+        eras=eras,
+    )
+
+
 @dataclass(kw_only=True)
 class OtherHosts:
     """Dialer that reaches servers through other hosts, at whose addresses it dials."""
--- a/tests/pooling/test_change_records.py
+++ b/tests/pooling/test_change_records.py
@@ -66,7 +66,9 @@
         host.mark_leaving("s1")
         await wait_until(lambda: model.promotions)
         await wait_until(lambda: not host.changer.lease.seen.open)
-        await wait_until(lambda: not host.changer.unresumed and host.group.primary)
+        await wait_until(
+            lambda: not host.changer.resumption.unresumed and host.group.primary
+        )
 
 
 async def run_crash(model: ModelGroup, host: ModelHost) -> None:
--- a/tests/pooling/test_interrupted_changes.py
+++ b/tests/pooling/test_interrupted_changes.py
@@ -175,7 +175,7 @@
             other = S2 if target == S3 else S3
             await wait_until(lambda: model.servers[other].paused_term)
             model.servers[other].unreachable_by = {"host-0"}
-            await wait_until(lambda: first.changer.unresumed)
+            await wait_until(lambda: first.changer.resumption.unresumed)
             await wait_until(lambda: not first.changer.lease.seen.open)
         model.servers[other].unreachable_by = set()
         await wait_until(lambda: not model.servers[other].paused_term, 8.0)
--- a/tests/pooling/test_leases_left_to_others.py
+++ b/tests/pooling/test_leases_left_to_others.py
@@ -1,24 +1,12 @@
 """Leases that a stopping host leaves to the others."""
 
 from apricotshore.decisions import lease
-from apricotshore.identifiers import HostId, ServerId, StoreEra
-from apricotshore.pooling.change_lease import ChangeLease
-from apricotshore.services.eras import EraTracker
-from standins.in_memory import GROUP, ModelGroup, ModelPlatform
-
-S2 = ServerId("s2")
+from apricotshore.identifiers import ServerId
+from standins.in_memory import ModelGroup, ModelPlatform
 
+from .support import make_lease
 
-def make_lease(platform: ModelPlatform, name: str) -> ChangeLease:
-    eras = EraTracker()
-    eras.accept(StoreEra(platform.era))
-    return ChangeLease(
-        group=GROUP,
-        host=HostId(name),
-        address="10.0.0.9:1",
-        store=platform,
-        eras=eras,
-    )
+S2 = ServerId("s2")
 
 
 async def test_lease_of_a_stopped_host_is_taken_at_once_with_its_target():
--- a/tests/pooling/test_lost_leases.py
+++ b/tests/pooling/test_lost_leases.py
@@ -131,7 +131,7 @@
     """End a change that could not resume one server."""
     assert await host.changer.lease.acquire()
     await host.changer.lease.release()
-    host.changer.unresumed = {server}
+    host.changer.resumption.unresumed = {server}
 
 
 async def test_server_that_the_next_holder_paused_stays_paused():
@@ -140,9 +140,9 @@
     assert await make_lease(platform, "b").acquire()
     model.servers[S2].paused_term = 5
     host.changer.observe_lease(platform.leases[KEY])
-    await host.changer._resume_remaining()
+    await host.changer.resumption.resume_remaining()
     assert model.servers[S2].paused_term == 5
-    assert not host.changer.unresumed
+    assert not host.changer.resumption.unresumed
 
 
 async def test_server_stays_paused_while_an_own_promotion_is_unconfirmed():
@@ -150,7 +150,7 @@
     await end_change_unresumed(host, S2)
     assert await host.changer.lease.acquire()
     model.servers[S2].paused_term = 5
-    await host.changer._resume_remaining()
+    await host.changer.resumption.resume_remaining()
     assert model.servers[S2].paused_term == 5
 
 
@@ -169,11 +169,11 @@
         run_command(link, query)
 
     monkeypatch.setattr(ModelConnection, "_run_command", observe)
-    await host.changer._resume_remaining()
+    await host.changer.resumption.resume_remaining()
     assert not model.servers[S2].paused_term
     assert was_held == [True]
     assert not platform.leases[KEY].open
-    assert not host.changer.unresumed
+    assert not host.changer.resumption.unresumed
 
 
 async def test_lease_is_not_taken_while_no_server_is_found_paused():
@@ -181,9 +181,9 @@
     await end_change_unresumed(host, S2)
     model.servers[S2].up = False
     before = platform.leases[KEY]
-    await host.changer._resume_remaining()
+    await host.changer.resumption.resume_remaining()
     assert platform.leases[KEY] == before
-    assert host.changer.unresumed == {S2}
+    assert host.changer.resumption.unresumed == {S2}
 
 
 async def test_servers_are_resumed_without_a_look_at_them_first():
--- a/tests/pooling/test_restored_leases.py
+++ b/tests/pooling/test_restored_leases.py
@@ -5,26 +5,13 @@
 from apricotshore.decisions import lease
 from apricotshore.identifiers import HostId, ServerId, StoreEra
 from apricotshore.pooling.change_lease import ChangeLease
-from apricotshore.services.eras import EraTracker
 from standins.in_memory import GROUP, ModelGroup, ModelPlatform
 
-from .support import ModelHost, running, wait_until, writing
+from .support import ModelHost, make_lease, running, wait_until, writing
 
 S1, S2, S3 = ServerId("s1"), ServerId("s2"), ServerId("s3")
 
 
-def make_lease(platform: ModelPlatform, name: str) -> ChangeLease:
-    eras = EraTracker()
-    eras.accept(StoreEra(platform.era))
-    return ChangeLease(
-        group=GROUP,
-        host=HostId(name),
-        address="10.0.0.9:1",
-        store=platform,
-        eras=eras,
-    )
-
-
 def restore(platform: ModelPlatform, *leases: ChangeLease) -> None:
     """Restore the store, and have the holders' hosts learn of it."""
     platform.restore()
