Bring the change to a second review's findings

Cause: a reviewer new to the work showed, with a test each: a request without an answer was forgotten once the holder changed, and so was a lost lease once the call that raises the token failed; a dead inherited target left a healthy leader stepped down for 4.1 s; a headless group got no primary while answers were slow; one server without an answer delayed the resumption of all.

--- a/src/apricotshore/decisions/change_attempt.py
+++ b/src/apricotshore/decisions/change_attempt.py
@@ -107,8 +107,8 @@
         End of its log after it has stepped down, None before.
     stepped_down_at
         When that was known.
-    is_quiet
-        Whether no statement that it began as the primary runs at it any more.
+    running_on
+        Servers that have stepped down, and may still run what they began before.
     unanswered_since
         Since when the primary has answered no command.
     leaders
@@ -157,7 +157,7 @@
     primary_end: LogPosition | None = None
     final_end: LogPosition | None = None
     stepped_down_at: int = 0
-    is_quiet: bool = False
+    running_on: set[ServerId] = field(default_factory=set)
     unanswered_since: int | None = None
     leaders: dict[ServerId, int | None] = field(default_factory=dict)
     leader_told_at: int | None = None
@@ -290,6 +290,8 @@
     attempt.busy.discard(server)
     attempt.answered_at[server] = now
     _observe_end(attempt, server, log_order(status.log_position))
+    if status.is_primary or not status.running:
+        attempt.running_on.discard(server)
     was_leader = server in attempt.leaders
     attempt.leaders.pop(server, None)
     if status.is_primary:
@@ -307,22 +309,28 @@
             attempt.pause_term = Term(status.term + 1)
     elif attempt.final_end is not None:
         # A commit that was being run may have been stored since it stepped down.
-        attempt.is_quiet = not status.running
         attempt.final_end = max(attempt.final_end, status.log_position, key=log_order)
     elif _keeps_log(attempt, status):
         attempt.final_end = status.log_position
-        attempt.is_quiet = not status.running
+        _observe_running(attempt, server, status)
         attempt.stepped_down_at = now
         attempt.listed = False
         # What the others held before may have grown until the primary stepped down.
         attempt.statuses = {server: status}
 
 
+def _observe_running(attempt: Attempt, server: ServerId, status: MemberStatus) -> None:
+    """Record a server that still runs statements when it has stepped down."""
+    if status.running:
+        attempt.running_on.add(server)
+
+
 def _observe_other_end(
     attempt: Attempt, server: ServerId, status: MemberStatus, now: int
 ) -> None:
     """Add the log of a server that led beside the replaced primary, until now."""
     assert attempt.final_end is not None
+    _observe_running(attempt, server, status)
     attempt.final_end = max(attempt.final_end, status.log_position, key=log_order)
     attempt.stepped_down_at = now
     attempt.listed = False
--- a/src/apricotshore/decisions/change_targets.py
+++ b/src/apricotshore/decisions/change_targets.py
@@ -134,6 +134,7 @@
         # to acknowledge.
         unpaused = find_unpaused(attempt, members)
         if unpaused:
+            _raise_pause_term(attempt, unpaused)
             return Pause(servers=unpaused, term=choose_pause_term(attempt))
     if attempt.recorded != target:
         return RecordTarget(server=target)
@@ -147,6 +148,13 @@
     return Promote(server=target)
 
 
+def _raise_pause_term(attempt: Attempt, servers: Iterable[ServerId]) -> None:
+    """Raise the term of pauses above those that servers have adopted."""
+    adopted = max(attempt.statuses[s].term for s in servers)
+    if attempt.pause_term and adopted >= attempt.pause_term:
+        attempt.pause_term = Term(adopted + 1)
+
+
 def _list_stale(
     attempt: Attempt, members: tuple[Member, ...], now: int
 ) -> tuple[ServerId, ...]:
--- a/src/apricotshore/decisions/primary_change.py
+++ b/src/apricotshore/decisions/primary_change.py
@@ -215,9 +215,10 @@
     """
     primary = attempt.replaced
     assert primary is not None
-    is_known = attempt.primary_end is not None
-    if is_known and attempt.inherited not in (None, primary):
-        set_target(attempt, attempt.inherited, now)
+    inherited = attempt.inherited
+    is_known = attempt.primary_end is not None and inherited in attempt.statuses
+    if is_known and inherited != primary:
+        set_target(attempt, inherited, now)
         return _step_down(attempt, primary)
     followers = [m for m in list_followers(attempt, members) if m.server != primary]
     if not followers:
@@ -288,13 +289,13 @@
 
 
 def _may_grow(attempt: Attempt, now: int) -> bool:
-    """Return whether the former primary may still store a commit that it was running.
+    """Return whether a server that led may still store a commit that it was running.
 
     The target may receive nothing more once its promotion is requested, so what is
     stored later would wait for a replica that is resumed.
     """
     limit_ms = CATCH_UP_MS if attempt.replaced in attempt.statuses else SECURE_MS
-    return not attempt.is_quiet and now - attempt.stepped_down_at < limit_ms
+    return bool(attempt.running_on) and now - attempt.stepped_down_at < limit_ms
 
 
 def _list_full(attempt: Attempt, others: tuple[Member, ...]) -> tuple[ServerId, ...]:
--- a/src/apricotshore/pooling/change_lease.py
+++ b/src/apricotshore/pooling/change_lease.py
@@ -192,7 +192,7 @@
         current = self.current
         if current is None:
             self.follows_lost = self.eras.earlier is not None
-        elif current.holder != self.holder:
+        elif not current.open:
             self.follows_lost = False
         base = current.revision if current is not None else StoreRevision(0)
         return await self._write(base, still_open=True, target=self.target)
--- a/src/apricotshore/pooling/group_commands.py
+++ b/src/apricotshore/pooling/group_commands.py
@@ -256,13 +256,6 @@
         paused = {s for s, report in found.items() if report.paused_term > 0}
         return set(found) - paused, paused
 
-    async def find_following(
-        self, servers: Iterable[ServerId], term: Term
-    ) -> set[ServerId]:
-        """Return the servers that have adopted the term of the primary."""
-        found = await self.run_all(sorted(servers), QueryKind.STATUS)
-        return {s for s, report in found.items() if report.term >= term}
-
     async def resume(self, servers: Iterable[ServerId]) -> set[ServerId]:
         """Resume paused servers; return those that are not paused any more."""
         found = await self.run_all(sorted(servers), QueryKind.RESUME)
--- a/src/apricotshore/pooling/host.py
+++ b/src/apricotshore/pooling/host.py
@@ -165,7 +165,10 @@
 
     async def on_stop(self) -> None:
         """Leave changes of primary to other hosts, and close every connection."""
-        await asyncio.gather(*(changer.stop() for changer in self.changers.values()))
+        stops = (changer.stop() for changer in self.changers.values())
+        for outcome in await asyncio.gather(*stops, return_exceptions=True):
+            if isinstance(outcome, Exception):
+                self.journal.record(EventKind.ERROR, why=repr(outcome))
         for task in self.caller_sessions.values():
             task.cancel()
         for group in self.groups.values():
--- a/src/apricotshore/pooling/primary_changer.py
+++ b/src/apricotshore/pooling/primary_changer.py
@@ -35,6 +35,8 @@
 STOP_WAIT_MS = 1_500
 # Time for a probe to confirm which server is the primary.
 PROBE_MS = 1_000
+# Longest delay of a stop by the write that leaves the lease to others.
+HAND_ON_S = 0.5
 # Reasons that another host's change may have ended while this host took the lease.
 PASSING_REASONS = ("headless", "leaving")
 # Time for the servers to say who leads once the lease is held: an answer, or a round
@@ -105,7 +107,7 @@
         self.work: ChangeSteps | None = None
 
     async def on_stop(self) -> None:
-        """Wait for a promotion to take effect, and leave the rest to other hosts.
+        """Wait for a promotion to take effect.
 
         Until then this host holds the other servers; nobody does once it has ended.
         A host that has drained has waited for that already.
@@ -113,7 +115,14 @@
         deadline = read_boot_ms() + STOP_WAIT_MS
         while self.is_critical and not self.is_draining and read_boot_ms() < deadline:
             await asyncio.sleep(STEP_PAUSE_S)
-        await self.lease.hand_on()
+
+    async def on_shutdown(self) -> None:
+        """Leave an unfinished change to other hosts, once its commands have ended."""
+        try:
+            async with asyncio.timeout(HAND_ON_S):
+                await self.lease.hand_on()
+        except TimeoutError:
+            self._record("lease-unknown", why="the host stops")
 
     @Service.task
     @keep_running
@@ -184,7 +193,7 @@
             return
         if reason != "unfinished" and not self._is_needed(reason):
             return
-        token = await self.lease.acquire()
+        token = None if self.should_stop else await self.lease.acquire()
         if token is None:
             await asyncio.sleep(STORE_RETRY_S)
             return
@@ -233,11 +242,12 @@
     async def _confirm_reason(self, reason: str) -> bool:
         """Return whether the reason still holds by answers since the lease is held.
 
-        A change that another host left is finished in any case.
+        A change that another host left is finished in any case, and one that no server
+        answers asks them again.
         """
         if reason not in PASSING_REASONS or self.lease.target is not None:
             return True
-        return await self._ask_anew() and self._is_needed(reason)
+        return not await self._ask_anew() or self._is_needed(reason)
 
     async def _ask_anew(self) -> bool:
         """Ask the servers who leads; return whether any has answered in time."""
@@ -315,10 +325,12 @@
             return
         if unfinished and attempt.requested is None and not await self._settle(attempt):
             return
-        if work.promotion.is_unanswered:
-            # Carried out later, it would have this server lead again after its own
-            # successor was requested.
-            await self._fence()
+        # Carried out later, a request without an answer would have this server lead
+        # again after its own successor was requested.
+        if work.promotion.unanswered and not await self._raise_token():
+            self._record("ended", outcome="unsettled")
+            self.lease.delay_check()
+            return
         if await self.lease.write(still_open=True) is None:
             self._record("ended", outcome="lease lost")
             return
@@ -368,35 +380,34 @@
     async def _settle(self, attempt: Attempt) -> bool:
         """Return whether a change that others left may end with who leads now.
 
-        Every request names the target that its lease records, and is followed until
-        that server leads or another was promoted in its place. So only a lease that
-        a restored store has lost leaves requests that this host doesn't know.
+        Every request names the target that its lease records. So only a lease that a
+        restored store has lost leaves requests that this host doesn't know.
         """
         # The waits below may take longer than the rest of the lease.
         if await self.lease.extend() is None:
             self._record("ended", outcome="lease lost")
             return False
-        if await self._is_led(attempt.inherited):
+        if await self._wait_until_led(attempt.inherited):
             return True
         self._record("ended", outcome="unsettled")
         self.lease.delay_check()
         return False
 
-    async def _is_led(self, inherited: ServerId | None) -> bool:
-        """Return whether a server leads that no earlier request will replace."""
+    async def _wait_until_led(self, inherited: ServerId | None) -> bool:
+        """Wait until no earlier request can replace who leads; return whether so."""
         primary = await self._confirm(read_boot_ms() + PROBE_MS)
         if primary is None or inherited not in (None, primary):
             return False
         if primary == inherited:
-            return True
-        if self.lease.follows_lost and not await self._fence():
+            return await self._raise_token()
+        if self.lease.follows_lost and not await self._raise_token():
             return False
         self._record("awaiting", primary=primary)
         await asyncio.sleep(lease.PROMOTION_MS / 1000)
         return await self._confirm(read_boot_ms() + PROBE_MS) is not None
 
-    async def _fence(self) -> bool:
-        """Make the platform reject requests of a lost lease; return whether it does.
+    async def _raise_token(self) -> bool:
+        """Make the platform reject earlier requests; return whether it does.
 
         Promoting the server that leads changes nothing but the lowest token that the
         platform accepts. One that leads no more would be promoted, so it has to lead
--- a/src/apricotshore/pooling/promotion_request.py
+++ b/src/apricotshore/pooling/promotion_request.py
@@ -38,8 +38,8 @@
         self.mark = ""
         # Whether an earlier request may still take effect.
         self.is_repeated = False
-        # Whether a request got no answer, and may be carried out at any time.
-        self.is_unanswered = False
+        # Requests without an answer, which may be carried out at any time.
+        self.unanswered = 0
         self.call: asyncio.Task[bool | None] | None = None
 
     async def make(self, server: ServerId, token: FencingToken, wait_s: float) -> None:
@@ -57,14 +57,16 @@
 
     async def _call(self, server: ServerId, token: FencingToken) -> bool | None:
         """Call the platform; return whether it accepted, None if that is unknown."""
+        self.unanswered += 1
         try:
-            return await self.promoter.promote(
+            accepted = await self.promoter.promote(
                 self.group.group, server, self.host, token
             )
         except StoreError as error:
             self._record("promotion-unknown", server=server, why=str(error))
-            self.is_unanswered = True
             return None
+        self.unanswered -= 1
+        return accepted
 
     def observe(self) -> bool:
         """Take the answer if there is one; return False if the change has to end.
--- a/src/apricotshore/pooling/resumption.py
+++ b/src/apricotshore/pooling/resumption.py
@@ -3,7 +3,8 @@
 import asyncio
 
 from ..decisions.change_attempt import Attempt
-from ..identifiers import ServerId
+from ..identifiers import ServerId, Term
+from ..queries import QueryKind
 from ..services.clock import read_boot_ms
 from .change_lease import ChangeLease
 from .group import Group
@@ -59,18 +60,35 @@
         One that has not would receive from the former primary, and help it to
         acknowledge what it has stored last.
         """
-        began = read_boot_ms()
+        until = read_boot_ms() + LEARN_MS
         term = self.group.primary_state.term
+        servers = sorted(self.unresumed)
+        await asyncio.gather(*(self._resume(s, term, until) for s in servers))
+
+    async def _resume(self, server: ServerId, term: Term, until: int) -> None:
+        """Resume a server once it has adopted a term, or the time for that is over."""
+        await self._wait_until_follows(server, term, until)
         for _ in range(ROUNDS):
             if not self.lease.is_held(read_boot_ms()):
-                self._record("lease-expired", unresumed=self.unresumed)
-                break
-            ready = await self.commands.find_following(self.unresumed, term)
-            if read_boot_ms() - began >= LEARN_MS:
-                ready = self.unresumed
-            self.unresumed -= await self.commands.resume(ready)
-            if not self.unresumed:
-                break
+                self._record("lease-expired", unresumed=server)
+                return
+            reply = await self.commands.ask(server, QueryKind.RESUME)
+            if reply.report is not None and not reply.report.paused_term:
+                self.unresumed.discard(server)
+                return
+            if reply.report is None and not reply.refused:
+                return
+            await asyncio.sleep(ROUND_PAUSE_S)
+
+    async def _wait_until_follows(
+        self, server: ServerId, term: Term, until: int
+    ) -> None:
+        while (left_ms := until - read_boot_ms()) > 0:
+            reply = await self.commands.ask(
+                server, QueryKind.STATUS, timeout_ms=left_ms
+            )
+            if reply.report is not None and reply.report.term >= term:
+                return
             await asyncio.sleep(ROUND_PAUSE_S)
 
     async def resume_remaining(self) -> None:
