--- a/src/apricotshore/pooling/ports.py
+++ b/src/apricotshore/pooling/ports.py
@@ -18,6 +18,7 @@
     ServerId,
     StoreEra,
     StoreRevision,
+    Term,
 )
 from ..queries import Answer, FailureCode, Query
 from ..routes import Configuration, ListedServer
@@ -325,10 +326,69 @@
         """Close at once."""
 
 
+class HostStoppedError(ConnectionLostError):
+    """Refusal of a connection: no process listens, so its connections are closed."""
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class QuiesceRequest:
+    """Request to a host to send nothing more to a primary that is being replaced.
+
+    Parameters
+    ----------
+    group, server
+        The group and its primary.
+    term
+        Term of the primary's lead. The host sends again once it has found a primary
+        of a later term.
+    hold_ms
+        Time after which the host sends again in any case, in milliseconds.
+    """
+
+    group: GroupId
+    server: ServerId
+    term: Term
+    hold_ms: int
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class QuiesceReply:
+    """Confirmation of a host that no statement of it is in progress at a server.
+
+    Parameters
+    ----------
+    ended
+        Statements that were in progress and got their answers.
+    closed
+        Statements whose connections the host closed before there was an answer.
+    """
+
+    ended: int = 0
+    closed: int = 0
+
+
+class HostPeers(Protocol):
+    """Client of the other hosts of the fleet."""
+
+    async def quiesce(
+        self, host: ListedHost, request: QuiesceRequest, timeout_s: float
+    ) -> QuiesceReply:
+        """Have a host send nothing more to a server, and wait for its confirmation.
+
+        Raises
+        ------
+        HostStoppedError
+            When no process listens at the host's address.
+        ConnectionLostError
+            When the host gave no confirmation in time.
+        """
+
+
 Serve = Callable[[DatabaseId, "CallerLink"], Awaitable[None]]
 Admit = Callable[[DatabaseId], Awaitable[FailureCode | None]]
 ServeHost = Callable[[GroupId, ServerId, "HostLink"], Awaitable[None]]
 AdmitHost = Callable[[GroupId, ServerId], FailureCode | None]
+Quiesce = Callable[[QuiesceRequest], Awaitable[QuiesceReply]]
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
