Let a host stop sending to a primary and end what is in progress there

Cause: a server acknowledges only on an open connection, but no host could tell that it had none left with a commit in progress at a primary that is replaced. Change: every statement passes a gate of its server, which outlives the server's pools. Callers' statements wait for the next primary; a COMMIT that was not sent is rolled back, no longer of unknown outcome.

--- a/src/apricotshore/pooling/group.py
+++ b/src/apricotshore/pooling/group.py
@@ -17,7 +17,8 @@
 from .change_counts import ChangeCounts
 from .journal import EventKind, Journal
 from .pool import ServerPool
-from .ports import Dialer
+from .ports import Dialer, QuiesceReply, QuiesceRequest
+from .server_gate import ServerGate
 from .settings import DEFAULT_LEAVE_MS, DEFAULT_WINDOW_MS
 
 # A host learns of a change in the store after a pause of its watch and one call.
@@ -135,6 +136,7 @@
         # Pools of servers whose entry was removed. They get commands only: one that
         # is cut off from the store may still receive and acknowledge.
         self.unlisted: dict[ServerId, ServerPool] = {}
+        self.gates: dict[ServerId, ServerGate] = {}
         self.primary_state = PrimaryState()
         # Set where a replaced primary may go on answering.
         self.prover: PrimarySource | None = None
@@ -197,6 +199,7 @@
         self.log_lost_at = read_boot_ms()
         self.journal.record(EventKind.SERVER_GONE, group=self.group, server=server)
         self._drop_pool(server)
+        self._forget_gates()
         now = read_boot_ms()
         leadership.observe_silence(self.primary_state, server, now, now)
         self.probe_wanted.set()
@@ -254,11 +257,25 @@
             leaving=server.leaving,
         )
         pool = ServerPool(
-            server=server, load=load, limit=self.connections, dialer=self.dialer
+            server=server,
+            load=load,
+            limit=self.connections,
+            dialer=self.dialer,
+            gate=self._find_gate(server.server),
         )
         pool.quota.relays = self.relay_count
         return pool
 
+    def _find_gate(self, server: ServerId) -> ServerGate:
+        return self.gates.setdefault(server, ServerGate(server=server))
+
+    def _forget_gates(self) -> None:
+        """Forget the gates of servers that are gone, once nothing is in progress."""
+        known = self.servers.keys() | self.unlisted.keys()
+        for server, gate in list(self.gates.items()):
+            if server not in known and not gate.running and not gate.is_shut:
+                del self.gates[server]
+
     def _drop_pool(self, server: ServerId) -> None:
         pool = self.pools.pop(server, None)
         if pool is not None:
@@ -291,6 +308,41 @@
         """Whether the primary still gets new statements."""
         return placement.may_send(self.leaving_since, self.leave_ms, read_boot_ms())
 
+    # -- replacement of the primary --
+
+    def is_quiesced(self, server: ServerId) -> bool:
+        """Return whether nothing may be sent to a server that is being replaced."""
+        gate = self.gates.get(server)
+        return gate is not None and gate.is_shut
+
+    async def quiesce(self, request: QuiesceRequest) -> QuiesceReply:
+        """Send nothing more to a primary that is being replaced, and confirm it.
+
+        A request may come late: a host that has found another primary of a later term
+        sends nothing to the former one, and needs no time limit for that.
+        """
+        gate = self._find_gate(request.server)
+        reply = await gate.quiesce(request.term, request.hold_ms)
+        state = self.primary_state
+        if state.term > request.term and state.primary not in (None, request.server):
+            gate.open()
+        self.journal.record(
+            EventKind.QUIESCED,
+            group=self.group,
+            server=request.server,
+            term=request.term,
+            hold_ms=request.hold_ms,
+            ended=reply.ended,
+            closed=reply.closed,
+        )
+        return reply
+
+    def _open_gates(self, server: ServerId, term: Term) -> None:
+        """Open the gates of former primaries, as another leads a later term."""
+        for gate in self.gates.values():
+            if gate.server != server and gate.term < term:
+                gate.open()
+
     # -- answers of servers --
 
     @property
@@ -379,6 +431,7 @@
                 EventKind.PRIMARY_FOUND, group=self.group, server=server, term=term
             )
             self.writes.unanswered.clear()
+        self._open_gates(server, state.term)
         self.no_primary_since = None
         self.primary_confirmed.set()
         return True
@@ -422,6 +475,7 @@
 
     def rank_readers(self) -> list[ServerPool]:
         """Return the pools of servers that may serve a read, the best first."""
-        loads = [pool.load for pool in self.pools.values()]
+        pools = self.pools.values()
+        loads = [pool.load for pool in pools if not pool.gate.is_shut]
         ranked = placement.rank_readers(loads, self.primary, read_boot_ms())
         return [self.pools[load.server] for load in ranked]
--- a/src/apricotshore/pooling/journal.py
+++ b/src/apricotshore/pooling/journal.py
@@ -37,6 +37,7 @@
     PRIMARY_SILENT = "lead-silent"
     PRIMARY_PROOF = "lead-proof"
     PRIMARY_REPLACED = "lead-replaced"
+    QUIESCED = "quiesced"
     PRIMARY_CHANGE = "handover"
     HOSTS_LISTED = "hosts-listed"
     RELAY_FAILED = "holder-failed"
--- a/src/apricotshore/pooling/pool.py
+++ b/src/apricotshore/pooling/pool.py
@@ -19,6 +19,7 @@
     ConnectionRejectedError,
     Dialer,
 )
+from .server_gate import ServerGate
 
 DIAL_TIMEOUT_S = 0.5
 RETRY_STEP_S = 0.05
@@ -84,12 +85,21 @@
         Connections that the server accepts from all hosts together.
     dialer
         Factory of connections.
+    gate
+        Gate that its statements pass.
     """
 
     def __init__(
-        self, *, server: ListedServer, load: ServerLoad, limit: int, dialer: Dialer
+        self,
+        *,
+        server: ListedServer,
+        load: ServerLoad,
+        limit: int,
+        dialer: Dialer,
+        gate: ServerGate,
     ) -> None:
         self.server = server
+        self.gate = gate
         self.load = load
         self.dialer = dialer
         self.quota = ConnectionQuota(limit=limit)
@@ -231,10 +241,13 @@
 
         Raises
         ------
+        QuiescedError
+            When nothing may be sent, as the server is being replaced as the primary.
         ConnectionLostError
             When not all answers arrived.
         """
         began = read_boot_ms()
+        number = self.gate.enter(pooled.link, queries)
         self.load.outstanding += 1
         try:
             answers = await pooled.link.run(queries, after, timeout_ms / 1000)
@@ -243,6 +256,7 @@
             raise
         finally:
             self.load.outstanding -= 1
+            self.gate.leave(number)
         now = read_boot_ms()
         placement.observe_answer(self.load, now - began, now)
         if any(a.failure is FailureCode.OVERLOADED for a in answers):
--- a/src/apricotshore/pooling/ports.py
+++ b/src/apricotshore/pooling/ports.py
@@ -257,6 +257,9 @@
     def close(self) -> None:
         """Close at once; an open transaction is rolled back."""
 
+    def abandon(self) -> None:
+        """Reset the connection: nothing that is on its way is delivered any more."""
+
 
 class Dialer(Protocol):
     """Factory of connections to backend servers."""
--- a/src/apricotshore/pooling/preparation.py
+++ b/src/apricotshore/pooling/preparation.py
@@ -7,12 +7,14 @@
 
 from ..decisions import placement, position_history, wait_queue
 from ..groups import LogPosition
+from ..identifiers import ServerId
 from ..queries import Answer, FailureCode, PreparedShape, Query, QueryKind
 from ..routes import Consistency, Route
 from ..services.clock import read_boot_ms
 from .group import Group
 from .pool import PREPARED_LIMIT, NoConnectionError, PooledConnection, ServerPool
 from .ports import ConnectionLostError
+from .server_gate import QuiescedError
 from .sessions import Job, RefusedError, Session, later_position, refuse_overloaded
 
 CONTROL_TIMEOUT_MS = 500
@@ -157,6 +159,15 @@
         raise refuse_without_primary(group, "the primary is leaving")
 
 
+def _describe_primary(pool: ServerPool | None) -> str:
+    """Return why the supposed primary's pool can't be used."""
+    if pool is None:
+        return "no primary"
+    if pool.gate.is_shut:
+        return "the primary is being replaced"
+    return "the primary gives no answer"
+
+
 async def find_primary_pool(group: Group, job: Job) -> ServerPool:
     """Return the pool of the primary, waiting for one until the job expires.
 
@@ -169,13 +180,17 @@
         primary = group.primary
         pool = group.pools.get(primary) if primary is not None else None
         _check_primary_stays(group)
-        if pool is not None and group.primary_state.silent_since is None:
+        is_led = pool is not None and group.primary_state.silent_since is None
+        is_shut = pool is not None and pool.gate.is_shut
+        if pool is not None and is_led and not is_shut:
             return pool
         now = read_boot_ms()
         left_ms = job.expires_at - now
         if left_ms <= 0:
-            why = "no primary" if pool is None else "the primary gives no answer"
-            raise refuse_without_primary(group, why)
+            raise refuse_without_primary(group, _describe_primary(pool))
+        if pool is not None and is_led:
+            await pool.gate.wait_until_open(left_ms)
+            continue
         group.probe_wanted.set()
         group.primary_confirmed.clear()
         try:
@@ -184,6 +199,12 @@
             continue
 
 
+def _observe_loss(group: Group, server: ServerId, error: ConnectionLostError) -> None:
+    """Record that the primary gave no answer, if anything was sent to it."""
+    if not isinstance(error, QuiescedError):
+        group.observe_silence(server)
+
+
 async def open_at_primary(
     group: Group, session: Session, job: Job, begin: Query | None
 ) -> tuple[ServerPool, PooledConnection]:
@@ -219,7 +240,7 @@
         except ConnectionLostError as error:
             pool.release(pooled, clean=False)
             detail = f"primary silent: {error}"
-            group.observe_silence(server)
+            _observe_loss(group, server, error)
             continue
         except BaseException:
             pool.release(pooled, clean=False)
--- a/src/apricotshore/pooling/relay_dialer.py
+++ b/src/apricotshore/pooling/relay_dialer.py
@@ -48,6 +48,10 @@
         """Close at once; an open transaction is rolled back."""
         self.link.close()
 
+    def abandon(self) -> None:
+        """Reset the connection to the relay, which then resets its own."""
+        self.link.abandon()
+
     async def run(
         self, queries: Sequence[Query], after: LogPosition | None, timeout_s: float
     ) -> list[Answer]:
--- a/src/apricotshore/pooling/transactions.py
+++ b/src/apricotshore/pooling/transactions.py
@@ -63,7 +63,7 @@
         answer = await _run_pinned(session, pool, pooled, job)
     except ConnectionLostError as error:
         drop_transaction(transaction)
-        if is_commit and transaction.wrote:
+        if is_commit and transaction.wrote and error.sent:
             raise RefusedError(FailureCode.UNKNOWN_OUTCOME, str(error)) from None
         raise RefusedError(FailureCode.ROLLED_BACK, str(error)) from None
     if job.writes:
--- a/standins/in_memory.py
+++ b/standins/in_memory.py
@@ -30,6 +30,7 @@
     LeaseRead,
     LeaseRecord,
     LeaseWrite,
+    Quiesce,
     Snapshot,
     StoreConflictError,
     StoredKind,
@@ -331,6 +332,10 @@
             self.open = False
             self.server.connections -= 1
 
+    def abandon(self) -> None:
+        """Reset the connection."""
+        self.close()
+
     async def run(
         self, queries: Sequence[Query], after: LogPosition | None, timeout_s: float
     ) -> list[Answer]:
@@ -502,6 +507,8 @@
         Time from the acceptance of a promotion to its effect.
     down
         Whether every call fails.
+    quiesce_handlers
+        What each host does when another asks it to quiesce a server.
     unanswered_delay_s
         If not 0, promotions get no answer and are accepted after this delay,
         provided that no promotion with a higher token was accepted by then.
@@ -517,6 +524,7 @@
     tokens: dict[GroupId, int] = field(default_factory=dict)
     orders: list[tuple[HostId, ServerId, int]] = field(default_factory=list)
     hosts: dict[HostId, ListedHost] = field(default_factory=dict)
+    quiesce_handlers: dict[str, Quiesce] = field(default_factory=dict)
 
     def __post_init__(self) -> None:
         """Write the lease of an earlier change of primary that has ended."""
--- a/tests/pooling/test_pool.py
+++ b/tests/pooling/test_pool.py
@@ -4,6 +4,7 @@
 from apricotshore.decisions.placement import Distance, ServerLoad
 from apricotshore.identifiers import ServerId
 from apricotshore.pooling.pool import PooledConnection, ServerPool
+from apricotshore.pooling.server_gate import ServerGate
 from apricotshore.services.clock import read_boot_ms
 from standins.in_memory import ModelDialer, ModelGroup
 
@@ -13,6 +14,7 @@
 def make_pool(model: ModelGroup) -> ServerPool:
     load = ServerLoad(server=S1, distance=Distance.SAME_DATA_CENTRE, slots=3)
     return ServerPool(
+        gate=ServerGate(server=S1),
         server=model.list(model.servers[S1]),
         load=load,
         limit=20,
