Order a promotion once no host can get an answer of the former primary

Callers saw acknowledged commits missing after a change of primary, two a promotion. Cause: an order by the clock. Change: all hosts stop sending before the primary steps down, and confirm afterwards that nothing is in progress. Where one doesn't, or had to close a connection, the former primary has to say that it runs nothing, or 3 s pass, in which a server drops a connection that nobody holds. The waits for running statements (100 and 300 ms) go.

--- a/src/apricotshore/decisions/change_attempt.py
+++ b/src/apricotshore/decisions/change_attempt.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass, field
 
 from ..groups import LogPosition, Role
-from ..identifiers import ServerId, Term
+from ..identifiers import HostId, ServerId, Term
 from ..queries import QueryKind, ServerReport
 
 
@@ -44,14 +44,15 @@
     is_primary
         Whether it is the primary.
     running
-        Statements that it runs besides the command that is answered.
+        Statements that it runs besides the command that is answered, None where
+        that can't be told.
     """
 
     log_position: LogPosition
     term: Term
     paused_term: Term
     is_primary: bool
-    running: int = 0
+    running: int | None = 0
 
 
 def read_status(
@@ -59,18 +60,53 @@
 ) -> MemberStatus:
     """Return a member's status from its answer to a command.
 
-    A STATUS takes a slot of its own, and is counted with the statements that run.
+    A STATUS takes a slot of its own, and a server may count it with the statements
+    that run.
     """
-    own = 1 if kind is QueryKind.STATUS else 0
+    is_counted = kind is QueryKind.STATUS and report.busy > 0
     return MemberStatus(
         log_position=report.received,
         term=report.term,
         paused_term=report.paused_term,
         is_primary=report.role is Role.PRIMARY,
-        running=max(report.busy - own, 0),
+        running=None if is_counted else report.busy,
     )
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class BarrierReport:
+    """What the hosts confirmed: that none of them can get an answer of a server.
+
+    Parameters
+    ----------
+    at
+        When the last confirmation came, in milliseconds since boot.
+    is_listed
+        Whether the list of hosts was read for it.
+    hosts
+        Hosts that confirmed.
+    missing
+        Hosts that gave no confirmation.
+    ended, closed
+        Statements that got their answers, and that were closed without one.
+    """
+
+    at: int
+    is_listed: bool = True
+    hosts: frozenset[HostId] = frozenset()
+    missing: tuple[HostId, ...] = ()
+    ended: int = 0
+    closed: int = 0
+
+    @property
+    def is_complete(self) -> bool:
+        """Whether all hosts confirmed, and no connection was closed for it.
+
+        A server may learn late of a connection that was closed.
+        """
+        return self.is_listed and not self.missing and not self.closed
+
+
 @dataclass(kw_only=True, slots=True)
 class Attempt:
     """One change of primary, run by this host.
@@ -107,8 +143,14 @@
         End of its log after it has stepped down, None before.
     stepped_down_at
         When that was known.
-    running_on
-        Servers that have stepped down, and may still run what they began before.
+    asked_at
+        When each server was asked what it last answered.
+    led
+        Servers that were seen to lead in this change, besides the replaced primary.
+    quiesced
+        What hosts confirmed before the primary was told to step down, None before.
+    barrier
+        What hosts confirmed since nobody leads, None before.
     unanswered_since
         Since when the primary has answered no command.
     leaders
@@ -157,7 +199,10 @@
     primary_end: LogPosition | None = None
     final_end: LogPosition | None = None
     stepped_down_at: int = 0
-    running_on: set[ServerId] = field(default_factory=set)
+    asked_at: dict[ServerId, int] = field(default_factory=dict)
+    led: set[ServerId] = field(default_factory=set)
+    quiesced: BarrierReport | None = None
+    barrier: BarrierReport | None = None
     unanswered_since: int | None = None
     leaders: dict[ServerId, int | None] = field(default_factory=dict)
     leader_told_at: int | None = None
@@ -192,11 +237,33 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Secure:
-    """Action: pause servers and request the status of others at the same time."""
+    """Action: pause servers and request the status of others at the same time.
+
+    A former primary is told to step down again, and so names what it still runs.
+    """
 
     paused: tuple[ServerId, ...]
     term: Term
     asked: tuple[ServerId, ...]
+    former: ServerId | None = None
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Quiesce:
+    """Action: have all hosts send nothing more to a primary that leads."""
+
+    server: ServerId
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Seal:
+    """Action: have all hosts confirm that former primaries can't answer them.
+
+    Servers are paused and asked beside it.
+    """
+
+    servers: tuple[ServerId, ...]
+    beside: Secure
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -264,6 +331,8 @@
     RequestStatus
     | Pause
     | Secure
+    | Quiesce
+    | Seal
     | StepDown
     | AskOthers
     | Hold
@@ -282,20 +351,36 @@
 
 
 def update_status(
-    attempt: Attempt, server: ServerId, status: MemberStatus, now: int
+    attempt: Attempt,
+    server: ServerId,
+    status: MemberStatus,
+    now: int,
+    asked_at: int | None = None,
 ) -> None:
-    """Store the status of a member, and whether the primary has stepped down."""
+    """Store the status of a member, and whether the primary has stepped down.
+
+    Parameters
+    ----------
+    attempt
+        The change.
+    server, status
+        The member and its answer.
+    now
+        Milliseconds since boot.
+    asked_at
+        When it was asked, None if that was now.
+    """
     attempt.statuses[server] = status
+    attempt.asked_at[server] = now if asked_at is None else asked_at
     attempt.heard.add(server)
     attempt.busy.discard(server)
     attempt.answered_at[server] = now
     _observe_end(attempt, server, log_order(status.log_position))
-    if status.is_primary or not status.running:
-        attempt.running_on.discard(server)
     was_leader = server in attempt.leaders
     attempt.leaders.pop(server, None)
     if status.is_primary:
         attempt.leaders[server] = None
+        attempt.led.add(server)
     if server != attempt.replaced:
         if was_leader and not status.is_primary and attempt.final_end is not None:
             _observe_other_end(attempt, server, status, now)
@@ -303,8 +388,9 @@
     attempt.unanswered_since = None
     if status.is_primary:
         observe_primary_end(attempt, status.log_position)
-        # One that crashed after it had stepped down may lead again, in a later term.
-        attempt.final_end = None
+        if attempt.final_end is not None:
+            # It crashed after it had stepped down, and leads again in a later term.
+            attempt.final_end = attempt.quiesced = attempt.barrier = None
         if attempt.pause_term and status.term >= attempt.pause_term:
             attempt.pause_term = Term(status.term + 1)
     elif attempt.final_end is not None:
@@ -312,25 +398,18 @@
         attempt.final_end = max(attempt.final_end, status.log_position, key=log_order)
     elif _keeps_log(attempt, status):
         attempt.final_end = status.log_position
-        _observe_running(attempt, server, status)
         attempt.stepped_down_at = now
         attempt.listed = False
         # What the others held before may have grown until the primary stepped down.
         attempt.statuses = {server: status}
 
 
-def _observe_running(attempt: Attempt, server: ServerId, status: MemberStatus) -> None:
-    """Record a server that still runs statements when it has stepped down."""
-    if status.running:
-        attempt.running_on.add(server)
-
-
 def _observe_other_end(
     attempt: Attempt, server: ServerId, status: MemberStatus, now: int
 ) -> None:
     """Add the log of a server that led beside the replaced primary, until now."""
     assert attempt.final_end is not None
-    _observe_running(attempt, server, status)
+    attempt.barrier = None
     attempt.final_end = max(attempt.final_end, status.log_position, key=log_order)
     attempt.stepped_down_at = now
     attempt.listed = False
--- a/src/apricotshore/decisions/primary_change.py
+++ b/src/apricotshore/decisions/primary_change.py
@@ -2,19 +2,23 @@
 
 A commit is acknowledged once the primary and one replica have stored it. Which
 replica that was cannot be known: servers join, restart and lose their entries at
-any time. So two barriers keep commits from being acknowledged that the promoted
-server lacks, and each of them is enough alone:
-
-1. The primary steps down and names the end of its log.
-2. Replication is paused at every other server except the target, and again until
+any time. So barriers keep commits from being acknowledged that the promoted server
+lacks:
+
+1. All hosts stop sending to the primary, and their statements end. Then it steps down
+   and names the end of its log.
+2. All hosts confirm that no statement of theirs is in progress at it. A server can
+   acknowledge only on an open connection, so it acknowledges nothing more.
+3. Replication is paused at every other server except the target, and again until
    the promotion takes effect. A commit that the former primary still acknowledges,
-   as it waited for a replica or as the primary leads again, is then on the target.
+   as it leads again, is then on the target.
 
-A server that reaches the end of the log is promoted. If none does, the longest log
-among the target and the paused servers holds whatever was acknowledged.
+Where a host gives no confirmation, a former primary that runs nothing any more shows
+as much. A server that reaches the end of the log is promoted. If none does, the longest
+log among the servers that were asked after the barrier holds whatever was acknowledged.
 
 A primary that gives no answer may be reached by other hosts. If by none that is asked,
-only the second barrier is left; a primary that returns is told to step down.
+only the hosts and the pauses are left; a primary that returns is told to step down.
 
 Nobody is promoted while a server says that it leads and has not stepped down in this
 change, whatever its term: it may go on acknowledging.
@@ -33,8 +37,10 @@
     Member,
     Pause,
     Promote,
+    Quiesce,
     RecordTarget,
     RequestStatus,
+    Seal,
     Secure,
     Step,
     StepDown,
@@ -54,14 +60,15 @@
     request_promotion,
     set_target,
 )
+from .commit_barrier import is_confirmed, is_sealed, list_led
 from .position_history import PositionSample
 from .silent_primary import plan_with_pauses
 
 # Time into the lease after which no step, and no confirmation, is started.
 STEPS_MS = 2_500
-CONFIRM_MS = 4_500
+CONFIRM_MS = 5_500
 # The same for steps that follow once there is no primary any more.
-STEPS_WITHOUT_PRIMARY_MS = 3_500
+STEPS_WITHOUT_PRIMARY_MS = 4_500
 # For this long after the primary stepped down, only its target may be promoted, and a
 # promotion waits for the pause of a server that has not answered before.
 SECURE_MS = 100
@@ -220,6 +227,9 @@
     if is_known and inherited != primary:
         set_target(attempt, inherited, now)
         return _step_down(attempt, primary)
+    if attempt.is_cut_off and attempt.quiesced is None:
+        # Its commits wait for a replica, and leave no room for a command.
+        return Quiesce(server=primary)
     followers = [m for m in list_followers(attempt, members) if m.server != primary]
     if not followers:
         return RequestStatus(servers=list_names(members))
@@ -237,6 +247,8 @@
         return RequestStatus(servers=list_names(followers))
     if attempt.recorded != target:
         return RecordTarget(server=target)
+    if attempt.quiesced is None:
+        return Quiesce(server=primary)
     return _step_down(attempt, primary)
 
 
@@ -262,10 +274,14 @@
         other = choose_target(attempt, [m for m in others if m.server in full])
         set_target(attempt, other or attempt.target, now)
     target = attempt.target
+    unpaused = _list_unsecured(attempt, others)
+    if attempt.barrier is None:
+        return Seal(servers=list_led(attempt), beside=_secure(attempt, unpaused))
+    if not is_sealed(attempt, others, now):
+        return _secure(attempt, unpaused)
     if target is None or target not in full:
         return _plan_incomplete(attempt, members, others, since_loss, lossless, now)
-    unpaused = _list_unsecured(attempt, others)
-    if _must_wait_for(attempt, others, unpaused, now) or _may_grow(attempt, now):
+    if not is_confirmed(attempt) and _must_wait_for(attempt, others, unpaused, now):
         return _secure(attempt, unpaused)
     return request_promotion(attempt, members, target, now)
 
@@ -288,16 +304,6 @@
     return bool(waited) and since < SECURE_MS
 
 
-def _may_grow(attempt: Attempt, now: int) -> bool:
-    """Return whether a server that led may still store a commit that it was running.
-
-    The target may receive nothing more once its promotion is requested, so what is
-    stored later would wait for a replica that is resumed.
-    """
-    limit_ms = CATCH_UP_MS if attempt.replaced in attempt.statuses else SECURE_MS
-    return bool(attempt.running_on) and now - attempt.stepped_down_at < limit_ms
-
-
 def _list_full(attempt: Attempt, others: tuple[Member, ...]) -> tuple[ServerId, ...]:
     """Return the followers that hold all that any server is known to hold."""
     assert attempt.final_end is not None
@@ -323,11 +329,15 @@
 def _secure(attempt: Attempt, unpaused: tuple[ServerId, ...]) -> Secure:
     """Pause servers, and ask the target whether it has received the rest.
 
-    The former primary is asked as well: it may lead again, or have stored a commit
+    The former primary is told again: it may lead again, or have stored a commit
     that it was running when it stepped down.
     """
-    asked = tuple(s for s in (attempt.target, attempt.replaced) if s is not None)
-    return Secure(paused=unpaused, term=choose_pause_term(attempt), asked=asked)
+    return Secure(
+        paused=unpaused,
+        term=choose_pause_term(attempt),
+        asked=() if attempt.target is None else (attempt.target,),
+        former=attempt.replaced,
+    )
 
 
 def _plan_incomplete(
--- a/src/apricotshore/decisions/silent_primary.py
+++ b/src/apricotshore/decisions/silent_primary.py
@@ -13,6 +13,8 @@
     Member,
     Pause,
     RequestStatus,
+    Seal,
+    Secure,
     Step,
     Wait,
 )
@@ -29,6 +31,7 @@
     request_promotion,
     set_target,
 )
+from .commit_barrier import list_led
 from .position_history import PositionSample
 
 
@@ -92,6 +95,16 @@
     silent = attempt.replaced
     if silent is not None and silent not in known and not attempt.asked_others:
         return AskOthers(server=silent, term=attempt.pause_term)
+    return _plan_order(attempt, members, target, now)
+
+
+def _plan_order(
+    attempt: Attempt, members: tuple[Member, ...], target: ServerId, now: int
+) -> Step:
+    """Request the promotion once the hosts were asked and the list was read."""
+    if attempt.barrier is None:
+        beside = Secure(paused=(), term=attempt.pause_term, asked=(target,))
+        return Seal(servers=list_led(attempt), beside=beside)
     if not attempt.listed:
         return ListServers()
     return request_promotion(attempt, members, target, now)
--- a/src/apricotshore/pooling/change_steps.py
+++ b/src/apricotshore/pooling/change_steps.py
@@ -3,18 +3,26 @@
 import asyncio
 from collections.abc import Awaitable, Callable, Iterable
 
-from ..decisions import change_attempt, position_history, primary_change
+from ..decisions import (
+    change_attempt,
+    commit_barrier,
+    position_history,
+    primary_change,
+)
 from ..decisions.change_attempt import (
     Abandon,
     AskOthers,
     Attempt,
+    BarrierReport,
     Hold,
     ListServers,
     Member,
     Pause,
     Promote,
+    Quiesce,
     RecordTarget,
     RequestStatus,
+    Seal,
     Secure,
     Step,
     StepDown,
@@ -36,6 +44,7 @@
 )
 from .ports import Promoter, StoreError
 from .promotion_request import PromotionRequest
+from .write_barrier import WriteBarrier
 
 # Pause before servers are asked again, and while a promotion is awaited.
 STATUS_PAUSE_S = 0.02
@@ -68,6 +77,8 @@
         Reads the list of servers in the store anew.
     detours
         Reaches servers through other hosts.
+    barrier
+        Has all hosts send nothing more to a primary.
     attempt
         The change.
     """
@@ -82,6 +93,7 @@
         commands: GroupCommands,
         refresh_servers: Callable[[], Awaitable[None]],
         detours: Detours,
+        barrier: WriteBarrier,
         attempt: Attempt,
         token: FencingToken,
     ) -> None:
@@ -90,6 +102,7 @@
         self.commands = commands
         self.refresh_servers = refresh_servers
         self.detours = detours
+        self.barrier = barrier
         self.attempt = attempt
         self.token = token
         self.leased_at = read_boot_ms()
@@ -98,6 +111,8 @@
         self.sent: dict[ServerId, asyncio.Task[None]] = {}
         # Answers of a silent primary through other hosts, once they were asked.
         self.detour: asyncio.Task[tuple[ServerReport, ...]] | None = None
+        # Round of confirmations that is under way.
+        self.sealing: asyncio.Task[BarrierReport] | None = None
         self.promotion = PromotionRequest(
             group=group, host=host, promoter=promoter, attempt=attempt
         )
@@ -179,15 +194,26 @@
             case Pause(servers=servers, term=term):
                 self._record("pausing", servers=servers, term=term)
                 self._begin_detour(term)
+                self._begin_sealing(commit_barrier.list_led(self.attempt))
                 await self._command_all(servers, QueryKind.PAUSE, term)
             case Secure():
                 await self._secure(step)
             case StepDown(server=server, term=term):
                 await self._step_down(server, term)
-            case AskOthers(server=server, term=term):
-                await self._ask_others(server, term)
             case Hold():
                 await self._hold(step)
+            case _:
+                await self._run_beyond_group(step)
+
+    async def _run_beyond_group(self, step: Step) -> None:
+        """Run a step that involves other hosts or the store, or just waits."""
+        match step:
+            case Quiesce(server=server):
+                await self._quiesce(server)
+            case Seal():
+                await self._seal(step)
+            case AskOthers(server=server, term=term):
+                await self._ask_others(server, term)
             case ListServers():
                 await self._list_servers()
             case Wait(why=why):
@@ -258,7 +284,7 @@
     async def stop(self) -> None:
         """End the commands that still run: a late pause would outlast the change."""
         running: list[asyncio.Task] = list(self.sent.values())
-        others = (self.detour, self.search, self.promotion.call)
+        others = (self.detour, self.search, self.sealing, self.promotion.call)
         running += [task for task in others if task is not None]
         for task in running:
             task.cancel()
@@ -271,9 +297,10 @@
         term: Term,
         timeout_ms: int = COMMAND_TIMEOUT_MS,
     ) -> None:
+        asked_at = read_boot_ms()
         reply = await self.commands.ask(server, kind, term, timeout_ms)
         if reply.report is not None:
-            self._update_status(server, reply.report, kind)
+            self._update_status(server, reply.report, asked_at, kind)
             return
         change_attempt.remove_status(self.attempt, server, read_boot_ms())
         if reply.refused:
@@ -283,10 +310,7 @@
         """Pause servers beside asking others, and wait for the first answer."""
         if step.paused:
             self._record("pausing", servers=step.paused, term=step.term)
-        for server in step.paused:
-            self._send(server, QueryKind.PAUSE, step.term)
-        for server in step.asked:
-            self._send(server, QueryKind.STATUS, NO_TERM)
+        self._send_beside(step)
         if self.sent:
             await asyncio.wait(
                 self.sent.values(),
@@ -295,14 +319,54 @@
             )
         await asyncio.sleep(ANSWER_PAUSE_S)
 
+    def _send_beside(self, step: Secure) -> None:
+        for server in step.paused:
+            self._send(server, QueryKind.PAUSE, step.term)
+        for server in step.asked:
+            self._send(server, QueryKind.STATUS, NO_TERM)
+        if step.former is not None:
+            self._send(step.former, QueryKind.STEP_DOWN, step.term)
+
+    async def _quiesce(self, server: ServerId) -> None:
+        """Have all hosts send nothing more to a primary that is to step down."""
+        self.attempt.quiesced = await self.barrier.quiesce(
+            server, self.attempt.from_term, commit_barrier.QUIESCE_MS
+        )
+
+    async def _seal(self, step: Seal) -> None:
+        """Have all hosts confirm that former primaries can't answer them."""
+        self._send_beside(step.beside)
+        self._begin_sealing(step.servers)
+        if self.sealing is not None:
+            self.attempt.barrier = await self.sealing
+            self.sealing = None
+
+    def _begin_sealing(self, servers: tuple[ServerId, ...]) -> None:
+        if self.sealing is None and self.attempt.barrier is None:
+            self.sealing = asyncio.get_running_loop().create_task(
+                self.barrier.seal(
+                    servers, self.attempt.from_term, commit_barrier.SEAL_MS
+                )
+            )
+
+    async def reopen(self) -> None:
+        """Have hosts send again to a primary that was not replaced after all."""
+        attempt = self.attempt
+        was_quiesced = attempt.quiesced is not None or attempt.barrier is not None
+        is_back = attempt.final_end is None or attempt.requested == attempt.replaced
+        if was_quiesced and is_back:
+            for server in commit_barrier.list_led(attempt):
+                await self.barrier.reopen(server, attempt.from_term)
+
     def _update_status(
         self,
         server: ServerId,
         report: ServerReport,
+        asked_at: int,
         kind: QueryKind = QueryKind.STEP_DOWN,
     ) -> None:
         change_attempt.update_status(
-            self.attempt, server, read_status(report, kind), read_boot_ms()
+            self.attempt, server, read_status(report, kind), read_boot_ms(), asked_at
         )
 
     async def _step_down(self, server: ServerId, term: Term) -> None:
@@ -320,9 +384,10 @@
         self._begin_detour(term)
         if self.detour is None:
             return
+        asked_at = read_boot_ms()
         reports = await self.detour
         for report in reports:
-            self._update_status(server, report)
+            self._update_status(server, report, asked_at)
         end = self.attempt.final_end
         mark = f"{end.term}.{end.position}" if end is not None else ""
         self._record("asked-others", server=server, answers=len(reports), mark=mark)
@@ -366,9 +431,10 @@
         pool = self.group.find_pool(primary)
         if pool is None:
             return
+        asked_at = read_boot_ms()
         reports = await self.detours.step_down(pool.server, term, self.is_held)
         for report in reports:
-            self._update_status(primary, report)
+            self._update_status(primary, report, asked_at)
 
     # -- the platform --
 
--- a/src/apricotshore/pooling/host.py
+++ b/src/apricotshore/pooling/host.py
@@ -39,6 +39,7 @@
 from .settings import PoolingSettings
 from .store_watcher import StoreWatcher
 from .supervision import keep_running
+from .write_barrier import WriteBarrier
 
 HOUSEKEEPING_S = 0.5
 # Callers time out when their session is not open after 2 s.
@@ -216,6 +217,12 @@
             detours=Detours(
                 direct=self.adapters.dialer, fleet=self.fleet, journal=self.journal
             ),
+            barrier=WriteBarrier(
+                group=group,
+                fleet=self.fleet,
+                peers=self.adapters.peers,
+                refresh_hosts=self.host_watcher.refresh,
+            ),
         )
         self.changers[group.group] = changer
         await self.add_runtime_dependency(changer)
--- a/src/apricotshore/pooling/primary_changer.py
+++ b/src/apricotshore/pooling/primary_changer.py
@@ -27,6 +27,7 @@
 from .primary_prover import is_answer, probe_server
 from .resumption import Resumption
 from .supervision import keep_running
+from .write_barrier import WriteBarrier
 
 TICK_S = 0.1
 STEP_PAUSE_S = 0.05
@@ -66,6 +67,8 @@
         Reads the list of servers in the store anew.
     detours
         Reaches servers through other hosts.
+    barrier
+        Has all hosts send nothing more to a primary.
     """
 
     def __init__(
@@ -81,6 +84,7 @@
         rank: Callable[[], int],
         refresh_servers: Callable[[], Awaitable[None]],
         detours: Detours,
+        barrier: WriteBarrier,
     ) -> None:
         super().__init__()
         self.group = group
@@ -90,6 +94,7 @@
         self.rank = rank
         self.refresh_servers = refresh_servers
         self.detours = detours
+        self.barrier = barrier
         self.lease = ChangeLease(
             group=group.group,
             host=host,
@@ -218,6 +223,7 @@
             commands=self.commands,
             refresh_servers=self.refresh_servers,
             detours=self.detours,
+            barrier=self.barrier,
             attempt=attempt,
             token=token,
         )
@@ -234,6 +240,7 @@
         work.promotion.record_settled()
         if not work.is_held():
             return
+        await work.reopen()
         # An open lease may have left a request, whatever this change began for.
         await self._finish(
             work, reason == "unfinished" or attempt.inherited is not None
--- a/tests/changemodel.py
+++ b/tests/changemodel.py
@@ -11,20 +11,23 @@
 from apricotshore.decisions.change_attempt import (
     Abandon,
     AskOthers,
+    BarrierReport,
     Hold,
     ListServers,
     Member,
     MemberStatus,
     Pause,
     Promote,
+    Quiesce,
     RecordTarget,
     RequestStatus,
+    Seal,
     Secure,
     StepDown,
 )
 from apricotshore.decisions.position_history import PositionSample
 from apricotshore.groups import LogPosition
-from apricotshore.identifiers import Position, ServerId, Term
+from apricotshore.identifiers import HostId, Position, ServerId, Term
 
 from . import decisions_before
 
@@ -329,6 +332,11 @@
                 self._promote(host, server, is_late)
             case Abandon():
                 self._end(host)
+            case Quiesce():
+                host.attempt.quiesced = self._ask_hosts()
+            case Seal(beside=beside):
+                self._command(host, beside, reached, set(reached) - set(unanswered))
+                host.attempt.barrier = self._ask_hosts()
             case _:
                 self._command(host, step, reached, set(reached) - set(unanswered))
 
@@ -345,9 +353,10 @@
             case Pause(servers=servers, term=term):
                 self._pause(servers, term, reached)
                 self._report(host, servers, answers)
-            case Secure(paused=paused, term=term, asked=asked):
+            case Secure(paused=paused, term=term, asked=asked, former=former):
                 self._pause(paused, term, reached)
                 self._report(host, (*paused, *asked), answers)
+                self._tell_former(host, former, term, reached, answers)
             case StepDown(server=server, term=term):
                 self._step_down(server, term, reached)
                 self._report(host, (server,), answers)
@@ -363,6 +372,22 @@
                 if primary is not None:
                     self._step_down(primary, term, reached)
 
+    def _tell_former(
+        self,
+        host: Host,
+        former: ServerId | None,
+        term: int,
+        reached: Collection[ServerId],
+        answers: Collection[ServerId],
+    ) -> None:
+        if former is not None:
+            self._step_down(former, term, reached)
+            self._report(host, (former,), answers)
+
+    def _ask_hosts(self) -> BarrierReport:
+        """Return what the hosts confirm; one never does, so servers decide."""
+        return BarrierReport(at=self.now, missing=(HostId("absent"),))
+
     def _may_go_on(self, attempt: Any) -> bool:
         age = self.now - attempt.started_at
         if attempt.requested:
--- a/tests/pooling/support.py
+++ b/tests/pooling/support.py
@@ -24,10 +24,17 @@
 from apricotshore.pooling.detours import Detours
 from apricotshore.pooling.group import Group
 from apricotshore.pooling.journal import Journal
+from apricotshore.pooling.ports import (
+    ConnectionLostError,
+    QuiesceReply,
+    QuiesceRequest,
+    StoreError,
+)
 from apricotshore.pooling.primary_changer import PrimaryChanger
 from apricotshore.pooling.primary_prover import PrimaryProver
 from apricotshore.pooling.prober import Prober
 from apricotshore.pooling.sessions import Context
+from apricotshore.pooling.write_barrier import WriteBarrier
 from apricotshore.queries import Query, QueryKind
 from apricotshore.routes import Configuration, Consistency, ListedServer, Route
 from apricotshore.services.eras import EraTracker
@@ -98,6 +105,27 @@
         return await other.dial(server, timeout_s)
 
 
+@dataclass(kw_only=True)
+class ModelPeers:
+    """Client of the other hosts of a model, known by their names."""
+
+    platform: ModelPlatform
+
+    async def quiesce(
+        self, host: ListedHost, request: QuiesceRequest, timeout_s: float
+    ) -> QuiesceReply:
+        """Have a host of the model quiesce a server."""
+        await asyncio.sleep(0.001)
+        handler = self.platform.quiesce_handlers.get(host.host)
+        if handler is None:
+            return QuiesceReply()
+        try:
+            async with asyncio.timeout(timeout_s):
+                return await handler(request)
+        except TimeoutError:
+            raise ConnectionLostError("no confirmation", sent=True) from None
+
+
 @dataclass(kw_only=True)
 class ModelHost:
     """A host in front of a model group."""
@@ -144,6 +172,11 @@
                     group.update_server(model.list(server, leaving=leaving))
 
         fleet = Fleet(local_host=HostId(name))
+
+        async def refresh_hosts() -> None:
+            if platform.down:
+                raise StoreError("down")
+
         changer = PrimaryChanger(
             group=group,
             host=HostId(name),
@@ -157,7 +190,14 @@
             detours=Detours(
                 direct=OtherHosts(group=model), fleet=fleet, journal=journal
             ),
+            barrier=WriteBarrier(
+                group=group,
+                fleet=fleet,
+                peers=ModelPeers(platform=platform),
+                refresh_hosts=refresh_hosts,
+            ),
         )
+        platform.quiesce_handlers[name] = group.quiesce
         return cls(
             name=HostId(name),
             model=model,
--- a/tests/pooling/test_unrecognised_leaders.py
+++ b/tests/pooling/test_unrecognised_leaders.py
@@ -6,10 +6,13 @@
 from apricotshore.decisions import change_attempt, primary_change
 from apricotshore.decisions.change_attempt import (
     Attempt,
+    BarrierReport,
     Hold,
     Member,
     MemberStatus,
     Promote,
+    Quiesce,
+    Seal,
     StepDown,
 )
 from apricotshore.groups import LogPosition
@@ -110,6 +113,10 @@
         steps.append(step)
         if isinstance(step, Promote):
             return steps
+        if isinstance(step, Quiesce):
+            attempt.quiesced = BarrierReport(at=now)
+        if isinstance(step, Seal):
+            attempt.barrier = BarrierReport(at=now)
         now += 20
         answers(step, now)
     return steps
--- a/tests/test_primary_change_races.py
+++ b/tests/test_primary_change_races.py
@@ -16,20 +16,23 @@
     Abandon,
     AskOthers,
     Attempt,
+    BarrierReport,
     Hold,
     ListServers,
     Member,
     MemberStatus,
     Pause,
     Promote,
+    Quiesce,
     RecordTarget,
     RequestStatus,
+    Seal,
     Secure,
     StepDown,
 )
 from apricotshore.decisions.position_history import PositionSample
 from apricotshore.groups import LogPosition
-from apricotshore.identifiers import Position, ServerId, Term
+from apricotshore.identifiers import HostId, Position, ServerId, Term
 
 SERVERS = tuple(ServerId(f"s{n}") for n in (1, 2, 3))
 STEP_MS = 50
@@ -231,6 +234,25 @@
         return found
 
     def _run_action(self, host, attempt, step, reached):
+        match step:
+            case Quiesce():
+                attempt.quiesced = self._ask_hosts()
+            case Seal(beside=beside):
+                self._run_command(attempt, beside, reached)
+                attempt.barrier = self._ask_hosts()
+            case ListServers():
+                attempt.listed = True
+            case RecordTarget(server=server):
+                attempt.recorded = server
+            case Promote(server=server):
+                self.requested_promotions.append((server, host.token))
+                attempt.requested, attempt.held = server, False
+            case Abandon():
+                host.attempt = None
+            case _:
+                self._run_command(attempt, step, reached)
+
+    def _run_command(self, attempt, step, reached):
         match step:
             case RequestStatus(servers=servers):
                 self._report_statuses(attempt, servers, reached)
@@ -238,6 +260,7 @@
                 self._pause(servers, term, reached)
                 asked = step.asked if isinstance(step, Secure) else ()
                 self._report_statuses(attempt, (*servers, *asked), reached)
+                self._tell_former(attempt, step, reached)
             case StepDown(server=server):
                 self._step_down(server, reached)
                 self._report_statuses(attempt, (server,), reached)
@@ -247,15 +270,15 @@
                 self._step_down(primary, reached)
             case AskOthers():
                 attempt.asked_others = True
-            case ListServers():
-                attempt.listed = True
-            case RecordTarget(server=server):
-                attempt.recorded = server
-            case Promote(server=server):
-                self.requested_promotions.append((server, host.token))
-                attempt.requested, attempt.held = server, False
-            case Abandon():
-                host.attempt = None
+
+    def _ask_hosts(self):
+        return BarrierReport(at=self.now, missing=(HostId("absent"),))
+
+    def _tell_former(self, attempt, step, reached):
+        former = step.former if isinstance(step, Secure) else None
+        if former is not None:
+            self._step_down(former, reached)
+            self._report_statuses(attempt, (former,), reached)
 
     def _pause(self, servers, term, reached):
         for name in reached & set(servers):
--- a/tests/test_stepped_down_primaries.py
+++ b/tests/test_stepped_down_primaries.py
@@ -1,37 +1,50 @@
-"""Statements that a primary still runs when it has stepped down."""
+"""Statements that hosts have in progress at a primary which has stepped down."""
 
 import pytest
 
 from apricotshore.decisions import change_attempt, primary_change
 from apricotshore.decisions.change_attempt import (
     Attempt,
+    BarrierReport,
     Member,
     MemberStatus,
     Promote,
+    Quiesce,
+    RecordTarget,
+    Seal,
     Secure,
+    StepDown,
     read_status,
 )
-from apricotshore.decisions.change_targets import CATCH_UP_MS
+from apricotshore.decisions.commit_barrier import QUIESCE_MS, UNCONFIRMED_MS
 from apricotshore.groups import LogPosition, Role
-from apricotshore.identifiers import Position, ServerId, Term
+from apricotshore.identifiers import HostId, Position, ServerId, Term
 from apricotshore.queries import QueryKind, ServerReport
 
 S1, S2, S3 = (ServerId(f"s{n}") for n in (1, 2, 3))
 MEMBERS = tuple(Member(server=s) for s in (S1, S2, S3))
+HOSTS = frozenset({HostId("a"), HostId("b")})
+ABSENT = (HostId("b"),)
 STEPPED_DOWN_AT = 100
+SEALED_AT = STEPPED_DOWN_AT + 10
 END = LogPosition(term=Term(1), position=Position(7))
 
 
 def make_status(paused_term: int = 0, **fields) -> MemberStatus:
     return MemberStatus(
-        log_position=END,
-        term=Term(1),
-        paused_term=Term(paused_term),
-        **{"is_primary": False, **fields},
+        **{
+            "log_position": END,
+            "term": Term(1),
+            "paused_term": Term(paused_term),
+            "is_primary": False,
+            **fields,
+        }
     )
 
 
-def make_attempt(running: int) -> Attempt:
+def make_attempt(
+    barrier: BarrierReport | None, quiesced: BarrierReport | None = None
+) -> Attempt:
     """Return a change whose primary has stepped down; s2 is the target."""
     attempt = Attempt(
         from_term=Term(1), started_at=0, replaced=S1, must_step_down=True, recorded=S2
@@ -39,54 +52,139 @@
     attempt.target, attempt.pause_term = S2, Term(2)
     leading = make_status(is_primary=True)
     change_attempt.update_status(attempt, S1, leading, STEPPED_DOWN_AT)
-    stepped_down = make_status(running=running)
-    change_attempt.update_status(attempt, S1, stepped_down, STEPPED_DOWN_AT)
+    attempt.quiesced = quiesced
+    change_attempt.update_status(attempt, S1, make_status(running=2), STEPPED_DOWN_AT)
     hear_followers(attempt, STEPPED_DOWN_AT)
+    attempt.barrier = barrier
     return attempt
 
 
+def confirm(**fields) -> BarrierReport:
+    return BarrierReport(**{"at": SEALED_AT, "hosts": HOSTS, **fields})
+
+
 def hear_followers(attempt: Attempt, now: int) -> None:
     change_attempt.update_status(attempt, S2, make_status(), now)
     change_attempt.update_status(attempt, S3, make_status(paused_term=2), now)
 
 
+def hear(attempt: Attempt, now: int, **fields) -> None:
+    change_attempt.update_status(attempt, S1, make_status(**fields), now)
+
+
 def plan(attempt: Attempt, now: int) -> object:
     return primary_change.plan_step(attempt, MEMBERS, None, True, now)
 
 
-def test_order_waits_for_statements_that_a_stepped_down_primary_runs():
-    """A commit stored after the order waits until a pause ends, and is lost."""
-    attempt = make_attempt(running=2)
-    assert isinstance(plan(attempt, STEPPED_DOWN_AT + 20), Secure)
-    change_attempt.update_status(attempt, S1, make_status(), STEPPED_DOWN_AT + 30)
-    assert plan(attempt, STEPPED_DOWN_AT + 30) == Promote(server=S2)
+def test_hosts_stop_sending_before_the_primary_steps_down():
+    attempt = Attempt(from_term=Term(1), started_at=0, replaced=S1, must_step_down=True)
+    hear(attempt, 10, is_primary=True)
+    hear_followers(attempt, 10)
+    assert isinstance(plan(attempt, 10), RecordTarget)
+    attempt.recorded = attempt.target
+    assert plan(attempt, 10) == Quiesce(server=S1)
+    attempt.quiesced = confirm(at=20)
+    assert isinstance(plan(attempt, 20), StepDown)
+
 
+@pytest.mark.parametrize("waited_ms", [0, 300, 3_000])
+def test_no_order_before_the_hosts_were_asked(waited_ms):
+    attempt = make_attempt(barrier=None)
+    now = STEPPED_DOWN_AT + waited_ms
+    hear_followers(attempt, now)
+    assert isinstance(plan(attempt, now), Seal)
 
-def test_target_has_to_hold_what_was_stored_after_the_step_down():
-    attempt = make_attempt(running=1)
-    late = LogPosition(term=Term(1), position=Position(8))
-    grown = MemberStatus(
-        log_position=late, term=Term(1), paused_term=Term(0), is_primary=False
+
+def test_order_follows_at_once_where_hosts_had_nothing_in_progress():
+    attempt = make_attempt(confirm(), quiesced=confirm(at=50))
+    assert plan(attempt, SEALED_AT) == Promote(server=S2)
+
+
+@pytest.mark.parametrize(
+    "quiesced, barrier",
+    [
+        (None, confirm()),
+        (confirm(at=50), confirm(ended=1)),
+        (confirm(at=50), confirm(hosts=HOSTS | {HostId("started")})),
+        (confirm(at=SEALED_AT - QUIESCE_MS), confirm()),
+    ],
+    ids=["not-quiesced", "statement-ended", "host-started", "hold-is-over"],
+)
+def test_end_is_asked_again_where_a_host_may_have_had_an_answer_since(
+    quiesced, barrier
+):
+    """What the former primary acknowledged after its step-down is on the target."""
+    attempt = make_attempt(barrier, quiesced)
+    assert isinstance(plan(attempt, SEALED_AT), Secure)
+    later = LogPosition(term=Term(1), position=Position(8))
+    hear(attempt, SEALED_AT + 5, log_position=later)
+    assert isinstance(plan(attempt, SEALED_AT + 5), Secure)
+    change_attempt.update_status(
+        attempt, S2, make_status(log_position=later), SEALED_AT + 10
     )
-    change_attempt.update_status(attempt, S1, grown, STEPPED_DOWN_AT + 30)
-    assert isinstance(plan(attempt, STEPPED_DOWN_AT + 30), Secure)
-    change_attempt.update_status(attempt, S2, grown, STEPPED_DOWN_AT + 40)
-    assert plan(attempt, STEPPED_DOWN_AT + 40) == Promote(server=S2)
+    assert plan(attempt, SEALED_AT + 10) == Promote(server=S2)
 
 
-def test_statement_that_does_not_end_delays_the_order_for_a_moment_only():
-    attempt = make_attempt(running=1)
-    now = STEPPED_DOWN_AT + CATCH_UP_MS
-    change_attempt.update_status(attempt, S1, make_status(running=1), now)
+@pytest.mark.parametrize(
+    "barrier",
+    [confirm(missing=ABSENT), confirm(closed=1), confirm(is_listed=False)],
+    ids=["host-is-absent", "connection-was-closed", "hosts-unknown"],
+)
+def test_order_waits_until_the_former_primary_runs_nothing(barrier):
+    """It may still acknowledge to a host that confirmed nothing."""
+    attempt = make_attempt(barrier)
+    for waited_ms in (5, 300, 1_000, UNCONFIRMED_MS - 5):
+        now = SEALED_AT + waited_ms
+        hear(attempt, now, running=1)
+        hear_followers(attempt, now)
+        assert isinstance(plan(attempt, now), Secure)
+    hear(attempt, now, running=0)
+    assert plan(attempt, now) == Promote(server=S2)
+
+
+def test_answer_to_a_question_before_the_barrier_shows_nothing():
+    attempt = make_attempt(confirm(missing=ABSENT))
+    status = make_status(running=0)
+    now = SEALED_AT + 5
+    change_attempt.update_status(attempt, S1, status, now, asked_at=SEALED_AT)
+    assert isinstance(plan(attempt, now), Secure)
+
+
+def test_connections_of_an_absent_host_are_dropped_after_a_while():
+    attempt = make_attempt(confirm(missing=ABSENT))
+    now = SEALED_AT + UNCONFIRMED_MS
+    hear(attempt, now, running=1)
     hear_followers(attempt, now)
     assert plan(attempt, now) == Promote(server=S2)
 
 
+def test_all_others_are_asked_where_the_former_primary_answers_no_more():
+    """Whatever it acknowledged last is on one of them."""
+    attempt = make_attempt(confirm(ended=1))
+    change_attempt.update_status(attempt, S2, make_status(), SEALED_AT + 5)
+    assert isinstance(plan(attempt, SEALED_AT + 5), Secure)
+    hear_followers(attempt, SEALED_AT + 10)
+    assert plan(attempt, SEALED_AT + 10) == Promote(server=S2)
+
+
+def test_server_that_leads_again_needs_another_barrier():
+    attempt = make_attempt(confirm(), quiesced=confirm(at=50))
+    hear(attempt, SEALED_AT + 5, is_primary=True)
+    assert attempt.barrier is None
+    assert attempt.quiesced is None
+
+
 @pytest.mark.parametrize(
-    "kind, running", [(QueryKind.STATUS, 1), (QueryKind.STEP_DOWN, 2)]
+    "kind, busy, running",
+    [
+        (QueryKind.STATUS, 2, None),
+        (QueryKind.STATUS, 1, None),
+        (QueryKind.STATUS, 0, 0),
+        (QueryKind.STEP_DOWN, 2, 2),
+    ],
 )
-def test_status_does_not_count_itself_as_running(kind, running):
+def test_status_that_may_count_itself_does_not_show_what_runs(kind, busy, running):
     report = ServerReport(
-        role=Role.REPLICA, term=Term(1), received=END, paused_term=Term(0), busy=2
+        role=Role.REPLICA, term=Term(1), received=END, paused_term=Term(0), busy=busy
     )
     assert read_status(report, kind).running == running
