--- a/src/apricotshore/pooling/host.py
+++ b/src/apricotshore/pooling/host.py
@@ -27,9 +27,12 @@
     CallerLink,
     Dialer,
     HostLink,
+    HostPeers,
     LeaseRecord,
     ObjectStore,
     Promoter,
+    QuiesceReply,
+    QuiesceRequest,
 )
 from .primary_changer import PrimaryChanger
 from .primary_prover import PrimaryProver
@@ -44,6 +47,9 @@
 # Callers time out when their session is not open after 2 s.
 LOADING_S = 1.5
 LOADING_STEP_S = 0.01
+# Cancelled sessions need a few turns of the event loop to close their connections.
+CLOSING_S = 0.25
+CLOSING_STEP_S = 0.01
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -55,6 +61,8 @@
     store, promoter, dialer
         The platform's store and promotion API, and the factory of connections
         to backend servers.
+    peers
+        Client of the other hosts of the fleet.
     close
         Releases the resources of the others.
     """
@@ -62,6 +70,7 @@
     store: ObjectStore
     promoter: Promoter
     dialer: Dialer
+    peers: HostPeers
     close: Callable[[], Awaitable[None]]
 
 
@@ -105,6 +114,7 @@
         self.journal = journal
         self.groups: dict[GroupId, Group] = {}
         self.changers: dict[GroupId, PrimaryChanger] = {}
+        self.probers: list[Prober] = []
         self.server_groups: dict[ServerId, GroupId] = {}
         self.drain = Drain(grace_ms=settings.grace_ms)
         self.metrics = PoolingMetrics(registry=registry)
@@ -165,18 +175,43 @@
 
     async def on_stop(self) -> None:
         """Leave changes of primary to other hosts, and close every connection."""
-        stops = (changer.stop() for changer in self.changers.values())
+        stops = (s.stop() for s in (*self.changers.values(), *self.probers))
         for outcome in await asyncio.gather(*stops, return_exceptions=True):
             if isinstance(outcome, Exception):
                 self.journal.record(EventKind.ERROR, why=repr(outcome))
-        for task in self.caller_sessions.values():
-            task.cancel()
-        for group in self.groups.values():
-            group.close_pools()
+        self._close_connections()
+        await self._wait_until_closed()
         await self.adapters.close()
         self.journal.record(EventKind.STOPPED, sessions=len(self.caller_sessions))
         self.journal.flush()
 
+    def _close_connections(self) -> None:
+        for task in (*self.caller_sessions.values(), *self.background):
+            task.cancel()
+        for session in self.host_sessions:
+            session.link.close()
+        for group in self.groups.values():
+            group.close_pools()
+
+    async def _wait_until_closed(self) -> bool:
+        """Wait until no connection to a backend server is open; return whether so."""
+        try:
+            async with asyncio.timeout(CLOSING_S):
+                while self.has_connections:
+                    await asyncio.sleep(CLOSING_STEP_S)
+        except TimeoutError:
+            self.journal.record(EventKind.ERROR, why="connections are still open")
+            return False
+        return True
+
+    @property
+    def has_connections(self) -> bool:
+        """Whether a connection to a backend server may be open."""
+        groups = self.groups.values()
+        pools = [p for g in groups for p in (*g.pools.values(), *g.unlisted.values())]
+        sessions = bool(self.caller_sessions or self.host_sessions)
+        return sessions or any(pool.held for pool in pools)
+
     # -- changes in the store --
 
     def _record_restored(self) -> None:
@@ -202,7 +237,9 @@
         return group
 
     async def _start_group_services(self, group: Group) -> None:
-        await self.add_runtime_dependency(Prober(group=group))
+        prober = Prober(group=group)
+        self.probers.append(prober)
+        await self.add_runtime_dependency(prober)
         changer = PrimaryChanger(
             group=group,
             host=self.settings.host,
@@ -352,6 +389,14 @@
         finally:
             self.host_sessions.discard(session)
 
+    async def quiesce(self, request: QuiesceRequest) -> QuiesceReply:
+        """Send nothing more to a server that another host replaces, and confirm it.
+
+        Only pools of a known group connect to its servers.
+        """
+        known = self.groups.get(request.group)
+        return QuiesceReply() if known is None else await known.quiesce(request)
+
     @property
     def is_ready(self) -> bool:
         """Whether the load balancer should send callers here."""
--- a/src/apricotshore/pooling/ports.py
+++ b/src/apricotshore/pooling/ports.py
@@ -417,7 +417,10 @@
         Returns why a server is not reached through this host, None if it is.
     serve
         Serves one connection until the other host disconnects.
+    quiesce
+        Sends nothing more to a server, and confirms it.
     """
 
     admit: AdmitHost
     serve: ServeHost
+    quiesce: Quiesce
--- a/tests/platform_adapter/test_relays.py
+++ b/tests/platform_adapter/test_relays.py
@@ -50,6 +50,9 @@
         self.sessions.append(session)
         await session.run()
 
+    async def quiesce(self, request):
+        raise AssertionError("no test of relays asks for it")
+
     def list_received(self) -> list[tuple[str, dict[str, str]]]:
         """Return the statements run at the server, with the session's values."""
         return [
@@ -63,7 +66,7 @@
 async def start_relay():
     """Start a relay; yield it and a function that connects to a server through it."""
     relay = RelayHost()
-    handler = HostHandler(admit=relay.admit, serve=relay.serve)
+    handler = HostHandler(admit=relay.admit, serve=relay.serve, quiesce=relay.quiesce)
     server = await listen_for_hosts("127.0.0.1:0", handler)
     port = server.sockets[0].getsockname()[1]
     listed = replace(
--- a/tests/pooling/test_host.py
+++ b/tests/pooling/test_host.py
@@ -22,6 +22,13 @@
 SHOP = DatabaseId("shop")
 
 
+class NoPeers:
+    """Other hosts, none of which is asked for anything."""
+
+    async def quiesce(self, host, request, timeout_s):
+        raise AssertionError(f"{host.host!r} was asked")
+
+
 @asynccontextmanager
 async def running_host():
     model = ModelGroup.make()
@@ -36,6 +43,7 @@
             store=store,
             promoter=ModelPlatform(group=model),
             dialer=ModelDialer(group=model, host_name="h"),
+            peers=NoPeers(),
             close=close,
         ),
         journal=make_journal(),
