Test that a refused connection means a host without connections

Cause: the peer listener closed before the host stopped, so that a refused connection said nothing about the connections of the process. Change: tests of the order, over the program's own start and end. Measured: test_quiesce.py -k 'stopped_host_has_closed or peer_port': 3 passed; with the listener closed before host.stop() and no wait for the connections: 2 failed, 1 passed (the last one does not tell the two apart).

--- a/tests/platform_adapter/test_quiesce.py
+++ b/tests/platform_adapter/test_quiesce.py
@@ -6,7 +6,7 @@
 from contextlib import asynccontextmanager
 
 import pytest
-from apricotshore_platform import lines
+from apricotshore_platform import lines, program
 from apricotshore_platform.backends import LineDialer
 from apricotshore_platform.callers import listen_for_hosts
 from apricotshore_platform.peers import LinePeers
@@ -14,6 +14,7 @@
 from apricotshore.decisions.relays import ListedHost
 from apricotshore.identifiers import DataCentreId, GroupId, HostId, ServerId, Term
 from apricotshore.pooling.group import Group
+from apricotshore.pooling.host import PoolingHost
 from apricotshore.pooling.ports import (
     ConnectionLostError,
     ConnectionRejectedError,
@@ -24,8 +25,11 @@
 )
 from apricotshore.queries import FailureCode
 from standins.in_memory import GROUP, ModelGroup
-from tests.pooling.support import wait_until
-from tests.pooling.test_host import configure, running_host
+from tests.pooling.support import read, wait_until, write
+from tests.pooling.test_caller_session import FakeCaller
+from tests.pooling.test_host import SHOP, configure, running_host
+
+from .test_start import write_settings
 
 LOOPBACK = "127.0.0.1"
 TIMEOUT_S = 1.0
@@ -335,3 +339,88 @@
         )
         async with listening(host.quiesce) as port:
             assert await ask(port, known) == REPLY
+
+
+async def test_stopped_host_has_closed_the_connections_of_its_statements():
+    async with running_host() as (host, store):
+        configure(store)
+        await wait_until(lambda: host.is_ready)
+        model = host.adapters.dialer.group
+        caller = FakeCaller()
+        serving = asyncio.create_task(host.serve(SHOP, caller))
+        assert (await caller.ask(read("r1"))).failure is None
+        for server in model.servers.values():
+            server.mute = True
+        caller.incoming.put_nowait(write("w1"))
+        await wait_until(lambda: host.groups[GROUP].pools["s1"].used)
+        assert host.has_connections
+        await host.stop()
+        assert not host.has_connections
+        assert not any(link.open for link in host.adapters.dialer.links)
+        assert serving.done()
+
+
+class ObservedHost(PoolingHost):
+    """Host that asks its own peer port as it starts and as it stops.
+
+    The fields of the class are set by the test.
+    """
+
+    port = 0
+    holds_on = False
+    replies: list[str] = []
+    made: list[PoolingHost] = []
+
+    async def _ask_itself(self, when: str) -> None:
+        assert await ask(self.port) == QuiesceReply()
+        self.replies.append(when)
+
+    async def on_start(self) -> None:
+        await self._ask_itself("starts")
+        await super().on_start()
+        self.made.append(self)
+        self.ended.set()
+
+    async def on_stop(self) -> None:
+        await self._ask_itself("stops")
+        await super().on_stop()
+
+    async def on_shutdown(self) -> None:
+        await self._ask_itself("has stopped")
+
+    @property
+    def has_connections(self) -> bool:
+        return self.holds_on or super().has_connections
+
+
+def observe_host(monkeypatch, tmp_path, *, holds_on: bool):
+    """Have the program run an observed host; return its settings and its port."""
+    path = tmp_path / "host.ini"
+    write_settings(path)
+    text = path.read_text()
+    port = int(text.partition("peer-address = 127.0.0.1:")[2].split()[0])
+    monkeypatch.setattr(ObservedHost, "port", port)
+    monkeypatch.setattr(ObservedHost, "holds_on", holds_on)
+    monkeypatch.setattr(ObservedHost, "replies", [])
+    monkeypatch.setattr(ObservedHost, "made", [])
+    monkeypatch.setattr(program, "PoolingHost", ObservedHost)
+    return path, port
+
+
+async def test_peer_port_is_open_from_the_start_until_the_connections_are_closed(
+    monkeypatch, tmp_path
+):
+    path, port = observe_host(monkeypatch, tmp_path, holds_on=False)
+    await program._run(path)
+    assert ObservedHost.replies == ["starts", "stops", "has stopped"]
+    with pytest.raises(HostStoppedError):
+        await ask(port)
+
+
+async def test_peer_port_of_a_host_with_an_open_connection_is_not_closed(
+    monkeypatch, tmp_path
+):
+    path, port = observe_host(monkeypatch, tmp_path, holds_on=True)
+    await program._run(path)
+    assert ObservedHost.replies == ["starts", "stops", "has stopped"]
+    assert await ask(port) == QuiesceReply()
