--- a/src/apricotshore/pooling/server_gate.py
+++ b/src/apricotshore/pooling/server_gate.py
@@ -14,11 +14,12 @@
 CLOSE_WAIT_S = 0.1
 # Statements that may commit: a lone write does, whether it was prepared or not.
 _COMMITTING = frozenset({QueryKind.WRITE, QueryKind.EXECUTE, QueryKind.COMMIT})
-# Statements that go on at a server that is being replaced: commands, and questions
-# whether it leads.
+# Statements that go on at a server that is being replaced: commands, questions whether
+# it leads, and reads of transactions that have begun.
 _PASSING = frozenset(
     {
         QueryKind.BEGIN,
+        QueryKind.READ,
         QueryKind.ROLLBACK,
         QueryKind.STATUS,
         QueryKind.PAUSE,
