--- a/src/apricotshore/decisions/commit_barrier.py
+++ b/src/apricotshore/decisions/commit_barrier.py
@@ -1,5 +1,7 @@
 """Whether a former primary can acknowledge a commit to any host."""
 
+from enum import Enum
+
 from ..identifiers import ServerId
 from .change_attempt import Attempt, Member
 
@@ -11,6 +13,16 @@
 UNCONFIRMED_MS = 3_000
 
 
+class BarrierProof(Enum):
+    """What shows that a former primary can acknowledge nothing to any host."""
+
+    HOSTS = "hosts"
+    SERVER = "server"
+    # A server drops the connections of a host that is gone.
+    TIME = "time"
+    NONE = "none"
+
+
 def list_led(attempt: Attempt) -> tuple[ServerId, ...]:
     """List the servers that led in this change, except for its target."""
     former = {attempt.replaced} - {None} | attempt.led
@@ -51,6 +63,17 @@
     return all(_is_asked_since(attempt, m.server) for m in others if m.listed)
 
 
+def find_proof(attempt: Attempt) -> BarrierProof:
+    """Return what shows that nothing can be acknowledged to any host any more."""
+    if attempt.barrier is None:
+        return BarrierProof.NONE
+    if is_confirmed(attempt):
+        return BarrierProof.HOSTS
+    if list_led(attempt) and _runs_nothing(attempt):
+        return BarrierProof.SERVER
+    return BarrierProof.TIME
+
+
 def _is_asked_since(attempt: Attempt, server: ServerId) -> bool:
     """Return whether a server has answered a question of after the barrier."""
     assert attempt.barrier is not None
--- a/src/apricotshore/pooling/change_steps.py
+++ b/src/apricotshore/pooling/change_steps.py
@@ -468,5 +468,6 @@
         """Begin to request a promotion; return False without the lease."""
         if not self.is_held():
             return False
+        self._record("sealed", by=commit_barrier.find_proof(self.attempt).value)
         await self.promotion.make(server, self.token, EFFECT_PAUSE_S)
         return True
--- a/src/apricotshore/pooling/change_story.py
+++ b/src/apricotshore/pooling/change_story.py
@@ -21,6 +21,7 @@
         EventKind.PRIMARY_LOST,
         EventKind.PRIMARY_SILENT,
         EventKind.PRIMARY_REPLACED,
+        EventKind.QUIESCED,
         EventKind.SERVER_GONE,
         EventKind.SERVER_LISTED,
         EventKind.SERVER_RECREATED,
