Mark hosts that are about to end in their entries

Change: the entry carries a mark; a marked host is no relay and no detour, and is not ranked. Without a valid mark a host stays. A marked host keeps its own paths, as it did while it had stopped listing the hosts.

--- a/src/apricotshore/decisions/relays.py
+++ b/src/apricotshore/decisions/relays.py
@@ -35,11 +35,15 @@
         The host and its data centre.
     address
         ``ip:port`` at which other hosts connect to it.
+    leaving
+        Whether it is about to end. It still answers other hosts, but it is chosen
+        for nothing.
     """
 
     host: HostId
     data_centre: DataCentreId
     address: str
+    leaving: bool = False
 
 
 @dataclass(kw_only=True, slots=True)
@@ -80,6 +84,16 @@
 MeasureDistance = Callable[[DataCentreId, DataCentreId], Distance]
 
 
+def _list_staying(fleet: Fleet) -> list[ListedHost]:
+    """List the hosts to choose from.
+
+    This host connects as before while it leaves: a change of its paths would close
+    the connections of its last sessions.
+    """
+    hosts = fleet.hosts.values()
+    return [h for h in hosts if not h.leaving or h.host == fleet.local_host]
+
+
 def count_relays(fleet: Fleet, limit: int) -> int:
     """Return how many hosts hold connections to a server; 0 when all do.
 
@@ -90,9 +104,10 @@
     limit
         Connections that the server takes.
     """
-    if len(fleet.hosts) * CONNECTIONS_PER_HOST <= limit:
+    count = len(_list_staying(fleet))
+    if count * CONNECTIONS_PER_HOST <= limit:
         return 0
-    return min(RELAYS_PER_SERVER, len(fleet.hosts))
+    return min(RELAYS_PER_SERVER, count)
 
 
 def list_relays(
@@ -110,7 +125,7 @@
         Returns the distance between two data centres.
     """
     ranked = sorted(
-        fleet.hosts.values(),
+        _list_staying(fleet),
         key=lambda h: (measure(h.data_centre, near), -weigh(h.host, server)),
     )
     return ranked[:RELAYS_PER_SERVER]
@@ -118,7 +133,7 @@
 
 def list_detours(fleet: Fleet, server: ServerId) -> list[ListedHost]:
     """List other hosts that may reach a server, of different data centres first."""
-    others = [h for h in fleet.hosts.values() if h.host != fleet.local_host]
+    others = [h for h in _list_staying(fleet) if h.host != fleet.local_host]
     ranked = sorted(others, key=lambda h: -weigh(h.host, server))
     counts: Counter[DataCentreId] = Counter()
     places: dict[HostId, int] = {}
@@ -131,7 +146,7 @@
 def rank_host(fleet: Fleet, group: GroupId) -> int:
     """Return how many hosts come before this one for a task of a group."""
     own = weigh(fleet.local_host, group)
-    return sum(weigh(host, group) > own for host in fleet.hosts)
+    return sum(weigh(h.host, group) > own for h in _list_staying(fleet))
 
 
 def list_paths(fleet: Fleet, relays: list[ListedHost], now: int) -> list[ListedHost]:
--- a/tests/platform_adapter/test_objects.py
+++ b/tests/platform_adapter/test_objects.py
@@ -5,10 +5,14 @@
 import pytest
 from apricotshore_platform.objects import (
     decode_configuration,
+    decode_host,
     decode_lease,
     decode_server,
+    encode_host,
 )
 
+from apricotshore.decisions.relays import ListedHost
+from apricotshore.identifiers import DataCentreId, HostId
 from apricotshore.routes import Consistency
 
 META = {"name": "main", "revision": 7}
@@ -121,6 +125,33 @@
     assert decode_lease(make({"holder": "h/1", "open": True}, meta)) is None
 
 
+def list_host(*, leaving: bool) -> ListedHost:
+    return ListedHost(
+        host=HostId("h1"),
+        data_centre=DataCentreId("braga-a"),
+        address="10.0.0.1:80",
+        leaving=leaving,
+    )
+
+
+@pytest.mark.parametrize("leaving", [True, False])
+def test_host_is_encoded_and_decoded(leaving):
+    host = list_host(leaving=leaving)
+    item = encode_host(host)
+    item["meta"]["revision"] = 3
+    assert decode_host(item) == host
+
+
+@pytest.mark.parametrize("value", [None, "true", 1, [], {}])
+def test_host_without_a_valid_mark_is_not_leaving(value):
+    item = encode_host(list_host(leaving=True))
+    item["meta"]["revision"] = 3
+    item["spec"]["leaving"] = value
+    assert decode_host(item) == list_host(leaving=False)
+    del item["spec"]["leaving"]
+    assert decode_host(item) == list_host(leaving=False)
+
+
 def test_words_of_the_platform_occur_only_in_the_adapter():
     words = (
         "maxStalenessMs", "dbRole", "Fencing-Token", "coldRemainingMs", "cloudApi",
--- a/tests/test_relays.py
+++ b/tests/test_relays.py
@@ -1,5 +1,7 @@
 """Choice of relays, and the paths through them."""
 
+from dataclasses import replace
+
 from apricotshore.decisions import relays
 from apricotshore.decisions.placement import Distance
 from apricotshore.decisions.relays import Fleet, ListedHost
@@ -91,3 +93,49 @@
     del fleet.hosts[before[0].host]
     after = list_near(fleet)
     assert len({h.host for h in after} & {h.host for h in before}) == len(before) - 1
+
+
+def mark_leaving(fleet: Fleet, *hosts: HostId) -> None:
+    for host in hosts:
+        fleet.hosts[host] = replace(fleet.hosts[host], leaving=True)
+
+
+def without(fleet: Fleet, *hosts: HostId) -> Fleet:
+    kept = {h: v for h, v in fleet.hosts.items() if h not in hosts}
+    return Fleet(local_host=fleet.local_host, hosts=kept)
+
+
+def choose_all(fleet: Fleet):
+    """Return everything that is chosen from the hosts of a fleet."""
+    return (
+        list_near(fleet),
+        relays.list_detours(fleet, S1),
+        [relays.rank_host(fleet, f"g{n}") for n in range(20)],
+    )
+
+
+def test_leaving_hosts_are_chosen_for_nothing():
+    fleet = make_fleet("h0")
+    relay = next(h.host for h in list_near(fleet) if h.host != "h0")
+    detour = next(h.host for h in relays.list_detours(fleet, S1) if h.host != relay)
+    gone = (relay, detour)
+    before = choose_all(fleet)
+    mark_leaving(fleet, *gone)
+    limit = 2 * (len(fleet.hosts) - len(gone))
+    assert relays.count_relays(fleet, limit) == 0
+    assert relays.count_relays(fleet, limit - 1) == relays.RELAYS_PER_SERVER
+    chosen, expected = choose_all(fleet), choose_all(without(fleet, *gone))
+    assert chosen == expected
+    assert all(new != old for new, old in zip(chosen, before, strict=True))
+
+
+def test_leaving_host_keeps_its_own_paths():
+    fleet = make_fleet("h1")
+    local = next(h.host for h in list_near(fleet))
+    fleet.local_host = local
+    before = list_near(fleet), relays.count_relays(fleet, 59)
+    mark_leaving(fleet, local)
+    after = list_near(fleet), relays.count_relays(fleet, 59)
+    assert [h.host for h in after[0]] == [h.host for h in before[0]]
+    assert after[1] == before[1] == relays.RELAYS_PER_SERVER
+    assert relays.list_paths(fleet, after[0], 0) == []
