Keep the entry of a host in the store while it holds connections

Change: a host is loaded once its entry is written, or 1 s after the rest; the entry is marked while the host drains, and removed once its connections are closed, in bounded time; one that is gone or replaced is written again. HostWatcher.refresh reads the list afresh.

--- a/src/apricotshore/pooling/host.py
+++ b/src/apricotshore/pooling/host.py
@@ -47,6 +47,8 @@
 # Callers time out when their session is not open after 2 s.
 LOADING_S = 1.5
 LOADING_STEP_S = 0.01
+# A store that takes no writes does not keep a host that has read it from serving.
+LISTING_S = 1.0
 # Cancelled sessions need a few turns of the event loop to close their connections.
 CLOSING_S = 0.25
 CLOSING_STEP_S = 0.01
@@ -115,6 +117,7 @@
         self.groups: dict[GroupId, Group] = {}
         self.changers: dict[GroupId, PrimaryChanger] = {}
         self.probers: list[Prober] = []
+        self.has_awaited_entry = False
         self.server_groups: dict[ServerId, GroupId] = {}
         self.drain = Drain(grace_ms=settings.grace_ms)
         self.metrics = PoolingMetrics(registry=registry)
@@ -180,7 +183,9 @@
             if isinstance(outcome, Exception):
                 self.journal.record(EventKind.ERROR, why=repr(outcome))
         self._close_connections()
-        await self._wait_until_closed()
+        # Others ask the hosts that are listed: it is until it holds no connection.
+        if await self._wait_until_closed():
+            await self.host_watcher.remove_entry()
         await self.adapters.close()
         self.journal.record(EventKind.STOPPED, sessions=len(self.caller_sessions))
         self.journal.flush()
@@ -412,12 +417,25 @@
 
     @property
     def is_loaded(self) -> bool:
+        """Whether the store has been read, and tells other hosts of this one."""
+        return self.has_read_store and self.has_awaited_entry
+
+    @property
+    def has_read_store(self) -> bool:
         """Whether the configuration and the servers have been read."""
         store_watcher = self.store_watcher
         return (
             bool(store_watcher.configuration.revision) and store_watcher.servers_listed
         )
 
+    @Service.task
+    @keep_running
+    async def _await_entry(self) -> None:
+        while not self.has_read_store:
+            await asyncio.sleep(LOADING_STEP_S)
+        await self.host_watcher.wait_until_written(LISTING_S)
+        self.has_awaited_entry = True
+
     def refresh_metrics(self) -> None:
         """Update the gauges."""
         self.metrics.refresh(
@@ -453,7 +471,7 @@
             return
         self.drain.began_at = read_boot_ms()
         self.journal.record(EventKind.STOPPING, sessions=len(self.caller_sessions))
-        self.host_watcher.withdraw()
+        self.host_watcher.mark_leaving()
         for changer in self.changers.values():
             changer.is_draining = True
         self._close_idle()
--- a/src/apricotshore/pooling/host_watcher.py
+++ b/src/apricotshore/pooling/host_watcher.py
@@ -2,11 +2,13 @@
 
 import asyncio
 from collections.abc import Callable
+from dataclasses import replace
 
 from mode import Service
 
 from ..decisions.relays import ListedHost
 from ..identifiers import HostId, StoreEra
+from ..services.clock import read_boot_ms
 from ..services.eras import EraTracker
 from .journal import EventKind, Journal
 from .ports import ObjectStore, StoredKind, StoreError
@@ -23,6 +25,9 @@
 # Hosts whose entries were lost with what the store forgot write them again within
 # this time.
 REWRITE_GRACE_MS = 4_000
+# A stale list may lack what was written this shortly before it.
+STALE_LIST_MS = 5_000
+REMOVE_TIMEOUT_S = 0.4
 
 
 def choose_hosts_period_s(lists: int, hosts: int) -> float:
@@ -76,19 +81,65 @@
         self.host = host
         self.entry = entry
         self.on_hosts = on_hosts
-        # Era in which the entry was written or removed, as asked for now.
+        # Era in which the entry was written as it is now, and when.
         self.written_in: StoreEra | None = None
-        self.is_withdrawn = False
+        self.written_at = 0
+        self.was_written = asyncio.Event()
+        self.is_removed = False
+        # One write at a time, so that the last one is the one in force.
+        self.writing = asyncio.Lock()
         self.is_available = True
         self.wake = asyncio.Event()
         eras.listeners.append(self.wake.set)
 
-    def withdraw(self) -> None:
-        """Remove this host's entry, so that other hosts choose other relays."""
-        self.is_withdrawn = True
+    def mark_leaving(self) -> None:
+        """Mark this host's entry, so that other hosts choose this one for nothing."""
+        if self.entry is None:
+            return
+        self.entry = replace(self.entry, leaving=True)
+        self._write_again()
+
+    def _write_again(self) -> None:
         self.written_in = None
         self.wake.set()
 
+    async def wait_until_written(self, timeout_s: float) -> None:
+        """Wait until this host's entry was written, if it has one, or a time limit."""
+        if self.entry is None:
+            return
+        try:
+            async with asyncio.timeout(timeout_s):
+                await self.was_written.wait()
+        except TimeoutError:
+            self.journal.record(EventKind.ERROR, why="the entry was not written")
+
+    async def remove_entry(self) -> None:
+        """Remove this host's entry once it holds no connection any more."""
+        self.is_removed = True
+        if self.entry is None:
+            return
+        try:
+            async with asyncio.timeout(REMOVE_TIMEOUT_S), self.writing:
+                await self.store.remove_host(self.host)
+        except (StoreError, TimeoutError) as error:
+            why = f"the entry was not removed: {error!r}"
+            self.journal.record(EventKind.ERROR, why=why)
+
+    async def refresh(self) -> dict[HostId, ListedHost]:
+        """Read the list of hosts as it is now.
+
+        Raises
+        ------
+        StoreError
+            When there is no answer, or when the store was restored so lately that
+            hosts may not have written their entries again.
+        """
+        hosts = await self._list_hosts(stale=False)
+        if self.eras.is_settling(REWRITE_GRACE_MS):
+            raise StoreError("the store was restored a moment ago")
+        self.on_hosts(hosts)
+        return hosts
+
     @Service.task
     @keep_running
     async def _follow_hosts(self) -> None:
@@ -97,13 +148,13 @@
             self.wake.clear()
             try:
                 await self._write_entry()
-                if self.is_withdrawn:
+                if self.is_leaving:
                     await self._pause(HOSTS_PERIOD_S)
                     continue
                 if self.eras.is_settling(REWRITE_GRACE_MS):
                     await self._pause(REWRITE_GRACE_MS / 1000)
                     continue
-                hosts = await self._list_hosts()
+                hosts = await self._list_hosts(stale=True)
             except StoreError as error:
                 self._record_lost(error)
                 await self._pause(RETRY_PERIOD_S)
@@ -121,25 +172,48 @@
         except TimeoutError:
             return
 
+    @property
+    def is_leaving(self) -> bool:
+        """Whether this host's entry is marked as leaving."""
+        return self.entry is not None and self.entry.leaving
+
     async def _write_entry(self) -> None:
-        """Write or remove this host's entry unless that was done in this era."""
+        """Write this host's entry unless that was done in this era."""
         if self.entry is None:
             return
-        if self.written_in is not None and self.written_in == self.eras.era:
-            return
-        if self.is_withdrawn:
-            era = await self.store.remove_host(self.host)
-        else:
-            era = await self.store.write_host(self.entry)
-        self.eras.accept(era)
-        self.written_in = era
-
-    async def _list_hosts(self) -> dict[HostId, ListedHost]:
-        snapshot = await self.store.list(StoredKind.HOST, stale=True)
+        async with self.writing:
+            if self.is_removed or self._is_written():
+                return
+            entry = self.entry
+            era = await self.store.write_host(entry)
+            self.eras.accept(era)
+            if entry is self.entry:
+                self.written_in = era
+        self.written_at = read_boot_ms()
+        self.was_written.set()
+
+    def _is_written(self) -> bool:
+        return self.written_in is not None and self.written_in == self.eras.era
+
+    async def _list_hosts(self, *, stale: bool) -> dict[HostId, ListedHost]:
+        asked_at = read_boot_ms()
+        snapshot = await self.store.list(StoredKind.HOST, stale=stale)
         if not self.eras.accept(snapshot.era):
             raise StoreError(f"a list of era {snapshot.era}, not {self.eras.era}")
         listed = [change.content for change in snapshot.changes]
-        return {h.host: h for h in listed if isinstance(h, ListedHost)}
+        hosts = {h.host: h for h in listed if isinstance(h, ListedHost)}
+        self._check_entry(hosts, asked_at - STALE_LIST_MS if stale else asked_at)
+        return hosts
+
+    def _check_entry(self, hosts: dict[HostId, ListedHost], as_of: int) -> None:
+        """Write this host's entry again if a list as of a time lacks it.
+
+        A write without an answer may take effect after a later one.
+        """
+        if not self._is_written() or self.written_at >= as_of:
+            return
+        if hosts.get(self.host) != self.entry:
+            self._write_again()
 
     def _record_lost(self, error: StoreError) -> None:
         if self.is_available:
