Test failures to connect that are no refusal

Cause: no test failed when any failure to connect counted as a stopped host. Change: tests of four errors.

--- a/tests/platform_adapter/test_quiesce.py
+++ b/tests/platform_adapter/test_quiesce.py
@@ -1,12 +1,13 @@
 """Requests between hosts to send nothing more to a server."""
 
 import asyncio
+import errno
 import socket
 import struct
 from contextlib import asynccontextmanager
 
 import pytest
-from apricotshore_platform import lines, program
+from apricotshore_platform import lines, peers, program
 from apricotshore_platform.backends import LineDialer
 from apricotshore_platform.callers import listen_for_hosts
 from apricotshore_platform.peers import LinePeers
@@ -300,6 +301,20 @@
     assert error.value.sent
 
 
+@pytest.mark.parametrize(
+    "number", [errno.EHOSTUNREACH, errno.ENETUNREACH, errno.ECONNRESET, errno.ETIMEDOUT]
+)
+async def test_other_failure_to_connect_is_not_taken_for_stopped(monkeypatch, number):
+    async def connect(address):
+        raise OSError(number, address)
+
+    monkeypatch.setattr(peers, "connect", connect)
+    with pytest.raises(ConnectionLostError) as error:
+        await ask(1)
+    assert not isinstance(error.value, HostStoppedError)
+    assert not error.value.sent
+
+
 async def test_address_that_cannot_be_dialled_is_not_taken_for_stopped():
     with pytest.raises(ConnectionLostError) as error:
         await ask(70_000)
