Have the model end statements on close, and run, count and refuse them

Cause: closing a connection of the model did not end a statement that waits on it, as the real one does, and its servers had neither running statements nor slots, slow commands or targets that stop receiving before the effect. Change: close() ends run() with ConnectionLostError(sent=True) and cancels the statement; run_s, counts_statements, status_counts_itself, slots, command_delay_s, stops_receiving, acknowledges_until_learnt, all off by default; `committing` in the support writes through hosts' own connections.

--- a/standins/in_memory.py
+++ b/standins/in_memory.py
@@ -8,6 +8,8 @@
 import asyncio
 from collections.abc import Sequence
 from dataclasses import dataclass, field, replace
+from enum import Enum
+from random import Random
 
 from apricotshore.decisions.relays import ListedHost
 from apricotshore.groups import LogPosition, Role
@@ -47,6 +49,7 @@
 
 GROUP = GroupId("ledger")
 HANG_S = 60.0
+SEED = 37
 Entry = tuple[int, int, str]
 Log = list[Entry]
 _POSITION_KINDS = (QueryKind.BEGIN, QueryKind.BEGIN_READ, QueryKind.READ)
@@ -58,6 +61,14 @@
 )
 
 
+class StopsReceiving(Enum):
+    """Event from which the target of a promotion receives no more of the old log."""
+
+    CALL = "call"
+    ACCEPTANCE = "acceptance"
+    EFFECT = "effect"
+
+
 @dataclass(kw_only=True, eq=False)
 class ModelServer:
     """Backend server of the model.
@@ -101,6 +112,12 @@
         Whether it accepts BEGIN although another leads, as it hasn't learnt it yet.
     receive_s
         Delay from the writing of an entry until this server can receive it.
+    running, commands
+        Statements and commands that it runs.
+    is_stopped
+        Whether it receives nothing, as it is to become the primary.
+    followed_term
+        Term of the last promotion that it has learnt of.
     """
 
     name: ServerId
@@ -121,6 +138,10 @@
     shown_term: int | None = None
     begins_late: bool = False
     receive_s: float = 0.0
+    running: int = 0
+    commands: int = 0
+    is_stopped: bool = False
+    followed_term: int = 0
     connections: int = 0
     started_ms: int = 1
 
@@ -152,12 +173,39 @@
         nothing at a server in the other role.
     promotion_resumes
         Whether the effect of a promotion ends the pauses of all servers.
+    acknowledges_until_learnt
+        Whether a primary that has stepped down acknowledges until it learns of the
+        effect, as with `acknowledges_late`, but past the effect. A replica follows the
+        former primary until it learns of the effect.
+    run_s
+        How long a write runs before it is numbered and stored. One that has begun ends
+        even if its server is told to step down meanwhile.
+    counts_statements
+        Whether reports name the writes in progress as `busy`, which is 0 otherwise.
+    status_counts_itself
+        Whether a STATUS counts itself as `busy`, too.
+    slots
+        Statements and commands that a server runs at once, None without a limit.
+    command_delay_s
+        Range of the time that a command takes, part of it before it is carried out.
+    random
+        Source of these times.
+    stops_receiving
+        From when on the target of a promotion receives no more.
     """
 
     replaced_goes_on: bool = False
     acknowledges_late: bool = False
     checks_terms: bool = False
     promotion_resumes: bool = False
+    acknowledges_until_learnt: bool = False
+    run_s: float = 0.0
+    counts_statements: bool = False
+    status_counts_itself: bool = True
+    slots: int | None = None
+    command_delay_s: tuple[float, float] = (0.0, 0.0)
+    random: Random = field(default_factory=lambda: Random(SEED))
+    stops_receiving: StopsReceiving = StopsReceiving.EFFECT
     # When each entry was written, in seconds of the loop's clock.
     written_at: dict[Entry, float] = field(default_factory=dict)
     servers: dict[ServerId, ModelServer] = field(default_factory=dict)
@@ -182,6 +230,7 @@
         primary = self.find_primary()
         log = list(primary.log) if primary is not None else []
         server = ModelServer(name=name, log=log, applied=len(log), term=self.term)
+        server.followed_term = self.promotions[-1][1] if self.promotions else 0
         self.servers[name] = server
         return server
 
@@ -205,26 +254,74 @@
             started_ms=server.started_ms,
         )
 
+    def is_full(self, server: ModelServer) -> bool:
+        """Return whether a server has no slot for another statement or command."""
+        taken = server.running + server.commands
+        return self.slots is not None and taken >= self.slots
+
+    def count_busy(self, server: ModelServer, kind: QueryKind) -> int:
+        """Return the statements in progress that an answer to a command names."""
+        if not self.counts_statements:
+            return 0
+        counts_itself = kind is QueryKind.STATUS and self.status_counts_itself
+        return server.running + counts_itself
+
+    async def delay_command(self) -> float:
+        """Wait until a command is carried out; return the time left to its answer."""
+        delay_s = self.random.uniform(*self.command_delay_s)
+        if not delay_s:
+            return 0.0
+        before_s = self.random.uniform(0.0, delay_s)
+        await asyncio.sleep(before_s)
+        return delay_s - before_s
+
     async def commit(self, primary: ModelServer, text: str) -> bool:
         """Append an entry and return whether it was acknowledged."""
-        entry = (primary.term, len(primary.log) + 1, text)
+        if self.is_full(primary):
+            return False
+        primary.running += 1
+        try:
+            return await self._commit(primary, text)
+        finally:
+            primary.running -= 1
+
+    async def _commit(self, primary: ModelServer, text: str) -> bool:
+        entry_term, followed = primary.term, primary.followed_term
+        if self.run_s:
+            await asyncio.sleep(self.run_s)
+            if not primary.up or primary.followed_term != followed:
+                return False
+        entry = (entry_term, len(primary.log) + 1, text)
         primary.log.append(entry)
         self.written_at[entry] = asyncio.get_running_loop().time()
         primary.applied = len(primary.log)
         term = self.term
         while primary.up and (
-            primary.is_primary or (self.acknowledges_late and self.term == term)
+            primary.is_primary
+            or (self.acknowledges_late and self.term == term)
+            or (self.acknowledges_until_learnt and primary.followed_term == followed)
         ):
             if self._replicate(primary, entry):
                 self.acknowledged.append(text)
+                if self.acknowledges_until_learnt and self._is_replaced(entry):
+                    self.lost.append(text)
                 return True
             await asyncio.sleep(0.002)
         return False
 
+    def _is_replaced(self, entry: Entry) -> bool:
+        """Return whether the server that was promoted last lacks an entry."""
+        if not self.promotions:
+            return False
+        return entry not in self.servers[self.promotions[-1][0]].log
+
     def _replicate(self, primary: ModelServer, entry: Entry) -> bool:
         received = False
         for replica in self.servers.values():
             able = replica.up and not replica.partitioned and not replica.paused_term
+            able = able and not replica.is_stopped
+            if self.acknowledges_until_learnt:
+                able = able and replica.followed_term == primary.followed_term
             follows = not replica.is_primary and replica.term <= primary.term
             if replica is primary or not able or not follows:
                 continue
@@ -267,7 +364,10 @@
             if not goes_on and server not in late:
                 server.is_primary = False
                 server.term = self.term
+                server.followed_term = self.term
         target.is_primary = True
+        target.followed_term = self.term
+        target.is_stopped = False
         target.paused_term = 0
         if self.promotion_resumes:
             for server in self.servers.values():
@@ -294,6 +394,7 @@
             return
         server.is_primary = False
         server.term = term
+        server.followed_term = term
         kept = [entry for entry in server.log if entry in target.log]
         gone = {text for _, _, text in server.log} - {text for _, _, text in kept}
         self.lost += [
@@ -318,6 +419,7 @@
         self.prepared: set[str] = set()
         self.received: list[tuple[Query, dict[str, str]]] = []
         self.open = True
+        self.work: asyncio.Task[list[Answer]] | None = None
         server.connections += 1
 
     @property
@@ -326,32 +428,65 @@
         return self.open
 
     def close(self) -> None:
-        """Close the connection; writes that were not committed are discarded."""
+        """Close the connection; statements without an answer are rolled back."""
         if self.open:
             self.open = False
             self.server.connections -= 1
+            if self.work is not None:
+                self.work.cancel()
 
     async def run(
         self, queries: Sequence[Query], after: LogPosition | None, timeout_s: float
     ) -> list[Answer]:
         """Run statements in order and return their answers."""
+        if not self.open:
+            raise ConnectionLostError("broken: closed", sent=True)
+        self.work = asyncio.create_task(self._run_all(queries, after))
         try:
             async with asyncio.timeout(timeout_s):
-                await asyncio.sleep(0.001)
-                if not self.server.up or self.host_name in self.server.unreachable_by:
-                    await asyncio.sleep(HANG_S)
-                answers = [await self._run(query, after) for query in queries]
-                if self.server.mute:
-                    await asyncio.sleep(HANG_S)
-                return answers
+                return await self.work
         except TimeoutError:
             self.close()
             raise ConnectionLostError("no answer in time", sent=True) from None
+        except asyncio.CancelledError:
+            # Either the caller is cancelled, or the connection was closed meanwhile.
+            caller = asyncio.current_task()
+            if self.open or (caller is not None and caller.cancelling()):
+                raise
+            raise ConnectionLostError("broken: closed", sent=True) from None
+        finally:
+            self.work = None
+
+    async def _run_all(
+        self, queries: Sequence[Query], after: LogPosition | None
+    ) -> list[Answer]:
+        await asyncio.sleep(0.001)
+        if not self.server.up or self.host_name in self.server.unreachable_by:
+            await asyncio.sleep(HANG_S)
+        answers = [await self._run(query, after) for query in queries]
+        if self.server.mute:
+            await asyncio.sleep(HANG_S)
+        return answers
 
     async def _run(self, query: Query, after: LogPosition | None) -> Answer:
-        server = self.server
         self.received.append((query, dict(self.values)))
-        failure = await self._execute(query, after)
+        if self.group.is_full(self.server):
+            return self._describe(query, FailureCode.OVERLOADED)
+        if query.kind not in _COMMAND_KINDS:
+            return self._describe(query, await self._execute(query, after))
+        self.server.commands += 1
+        try:
+            left_s = await self.group.delay_command()
+            answer = self._describe(query, await self._execute(query, after))
+            if left_s:
+                await asyncio.sleep(left_s)
+            return answer
+        finally:
+            self.server.commands -= 1
+
+    def _describe(self, query: Query, failure: FailureCode | None) -> Answer:
+        """Return the answer to a statement that succeeded or failed by now."""
+        server = self.server
         rows = ("row",) if query.kind is QueryKind.READ and failure is None else ()
         report = None
         if query.kind in _COMMAND_KINDS and failure is None:
@@ -362,6 +497,7 @@
                 ),
                 received=server.end,
                 paused_term=Term(server.paused_term),
+                busy=self.group.count_busy(server, query.kind),
             )
             end = f"{server.end.term}.{server.end.position}"
             role = "primary" if server.is_primary else "replica"
@@ -500,6 +636,8 @@
         Group whose servers are promoted.
     promote_s
         Time from the acceptance of a promotion to its effect.
+    call_s
+        Time from a call to its acceptance.
     down
         Whether every call fails.
     unanswered_delay_s
@@ -509,6 +647,7 @@
 
     group: ModelGroup
     promote_s: float = 0.05
+    call_s: float = 0.0
     down: bool = False
     unanswered_delay_s: float = 0.0
     revision: int = 10
@@ -603,6 +742,11 @@
         """Record a promotion and accept it, at once or after the set delay."""
         self._check()
         self.orders.append((holder, server, token))
+        target = self.group.servers[server]
+        if self.group.stops_receiving is StopsReceiving.CALL and not target.is_primary:
+            target.is_stopped = True
+        if self.call_s:
+            await asyncio.sleep(self.call_s)
         loop = asyncio.get_running_loop()
         if self.unanswered_delay_s and not self.group.servers[server].is_primary:
             loop.call_later(
@@ -619,10 +763,14 @@
     def _accept_promotion(
         self, group: GroupId, server: ServerId, token: int, delay_s: float
     ) -> bool:
-        if token < self.tokens.get(group, 0) or not self.group.servers[server].up:
+        target = self.group.servers[server]
+        if token < self.tokens.get(group, 0) or not target.up:
+            target.is_stopped = False
             return False
         self.tokens[group] = token
-        if not self.group.servers[server].is_primary:
+        if not target.is_primary:
+            is_late = self.group.stops_receiving is StopsReceiving.EFFECT
+            target.is_stopped = not is_late
             loop = asyncio.get_running_loop()
             loop.call_later(delay_s, self.group.promote, server)
         return True
--- a/tests/pooling/support.py
+++ b/tests/pooling/support.py
@@ -2,9 +2,9 @@
 
 import asyncio
 import os
-from collections.abc import AsyncIterator
-from contextlib import asynccontextmanager
-from dataclasses import dataclass
+from collections.abc import AsyncIterator, Sequence
+from contextlib import asynccontextmanager, suppress
+from dataclasses import dataclass, field, replace
 
 from apricotshore.decisions.placement import Distance
 from apricotshore.decisions.relays import Fleet, ListedHost
@@ -20,6 +20,7 @@
     StoreRevision,
     Term,
 )
+from apricotshore.pooling.autocommit import run_write
 from apricotshore.pooling.change_lease import ChangeLease
 from apricotshore.pooling.detours import Detours
 from apricotshore.pooling.group import Group
@@ -27,9 +28,10 @@
 from apricotshore.pooling.primary_changer import PrimaryChanger
 from apricotshore.pooling.primary_prover import PrimaryProver
 from apricotshore.pooling.prober import Prober
-from apricotshore.pooling.sessions import Context
+from apricotshore.pooling.sessions import Context, Job, RefusedError, Session
 from apricotshore.queries import Query, QueryKind
 from apricotshore.routes import Configuration, Consistency, ListedServer, Route
+from apricotshore.services.clock import read_boot_ms
 from apricotshore.services.eras import EraTracker
 from standins.in_memory import (
     GROUP,
@@ -39,6 +41,12 @@
     ModelPlatform,
 )
 
+# Callers of each host that commit one write after another.
+CALLERS_PER_HOST = 4
+CALLER_PAUSE_S = 0.01
+# Longer than the statements of any test, so that the route's timeout ends none.
+COMMIT_TIMEOUT_MS = 5_000
+
 
 def read(request: str = "r1") -> Query:
     return Query(kind=QueryKind.READ, request=RequestId(request), text="READ a")
@@ -237,3 +245,75 @@
         task.cancel()
         for job in list(jobs):
             job.cancel()
+
+
+@dataclass(kw_only=True)
+class Commits:
+    """Writes of a group's callers.
+
+    Parameters
+    ----------
+    model
+        The group.
+    told
+        Writes that their callers were told to have succeeded.
+    """
+
+    model: ModelGroup
+    told: list[str] = field(default_factory=list)
+
+    def list_missing(self) -> list[str]:
+        """Return the writes of which a caller was told that the primary lacks."""
+        primary = self.model.find_primary()
+        held = set() if primary is None else {text for _, _, text in primary.log}
+        return [text for text in self.told if text not in held]
+
+
+@asynccontextmanager
+async def committing(
+    model: ModelGroup,
+    hosts: Sequence[ModelHost],
+    *,
+    callers: int = CALLERS_PER_HOST,
+) -> AsyncIterator[Commits]:
+    """Keep writing through hosts; yield what their callers were told.
+
+    Every write goes over its host's connections, so that the host can end it.
+    """
+    route = replace(make_route(), timeout_ms=COMMIT_TIMEOUT_MS, target_ms=1_000)
+    commits = Commits(model=model)
+
+    async def commit_on(host: ModelHost, caller: int) -> None:
+        context = host.make_context(route)
+        session = Session(database=route.database)
+        number = 0
+        while True:
+            number += 1
+            text = f"{host.name}-c{caller}-w{number}"
+            job = Job(
+                query=write(text),
+                shape=None,
+                route=route,
+                arrived_at=read_boot_ms(),
+                writes=True,
+            )
+            with suppress(RefusedError):
+                answer = await run_write(context, host.group, session, job)
+                if answer.failure is None:
+                    commits.told.append(text)
+            await asyncio.sleep(CALLER_PAUSE_S)
+
+    tasks = [
+        asyncio.create_task(commit_on(host, caller))
+        for host in hosts
+        for caller in range(callers)
+    ]
+    try:
+        yield commits
+    finally:
+        failed = [task for task in tasks if task.done()]
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+        for task in failed:
+            task.result()
