Free a full primary of statements before it is told to step down

Cause: a primary whose commits wait for a replica has no room for a command. It was told to step down after 0.8 s although nothing was known of its log, and the change ended as no longer needed, with nobody leading. A former primary that says it runs statements was taken for quiet where all listed hosts had confirmed: a host may not be listed. Change: hosts stop sending as soon as the primary refuses a command or answers none; it steps down once its log is known, while the hosts' hold lasts; an order waits for what it still runs (3 s at most) whatever the hosts confirm. Measured: tests/test_stepped_down_primaries.py, 24 passed (three new ones; the case host-not-listed failed before).

--- a/src/apricotshore/decisions/commit_barrier.py
+++ b/src/apricotshore/decisions/commit_barrier.py
@@ -29,6 +29,12 @@
     return tuple(sorted(s for s in former if s is not None and s != attempt.target))
 
 
+def is_quiesced(attempt: Attempt, now: int) -> bool:
+    """Return whether hosts send nothing to the primary, for a while yet."""
+    quiesced = attempt.quiesced
+    return quiesced is not None and now - quiesced.at < QUIESCE_MS // 2
+
+
 def is_confirmed(attempt: Attempt) -> bool:
     """Return whether all hosts confirmed, and closed no connection for it.
 
@@ -56,7 +62,7 @@
     if barrier is None:
         return False
     is_waited_for = now - barrier.at < UNCONFIRMED_MS
-    if is_waited_for and not (is_confirmed(attempt) or _runs_nothing(attempt)):
+    if is_waited_for and find_proof(attempt) is BarrierProof.TIME:
         return False
     if _is_end_known(attempt):
         return True
@@ -67,7 +73,7 @@
     """Return what shows that nothing can be acknowledged to any host any more."""
     if attempt.barrier is None:
         return BarrierProof.NONE
-    if is_confirmed(attempt):
+    if is_confirmed(attempt) and not _is_running(attempt):
         return BarrierProof.HOSTS
     if list_led(attempt) and _runs_nothing(attempt):
         return BarrierProof.SERVER
@@ -81,6 +87,16 @@
     return is_known and attempt.asked_at[server] > attempt.barrier.at
 
 
+def _is_running(attempt: Attempt) -> bool:
+    """Return whether a former primary said last that it runs statements.
+
+    They may be of a host that is not known, or on a connection whose end it hasn't
+    noticed yet.
+    """
+    known = (attempt.statuses.get(server) for server in list_led(attempt))
+    return any(status is not None and status.running for status in known)
+
+
 def _runs_nothing(attempt: Attempt) -> bool:
     """Return whether all former primaries say that they run no statement any more."""
     return all(
--- a/src/apricotshore/decisions/primary_change.py
+++ b/src/apricotshore/decisions/primary_change.py
@@ -60,7 +60,7 @@
     request_promotion,
     set_target,
 )
-from .commit_barrier import is_confirmed, is_sealed, list_led
+from .commit_barrier import is_confirmed, is_quiesced, is_sealed, list_led
 from .position_history import PositionSample
 from .silent_primary import plan_with_pauses
 
@@ -227,8 +227,7 @@
     if is_known and inherited != primary:
         set_target(attempt, inherited, now)
         return _step_down(attempt, primary)
-    if attempt.is_cut_off and attempt.quiesced is None:
-        # Its commits wait for a replica, and leave no room for a command.
+    if _is_full(attempt, primary) and attempt.quiesced is None:
         return Quiesce(server=primary)
     followers = [m for m in list_followers(attempt, members) if m.server != primary]
     if not followers:
@@ -247,11 +246,28 @@
         return RequestStatus(servers=list_names(followers))
     if attempt.recorded != target:
         return RecordTarget(server=target)
-    if attempt.quiesced is None:
+    return _plan_quiesced_step_down(attempt, primary, now)
+
+
+def _plan_quiesced_step_down(attempt: Attempt, primary: ServerId, now: int) -> Step:
+    """Have the primary step down once hosts send it nothing more."""
+    if not is_quiesced(attempt, now):
         return Quiesce(server=primary)
+    if attempt.primary_end is None:
+        # Its log has to be known, so that one that has lost it isn't trusted.
+        return RequestStatus(servers=(primary,))
     return _step_down(attempt, primary)
 
 
+def _is_full(attempt: Attempt, primary: ServerId) -> bool:
+    """Return whether the primary may have no room for a command.
+
+    Statements that run long or wait for a replica take it all.
+    """
+    has_refused = primary in attempt.busy or attempt.unanswered_since is not None
+    return attempt.is_cut_off or has_refused
+
+
 def _step_down(attempt: Attempt, primary: ServerId) -> StepDown:
     status = attempt.statuses.get(primary)
     term = choose_pause_term(attempt)
--- a/src/apricotshore/pooling/group.py
+++ b/src/apricotshore/pooling/group.py
@@ -323,6 +323,9 @@
         """
         gate = self._find_gate(request.server)
         reply = await gate.quiesce(request.term, request.hold_ms)
+        if reply.closed:
+            # Their answers were not awaited any longer, so they show no stall.
+            self.writes.unanswered.clear()
         state = self.primary_state
         if state.term > request.term and state.primary not in (None, request.server):
             gate.open()
--- a/tests/test_stepped_down_primaries.py
+++ b/tests/test_stepped_down_primaries.py
@@ -11,12 +11,14 @@
     Promote,
     Quiesce,
     RecordTarget,
+    RequestStatus,
     Seal,
     Secure,
     StepDown,
     read_status,
 )
 from apricotshore.decisions.commit_barrier import QUIESCE_MS, UNCONFIRMED_MS
+from apricotshore.decisions.primary_change import STEP_DOWN_AFTER_MS
 from apricotshore.groups import LogPosition, Role
 from apricotshore.identifiers import HostId, Position, ServerId, Term
 from apricotshore.queries import QueryKind, ServerReport
@@ -43,7 +45,9 @@
 
 
 def make_attempt(
-    barrier: BarrierReport | None, quiesced: BarrierReport | None = None
+    barrier: BarrierReport | None,
+    quiesced: BarrierReport | None = None,
+    running: int = 0,
 ) -> Attempt:
     """Return a change whose primary has stepped down; s2 is the target."""
     attempt = Attempt(
@@ -53,7 +57,8 @@
     leading = make_status(is_primary=True)
     change_attempt.update_status(attempt, S1, leading, STEPPED_DOWN_AT)
     attempt.quiesced = quiesced
-    change_attempt.update_status(attempt, S1, make_status(running=2), STEPPED_DOWN_AT)
+    stepped_down = make_status(running=running)
+    change_attempt.update_status(attempt, S1, stepped_down, STEPPED_DOWN_AT)
     hear_followers(attempt, STEPPED_DOWN_AT)
     attempt.barrier = barrier
     return attempt
@@ -127,12 +132,22 @@
 
 @pytest.mark.parametrize(
     "barrier",
-    [confirm(missing=ABSENT), confirm(closed=1), confirm(is_listed=False)],
-    ids=["host-is-absent", "connection-was-closed", "hosts-unknown"],
+    [
+        confirm(missing=ABSENT),
+        confirm(closed=1),
+        confirm(is_listed=False),
+        confirm(),
+    ],
+    ids=[
+        "host-is-absent",
+        "connection-was-closed",
+        "hosts-unknown",
+        "host-not-listed",
+    ],
 )
 def test_order_waits_until_the_former_primary_runs_nothing(barrier):
     """It may still acknowledge to a host that confirmed nothing."""
-    attempt = make_attempt(barrier)
+    attempt = make_attempt(barrier, running=2)
     for waited_ms in (5, 300, 1_000, UNCONFIRMED_MS - 5):
         now = SEALED_AT + waited_ms
         hear(attempt, now, running=1)
@@ -142,6 +157,35 @@
     assert plan(attempt, now) == Promote(server=S2)
 
 
+def test_full_primary_is_freed_of_statements_before_it_is_told_to_step_down():
+    """Commits that wait for a replica leave it no room for a command."""
+    attempt = Attempt(from_term=Term(1), started_at=0, replaced=S1, must_step_down=True)
+    hear_followers(attempt, 10)
+    change_attempt.observe_refusal(attempt, S1)
+    assert plan(attempt, 10) == Quiesce(server=S1)
+
+
+def test_step_down_follows_the_answer_of_a_primary_that_was_full():
+    """Without it the change would end once the primary had stepped down."""
+    attempt = Attempt(from_term=Term(1), started_at=0, replaced=S1, must_step_down=True)
+    now = STEP_DOWN_AFTER_MS
+    hear_followers(attempt, now)
+    attempt.recorded = S3
+    attempt.quiesced = confirm(at=now)
+    assert plan(attempt, now) == RequestStatus(servers=(S1,))
+    hear(attempt, now + 5, is_primary=True)
+    assert isinstance(plan(attempt, now + 5), StepDown)
+
+
+def test_hosts_are_asked_again_where_their_hold_is_about_to_end():
+    attempt = Attempt(from_term=Term(1), started_at=0, replaced=S1, must_step_down=True)
+    hear(attempt, 10, is_primary=True)
+    hear_followers(attempt, 10)
+    attempt.recorded = S3
+    attempt.quiesced = confirm(at=10)
+    assert plan(attempt, 10 + QUIESCE_MS // 2) == Quiesce(server=S1)
+
+
 def test_answer_to_a_question_before_the_barrier_shows_nothing():
     attempt = make_attempt(confirm(missing=ABSENT))
     status = make_status(running=0)
