--- a/src/apricotshore/pooling/host_watcher.py
+++ b/src/apricotshore/pooling/host_watcher.py
@@ -206,13 +206,14 @@
         return hosts
 
     def _check_entry(self, hosts: dict[HostId, ListedHost], as_of: int) -> None:
-        """Write this host's entry again if a list as of a time lacks it.
+        """Write this host's entry again if a list as of a time lacks it or its mark.
 
         A write without an answer may take effect after a later one.
         """
         if not self._is_written() or self.written_at >= as_of:
             return
-        if hosts.get(self.host) != self.entry:
+        found = hosts.get(self.host)
+        if found is None or found.leaving != self.is_leaving:
             self._write_again()
 
     def _record_lost(self, error: StoreError) -> None:
--- a/tests/pooling/test_host_watcher.py
+++ b/tests/pooling/test_host_watcher.py
@@ -171,6 +171,17 @@
         await wait_until(lambda: bed.store.hosts[HOST] == LEAVING, 1.0)
 
 
+async def test_entry_seen_under_another_address_causes_no_write(monkeypatch):
+    """A network may translate the addresses that it shows to the hosts."""
+    async with running(monkeypatch) as bed:
+        translated = replace(ENTRY, address="10.9.0.1:1")
+        bed.store.hosts[HOST] = translated
+        await asyncio.sleep(0.01)
+        await bed.watcher.refresh()
+        await asyncio.sleep(0.1)
+        assert bed.store.hosts[HOST] == translated
+
+
 async def test_stale_list_that_lacks_a_new_entry_causes_no_write(monkeypatch):
     monkeypatch.setattr(host_watcher, "FIRST_HOSTS_PERIOD_S", 0.05)
     async with running(monkeypatch) as bed:
