Tell whether other hosts stay that tasks can be left to

Cause: leaving hosts are listed now, so a draining host that counts the listed ones would leave changes of primary to hosts that leave as well. Change: relays.has_others; the changer is not changed here.

--- a/src/apricotshore/decisions/relays.py
+++ b/src/apricotshore/decisions/relays.py
@@ -143,6 +143,11 @@
     return sorted(ranked, key=lambda h: places[h.host])[:DETOURS_PER_SERVER]
 
 
+def has_others(fleet: Fleet) -> bool:
+    """Return whether there are other hosts that a leaving one leaves its tasks to."""
+    return any(h.host != fleet.local_host for h in _list_staying(fleet))
+
+
 def rank_host(fleet: Fleet, group: GroupId) -> int:
     """Return how many hosts come before this one for a task of a group."""
     own = weigh(fleet.local_host, group)
--- a/tests/test_relays.py
+++ b/tests/test_relays.py
@@ -139,3 +139,12 @@
     assert [h.host for h in after[0]] == [h.host for h in before[0]]
     assert after[1] == before[1] == relays.RELAYS_PER_SERVER
     assert relays.list_paths(fleet, after[0], 0) == []
+
+
+def test_tasks_are_left_to_hosts_that_stay():
+    fleet = make_fleet("h0", 3)
+    assert relays.has_others(fleet)
+    mark_leaving(fleet, HostId("h0"), HostId("h1"))
+    assert relays.has_others(fleet)
+    mark_leaving(fleet, HostId("h2"))
+    assert not relays.has_others(fleet)
