Leave changes only to hosts that stay

Cause: leaving hosts are listed now, so that the barrier asks them; hosts that drain at the same time would leave a change to each other. Change: a draining host goes on where no host stays.

--- a/src/apricotshore/pooling/primary_changer.py
+++ b/src/apricotshore/pooling/primary_changer.py
@@ -5,7 +5,7 @@
 
 from mode import Service
 
-from ..decisions import change_triggers, lease
+from ..decisions import change_triggers, lease, relays
 from ..decisions.change_attempt import Attempt
 from ..decisions.change_triggers import ChangeConditions
 from ..identifiers import HostId, ServerId, Term
@@ -152,8 +152,8 @@
     @property
     def _leaves_changes(self) -> bool:
         """Whether a change is left to the other hosts, if there are any."""
-        others = self.detours.fleet.hosts.keys() - {self.host}
-        return self.is_draining and bool(others) and not self.lease.is_own_open
+        has_others = relays.has_others(self.detours.fleet)
+        return self.is_draining and has_others and not self.lease.is_own_open
 
     @property
     def is_critical(self) -> bool:
