Ask all others where a former primary answers no more, and trust its last word

Cause: an order that waited for the former primary's other servers asked only its target, so that a former primary full of reads left the group without a primary for 8 s. A connection that a host closed before the step-down was held against the order although the primary, asked later, said that it ran nothing.

--- a/src/apricotshore/decisions/primary_change.py
+++ b/src/apricotshore/decisions/primary_change.py
@@ -60,7 +60,7 @@
     request_promotion,
     set_target,
 )
-from .commit_barrier import is_confirmed, is_quiesced, is_sealed, list_led
+from .commit_barrier import is_confirmed, is_quiesced, is_sealed, list_led, list_unasked
 from .position_history import PositionSample
 from .silent_primary import plan_with_pauses
 
@@ -294,7 +294,7 @@
     if attempt.barrier is None:
         return Seal(servers=list_led(attempt), beside=_secure(attempt, unpaused))
     if not is_sealed(attempt, others, now):
-        return _secure(attempt, unpaused)
+        return _secure(attempt, unpaused, list_unasked(attempt, others))
     if target is None or target not in full:
         return _plan_incomplete(attempt, members, others, since_loss, lossless, now)
     if not is_confirmed(attempt) and _must_wait_for(attempt, others, unpaused, now):
@@ -342,7 +342,19 @@
     )
 
 
-def _secure(attempt: Attempt, unpaused: tuple[ServerId, ...]) -> Secure:
+def _list_asked(
+    attempt: Attempt, unpaused: tuple[ServerId, ...], unasked: tuple[ServerId, ...]
+) -> tuple[ServerId, ...]:
+    """List the servers to be asked, once each: the target, and others not paused."""
+    asked = [s for s in (attempt.target, *unasked) if s is not None]
+    return tuple(dict.fromkeys(s for s in asked if s not in unpaused))
+
+
+def _secure(
+    attempt: Attempt,
+    unpaused: tuple[ServerId, ...],
+    unasked: tuple[ServerId, ...] = (),
+) -> Secure:
     """Pause servers, and ask the target whether it has received the rest.
 
     The former primary is told again: it may lead again, or have stored a commit
@@ -351,7 +363,7 @@
     return Secure(
         paused=unpaused,
         term=choose_pause_term(attempt),
-        asked=() if attempt.target is None else (attempt.target,),
+        asked=_list_asked(attempt, unpaused, unasked),
         former=attempt.replaced,
     )
 
--- a/src/apricotshore/pooling/change_steps.py
+++ b/src/apricotshore/pooling/change_steps.py
@@ -317,7 +317,8 @@
                 timeout=STATUS_PAUSE_S,
                 return_when=asyncio.FIRST_COMPLETED,
             )
-        await asyncio.sleep(ANSWER_PAUSE_S)
+        is_sealed = self.attempt.barrier is not None
+        await asyncio.sleep(STATUS_PAUSE_S if is_sealed else ANSWER_PAUSE_S)
 
     def _send_beside(self, step: Secure) -> None:
         for server in step.paused:
--- a/tests/test_stepped_down_primaries.py
+++ b/tests/test_stepped_down_primaries.py
@@ -186,6 +186,23 @@
     assert plan(attempt, 10 + QUIESCE_MS // 2) == Quiesce(server=S1)
 
 
+def test_closed_connection_is_forgotten_once_the_primary_runs_nothing():
+    """It has no slot for a command after that, as it is full of reads."""
+    attempt = make_attempt(confirm(), quiesced=confirm(at=50, closed=2))
+    assert plan(attempt, SEALED_AT) == Promote(server=S2)
+
+
+def test_others_are_asked_where_the_former_primary_refuses_commands():
+    attempt = make_attempt(confirm(missing=ABSENT), running=2)
+    now = SEALED_AT + UNCONFIRMED_MS
+    change_attempt.observe_refusal(attempt, S1)
+    step = plan(attempt, now)
+    assert isinstance(step, Secure)
+    assert set(step.asked) == {S2, S3}
+    hear_followers(attempt, now + 5)
+    assert plan(attempt, now + 5) == Promote(server=S2)
+
+
 def test_answer_to_a_question_before_the_barrier_shows_nothing():
     attempt = make_attempt(confirm(missing=ABSENT))
     status = make_status(running=0)
