--- a/tests/pooling/test_commits_by_the_clock.py
+++ b/tests/pooling/test_commits_by_the_clock.py
@@ -14,6 +14,7 @@
 import pytest
 
 from apricotshore.identifiers import ServerId, StoreEra
+from apricotshore.pooling.ports import ConnectionLostError
 from standins.in_memory import GROUP, ModelGroup, ModelPlatform, StopsReceiving
 
 from .support import (
@@ -23,6 +24,7 @@
     committing,
     running,
     wait_until,
+    write,
 )
 
 S1, S2, S3 = (ServerId(f"s{n}") for n in (1, 2, 3))
@@ -294,3 +296,19 @@
         await asyncio.sleep(CUT_S)
         scene.leave()
         await scene.end_change()
+
+
+async def test_closed_connection_gets_no_acknowledgement():
+    scene = Scene.make(1)
+    scene.cut_replicas(True)
+    server = scene.model.list(scene.primary)
+    link = await scene.hosts[0].dialer.dial(server, 1.0)
+    waiting = asyncio.create_task(link.run([write()], None, CHANGE_LIMIT_S))
+    await asyncio.sleep(CUT_S)
+    link.close()
+    with pytest.raises(ConnectionLostError) as lost:
+        await asyncio.wait_for(waiting, CUT_S)
+    assert lost.value.sent
+    scene.cut_replicas(False)
+    await asyncio.sleep(CUT_S)
+    assert scene.model.acknowledged == []
