Follow a promotion for a time from its order, not only from the change's start

Cause: CONFIRM_MS had grown for orders that waited 3 s, and kept others waiting a second more where the new primary is too full to be asked. Change: 4.5 s again, but 1.5 s from the order in any case.

--- a/src/apricotshore/decisions/primary_change.py
+++ b/src/apricotshore/decisions/primary_change.py
@@ -66,7 +66,9 @@
 
 # Time into the lease after which no step, and no confirmation, is started.
 STEPS_MS = 2_500
-CONFIRM_MS = 5_500
+CONFIRM_MS = 4_500
+# A promotion is followed for this long in any case.
+FOLLOW_MS = 1_500
 # The same for steps that follow once there is no primary any more.
 STEPS_WITHOUT_PRIMARY_MS = 4_500
 # For this long after the primary stepped down, only its target may be promoted, and a
--- a/src/apricotshore/pooling/change_steps.py
+++ b/src/apricotshore/pooling/change_steps.py
@@ -132,9 +132,12 @@
         attempt = self.attempt
         if not self.is_held():
             return False
-        age = read_boot_ms() - attempt.started_at
+        now = read_boot_ms()
+        age = now - attempt.started_at
         if attempt.requested is not None:
-            return age < primary_change.CONFIRM_MS and not self.promotion.is_settled()
+            is_late = age >= primary_change.CONFIRM_MS
+            is_late &= now - self.promotion.made_at >= primary_change.FOLLOW_MS
+            return not is_late and not self.promotion.is_settled()
         if attempt.final_end is not None:
             return age < primary_change.STEPS_WITHOUT_PRIMARY_MS
         return is_needed and age < primary_change.STEPS_MS
