Have the soak's servers finish what runs, and begin in higher terms

Change: Leeway has an earlier life of groups, the time of commands, whether a STATUS counts itself, and TargetStops in place of target_stops_receiving (its true is AT_ACCEPTANCE, its false AT_EFFECT); a statement ends once its connection is closed; what runs at a step-down is refused once its server has learnt the next term.

--- a/tests/soak/compare.py
+++ b/tests/soak/compare.py
@@ -13,6 +13,7 @@
 from pathlib import Path
 from typing import Any
 
+from .model import TargetStops
 from .rounds import Rounds
 from .run import Result, run_seed
 
@@ -81,7 +82,10 @@
 def parse_leeway(settings: list[str]) -> dict[str, Any]:
     """Return fields of a leeway from texts such as ``own_terms=True``."""
     pairs = (text.split("=", 1) for text in settings)
-    return {name: ast.literal_eval(value) for name, value in pairs}
+    return {
+        name: TargetStops(value) if name == "target_stops" else ast.literal_eval(value)
+        for name, value in pairs
+    }
 
 
 def main() -> int:
--- a/tests/soak/model.py
+++ b/tests/soak/model.py
@@ -9,7 +9,9 @@
 import random
 import time
 from collections import defaultdict
+from collections.abc import Callable
 from dataclasses import dataclass, field
+from enum import Enum
 
 REPLICATION_PERIOD_S = 0.003
 PROMOTION_S = 0.4
@@ -22,6 +24,12 @@
 LONG_LEARNING_S = (0.1, 0.4)
 LONG_LEARNING_SHARE = 0.2
 ROLL_BACK_S = (0.05, 0.3)
+# Terms and lengths of logs with which groups begin that have had an earlier life, the
+# most entries that a replica lacks, and the latest time at which it learns the term.
+EARLIER_TERMS = (10, 14)
+EARLIER_ENTRIES = (1_000, 3_400)
+MOST_MISSING_ENTRIES = 20
+EARLIER_LEARNING_S = 3.0
 
 
 def now() -> float:
@@ -29,6 +37,14 @@
     return time.monotonic()
 
 
+class TargetStops(Enum):
+    """When a server that is to be promoted receives nothing more."""
+
+    AT_CALL = "call"
+    AT_ACCEPTANCE = "acceptance"
+    AT_EFFECT = "effect"
+
+
 @dataclass(frozen=True, kw_only=True, eq=False)
 class Entry:
     """One commit in the log of a server."""
@@ -46,7 +62,13 @@
 
 @dataclass(frozen=True, kw_only=True)
 class Acknowledgement:
-    """A commit that was acknowledged, by whom, and thanks to which replicas."""
+    """A commit that was acknowledged, by whom, and thanks to which replicas.
+
+    Parameters
+    ----------
+    at
+        When its answer was written to a connection that was open.
+    """
 
     at: float
     entry: Entry
@@ -100,17 +122,26 @@
         Number of statements that a server runs at a time.
     work_s
         Range of the time that a statement takes.
+    command_s
+        Range of the time that a command takes; its effect comes within it.
+    status_counts_itself
+        Whether a STATUS is among the busy statements that it reports.
     late_answer_share, late_command_share
         Share of commands that are answered long after they were carried out, and that
         are carried out long after they arrived, though nobody waits any more.
-    target_stops_receiving
-        Whether a server receives nothing more once its promotion is accepted.
+    target_stops
+        From when on a server that is to be promoted receives nothing more.
+    acceptance_s
+        Range of the time from a call to the acceptance of a promotion.
     commits_after_step_down
         Whether a statement that runs when its primary steps down still commits.
     late_promotion_share
         Share of promotions that are answered long after they were accepted.
     first_term, first_number
         Term and number of the log at the start.
+    has_earlier_life
+        Whether groups begin in a higher term, with long logs, of which a replica may
+        lack the last entries, and with the lease of an earlier change, maybe open.
     """
 
     delivers_after_step_down: bool = False
@@ -129,13 +160,17 @@
     commands_take_slots: bool = False
     slots: int = 4
     work_s: tuple[float, float] = (0.0, 0.004)
+    command_s: tuple[float, float] = (0.0, 0.002)
+    status_counts_itself: bool = True
     late_answer_share: float = 0.0
     late_command_share: float = 0.0
-    target_stops_receiving: bool = False
+    target_stops: TargetStops = TargetStops.AT_EFFECT
+    acceptance_s: tuple[float, float] = (0.0, 0.0)
     commits_after_step_down: bool = False
     late_promotion_share: float = 0.0
     first_term: int = 1
     first_number: int = 1
+    has_earlier_life: bool = False
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -230,7 +265,7 @@
     restarts
         Number of times that it crashed and came back.
     is_ordered
-        Whether a promotion of it was accepted that has not taken effect.
+        Whether a promotion of it has not taken effect, and it receives nothing for it.
     """
 
     name: str
@@ -298,6 +333,8 @@
         self.checker = checker
         # Term of the newest promotion, as the platform counts.
         self.term = leeway.first_term
+        if leeway.has_earlier_life:
+            self.term = random.randint(*EARLIER_TERMS)
         self.indexes = itertools.count(leeway.first_number)
         self.servers = {
             f"{name}-{i}": Server(name=f"{name}-{i}", zone=zone)
@@ -313,6 +350,40 @@
         self.leaders = {self.term: self.leader}
         for server in self.servers.values():
             self.admit(server)
+        if leeway.has_earlier_life:
+            self._add_earlier_life()
+
+    def _add_earlier_life(self) -> None:
+        """Give the servers logs of earlier terms; the last replica may be behind."""
+        rng, (leader, other, last) = self.random, self.servers.values()
+        length = rng.randint(*EARLIER_ENTRIES)
+        missing, in_term = (rng.randint(0, MOST_MISSING_ENTRIES) for _ in range(2))
+        log = [
+            Entry(
+                term=self.term - (index <= length - in_term),
+                index=index,
+                writes=(),
+                committed_at=0.0,
+            )
+            for index in range(1, length + 1)
+        ]
+        self.acknowledged = [
+            Acknowledgement(
+                at=0.0,
+                entry=entry,
+                server=leader.name,
+                receivers=(other.name,),
+                after_step_down=False,
+            )
+            for entry in log[length - missing :]
+        ]
+        for server in self.servers.values():
+            server.log, server.applied = list(log), length
+        last.truncate(length - missing)
+        if missing > in_term:
+            self.leaders[self.term - 1] = leader
+            last.term = last.followed_term = self.term - 1
+            last.learns_at = now() + rng.uniform(0.0, EARLIER_LEARNING_S)
 
     def find_primary(self) -> Server | None:
         """Return the primary of the newest term, None when there is none."""
@@ -426,7 +497,7 @@
         )
         if not linked or replica.receive_paused or replica.paused_term:
             return
-        if replica.is_ordered and self.leeway.target_stops_receiving:
+        if replica.is_ordered:
             return
         if now() < replica.next_receive_at:
             return
@@ -445,8 +516,16 @@
         while server.scheduled_applies and server.scheduled_applies[0][0] <= now():
             server.applied = max(server.applied, server.scheduled_applies.pop(0)[1])
 
-    async def commit(self, server: Server, writes: tuple[str, ...]) -> bool:
-        """Append a commit and return whether a replica acknowledged it."""
+    async def commit(
+        self,
+        server: Server,
+        writes: tuple[str, ...],
+        is_closed: Callable[[], bool] = lambda: False,
+    ) -> bool:
+        """Append a commit and return whether it is acknowledged.
+
+        It is, once a replica has received it, unless its connection is closed.
+        """
         entry = Entry(
             term=server.followed_term,
             index=self._number_commit(server),
@@ -457,7 +536,7 @@
         at = len(server.log)
         if not server.is_primary:
             self.checker.add_note(f"{server.name} commits {entry.position} late")
-        while self._may_acknowledge(server, entry):
+        while self._may_acknowledge(server, entry) and not is_closed():
             others = [s for s in self.servers.values() if s is not server]
             receivers = [
                 s.name for s in others if len(s.log) >= at and s.log[at - 1] is entry
--- a/tests/soak/rounds.py
+++ b/tests/soak/rounds.py
@@ -25,6 +25,9 @@
 REPLACED_SHARE = 0.5
 DRAIN_S = (LEAVE_S, LEAVE_S + 2.0)
 LEAVE_TIMEOUT_S = 8.0
+# From the notice to the cut, and from the step-down to its end.
+CUT_BEFORE_S = (0.0, 3.0)
+CUT_AFTER_S = (0.1, 1.5)
 SETTLE_TIMEOUT_S = 10.0
 # Callers write in peace for this long, so that each round begins with new commits.
 CALM_S = (1.5, 3.0)
@@ -84,6 +87,7 @@
 def draw_plan(rounds: Rounds, groups: list[str], rng: random.Random) -> Plan:
     """Draw a round."""
     kinds = [k for k in KINDS if rounds.kind in ("", k.__name__)]
+    kinds = kinds or [k for k in NAMED_KINDS if rounds.kind == k.__name__]
     return Plan(
         plays={
             name: (
@@ -194,6 +198,24 @@
     group.checker.add_note(f"{primary.name} has left")
 
 
+async def leave_cut(releases: Releases, group: Group) -> None:
+    """Have the primary leave while it is cut from its replicas, so commits wait."""
+    rng = releases.random
+    before_s, after_s = rng.uniform(*CUT_BEFORE_S), rng.uniform(*CUT_AFTER_S)
+    primary = group.find_primary()
+    if primary is None:
+        return
+    primary.leaving = True
+    await asyncio.sleep(before_s)
+    primary.partitioned = True
+    try:
+        await wait_until(lambda: not primary.is_primary, LEAVE_TIMEOUT_S)
+        await asyncio.sleep(after_s)
+    finally:
+        primary.partitioned = False
+        group.checker.add_note(f"{primary.name} reaches its replicas again")
+
+
 async def crash(releases: Releases, group: Group) -> None:
     """Crash the primary; it comes back with its log."""
     away_s = releases.random.uniform(*AWAY_S)
@@ -251,3 +273,5 @@
     cut_primary,
     hide_from_hosts,
 )
+# Played only by name, as the draws of a seed are of the others.
+NAMED_KINDS: tuple[Event, ...] = (leave_cut,)
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -20,7 +20,7 @@
 from .restores import restore_store
 from .rounds import Rounds, play_rounds
 from .servers import LineServer
-from .store import Store, StoreMode
+from .store import LEASES, Store, StoreMode
 from .tcpproxy import TcpProxy
 
 ZONES = ["a", "b", "c"]
@@ -30,6 +30,8 @@
 RECOVERY_TIMEOUT_S = 12.0
 # A statement sent this shortly before a drain closes its connection may be lost.
 LOSS_SLACK_S = 0.2
+# An earlier process of the first host, which is gone.
+EARLIER_HOLDER = "h0@127.0.0.1:9/0a1b2c3d"
 CHANGES_LEEWAY = Leeway(
     delivers_after_step_down=True,
     leads_after_crash=True,
@@ -282,6 +284,7 @@
             for server in group.servers.values():
                 await self._start_server(group, server)
         self.operator.write()
+        self._write_earlier_leases()
         for number in range(self.host_count):
             await self._add_host(f"h{number}", ZONES[number % len(ZONES)])
         self.spawn(self._report_servers())
@@ -306,6 +309,19 @@
             replace_server=self._replace_server,
         )
 
+    def _write_earlier_leases(self) -> None:
+        """Write the leases of changes that an earlier process made or left."""
+        for group in self.groups.values():
+            if group.leeway.has_earlier_life:
+                rng = random.Random(f"{self.seed}{group.name}lease")
+                spec = {
+                    "holder": EARLIER_HOLDER,
+                    "open": rng.random() < 0.5,
+                    "target": rng.choice(list(group.servers)),
+                    "number": 1,
+                }
+                self.store.write(LEASES, f"{group.name}.{self.store.era}", spec)
+
     async def _start_server(self, group: Group, server: Server) -> None:
         self.servers[server.name] = LineServer(
             group=group,
--- a/tests/soak/servers.py
+++ b/tests/soak/servers.py
@@ -10,11 +10,11 @@
 from .model import Checker, Group, SentStatement, Server, now
 
 COMMANDS = ("STATUS", "PAUSE", "RESUME", "STEPDOWN")
-# Time that a command takes of its slot.
-COMMAND_S = 0.002
 # Lateness of a command, and of the answer to one.
 LATE_S = (0.05, 0.5)
 HANG_POLL_S = 0.05
+# Time after which a statement that runs ends once its connection is closed.
+CLOSE_POLL_S = 0.01
 HANDSHAKE_S = 0.005
 
 
@@ -32,6 +32,10 @@
     operation: int | None = None
     writes: list[str] = field(default_factory=list)
 
+    def is_closed(self) -> bool:
+        """Return whether the peer has closed it, or either side has reset it."""
+        return self.reader.at_eof() or self.writer.is_closing()
+
 
 class LineServer:
     """Server of the line protocol for one server of a group, on a loopback port.
@@ -162,15 +166,16 @@
         if verb in ("READ", "WRITE", "EXECUTE", "COMMIT"):
             async with self.slots, self._counted():
                 has_led = self.server.is_primary and self.leeway.commits_after_step_down
+                led_term = self.server.followed_term if has_led else None
                 work = self.random.uniform(*self.leeway.work_s) * self.server.slowness
-                await asyncio.sleep(work)
+                await self._work(connection, work)
                 self._check_running(restarts)
                 if self.random.random() < self.server.busy_share or self._is_busy():
                     return (), "ERROR BUSY"
                 if not self._check_statement(connection, request, verb, rest):
                     return (), "ERROR FAILED"
                 return await self._execute(
-                    connection, request, verb, rest, min_position, has_led
+                    connection, request, verb, rest, min_position, led_term
                 )
         if (
             verb == "BEGIN"
@@ -189,6 +194,15 @@
             return (), "ERROR BUSY"
         return handler(connection, rest)
 
+    async def _work(self, connection: Connection, seconds: float) -> None:
+        """Work for a time; a connection that is closed rolls back at once."""
+        ends = now() + seconds
+        while not connection.is_closed():
+            if (left_s := ends - now()) <= 0:
+                return
+            await asyncio.sleep(min(left_s, CLOSE_POLL_S))
+        raise ConnectionResetError
+
     @asynccontextmanager
     async def _counted(self) -> AsyncIterator[None]:
         """Count a statement that runs."""
@@ -207,25 +221,22 @@
             late_s = self.random.uniform(*LATE_S)
             await asyncio.sleep(late_s)
             await self._wait_while_silent()
-        if not await self._take_slot():
+        if self.slots.locked() or self._is_busy():
             return (), "ERROR BUSY"
-        self._check_running(restarts)
-        if late_s and verb != "STATUS":
-            name = self.server.name
-            self.checker.add_note(f"{name} carries out {verb} {late_s:.3f} s late")
-        answer = carry_out()
+        async with self.slots:
+            duration_s = self.random.uniform(*self.leeway.command_s)
+            before_s = duration_s * self.random.random()
+            await asyncio.sleep(before_s)
+            self._check_running(restarts)
+            if late_s and verb != "STATUS":
+                name = self.server.name
+                self.checker.add_note(f"{name} carries out {verb} {late_s:.3f} s late")
+            answer = carry_out()
+            await asyncio.sleep(duration_s - before_s)
         if self.random.random() < self.leeway.late_answer_share:
             await asyncio.sleep(self.random.uniform(*LATE_S))
         return answer
 
-    async def _take_slot(self) -> bool:
-        """Occupy a slot up to a command's effect; return False when none is free."""
-        if self.slots.locked() or self._is_busy():
-            return False
-        async with self.slots:
-            await asyncio.sleep(COMMAND_S * self.random.random())
-        return True
-
     def _is_busy(self) -> bool:
         """Return whether the server is busy after a roll-back."""
         return now() < self.server.busy_until
@@ -287,10 +298,11 @@
         verb: str,
         rest: str,
         min_position: tuple[int, int] | None,
-        has_led: bool,
+        led_term: int | None,
     ) -> tuple[tuple[str, ...], str]:
         server = self.server
-        leads = server.is_primary or has_led
+        # Its term ends at the latest when the server learns the next one.
+        leads = server.is_primary or led_term == server.followed_term
         writes = verb == "WRITE"
         if verb == "EXECUTE":
             shape = connection.prepared.get(rest.partition(" ")[0])
@@ -311,7 +323,7 @@
             return rows, f"COMPLETE {self.checker.issue_receipt(request, rows)}"
         if connection.transaction:
             connection.writes.append(request)
-        elif not await self.group.commit(server, (request,)):
+        elif not await self.group.commit(server, (request,), connection.is_closed):
             await self._hang(connection)
         return (), f"COMPLETE {self.checker.issue_receipt(request, ())}"
 
@@ -322,7 +334,7 @@
         """
         if self.leeway.own_terms:
             connection.writer.transport.abort()
-        while not (connection.reader.at_eof() or connection.writer.is_closing()):
+        while not connection.is_closed():
             await asyncio.sleep(HANG_POLL_S)
         raise ConnectionResetError
 
@@ -334,7 +346,8 @@
         if writes:
             if not leads:
                 return (), "ERROR READONLY"
-            if not await self.group.commit(self.server, writes):
+            is_closed = connection.is_closed
+            if not await self.group.commit(self.server, writes, is_closed):
                 await self._hang(connection)
         return (), f"COMPLETE {self.checker.issue_receipt(request, ())}"
 
@@ -368,8 +381,7 @@
         return (), "COMPLETE -"
 
     def _do_status(self, connection: Connection, rest: str):
-        # A STATUS counts itself.
-        return self._report(1)
+        return self._report(int(self.leeway.status_counts_itself))
 
     def _report(self, is_counted: int):
         server = self.server
--- a/tests/soak/store.py
+++ b/tests/soak/store.py
@@ -9,7 +9,7 @@
 
 from aiohttp import web
 
-from .model import Checker, Group, now
+from .model import Checker, Group, Server, TargetStops, now
 
 PROMOTION_DELAY_S = (1.0, 4.0)
 SILENCE_S = 60.0
@@ -288,15 +288,32 @@
             int(request.headers["Fencing-Token"]),
             request.headers["Lease-Holder"],
         )
+        group = self.groups[body["service"]]
         if self.late_promotions:
             self._spawn(self._promote_late(*promotion))
             await asyncio.sleep(SILENCE_S)
-        status = 200 if self._accept_promotion(*promotion) else 409
-        late_share = self.groups[body["service"]].leeway.late_promotion_share
+        stopped = self._stop_at_call(group, body["id"])
+        await asyncio.sleep(self.random.uniform(*group.leeway.acceptance_s))
+        is_accepted = self._accept_promotion(*promotion)
+        if stopped is not None and not is_accepted:
+            stopped.is_ordered = False
+        status = 200 if is_accepted else 409
+        late_share = group.leeway.late_promotion_share
         if late_share and self.random.random() < late_share:
             await asyncio.sleep(self.random.uniform(*LATE_PROMOTION_S))
         return web.json_response({}, status=status)
 
+    def _stop_at_call(self, group: Group, name: str) -> Server | None:
+        """Return the server that receives nothing from now on, None without one."""
+        server = group.servers.get(name)
+        is_early = group.leeway.target_stops is TargetStops.AT_CALL
+        if server is None or server.is_ordered or not is_early:
+            return None
+        if group.is_present(server):
+            return None
+        server.is_ordered = True
+        return server
+
     async def _promote_late(self, *promotion: Any) -> None:
         await asyncio.sleep(self.random.uniform(*PROMOTION_DELAY_S))
         self._accept_promotion(*promotion)
@@ -318,7 +335,7 @@
             )
         self.tokens[service] = (token, holder)
         if not group.is_present(server):
-            server.is_ordered = True
+            server.is_ordered = group.leeway.target_stops is not TargetStops.AT_EFFECT
             self._spawn(self._finish_promotion(group, name))
         return True
 
--- a/tests/soak/test_model.py
+++ b/tests/soak/test_model.py
@@ -7,13 +7,26 @@
 
 import pytest
 
-from .model import LONG_LEARNING_S, ROLL_BACK_S, Checker, Group, Leeway, Server
-from .run import REAL_LEEWAY
+from .model import (
+    EARLIER_ENTRIES,
+    EARLIER_LEARNING_S,
+    EARLIER_TERMS,
+    LONG_LEARNING_S,
+    ROLL_BACK_S,
+    Checker,
+    Entry,
+    Group,
+    Leeway,
+    SentStatement,
+    Server,
+    TargetStops,
+)
+from .run import EARLIER_HOLDER, REAL_LEEWAY, Soak
 from .servers import Connection, LineServer
-from .store import Store
+from .store import LEASES, Store
 
 WAIT_S = 1.0
-STATUS_TERM, STATUS_PAUSED = 1, 3
+STATUS_TERM, STATUS_PAUSED, STATUS_BUSY = 1, 3, 5
 LAX = replace(REAL_LEEWAY, leads_until_learnt=True)
 
 
@@ -37,13 +50,13 @@
     return stopped
 
 
-def make_group(leeway: Leeway) -> Group:
+def make_group(leeway: Leeway, seed: int = 1) -> Group:
     """Return a group of three servers, the first of which leads."""
     return Group(
         name="g",
         zones=["a", "b", "c"],
         checker=Checker(),
-        random=random.Random(1),
+        random=random.Random(seed),
         leeway=leeway,
     )
 
@@ -79,8 +92,26 @@
 
 def make_connection() -> Connection:
     """Return a connection to a server."""
-    writer = SimpleNamespace(transport=Transport())
-    return Connection(number=1, reader=None, writer=writer)
+    transport = Transport()
+    writer = SimpleNamespace(
+        transport=transport, is_closing=lambda: transport.is_aborted
+    )
+    return Connection(number=1, reader=asyncio.StreamReader(), writer=writer)
+
+
+def start_write(server: LineServer, connection: Connection) -> asyncio.Task:
+    """Start a statement that writes; its answer is the result."""
+    server.checker.statements["1-1"] = SentStatement(
+        session=1,
+        operation=1,
+        text="WRITE i1 d",
+        in_transaction=False,
+        first_byte_at=0.0,
+        staleness_s=None,
+        own_position=None,
+        values={},
+    )
+    return asyncio.create_task(server._run(connection, "1-1", "WRITE i1 d"))
 
 
 async def ask(server: LineServer, text: str) -> tuple[list[str], str]:
@@ -202,6 +233,147 @@
     assert new.applied == 0
 
 
+def show_positions(group: Group) -> list[tuple[int, int]]:
+    """Return the positions that the servers have received."""
+    return [s.received_position for s in group.servers.values()]
+
+
+def test_groups_with_an_earlier_life_differ_in_terms_lengths_and_replicas():
+    leeway = replace(REAL_LEEWAY, has_earlier_life=True)
+    groups = [make_group(leeway, seed) for seed in range(50)]
+    terms = {g.term for g in groups}
+    lengths = [len(g.leader.log) for g in groups]
+    assert (min(terms), max(terms)) == EARLIER_TERMS
+    assert EARLIER_ENTRIES[0] <= min(lengths) < max(lengths) <= EARLIER_ENTRIES[1]
+    for group in groups:
+        first, second, last = show_positions(group)
+        assert first == second >= last
+        assert first[1] == len(group.leader.log)
+    assert any(g.servers["g-3"].term < g.term for g in groups)
+    assert any(len(g.servers["g-3"].log) == len(g.leader.log) for g in groups)
+
+
+async def test_replica_that_is_behind_in_an_earlier_life_learns_and_catches_up(clock):
+    leeway = replace(REAL_LEEWAY, has_earlier_life=True)
+    groups = (make_group(leeway, seed) for seed in range(50))
+    group = next(g for g in groups if g.servers["g-3"].term < g.term)
+    group.advance()
+    assert show_positions(group)[2] < group.leader.received_position
+    clock.at_s += EARLIER_LEARNING_S
+    group.advance()
+    assert len(set(show_terms(group))) == len(set(show_positions(group))) == 1
+    length = len(group.leader.log)
+    assert await commit(group, "g-1", "w")
+    assert group.leader.received_position == (group.term, length + 1)
+
+
+def test_replica_that_is_behind_in_an_earlier_life_lacks_acknowledged_commits():
+    leeway = replace(REAL_LEEWAY, has_earlier_life=True)
+    groups = (make_group(leeway, seed) for seed in range(50))
+    group = next(g for g in groups if g.servers["g-3"].term < g.term)
+    missing = len(group.leader.log) - len(group.servers["g-3"].log)
+    group.promote("g-3")
+    (violation,) = group.checker.violations
+    assert f"LOST: g-3 became primary of term {group.term}" in violation
+    assert f"without {missing}:" in violation
+
+
+def test_leases_of_an_earlier_life_are_open_or_closed(tmp_path):
+    soak = Soak(
+        seed=1,
+        hosts=0,
+        groups=20,
+        callers=0,
+        connections=1,
+        restores=False,
+        releases=False,
+        changes="",
+        fault_pause_s=0.0,
+        folder=tmp_path,
+        leeway={"has_earlier_life": True},
+    )
+    soak._write_earlier_leases()
+    leases = [item["spec"] for item in soak.store.objects[LEASES].values()]
+    assert len(leases) == 20
+    assert {lease["open"] for lease in leases} == {True, False}
+    assert {lease["holder"] for lease in leases} == {EARLIER_HOLDER}
+
+
+# -- what runs, and connections that are closed --
+
+FINISHING = replace(REAL_LEEWAY, commits_after_step_down=True, work_s=(0.05, 0.05))
+
+
+async def test_statement_that_runs_at_the_step_down_is_numbered_when_stored():
+    group = make_group(FINISHING)
+    server = make_line_server(group, "g-1")
+    running = start_write(server, make_connection())
+    await asyncio.sleep(0.01)
+    row, _ = await ask(server, "STEPDOWN 2")
+    assert (row[0], row[2], row[STATUS_BUSY]) == ("replica", "0.0", "1")
+    group.leader.log.append(make_entry(group))
+    replicating = asyncio.create_task(group.replicate())
+    assert (await asyncio.wait_for(running, WAIT_S))[1].startswith("COMPLETE")
+    replicating.cancel()
+    (known,) = group.acknowledged
+    assert known.entry.position == (1, 2)
+    assert known.after_step_down
+
+
+def make_entry(group: Group) -> Entry:
+    """Return an entry that a primary stored first."""
+    return Entry(term=group.term, index=1, writes=("first",), committed_at=0.0)
+
+
+async def test_statement_that_runs_until_its_server_learns_is_refused():
+    group = make_group(FINISHING)
+    server = make_line_server(group, "g-1")
+    running = start_write(server, make_connection())
+    await asyncio.sleep(0.01)
+    promote_slowly(group, "g-2", {"g-1": 0.0, "g-3": 0.0})
+    group.advance()
+    assert (await asyncio.wait_for(running, WAIT_S))[1].startswith("ERROR")
+    assert group.leaders[1].log == []
+
+
+async def test_commit_that_waits_keeps_its_slot_after_the_step_down():
+    group = make_group(replace(FINISHING, work_s=(0.0, 0.0)))
+    server = make_line_server(group, "g-1")
+    waiting = start_write(server, make_connection())
+    await asyncio.sleep(0.02)
+    row, _ = await ask(server, "STEPDOWN 2")
+    assert (row[0], row[2], row[STATUS_BUSY]) == ("replica", "1.1", "1")
+    assert not waiting.done()
+    await asyncio.sleep(0.1)
+    group.advance()
+    assert (await asyncio.wait_for(waiting, WAIT_S))[1].startswith("COMPLETE")
+    assert server.running == 0
+    assert group.acknowledged[0].after_step_down
+
+
+@pytest.mark.parametrize("way", ["closed", "reset"])
+@pytest.mark.parametrize("work_s", [0.0, 0.5])
+async def test_closed_connection_ends_its_statement_without_an_answer(way, work_s):
+    group = make_group(replace(FINISHING, work_s=(work_s, work_s)))
+    server = make_line_server(group, "g-1")
+    connection = make_connection()
+    statement = start_write(server, connection)
+    await asyncio.sleep(0.02)
+    assert server.running == 1
+    if way == "closed":
+        connection.reader.feed_eof()
+    else:
+        connection.writer.transport.abort()
+    with pytest.raises(ConnectionResetError):
+        await asyncio.wait_for(statement, 0.1)
+    assert server.running == 0
+    # What was stored may stay, but nobody was told.
+    assert len(group.leader.log) == (not work_s)
+    await asyncio.sleep(0.1)
+    group.advance()
+    assert group.acknowledged == []
+
+
 # -- the former primary --
 
 
@@ -396,6 +568,26 @@
     assert (await ask(server, "STEPDOWN 2"))[0][0] == "replica"
 
 
+async def test_slow_command_keeps_its_slot_until_its_answer():
+    leeway = replace(REAL_LEEWAY, command_s=(0.2, 0.2), late_command_share=0.0)
+    group = make_group(replace(leeway, late_answer_share=0.0))
+    server = make_line_server(group, "g-1")
+    started_at = asyncio.get_running_loop().time()
+    asked = asyncio.create_task(ask(server, "STEPDOWN 2"))
+    while group.leader.is_primary:
+        await asyncio.sleep(0.005)
+    assert server.slots._value == group.leeway.slots - 1
+    assert (await asked)[0][0] == "replica"
+    assert asyncio.get_running_loop().time() - started_at >= 0.19
+
+
+@pytest.mark.parametrize("counts", [True, False])
+async def test_status_counts_itself_if_so_chosen(counts):
+    leeway = replace(REAL_LEEWAY, status_counts_itself=counts)
+    row, _ = await ask(make_line_server(make_group(leeway), "g-1"), "STATUS")
+    assert row[STATUS_BUSY] == str(int(counts))
+
+
 async def test_command_takes_no_slot_by_default():
     server = make_line_server(make_group(Leeway()), "g-1")
     for _ in range(Leeway().slots):
@@ -452,9 +644,9 @@
     return (await store._handle_promotion(request, body)).status
 
 
-def make_store(leeway: Leeway) -> Store:
+def make_store(leeway: Leeway, promotion_s: float = 0.02) -> Store:
     """Return a store whose promotions take effect soon."""
-    group = make_group(replace(leeway, promotion_s=(0.02, 0.02)))
+    group = make_group(replace(leeway, promotion_s=(promotion_s, promotion_s)))
     return Store(groups={"g": group}, checker=group.checker, random=random.Random(1))
 
 
@@ -472,6 +664,45 @@
     assert group.promotions == promotes
 
 
+@pytest.mark.parametrize(
+    ("stops", "received"),
+    [
+        (TargetStops.AT_CALL, (0, 0, 0)),
+        (TargetStops.AT_ACCEPTANCE, (1, 1, 1)),
+        (TargetStops.AT_EFFECT, (1, 2, 2)),
+    ],
+)
+async def test_target_stops_receiving_at(stops, received):
+    store = make_store(
+        replace(
+            REAL_LEEWAY,
+            own_delays=False,
+            target_stops=stops,
+            acceptance_s=(0.1, 0.1),
+            late_promotion_share=0.0,
+        ),
+        promotion_s=0.2,
+    )
+    group, lengths = store.groups["g"], []
+    asked = asyncio.create_task(promote(store, "g-2", 1))
+    for _ in range(2):
+        await asyncio.sleep(0.05)
+        assert await commit(group, "g-1", "w")
+        lengths.append(len(group.servers["g-2"].log))
+        await asked
+    await asyncio.sleep(0.3)
+    assert group.leader.name == "g-2"
+    assert (*lengths, len(group.leader.log)) == received
+
+
+async def test_target_of_a_refused_call_receives_again():
+    leeway = replace(REAL_LEEWAY, own_delays=False, late_promotion_share=0.0)
+    store = make_store(replace(leeway, target_stops=TargetStops.AT_CALL))
+    assert await promote(store, "g-2", 2) == 200
+    assert await promote(store, "g-3", 1) == 409
+    assert not store.groups["g"].servers["g-3"].is_ordered
+
+
 async def test_newer_token_takes_no_effect_back():
     store = make_store(replace(REAL_LEEWAY, late_promotion_share=0.0))
     assert await promote(store, "g-2", 1) == 200
