Count late acknowledgements as lost commits, and let callers write more

Cause: LATE-ACK was counted apart from lost commits, and reported also for a commit that the new primary has. Such a commit is kept, so a later promotion is checked for it.

--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -13,6 +13,7 @@
 CONNECT_TIMEOUT_S = 2.0
 MAX_PAUSE_S = 0.12
 MAX_SESSION_OPERATIONS = 30
+WRITE_SHARE = 0.3
 NOT_RUN_CODES = frozenset(
     {"BUSY", "ABORTED", "LAGGING", "READONLY", "WRONGNODE", "CONNLIMIT"}
 )
@@ -98,6 +99,8 @@
         Record the statements and their outcomes.
     random
         Source of random choices.
+    write_share
+        Share of statements that write.
     """
 
     sessions = itertools.count(1)
@@ -112,8 +115,10 @@
         checker: Checker,
         record: Record,
         random: random.Random,
+        write_share: float = WRITE_SHARE,
     ) -> None:
         self.number = number
+        self.write_share = write_share
         self.database = database
         self.choose_host = choose_host
         self.checker = checker
@@ -282,7 +287,7 @@
             writes = shape.startswith("WRITE")
             arguments = f"{item} data" if writes else item
             return f"EXECUTE {shape} {arguments}", f"EXECUTE {name} {arguments}", writes
-        if rng.random() < 0.3:
+        if rng.random() < self.caller.write_share:
             return f"WRITE {item} d{rng.random():.6f}", "", True
         return f"READ {item}", "", False
 
--- a/tests/soak/compare.py
+++ b/tests/soak/compare.py
@@ -13,11 +13,15 @@
 from pathlib import Path
 from typing import Any
 
+from .callers import WRITE_SHARE
 from .model import TargetStops
 from .rounds import Rounds
 from .run import Result, run_seed
 
-LOSS = re.compile(r" LOST: \S+ became primary .*?, without (\d+):")
+# A commit that is acknowledged after the effect is lost as well.
+LOSS = re.compile(
+    r" (?:LOST|LATE-ACK): (\S+ (?:became|was) primary of term \d+).*?, without (\d+):"
+)
 
 
 @dataclass(kw_only=True)
@@ -62,7 +66,8 @@
 def count_violations(result: Result) -> Tally:
     """Count what one run violated."""
     losses = [LOSS.search(line) for line in result.violations]
-    lost = [int(match[1]) for match in losses if match]
+    lost = [int(match[2]) for match in losses if match]
+    promotions = {re.sub("became|was", "", match[1]) for match in losses if match}
     # A lost commit is reported once more if its caller had been told of it.
     others = Counter(
         line.split()[1].rstrip(":").replace("LOST", "LOST-TO-CALLER")
@@ -73,7 +78,7 @@
         runs=1,
         losing_runs=min(1, len(lost)),
         lost_commits=sum(lost),
-        losing_promotions=len(lost),
+        losing_promotions=len(promotions),
         promotions=result.promotions,
         others=others,
     )
@@ -101,6 +106,7 @@
     parser.add_argument("--hosts", type=int, default=4)
     parser.add_argument("--groups", type=int, default=3)
     parser.add_argument("--callers", type=int, default=24)
+    parser.add_argument("--write-share", type=float, default=WRITE_SHARE)
     parser.add_argument("--leeway", nargs="*", default=[], metavar="FIELD=VALUE")
     parser.add_argument("--folder", type=Path, default=Path("target/compare"))
     options = parser.parse_args()
@@ -122,6 +128,7 @@
                         count=options.rounds,
                         kind=options.kind,
                         stops_hosts=not options.keep_hosts,
+                        write_share=options.write_share,
                     ),
                     code=code.resolve(),
                     leeway=parse_leeway(options.leeway),
--- a/tests/soak/model.py
+++ b/tests/soak/model.py
@@ -101,6 +101,9 @@
         Whether a former primary goes on leading, with the replicas that have not
         learnt either, until it learns that another server was promoted. Otherwise
         it loses the lead at the effect, and only its term is late.
+    acknowledges_by_position
+        Whether a commit that waits goes on waiting beyond the lead, until any replica
+        shows its position or a higher one, also of a later term.
     effect_ends_pauses
         Whether the effect of a promotion ends the pauses of all servers, also of those
         that learn it later.
@@ -150,6 +153,7 @@
     promotion_s: tuple[float, float] = (PROMOTION_S, PROMOTION_S)
     own_terms: bool = False
     leads_until_learnt: bool = False
+    acknowledges_by_position: bool = False
     effect_ends_pauses: bool = False
     learning_ends_pauses: bool = False
     step_down_raises_term: bool = False
@@ -538,11 +542,10 @@
             self.checker.add_note(f"{server.name} commits {entry.position} late")
         while self._may_acknowledge(server, entry) and not is_closed():
             others = [s for s in self.servers.values() if s is not server]
-            receivers = [
-                s.name for s in others if len(s.log) >= at and s.log[at - 1] is entry
-            ]
+            receivers = [s.name for s in others if self._has_received(s, entry, at)]
             if receivers:
-                server.applied = max(server.applied, at)
+                if server.log[at - 1 : at] == [entry]:
+                    server.applied = max(server.applied, at)
                 acknowledgement = Acknowledgement(
                     at=now(),
                     entry=entry,
@@ -550,7 +553,7 @@
                     receivers=tuple(receivers),
                     after_step_down=not server.is_primary,
                 )
-                if entry.term == self.term:
+                if entry.term == self.term or entry in self.leader.log:
                     self.acknowledged.append(acknowledgement)
                 else:
                     self._record_late_acknowledgement(acknowledgement)
@@ -558,6 +561,12 @@
             await asyncio.sleep(REPLICATION_PERIOD_S)
         return False
 
+    def _has_received(self, replica: Server, entry: Entry, length: int) -> bool:
+        """Return whether a replica has an entry, as the primary sees it."""
+        if self.leeway.acknowledges_by_position:
+            return replica.received_position >= entry.position
+        return len(replica.log) >= length and replica.log[length - 1] is entry
+
     def _number_commit(self, server: Server) -> int:
         if not self.leeway.own_terms:
             return next(self.indexes)
@@ -567,7 +576,7 @@
         if not server.up or server.silent:
             return False
         known = server.followed_term if self.leeway.leads_until_learnt else self.term
-        if entry.term != known:
+        if entry.term != known and not self.leeway.acknowledges_by_position:
             return False
         return server.is_primary or self.leeway.delivers_after_step_down
 
--- a/tests/soak/rounds.py
+++ b/tests/soak/rounds.py
@@ -9,6 +9,7 @@
 import signal
 from dataclasses import dataclass, replace
 
+from .callers import WRITE_SHARE
 from .changes import cut_primary, find_holder, wait_until
 from .faultlog import Fault
 from .faults import Cluster
@@ -45,11 +46,14 @@
         Name of the only kind of change, empty for all of them.
     stops_hosts
         Whether the hosts are stopped amid the changes.
+    write_share
+        Share of the callers' statements that write.
     """
 
     count: int
     kind: str = ""
     stops_hosts: bool = True
+    write_share: float = WRITE_SHARE
 
 
 @dataclass(frozen=True, kw_only=True)
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -9,7 +9,7 @@
 from pathlib import Path
 from typing import Any
 
-from .callers import Caller, Database, Record, check_writes
+from .callers import WRITE_SHARE, Caller, Database, Record, check_writes
 from .changes import change_primaries
 from .faultlog import FaultLog
 from .faults import Cluster, inject_faults
@@ -296,6 +296,7 @@
                 checker=self.checker,
                 record=self.record,
                 random=random.Random(self.seed * 1000 + number),
+                write_share=self.rounds.write_share if self.rounds else WRITE_SHARE,
             )
             self.spawn(caller.run())
         return Cluster(
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -122,6 +122,10 @@
             "(2, 6) by g0-1 with g0-3; (2, 7) by g0-1 with g0-3",
             "2.0 LOST: g1-2 became primary of term 2 with (1, 5), without 1: "
             "(1, 6) by g1-1 with g1-3",
+            "2.1 LATE-ACK: g1-2 was primary of term 2, without 1: "
+            "(1, 7) 5-1 by g1-1 with g1-3, 0.100 s after the effect",
+            "2.2 LATE-ACK: g1-2 was primary of term 3, without 1: "
+            "(1, 8) 5-2 by g1-1 with g1-3, 0.100 s after the effect",
             "3.0 LOST: 3-17 was acknowledged",
             "4.000 RECOVER: [('h0', 'g1')] not served",
         ],
@@ -132,6 +136,6 @@
         folder=tmp_path,
     )
     tally = count_violations(result)
-    assert (tally.lost_commits, tally.losing_promotions) == (3, 2)
+    assert (tally.lost_commits, tally.losing_promotions) == (5, 3)
     assert (tally.losing_runs, tally.promotions) == (1, 4)
     assert tally.others == {"LOST-TO-CALLER": 1, "RECOVER": 1}
