Play planned changes amid long commits, as --by-the-clock

Cause: with statements that all take long, few commits run at a step-down, and servers are too full for commands; so few were lost, and other changes came between. Change: Leeway.store_s, the time of a commit alone; rounds by the clock with it, in the soak and the comparison; leave_cut begins its cut as a host begins the change.

--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -8,9 +8,11 @@
 
 from .changes import ALL_KINDS
 from .fleet import ROOT
-from .rounds import Rounds
+from .rounds import Rounds, make_rounds_by_the_clock
 from .run import Result, run_seed
 
+BY_THE_CLOCK_ROUNDS = 4
+
 
 def _show(result: Result, folder: Path) -> None:
     verdict = "ok" if not result.violations else "BROKEN"
@@ -47,12 +49,18 @@
         default=0,
         help="change all primaries and stop all hosts this often, instead of faults",
     )
+    parser.add_argument(
+        "--by-the-clock", action="store_true", help="the rounds are those of issue 37"
+    )
     parser.add_argument(
         "--code", type=Path, default=ROOT, help="tree whose code the hosts run"
     )
     parser.add_argument("--fault-pause", type=float, default=1.0)
     parser.add_argument("--folder", type=Path, default=Path("target/soak"))
     options = parser.parse_args()
+    rounds = Rounds(count=options.rounds) if options.rounds else None
+    if options.by_the_clock:
+        rounds = make_rounds_by_the_clock(options.rounds or BY_THE_CLOCK_ROUNDS)
     fresh = random.SystemRandom().randrange(1_000_000)
     first = fresh if options.first is None else options.first
     failed_seeds = 0
@@ -64,8 +72,8 @@
                 run_seed,
                 seed,
                 options.seconds,
-                options.hosts or (6 if options.rounds else 3),
-                options.groups or (3 if options.rounds else 2),
+                options.hosts or (6 if rounds else 3),
+                options.groups or (3 if rounds else 2),
                 options.callers,
                 options.connections,
                 folder,
@@ -73,7 +81,7 @@
                 options.fault_pause,
                 options.releases,
                 options.changes,
-                Rounds(count=options.rounds) if options.rounds else None,
+                rounds,
                 options.code.resolve(),
             )
             running[work] = folder
--- a/tests/soak/compare.py
+++ b/tests/soak/compare.py
@@ -15,7 +15,7 @@
 
 from .callers import WRITE_SHARE
 from .model import TargetStops
-from .rounds import Rounds
+from .rounds import Rounds, make_rounds_by_the_clock
 from .run import Result, run_seed
 
 # A commit that is acknowledged after the effect is lost as well.
@@ -102,6 +102,7 @@
     parser.add_argument("--rounds", type=int, default=10)
     parser.add_argument("--kind", default="", help="only kind of change")
     parser.add_argument("--keep-hosts", action="store_true", help="stop no hosts")
+    parser.add_argument("--by-the-clock", action="store_true", help="issue 37")
     parser.add_argument("--jobs", type=int, default=2)
     parser.add_argument("--hosts", type=int, default=4)
     parser.add_argument("--groups", type=int, default=3)
@@ -110,6 +111,14 @@
     parser.add_argument("--leeway", nargs="*", default=[], metavar="FIELD=VALUE")
     parser.add_argument("--folder", type=Path, default=Path("target/compare"))
     options = parser.parse_args()
+    rounds = Rounds(
+        count=options.rounds,
+        kind=options.kind,
+        stops_hosts=not options.keep_hosts,
+        write_share=options.write_share,
+    )
+    if options.by_the_clock:
+        rounds = make_rounds_by_the_clock(options.rounds)
     totals = {code: Tally() for code in options.code}
     running: dict[Future[Result], tuple[int, Path]] = {}
     with ProcessPoolExecutor(options.jobs) as pool:
@@ -124,12 +133,7 @@
                     groups=options.groups,
                     callers=options.callers,
                     folder=options.folder / code.resolve().name / str(seed),
-                    rounds=Rounds(
-                        count=options.rounds,
-                        kind=options.kind,
-                        stops_hosts=not options.keep_hosts,
-                        write_share=options.write_share,
-                    ),
+                    rounds=rounds,
                     code=code.resolve(),
                     leeway=parse_leeway(options.leeway),
                 )
--- a/tests/soak/model.py
+++ b/tests/soak/model.py
@@ -125,6 +125,8 @@
         Number of statements that a server runs at a time.
     work_s
         Range of the time that a statement takes.
+    store_s
+        The same of a statement that stores a commit, None without a difference.
     command_s
         Range of the time that a command takes; its effect comes within it.
     status_counts_itself
@@ -164,6 +166,7 @@
     commands_take_slots: bool = False
     slots: int = 4
     work_s: tuple[float, float] = (0.0, 0.004)
+    store_s: tuple[float, float] | None = None
     command_s: tuple[float, float] = (0.0, 0.002)
     status_counts_itself: bool = True
     late_answer_share: float = 0.0
@@ -542,7 +545,9 @@
             self.checker.add_note(f"{server.name} commits {entry.position} late")
         while self._may_acknowledge(server, entry) and not is_closed():
             others = [s for s in self.servers.values() if s is not server]
-            receivers = [s.name for s in others if self._has_received(s, entry, at)]
+            receivers = [
+                s.name for s in others if self._has_received(server, s, entry, at)
+            ]
             if receivers:
                 if server.log[at - 1 : at] == [entry]:
                     server.applied = max(server.applied, at)
@@ -561,10 +566,13 @@
             await asyncio.sleep(REPLICATION_PERIOD_S)
         return False
 
-    def _has_received(self, replica: Server, entry: Entry, length: int) -> bool:
+    def _has_received(
+        self, primary: Server, replica: Server, entry: Entry, length: int
+    ) -> bool:
         """Return whether a replica has an entry, as the primary sees it."""
         if self.leeway.acknowledges_by_position:
-            return replica.received_position >= entry.position
+            is_linked = replica.up and not (primary.partitioned or replica.partitioned)
+            return is_linked and replica.received_position >= entry.position
         return len(replica.log) >= length and replica.log[length - 1] is entry
 
     def _number_commit(self, server: Server) -> int:
--- a/tests/soak/rounds.py
+++ b/tests/soak/rounds.py
@@ -26,12 +26,13 @@
 REPLACED_SHARE = 0.5
 DRAIN_S = (LEAVE_S, LEAVE_S + 2.0)
 LEAVE_TIMEOUT_S = 8.0
-# From the notice to the cut, and from the step-down to its end.
-CUT_BEFORE_S = (0.0, 3.0)
-CUT_AFTER_S = (0.1, 1.5)
+# From the lease to the cut, and from the step-down to its end.
+CUT_BEFORE_S = (0.0, 0.1)
+CUT_AFTER_S = (0.5, 1.5)
 SETTLE_TIMEOUT_S = 10.0
 # Callers write in peace for this long, so that each round begins with new commits.
 CALM_S = (1.5, 3.0)
+BY_THE_CLOCK_WRITES = 0.9
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -48,12 +49,26 @@
         Whether the hosts are stopped amid the changes.
     write_share
         Share of the callers' statements that write.
+    by_the_clock
+        Whether servers hold back what runs at the step-down (issue 37).
     """
 
     count: int
     kind: str = ""
     stops_hosts: bool = True
     write_share: float = WRITE_SHARE
+    by_the_clock: bool = False
+
+
+def make_rounds_by_the_clock(count: int) -> Rounds:
+    """Return planned changes amid long writes, with the leeway of issue 37."""
+    return Rounds(
+        count=count,
+        kind=leave.__name__,
+        stops_hosts=False,
+        write_share=BY_THE_CLOCK_WRITES,
+        by_the_clock=True,
+    )
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -210,6 +225,7 @@
     if primary is None:
         return
     primary.leaving = True
+    await wait_until(lambda: bool(find_holder(releases.cluster, group)), LEAVE_S)
     await asyncio.sleep(before_s)
     primary.partitioned = True
     try:
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -14,7 +14,7 @@
 from .faultlog import FaultLog
 from .faults import Cluster, inject_faults
 from .fleet import GRACE_S, ROOT, Host, find_free_port
-from .model import Checker, Group, Leeway, Server, now
+from .model import Checker, Group, Leeway, Server, TargetStops, now
 from .operator import Operator
 from .releases import Releases, replace_servers
 from .restores import restore_store
@@ -58,6 +58,20 @@
     late_promotion_share=0.1,
 )
 ROUNDS_LEEWAY = REAL_LEEWAY
+# A former primary finishes what it runs, and only learns after the effect, which ends
+# the pauses, that another leads.
+BY_THE_CLOCK_LEEWAY = replace(
+    REAL_LEEWAY,
+    commits_after_step_down=True,
+    leads_until_learnt=True,
+    effect_ends_pauses=True,
+    promotes_stepped_down=True,
+    target_stops=TargetStops.AT_CALL,
+    store_s=(0.6, 0.9),
+    late_answer_share=0.0,
+    late_command_share=0.0,
+    late_promotion_share=0.0,
+)
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -455,7 +469,7 @@
 def _choose_leeway(changes: str, rounds: Rounds | None) -> Leeway:
     """Return what servers may do in this run."""
     if rounds:
-        return ROUNDS_LEEWAY
+        return BY_THE_CLOCK_LEEWAY if rounds.by_the_clock else ROUNDS_LEEWAY
     return CHANGES_LEEWAY if changes else Leeway()
 
 
--- a/tests/soak/servers.py
+++ b/tests/soak/servers.py
@@ -167,8 +167,8 @@
             async with self.slots, self._counted():
                 has_led = self.server.is_primary and self.leeway.commits_after_step_down
                 led_term = self.server.followed_term if has_led else None
-                work = self.random.uniform(*self.leeway.work_s) * self.server.slowness
-                await self._work(connection, work)
+                work_s = self.random.uniform(*self._choose_work(connection, verb))
+                await self._work(connection, work_s * self.server.slowness)
                 self._check_running(restarts)
                 if self.random.random() < self.server.busy_share or self._is_busy():
                     return (), "ERROR BUSY"
@@ -194,6 +194,12 @@
             return (), "ERROR BUSY"
         return handler(connection, rest)
 
+    def _choose_work(self, connection: Connection, verb: str) -> tuple[float, float]:
+        """Return the range of the time that a statement takes."""
+        is_single = verb == "WRITE" and not connection.transaction
+        stores = is_single or (verb == "COMMIT" and connection.writes)
+        return (stores and self.leeway.store_s) or self.leeway.work_s
+
     async def _work(self, connection: Connection, seconds: float) -> None:
         """Work for a time; a connection that is closed rolls back at once."""
         ends = now() + seconds
--- a/tests/soak/test_model.py
+++ b/tests/soak/test_model.py
@@ -336,6 +336,20 @@
     assert group.leaders[1].log == []
 
 
+async def test_only_what_stores_a_commit_takes_the_time_of_one():
+    group = make_group(replace(REAL_LEEWAY, store_s=(1.0, 1.0)))
+    server, connection = make_line_server(group, "g-1"), make_connection()
+    assert server._choose_work(connection, "READ") == REAL_LEEWAY.work_s
+    assert server._choose_work(connection, "COMMIT") == REAL_LEEWAY.work_s
+    assert server._choose_work(connection, "WRITE") == (1.0, 1.0)
+    connection.transaction = "plain"
+    assert server._choose_work(connection, "WRITE") == REAL_LEEWAY.work_s
+    connection.writes.append("1-1")
+    assert server._choose_work(connection, "COMMIT") == (1.0, 1.0)
+    server.leeway = REAL_LEEWAY
+    assert server._choose_work(connection, "COMMIT") == REAL_LEEWAY.work_s
+
+
 async def test_commit_that_waits_keeps_its_slot_after_the_step_down():
     group = make_group(replace(FINISHING, work_s=(0.0, 0.0)))
     server = make_line_server(group, "g-1")
@@ -409,6 +423,37 @@
     assert group.servers["g-1"].log == group.servers["g-3"].log == []
 
 
+async def test_commit_that_the_new_primary_has_may_be_acknowledged_late(clock):
+    group = make_group(LAX)
+    deafen(group, "g-3")
+    waiting = asyncio.create_task(group.commit(group.servers["g-1"], ("w",)))
+    await asyncio.sleep(0)
+    group.advance()
+    promote_slowly(group, "g-2", {"g-1": 0.3, "g-3": 0.3})
+    assert await asyncio.wait_for(waiting, WAIT_S)
+    assert group.checker.violations == []
+    (known,) = group.acknowledged
+    assert known.entry in group.leader.log
+
+
+@pytest.mark.parametrize("by_position", [True, False])
+async def test_higher_position_of_a_later_term_acknowledges_if_so_chosen(
+    clock, by_position
+):
+    group = make_group(replace(REAL_LEEWAY, acknowledges_by_position=by_position))
+    deafen(group, "g-2", "g-3")
+    waiting = asyncio.create_task(group.commit(group.servers["g-1"], ("old",)))
+    await asyncio.sleep(0)
+    promote_slowly(group, "g-2", {"g-1": 0.1, "g-3": 0.1})
+    deafen(group)
+    clock.at_s += 0.2
+    group.advance()
+    assert await commit(group, "g-2", "new")
+    assert await asyncio.wait_for(waiting, WAIT_S) == by_position
+    assert len(group.checker.violations) == by_position
+    assert [e.writes for e in group.servers["g-1"].log] == [("new",)]
+
+
 async def test_replica_that_has_learnt_receives_only_from_the_new_primary(clock):
     group = make_group(LAX)
     promote_slowly(group, "g-2", {"g-1": 0.3, "g-3": 0.0})
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -6,7 +6,7 @@
 import pytest
 
 from .compare import count_violations
-from .rounds import Rounds
+from .rounds import Rounds, make_rounds_by_the_clock
 from .run import Result, run_seed
 
 MAX_PARALLEL = 3
@@ -114,6 +114,25 @@
     assert result.served > 300
 
 
+@pytest.mark.timeout(120)
+def test_planned_changes_amid_long_commits_lose_none(tmp_path):
+    """Issue 37: nothing is acknowledged by a primary once another is ordered."""
+    case = Case(
+        seed=37,
+        hosts=4,
+        groups=5,
+        callers=15,
+        fault_pause_s=0.0,
+        rounds=make_rounds_by_the_clock(1),
+    )
+    result = case.run(tmp_path)
+    tally = count_violations(result)
+    assert tally.promotions >= case.groups
+    assert tally.lost_commits == 0, result.violations
+    # These few sessions don't reach each group by each host in time.
+    assert set(tally.others) <= {"RECOVER"}, result.violations
+
+
 def test_comparison_counts_commits_promotions_and_other_violations(tmp_path):
     result = Result(
         seed=1,
