Give each deployment free ports, not fixed ones

Cause: deployments of stand-ins used fixed ports from 20000, 20400, 21000 or 22000 on, and tests/test_peers.py used 20901, so two runs on one machine, or one beside what a killed run left behind, clashed over them.

Change: a deployment reserves each port with a probe socket that stays bound until the deployment stops, as the soak did already (the function moves from tests/soak/fleet.py to standins/ports.py). The system gives such a port to no other process, so no ranges per worker need to be agreed on. A backend server gets its replication port as an argument, in place of its port + 1000. Tools use the same.

--- a/standins/backend.py
+++ b/standins/backend.py
@@ -49,6 +49,7 @@
     parser = argparse.ArgumentParser()
     parser.add_argument("--server", required=True)
     parser.add_argument("--port", type=int, required=True)
+    parser.add_argument("--replication-port", type=int, required=True)
     parser.add_argument("--members", type=int, default=3)
     parser.add_argument("--slots", type=int, default=3)
     parser.add_argument("--connections", type=int, default=20)
@@ -63,7 +64,7 @@
     options = Options(
         server=args.server,
         port=args.port,
-        replication_port=args.port + 1000,
+        replication_port=args.replication_port,
         members=args.members,
         slots=args.slots,
         connections=args.connections,
--- a/standins/deployment.py
+++ b/standins/deployment.py
@@ -4,6 +4,7 @@
 import json
 import os
 import signal
+import socket
 import subprocess
 import sys
 import tempfile
@@ -20,6 +21,8 @@
 from apricotshore.services import operations
 from apricotshore.services.platform import PlatformClient
 
+from .ports import reserve_port
+
 PASSWORD = "hop-bine"
 READY_TIMEOUT_S = 15.0
 SCHEMA = (
@@ -42,7 +45,6 @@
     latency_ms: float = 0
     work_ms: int = 1
     lag_ms: int = 0
-    base_port: int = 21000
     data_centres: tuple[str, ...] = ("braga-a", "regua-a", "lisboa-a")
     callers: tuple[str, ...] = ("members-app", "old-branch")
     kinds: str = ""
@@ -64,21 +66,29 @@
 
 @dataclass(kw_only=True)
 class Deployment:
-    """Processes of one deployment; `stop` ends them."""
+    """Processes of one deployment; `stop` ends them and gives their ports back."""
 
     options: DeploymentOptions
     folder: Path = field(default_factory=lambda: Path(tempfile.mkdtemp(prefix="aps-")))
     processes: dict[str, subprocess.Popen] = field(default_factory=dict)
+    ports: dict[tuple[str, str], socket.socket] = field(default_factory=dict)
     keys: dict[str, Ed25519PrivateKey] = field(default_factory=dict)
     version: int = 0
     evidence_key: Ed25519PrivateKey = field(default_factory=Ed25519PrivateKey.generate)
 
     # -- addresses --
 
+    def find_port(self, process: str, use: str) -> int:
+        """Return the port of a process for one use, the same at every call."""
+        key = process, use
+        if key not in self.ports:
+            self.ports[key] = reserve_port()
+        return self.ports[key].getsockname()[1]
+
     @property
     def platform_address(self) -> str:
         """Address of the platform stand-in."""
-        return f"127.0.0.1:{self.options.base_port}"
+        return f"127.0.0.1:{self.find_port('platform', 'store')}"
 
     def server_names(self, database: str) -> list[str]:
         """Return the names of the servers of a database."""
@@ -86,14 +96,18 @@
 
     def server_port(self, name: str) -> int:
         """Return the port of a backend server."""
-        database, _, number = name.rpartition("-")
-        index = self.options.databases.index(database)
-        return self.options.base_port + 100 + index * 10 + int(number)
+        return self.find_port(name, "callers")
+
+    def replication_port(self, name: str) -> int:
+        """Return the port at which a backend server sends what it has committed."""
+        return self.find_port(name, "replication")
 
     def host_ports(self, number: int) -> tuple[int, int, int]:
         """Return the caller, peer and status port of a host."""
-        base = self.options.base_port + 300 + number * 3
-        return base, base + 1, base + 2
+        name = f"host-{number}"
+        uses = ("callers", "peers", "status")
+        caller, peer, status = (self.find_port(name, use) for use in uses)
+        return caller, peer, status
 
     # -- processes --
 
@@ -110,7 +124,7 @@
 
     def start_platform(self) -> None:
         """Start the platform stand-in."""
-        port = str(self.options.base_port)
+        port = str(self.find_port("platform", "store"))
         self.spawn("platform", ["-m", "standins.platform", "--port", port])
 
     def start_server(self, name: str, primary: bool = False) -> None:
@@ -119,6 +133,7 @@
         arguments = ["-m", "standins.backend", "--server", name]
         flags = {
             "--port": self.server_port(name),
+            "--replication-port": self.replication_port(name),
             "--members": options.servers,
             "--slots": options.slots,
             "--connections": options.connections,
@@ -203,7 +218,7 @@
 
     async def _join_replicas(self, database: str) -> None:
         names = self.server_names(database)
-        port = self.server_port(names[0]) + 1000
+        port = self.replication_port(names[0])
         for name in names[1:]:
             await self.command(
                 name, f"CALL group_follow(1, '{names[0]}', '127.0.0.1:{port}')"
@@ -259,6 +274,9 @@
                 process.kill()
         for process in self.processes.values():
             process.wait()
+        for probe in self.ports.values():
+            probe.close()
+        self.ports.clear()
 
     # -- bundles --
 
@@ -267,14 +285,14 @@
         parts = [f"[bundle]\nversion = {version}\n"]
         for database in self.options.databases:
             for index, name in enumerate(self.server_names(database)):
-                port = self.server_port(name)
                 data_centre = self.options.data_centres[
                     index % len(self.options.data_centres)
                 ]
                 parts.append(
                     f"[backend-server {name}]\ndatabase = {database}\n"
-                    f"address = 127.0.0.1:{port}\n"
-                    f"replication-address = 127.0.0.1:{port + 1000}\n"
+                    f"address = 127.0.0.1:{self.server_port(name)}\n"
+                    "replication-address = "
+                    f"127.0.0.1:{self.replication_port(name)}\n"
                     f"data-centre = {data_centre}\nslots = {self.options.slots}\n"
                     f"connections = {self.options.connections}\n"
                 )
--- a/tests/live/test_bad_input.py
+++ b/tests/live/test_bad_input.py
@@ -8,7 +8,6 @@
 from standins.deployment import Deployment, DeploymentOptions, run_sql
 from tests.certificates import write_certificates
 
-BASE_PORT = 20000
 LOGIN_BOUND_S = 5.0
 MEMORY_BOUND_BYTES = 256 << 20
 
@@ -26,7 +25,7 @@
 
 
 async def test_malformed_and_idle_connections_do_not_affect_others():
-    deployment = Deployment(options=DeploymentOptions(base_port=BASE_PORT, hosts=1))
+    deployment = Deployment(options=DeploymentOptions(hosts=1))
     try:
         await deployment.start()
         port = deployment.host_ports(0)[0]
@@ -55,7 +54,7 @@
 
 async def test_unauthenticated_data_at_peer_port_has_no_effect(tmp_path):
     tls = write_certificates(tmp_path)
-    options = DeploymentOptions(base_port=BASE_PORT, hosts=2, peer_tls=tls)
+    options = DeploymentOptions(hosts=2, peer_tls=tls)
     deployment = Deployment(options=options)
     try:
         await deployment.start()
--- a/tests/live/test_faults.py
+++ b/tests/live/test_faults.py
@@ -12,7 +12,6 @@
 
 from .support import run_with_fault
 
-BASE_PORT = 20000
 MAX_GAP_S = 8.0
 FREEZE_S = 2.5
 
@@ -97,7 +96,7 @@
 
 @pytest.mark.parametrize("fault", FAULTS, ids=lambda fault: fault.__name__)
 async def test_guarantees_hold(fault):
-    options = DeploymentOptions(base_port=BASE_PORT, hosts=3, lag_ms=150)
+    options = DeploymentOptions(hosts=3, lag_ms=150)
     run = await run_with_fault(options, fault, move_with="name")
     assert run.findings.count() == 0, run.findings.describe()
     assert run.acknowledged > 100
@@ -105,13 +104,13 @@
 
 
 async def test_guarantees_hold_for_sessions_with_a_token():
-    options = DeploymentOptions(base_port=BASE_PORT, hosts=3, lag_ms=400)
+    options = DeploymentOptions(hosts=3, lag_ms=400)
     run = await run_with_fault(options, freeze_primary, seed=2, move_with="token")
     assert run.findings.count() == 0, run.findings.describe()
 
 
 async def test_guarantees_hold_when_ownership_moves_while_replicas_lag():
-    options = DeploymentOptions(base_port=BASE_PORT, hosts=3, lag_ms=1500)
+    options = DeploymentOptions(hosts=3, lag_ms=1500)
     run = await run_with_fault(options, restart_hosts, seed=3, move_with="name")
     assert run.findings.count() == 0, run.findings.describe()
 
@@ -128,6 +127,6 @@
         status = (await deployment.command(primary, "CALL group_status()"))[0]
         assert int(status[2]) == 1
 
-    options = DeploymentOptions(base_port=BASE_PORT, hosts=3)
+    options = DeploymentOptions(hosts=3)
     run = await run_with_fault(options, pause_primary)
     assert run.findings.count() == 0, run.findings.describe()
--- a/tests/live/test_golden.py
+++ b/tests/live/test_golden.py
@@ -6,8 +6,6 @@
 
 from standins.deployment import Deployment, DeploymentOptions, run_sql
 
-BASE_PORT = 20000
-
 ENTRY = (
     "INSERT INTO delivery (member, amount, note) VALUES ('maria', 7, 'a') "
     "/* kind='delivery',idempotent='no',request_id='maria-1' */"
@@ -35,7 +33,7 @@
 
 
 async def test_sessions_look_as_recorded(snapshot):
-    deployment = Deployment(options=DeploymentOptions(base_port=BASE_PORT, hosts=2))
+    deployment = Deployment(options=DeploymentOptions(hosts=2))
     try:
         await deployment.start()
         first = await deployment.connect(0)
--- a/tests/live/test_leaving.py
+++ b/tests/live/test_leaving.py
@@ -10,7 +10,6 @@
 
 from .support import MIXED, list_entry_hosts, run_with_fault
 
-BASE_PORT = 20000
 MAX_HANDOVER_S = 5.0
 
 
@@ -20,7 +19,7 @@
         status = await asyncio.to_thread(deployment.processes["host-0"].wait, 15)
         assert status == 0
 
-    options = DeploymentOptions(base_port=BASE_PORT, hosts=3)
+    options = DeploymentOptions(hosts=3)
     run = await run_with_fault(options, drain, seed=5)
     assert run.findings.count() == 0, run.findings.describe()
     unknown = [o for o in run.result.operations if o.verdict is Verdicts.MAY_HAVE_RUN]
@@ -28,7 +27,7 @@
 
 
 async def test_leaving_primary_is_replaced_and_writes_continue():
-    deployment = Deployment(options=DeploymentOptions(base_port=BASE_PORT, hosts=2))
+    deployment = Deployment(options=DeploymentOptions(hosts=2))
     try:
         await deployment.start()
         link = await deployment.connect(0)
@@ -47,7 +46,7 @@
 
 
 async def test_leaving_replica_gets_no_new_reads():
-    deployment = Deployment(options=DeploymentOptions(base_port=BASE_PORT, hosts=2))
+    deployment = Deployment(options=DeploymentOptions(hosts=2))
     try:
         await deployment.start()
         names = deployment.server_names("deliveries")
--- a/tests/live/test_restored_platform.py
+++ b/tests/live/test_restored_platform.py
@@ -11,7 +11,6 @@
 
 from .test_withdrawal import wait_for_proof
 
-BASE_PORT = 20400
 # Within this time a change is in force everywhere.
 IN_FORCE_S = 15.0
 
@@ -41,7 +40,7 @@
 
 
 async def test_withdrawal_that_the_platform_lost_stays_in_force_and_proved():
-    deployment = Deployment(options=DeploymentOptions(base_port=BASE_PORT, hosts=3))
+    deployment = Deployment(options=DeploymentOptions(hosts=3))
     client = PlatformClient(address=deployment.platform_address)
     try:
         await deployment.start()
--- a/tests/live/test_sessions.py
+++ b/tests/live/test_sessions.py
@@ -6,12 +6,11 @@
 
 from standins.deployment import Deployment, DeploymentOptions, run_sql
 
-BASE_PORT = 20000
 LAG_MS = 1_500
 
 
 async def test_new_connection_without_token_or_name_reads_earlier_writes():
-    options = DeploymentOptions(base_port=BASE_PORT, hosts=3, lag_ms=LAG_MS)
+    options = DeploymentOptions(hosts=3, lag_ms=LAG_MS)
     deployment = Deployment(options=options)
     try:
         await deployment.start()
--- a/tests/live/test_withdrawal.py
+++ b/tests/live/test_withdrawal.py
@@ -18,7 +18,6 @@
 from apricotshore.verdicts import Verdict
 from standins.deployment import Deployment, DeploymentOptions, run_sql
 
-BASE_PORT = 20000
 PROOF_TIMEOUT_S = 15.0
 READ = "SELECT COUNT(*) FROM delivery /* kind='balance' */"
 WITHDRAWN_CALLER = CallerId("old-branch")
@@ -55,7 +54,7 @@
 
 
 async def test_withdrawn_caller_is_disconnected_everywhere_with_proof():
-    deployment = Deployment(options=DeploymentOptions(base_port=BASE_PORT, hosts=3))
+    deployment = Deployment(options=DeploymentOptions(hosts=3))
     try:
         await deployment.start()
         withdrawn_connections = [
@@ -92,7 +91,7 @@
 
 
 async def test_owner_frozen_during_a_withdrawal_does_not_serve_the_caller():
-    deployment = Deployment(options=DeploymentOptions(base_port=BASE_PORT, hosts=3))
+    deployment = Deployment(options=DeploymentOptions(hosts=3))
     try:
         await deployment.start()
         warm = await deployment.connect(0, caller=WITHDRAWN_CALLER)
@@ -114,7 +113,7 @@
 
 
 async def test_platform_outage_stops_neither_service_nor_an_accepted_rollout():
-    deployment = Deployment(options=DeploymentOptions(base_port=BASE_PORT, hosts=3))
+    deployment = Deployment(options=DeploymentOptions(hosts=3))
     try:
         await deployment.start()
         withdrawn_connection = await deployment.connect(0, caller=WITHDRAWN_CALLER)
@@ -192,7 +191,7 @@
 async def test_host_that_reaches_only_backend_servers_learns_of_the_withdrawal():
     # The isolated host reaches neither the platform nor peers; it learns of the
     # newer bundle from the claim.
-    deployment = Deployment(options=DeploymentOptions(base_port=BASE_PORT, hosts=0))
+    deployment = Deployment(options=DeploymentOptions(hosts=0))
     owners = []
     try:
         await deployment.start()
@@ -224,7 +223,7 @@
 
 
 async def test_host_without_a_majority_of_the_group_stops_serving():
-    deployment = Deployment(options=DeploymentOptions(base_port=BASE_PORT, hosts=0))
+    deployment = Deployment(options=DeploymentOptions(hosts=0))
     owner = None
     try:
         await deployment.start()
--- a/tests/platform_adapter/test_start.py
+++ b/tests/platform_adapter/test_start.py
@@ -6,7 +6,8 @@
 import sys
 from pathlib import Path
 
-from tests.soak.fleet import SETTINGS, find_free_port, survives_reload
+from standins.ports import find_free_port
+from tests.soak.fleet import SETTINGS, survives_reload
 
 SERVE = Path(__file__).resolve().parents[2] / "platform" / "serve.py"
 
--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -3,13 +3,14 @@
 import asyncio
 import os
 import signal
-import socket
 import sys
 from dataclasses import dataclass, field
 from pathlib import Path
 
 import aiohttp
 
+from standins.ports import find_free_port
+
 from .tcpproxy import TcpProxy
 
 ROOT = Path(__file__).resolve().parents[2]
@@ -41,21 +42,6 @@
 """
 
 
-_reserved: list[socket.socket] = []
-
-
-def find_free_port() -> int:
-    """Reserve a free port.
-
-    The socket stays bound, so that the port is not given out twice.
-    """
-    probe = socket.socket()
-    probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-    probe.bind(("127.0.0.1", 0))
-    _reserved.append(probe)
-    return probe.getsockname()[1]
-
-
 def survives_reload(pid: int) -> bool:
     """Return whether a process ignores or handles SIGHUP, so that it survives one.
 
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -9,11 +9,13 @@
 from pathlib import Path
 from typing import Any
 
+from standins.ports import find_free_port
+
 from .callers import Caller, Database, Record, check_writes
 from .changes import change_primaries
 from .faultlog import FaultLog
 from .faults import Cluster, inject_faults
-from .fleet import GRACE_S, ROOT, Host, find_free_port
+from .fleet import GRACE_S, ROOT, Host
 from .model import Checker, Group, Leeway, Server, now
 from .operator import Operator
 from .releases import Releases, replace_servers
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -16,10 +16,11 @@
     make_peer_contexts,
 )
 from apricotshore.settings import TlsSettings
+from standins.ports import find_free_port
 
 from .certificates import write_certificates
 
-ADDRESS = "127.0.0.1:20901"
+ADDRESS = f"127.0.0.1:{find_free_port()}"
 
 
 def read_tls(section):
--- a/tools/demo.py
+++ b/tools/demo.py
@@ -14,7 +14,6 @@
 from apricotshore.services.platform import PlatformClient
 from standins.deployment import Deployment, DeploymentOptions, run_sql
 
-BASE_PORT = 22000
 WRITERS = 3
 LOAD_BEFORE_S = 1.5
 LOAD_AFTER_S = 2.0
@@ -162,7 +161,7 @@
 async def main() -> None:
     """Run the demonstration."""
     started = time.monotonic()
-    deployment = Deployment(options=DeploymentOptions(base_port=BASE_PORT))
+    deployment = Deployment(options=DeploymentOptions())
     try:
         await deployment.start()
         print_line(
--- a/tools/measure.py
+++ b/tools/measure.py
@@ -28,7 +28,6 @@
 from standins.deployment import PASSWORD, Deployment, DeploymentOptions, run_sql
 
 SEED = 7
-BASE_PORT = 20000
 OUTPUT = Path("build/measures.json")
 
 COOPERATIVE_KINDS = """
@@ -114,7 +113,6 @@
         "connections": 20,
         "connect_ms": 10,
         "latency_ms": 1.5,
-        "base_port": BASE_PORT,
         "kinds": COOPERATIVE_KINDS,
     }
     return DeploymentOptions(**(values | changes))
@@ -128,7 +126,6 @@
         "connections": 40,
         "connect_ms": 30,
         "latency_ms": 0.5,
-        "base_port": BASE_PORT,
         "data_centres": ("luzon-pasig", "visayas-cebu", "mindanao-davao"),
         "kinds": KALAMANSI_KINDS,
     }
--- a/tools/slopes.py
+++ b/tools/slopes.py
@@ -31,9 +31,9 @@
 from apricotshore.services.peers import PeerHandlers, PeerLinks, PeerServer
 from apricotshore.wire import codec
 from standins.deployment import PASSWORD, Deployment, DeploymentOptions, run_sql
+from standins.ports import find_free_port
 
 OUTPUT = Path("docs/slopes.json")
-BASE_PORT = 20000
 PUBLIC_KEY = "b" * 64
 HASH = "*" + "a" * 40
 IDLE_S = 6.0
@@ -346,7 +346,7 @@
 async def measure_idle(databases: int) -> IdleCost:
     """Measure the cost of one idle host that owns a number of databases."""
     names = tuple(f"d{n}" for n in range(databases))
-    options = DeploymentOptions(hosts=1, databases=names, base_port=BASE_PORT)
+    options = DeploymentOptions(hosts=1, databases=names)
     deployment = Deployment(options=options)
     try:
         await deployment.start()
@@ -393,7 +393,7 @@
     """Measure an idle host's cost by the number of hosts in the fleet."""
     cpu, traffic = [], []
     for count in (4, 8, 16, 32):
-        options = DeploymentOptions(hosts=count, base_port=BASE_PORT)
+        options = DeploymentOptions(hosts=count)
         deployment = Deployment(options=options)
         try:
             await deployment.start()
@@ -440,15 +440,14 @@
         is_holding=lambda database: False,
         on_disconnect=lambda origin: None,
     )
-    server = PeerServer(
-        address=f"127.0.0.1:{BASE_PORT}", handlers=handlers, context=None
-    )
+    address = f"127.0.0.1:{find_free_port()}"
+    server = PeerServer(address=address, handlers=handlers, context=None)
     await server.start()
     links, points = [], []
     for count in (100, 200, 400, 800):
         while len(links) < count:
             link = PeerLinks(context=None)
-            await link.ping(f"127.0.0.1:{BASE_PORT}", [])
+            await link.ping(address, [])
             links.append(link)
         # Halved because both ends of a link are in this process.
         points.append(Point(size=count, cost=read_process(os.getpid())[1] / 2))
@@ -460,7 +459,7 @@
 
 async def measure_connections() -> list[Slope]:
     """Measure an entry host's memory for each caller connection."""
-    deployment = Deployment(options=DeploymentOptions(hosts=1, base_port=BASE_PORT))
+    deployment = Deployment(options=DeploymentOptions(hosts=1))
     points = []
     connections = []
     try:
@@ -479,7 +478,7 @@
 
 async def measure_statements() -> list[Slope]:
     """Measure CPU time per read at the entry host and at the owner."""
-    deployment = Deployment(options=DeploymentOptions(hosts=2, base_port=BASE_PORT))
+    deployment = Deployment(options=DeploymentOptions(hosts=2))
     entry, owner = [], []
     try:
         await deployment.start()
