--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,7 +1,14 @@
-"""Hypothesis profiles for all tests."""
+"""Hypothesis profiles for all tests, and what runs in parallel processes needs.
+
+With `pytest -n`, any worker takes any test, save for those that start fleets of
+processes: one worker runs these one after the other, so that they neither share the
+machine with each other nor wait for each other's processes.
+"""
 
 import os
+from types import SimpleNamespace
 
+import pytest
 from hypothesis import HealthCheck, settings
 
 settings.register_profile(
@@ -13,3 +20,41 @@
 )
 settings.register_profile("default", deadline=None, derandomize=True)
 settings.load_profile(os.environ.get("HYPOTHESIS_PROFILE", "default"))
+
+FLEET_TESTS = ("tests/live/", "tests/soak/test_soak.py")
+
+
+@pytest.hookimpl(optionalhook=True)
+def pytest_xdist_make_scheduler(config, log):
+    """Assign each test by itself, and all tests that start fleets together.
+
+    In place of `--dist loadgroup`, which changes names of tests in a way that this
+    pytest doesn't notice: with xdist 3.8.0 and pytest 9.2.0 its groups are ignored.
+    """
+    from xdist.scheduler import LoadScopeScheduling
+
+    class FleetScheduling(LoadScopeScheduling):
+        def _split_scope(self, nodeid):
+            return "fleets" if nodeid.startswith(FLEET_TESTS) else nodeid
+
+    return FleetScheduling(config, log)
+
+
+def pytest_deselected(items):
+    for item in items:
+        output = getattr(item.config, "workeroutput", None)
+        if output is not None:
+            output.setdefault("deselected", []).append(item.nodeid)
+
+
+@pytest.hookimpl(optionalhook=True)
+def pytest_testnodedown(node):
+    """Count the deselected tests in the closing line, as without workers.
+
+    All workers collect the same tests, so the list of any of them is the whole.
+    """
+    reporter = node.config.pluginmanager.get_plugin("terminalreporter")
+    names = getattr(node, "workeroutput", {}).get("deselected", [])
+    if names:
+        # Plugins expect objects among the reporter's figures, not bare names.
+        reporter.stats["deselected"] = [SimpleNamespace(nodeid=n) for n in names]
