Model hosts with statements in progress at a former primary

Cause: the barrier of hosts was tested by single answers, and its models had one host that never confirms.

--- /dev/null
+++ b/tests/test_commit_barrier.py
@@ -0,0 +1,242 @@
+"""Hosts with statements in progress at a primary that is replaced.
+
+No commit is lost that the server acknowledged on a connection that it took for open.
+"""
+
+from collections.abc import Mapping
+
+import pytest
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    invariant,
+    rule,
+    run_state_machine_as_test,
+)
+
+from apricotshore.decisions import primary_change
+from apricotshore.decisions.commit_barrier import UNCONFIRMED_MS
+from apricotshore.identifiers import ServerId
+
+from .barriermodel import S1, S2, S3, BarrierModel, Fault, begin_change, take_phase
+from .changemodel import SERVERS
+from .eventsearch import Event, find_loss
+
+DEPTH = 8
+# Servers that the holder reaches, by which one helps to acknowledge: a paused one, or
+# one that is never paused.
+REACHED = {S2: SERVERS, S3: set(SERVERS) - {S3}}
+# What one of two hosts does while the primary is replaced.
+FAULTS = (
+    Fault.NONE,
+    Fault.DEAD,
+    Fault.POWERLESS,
+    Fault.FROZEN,
+    Fault.CUT_FROM_HOLDER,
+    Fault.CUT_FROM_PRIMARY,
+    Fault.REPLY_LOST,
+)
+ENDED = (Fault.DEAD, Fault.POWERLESS)
+# Faults after which a host doesn't confirm that its commit has ended.
+UNCONFIRMED = (Fault.POWERLESS, Fault.FROZEN, Fault.CUT_FROM_HOLDER)
+
+
+def make_model(helper: ServerId = S3, **fields) -> BarrierModel:
+    """Return a group whose primary is to be replaced, and has a commit in progress."""
+    model = BarrierModel(**fields)
+    begin_change(model, REACHED[helper])
+    model.send("a")
+    return model
+
+
+def take_phase_with_answers(model: BarrierModel, helper: ServerId) -> None:
+    """Take a phase in which hosts get the answers of the primary."""
+    model.helper = helper
+    take_phase(model, REACHED[helper])
+    model.helper = None
+
+
+def make_events(fault: Fault, helper: ServerId = S3) -> Mapping[str, Event]:
+    events: dict[str, Event] = {
+        "change": lambda model: take_phase(model, REACHED[helper]),
+        "change, answers": lambda model: take_phase_with_answers(model, helper),
+        "a's is stored": lambda model: model.store("a"),
+        "helper receives": lambda model: model.receive(helper),
+        "3 s pass": lambda model: model.pass_time(UNCONFIRMED_MS),
+    }
+    if fault is not Fault.NONE:
+        events[str(fault)] = lambda model: model.fail("a", fault)
+    if fault not in ENDED:
+        events["a sends"] = lambda model: model.send("a")
+        events["a works again"] = lambda model: model.fail("a", Fault.NONE)
+    return events
+
+
+@pytest.mark.parametrize("helper", REACHED)
+@pytest.mark.parametrize("fault", FAULTS)
+def test_no_commit_is_lost_in_any_order_of_eight_events(fault, helper):
+    assert find_loss(make_model(helper), make_events(fault, helper), DEPTH) is None
+
+
+@pytest.mark.parametrize("fault", UNCONFIRMED)
+def test_model_finds_the_loss_of_an_order_without_the_barrier(fault, monkeypatch):
+    monkeypatch.setattr(primary_change, "is_sealed", lambda *arguments: True)
+    assert find_loss(make_model(), make_events(fault), DEPTH) is not None
+
+
+# -- single sequences --
+
+
+def change_times(model: BarrierModel, times: int, helper: ServerId = S3) -> None:
+    for _ in range(times):
+        take_phase(model, REACHED[helper])
+
+
+def acknowledge(model: BarrierModel, helper: ServerId = S3) -> None:
+    """Store a host's commit, and have a replica receive it."""
+    model.store("a")
+    model.receive(helper)
+
+
+@pytest.mark.parametrize("fault", [Fault.FROZEN, Fault.CUT_FROM_HOLDER])
+def test_commit_that_runs_longer_than_an_absent_host_is_waited_for(fault):
+    model = make_model(is_told_only=True)
+    model.fail("a", fault)
+    change_times(model, 3)
+    model.pass_time(UNCONFIRMED_MS)
+    change_times(model, 1)
+    acknowledge(model)
+    assert not model.lost
+
+
+@pytest.mark.parametrize("fault", UNCONFIRMED)
+def test_end_that_was_named_before_connections_were_dropped_is_asked_again(fault):
+    model = make_model()
+    model.fail("a", fault)
+    change_times(model, 4)
+    acknowledge(model)
+    model.pass_time(UNCONFIRMED_MS)
+    change_times(model, 1)
+    assert not model.lost
+
+
+def test_host_that_drains_is_asked_although_it_has_removed_its_entry():
+    model = make_model(is_told_only=True)
+    model.fail("a", Fault.DRAINING)
+    change_times(model, 4)
+    acknowledge(model)
+    assert not model.lost
+
+
+def test_host_that_starts_amid_a_change_is_asked():
+    model = make_model()
+    model.callers["a"].fault = Fault.NOT_STARTED
+    model.statements.clear()
+    change_times(model, 1)
+    model.start("a")
+    model.send("a")
+    change_times(model, 2)
+    acknowledge(model)
+    change_times(model, 2)
+    assert not model.lost
+
+
+@pytest.mark.parametrize("fault", [Fault.FROZEN, Fault.NONE])
+def test_former_primary_that_leads_again_answers_no_host_that_starts(fault):
+    """The replica that receives from it isn't reached by the holder."""
+    model = make_model(is_told_only=True)
+    model.statements.clear()
+    model.callers["a"].fault = Fault.NOT_STARTED
+    model.fail("b", fault)
+    change_times(model, 4)
+    model.lead_again()
+    model.start("a")
+    model.send("a")
+    acknowledge(model)
+    assert not model.lost
+
+
+def test_hold_counts_from_the_request_not_from_the_last_confirmation():
+    model = make_model(is_told_only=True)
+    model.statements.clear()
+    model.is_round_slow = True
+    change_times(model, 1)
+    model.pass_time(1_000)
+    model.send("a")
+    change_times(model, 1)
+    model.is_round_slow = False
+    acknowledge(model)
+    # The former primary's next answer is lost.
+    model.run_step(0, REACHED[S3] - {S1})
+    change_times(model, 2)
+    assert not model.lost
+
+
+def test_commit_that_a_cut_host_gave_up_before_it_confirmed_is_waited_for():
+    model = make_model()
+    model.fail("a", Fault.CUT_FROM_PRIMARY)
+    model.give_up("a")
+    change_times(model, 4)
+    acknowledge(model)
+    assert not model.lost
+
+
+def test_commit_that_a_host_closed_without_a_reply_is_waited_for():
+    model = make_model()
+    model.fail("a", Fault.CUT_FROM_PRIMARY)
+    model.loses_replies = True
+    change_times(model, 1)
+    model.loses_replies = False
+    change_times(model, 3)
+    acknowledge(model)
+    assert not model.lost
+
+
+# -- three hosts, any faults --
+
+HOSTS = st.sampled_from(["a", "b", "c"])
+
+
+class AnyFaults(RuleBasedStateMachine):
+    """Hosts fail and work again, and the holder reaches all servers or not."""
+
+    def __init__(self):
+        super().__init__()
+        self.model = BarrierModel(("a", "b", "c"))
+        begin_change(self.model, SERVERS)
+
+    @rule(name=HOSTS, fault=st.sampled_from(FAULTS))
+    def fail(self, name, fault):
+        self.model.fail(name, fault)
+
+    @rule(name=HOSTS)
+    def send(self, name):
+        self.model.send(name)
+
+    @rule(name=HOSTS)
+    def store(self, name):
+        self.model.store(name)
+
+    @rule(helper=st.sampled_from([S2, S3]))
+    def receive(self, helper):
+        self.model.receive(helper)
+
+    @rule(helper=st.sampled_from([None, S2, S3]), unreached=st.sampled_from([None, S3]))
+    def change(self, helper, unreached):
+        self.model.helper = helper
+        take_phase(self.model, set(SERVERS) - {unreached})
+        self.model.helper = None
+
+    @rule(ms=st.sampled_from([300, UNCONFIRMED_MS]))
+    def pass_time(self, ms):
+        self.model.pass_time(ms)
+
+    @invariant()
+    def nothing_acknowledged_is_lost(self):
+        assert not self.model.lost
+
+
+def test_no_commit_is_lost_whatever_three_hosts_do():
+    some = settings(max_examples=300, stateful_step_count=25, deadline=None)
+    run_state_machine_as_test(AnyFaults, settings=some)
