--- a/tests/test_stepped_down_primaries.py
+++ b/tests/test_stepped_down_primaries.py
@@ -151,10 +151,17 @@
 
 
 def test_connections_of_an_absent_host_are_dropped_after_a_while():
+    """An answer of before that, or a server that isn't paused, leaves the end open."""
     attempt = make_attempt(confirm(missing=ABSENT))
     now = SEALED_AT + UNCONFIRMED_MS
     hear(attempt, now, running=1)
     hear_followers(attempt, now)
+    assert isinstance(plan(attempt, now), Secure)
+    now += 1
+    hear(attempt, now, running=1)
+    change_attempt.update_status(attempt, S3, make_status(), now)
+    assert isinstance(plan(attempt, now), Secure)
+    hear_followers(attempt, now)
     assert plan(attempt, now) == Promote(server=S2)
 
 
