Try every order of a change where all hosts confirm

Cause: the models of a change had one host that never confirms, so no order was tried that rests on the hosts alone. Change: a variant of both models in which all hosts confirm and send nothing for the hold; the four failures, the hypothesis machines and the dark primary run on it as well.

--- a/tests/changemodel.py
+++ b/tests/changemodel.py
@@ -25,6 +25,7 @@
     Secure,
     StepDown,
 )
+from apricotshore.decisions.commit_barrier import SEAL_MS
 from apricotshore.decisions.position_history import PositionSample
 from apricotshore.groups import LogPosition
 from apricotshore.identifiers import HostId, Position, ServerId, Term
@@ -92,10 +93,15 @@
     ----------
     as_before
         Whether the hosts decide as they did before the primary stepped down first.
+    all_confirm
+        Whether all hosts confirm that they have no connection to a former primary.
     """
 
-    def __init__(self, *, as_before: bool = False) -> None:
+    def __init__(self, *, as_before: bool = False, all_confirm: bool = False) -> None:
         self.as_before = as_before
+        self.all_confirm = all_confirm
+        # Until when no host sends to a server, as all have confirmed.
+        self.sealed: dict[ServerId, int] = {}
         self.servers = {name: Server(name=name) for name in FIRST}
         self.servers[FIRST[0]].is_primary = True
         self.term = 1
@@ -134,7 +140,8 @@
             return
         if server.up and not server.is_deaf and not server.paused:
             server.log = list(source.log)
-            self.acked |= {entry for _, entry in source.log}
+            if self.now >= self.sealed.get(source.name, 0):
+                self.acked |= {entry for _, entry in source.log}
 
     def _find_source(self) -> Server | None:
         """Return the server whose log the replicas receive."""
@@ -213,6 +220,7 @@
         for server in self.servers.values():
             server.is_primary = server is target
         target.paused = 0
+        self.sealed.clear()
         self.lost |= self.acked - {entry for _, entry in target.log}
         for server in self.servers.values():
             if server.log[: len(target.log)] != target.log:
@@ -334,9 +342,10 @@
                 self._end(host)
             case Quiesce():
                 host.attempt.quiesced = self._ask_hosts()
-            case Seal(beside=beside):
+            case Seal(servers=servers, beside=beside):
                 self._command(host, beside, reached, set(reached) - set(unanswered))
                 host.attempt.barrier = self._ask_hosts()
+                self._seal(servers)
             case _:
                 self._command(host, step, reached, set(reached) - set(unanswered))
 
@@ -385,9 +394,17 @@
             self._report(host, (former,), answers)
 
     def _ask_hosts(self) -> BarrierReport:
-        """Return what the hosts confirm; one never does, so servers decide."""
+        """Return what the hosts confirm; one may never do, so servers decide."""
+        hosts = frozenset({HostId("holder"), HostId("other")})
+        if self.all_confirm:
+            return BarrierReport(at=self.now, hosts=hosts)
         return BarrierReport(at=self.now, missing=(HostId("absent"),))
 
+    def _seal(self, servers: Iterable[ServerId]) -> None:
+        """End the connections to servers, until a promotion or the hold's end."""
+        if self.all_confirm:
+            self.sealed |= dict.fromkeys(servers, self.now + SEAL_MS)
+
     def _may_go_on(self, attempt: Any) -> bool:
         age = self.now - attempt.started_at
         if attempt.requested:
@@ -481,6 +498,9 @@
 
     def _end(self, host: Host) -> None:
         """End a change: resume the others once nothing can take effect any more."""
+        attempt = host.attempt
+        if not self.as_before and attempt.final_end is None:
+            self.sealed.clear()
         if self._may_resume(host):
             self._resume()
             self._release(host)
--- a/tests/test_primary_change_order.py
+++ b/tests/test_primary_change_order.py
@@ -31,10 +31,11 @@
     """A primary that answers, though not always, is replaced."""
 
     as_before = False
+    all_confirm = False
 
     def __init__(self):
         super().__init__()
-        self.model = ChangeModel(as_before=self.as_before)
+        self.model = ChangeModel(as_before=self.as_before, all_confirm=self.all_confirm)
 
     @rule(name=ANY)
     def commit(self, name):
@@ -87,9 +88,11 @@
 class SilentPrimary(RuleBasedStateMachine):
     """A silent primary is replaced, and may be back; a promotion may come late."""
 
+    all_confirm = False
+
     def __init__(self):
         super().__init__()
-        self.model = ChangeModel()
+        self.model = ChangeModel(all_confirm=self.all_confirm)
 
     @rule(name=st.sampled_from(FIRST[1:]))
     def commit(self, name):
@@ -184,7 +187,35 @@
 HOLD = settings(max_examples=500, stateful_step_count=40, deadline=None)
 
 
-@pytest.mark.parametrize("events", [Interrupted, SilentPrimary, AnyOrder])
+class ConfirmedInterrupted(Interrupted):
+    """The same; all hosts confirm."""
+
+    all_confirm = True
+
+
+class ConfirmedSilentPrimary(SilentPrimary):
+    """The same; all hosts confirm."""
+
+    all_confirm = True
+
+
+class ConfirmedAnyOrder(AnyOrder):
+    """The same; all hosts confirm."""
+
+    all_confirm = True
+
+
+@pytest.mark.parametrize(
+    "events",
+    [
+        Interrupted,
+        SilentPrimary,
+        AnyOrder,
+        ConfirmedInterrupted,
+        ConfirmedSilentPrimary,
+        ConfirmedAnyOrder,
+    ],
+)
 def test_decisions_lose_no_commit(events):
     run_state_machine_as_test(events, settings=HOLD)
 
@@ -270,16 +301,18 @@
     assert find_loss(ChangeModel(as_before=True), FAILURES[failure]) is not None
 
 
+@pytest.mark.parametrize("all_confirm", [False, True], ids=["absent", "all-confirm"])
 @pytest.mark.parametrize("failure", FAILURES)
-def test_decisions_lose_no_commit_in_any_order_of_six_events(failure):
-    assert find_loss(ChangeModel(), FAILURES[failure]) is None
+def test_decisions_lose_no_commit_in_any_order_of_six_events(failure, all_confirm):
+    model = ChangeModel(all_confirm=all_confirm)
+    assert find_loss(model, FAILURES[failure]) is None
 
 
 # -- a primary that no host reaches, and that is back before the effect --
 
 
-def make_dark() -> ChangeModel:
-    model = ChangeModel()
+def make_dark(*, all_confirm: bool = False) -> ChangeModel:
+    model = ChangeModel(all_confirm=all_confirm)
     model.is_dark = True
     return model
 
@@ -321,6 +354,10 @@
     assert find_loss(make_dark(), DARK) is None
 
 
+def test_dark_primary_loses_no_commit_where_all_hosts_confirmed():
+    assert find_loss(make_dark(all_confirm=True), DARK) is None
+
+
 class DarkChange(ChangeModel):
     """A change of a dark primary that keeps what a loss needs.
 
--- a/tests/test_primary_change_races.py
+++ b/tests/test_primary_change_races.py
@@ -30,6 +30,7 @@
     Secure,
     StepDown,
 )
+from apricotshore.decisions.commit_barrier import SEAL_MS
 from apricotshore.decisions.position_history import PositionSample
 from apricotshore.groups import LogPosition
 from apricotshore.identifiers import HostId, Position, ServerId, Term
@@ -71,8 +72,12 @@
 class PrimaryChangeRace(RuleBasedStateMachine):
     """Group, platform and two hosts."""
 
+    # Whether all hosts confirm that they have no connection to a former primary.
+    all_confirm = False
+
     def __init__(self):
         super().__init__()
+        self.sealed: dict[ServerId, int] = {}
         self.servers = {name: Server(name=name) for name in SERVERS}
         self.servers[SERVERS[0]].is_primary = True
         self.term = 1
@@ -119,7 +124,8 @@
         able = server.up and not server.partitioned and not server.paused
         if primary is not None and server is not primary and able:
             server.log = list(primary.log)
-            self.acked |= {entry for _, entry in primary.log}
+            if self.now >= self.sealed.get(primary.name, 0):
+                self.acked |= {entry for _, entry in primary.log}
 
     @rule(name=st.sampled_from(SERVERS))
     def crash_or_return(self, name):
@@ -160,6 +166,7 @@
         for server in self.servers.values():
             server.is_primary = server is target
         target.paused = 0
+        self.sealed.clear()
         held = {entry for _, entry in target.log}
         self.lost |= self.acked - held
         for server in self.servers.values():
@@ -218,6 +225,8 @@
         if attempt is None:
             return
         if self.now - attempt.started_at >= primary_change.STEPS_MS:
+            if attempt.final_end is None:
+                self.sealed.clear()
             host.attempt = None
             return
         members = tuple(Member(server=name) for name in SERVERS)
@@ -237,9 +246,11 @@
         match step:
             case Quiesce():
                 attempt.quiesced = self._ask_hosts()
-            case Seal(beside=beside):
+            case Seal(servers=servers, beside=beside):
                 self._run_command(attempt, beside, reached)
                 attempt.barrier = self._ask_hosts()
+                held = servers if self.all_confirm else ()
+                self.sealed |= dict.fromkeys(held, self.now + SEAL_MS)
             case ListServers():
                 attempt.listed = True
             case RecordTarget(server=server):
@@ -248,6 +259,7 @@
                 self.requested_promotions.append((server, host.token))
                 attempt.requested, attempt.held = server, False
             case Abandon():
+                self.sealed.clear()
                 host.attempt = None
             case _:
                 self._run_command(attempt, step, reached)
@@ -272,6 +284,8 @@
                 attempt.asked_others = True
 
     def _ask_hosts(self):
+        if self.all_confirm:
+            return BarrierReport(at=self.now, hosts=frozenset({HostId("other")}))
         return BarrierReport(at=self.now, missing=(HostId("absent"),))
 
     def _tell_former(self, attempt, step, reached):
@@ -328,7 +342,15 @@
         self.lost_at = self.now
 
 
+class ConfirmedPrimaryChangeRace(PrimaryChangeRaceWithoutLateRestarts):
+    """The same; all hosts confirm."""
+
+    all_confirm = True
+
+
 TestPrimaryChangeRace = PrimaryChangeRaceWithoutLateRestarts.TestCase
+TestConfirmedPrimaryChangeRace = ConfirmedPrimaryChangeRace.TestCase
 TestPrimaryChangeRace.settings = settings(
     max_examples=300, stateful_step_count=40, deadline=None
 )
+TestConfirmedPrimaryChangeRace.settings = TestPrimaryChangeRace.settings
