--- a/src/apricotshore/decisions/commit_barrier.py
+++ b/src/apricotshore/decisions/commit_barrier.py
@@ -4,7 +4,8 @@
 from enum import Enum
 
 from ..identifiers import ServerId
-from .change_attempt import Attempt, Member
+from .change_attempt import Attempt, BarrierReport, Member
+from .change_targets import is_paused
 
 # Time for which hosts send nothing to a primary that is about to step down, and to one
 # that has.
@@ -12,6 +13,8 @@
 SEAL_MS = 8_000
 # A server drops a connection whose other end is unreachable within this time.
 UNCONFIRMED_MS = 3_000
+# A round of confirmations lasts at most this long after the first of them.
+LONGEST_ROUND_MS = 600
 
 
 class BarrierProof(Enum):
@@ -39,12 +42,13 @@
 def is_confirmed(attempt: Attempt) -> bool:
     """Return whether all hosts confirmed, and no connection is left at a server.
 
-    A server may learn late of a connection that was closed.
+    A server may learn late of a connection that was closed. A host whose first
+    confirmation was lost may have closed one.
     """
     barrier, quiesced = attempt.barrier, attempt.quiesced
     if barrier is None or not barrier.is_complete:
         return False
-    if quiesced is None or not quiesced.closed:
+    if quiesced is None or not (quiesced.closed or quiesced.missing):
         return True
     return _runs_nothing_since(attempt, quiesced.at)
 
@@ -64,12 +68,13 @@
     barrier = attempt.barrier
     if barrier is None:
         return False
-    is_waited_for = now - barrier.at < UNCONFIRMED_MS
-    if is_waited_for and find_proof(attempt) is BarrierProof.TIME:
+    since = _find_moment(attempt, barrier)
+    if find_proof(attempt) is BarrierProof.TIME and (
+        now < since or not _are_paused(attempt, others)
+    ):
+        # A living host may still get an answer, if by a server that receives.
         return False
-    if _is_end_known(attempt):
-        return True
-    return not list_unasked(attempt, others)
+    return _is_end_known(attempt, since) or not list_unasked(attempt, others)
 
 
 def find_proof(attempt: Attempt) -> BarrierProof:
@@ -87,11 +92,26 @@
     """List the servers that have not answered a question of after the barrier."""
     if attempt.barrier is None:
         return ()
-    at = attempt.barrier.at
+    since = _find_moment(attempt, attempt.barrier)
     return tuple(
         m.server
         for m in members
-        if m.listed and not _is_asked_since(attempt, m.server, at)
+        if m.listed and not _is_asked_since(attempt, m.server, since)
+    )
+
+
+def _find_moment(attempt: Attempt, barrier: BarrierReport) -> int:
+    """Return since when nothing can be acknowledged to any host."""
+    is_by_time = find_proof(attempt) is BarrierProof.TIME
+    return barrier.at + UNCONFIRMED_MS if is_by_time else barrier.at
+
+
+def _are_paused(attempt: Attempt, others: tuple[Member, ...]) -> bool:
+    """Return whether all listed servers but the target are paused."""
+    return all(
+        m.server in attempt.statuses and is_paused(attempt, m.server)
+        for m in others
+        if m.listed and m.server != attempt.target
     )
 
 
@@ -118,7 +138,7 @@
     )
 
 
-def _is_end_known(attempt: Attempt) -> bool:
+def _is_end_known(attempt: Attempt, since: int) -> bool:
     """Return whether nothing was stored since the former primaries named their ends.
 
     Nothing was if the hosts sent them nothing since before the step-down.
@@ -126,9 +146,9 @@
     barrier, quiesced = attempt.barrier, attempt.quiesced
     if barrier is None:
         return False
-    if all(_is_asked_since(attempt, s, barrier.at) for s in list_led(attempt)):
+    if all(_is_asked_since(attempt, s, since) for s in list_led(attempt)):
         return True
     if quiesced is None or not is_confirmed(attempt):
         return False
-    is_held = barrier.at - quiesced.at < QUIESCE_MS
+    is_held = barrier.at - quiesced.at < QUIESCE_MS - LONGEST_ROUND_MS
     return is_held and not barrier.ended and barrier.hosts <= quiesced.hosts
--- a/tests/test_stepped_down_primaries.py
+++ b/tests/test_stepped_down_primaries.py
@@ -212,10 +212,17 @@
 
 
 def test_connections_of_an_absent_host_are_dropped_after_a_while():
+    """An answer of before that, or a server that isn't paused, leaves the end open."""
     attempt = make_attempt(confirm(missing=ABSENT))
     now = SEALED_AT + UNCONFIRMED_MS
     hear(attempt, now, running=1)
     hear_followers(attempt, now)
+    assert isinstance(plan(attempt, now), Secure)
+    now += 1
+    hear(attempt, now, running=1)
+    change_attempt.update_status(attempt, S3, make_status(), now)
+    assert isinstance(plan(attempt, now), Secure)
+    hear_followers(attempt, now)
     assert plan(attempt, now) == Promote(server=S2)
 
 
@@ -228,6 +235,16 @@
     assert plan(attempt, SEALED_AT + 10) == Promote(server=S2)
 
 
+def test_round_of_before_the_step_down_does_not_count():
+    """A host that started in between is asked as well."""
+    attempt = Attempt(from_term=Term(1), started_at=0, replaced=S1, recorded=S2)
+    attempt.barrier = confirm(at=50)
+    hear(attempt, 60, is_primary=True)
+    hear(attempt, STEPPED_DOWN_AT)
+    hear_followers(attempt, STEPPED_DOWN_AT)
+    assert isinstance(plan(attempt, STEPPED_DOWN_AT), Seal)
+
+
 def test_server_that_leads_again_needs_another_barrier():
     attempt = make_attempt(confirm(), quiesced=confirm(at=50))
     hear(attempt, SEALED_AT + 5, is_primary=True)
