--- a/src/apricotshore/pooling/change_steps.py
+++ b/src/apricotshore/pooling/change_steps.py
@@ -335,7 +335,7 @@
     async def _quiesce(self, server: ServerId) -> None:
         """Have all hosts send nothing more to a primary that is to step down."""
         self.attempt.quiesced = await self.barrier.quiesce(
-            server, self.attempt.from_term, commit_barrier.QUIESCE_MS
+            server, self.attempt.from_term, self.token, commit_barrier.QUIESCE_MS
         )
 
     async def _seal(self, step: Seal) -> None:
@@ -355,7 +355,10 @@
             self.sealing_since = read_boot_ms()
             self.sealing = asyncio.get_running_loop().create_task(
                 self.barrier.seal(
-                    servers, self.attempt.from_term, commit_barrier.SEAL_MS
+                    servers,
+                    self.attempt.from_term,
+                    self.token,
+                    commit_barrier.SEAL_MS,
                 )
             )
 
@@ -366,7 +369,7 @@
         is_back = attempt.final_end is None or attempt.requested == attempt.replaced
         if was_quiesced and is_back:
             for server in commit_barrier.list_led(attempt):
-                await self.barrier.reopen(server, attempt.from_term)
+                await self.barrier.reopen(server, attempt.from_term, self.token)
 
     def _update_status(
         self,
--- a/src/apricotshore/pooling/group.py
+++ b/src/apricotshore/pooling/group.py
@@ -322,7 +322,7 @@
         sends nothing to the former one, and needs no time limit for that.
         """
         gate = self._find_gate(request.server)
-        reply = await gate.quiesce(request.term, request.hold_ms)
+        reply = await gate.quiesce(request.term, request.token, request.hold_ms)
         if reply.closed:
             # Their answers were not awaited any longer, so they show no stall.
             self.writes.unanswered.clear()
--- a/src/apricotshore/pooling/ports.py
+++ b/src/apricotshore/pooling/ports.py
@@ -344,13 +344,17 @@
     term
         Term of the primary's lead. The host sends again once it has found a primary
         of a later term.
+    token
+        Fencing token of the change. A later change's hold isn't ended by it.
     hold_ms
-        Time after which the host sends again in any case, in milliseconds.
+        Time after which the host sends again in any case, in milliseconds; 0 has it
+        send again at once.
     """
 
     group: GroupId
     server: ServerId
     term: Term
+    token: FencingToken
     hold_ms: int
 
 
--- a/src/apricotshore/pooling/server_gate.py
+++ b/src/apricotshore/pooling/server_gate.py
@@ -3,7 +3,7 @@
 import asyncio
 import itertools
 
-from ..identifiers import ServerId, Term
+from ..identifiers import FencingToken, ServerId, Term
 from ..queries import Query, QueryKind
 from ..services.clock import read_boot_ms
 from .ports import BackendConnection, ConnectionLostError, QuiesceReply
@@ -52,6 +52,8 @@
         self.server = server
         # Term of the lead that ends, while the gate is shut.
         self.term = Term(0)
+        # Fencing token of the latest change that shut it.
+        self.token = FencingToken(0)
         self.shut_until = 0
         self.opened = asyncio.Event()
         self.numbers = itertools.count(1)
@@ -89,7 +91,9 @@
         if not self.running:
             self.ended.set()
 
-    async def quiesce(self, term: Term, hold_ms: int) -> QuiesceReply:
+    async def quiesce(
+        self, term: Term, token: FencingToken, hold_ms: int
+    ) -> QuiesceReply:
         """Shut the gate, and end the statements that may commit.
 
         A server can only acknowledge to an open connection. So those whose answer does
@@ -99,12 +103,17 @@
         ----------
         term
             Term of the server's lead.
+        token
+            Fencing token of the change.
         hold_ms
             Time after which the gate opens by itself, in milliseconds; 0 opens it.
         """
         if hold_ms <= 0:
-            self.open()
+            # A request of a former holder may come late.
+            if token >= self.token:
+                self.open()
             return QuiesceReply()
+        self.token = max(self.token, token)
         self.term = max(self.term, term)
         self.shut_until = max(self.shut_until, read_boot_ms() + hold_ms)
         self.opened.clear()
--- a/src/apricotshore/pooling/write_barrier.py
+++ b/src/apricotshore/pooling/write_barrier.py
@@ -9,7 +9,7 @@
 
 from ..decisions.change_attempt import BarrierReport
 from ..decisions.relays import Fleet, ListedHost
-from ..identifiers import HostId, ServerId, Term
+from ..identifiers import FencingToken, HostId, ServerId, Term
 from ..services.clock import read_boot_ms
 from .group import Group
 from .group_commands import record_phase
@@ -62,11 +62,15 @@
         self.absent_until: dict[HostId, int] = {}
 
     async def seal(
-        self, servers: tuple[ServerId, ...], term: Term, hold_ms: int
+        self,
+        servers: tuple[ServerId, ...],
+        term: Term,
+        token: FencingToken,
+        hold_ms: int,
     ) -> BarrierReport:
         """Have all hosts send nothing more to several servers; see `quiesce`."""
         reports = await asyncio.gather(
-            *(self.quiesce(server, term, hold_ms) for server in servers)
+            *(self.quiesce(server, term, token, hold_ms) for server in servers)
         )
         return BarrierReport(
             at=read_boot_ms(),
@@ -78,7 +82,7 @@
         )
 
     async def quiesce(
-        self, server: ServerId, term: Term, hold_ms: int
+        self, server: ServerId, term: Term, token: FencingToken, hold_ms: int
     ) -> BarrierReport:
         """Ask all hosts, this one included, and wait for their confirmations.
 
@@ -88,12 +92,18 @@
             The primary that is being replaced, or was.
         term
             Term of its lead.
+        token
+            Fencing token of the change.
         hold_ms
             Time after which a host sends again in any case, in milliseconds.
         """
         is_listed = await self._refresh()
         request = QuiesceRequest(
-            group=self.group.group, server=server, term=term, hold_ms=hold_ms
+            group=self.group.group,
+            server=server,
+            term=term,
+            token=token,
+            hold_ms=hold_ms,
         )
         own, *others = await asyncio.gather(
             self.group.quiesce(request),
@@ -122,10 +132,10 @@
         )
         return report
 
-    async def reopen(self, server: ServerId, term: Term) -> None:
+    async def reopen(self, server: ServerId, term: Term, token: FencingToken) -> None:
         """Have all hosts send to a primary again that was not replaced."""
         request = QuiesceRequest(
-            group=self.group.group, server=server, term=term, hold_ms=0
+            group=self.group.group, server=server, term=term, token=token, hold_ms=0
         )
         await asyncio.gather(
             self.group.quiesce(request),
--- a/tests/platform_adapter/test_quiesce.py
+++ b/tests/platform_adapter/test_quiesce.py
@@ -13,7 +13,14 @@
 from apricotshore_platform.peers import LinePeers
 
 from apricotshore.decisions.relays import ListedHost
-from apricotshore.identifiers import DataCentreId, GroupId, HostId, ServerId, Term
+from apricotshore.identifiers import (
+    DataCentreId,
+    FencingToken,
+    GroupId,
+    HostId,
+    ServerId,
+    Term,
+)
 from apricotshore.pooling.group import Group
 from apricotshore.pooling.host import PoolingHost
 from apricotshore.pooling.ports import (
@@ -34,23 +41,29 @@
 
 LOOPBACK = "127.0.0.1"
 TIMEOUT_S = 1.0
+TOKEN = FencingToken(5)
 REQUEST = QuiesceRequest(
-    group=GroupId("g1"), server=ServerId("i-1"), term=Term(7), hold_ms=1_500
+    group=GroupId("g1"),
+    server=ServerId("i-1"),
+    term=Term(7),
+    token=TOKEN,
+    hold_ms=1_500,
 )
 REPLY = QuiesceReply(ended=3, closed=2)
 RESET = struct.pack("ii", 1, 0)
 MALFORMED_REQUESTS = [
     "QUIESCE",
-    "QUIESCE g1 i-1 7",
-    "QUIESCE g1 i-1 7 1500 9",
-    "QUIESCE g1 i-1 7 -1",
-    "QUIESCE g1 i-1 x 1500",
-    "QUIESCE g1 i-1 \u00b2 1500",
-    "QUIESCE g1 i-1 7 1.5",
-    "QUIESCE  i-1 7 1500",
-    "QUIESCE g1  7 1500",
-    "QUIESCE g1 i-1 7 " + "9" * 16,
-    "quiesce g1 i-1 7 1500",
+    "QUIESCE g1 i-1 7 5",
+    "QUIESCE g1 i-1 7 5 1500 9",
+    "QUIESCE g1 i-1 7 5 -1",
+    "QUIESCE g1 i-1 x 5 1500",
+    "QUIESCE g1 i-1 7 x 1500",
+    "QUIESCE g1 i-1 \u00b2 5 1500",
+    "QUIESCE g1 i-1 7 5 1.5",
+    "QUIESCE  i-1 7 5 1500",
+    "QUIESCE g1  7 5 1500",
+    "QUIESCE g1 i-1 7 5 " + "9" * 19,
+    "quiesce g1 i-1 7 5 1500",
 ]
 MALFORMED_REPLIES = [
     "",
@@ -59,7 +72,7 @@
     "QUIESCED 3 2 1",
     "QUIESCED 3 -2",
     "QUIESCED 3 x",
-    "QUIESCED 3 " + "9" * 16,
+    "QUIESCED 3 " + "9" * 19,
     "READY I -",
     "ERROR BUSY i-1",
     "LEAVING",
@@ -123,7 +136,7 @@
 
 def test_request_and_reply_as_lines():
     line = lines.encode_quiesce(REQUEST)
-    assert line == b"QUIESCE g1 i-1 7 1500\r\n"
+    assert line == b"QUIESCE g1 i-1 7 5 1500\r\n"
     assert lines.decode_quiesce(line[:-2].decode()) == REQUEST
     line = lines.encode_quiesce_reply(REPLY)
     assert line == b"QUIESCED 3 2\r\n"
@@ -337,7 +350,7 @@
         configure(store)
         await wait_until(lambda: host.is_loaded)
         known = QuiesceRequest(
-            group=GROUP, server=ServerId("s1"), term=Term(1), hold_ms=1_000
+            group=GROUP, server=ServerId("s1"), term=Term(1), token=TOKEN, hold_ms=1_000
         )
         assert await host.quiesce(known) == REPLY
         assert await host.quiesce(REQUEST) == QuiesceReply()
@@ -350,7 +363,7 @@
         await wait_until(lambda: host.is_loaded)
         host.begin_drain()
         known = QuiesceRequest(
-            group=GROUP, server=ServerId("s1"), term=Term(1), hold_ms=1_000
+            group=GROUP, server=ServerId("s1"), term=Term(1), token=TOKEN, hold_ms=1_000
         )
         async with listening(host.quiesce) as port:
             assert await ask(port, known) == REPLY
--- a/tests/pooling/test_server_gate.py
+++ b/tests/pooling/test_server_gate.py
@@ -6,7 +6,7 @@
 
 from apricotshore.decisions.placement import Distance, ServerLoad
 from apricotshore.groups import LogPosition
-from apricotshore.identifiers import ServerId, Term
+from apricotshore.identifiers import FencingToken, ServerId, Term
 from apricotshore.pooling.pool import ServerPool
 from apricotshore.pooling.ports import (
     ConnectionLostError,
@@ -23,6 +23,7 @@
 
 S1, S2 = ServerId("s1"), ServerId("s2")
 TERM = Term(1)
+TOKEN = FencingToken(5)
 HOLD_MS = 5_000
 COMMIT = Query(kind=QueryKind.COMMIT)
 EXECUTE = Query(kind=QueryKind.EXECUTE, name="p")
@@ -92,7 +93,7 @@
 async def test_statement_that_gets_its_answer_is_waited_for(query):
     gate = ServerGate(server=S1)
     task = await begin(make_pool(0.05, gate), query)
-    assert await gate.quiesce(TERM, HOLD_MS) == QuiesceReply(ended=1)
+    assert await gate.quiesce(TERM, TOKEN, HOLD_MS) == QuiesceReply(ended=1)
     assert task.done()
     assert len(await task) == 1
 
@@ -103,7 +104,7 @@
     gate = ServerGate(server=S1)
     pool = make_pool(1.5, gate)
     task = await begin(pool, query)
-    assert await gate.quiesce(TERM, HOLD_MS) == QuiesceReply(closed=1)
+    assert await gate.quiesce(TERM, TOKEN, HOLD_MS) == QuiesceReply(closed=1)
     with pytest.raises(ConnectionLostError) as raised:
         await task
     assert raised.value.sent
@@ -115,7 +116,7 @@
     pool = make_pool(1.5, gate)
     task = await begin(pool, write())
     pool.close()
-    assert (await gate.quiesce(TERM, HOLD_MS)).closed == 1
+    assert (await gate.quiesce(TERM, TOKEN, HOLD_MS)).closed == 1
     with pytest.raises(ConnectionLostError):
         await task
 
@@ -124,7 +125,7 @@
 async def test_nothing_is_sent_while_the_gate_is_shut(query):
     gate = ServerGate(server=S1)
     pool = make_pool(0.0, gate)
-    await gate.quiesce(TERM, HOLD_MS)
+    await gate.quiesce(TERM, TOKEN, HOLD_MS)
     pooled = await pool.acquire({}, 0, read_boot_ms() + 100)
     with pytest.raises(QuiescedError) as raised:
         await pool.run(pooled, [query], None, 100)
@@ -135,7 +136,7 @@
 async def test_commands_reads_and_questions_who_leads_pass_a_shut_gate():
     gate = ServerGate(server=S1)
     pool = make_pool(0.0, gate)
-    await gate.quiesce(TERM, HOLD_MS)
+    await gate.quiesce(TERM, TOKEN, HOLD_MS)
     pooled = await pool.acquire({}, 0, read_boot_ms() + 100)
     for queries in ([STEP_DOWN], [BEGIN, ROLLBACK], [read()]):
         assert len(await pool.run(pooled, queries, None, 100)) == len(queries)
@@ -143,7 +144,7 @@
 
 async def test_gate_opens_by_itself_when_the_holder_has_ended():
     gate = ServerGate(server=S1)
-    await gate.quiesce(TERM, 50)
+    await gate.quiesce(TERM, TOKEN, 50)
     assert gate.is_shut
     await gate.wait_until_open(1_000)
     assert not gate.is_shut
@@ -151,8 +152,8 @@
 
 async def test_later_request_does_not_shorten_the_hold():
     gate = ServerGate(server=S1)
-    await gate.quiesce(TERM, HOLD_MS)
-    await gate.quiesce(TERM, 10)
+    await gate.quiesce(TERM, TOKEN, HOLD_MS)
+    await gate.quiesce(TERM, TOKEN, 10)
     await asyncio.sleep(0.02)
     assert gate.is_shut
 
@@ -162,8 +163,16 @@
     return ModelHost.make("host-0", model, ModelPlatform(group=model))
 
 
-def quiesce(term: int = 1, hold_ms: int = HOLD_MS) -> QuiesceRequest:
-    return QuiesceRequest(group=GROUP, server=S1, term=Term(term), hold_ms=hold_ms)
+def quiesce(
+    term: int = 1, hold_ms: int = HOLD_MS, token: int = TOKEN
+) -> QuiesceRequest:
+    return QuiesceRequest(
+        group=GROUP,
+        server=S1,
+        term=Term(term),
+        token=FencingToken(token),
+        hold_ms=hold_ms,
+    )
 
 
 async def test_host_sends_again_once_another_server_leads_a_later_term():
@@ -199,3 +208,10 @@
     await host.group.quiesce(quiesce())
     await host.group.quiesce(quiesce(hold_ms=0))
     assert not host.group.is_quiesced(S1)
+
+
+async def test_late_request_of_a_former_holder_ends_no_later_hold():
+    host = make_host()
+    await host.group.quiesce(quiesce(token=TOKEN))
+    await host.group.quiesce(quiesce(token=TOKEN - 1, hold_ms=0))
+    assert host.group.is_quiesced(S1)
--- a/tests/pooling/test_write_barrier.py
+++ b/tests/pooling/test_write_barrier.py
@@ -5,7 +5,7 @@
 import pytest
 
 from apricotshore.decisions.relays import Fleet, ListedHost
-from apricotshore.identifiers import DataCentreId, HostId, ServerId, Term
+from apricotshore.identifiers import DataCentreId, FencingToken, HostId, ServerId, Term
 from apricotshore.pooling.ports import (
     ConnectionLostError,
     HostStoppedError,
@@ -21,6 +21,7 @@
 S1 = ServerId("s1")
 OWN, B, C = HostId("host-0"), HostId("b"), HostId("c")
 TERM = Term(1)
+TOKEN = FencingToken(5)
 HOLD_MS = 5_000
 
 
@@ -65,7 +66,7 @@
 async def test_all_hosts_confirm_this_one_included():
     peers = Peers(b=QuiesceReply(ended=1), c=QuiesceReply())
     barrier, host = make_barrier(peers)
-    report = await barrier.quiesce(S1, TERM, HOLD_MS)
+    report = await barrier.quiesce(S1, TERM, TOKEN, HOLD_MS)
     assert report.is_complete
     assert report.hosts == {OWN, B, C}
     assert report.ended == 1
@@ -75,7 +76,7 @@
 async def test_connection_that_a_host_closed_is_reported():
     """The server may learn of it late, and acknowledge to it until then."""
     barrier, _ = make_barrier(Peers(b=QuiesceReply(closed=1), c=QuiesceReply()))
-    report = await barrier.quiesce(S1, TERM, HOLD_MS)
+    report = await barrier.quiesce(S1, TERM, TOKEN, HOLD_MS)
     assert report.closed == 1
     assert not report.is_complete
 
@@ -87,7 +88,7 @@
 )
 async def test_host_without_a_confirmation_is_missing(reply):
     barrier, _ = make_barrier(Peers(b=reply, c=QuiesceReply()))
-    report = await barrier.quiesce(S1, TERM, HOLD_MS)
+    report = await barrier.quiesce(S1, TERM, TOKEN, HOLD_MS)
     assert report.missing == (B,)
     assert not report.is_complete
 
@@ -96,16 +97,16 @@
     barrier, _ = make_barrier(
         Peers(b=HostStoppedError("x", sent=False), c=QuiesceReply())
     )
-    report = await barrier.quiesce(S1, TERM, HOLD_MS)
+    report = await barrier.quiesce(S1, TERM, TOKEN, HOLD_MS)
     assert report.is_complete
 
 
 async def test_host_that_was_absent_before_delays_no_later_change():
     barrier, _ = make_barrier(Peers(b=None, c=QuiesceReply()))
-    await barrier.quiesce(S1, TERM, HOLD_MS)
+    await barrier.quiesce(S1, TERM, TOKEN, HOLD_MS)
     loop = asyncio.get_running_loop()
     began = loop.time()
-    report = await barrier.quiesce(S1, TERM, HOLD_MS)
+    report = await barrier.quiesce(S1, TERM, TOKEN, HOLD_MS)
     assert loop.time() - began < PEER_TIMEOUT_S / 2
     assert report.missing == (B,)
 
@@ -116,7 +117,7 @@
 
     peers = Peers(b=QuiesceReply(), c=QuiesceReply())
     barrier, _ = make_barrier(peers, refresh=fail)
-    report = await barrier.quiesce(S1, TERM, HOLD_MS)
+    report = await barrier.quiesce(S1, TERM, TOKEN, HOLD_MS)
     assert not report.is_complete
     assert {host for host, _ in peers.asked} == {B, C}
 
@@ -133,14 +134,14 @@
         barrier.fleet.hosts[started.host] = started
 
     barrier.refresh_hosts = add_host
-    report = await barrier.quiesce(S1, TERM, HOLD_MS)
+    report = await barrier.quiesce(S1, TERM, TOKEN, HOLD_MS)
     assert started.host in report.hosts
 
 
 async def test_all_hosts_send_again_to_a_primary_that_was_not_replaced():
     peers = Peers(b=QuiesceReply(), c=QuiesceReply())
     barrier, host = make_barrier(peers)
-    await barrier.quiesce(S1, TERM, HOLD_MS)
-    await barrier.reopen(S1, TERM)
+    await barrier.quiesce(S1, TERM, TOKEN, HOLD_MS)
+    await barrier.reopen(S1, TERM, TOKEN)
     assert [r.hold_ms for _, r in peers.asked] == [HOLD_MS, HOLD_MS, 0, 0]
     assert not host.group.is_quiesced(S1)
