--- a/src/apricotshore/decisions/commit_barrier.py
+++ b/src/apricotshore/decisions/commit_barrier.py
@@ -28,9 +28,36 @@
 
 
 def list_led(attempt: Attempt) -> tuple[ServerId, ...]:
-    """List the servers that led in this change, except for its target."""
-    former = {attempt.replaced} - {None} | attempt.led
-    return tuple(sorted(s for s in former if s is not None and s != attempt.target))
+    """List the servers that led in this change, except for its target.
+
+    A holder that took a change over may not know who led: it may be any other.
+    """
+    former = set(attempt.led)
+    if attempt.replaced is not None:
+        former.add(attempt.replaced)
+    elif not former:
+        former.update(attempt.statuses)
+    return tuple(sorted(former - {attempt.target}))
+
+
+def list_reopened(attempt: Attempt, *, is_settled: bool) -> tuple[ServerId, ...]:
+    """List the servers to which hosts are to send again at the end of a change.
+
+    Parameters
+    ----------
+    attempt
+        The change.
+    is_settled
+        Whether the server whose promotion was requested leads.
+    """
+    if attempt.requested is not None:
+        # An earlier holder may have had hosts stop sending to it.
+        may_be_shut = attempt.replaced in (None, attempt.requested)
+        is_led = is_settled and (may_be_shut or attempt.inherited is not None)
+        return (attempt.requested,) if is_led else ()
+    was_quiesced = attempt.quiesced is not None or attempt.barrier is not None
+    is_replaced = attempt.final_end is not None or not was_quiesced
+    return () if is_replaced else list_led(attempt)
 
 
 def is_quiesced(attempt: Attempt, now: int) -> bool:
--- a/src/apricotshore/pooling/change_steps.py
+++ b/src/apricotshore/pooling/change_steps.py
@@ -363,13 +363,11 @@
             )
 
     async def reopen(self) -> None:
-        """Have hosts send again to a primary that was not replaced after all."""
-        attempt = self.attempt
-        was_quiesced = attempt.quiesced is not None or attempt.barrier is not None
-        is_back = attempt.final_end is None or attempt.requested == attempt.replaced
-        if was_quiesced and is_back:
-            for server in commit_barrier.list_led(attempt):
-                await self.barrier.reopen(server, attempt.from_term, self.token)
+        """Have hosts send again to a primary that was not replaced, or leads again."""
+        for server in commit_barrier.list_reopened(
+            self.attempt, is_settled=self.promotion.is_settled()
+        ):
+            await self.barrier.reopen(server, self.attempt.from_term, self.token)
 
     def _update_status(
         self,
--- a/src/apricotshore/pooling/group.py
+++ b/src/apricotshore/pooling/group.py
@@ -318,17 +318,14 @@
     async def quiesce(self, request: QuiesceRequest) -> QuiesceReply:
         """Send nothing more to a primary that is being replaced, and confirm it.
 
-        A request may come late: a host that has found another primary of a later term
-        sends nothing to the former one, and needs no time limit for that.
+        A request may come late: the next proof that another server leads a later term
+        ends the hold.
         """
         gate = self._find_gate(request.server)
         reply = await gate.quiesce(request.term, request.token, request.hold_ms)
         if reply.closed:
             # Their answers were not awaited any longer, so they show no stall.
             self.writes.unanswered.clear()
-        state = self.primary_state
-        if state.term > request.term and state.primary not in (None, request.server):
-            gate.open()
         self.journal.record(
             EventKind.QUIESCED,
             group=self.group,
--- a/src/apricotshore/pooling/relay_dialer.py
+++ b/src/apricotshore/pooling/relay_dialer.py
@@ -38,6 +38,7 @@
         self.link = link
         self.relay = relay
         self.fleet = fleet
+        self.is_abandoned = False
 
     @property
     def usable(self) -> bool:
@@ -50,6 +51,7 @@
 
     def abandon(self) -> None:
         """Reset the connection to the relay, which then resets its own."""
+        self.is_abandoned = True
         self.link.abandon()
 
     async def run(
@@ -59,7 +61,8 @@
         try:
             answers = await self.link.run(queries, after, timeout_s)
         except ConnectionLostError:
-            relays.observe_failure(self.fleet, self.relay.host, read_boot_ms())
+            if not self.is_abandoned:
+                relays.observe_failure(self.fleet, self.relay.host, read_boot_ms())
             raise
         relays.observe_success(self.fleet, self.relay.host)
         return answers
--- a/tests/pooling/test_server_gate.py
+++ b/tests/pooling/test_server_gate.py
@@ -191,8 +191,9 @@
     host = make_host()
     host.group.observe_primary(S2, Term(3), read_boot_ms(), Term(3))
     await host.group.quiesce(quiesce(term=1))
-    assert not host.group.is_quiesced(S1)
     assert not host.group.is_quiesced(S2)
+    host.group.observe_primary(S2, Term(3), read_boot_ms(), Term(3))
+    assert not host.group.is_quiesced(S1)
 
 
 async def test_host_that_learns_of_a_server_later_sends_it_nothing():
