Test statements that a proof of a promotion leaves out

Cause: an unknown count of running statements passes for none, and a second round of confirmations replaces the connections that the first one closed.

--- a/tests/pooling/test_review_of_barriers.py
+++ b/tests/pooling/test_review_of_barriers.py
@@ -11,19 +11,22 @@
     Member,
     MemberStatus,
     Promote,
+    read_status,
 )
 from apricotshore.decisions.relays import Fleet, ListedHost
-from apricotshore.groups import LogPosition
+from apricotshore.groups import LogPosition, Role
 from apricotshore.identifiers import DataCentreId, HostId, Position, ServerId, Term
 from apricotshore.pooling.change_steps import ChangeSteps
 from apricotshore.pooling.ports import QuiesceReply, QuiesceRequest
 from apricotshore.pooling.relay_dialer import RelayedConnection
 from apricotshore.pooling.server_gate import ServerGate
+from apricotshore.pooling.write_barrier import WriteBarrier
+from apricotshore.queries import ServerReport
 from apricotshore.services.clock import read_boot_ms
 from standins.in_memory import StopsReceiving
 
 from . import support
-from .support import wait_until, write
+from .support import ModelHost, wait_until, write
 from .test_commits_by_the_clock import (
     CUT_S,
     S1,
@@ -155,15 +158,8 @@
         await scene.end_change()
 
 
-async def test_hosts_send_nothing_while_a_silent_primary_may_be_replaced():
-    """The order has no answer: it may be carried out seconds later."""
-    peers = Peers(b=QuiesceReply(), c=QuiesceReply())
-    barrier, host = make_barrier(peers)
-    attempt = make_attempt(S1)
-    await host.group.quiesce(quiesce(hold_ms=commit_barrier.SEAL_MS))
-    attempt.barrier = BarrierReport(at=read_boot_ms())
-    attempt.requested = S2
-    steps = ChangeSteps(
+def make_steps(barrier: WriteBarrier, host: ModelHost, attempt: Attempt) -> ChangeSteps:
+    return ChangeSteps(
         group=host.group,
         host=host.name,
         lease=host.changer.lease,
@@ -175,6 +171,46 @@
         attempt=attempt,
         token=1,
     )
+
+
+def test_former_primary_that_may_run_statements_is_asked_again():
+    """A host that isn't listed has sent them; a STATUS names 3, one of them itself."""
+    attempt = make_attempt(S1)
+    report = ServerReport(
+        role=Role.REPLICA,
+        term=Term(2),
+        received=status().log_position,
+        paused_term=Term(0),
+        busy=3,
+    )
+    attempt.statuses[S1] = read_status(report)
+    attempt.asked_at[S1] = NOW
+    attempt.barrier = BarrierReport(at=NOW, hosts=frozenset({HostId("a")}))
+    assert commit_barrier.find_proof(attempt) is commit_barrier.BarrierProof.TIME
+
+
+async def test_connections_closed_in_an_earlier_round_are_not_forgotten():
+    """The first round is repeated where the primary is full, or no replica is near."""
+    peers = Peers(b=QuiesceReply(closed=2), c=QuiesceReply())
+    barrier, host = make_barrier(peers)
+    attempt = make_attempt(S1)
+    steps = make_steps(barrier, host, attempt)
+    await steps._quiesce(S1)
+    peers.replies["b"] = QuiesceReply()
+    await steps._quiesce(S1)
+    attempt.barrier = await barrier.seal((S1,), TERM, commit_barrier.SEAL_MS)
+    assert not commit_barrier.is_confirmed(attempt)
+
+
+async def test_hosts_send_nothing_while_a_silent_primary_may_be_replaced():
+    """The order has no answer: it may be carried out seconds later."""
+    peers = Peers(b=QuiesceReply(), c=QuiesceReply())
+    barrier, host = make_barrier(peers)
+    attempt = make_attempt(S1)
+    await host.group.quiesce(quiesce(hold_ms=commit_barrier.SEAL_MS))
+    attempt.barrier = BarrierReport(at=read_boot_ms())
+    attempt.requested = S2
+    steps = make_steps(barrier, host, attempt)
     await steps.reopen()
     assert host.group.is_quiesced(S1)
     assert peers.asked == []
