Count what an earlier round closed, and take an unknown count for running

Cause: a second round before the step-down forgot what the first one had closed; a STATUS whose count may be its own passed for one that runs nothing; a change whose order waited 3 s ended before it, and the next one began anew.

--- a/src/apricotshore/decisions/change_attempt.py
+++ b/src/apricotshore/decisions/change_attempt.py
@@ -1,6 +1,6 @@
 """State and steps of one change of primary."""
 
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from ..groups import LogPosition, Role
 from ..identifiers import HostId, ServerId, Term
@@ -344,6 +344,18 @@
 )
 
 
+def observe_quiesced(attempt: Attempt, report: BarrierReport) -> None:
+    """Record a round before the step-down, with what an earlier one closed."""
+    earlier = attempt.quiesced
+    if earlier is not None:
+        report = replace(
+            report,
+            missing=tuple(sorted({*report.missing, *earlier.missing})),
+            closed=report.closed + earlier.closed,
+        )
+    attempt.quiesced = report
+
+
 def observe_primary_end(attempt: Attempt, log_position: LogPosition) -> None:
     """Record a position that the replaced primary had while it was the primary."""
     if attempt.primary_end is None:
--- a/src/apricotshore/decisions/commit_barrier.py
+++ b/src/apricotshore/decisions/commit_barrier.py
@@ -148,13 +148,13 @@
 
 
 def _is_running(attempt: Attempt) -> bool:
-    """Return whether a former primary said last that it runs statements.
+    """Return whether a former primary may run statements, by what it said last.
 
     They may be of a host that is not known, or on a connection whose end it hasn't
     noticed yet.
     """
     known = (attempt.statuses.get(server) for server in list_led(attempt))
-    return any(status is not None and status.running for status in known)
+    return any(status is not None and status.running != 0 for status in known)
 
 
 def _runs_nothing_since(attempt: Attempt, moment: int) -> bool:
--- a/src/apricotshore/decisions/primary_change.py
+++ b/src/apricotshore/decisions/primary_change.py
@@ -70,7 +70,7 @@
 # A promotion is followed for this long in any case.
 FOLLOW_MS = 1_500
 # The same for steps that follow once there is no primary any more.
-STEPS_WITHOUT_PRIMARY_MS = 4_500
+STEPS_WITHOUT_PRIMARY_MS = 5_500
 # For this long after the primary stepped down, only its target may be promoted, and a
 # promotion waits for the pause of a server that has not answered before.
 SECURE_MS = 100
--- a/src/apricotshore/pooling/change_steps.py
+++ b/src/apricotshore/pooling/change_steps.py
@@ -334,9 +334,10 @@
 
     async def _quiesce(self, server: ServerId) -> None:
         """Have all hosts send nothing more to a primary that is to step down."""
-        self.attempt.quiesced = await self.barrier.quiesce(
+        report = await self.barrier.quiesce(
             server, self.attempt.from_term, self.token, commit_barrier.QUIESCE_MS
         )
+        change_attempt.observe_quiesced(self.attempt, report)
 
     async def _seal(self, step: Seal) -> None:
         """Have all hosts confirm that former primaries can't answer them."""
