--- a/src/apricotshore/pooling/change_steps.py
+++ b/src/apricotshore/pooling/change_steps.py
@@ -29,6 +29,7 @@
     Wait,
     read_status,
 )
+from ..decisions.commit_barrier import BarrierProof
 from ..groups import LogPosition
 from ..identifiers import FencingToken, HostId, Position, ServerId, Term
 from ..queries import QueryKind, ServerReport
@@ -476,10 +477,16 @@
         self.attempt.recorded = server
         return True
 
+    def _find_proof(self) -> BarrierProof:
+        """Return what an order relies on; one for a silent primary waits for no time."""
+        proof = commit_barrier.find_proof(self.attempt)
+        is_silent = self.attempt.final_end is None
+        return BarrierProof.NONE if is_silent and proof is BarrierProof.TIME else proof
+
     async def _promote(self, server: ServerId) -> bool:
         """Begin to request a promotion; return False without the lease."""
         if not self.is_held():
             return False
-        self._record("sealed", by=commit_barrier.find_proof(self.attempt).value)
+        self._record("sealed", by=self._find_proof().value)
         await self.promotion.make(server, self.token, EFFECT_PAUSE_S)
         return True
