--- a/src/apricotshore/pooling/change_steps.py
+++ b/src/apricotshore/pooling/change_steps.py
@@ -478,7 +478,7 @@
         return True
 
     def _find_proof(self) -> BarrierProof:
-        """Return what an order relies on; one for a silent primary waits for no time."""
+        """Return what an order relies on: no time is waited for a silent primary."""
         proof = commit_barrier.find_proof(self.attempt)
         is_silent = self.attempt.final_end is None
         return BarrierProof.NONE if is_silent and proof is BarrierProof.TIME else proof
