Ask the known hosts beside the list of hosts, not after it

Cause: each round of confirmations began with a read of the store, while writes were held. Change: the known hosts are asked at once, and whoever the list shows besides after it; a host that has removed its entry meanwhile isn't missing.

--- a/src/apricotshore/pooling/write_barrier.py
+++ b/src/apricotshore/pooling/write_barrier.py
@@ -86,6 +86,8 @@
     ) -> BarrierReport:
         """Ask all hosts, this one included, and wait for their confirmations.
 
+        The known ones are asked beside the list, which may show others.
+
         Parameters
         ----------
         server
@@ -97,7 +99,6 @@
         hold_ms
             Time after which a host sends again in any case, in milliseconds.
         """
-        is_listed = await self._refresh()
         request = QuiesceRequest(
             group=self.group.group,
             server=server,
@@ -105,17 +106,26 @@
             token=token,
             hold_ms=hold_ms,
         )
-        own, *others = await asyncio.gather(
+        known = self._list_others()
+        is_listed, own, *others = await asyncio.gather(
+            self._refresh(),
             self.group.quiesce(request),
-            *(self._ask(host, request) for host in self._list_others()),
+            *(self._ask(host, request) for host in known),
+        )
+        listed = {host.host for host in self._list_others()}
+        new = listed - {host.host for host in known}
+        others += await asyncio.gather(
+            *(self._ask(self.fleet.hosts[host], request) for host in sorted(new))
         )
         replies = {host: reply for host, reply in others if reply is not None}
         replies[self.fleet.local_host] = own
+        silent = {host for host, reply in others if reply is None}
         report = BarrierReport(
             at=read_boot_ms(),
             is_listed=is_listed,
             hosts=frozenset(replies),
-            missing=tuple(sorted(host for host, reply in others if reply is None)),
+            # A host removes its entry once it holds no connection any more.
+            missing=tuple(sorted(silent & listed if is_listed else silent)),
             ended=sum(reply.ended for reply in replies.values()),
             closed=sum(reply.closed for reply in replies.values()),
         )
--- a/tests/pooling/test_write_barrier.py
+++ b/tests/pooling/test_write_barrier.py
@@ -138,6 +138,35 @@
     assert started.host in report.hosts
 
 
+async def test_host_that_has_removed_its_entry_is_not_missing():
+    """It holds no connection any more, and is gone before it could confirm."""
+    peers = Peers(b=None, c=QuiesceReply())
+    barrier, _ = make_barrier(peers)
+
+    async def remove_host() -> None:
+        del barrier.fleet.hosts[B]
+
+    barrier.refresh_hosts = remove_host
+    report = await barrier.quiesce(S1, TERM, TOKEN, HOLD_MS)
+    assert report.missing == ()
+    assert report.is_complete
+
+
+async def test_hosts_are_asked_while_the_store_is_slow():
+    """Writes wait for the whole round."""
+    peers = Peers(b=QuiesceReply(), c=QuiesceReply())
+    barrier, _ = make_barrier(peers)
+    asked = []
+
+    async def answer_late() -> None:
+        await asyncio.sleep(0.05)
+        asked.extend(host for host, _ in peers.asked)
+
+    barrier.refresh_hosts = answer_late
+    await barrier.quiesce(S1, TERM, TOKEN, HOLD_MS)
+    assert set(asked) == {B, C}
+
+
 async def test_all_hosts_send_again_to_a_primary_that_was_not_replaced():
     peers = Peers(b=QuiesceReply(), c=QuiesceReply())
     barrier, host = make_barrier(peers)
