--- a/tests/soak/changes.py
+++ b/tests/soak/changes.py
@@ -237,13 +237,14 @@
 ) -> None:
     """Inject a fault at the holder of the lease, and maybe at the next one too."""
     rng, cluster = releases.random, releases.cluster
-    done: list[str] = []
+    # A lease that was left to others names no host.
+    unhit = {host.name for host in cluster.hosts}
     for share in HIT_SHARES:
         if rng.random() >= share or not kinds:
             return
-        while (name := find_holder(cluster, group)) in ("", *done):
+        while (name := find_holder(cluster, group)) not in unhit:
             await asyncio.sleep(POLL_S)
-        done.append(name)
+        unhit.remove(name)
         await asyncio.sleep(rng.uniform(*HIT_AFTER_S))
         hit = rng.choice(kinds)
         host = next(h for h in cluster.hosts if h.name == name)
--- a/tests/soak/test_model.py
+++ b/tests/soak/test_model.py
@@ -7,6 +7,7 @@
 
 import pytest
 
+from . import changes
 from .model import (
     EARLIER_ENTRIES,
     EARLIER_LEARNING_S,
@@ -765,3 +766,21 @@
     assert store.groups["g"].leader.name == "g-2"
     assert not asked.done()
     assert await asked == 200
+
+
+async def test_lease_that_was_left_to_others_stops_no_faults_at_holders(monkeypatch):
+    names = iter(["", "left-by:h0", "h0"])
+    hosts = []
+
+    async def record(cluster, host, hit, rng):
+        hosts.append(host.name)
+
+    monkeypatch.setattr(changes, "find_holder", lambda cluster, group: next(names))
+    monkeypatch.setattr(changes, "_record_hit", record)
+    monkeypatch.setattr(changes, "HIT_SHARES", (1.1,))
+    monkeypatch.setattr(changes, "HIT_AFTER_S", (0.0, 0.0))
+    cluster = SimpleNamespace(hosts=[SimpleNamespace(name="h0")])
+    releases = SimpleNamespace(random=random.Random(1), cluster=cluster)
+    async with asyncio.TaskGroup() as tasks:
+        await changes._hit_holders(releases, None, [record], tasks)
+    assert hosts == ["h0"]
