Write a host's entry as soon as the store answers again

Cause: a host admits callers once others can know of it, for 1 s at most; an entry that couldn't be written was due again 2 s after the failure. Change: it is due at once when the rest has been read.

--- a/src/apricotshore/pooling/host_watcher.py
+++ b/src/apricotshore/pooling/host_watcher.py
@@ -104,9 +104,11 @@
         self.wake.set()
 
     async def wait_until_written(self, timeout_s: float) -> None:
-        """Wait until this host's entry was written, if it has one, or a time limit."""
+        """Write this host's entry, if it has one, and wait for that or a time limit."""
         if self.entry is None:
             return
+        # A write that failed while the store was away is not due yet.
+        self.wake.set()
         try:
             async with asyncio.timeout(timeout_s):
                 await self.was_written.wait()
--- a/tests/pooling/test_host_watcher.py
+++ b/tests/pooling/test_host_watcher.py
@@ -152,6 +152,20 @@
         assert [line[:25] for line in lines] == ["the entry was not removed"]
 
 
+async def test_entry_is_written_at_once_when_the_store_is_back(monkeypatch):
+    """Callers wait for it after a start amid an outage of the store."""
+    async with running(monkeypatch) as bed:
+        bed.store.down = True
+        bed.watcher.mark_leaving()
+        await asyncio.sleep(0.05)
+        bed.watcher.was_written.clear()
+        bed.store.down = False
+        monkeypatch.setattr(host_watcher, "RETRY_PERIOD_S", 30.0)
+        async with asyncio.timeout(1.0):
+            await bed.watcher.wait_until_written(30.0)
+        assert bed.store.hosts[HOST] == LEAVING
+
+
 async def test_entry_that_is_gone_is_written_again(monkeypatch):
     monkeypatch.setattr(host_watcher, "FIRST_HOSTS_PERIOD_S", 0.05)
     monkeypatch.setattr(host_watcher, "STALE_LIST_MS", 20)
