See the lead of a primary that writes keep full

The holder alone didn't learn that its target led: a BEGIN and a STATUS take a slot, which the other hosts' statements held all the time; the holder asked every 100 ms only, and sent no writes there, as the target had denied to lead before the effect. So the change stayed open, and a replica paused.

Change: a lone write that succeeded shows who leads, as a BEGIN does; an entry that names a server after its denial is tried again; a host without a primary asks full servers every 20 ms; the holder reads the list of servers again where an order shows no effect for 1 s.

--- a/src/apricotshore/decisions/leadership.py
+++ b/src/apricotshore/decisions/leadership.py
@@ -29,6 +29,9 @@
         Since when the primary gives no answer, None while it answers.
     refused
         Servers that denied leading since the last proof, and when they were asked.
+    claimed
+        Since when the store's entry of a server says that it leads, in milliseconds
+        since boot.
     """
 
     primary: ServerId | None = None
@@ -38,6 +41,7 @@
     confirmed_at: int = 0
     silent_since: int | None = None
     refused: dict[ServerId, int] = field(default_factory=dict)
+    claimed: dict[ServerId, int] = field(default_factory=dict)
 
 
 def needs_status(state: PrimaryState, server: ServerId) -> bool:
@@ -143,6 +147,16 @@
         state.silent_since = now
 
 
+def observe_claim(
+    state: PrimaryState, server: ServerId, now: int, *, is_claimed: bool
+) -> None:
+    """Record whether the store's entry of a server says that it leads."""
+    if is_claimed:
+        state.claimed.setdefault(server, now)
+    else:
+        state.claimed.pop(server, None)
+
+
 def list_candidates(
     state: PrimaryState, servers: list[ListedServer]
 ) -> tuple[ListedServer, ...]:
@@ -166,5 +180,11 @@
     if state.primary in listed:
         return state.primary
     claims = [s.server for s in servers if s.reports_primary]
-    untried = [s for s in claims if s not in state.refused]
+    untried = [s for s in claims if not _is_claim_refused(state, s)]
     return untried[0] if len(untried) == 1 else None
+
+
+def _is_claim_refused(state: PrimaryState, server: ServerId) -> bool:
+    """Return whether a server has denied leading since its entry says that it does."""
+    refused_at = state.refused.get(server)
+    return refused_at is not None and refused_at >= state.claimed.get(server, 0)
--- a/src/apricotshore/pooling/autocommit.py
+++ b/src/apricotshore/pooling/autocommit.py
@@ -175,6 +175,7 @@
         clean = False
         number = group.writes.begin()
         answered = False
+        asked_at = read_boot_ms()
         try:
             answers = await pool.run(pooled, [job.query], None, left_ms)
             clean = True
@@ -193,6 +194,7 @@
             session.log_position = later_position(
                 session.log_position, answer.log_position
             )
+            group.observe_write(pool.server.server, answer.log_position, asked_at)
             return answer
         if answer.failure.verdict is not Verdict.NOT_RUN:
             return answer
--- a/src/apricotshore/pooling/change_steps.py
+++ b/src/apricotshore/pooling/change_steps.py
@@ -1,7 +1,7 @@
 """Steps of one change of primary: commands, the lease and the promotion."""
 
 import asyncio
-from collections.abc import Awaitable, Callable, Iterable
+from collections.abc import Awaitable, Callable, Coroutine, Iterable
 
 from ..decisions import (
     change_attempt,
@@ -52,6 +52,9 @@
 # Pause after the first of several answers: the others often come with it.
 ANSWER_PAUSE_S = 0.003
 EFFECT_PAUSE_S = 0.05
+# An order that shows no effect for this long has the servers listed, with a pause.
+LATE_EFFECT_MS = 1_000
+LATE_LIST_PAUSE_S = 0.5
 # Longest wait for servers that the store no longer lists; most of them are gone.
 UNLISTED_WAIT_S = 0.2
 # Commands that are repeated until a promotion takes effect: one without an answer
@@ -424,19 +427,38 @@
         if step.primary is not None:
             self._send(step.primary, QueryKind.STEP_DOWN, step.term)
             self._begin_search(step.primary, step.term)
+        self._begin_late_list()
         self.group.probe_wanted.set()
         await asyncio.sleep(EFFECT_PAUSE_S)
 
+    def _begin_late_list(self) -> None:
+        """List the servers where no effect is seen: the target may be too full to say.
+
+        Its entry tells that it leads, so that this host sends it writes.
+        """
+        target = self.attempt.requested
+        is_late = read_boot_ms() - self.promotion.made_at >= LATE_EFFECT_MS
+        if is_late and target is not None:
+            self._begin(target, self._list_late)
+
+    async def _list_late(self) -> None:
+        await self._list_servers()
+        await asyncio.sleep(LATE_LIST_PAUSE_S)
+
     def _begin_search(self, primary: ServerId, term: Term) -> None:
         """Search again while the former primary may lead: a server may have joined."""
         status = self.attempt.statuses.get(primary)
-        may_lead = status is None or status.is_primary
-        if may_lead and (self.search is None or self.search.done()):
-            self.search = asyncio.get_running_loop().create_task(
-                self._search(primary, term)
-            )
+        if status is None or status.is_primary:
+            self._begin(primary, lambda: self._search(primary, term))
+
+    def _begin(
+        self, server: ServerId, search: Callable[[], Coroutine[object, object, None]]
+    ) -> None:
+        """Begin a search on behalf of a server, unless one is under way."""
+        if self.search is None or self.search.done():
+            self.search = asyncio.get_running_loop().create_task(search())
             self.search.add_done_callback(
-                lambda done: self._record_failure(primary, done)
+                lambda done: self._record_failure(server, done)
             )
 
     async def _search(self, primary: ServerId, term: Term) -> None:
--- a/src/apricotshore/pooling/group.py
+++ b/src/apricotshore/pooling/group.py
@@ -23,6 +23,8 @@
 
 # A host learns of a change in the store after a pause of its watch and one call.
 LEARNED_AFTER_MS = 1_600
+# A write shows that its server leads where nothing has for this long.
+WRITE_PROOF_MS = 50
 # Servers without an entry that still get commands.
 MAX_UNLISTED = 4
 
@@ -163,6 +165,12 @@
         old = self.servers.get(server.server)
         self._forget_unlisted(server)
         self.servers[server.server] = server
+        leadership.observe_claim(
+            self.primary_state,
+            server.server,
+            read_boot_ms(),
+            is_claimed=server.reports_primary,
+        )
         if old is not None and old.started_ms != server.started_ms:
             self.log_lost_at = read_boot_ms()
             self.journal.record(
@@ -196,6 +204,7 @@
             return
         self._keep_unlisted(removed)
         self.leaving.pop(server, None)
+        self.primary_state.claimed.pop(server, None)
         self.log_lost_at = read_boot_ms()
         self.journal.record(EventKind.SERVER_GONE, group=self.group, server=server)
         self._drop_pool(server)
@@ -389,6 +398,27 @@
         self.observe_position(log_position, asked_at)
         return True
 
+    def observe_write(
+        self, server: ServerId, log_position: LogPosition | None, asked_at: int
+    ) -> None:
+        """Record that a server stored a lone write, which only the primary does.
+
+        One that writes keep full answers no other question.
+
+        Parameters
+        ----------
+        server, asked_at
+            See `observe_begin`.
+        log_position
+            End of its log, None without one.
+        """
+        state = self.primary_state
+        if log_position is None or self.prover is not None:
+            return
+        is_known = state.primary not in (None, server)
+        if not is_known and asked_at - state.confirmed_at >= WRITE_PROOF_MS:
+            self.observe_primary(server, log_position.term, asked_at)
+
     def observe_proof(self, server: ServerId, since: int) -> None:
         """Record that a server that began a transaction was primary at ``since``."""
         begun = self.begun
--- a/src/apricotshore/pooling/prober.py
+++ b/src/apricotshore/pooling/prober.py
@@ -13,6 +13,9 @@
 from .supervision import keep_running
 
 SEARCH_PERIOD_S = 0.1
+# The same where a server that may lead is full: whoever asks when a slot becomes free
+# gets it.
+FULL_PERIOD_S = 0.02
 TICK_S = 0.05
 
 
@@ -82,7 +85,8 @@
         results = await asyncio.gather(*(self._ask(s.server) for s in candidates[1:]))
         is_certain = ProbeResult.UNKNOWN not in (first, *results)
         self._observe_no_primary(is_certain=is_certain)
-        await asyncio.sleep(SEARCH_PERIOD_S)
+        may_be_full = not is_certain and self.group.primary_state.primary is None
+        await asyncio.sleep(FULL_PERIOD_S if may_be_full else SEARCH_PERIOD_S)
 
     def _observe_no_primary(self, *, is_certain: bool) -> None:
         group = self.group
