Store nothing at a stand-in's server that doesn't lead

A server that doesn't lead answers READONLY, by the protocol.

Change: the stand-in looks whether the server leads when the statement begins.

--- a/standins/in_memory.py
+++ b/standins/in_memory.py
@@ -278,7 +278,7 @@
 
     async def commit(self, primary: ModelServer, text: str) -> bool:
         """Append an entry and return whether it was acknowledged."""
-        if self.is_full(primary):
+        if self.is_full(primary) or not primary.is_primary:
             return False
         primary.running += 1
         try:
--- a/tests/pooling/test_late_acknowledgement.py
+++ b/tests/pooling/test_late_acknowledgement.py
@@ -84,3 +84,13 @@
         model.servers[S2].busy = model.servers[S3].busy = False
         await wait_until(lambda: model.promotions, 3.0)
     assert model.lost == []
+
+
+async def test_statement_that_begins_after_the_step_down_stores_nothing():
+    """The stand-in's primary stored one as an entry of the later term."""
+    model = ModelGroup.make()
+    primary = model.servers[S1]
+    work = asyncio.create_task(model.commit(primary, "w1"))
+    primary.is_primary, primary.term = False, 2
+    assert not await work
+    assert primary.log == []
