--- a/tests/platform_adapter/test_sockets.py
+++ b/tests/platform_adapter/test_sockets.py
@@ -152,6 +152,40 @@
     assert received.startswith(b"READY I -\r\nERROR MALFORMED")
 
 
+async def send_on(writer, pieces, size=200_000):
+    """Go on sending, as a caller does that hasn't read the answer yet."""
+    for _ in range(pieces):
+        writer.write(b"x" * size)
+        await asyncio.sleep(0.01)
+
+
+async def test_malformed_line_is_answered_though_more_is_sent():
+    """A close with unread bytes resets, and the answer is lost on its way."""
+    async with front(echo) as (reader, writer):
+        writer.write(b"STARTUP shop u1\r\nNONSENSE\r\n")
+        await send_on(writer, 8)
+        received = await reader.read()
+    assert received.startswith(b"READY I -\r\nERROR MALFORMED")
+
+
+async def test_malformed_start_is_answered_though_more_is_sent():
+    async with front(echo) as (reader, writer):
+        writer.write(b"NONSENSE\r\n")
+        await send_on(writer, 8)
+        received = await reader.read()
+    assert received.startswith(b"ERROR MALFORMED")
+
+
+async def test_caller_that_never_ends_its_line_is_closed_soon():
+    async with front(echo) as (reader, writer):
+        writer.write(b"STARTUP shop u1\r\nNONSENSE\r\n")
+        with pytest.raises(ConnectionError):
+            async with asyncio.timeout(2 * callers.LINGER_S + 1.0):
+                while True:
+                    await send_on(writer, 1)
+                    await writer.drain()
+
+
 @asynccontextmanager
 async def store(handler):
     """Run a store that answers each request with ``handler(request)``."""
