--- a/src/apricotshore/decisions/relays.py
+++ b/src/apricotshore/decisions/relays.py
@@ -167,6 +167,11 @@
     return backoffs is not None and now < backoffs.until
 
 
+def list_backed_off(fleet: Fleet, now: int) -> set[HostId]:
+    """List the hosts that failed as relays and aren't used for a while."""
+    return {host for host in fleet.backoffs if _is_backed_off(fleet, host, now)}
+
+
 def observe_failure(fleet: Fleet, host: HostId, now: int) -> None:
     """Record that a relay failed."""
     before = fleet.backoffs.get(host)
