Count in a repeated request what an earlier one ended or closed

Cause: a host that is asked twice in a round, through a forwarder whose answer was lost and then directly, would say the second time that it closed nothing. Change: requests can say that they are repeated, and name a share; the gate keeps its counts for 1 s. Nothing sends either yet.

--- a/src/apricotshore/pooling/group.py
+++ b/src/apricotshore/pooling/group.py
@@ -322,7 +322,9 @@
         ends the hold.
         """
         gate = self._find_gate(request.server)
-        reply = await gate.quiesce(request.term, request.token, request.hold_ms)
+        reply = await gate.quiesce(
+            request.term, request.token, request.hold_ms, repeated=request.repeated
+        )
         if reply.closed:
             # Their answers were not awaited any longer, so they show no stall.
             self.writes.unanswered.clear()
--- a/src/apricotshore/pooling/ports.py
+++ b/src/apricotshore/pooling/ports.py
@@ -9,6 +9,7 @@
 from typing import Protocol
 
 from ..decisions.relays import ListedHost
+from ..decisions.rounds import HostAddress
 from ..groups import LogPosition
 from ..identifiers import (
     DatabaseId,
@@ -349,6 +350,11 @@
     hold_ms
         Time after which the host sends again in any case, in milliseconds; 0 has it
         send again at once.
+    share
+        Other hosts that the host is to ask as well, at once and directly.
+    repeated
+        Whether an earlier request of the same round may have reached the host, so
+        that its reply has to count what that one closed.
     """
 
     group: GroupId
@@ -356,6 +362,8 @@
     term: Term
     token: FencingToken
     hold_ms: int
+    share: tuple[HostAddress, ...] = ()
+    repeated: bool = False
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -368,17 +376,23 @@
         Statements that were in progress and got their answers.
     closed
         Statements whose connections the host closed before there was an answer.
+    forwarded
+        Hosts of the request's share that confirmed; the counts above are sums then.
+    missing
+        Hosts of the request's share that gave no confirmation.
     """
 
     ended: int = 0
     closed: int = 0
+    forwarded: int = 0
+    missing: tuple[HostId, ...] = ()
 
 
 class HostPeers(Protocol):
     """Client of the other hosts of the fleet."""
 
     async def quiesce(
-        self, host: ListedHost, request: QuiesceRequest, timeout_s: float
+        self, host: ListedHost | HostAddress, request: QuiesceRequest, timeout_s: float
     ) -> QuiesceReply:
         """Have a host send nothing more to a server, and wait for its confirmation.
 
--- a/src/apricotshore/pooling/server_gate.py
+++ b/src/apricotshore/pooling/server_gate.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import itertools
+from dataclasses import dataclass
 
 from ..identifiers import FencingToken, ServerId, Term
 from ..queries import Query, QueryKind
@@ -12,6 +13,9 @@
 END_WAIT_S = 0.2
 # Time for the task of a statement to learn that its connection was closed.
 CLOSE_WAIT_S = 0.1
+# Time for which the reply to a repeated request counts what an earlier one ended or
+# closed: longer than a round lasts.
+COUNTS_KEPT_MS = 1_000
 # Statements that may commit: a lone write does, whether it was prepared or not.
 _COMMITTING = frozenset({QueryKind.WRITE, QueryKind.EXECUTE, QueryKind.COMMIT})
 # Statements that go on at a server that is being replaced: commands, questions whether
@@ -36,6 +40,23 @@
         super().__init__(f"{server} is being replaced as the primary", sent=False)
 
 
+@dataclass(kw_only=True, slots=True)
+class _Count:
+    """What one request to quiesce did.
+
+    Parameters
+    ----------
+    at
+        When it came, in milliseconds since boot.
+    ended, closed
+        Statements that got their answers, and that were closed without one.
+    """
+
+    at: int
+    ended: int
+    closed: int = 0
+
+
 class ServerGate:
     """Gate that every statement of this host to one server passes.
 
@@ -60,6 +81,7 @@
         # Connections of statements that may commit and have no answer.
         self.running: dict[int, BackendConnection] = {}
         self.ended = asyncio.Event()
+        self.counts: list[_Count] = []
 
     @property
     def is_shut(self) -> bool:
@@ -92,7 +114,7 @@
             self.ended.set()
 
     async def quiesce(
-        self, term: Term, token: FencingToken, hold_ms: int
+        self, term: Term, token: FencingToken, hold_ms: int, *, repeated: bool = False
     ) -> QuiesceReply:
         """Shut the gate, and end the statements that may commit.
 
@@ -107,6 +129,9 @@
             Fencing token of the change.
         hold_ms
             Time after which the gate opens by itself, in milliseconds; 0 opens it.
+        repeated
+            Whether what an earlier request of the same round ended or closed is counted
+            too.
         """
         if hold_ms <= 0:
             # A request of a former holder may come late.
@@ -117,13 +142,25 @@
         self.term = max(self.term, term)
         self.shut_until = max(self.shut_until, read_boot_ms() + hold_ms)
         self.opened.clear()
-        begun = len(self.running)
+        count = self._begin_count()
         await self._wait_for_end(END_WAIT_S)
         late = list(self.running.values())
         for link in late:
             link.abandon()
+        count.ended -= len(late)
+        count.closed = len(late)
         await self._wait_for_end(CLOSE_WAIT_S)
-        return QuiesceReply(ended=begun - len(late), closed=len(late))
+        counts = self.counts if repeated else [count]
+        return QuiesceReply(
+            ended=sum(c.ended for c in counts), closed=sum(c.closed for c in counts)
+        )
+
+    def _begin_count(self) -> _Count:
+        now = read_boot_ms()
+        count = _Count(at=now, ended=len(self.running))
+        self.counts = [c for c in self.counts if now - c.at < COUNTS_KEPT_MS]
+        self.counts.append(count)
+        return count
 
     async def _wait_for_end(self, limit_s: float) -> None:
         """Wait until no statement is in progress, or until the limit."""
--- a/tests/pooling/test_server_gate.py
+++ b/tests/pooling/test_server_gate.py
@@ -7,6 +7,7 @@
 from apricotshore.decisions.placement import Distance, ServerLoad
 from apricotshore.groups import LogPosition
 from apricotshore.identifiers import FencingToken, ServerId, Term
+from apricotshore.pooling import server_gate
 from apricotshore.pooling.pool import ServerPool
 from apricotshore.pooling.ports import (
     ConnectionLostError,
@@ -121,6 +122,50 @@
         await task
 
 
+async def test_repeated_request_counts_what_an_earlier_one_closed():
+    """The reply to the earlier one was lost: the server may learn late of the close."""
+    gate = ServerGate(server=S1)
+    task = await begin(make_pool(1.5, gate), write())
+    await gate.quiesce(TERM, TOKEN, HOLD_MS)
+    assert await gate.quiesce(TERM, TOKEN, HOLD_MS) == QuiesceReply()
+    reply = await gate.quiesce(TERM, TOKEN, HOLD_MS, repeated=True)
+    assert reply == QuiesceReply(closed=1)
+    with pytest.raises(ConnectionLostError):
+        await task
+
+
+async def test_repeated_request_counts_what_an_earlier_one_waited_for():
+    gate = ServerGate(server=S1)
+    task = await begin(make_pool(0.05, gate), write())
+    await gate.quiesce(TERM, TOKEN, HOLD_MS)
+    reply = await gate.quiesce(TERM, TOKEN, HOLD_MS, repeated=True)
+    assert reply == QuiesceReply(ended=1)
+    await task
+
+
+async def test_repeated_request_amid_an_earlier_one_counts_what_that_closes():
+    gate = ServerGate(server=S1)
+    task = await begin(make_pool(1.5, gate), write())
+    earlier = asyncio.create_task(gate.quiesce(TERM, TOKEN, HOLD_MS))
+    await asyncio.sleep(0.1)
+    reply = await gate.quiesce(TERM, TOKEN, HOLD_MS, repeated=True)
+    assert reply.closed == 1
+    assert await earlier == QuiesceReply(closed=1)
+    with pytest.raises(ConnectionLostError):
+        await task
+
+
+async def test_repeated_request_counts_nothing_of_earlier_rounds(monkeypatch):
+    monkeypatch.setattr(server_gate, "COUNTS_KEPT_MS", 10)
+    gate = ServerGate(server=S1)
+    task = await begin(make_pool(0.05, gate), write())
+    await gate.quiesce(TERM, TOKEN, HOLD_MS)
+    await asyncio.sleep(0.02)
+    reply = await gate.quiesce(TERM, TOKEN, HOLD_MS, repeated=True)
+    assert reply == QuiesceReply()
+    await task
+
+
 @pytest.mark.parametrize("query", [write(), COMMIT, EXECUTE, BEGIN_READ])
 async def test_nothing_is_sent_while_the_gate_is_shut(query):
     gate = ServerGate(server=S1)
