Ask the hosts of a large fleet through forwarders

Cause: one process asks 7,399 hosts too slowly for a round of 0.6 s. Change: above 100 other hosts, the holder asks one host of each share, which asks the rest; whom that doesn't confirm, the holder asks directly, 384 at once, until the round ends. Late replies count as missing, and the time of a round never includes that of a slow list.

--- a/src/apricotshore/pooling/host.py
+++ b/src/apricotshore/pooling/host.py
@@ -18,6 +18,7 @@
 from ..services.eras import EraTracker
 from .caller_session import CallerSession
 from .detours import Detours
+from .fleet_asker import FleetAsker
 from .group import Group
 from .host_session import HostSession
 from .host_watcher import HostWatcher
@@ -131,6 +132,7 @@
             measure=settings.measure,
             journal=journal,
         )
+        self.asker = FleetAsker(peers=adapters.peers)
         self.background: set[asyncio.Task[None]] = set()
         self.ended = asyncio.Event()
         self.eras = EraTracker()
@@ -264,6 +266,7 @@
                 fleet=self.fleet,
                 peers=self.adapters.peers,
                 refresh_hosts=self.host_watcher.refresh,
+                asker=self.asker,
             ),
         )
         self.changers[group.group] = changer
@@ -404,8 +407,14 @@
     async def quiesce(self, request: QuiesceRequest) -> QuiesceReply:
         """Send nothing more to a server that another host replaces, and confirm it.
 
-        Only pools of a known group connect to its servers.
+        The hosts of the request's share are asked as well.
         """
+        if request.share:
+            return await self.asker.forward(request, self._quiesce)
+        return await self._quiesce(request)
+
+    async def _quiesce(self, request: QuiesceRequest) -> QuiesceReply:
+        """Quiesce a server at this host; only pools of a known group connect to it."""
         known = self.groups.get(request.group)
         return QuiesceReply() if known is None else await known.quiesce(request)
 
