Count a connection that is on its way to a waiting statement

Cause: a released connection that was passed to a waiting statement counted neither as idle nor as used until that statement went on. Change: it counts as used from when it is passed on. Measured: test_connection_on_its_way_to_a_waiting_statement_is_counted failed (held 0, not 4) and passes.

--- a/src/apricotshore/pooling/pool.py
+++ b/src/apricotshore/pooling/pool.py
@@ -226,8 +226,11 @@
         ) is not None:
             future = self.futures.get(waiter.number)
             if future is not None and not future.done():
+                # Counted now: the statement goes on only in a later turn.
+                self.used.add(id(pooled))
                 future.set_result(pooled)
                 return
+        self.used.discard(id(pooled))
         self.idle.append(pooled)
 
     async def run(
--- a/tests/pooling/test_pool.py
+++ b/tests/pooling/test_pool.py
@@ -1,9 +1,13 @@
 """Pool of connections to one server."""
 
+import asyncio
+
+import pytest
+
 from apricotshore.decisions import quota
 from apricotshore.decisions.placement import Distance, ServerLoad
 from apricotshore.identifiers import ServerId
-from apricotshore.pooling.pool import PooledConnection, ServerPool
+from apricotshore.pooling.pool import NoConnectionError, PooledConnection, ServerPool
 from apricotshore.pooling.server_gate import ServerGate
 from apricotshore.services.clock import read_boot_ms
 from standins.in_memory import ModelDialer, ModelGroup
@@ -79,3 +83,22 @@
         pooled.idle_since -= quota.LONG_IDLE_MS + 1
     pool.close_idle()
     assert pool.idle == []
+
+
+async def test_connection_on_its_way_to_a_waiting_statement_is_counted():
+    """Taken for none, it let a busy host hold twice its largest number."""
+    model = ModelGroup.make()
+    pool = make_pool(model)
+    pool.quota.limit = 10
+    taken = [await acquire(pool) for _ in range(4)]
+    waiting = [asyncio.create_task(acquire(pool)) for _ in taken]
+    await asyncio.sleep(0.01)
+    for pooled in taken:
+        pool.release(pooled, clean=True)
+    assert pool.held == 4
+    with pytest.raises(NoConnectionError):
+        await acquire(pool)
+    assert model.servers[S1].connections == 4
+    for task in waiting:
+        pool.release(await task, clean=True)
+    assert len(pool.idle) == pool.held == 4
