Close connections over a host's share although statements wait

Cause: a host that a server refused halves its share, but released connections went to the statements that waited, and only idle ones were closed. Change: a connection over the share is closed when it is released, whoever waits.

--- a/src/apricotshore/pooling/pool.py
+++ b/src/apricotshore/pooling/pool.py
@@ -215,10 +215,15 @@
         if not clean or self.closed or is_outdated or not pooled.link.usable:
             pooled.link.close()
             return
+        largest = quota.find_max(self.quota, now)
+        while self.idle and self.held >= largest:
+            self.idle.pop(0).link.close()
+        # Passed on to statements that wait, it would never make room for other hosts.
+        if self.held >= largest:
+            pooled.link.close()
+            return
         pooled.idle_since = now
         self._reassign(pooled)
-        while self.idle and self.held > quota.find_max(self.quota, now):
-            self.idle.pop(0).link.close()
 
     def _reassign(self, pooled: PooledConnection) -> None:
         while (
--- a/tests/pooling/test_pool.py
+++ b/tests/pooling/test_pool.py
@@ -102,3 +102,19 @@
     for task in waiting:
         pool.release(await task, clean=True)
     assert len(pool.idle) == pool.held == 4
+
+
+async def test_host_over_its_share_closes_connections_though_statements_wait():
+    """Passed on from one statement to the next, they made room for no other host."""
+    model = ModelGroup.make()
+    pool = make_pool(model)
+    pool.quota.limit = 10
+    taken = [await acquire(pool) for _ in range(4)]
+    waiting = [asyncio.create_task(acquire(pool)) for _ in taken]
+    await asyncio.sleep(0.01)
+    quota.observe_refusal(pool.quota, pool.held, read_boot_ms())
+    for pooled in taken:
+        pool.release(pooled, clean=True)
+    assert model.servers[S1].connections == pool.held == 2
+    outcomes = await asyncio.gather(*waiting, return_exceptions=True)
+    assert sum(isinstance(o, PooledConnection) for o in outcomes) == 2
