Let a host that holds its largest number see if the server refuses more

Change: with statements waiting, such a host tries one more 800 ms after it last opened one. Relays try none: they leave room as it is.

--- a/src/apricotshore/decisions/quota.py
+++ b/src/apricotshore/decisions/quota.py
@@ -3,7 +3,8 @@
 The server's limit is shared by all hosts, which do not know each other. A host
 opens connections on demand. When the server refuses one, every host that is
 refused halves what it holds and then grows again step by step, so that shares
-become even; as long as none is refused, idle connections are kept for longer.
+become even; as long as none is refused, idle connections are kept for longer. A host
+that holds its largest number would not be refused, and tries one more at times.
 """
 
 from dataclasses import dataclass
@@ -11,8 +12,11 @@
 GROWTH_INTERVAL_MS = 400
 # A host without any connection looks for a free one more often.
 EMPTY_RETRY_MS = 80
-# One host never takes more than this share of a server's connections.
+# One host never takes more than this share of a server's connections, and one to try.
 MAX_SHARE = 0.5
+# A host that wants more than its largest number tries one more this long after it last
+# opened one.
+TRIAL_INTERVAL_MS = 800
 # Share of a server's connections for its relays; the rest is left to hosts that
 # cannot reach a relay.
 RELAYS_SHARE = 0.85
@@ -43,6 +47,8 @@
         Largest number for this host at the last rejection, None before.
     refused_at
         When the server last rejected one, in milliseconds since boot.
+    opened_at
+        When this host last began to open one, in milliseconds since boot.
     """
 
     limit: int
@@ -50,6 +56,7 @@
     is_relay: bool = False
     share: int | None = None
     refused_at: int | None = None
+    opened_at: int = 0
 
 
 def find_max(quota: ConnectionQuota, now: int) -> int:
@@ -70,7 +77,21 @@
     pause = GROWTH_INTERVAL_MS if held else EMPTY_RETRY_MS
     if refused is not None and now - refused < pause:
         return False
-    return held < find_max(quota, now)
+    largest = find_max(quota, now)
+    return held < largest or (held == largest and _may_try(quota, now))
+
+
+def _may_try(quota: ConnectionQuota, now: int) -> bool:
+    """Return whether to see if the server refuses one more than the largest number.
+
+    Relays leave connections to others, however many of them they hold.
+    """
+    return not quota.relays and now - quota.opened_at >= TRIAL_INTERVAL_MS
+
+
+def observe_opening(quota: ConnectionQuota, now: int) -> None:
+    """Record that this host begins to open a connection."""
+    quota.opened_at = now
 
 
 def observe_refusal(quota: ConnectionQuota, held: int, now: int) -> None:
--- a/src/apricotshore/pooling/pool.py
+++ b/src/apricotshore/pooling/pool.py
@@ -156,8 +156,10 @@
         return None
 
     async def _open(self) -> PooledConnection | None:
-        if self.closed or not quota.may_open(self.quota, self.held, read_boot_ms()):
+        now = read_boot_ms()
+        if self.closed or not quota.may_open(self.quota, self.held, now):
             return None
+        quota.observe_opening(self.quota, now)
         self.opening += 1
         try:
             link = await self.dialer.dial(self.server, DIAL_TIMEOUT_S)
--- a/tests/test_pooling_decisions.py
+++ b/tests/test_pooling_decisions.py
@@ -159,6 +159,26 @@
     assert quota.may_open(ConnectionQuota(limit=2), 0, 0)
 
 
+def test_host_that_holds_its_largest_number_tries_one_more_at_times():
+    """It is refused nothing otherwise, and would leave others without any."""
+    host_quota = ConnectionQuota(limit=10)
+    due = 1_000 + quota.TRIAL_INTERVAL_MS
+    quota.observe_opening(host_quota, 1_000)
+    assert not quota.may_open(host_quota, 4, due - 1)
+    assert quota.may_open(host_quota, 4, due)
+    assert not quota.may_open(host_quota, 5, due)
+    quota.observe_opening(host_quota, due)
+    assert not quota.may_open(host_quota, 4, due + 1)
+    quota.observe_refusal(host_quota, 4, due)
+    assert quota.find_max(host_quota, due) == 2
+
+
+def test_relay_never_takes_the_room_left_to_others():
+    host_quota = ConnectionQuota(limit=88, relays=4, is_relay=True)
+    largest = quota.find_max(host_quota, 1_000_000)
+    assert not quota.may_open(host_quota, largest, 1_000_000)
+
+
 def test_retry_hint_depends_on_queue_and_outage():
     queue = WaitQueue(hold_ms=100.0)
     assert wait_queue.advise_retry_ms(queue, 0) == wait_queue.FULL_SERVER_RETRY_MS
