--- a/src/apricotshore/pooling/pool.py
+++ b/src/apricotshore/pooling/pool.py
@@ -156,8 +156,10 @@
         return None
 
     async def _open(self) -> PooledConnection | None:
-        if self.closed or not quota.may_open(self.quota, self.held, read_boot_ms()):
+        now = read_boot_ms()
+        if self.closed or not quota.may_open(self.quota, self.held, now):
             return None
+        quota.observe_opening(self.quota, now)
         self.opening += 1
         try:
             link = await self.dialer.dial(self.server, DIAL_TIMEOUT_S)
@@ -215,10 +217,15 @@
         if not clean or self.closed or is_outdated or not pooled.link.usable:
             pooled.link.close()
             return
+        largest = quota.find_max(self.quota, now)
+        while self.idle and self.held >= largest:
+            self.idle.pop(0).link.close()
+        # Passed on to statements that wait, it would never make room for other hosts.
+        if self.held >= largest:
+            pooled.link.close()
+            return
         pooled.idle_since = now
         self._reassign(pooled)
-        while self.idle and self.held > quota.find_max(self.quota, now):
-            self.idle.pop(0).link.close()
 
     def _reassign(self, pooled: PooledConnection) -> None:
         while (
@@ -226,8 +233,11 @@
         ) is not None:
             future = self.futures.get(waiter.number)
             if future is not None and not future.done():
+                # Counted now: the statement goes on only in a later turn.
+                self.used.add(id(pooled))
                 future.set_result(pooled)
                 return
+        self.used.discard(id(pooled))
         self.idle.append(pooled)
 
     async def run(
