Name the primaries that a change replaces in its lease

A promotion may go ahead while a host that has just started sends to a former primary that leads again: the holder hasn't asked it, and nothing tells it of the change. Cause: the lease of a change names its target at most, and nothing of who is replaced. Change: while open it names the former primaries and the latest term of their leads, from the write that takes it on, so before any list of hosts is read; a next holder adds its own. A primary that was found only after that is written with one more call.

--- a/src/apricotshore/decisions/lease.py
+++ b/src/apricotshore/decisions/lease.py
@@ -9,9 +9,17 @@
 the earlier one may have requested has taken effect.
 """
 
+from collections.abc import Iterable
 from dataclasses import dataclass
 
-from ..identifiers import FencingToken, HostId, ServerId, StoreEra, StoreRevision
+from ..identifiers import (
+    FencingToken,
+    HostId,
+    ServerId,
+    StoreEra,
+    StoreRevision,
+    Term,
+)
 
 LEASE_MS = 6_000
 # What a holder sends this long before its lease expires has arrived by then.
@@ -26,6 +34,25 @@
 RANK_STEP_MS = 5_000
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class FormerPrimaries:
+    """The primaries that a change replaces.
+
+    Parameters
+    ----------
+    servers
+        The servers, none while the holder doesn't know who led.
+    term
+        Latest term of their leads.
+    """
+
+    servers: tuple[ServerId, ...] = ()
+    term: Term = Term(0)
+
+
+NO_FORMER = FormerPrimaries()
+
+
 @dataclass(kw_only=True, slots=True)
 class ObservedLease:
     """The lease on a group's change of primary as last read.
@@ -44,6 +71,8 @@
         When this revision was first read, in milliseconds since boot.
     target
         Server whose promotion its holder may have requested, None without one.
+    former
+        The primaries that the change replaces.
     """
 
     era: StoreEra
@@ -52,6 +81,7 @@
     open: bool
     seen_at: int
     target: ServerId | None = None
+    former: FormerPrimaries = NO_FORMER
 
 
 @dataclass(kw_only=True, slots=True)
@@ -91,6 +121,33 @@
     return FencingToken(era << REVISION_BITS | revision)
 
 
+def add_former(earlier: FormerPrimaries, later: FormerPrimaries) -> FormerPrimaries:
+    """Return the primaries that an unfinished change and its next one replace."""
+    return FormerPrimaries(
+        servers=tuple(sorted({*earlier.servers, *later.servers})),
+        term=max(earlier.term, later.term),
+    )
+
+
+def list_replaced(
+    former: FormerPrimaries, target: ServerId | None, servers: Iterable[ServerId]
+) -> tuple[ServerId, ...]:
+    """List the servers that get no writes while a change is open.
+
+    A holder that doesn't know who led treats all servers but the target as former
+    primaries.
+
+    Parameters
+    ----------
+    former, target
+        What the lease of the change names.
+    servers
+        Servers of the group.
+    """
+    replaced = set(former.servers) or set(servers)
+    return tuple(sorted(replaced - {target}))
+
+
 def may_acquire(lease: ObservedLease | None, claim: LeaseClaim, now: int) -> bool:
     """Return whether a changer may acquire the lease of the store's latest era.
 
--- a/src/apricotshore/pooling/change_lease.py
+++ b/src/apricotshore/pooling/change_lease.py
@@ -5,7 +5,7 @@
 from dataclasses import replace
 
 from ..decisions import lease
-from ..decisions.lease import LeaseClaim, ObservedLease
+from ..decisions.lease import NO_FORMER, FormerPrimaries, LeaseClaim, ObservedLease
 from ..identifiers import (
     FencingToken,
     GroupId,
@@ -63,6 +63,8 @@
         self.eras = eras
         self.holder = lease.name_holder(host, address, uuid.uuid4().hex[:8])
         self.seen: ObservedLease | None = None
+        # Primaries that this changer's change replaces.
+        self.former = NO_FORMER
         # What this changer wrote last; nothing else is ever written over by `write`.
         self.own: LeaseRecord | None = None
         self.writes = 0
@@ -149,6 +151,7 @@
             open=record.open,
             seen_at=read_boot_ms(),
             target=record.target,
+            former=record.former,
         )
 
     async def is_abandoned(self, rank: int) -> bool:
@@ -181,8 +184,15 @@
         """Delay the next attempt to finish a change that could not be finished."""
         self.check_after = read_boot_ms() + UNSETTLED_PAUSE_MS
 
-    async def acquire(self) -> FencingToken | None:
-        """Take the lease; return its fencing token, None while another may hold it."""
+    async def acquire(self, former: FormerPrimaries = NO_FORMER) -> FencingToken | None:
+        """Take the lease; return its fencing token, None while another may hold it.
+
+        Parameters
+        ----------
+        former
+            The primaries that the change replaces, as far as they are known. Those of
+            an unfinished change are added.
+        """
         is_absent = self.current is None and self.absent_in == self.eras.era
         if is_absent and not self._may_acquire():
             return None
@@ -195,8 +205,16 @@
         elif not current.open:
             self.follows_lost = False
         base = current.revision if current is not None else StoreRevision(0)
+        is_unfinished = current is not None and current.open
+        self.former = (
+            lease.add_former(current.former, former) if is_unfinished else former
+        )
         return await self._write(base, still_open=True, target=self.target)
 
+    def name_former(self, former: FormerPrimaries) -> None:
+        """Add primaries that the change replaces, for the next write."""
+        self.former = lease.add_former(self.former, former)
+
     async def extend(self) -> FencingToken | None:
         """Write the lease again, for another `LEASE_MS`; see `write`."""
         target = self.own.target if self.own is not None else None
@@ -263,6 +281,7 @@
                 holder=self.holder,
                 open=still_open,
                 target=target,
+                former=self.former if still_open else NO_FORMER,
                 number=self.writes,
             )
             former = self.current
--- a/src/apricotshore/pooling/change_steps.py
+++ b/src/apricotshore/pooling/change_steps.py
@@ -30,6 +30,7 @@
     read_status,
 )
 from ..decisions.commit_barrier import BarrierProof
+from ..decisions.lease import FormerPrimaries
 from ..groups import LogPosition
 from ..identifiers import FencingToken, HostId, Position, ServerId, Term
 from ..queries import QueryKind, ServerReport
@@ -464,6 +465,10 @@
 
     async def _record_target(self, server: ServerId) -> bool:
         """Record the target in the lease; return False if the lease is lost."""
+        former = commit_barrier.list_led(self.attempt)
+        self.lease.name_former(
+            FormerPrimaries(servers=former, term=self.attempt.from_term)
+        )
         try:
             token = await self.lease.write(still_open=True, target=server)
         except StoreError as error:
--- a/src/apricotshore/pooling/ports.py
+++ b/src/apricotshore/pooling/ports.py
@@ -8,6 +8,7 @@
 from enum import Enum
 from typing import Protocol
 
+from ..decisions.lease import NO_FORMER, FormerPrimaries
 from ..decisions.relays import ListedHost
 from ..groups import LogPosition
 from ..identifiers import (
@@ -94,6 +95,8 @@
         Whether the change is still in progress.
     target
         Server whose promotion may have been requested, None without one.
+    former
+        The primaries that the change replaces; none of a change that has ended.
     number
         Number of the write among those of its holder. The store takes a write that
         changes nothing for none, and others would see the lease expire.
@@ -105,6 +108,7 @@
     holder: str
     open: bool
     target: ServerId | None = None
+    former: FormerPrimaries = NO_FORMER
     number: int = 0
 
 
--- a/src/apricotshore/pooling/primary_changer.py
+++ b/src/apricotshore/pooling/primary_changer.py
@@ -8,7 +8,8 @@
 from ..decisions import change_triggers, lease, relays
 from ..decisions.change_attempt import Attempt
 from ..decisions.change_triggers import ChangeConditions
-from ..identifiers import HostId, ServerId, Term
+from ..decisions.lease import FormerPrimaries
+from ..identifiers import FencingToken, HostId, ServerId, Term
 from ..queries import QueryKind
 from ..services.clock import read_boot_ms
 from ..services.eras import EraTracker
@@ -198,12 +199,16 @@
             return
         if reason != "unfinished" and not self._is_needed(reason):
             return
-        token = None if self.should_stop else await self.lease.acquire()
+        former = self._find_former()
+        token = None if self.should_stop else await self.lease.acquire(former)
         if token is None:
             await asyncio.sleep(STORE_RETRY_S)
             return
         leased_at = read_boot_ms()
         is_confirmed = await self._confirm_reason(reason)
+        token = await self._name_former(token)
+        if token is None:
+            return
         began += read_boot_ms() - leased_at
         attempt = self._make_attempt(reason, began)
         self.commands.begin_change()
@@ -278,6 +283,28 @@
         await asyncio.gather(*waiting, return_exceptions=True)
         return any(is_answer(question.result()) for question in done)
 
+    def _find_former(self) -> FormerPrimaries:
+        """Return the primary that a change would replace, as far as it is known."""
+        primary_state = self.group.primary_state
+        primary = self.group.primary or primary_state.primary
+        if primary is None:
+            return FormerPrimaries()
+        return FormerPrimaries(servers=(primary,), term=primary_state.term)
+
+    async def _name_former(self, token: FencingToken) -> FencingToken | None:
+        """Name a primary in the lease that was found since it was taken.
+
+        Returns
+        -------
+        FencingToken or None
+            The token of the lease, None if it is lost.
+        """
+        former = self._find_former()
+        if set(former.servers) <= set(self.lease.former.servers):
+            return token
+        self.lease.name_former(former)
+        return await self.lease.extend()
+
     def _make_attempt(self, reason: str, began: int) -> Attempt:
         primary_state = self.group.primary_state
         replaced = self.group.primary or primary_state.primary
--- a/tests/platform_adapter/test_objects.py
+++ b/tests/platform_adapter/test_objects.py
@@ -11,8 +11,9 @@
     encode_host,
 )
 
+from apricotshore.decisions.lease import FormerPrimaries
 from apricotshore.decisions.relays import ListedHost
-from apricotshore.identifiers import DataCentreId, HostId
+from apricotshore.identifiers import DataCentreId, HostId, Term
 from apricotshore.routes import Consistency
 
 META = {"name": "main", "revision": 7}
@@ -119,6 +120,31 @@
     assert (held.group, held.era) == ("g.1", 2)
 
 
+def test_lease_names_the_primaries_that_a_change_replaces():
+    meta = {"name": "g1.2", "revision": 7}
+    spec = {"holder": "h/1", "open": True, "former": ["i-1", "i-2"], "formerTerm": 4}
+    held = decode_lease(make(spec, meta))
+    assert held is not None
+    assert held.former == FormerPrimaries(servers=("i-1", "i-2"), term=Term(4))
+
+
+def test_lease_of_an_older_host_names_no_former_primary():
+    held = decode_lease(
+        make({"holder": "h/1", "open": True}, {"name": "g1.2", "revision": 7})
+    )
+    assert held is not None
+    assert held.former == FormerPrimaries()
+
+
+@pytest.mark.parametrize(
+    "change",
+    [{"former": "i-1"}, {"former": [1]}, {"former": ["a b"]}, {"formerTerm": -1}],
+)
+def test_lease_with_invalid_former_primaries_is_none(change):
+    spec = {"holder": "h/1", "open": True, **change}
+    assert decode_lease(make(spec, {"name": "g1.2", "revision": 7})) is None
+
+
 @pytest.mark.parametrize("name", ["g1", ".2", "g1.", "g1.x"])
 def test_lease_without_a_group_and_an_era_is_none(name):
     meta = {"name": name, "revision": 7}
--- a/tests/platform_adapter/test_sockets.py
+++ b/tests/platform_adapter/test_sockets.py
@@ -9,7 +9,15 @@
 from apricotshore_platform.backends import LineDialer
 from apricotshore_platform.store import PlatformStore
 
-from apricotshore.identifiers import GroupId, HostId, ServerId, StoreEra, StoreRevision
+from apricotshore.decisions.lease import FormerPrimaries
+from apricotshore.identifiers import (
+    GroupId,
+    HostId,
+    ServerId,
+    StoreEra,
+    StoreRevision,
+    Term,
+)
 from apricotshore.pooling.ports import (
     CallerHandler,
     ConnectionLostError,
@@ -321,6 +329,7 @@
             revision=StoreRevision(0),
             holder="h",
             open=True,
+            former=FormerPrimaries(servers=(ServerId("i-1"),), term=Term(4)),
         )
         first = (await client.write_lease(empty)).record
         second = (await client.write_lease(first)).record
@@ -329,6 +338,7 @@
     assert [path.rpartition("/")[2] for _, path, _ in calls[1:]] == ["g1.2", "g1.2"]
     assert [method for method, _, _ in calls] == ["POST", "PUT", "PUT"]
     assert (first.revision, second.revision) == (11, 12)
+    assert first.former == second.former == empty.former
 
 
 @pytest.mark.parametrize(("status", "accepted"), [(200, True), (409, False)])
