Have a host that starts send no writes to a server that is replaced

Between order and effect of a promotion the former primary may lead again. A host that had started by then sent it commits, which the ordered server lacked. Cause: the holder had read the list of hosts before, and nothing else told the new host. Change: a host that has written its entry reads one fresh list of the leases before it serves callers, 1 s at most. A store that takes no entry or lists no leases delays the start as before, by 1 s more at most; the leases are read once that is possible.

--- a/src/apricotshore/pooling/change_lease.py
+++ b/src/apricotshore/pooling/change_lease.py
@@ -30,6 +30,10 @@
     """Record nothing."""
 
 
+def _ignore(record: LeaseRecord) -> None:
+    """Do nothing with a lease."""
+
+
 class ChangeLease:
     """Lease that allows one host at a time to change a group's primary.
 
@@ -45,6 +49,8 @@
         Tracker of the store's era.
     record
         Records a phase with its details.
+    on_lease
+        Called with the lease each time that it was read or written.
     """
 
     def __init__(
@@ -56,10 +62,12 @@
         store: ObjectStore,
         eras: EraTracker,
         record: Callable[..., None] = _omit,
+        on_lease: Callable[[LeaseRecord], None] = _ignore,
     ) -> None:
         self.group = group
         self.store = store
         self.record = record
+        self.on_lease = on_lease
         self.eras = eras
         self.holder = lease.name_holder(host, address, uuid.uuid4().hex[:8])
         self.seen: ObservedLease | None = None
@@ -100,6 +108,7 @@
             return
         if self.current is None or record.revision > self.current.revision:
             self._remember(record)
+            self.on_lease(record)
 
     def is_held(self, now: int) -> bool:
         """Return whether this changer still holds the lease.
@@ -136,6 +145,8 @@
             self.seen = None
         elif self.current is None or self.current.revision != record.revision:
             self._remember(record)
+        if record is not None:
+            self.on_lease(record)
         return record
 
     def _get_era(self) -> StoreEra:
@@ -311,6 +322,7 @@
 
     def _keep(self, record: LeaseRecord, sent_at: int) -> FencingToken:
         self.own = record
+        self.on_lease(record)
         self.held_until = sent_at + lease.LEASE_MS if record.open else 0
         return lease.make_token(record.era, record.revision)
 
--- a/src/apricotshore/pooling/group.py
+++ b/src/apricotshore/pooling/group.py
@@ -261,12 +261,13 @@
             load=load,
             limit=self.connections,
             dialer=self.dialer,
-            gate=self._find_gate(server.server),
+            gate=self.find_gate(server.server),
         )
         pool.quota.relays = self.relay_count
         return pool
 
-    def _find_gate(self, server: ServerId) -> ServerGate:
+    def find_gate(self, server: ServerId) -> ServerGate:
+        """Return the gate that every statement to a server passes."""
         return self.gates.setdefault(server, ServerGate(server=server))
 
     def _forget_gates(self) -> None:
@@ -321,7 +322,7 @@
         A request may come late: the next proof that another server leads a later term
         ends the hold.
         """
-        gate = self._find_gate(request.server)
+        gate = self.find_gate(request.server)
         reply = await gate.quiesce(request.term, request.token, request.hold_ms)
         if reply.closed:
             # Their answers were not awaited any longer, so they show no stall.
--- a/src/apricotshore/pooling/host.py
+++ b/src/apricotshore/pooling/host.py
@@ -23,6 +23,7 @@
 from .host_watcher import HostWatcher
 from .journal import EventKind, Journal
 from .metrics import PoolingMetrics
+from .open_changes import OpenChanges
 from .ports import (
     CallerLink,
     Dialer,
@@ -50,6 +51,8 @@
 LOADING_STEP_S = 0.01
 # A store that takes no writes does not keep a host that has read it from serving.
 LISTING_S = 1.0
+# The leases are read once others can know of the host, page by page.
+LEASES_S = 1.0
 # Cancelled sessions need a few turns of the event loop to close their connections.
 CLOSING_S = 0.25
 CLOSING_STEP_S = 0.01
@@ -155,6 +158,12 @@
             entry=_make_entry(settings),
             on_hosts=self._update_hosts,
         )
+        self.open_changes = OpenChanges(
+            store_watcher=self.store_watcher,
+            host_watcher=self.host_watcher,
+            journal=journal,
+            find_group=self.groups.get,
+        )
         self.context = Context(
             host=settings.host,
             find_group=self.groups.get,
@@ -167,6 +176,7 @@
         """Start the watchers of the store."""
         await self.add_runtime_dependency(self.store_watcher)
         await self.add_runtime_dependency(self.host_watcher)
+        await self.add_runtime_dependency(self.open_changes)
         self.journal.record(
             EventKind.STARTED,
             data_centre=self.settings.data_centre,
@@ -265,8 +275,12 @@
                 peers=self.adapters.peers,
                 refresh_hosts=self.host_watcher.refresh,
             ),
+            on_lease=self.open_changes.observe,
         )
         self.changers[group.group] = changer
+        found = self.open_changes.found.get(group.group)
+        if found is not None:
+            changer.observe_lease(found.record)
         await self.add_runtime_dependency(changer)
 
     def _observe_lease(self, record: LeaseRecord) -> None:
@@ -282,6 +296,7 @@
         group = self._get_group(server.group)
         group.update_server(server)
         group.update_relayed(self.dialer.is_relayed)
+        self.open_changes.renew(group)
 
     def _remove_server(self, server: ServerId) -> None:
         home = self.server_groups.pop(server, None)
@@ -424,7 +439,10 @@
 
     @property
     def is_loaded(self) -> bool:
-        """Whether the store has been read, and tells other hosts of this one."""
+        """Whether the store has been read, and tells other hosts of this one.
+
+        Then this host also knows of the changes of primary that are under way.
+        """
         return self.has_read_store and self.has_awaited_entry
 
     @property
@@ -441,6 +459,8 @@
         while not self.has_read_store:
             await asyncio.sleep(LOADING_STEP_S)
         await self.host_watcher.wait_until_written(LISTING_S)
+        # A holder that can't have listed this host has told it of no change.
+        await self.open_changes.wait_until_read(LEASES_S)
         self.has_awaited_entry = True
 
     def refresh_metrics(self) -> None:
--- a/src/apricotshore/pooling/primary_changer.py
+++ b/src/apricotshore/pooling/primary_changer.py
@@ -70,6 +70,8 @@
         Reaches servers through other hosts.
     barrier
         Has all hosts send nothing more to a primary.
+    on_lease
+        Called with the lease each time that it was read or written.
     """
 
     def __init__(
@@ -86,6 +88,7 @@
         refresh_servers: Callable[[], Awaitable[None]],
         detours: Detours,
         barrier: WriteBarrier,
+        on_lease: Callable[[LeaseRecord], None] = lambda record: None,
     ) -> None:
         super().__init__()
         self.group = group
@@ -103,6 +106,7 @@
             store=store,
             eras=eras,
             record=self._record,
+            on_lease=on_lease,
         )
         self.commands = GroupCommands(group=group, is_held=self.lease.is_held)
         self.resumption = Resumption(
--- a/src/apricotshore/pooling/server_gate.py
+++ b/src/apricotshore/pooling/server_gate.py
@@ -109,14 +109,9 @@
             Time after which the gate opens by itself, in milliseconds; 0 opens it.
         """
         if hold_ms <= 0:
-            # A request of a former holder may come late.
-            if token >= self.token:
-                self.open()
+            self.reopen(token)
             return QuiesceReply()
-        self.token = max(self.token, token)
-        self.term = max(self.term, term)
-        self.shut_until = max(self.shut_until, read_boot_ms() + hold_ms)
-        self.opened.clear()
+        self.shut(term, token, hold_ms)
         begun = len(self.running)
         await self._wait_for_end(END_WAIT_S)
         late = list(self.running.values())
@@ -125,6 +120,23 @@
         await self._wait_for_end(CLOSE_WAIT_S)
         return QuiesceReply(ended=begun - len(late), closed=len(late))
 
+    def shut(self, term: Term, token: FencingToken, hold_ms: int) -> None:
+        """Let no statement that may commit pass for a time; see `quiesce`."""
+        if hold_ms <= 0:
+            return
+        self.token = max(self.token, token)
+        self.term = max(self.term, term)
+        self.shut_until = max(self.shut_until, read_boot_ms() + hold_ms)
+        self.opened.clear()
+
+    def reopen(self, token: FencingToken) -> None:
+        """Let statements pass again, unless a later change has shut the gate.
+
+        A request of a former holder may come late.
+        """
+        if token >= self.token:
+            self.open()
+
     async def _wait_for_end(self, limit_s: float) -> None:
         """Wait until no statement is in progress, or until the limit."""
         if not self.running:
--- a/src/apricotshore/pooling/store_watcher.py
+++ b/src/apricotshore/pooling/store_watcher.py
@@ -230,6 +230,22 @@
         if not self.eras.is_settling(RETURN_GRACE_MS):
             self._apply_changes(StoredKind.SERVER, snapshot.changes)
 
+    async def read_leases(self) -> tuple[LeaseRecord, ...]:
+        """Read the leases of the store's latest era as they are now.
+
+        Raises
+        ------
+        StoreError
+            When the store gave no answer of its latest era.
+        """
+        snapshot = await self._list(StoredKind.PRIMARY_CHANGE)
+        found = [change.content for change in snapshot.changes]
+        return tuple(
+            record
+            for record in found
+            if isinstance(record, LeaseRecord) and record.era == self.eras.era
+        )
+
     async def _watch(self, kind: StoredKind, latest: Snapshot) -> Snapshot:
         """Wait for changes after an earlier answer.
 
--- a/tests/barriermodel.py
+++ b/tests/barriermodel.py
@@ -11,6 +11,7 @@
 
 from apricotshore.decisions.change_attempt import BarrierReport, MemberStatus
 from apricotshore.decisions.commit_barrier import QUIESCE_MS, SEAL_MS, UNCONFIRMED_MS
+from apricotshore.decisions.lease import FormerPrimaries, list_replaced
 from apricotshore.identifiers import HostId, ServerId
 
 from .changemodel import FIRST, ChangeModel, Host, Server
@@ -58,11 +59,14 @@
         What it can't do.
     shut_until
         Until when it sends nothing to the former primary.
+    follows_lease
+        Whether it reads the lease of a change that was open when it started.
     """
 
     name: str
     fault: Fault = Fault.NONE
     shut_until: int = 0
+    follows_lease: bool = False
 
 
 @dataclass
@@ -141,6 +145,8 @@
         self.helper: ServerId | None = None
         self.is_round_slow = False
         self.loses_replies = False
+        # Former primaries that the lease names.
+        self.former: tuple[ServerId, ...] = ()
 
     # -- statements --
 
@@ -188,6 +194,8 @@
     def pass_time(self, ms: int) -> None:
         """Advance the clock; the server drops connections that nobody holds."""
         super().pass_time(ms)
+        for caller in self.callers.values():
+            self._read_lease(caller)
         self._drop(
             lambda s: s.dropped_at is not None and self.now >= s.dropped_at,
         )
@@ -226,9 +234,23 @@
             self._close(name)
 
     def start(self, name: str) -> None:
-        """Have a host register, probe for the primary, and be ready to send."""
-        if self.callers[name].fault is Fault.NOT_STARTED:
-            self.callers[name].fault = Fault.NONE
+        """Have a host register, read the lease, and be ready to send."""
+        caller = self.callers[name]
+        if caller.fault is Fault.NOT_STARTED:
+            caller.fault = Fault.NONE
+            caller.follows_lease = True
+            self._read_lease(caller)
+
+    def _read_lease(self, caller: Caller) -> None:
+        """Have a host read the lease, as `open_changes` does, if it follows it."""
+        if not caller.follows_lease or caller.fault not in RUNNING:
+            return
+        former = FormerPrimaries(servers=self.former)
+        if not self.lease.open:
+            caller.follows_lease = False
+            caller.shut_until = 0
+        elif S1 in list_replaced(former, self.lease.target, self.servers):
+            caller.shut_until = self.now + SEAL_MS
 
     def _ask_hosts(self) -> BarrierReport:
         """Have the listed hosts confirm, as `write_barrier` does."""
@@ -310,6 +332,12 @@
         )
         super()._report(host, servers, answers)
 
+    def begin(self, which: int, must_step_down: bool) -> None:
+        """Have a host take the lease, which names the primary, and begin a change."""
+        replaced = self._find_replaced()
+        self.former = () if replaced is None else (replaced,)
+        super().begin(which, must_step_down)
+
     def _find_replaced(self) -> ServerId | None:
         return super()._find_replaced() or S1
 
--- a/tests/test_commit_barrier.py
+++ b/tests/test_commit_barrier.py
@@ -86,6 +86,44 @@
     assert find_loss(make_model(), make_events(fault), DEPTH) is not None
 
 
+def make_start_events(helper: ServerId) -> Mapping[str, Event]:
+    """Return the events of a host that starts while its group's primary may be back."""
+    return {
+        "change": lambda model: take_phase(model, REACHED[helper]),
+        "a starts": lambda model: model.start("a"),
+        "a sends": lambda model: model.send("a"),
+        "a's is stored": lambda model: model.store("a"),
+        "helper receives": lambda model: model.receive(helper),
+        "former primary leads again": lambda model: model.lead_again(),
+        "3 s pass": lambda model: model.pass_time(UNCONFIRMED_MS),
+    }
+
+
+def make_start_model(helper: ServerId, fault: Fault) -> BarrierModel:
+    """Return a group amid a change, and a host that hasn't started."""
+    model = make_model(helper, is_told_only=True)
+    model.statements.clear()
+    model.callers["a"].fault = Fault.NOT_STARTED
+    model.fail("b", fault)
+    return model
+
+
+@pytest.mark.parametrize("phases", [0, 2, 4])
+@pytest.mark.parametrize("fault", [Fault.NONE, Fault.FROZEN])
+@pytest.mark.parametrize("helper", REACHED)
+def test_no_commit_of_a_host_that_starts_is_lost_in_any_order(helper, fault, phases):
+    model = make_start_model(helper, fault)
+    change_times(model, phases, helper)
+    assert find_loss(model, make_start_events(helper), DEPTH) is None
+
+
+def test_model_finds_the_loss_of_a_host_that_reads_no_lease(monkeypatch):
+    monkeypatch.setattr(BarrierModel, "_read_lease", lambda model, caller: None)
+    model = make_start_model(S3, Fault.NONE)
+    change_times(model, 2, S3)
+    assert find_loss(model, make_start_events(S3), DEPTH) is not None
+
+
 # -- single sequences --
 
 
