Name a server that leads amid a change before hosts are asked

Cause: the lease named the primaries that were known when it was taken. Another server that leads in the change was named with the target only, after the list of hosts was read in the replacement of a silent primary: a host that started then found no mention of it. Change: it is written before the hosts are asked; an earlier round is asked again. Where the named ones are all there is, as in an ordinary change, nothing is written.

--- a/src/apricotshore/pooling/change_steps.py
+++ b/src/apricotshore/pooling/change_steps.py
@@ -344,8 +344,10 @@
     async def _seal(self, step: Seal) -> None:
         """Have all hosts confirm that former primaries can't answer them."""
         self._send_beside(step.beside)
-        if self.sealing and self.sealing_since < self.attempt.stepped_down_at:
-            # A host that started before the step-down may not have been listed.
+        is_named_late = await self._name_led()
+        is_early = self.sealing_since < self.attempt.stepped_down_at
+        if self.sealing and (is_early or is_named_late):
+            # A host that started before that may not have been listed.
             self.sealing.cancel()
             self.sealing = None
         self._begin_sealing(step.servers)
@@ -353,6 +355,27 @@
             self.attempt.barrier = await self.sealing
             self.sealing = None
 
+    async def _name_led(self) -> bool:
+        """Name servers in the lease that led since; return whether that was due.
+
+        Hosts that start read it there. One that names nobody stands for all servers.
+        """
+        led = commit_barrier.list_led(self.attempt)
+        named = self.lease.former.servers
+        if not named or set(led) <= set(named):
+            return False
+        self.lease.name_former(
+            FormerPrimaries(servers=led, term=self.attempt.from_term)
+        )
+        try:
+            token = await self.lease.extend()
+        except StoreError as error:
+            self._record("waiting", why=f"store: {error}")
+            return True
+        # Without a token the lease is lost, and no step follows.
+        self.token = token or self.token
+        return True
+
     def _begin_sealing(self, servers: tuple[ServerId, ...]) -> None:
         if self.sealing is None and self.attempt.barrier is None:
             self.sealing_since = read_boot_ms()
--- a/tests/pooling/test_former_primaries.py
+++ b/tests/pooling/test_former_primaries.py
@@ -2,15 +2,20 @@
 
 import pytest
 
+from apricotshore.decisions.change_attempt import Attempt, Seal, Secure
+from apricotshore.decisions.commit_barrier import list_led
 from apricotshore.decisions.lease import FormerPrimaries, list_replaced
-from apricotshore.identifiers import ServerId, StoreEra, Term
+from apricotshore.identifiers import FencingToken, ServerId, StoreEra, Term
+from apricotshore.pooling.change_steps import ChangeSteps
 from apricotshore.pooling.ports import QuiesceReply, QuiesceRequest
+from apricotshore.pooling.write_barrier import WriteBarrier
 from apricotshore.services.clock import read_boot_ms
 from standins.in_memory import GROUP, ModelGroup, ModelPlatform
 
-from .support import make_lease
+from .support import ModelHost, make_lease
 from .test_commits_by_the_clock import S1, S2, S3, Scene, playing
 from .test_server_gate import make_host
+from .test_write_barrier import Peers, make_barrier
 
 LED_BY_S1 = FormerPrimaries(servers=(S1,), term=Term(3))
 LED_BY_S2 = FormerPrimaries(servers=(S2,), term=Term(4))
@@ -96,3 +101,59 @@
     both = FormerPrimaries(servers=(S1, S2), term=Term(5))
     assert find_lease(host.platform).former == both
     assert await host.changer._name_former(named) == named
+
+
+def make_steps(host: ModelHost, barrier: WriteBarrier, token: int) -> ChangeSteps:
+    attempt = Attempt(from_term=Term(3), started_at=read_boot_ms(), replaced=S1)
+    return ChangeSteps(
+        group=host.group,
+        host=host.name,
+        lease=host.changer.lease,
+        promoter=host.platform,
+        commands=host.changer.commands,
+        refresh_servers=host.changer.refresh_servers,
+        detours=host.changer.detours,
+        barrier=barrier,
+        attempt=attempt,
+        token=FencingToken(token),
+    )
+
+
+class LookingPeers(Peers):
+    """Other hosts, one of which looks at the lease when it is asked."""
+
+    platform: ModelPlatform
+    named: tuple[ServerId, ...] = ()
+
+    async def quiesce(self, host, request, timeout_s):
+        self.named = find_lease(self.platform).former.servers
+        return await super().quiesce(host, request, timeout_s)
+
+
+@pytest.mark.parametrize("led", [(), (S3,)], ids=["nobody", "s3"])
+async def test_server_that_led_amid_the_change_is_named_before_hosts_are_asked(led):
+    peers = LookingPeers(b=QuiesceReply(), c=QuiesceReply())
+    barrier, host = make_barrier(peers)
+    peers.platform = host.platform
+    token = await host.changer.lease.acquire(LED_BY_S1)
+    steps = make_steps(host, barrier, token)
+    steps.attempt.led.update(led)
+    beside = Secure(paused=(), term=Term(4), asked=())
+    await steps._seal(Seal(servers=list_led(steps.attempt), beside=beside))
+    assert steps.attempt.barrier is not None
+    assert peers.named == (S1, *led)
+    # A write to the store amid a change delays it.
+    assert (steps.token > token) == bool(led)
+    assert steps.lease.is_held(read_boot_ms())
+
+
+async def test_store_that_is_away_keeps_no_host_from_being_asked():
+    barrier, host = make_barrier(Peers(b=QuiesceReply(), c=QuiesceReply()))
+    token = await host.changer.lease.acquire(LED_BY_S1)
+    steps = make_steps(host, barrier, token)
+    steps.attempt.led.add(S3)
+    host.platform.down = True
+    beside = Secure(paused=(), term=Term(4), asked=())
+    await steps._seal(Seal(servers=list_led(steps.attempt), beside=beside))
+    assert steps.attempt.barrier is not None
+    assert steps.token == token
