--- a/tests/pooling/test_interrupted_changes.py
+++ b/tests/pooling/test_interrupted_changes.py
@@ -227,3 +227,17 @@
         state = model.servers[S1].is_primary, model.servers[other].paused_term > 0
         assert not model.promotions
         assert state == (False, True)
+
+
+async def test_host_that_ends_after_it_resumed_all_leaves_the_lease_released():
+    """Others would finish a change that isn't unfinished."""
+    model = ModelGroup.make()
+    platform = ModelPlatform(group=model, promote_s=0.5)
+    host = ModelHost.make("host-0", model, platform)
+    async with writing(model), running(host):
+        await wait_until(lambda: len(model.acknowledged) > 5)
+        host.mark_leaving("s1")
+        await wait_until(lambda: model.promotions)
+        await wait_until(lambda: not host.changer.lease.seen.open)
+    assert not host.changer.resumption.unresumed
+    assert not host.changer.lease.own.open
