Promote another server where an accepted promotion has no effect

Cause: A platform that takes a stepped-down primary for the present one answers 200 to its promotion and changes nothing. A change followed such an order for 4.5 s, ended as "unconfirmed", and the next one ordered the same server: the lease named it, it holds the longest log, and equal logs are chosen by name. Change: Once the order was accepted PROMOTION_MS ago, every request of the change was answered, and the server, asked since, says that it doesn't lead, no order can take effect any more: earlier ones carry lower tokens. The change then goes on as a new one with a renewed lease and barriers of its own, without that server as a target. If others hold less than it, all of them have to be known, as for a silent primary; the order waits for the commit barrier. Not on platforms that check no tokens. An accepted order is followed for that time.

--- a/src/apricotshore/decisions/change_attempt.py
+++ b/src/apricotshore/decisions/change_attempt.py
@@ -178,6 +178,10 @@
         Server whose promotion was requested and may still take effect.
     accepted
         Whether the platform has accepted that request.
+    accepted_at
+        When its answer came, None before.
+    ineffective
+        Server whose promotion was accepted just before and took no effect.
     is_requesting
         Whether a request is being made.
     held
@@ -216,6 +220,8 @@
     asked_others: bool = False
     requested: ServerId | None = None
     accepted: bool = False
+    accepted_at: int | None = None
+    ineffective: ServerId | None = None
     is_requesting: bool = False
     held: bool = False
 
@@ -286,12 +292,14 @@
 class Hold:
     """Action: keep commits from being acknowledged while a promotion is under way.
 
-    Replication is paused at servers, and a primary that returned steps down.
+    Replication is paused at servers, and a primary that returned steps down. The
+    promoted server is asked whether it leads once it should.
     """
 
     servers: tuple[ServerId, ...]
     primary: ServerId | None
     term: Term
+    asked: ServerId | None = None
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/src/apricotshore/decisions/commit_barrier.py
+++ b/src/apricotshore/decisions/commit_barrier.py
@@ -53,7 +53,8 @@
     if attempt.requested is not None:
         # An earlier holder may have had hosts stop sending to it.
         may_be_shut = attempt.replaced in (None, attempt.requested)
-        is_led = is_settled and (may_be_shut or attempt.inherited is not None)
+        may_be_shut |= attempt.inherited is not None or attempt.ineffective is not None
+        is_led = is_settled and may_be_shut
         return (attempt.requested,) if is_led else ()
     was_quiesced = attempt.quiesced is not None or attempt.barrier is not None
     is_replaced = attempt.final_end is not None or not was_quiesced
--- /dev/null
+++ b/src/apricotshore/decisions/order_effect.py
@@ -0,0 +1,52 @@
+"""Whether an accepted promotion may still take effect.
+
+A platform may take a primary that has stepped down for the present one: it accepts its
+promotion and changes nothing. The order is over once accepted promotions have taken
+effect, if the server still doesn't lead. Requests of before carry a lower fencing token
+and are refused from the acceptance on. So the order of another server meets none.
+"""
+
+from ..identifiers import ServerId
+from . import lease
+from .change_attempt import Attempt
+
+# Time for the server to say that it doesn't lead.
+ANSWER_MS = 400
+
+
+def find_overdue(attempt: Attempt, now: int) -> ServerId | None:
+    """Return the requested server if its accepted promotion should show by now."""
+    accepted_at = attempt.accepted_at
+    if accepted_at is None or now - accepted_at < lease.PROMOTION_MS:
+        return None
+    return attempt.requested
+
+
+def may_be_followed(attempt: Attempt, now: int) -> bool:
+    """Return whether the time in which an accepted promotion shows is not over."""
+    accepted_at = attempt.accepted_at
+    return accepted_at is not None and now - accepted_at < (
+        lease.PROMOTION_MS + ANSWER_MS
+    )
+
+
+def is_without_effect(attempt: Attempt, unanswered: int, now: int) -> bool:
+    """Return whether no request for the server's promotion can take effect any more.
+
+    Parameters
+    ----------
+    attempt
+        The change.
+    unanswered
+        Number of requests without an answer, which may be accepted at any time.
+    now
+        Milliseconds since boot.
+    """
+    server = find_overdue(attempt, now)
+    if server is None or unanswered:
+        return False
+    assert attempt.accepted_at is not None
+    status = attempt.statuses.get(server)
+    shown_from = attempt.accepted_at + lease.PROMOTION_MS
+    is_asked = status is not None and attempt.asked_at[server] > shown_from
+    return is_asked and not status.is_primary
--- a/src/apricotshore/decisions/primary_change.py
+++ b/src/apricotshore/decisions/primary_change.py
@@ -61,6 +61,7 @@
     set_target,
 )
 from .commit_barrier import is_confirmed, is_quiesced, is_sealed, list_led, list_unasked
+from .order_effect import find_overdue
 from .position_history import PositionSample
 from .silent_primary import plan_with_pauses
 
@@ -439,13 +440,16 @@
     may_request = not attempt.accepted and not attempt.is_requesting and not leaders
     if may_request and (attempt.held or not may_hold):
         return Promote(server=attempt.requested)
+    overdue = find_overdue(attempt, now)
+    if not may_hold and overdue is not None:
+        return RequestStatus(servers=(overdue,))
     if not may_hold:
         return Wait(why="the promotion takes effect")
     former = _find_former(attempt, leaders)
     others = tuple(
         s for s in list_names(members) if s not in (attempt.requested, former)
     )
-    return Hold(servers=others, primary=former, term=attempt.pause_term)
+    return Hold(servers=others, primary=former, term=attempt.pause_term, asked=overdue)
 
 
 def _find_former(attempt: Attempt, leaders: list[ServerId]) -> ServerId | None:
--- a/src/apricotshore/decisions/silent_primary.py
+++ b/src/apricotshore/decisions/silent_primary.py
@@ -1,4 +1,4 @@
-"""Replacement of a primary that gives no answer, and so cannot step down.
+"""Replacement of a primary that gives no answer, or whose promotion has no effect.
 
 Replication is paused at every other server that can be found, except the target. Other
 hosts are asked to have the primary step down, and the list of servers is read anew,
@@ -31,7 +31,7 @@
     request_promotion,
     set_target,
 )
-from .commit_barrier import list_led
+from .commit_barrier import is_sealed, list_led, list_unasked
 from .position_history import PositionSample
 
 
@@ -45,7 +45,7 @@
     """Pause every server that answers except the target, and promote that one."""
     missing = tuple(m.server for m in members if m.server not in attempt.statuses)
     listed = {m.server for m in members if m.listed}
-    followers = list_followers(attempt, members)
+    followers = _list_counted(attempt, list_followers(attempt, members))
     # A server that is merely overloaded may be the primary.
     has_busy = bool(attempt.busy.intersection(missing)) and not attempt.is_cut_off
     if has_busy or len(listed & set(missing)) >= COPIES_PER_COMMIT or not followers:
@@ -63,6 +63,21 @@
     return _plan_promotion(attempt, members, followers, since_loss, lossless, now)
 
 
+def _list_counted(attempt: Attempt, followers: list[Member]) -> list[Member]:
+    """Leave out a server that can't be promoted and holds more than all others.
+
+    It counts as missing then, as a silent primary does: what it alone holds was
+    acknowledged to nobody, if all others are known.
+    """
+    others = [m for m in followers if m.server != attempt.ineffective]
+    if not others or len(others) == len(followers):
+        return followers
+    assert attempt.ineffective is not None
+    longest = max(read_order(attempt, m.server) for m in others)
+    is_ahead = read_order(attempt, attempt.ineffective) > longest
+    return others if is_ahead else followers
+
+
 def _plan_promotion(
     attempt: Attempt,
     members: tuple[Member, ...],
@@ -105,6 +120,14 @@
     if attempt.barrier is None:
         beside = Secure(paused=(), term=attempt.pause_term, asked=(target,))
         return Seal(servers=list_led(attempt), beside=beside)
+    others = tuple(m for m in members if m.server != attempt.replaced)
+    if attempt.ineffective is not None and not is_sealed(attempt, others, now):
+        return Secure(
+            paused=(),
+            term=attempt.pause_term,
+            asked=tuple(dict.fromkeys((target, *list_unasked(attempt, others)))),
+            former=attempt.replaced,
+        )
     if not attempt.listed:
         return ListServers()
     return request_promotion(attempt, members, target, now)
--- a/src/apricotshore/pooling/change_steps.py
+++ b/src/apricotshore/pooling/change_steps.py
@@ -6,6 +6,7 @@
 from ..decisions import (
     change_attempt,
     commit_barrier,
+    order_effect,
     position_history,
     primary_change,
 )
@@ -139,8 +140,9 @@
         if attempt.requested is not None:
             is_late = age >= primary_change.CONFIRM_MS
             is_late &= now - self.promotion.made_at >= primary_change.FOLLOW_MS
+            is_late &= not order_effect.may_be_followed(attempt, now)
             return not is_late and not self.promotion.is_settled()
-        if attempt.final_end is not None:
+        if attempt.final_end is not None or attempt.ineffective is not None:
             return age < primary_change.STEPS_WITHOUT_PRIMARY_MS
         return is_needed and age < primary_change.STEPS_MS
 
@@ -160,7 +162,7 @@
 
     async def take_step(self) -> bool:
         """Run the next step; return False when the change ends with it."""
-        if not self.promotion.observe():
+        if not self.promotion.observe() or self.promotion.has_no_effect():
             return False
         self._observe_primary_end()
         match self._plan():
@@ -424,6 +426,8 @@
         if step.primary is not None:
             self._send(step.primary, QueryKind.STEP_DOWN, step.term)
             self._begin_search(step.primary, step.term)
+        if step.asked is not None:
+            self._send(step.asked, QueryKind.STATUS, NO_TERM)
         self.group.probe_wanted.set()
         await asyncio.sleep(EFFECT_PAUSE_S)
 
@@ -480,7 +484,8 @@
     def _find_proof(self) -> BarrierProof:
         """Return what an order relies on: no time is waited for a silent primary."""
         proof = commit_barrier.find_proof(self.attempt)
-        is_silent = self.attempt.final_end is None
+        attempt = self.attempt
+        is_silent = attempt.final_end is None and attempt.ineffective is None
         return BarrierProof.NONE if is_silent and proof is BarrierProof.TIME else proof
 
     async def _promote(self, server: ServerId) -> bool:
--- a/src/apricotshore/pooling/primary_changer.py
+++ b/src/apricotshore/pooling/primary_changer.py
@@ -8,7 +8,7 @@
 from ..decisions import change_triggers, lease, relays
 from ..decisions.change_attempt import Attempt
 from ..decisions.change_triggers import ChangeConditions
-from ..identifiers import HostId, ServerId, Term
+from ..identifiers import FencingToken, HostId, ServerId, Term
 from ..queries import QueryKind
 from ..services.clock import read_boot_ms
 from ..services.eras import EraTracker
@@ -215,7 +215,26 @@
             inherited=attempt.inherited,
             term=attempt.from_term,
         )
-        work = ChangeSteps(
+        work = self._make_steps(attempt, token)
+        if not is_confirmed:
+            self._record("abandoned", leader=self.group.primary)
+        try:
+            if is_confirmed:
+                await self._take_steps(work, reason)
+            if work.is_held() and work.promotion.has_no_effect():
+                work = await self._choose_another(work, reason)
+        finally:
+            self.work = None
+        work.promotion.record_settled()
+        if not work.is_held():
+            return
+        await work.reopen()
+        # An open lease may have left a request, whatever this change began for.
+        is_unfinished = reason == "unfinished" or attempt.inherited is not None
+        await self._finish(work, is_unfinished or work.attempt is not attempt)
+
+    def _make_steps(self, attempt: Attempt, token: FencingToken) -> ChangeSteps:
+        return ChangeSteps(
             group=self.group,
             host=self.host,
             lease=self.lease,
@@ -227,24 +246,39 @@
             attempt=attempt,
             token=token,
         )
+
+    async def _take_steps(self, work: ChangeSteps, reason: str) -> None:
         self.work = work
-        if not is_confirmed:
-            self._record("abandoned", leader=self.group.primary)
         try:
-            while is_confirmed and work.may_go_on(self._is_needed(reason)):
+            while work.may_go_on(self._is_needed(reason)):
                 if not await work.take_step():
                     break
         finally:
-            self.work = None
             await work.stop()
-        work.promotion.record_settled()
-        if not work.is_held():
-            return
-        await work.reopen()
-        # An open lease may have left a request, whatever this change began for.
-        await self._finish(
-            work, reason == "unfinished" or attempt.inherited is not None
+
+    async def _choose_another(self, work: ChangeSteps, reason: str) -> ChangeSteps:
+        """Promote another server than one whose accepted promotion took no effect.
+
+        Nobody leads, and no order may take effect any more: it is a new change, with
+        barriers of its own. Return its steps, the former ones if the lease is lost.
+        """
+        ineffective = work.attempt.requested
+        assert ineffective is not None
+        self._record("without-effect", server=ineffective)
+        token = await self.lease.extend()
+        if token is None:
+            return work
+        attempt = Attempt(
+            from_term=max(work.attempt.from_term, self.group.primary_state.term),
+            started_at=read_boot_ms(),
+            replaced=ineffective,
+            recorded=ineffective,
+            rejected={ineffective},
+            ineffective=ineffective,
         )
+        another = self._make_steps(attempt, token)
+        await self._take_steps(another, reason)
+        return another
 
     async def _confirm_reason(self, reason: str) -> bool:
         """Return whether the reason still holds by answers since the lease is held.
--- a/src/apricotshore/pooling/promotion_request.py
+++ b/src/apricotshore/pooling/promotion_request.py
@@ -3,6 +3,7 @@
 import asyncio
 
 from ..decisions.change_attempt import Attempt
+from ..decisions.order_effect import is_without_effect
 from ..identifiers import FencingToken, HostId, ServerId
 from ..services.clock import read_boot_ms
 from .group import Group
@@ -81,6 +82,7 @@
         attempt.is_requesting = False
         if accepted is not False:
             attempt.accepted = bool(accepted)
+            attempt.accepted_at = read_boot_ms() if accepted else None
             attempt.held = attempt.held and attempt.accepted
             return True
         server = attempt.requested
@@ -100,6 +102,16 @@
             and primary_state.confirmed_at >= self.made_at
         )
 
+    def has_no_effect(self) -> bool:
+        """Return whether the promotion was accepted, and can't take effect any more.
+
+        Without a prover the platform checks tokens; otherwise a request of an earlier
+        change may still be accepted.
+        """
+        return self.group.prover is None and is_without_effect(
+            self.attempt, self.unanswered, read_boot_ms()
+        )
+
     def record_settled(self) -> None:
         """Record where the log of the promoted server stood when it led."""
         if self.attempt.requested is not None and self.is_settled():
--- a/standins/in_memory.py
+++ b/standins/in_memory.py
@@ -650,6 +650,10 @@
     unanswered_delay_s
         If not 0, promotions get no answer and are accepted after this delay,
         provided that no promotion with a higher token was accepted by then.
+    promotes_stepped_down
+        Whether a primary that has stepped down is promoted like any other. Otherwise it
+        is the present primary until another server is promoted, and an accepted
+        promotion of it changes nothing.
     """
 
     group: ModelGroup
@@ -657,6 +661,7 @@
     call_s: float = 0.0
     down: bool = False
     unanswered_delay_s: float = 0.0
+    promotes_stepped_down: bool = True
     revision: int = 10
     era: int = 1
     leases: dict[tuple[GroupId, StoreEra], LeaseRecord] = field(default_factory=dict)
@@ -776,9 +781,17 @@
             target.is_stopped = False
             return False
         self.tokens[group] = token
-        if not target.is_primary:
+        if not target.is_primary and not self._is_present(server):
             is_late = self.group.stops_receiving is StopsReceiving.EFFECT
             target.is_stopped = not is_late
             loop = asyncio.get_running_loop()
             loop.call_later(delay_s, self.group.promote, server)
         return True
+
+    def _is_present(self, server: ServerId) -> bool:
+        """Return whether a stepped-down server is taken for the present primary."""
+        if self.promotes_stepped_down:
+            return False
+        promotions = self.group.promotions
+        present = promotions[-1][0] if promotions else next(iter(self.group.servers))
+        return server == present
