Show that a lease left for a paused replica delays the next failover

Cause: whoever takes such a lease settles it as an unfinished change, for 2 s. Change: a failing test, and the same without such a lease, which passes.

--- a/tests/pooling/test_review_of_leases.py
+++ b/tests/pooling/test_review_of_leases.py
@@ -42,6 +42,10 @@
 FIRST_COMMIT_S = 1.0
 # A store's calls of this length are four in more than `HAND_ON_S`.
 SLOW_CALL_S = 0.16
+# The next holder waits for `PROMOTION_MS` by then.
+SETTLING_S = 0.3
+# Time from a primary's end to the order of another server.
+REPLACED_S = 2.5
 
 
 def find_lease(platform: ModelPlatform):
@@ -173,6 +177,26 @@
     assert S3 not in [p[0] for p in model.promotions]
 
 
+@pytest.mark.parametrize("is_left", [False, True], ids=["alone", "left-lease"])
+async def test_primary_that_dies_after_a_host_stopped_is_replaced_in_time(is_left):
+    """A lease left for a paused replica alone keeps others from a change for 2 s."""
+    model = ModelGroup.make()
+    platform = ModelPlatform(group=model)
+    if is_left:
+        await leave_paused(platform, model)
+    second = ModelHost.make("second", model, platform)
+    async with running(second):
+        await wait_until(lambda: second.group.primary_state.primary == S1)
+        if is_left:
+            await wait_until(lambda: find_lease(platform).holder.startswith("second"))
+            await asyncio.sleep(SETTLING_S)
+        began = read_boot_ms()
+        model.servers[S1].up = False
+        await wait_until(lambda: platform.orders)
+        took_ms = read_boot_ms() - began
+    assert took_ms < REPLACED_S * 1_000
+
+
 async def test_unknown_former_primary_is_held_though_an_earlier_one_shows():
     """A lease that names nobody has term 0, so any leader opens all other gates."""
     host = make_host()
