Show a loss where a host confirms before it knows the group

Cause: a host whose servers aren't listed yet confirms a request without a hold. Change: a failing test in the model; a host that knows the group passes the same.

--- a/tests/pooling/test_review_of_leases.py
+++ b/tests/pooling/test_review_of_leases.py
@@ -23,7 +23,7 @@
 
 from . import test_host
 from .support import ModelHost, committing, running, wait_until, writing
-from .test_commits_by_the_clock import S1, S2, S3
+from .test_commits_by_the_clock import S1, S2, S3, SETTLE_S, Scene, playing
 from .test_host import LISTED, SHOP, configure
 from .test_open_changes import (
     OPEN,
@@ -232,6 +232,34 @@
         assert list_shut(host.groups[GROUP]) == [S1]
 
 
+@pytest.mark.parametrize("is_known", [True, False], ids=["known", "unknown"])
+async def test_host_that_confirms_before_it_knows_a_group_loses_no_commit(is_known):
+    """As in `test_open_changes.py`, the former primary leads again for that host."""
+    scene = Scene.make(1)
+    late = ModelHost.make("late", scene.model, scene.platform)
+    known = [GROUP] if is_known else []
+
+    async def quiesce_known(request):
+        # As `PoolingHost.quiesce` does.
+        return await late.group.quiesce(request) if known else QuiesceReply()
+
+    scene.platform.quiesce_handlers["late"] = quiesce_known
+    scene.hosts[0].add_other_host("late")
+    async with playing(scene):
+        scene.model.servers[S3].unreachable_by = {"host-0"}
+        scene.leave()
+        await wait_until(lambda: scene.platform.orders)
+        known.append(GROUP)
+        scene.primary.unreachable_by = {"host-0"}
+        scene.primary.is_primary = True
+        async with running(late), committing(scene.model, [late]) as commits:
+            await wait_until(scene.has_ended)
+            told = len(commits.told)
+            await wait_until(lambda: len(commits.told) > told)
+            await asyncio.sleep(SETTLE_S)
+    assert scene.model.lost == [], scene.describe()
+
+
 class BrieflySlowPeers:
     """Hosts that answer one question late, and have statements to end after it."""
 
