--- a/src/apricotshore/pooling/primary_changer.py
+++ b/src/apricotshore/pooling/primary_changer.py
@@ -130,7 +130,6 @@
         """Leave an unfinished change to other hosts, once its commands have ended."""
         try:
             async with asyncio.timeout(HAND_ON_S):
-                await self.resumption.hand_on()
                 await self.lease.hand_on()
         except TimeoutError:
             self._record("lease-unknown", why="the host stops")
--- a/src/apricotshore/pooling/resumption.py
+++ b/src/apricotshore/pooling/resumption.py
@@ -35,8 +35,6 @@
     ----------
     unresumed
         Servers that are to be found not paused.
-    has_paused
-        Whether a change that this host ended may have left some of them paused.
     """
 
     def __init__(
@@ -46,7 +44,6 @@
         self.lease = lease
         self.commands = commands
         self.unresumed: set[ServerId] = set()
-        self.has_paused = False
         self.tried_at = 0
 
     def begin(self, attempt: Attempt) -> None:
@@ -64,7 +61,6 @@
         One that has not would receive from the former primary, and help it to
         acknowledge what it has stored last.
         """
-        self.has_paused = True
         until = read_boot_ms() + LEARN_MS
         term = self.group.primary_state.term
         servers = sorted(self.unresumed)
@@ -120,30 +116,13 @@
 
     async def _resume_alone(self, paused: set[ServerId]) -> None:
         """Resume servers while no host can begin a change."""
-        if not await self._acquire(paused):
+        # One that names none has hosts that start send writes to no server at all.
+        named = FormerPrimaries(servers=tuple(sorted(paused)))
+        if await self.lease.acquire(named) is None:
             self.unresumed.clear()
             return
         self.unresumed -= await self.commands.resume(paused)
         await self.lease.release()
 
-    async def hand_on(self) -> None:
-        """Leave servers that may still be paused to the other hosts, with the lease."""
-        if not (self.unresumed and self.has_paused):
-            return
-        try:
-            if await self.lease.is_released():
-                await self._acquire(self.unresumed)
-        except StoreError as error:
-            self._record("waiting", why=f"store: {error}")
-
-    async def _acquire(self, paused: set[ServerId]) -> bool:
-        """Take the lease; return False while another host may hold it.
-
-        It names the paused servers, so that hosts that start send no writes there; one
-        that names none has them wait for all.
-        """
-        former = FormerPrimaries(servers=tuple(sorted(paused)))
-        return await self.lease.acquire(former) is not None
-
     def _record(self, phase: str, **details: object) -> None:
         record_phase(self.group, phase, **details)
