Hold what was confirmed before a group was known

Cause: a host that is asked to quiesce a server of a group that it doesn't know yet confirmed and kept nothing. Its servers are listed later than its entry, and it has read the leases before: it sent writes once it knew the group.

Change: such a host keeps the gates and gives them to the group.

--- a/src/apricotshore/pooling/host.py
+++ b/src/apricotshore/pooling/host.py
@@ -18,6 +18,7 @@
 from ..services.eras import EraTracker
 from .caller_session import CallerSession
 from .detours import Detours
+from .early_gates import EarlyGates
 from .fleet_asker import FleetAsker
 from .group import Group
 from .host_session import HostSession
@@ -136,6 +137,7 @@
             journal=journal,
         )
         self.asker = FleetAsker(peers=adapters.peers)
+        self.early_gates = EarlyGates()
         self.background: set[asyncio.Task[None]] = set()
         self.ended = asyncio.Event()
         self.eras = EraTracker()
@@ -248,6 +250,7 @@
             )
             if not self.settings.fenced:
                 group.prover = PrimaryProver(group=group)
+            group.gates.update(self.early_gates.take(name))
             self.groups[name] = group
             group.set_leave_bounds(self.settings.leave_ms, self.settings.window_ms)
             self._configure_group(group)
@@ -429,9 +432,9 @@
         return await self._quiesce(request)
 
     async def _quiesce(self, request: QuiesceRequest) -> QuiesceReply:
-        """Quiesce a server at this host; only pools of a known group connect to it."""
+        """Quiesce a server at this host, whose group may be known a moment later."""
         known = self.groups.get(request.group)
-        return QuiesceReply() if known is None else await known.quiesce(request)
+        return await (known or self.early_gates).quiesce(request)
 
     @property
     def is_ready(self) -> bool:
