Follow an open lease that is found after its group

Cause: a host reads a lease that it follows each 0.5 s, but only if the lease was found before its group was; otherwise from stale lists, seconds later. Its gates stayed shut after the release.

Change: a lease that is found open is passed to the group's changer.

--- a/src/apricotshore/pooling/host.py
+++ b/src/apricotshore/pooling/host.py
@@ -167,6 +167,7 @@
             host_watcher=self.host_watcher,
             journal=journal,
             find_group=self.groups.get,
+            follow=self._observe_lease,
         )
         self.context = Context(
             host=settings.host,
--- a/src/apricotshore/pooling/open_changes.py
+++ b/src/apricotshore/pooling/open_changes.py
@@ -67,6 +67,8 @@
         Journal of the host.
     find_group
         Returns a known group, None if it isn't.
+    follow
+        Called with the lease of a change that was found open, so that it is read again.
     """
 
     def __init__(
@@ -76,12 +78,14 @@
         host_watcher: HostWatcher,
         journal: Journal,
         find_group: Callable[[GroupId], Group | None],
+        follow: Callable[[LeaseRecord], None] = lambda record: None,
     ) -> None:
         super().__init__()
         self.store_watcher = store_watcher
         self.host_watcher = host_watcher
         self.journal = journal
         self.find_group = find_group
+        self.follow = follow
         self.found: dict[GroupId, FoundChange] = {}
         self.was_read = asyncio.Event()
 
@@ -124,6 +128,7 @@
         if record.open and record.group not in self.found:
             self.found[record.group] = FoundChange(record=record, read_at=0)
             self.observe(record)
+            self.follow(record)
 
     def observe(self, record: LeaseRecord) -> None:
         """Record a lease that was read; the end of a change ends its hold."""
