Name a promoted server no longer as replaced

Cause: the last write of a change names no target. A promoted server that had led before was held again by hosts that start, and a lease that names nobody stood for all servers.

Change: that write drops the promoted server. Without servers, but with a term, it stands for none; a next change that doesn't know who led stands for all again.

--- a/src/apricotshore/decisions/lease.py
+++ b/src/apricotshore/decisions/lease.py
@@ -41,9 +41,10 @@
     Parameters
     ----------
     servers
-        The servers, none while the holder doesn't know who led.
+        The servers.
     term
-        Latest term of their leads.
+        Latest term of their leads. Without one and without servers, the holder doesn't
+        know who led.
     """
 
     servers: tuple[ServerId, ...] = ()
@@ -123,12 +124,20 @@
 
 def add_former(earlier: FormerPrimaries, later: FormerPrimaries) -> FormerPrimaries:
     """Return the primaries that an unfinished change and its next one replace."""
+    if not earlier.servers:
+        return later
     return FormerPrimaries(
         servers=tuple(sorted({*earlier.servers, *later.servers})),
         term=max(earlier.term, later.term),
     )
 
 
+def remove_former(former: FormerPrimaries, server: ServerId | None) -> FormerPrimaries:
+    """Return the primaries that a change replaces, without one that leads again."""
+    servers = tuple(s for s in former.servers if s != server)
+    return FormerPrimaries(servers=servers, term=former.term)
+
+
 def list_replaced(
     former: FormerPrimaries, target: ServerId | None, servers: Iterable[ServerId]
 ) -> tuple[ServerId, ...]:
@@ -144,7 +153,8 @@
     servers
         Servers of the group.
     """
-    replaced = set(former.servers) or set(servers)
+    is_unknown = not (former.servers or former.term)
+    replaced = set(servers if is_unknown else former.servers)
     return tuple(sorted(replaced - {target}))
 
 
--- a/src/apricotshore/pooling/change_lease.py
+++ b/src/apricotshore/pooling/change_lease.py
@@ -224,7 +224,8 @@
 
     def name_former(self, former: FormerPrimaries) -> None:
         """Add primaries that the change replaces, for the next write."""
-        self.former = lease.add_former(self.former, former)
+        if former.servers:
+            self.former = lease.add_former(self.former, former)
 
     async def extend(self) -> FencingToken | None:
         """Write the lease again, for another `LEASE_MS`; see `write`."""
@@ -262,6 +263,9 @@
         """
         own = self.own
         base = StoreRevision(0)
+        if own is not None and target is None:
+            # The server that was promoted may have led before.
+            self.former = lease.remove_former(self.former, own.target)
         if own is not None and own.era == self.eras.era:
             base = own.revision
         elif own is not None and read_boot_ms() >= self.held_until:
--- a/tests/test_lease.py
+++ b/tests/test_lease.py
@@ -7,10 +7,11 @@
     LEASE_MS,
     PROMOTION_MS,
     RANK_STEP_MS,
+    FormerPrimaries,
     LeaseClaim,
     ObservedLease,
 )
-from apricotshore.identifiers import StoreEra, StoreRevision
+from apricotshore.identifiers import StoreEra, StoreRevision, Term
 
 SEEN_AT = 10_000
 
@@ -92,3 +93,17 @@
     late = lease.make_token(StoreEra(2), StoreRevision(1))
     assert early < late
     assert late < lease.make_token(StoreEra(2), StoreRevision(2))
+
+
+def test_next_change_that_knows_no_former_primary_holds_all_servers():
+    """A change that had nobody left to replace says nothing about the next one."""
+    nobody = FormerPrimaries(term=Term(4))
+    assert lease.list_replaced(nobody, None, ["s1", "s2"]) == ()
+    unknown = lease.add_former(nobody, FormerPrimaries())
+    assert lease.list_replaced(unknown, None, ["s1", "s2"]) == ("s1", "s2")
+
+
+def test_promoted_server_that_had_led_before_is_replaced_no_more():
+    former = FormerPrimaries(servers=("s1", "s2"), term=Term(4))
+    assert lease.remove_former(former, "s1").servers == ("s2",)
+    assert lease.remove_former(former, None) == former
