Take no late answer to a reopening for an absent host

Cause: a host that answered a request to send again later than 0.15 to 0.3 s counted as absent for 30 s, got 0.1 s in the next round, and its statements have 0.2 s to end: unconfirmed, 3 s more.

Change: only rounds that hold show that a host is absent.

--- a/src/apricotshore/pooling/fleet_asker.py
+++ b/src/apricotshore/pooling/fleet_asker.py
@@ -210,8 +210,8 @@
             _check_time(until)
             raise
         except ConnectionLostError:
-            # A shorter time shows nothing about the host.
-            if limit_ms >= ABSENT_WAIT_MS:
+            # A shorter time shows nothing about the host, nor does one without a hold.
+            if limit_ms >= ABSENT_WAIT_MS and request.hold_ms:
                 self.absent_until[host.host] = read_boot_ms() + ABSENT_MS
             raise
         self.absent_until.pop(host.host, None)
--- a/src/apricotshore/pooling/write_barrier.py
+++ b/src/apricotshore/pooling/write_barrier.py
@@ -249,7 +249,8 @@
             # Its process has ended, and the system has closed its connections.
             reply = QuiesceReply()
         except ConnectionLostError as error:
-            self.absent_until[host.host] = read_boot_ms() + ABSENT_MS
+            if request.hold_ms:
+                self.absent_until[host.host] = read_boot_ms() + ABSENT_MS
             record_phase(self.group, "unconfirmed-host", host=host.host, why=str(error))
             return host.host, None
         self.absent_until.pop(host.host, None)
