Keep a promoted server that was seen to lead

Cause: a promotion counted as without effect by the server's last answer, even if a probe had shown since that it leads: another would have been ordered (suspected by the review; shown on the object).

Change: one that leads isn't without effect.

--- a/src/apricotshore/pooling/promotion_request.py
+++ b/src/apricotshore/pooling/promotion_request.py
@@ -108,9 +108,9 @@
         Without a prover the platform checks tokens; otherwise a request of an earlier
         change may still be accepted.
         """
-        return self.group.prover is None and is_without_effect(
-            self.attempt, self.unanswered, read_boot_ms()
-        )
+        if self.group.prover is not None or self.is_settled():
+            return False
+        return is_without_effect(self.attempt, self.unanswered, read_boot_ms())
 
     def record_settled(self) -> None:
         """Record where the log of the promoted server stood when it led."""
--- a/tests/pooling/test_orders_without_effect.py
+++ b/tests/pooling/test_orders_without_effect.py
@@ -9,9 +9,12 @@
 import pytest
 
 from apricotshore.decisions import lease
+from apricotshore.decisions.change_attempt import MemberStatus
+from apricotshore.identifiers import Term
+from apricotshore.services.clock import read_boot_ms
 from standins.in_memory import ModelGroup, ModelPlatform
 
-from .support import ModelHost, running, wait_until, writing
+from .support import ModelHost, log_position, running, wait_until, writing
 from .test_orders_of_promotions import (
     PROMOTE_S,
     S1,
@@ -130,3 +133,22 @@
         model.servers[S3].up = True
         await wait_until(lambda: model.promotions, 2 * LIMIT_S)
     assert model.lost == []
+
+
+async def test_promoted_server_that_leads_after_its_last_answer_stays_the_primary():
+    """A probe shows its lead later than the answer to a STATUS denied it."""
+    _, _, host = await make_former_primary()
+    work = host.changer._make_steps(host.changer._make_attempt("headless", 0), 1)
+    now = read_boot_ms()
+    attempt = work.attempt
+    attempt.requested, attempt.accepted_at = S2, now - 2 * lease.PROMOTION_MS
+    attempt.statuses[S2] = MemberStatus(
+        log_position=log_position(1, 5),
+        term=Term(2),
+        paused_term=Term(0),
+        is_primary=False,
+    )
+    attempt.asked_at[S2] = now
+    assert work.promotion.has_no_effect()
+    host.group.observe_primary(S2, Term(3), now, Term(3))
+    assert not work.promotion.has_no_effect()
