End a statement that is cancelled as its wait ends

Cause: asyncio.wait_for of Python 3.11 drops a cancellation that comes in the turn in which what is waited for is there.

Change: both waits use asyncio.timeout.

--- a/src/apricotshore/pooling/pool.py
+++ b/src/apricotshore/pooling/pool.py
@@ -195,9 +195,11 @@
         # Retry periodically: the server may accept another connection by then.
         step = min(RETRY_STEP_S, max(expires_at - now, 1) / 1000)
         try:
-            return await asyncio.wait_for(future, step)
+            async with asyncio.timeout(step):
+                return await future
         except TimeoutError:
-            return None
+            # It may have come in the same turn.
+            return None if future.cancelled() else future.result()
         except BaseException:
             if future.done() and not future.cancelled():
                 self._reassign(future.result())
--- a/src/apricotshore/pooling/preparation.py
+++ b/src/apricotshore/pooling/preparation.py
@@ -194,7 +194,8 @@
         group.probe_wanted.set()
         group.primary_confirmed.clear()
         try:
-            await asyncio.wait_for(group.primary_confirmed.wait(), left_ms / 1000)
+            async with asyncio.timeout(left_ms / 1000):
+                await group.primary_confirmed.wait()
         except TimeoutError:
             continue
 
--- a/tests/pooling/test_full_primaries.py
+++ b/tests/pooling/test_full_primaries.py
@@ -1,11 +1,17 @@
 """Primaries so full of statements that they answer no question."""
 
+import asyncio
+
+import pytest
+
 from apricotshore.decisions import leadership
-from apricotshore.identifiers import ServerId
+from apricotshore.identifiers import ServerId, Term
+from apricotshore.pooling.preparation import find_primary_pool
+from apricotshore.pooling.sessions import Job
 from apricotshore.services.clock import read_boot_ms
 from standins.in_memory import ModelGroup, ModelPlatform
 
-from .support import ModelHost, log_position
+from .support import ModelHost, log_position, make_route, write
 
 S1, S3 = ServerId("s1"), ServerId("s3")
 
@@ -91,3 +97,21 @@
     leadership.observe_claim(state, S1, 40, is_claimed=False)
     leadership.observe_claim(state, S1, 50, is_claimed=True)
     assert state.claimed == {S1: 50}
+
+
+async def test_statement_cancelled_as_a_primary_is_found_ends():
+    """It went on, and its session's end waited for good."""
+    host = make_host()
+    job = Job(
+        query=write("w1"),
+        shape=None,
+        route=make_route(),
+        arrived_at=read_boot_ms(),
+        writes=True,
+    )
+    waiting = asyncio.create_task(find_primary_pool(host.group, job))
+    await asyncio.sleep(0.01)
+    host.group.observe_primary(S3, Term(2), read_boot_ms(), Term(2))
+    waiting.cancel()
+    with pytest.raises(asyncio.CancelledError):
+        await waiting
--- a/tests/pooling/test_pool.py
+++ b/tests/pooling/test_pool.py
@@ -1,6 +1,7 @@
 """Pool of connections to one server."""
 
 import asyncio
+import time
 
 import pytest
 
@@ -118,3 +119,32 @@
     assert model.servers[S1].connections == pool.held == 2
     outcomes = await asyncio.gather(*waiting, return_exceptions=True)
     assert sum(isinstance(o, PooledConnection) for o in outcomes) == 2
+
+
+async def test_statement_cancelled_as_it_gets_a_connection_ends():
+    """It went on, and whoever awaited its end waited for good."""
+    pool = make_pool(ModelGroup.make())
+    pool.quota.limit = 1
+    pooled = await acquire(pool)
+    waiting = asyncio.create_task(acquire(pool))
+    await asyncio.sleep(0.01)
+    pool.release(pooled, clean=True)
+    waiting.cancel()
+    with pytest.raises(asyncio.CancelledError):
+        await waiting
+    assert pool.idle == [pooled]
+    assert pool.held == 1
+
+
+async def test_statement_that_gets_a_connection_as_its_wait_ends_has_it(monkeypatch):
+    monkeypatch.setattr("apricotshore.pooling.pool.RETRY_STEP_S", 0.02)
+    pool = make_pool(ModelGroup.make())
+    pool.quota.limit = 1
+    for _ in range(20):
+        pooled = await acquire(pool)
+        waiting = asyncio.create_task(acquire(pool))
+        await asyncio.sleep(0.0195)
+        time.sleep(0.002)
+        pool.release(pooled, clean=True)
+        pool.release(await waiting, clean=True)
+        assert pool.held == 1
