Move rounds of confirmations to a module

Change: ChangeRounds in change_rounds.py asks all hosts in one change (quiesce, seal, name_led, begin_sealing, reopen). ChangeSteps keeps the token, and thin methods of the names that tests use. No behaviour changes.

--- a/src/apricotshore/pooling/change_steps.py
+++ b/src/apricotshore/pooling/change_steps.py
@@ -14,7 +14,6 @@
     Abandon,
     AskOthers,
     Attempt,
-    BarrierReport,
     Hold,
     ListServers,
     Member,
@@ -37,6 +36,7 @@
 from ..queries import QueryKind, ServerReport
 from ..services.clock import read_boot_ms
 from .change_lease import ChangeLease
+from .change_rounds import ChangeRounds
 from .detours import Detours
 from .group import Group
 from .group_commands import (
@@ -108,7 +108,6 @@
         self.commands = commands
         self.refresh_servers = refresh_servers
         self.detours = detours
-        self.barrier = barrier
         self.attempt = attempt
         self.token = token
         self.leased_at = read_boot_ms()
@@ -117,9 +116,9 @@
         self.sent: dict[ServerId, asyncio.Task[None]] = {}
         # Answers of a silent primary through other hosts, once they were asked.
         self.detour: asyncio.Task[tuple[ServerReport, ...]] | None = None
-        # Round of confirmations that is under way.
-        self.sealing: asyncio.Task[BarrierReport] | None = None
-        self.sealing_since = 0
+        self.rounds = ChangeRounds(
+            lease=lease, barrier=barrier, attempt=attempt, record=self._record
+        )
         self.promotion = PromotionRequest(
             group=group, host=host, promoter=promoter, attempt=attempt
         )
@@ -205,7 +204,9 @@
             case Pause(servers=servers, term=term):
                 self._record("pausing", servers=servers, term=term)
                 self._begin_detour(term)
-                self._begin_sealing(commit_barrier.list_led(self.attempt))
+                self.rounds.begin_sealing(
+                    commit_barrier.list_led(self.attempt), self.token
+                )
                 await self._command_all(servers, QueryKind.PAUSE, term)
             case Secure():
                 await self._secure(step)
@@ -295,7 +296,7 @@
     async def stop(self) -> None:
         """End the commands that still run: a late pause would outlast the change."""
         running: list[asyncio.Task] = list(self.sent.values())
-        others = (self.detour, self.search, self.sealing, self.promotion.call)
+        others = (self.detour, self.search, self.rounds.sealing, self.promotion.call)
         running += [task for task in others if task is not None]
         for task in running:
             task.cancel()
@@ -340,65 +341,17 @@
             self._send(step.former, QueryKind.STEP_DOWN, step.term)
 
     async def _quiesce(self, server: ServerId) -> None:
-        """Have all hosts send nothing more to a primary that is to step down."""
-        report = await self.barrier.quiesce(
-            server, self.attempt.from_term, self.token, commit_barrier.QUIESCE_MS
-        )
-        change_attempt.observe_quiesced(self.attempt, report)
+        await self.rounds.quiesce(server, self.token)
 
     async def _seal(self, step: Seal) -> None:
         """Have all hosts confirm that former primaries can't answer them."""
         self._send_beside(step.beside)
-        is_named_late = await self._name_led()
-        is_early = self.sealing_since < self.attempt.stepped_down_at
-        if self.sealing and (is_early or is_named_late):
-            # A host that started before that may not have been listed.
-            self.sealing.cancel()
-            self.sealing = None
-        self._begin_sealing(step.servers)
-        if self.sealing is not None:
-            self.attempt.barrier = await self.sealing
-            self.sealing = None
-
-    async def _name_led(self) -> bool:
-        """Name servers in the lease that led since; return whether that was due.
-
-        Hosts that start read it there. One that names nobody stands for all servers.
-        """
-        led = commit_barrier.list_led(self.attempt)
-        named = self.lease.former.servers
-        if not named or set(led) <= set(named):
-            return False
-        self.lease.name_former(
-            FormerPrimaries(servers=led, term=self.attempt.from_term)
-        )
-        try:
-            token = await self.lease.extend()
-        except StoreError as error:
-            self._record("waiting", why=f"store: {error}")
-            return True
-        # Without a token the lease is lost, and no step follows.
-        self.token = token or self.token
-        return True
-
-    def _begin_sealing(self, servers: tuple[ServerId, ...]) -> None:
-        if self.sealing is None and self.attempt.barrier is None:
-            self.sealing_since = read_boot_ms()
-            self.sealing = asyncio.get_running_loop().create_task(
-                self.barrier.seal(
-                    servers,
-                    self.attempt.from_term,
-                    self.token,
-                    commit_barrier.SEAL_MS,
-                )
-            )
+        is_named_late, self.token = await self.rounds.name_led(self.token)
+        await self.rounds.seal(step.servers, self.token, is_named_late)
 
     async def reopen(self) -> None:
         """Have hosts send again to a primary that was not replaced, or leads again."""
-        for server in commit_barrier.list_reopened(
-            self.attempt, is_settled=self.promotion.is_settled()
-        ):
-            await self.barrier.reopen(server, self.attempt.from_term, self.token)
+        await self.rounds.reopen(self.token, self.promotion.is_settled())
 
     def _update_status(
         self,
