Move commands of a change to a module

Change: ChangeCommands in change_commands.py sends the commands of one change, keeps those that run (sent) and takes their answers. No behaviour changes.

--- a/src/apricotshore/pooling/change_steps.py
+++ b/src/apricotshore/pooling/change_steps.py
@@ -1,7 +1,7 @@
 """Steps of one change of primary: commands, the lease and the promotion."""
 
 import asyncio
-from collections.abc import Awaitable, Callable, Coroutine, Iterable
+from collections.abc import Awaitable, Callable, Coroutine
 
 from ..decisions import (
     change_attempt,
@@ -27,7 +27,6 @@
     Step,
     StepDown,
     Wait,
-    read_status,
 )
 from ..decisions.commit_barrier import BarrierProof
 from ..decisions.lease import FormerPrimaries
@@ -35,12 +34,12 @@
 from ..identifiers import FencingToken, HostId, Position, ServerId, Term
 from ..queries import QueryKind, ServerReport
 from ..services.clock import read_boot_ms
+from .change_commands import STATUS_PAUSE_S, ChangeCommands
 from .change_lease import ChangeLease
 from .change_rounds import ChangeRounds
 from .detours import Detours
 from .group import Group
 from .group_commands import (
-    COMMAND_TIMEOUT_MS,
     NO_TERM,
     GroupCommands,
     record_phase,
@@ -49,8 +48,6 @@
 from .promotion_request import PromotionRequest
 from .write_barrier import WriteBarrier
 
-# Pause before servers are asked again, and while a promotion is awaited.
-STATUS_PAUSE_S = 0.02
 # Pause after the first of several answers: the others often come with it.
 ANSWER_PAUSE_S = 0.003
 EFFECT_PAUSE_S = 0.05
@@ -59,9 +56,6 @@
 LATE_LIST_PAUSE_S = 0.5
 # Longest wait for servers that the store no longer lists; most of them are gone.
 UNLISTED_WAIT_S = 0.2
-# Commands that are repeated until a promotion takes effect: one without an answer
-# must not delay the next.
-HOLD_TIMEOUT_MS = 200
 
 
 class ChangeSteps:
@@ -105,15 +99,15 @@
     ) -> None:
         self.group = group
         self.lease = lease
-        self.commands = commands
         self.refresh_servers = refresh_servers
         self.detours = detours
         self.attempt = attempt
         self.token = token
         self.leased_at = read_boot_ms()
         self.last_phase: tuple[object, ...] = ()
-        # Commands that run without being waited for, by server.
-        self.sent: dict[ServerId, asyncio.Task[None]] = {}
+        self.sending = ChangeCommands(
+            group=group, commands=commands, attempt=attempt, record=self._record
+        )
         # Answers of a silent primary through other hosts, once they were asked.
         self.detour: asyncio.Task[tuple[ServerReport, ...]] | None = None
         self.rounds = ChangeRounds(
@@ -199,7 +193,7 @@
     async def _run(self, step: Step) -> None:
         match step:
             case RequestStatus(servers=servers):
-                await self._command_all(servers, QueryKind.STATUS)
+                await self.sending.command_all(servers, QueryKind.STATUS)
                 await asyncio.sleep(STATUS_PAUSE_S)
             case Pause(servers=servers, term=term):
                 self._record("pausing", servers=servers, term=term)
@@ -207,7 +201,7 @@
                 self.rounds.begin_sealing(
                     commit_barrier.list_led(self.attempt), self.token
                 )
-                await self._command_all(servers, QueryKind.PAUSE, term)
+                await self.sending.command_all(servers, QueryKind.PAUSE, term)
             case Secure():
                 await self._secure(step)
             case StepDown(server=server, term=term):
@@ -264,88 +258,35 @@
 
     # -- commands --
 
-    async def _command_all(
-        self, servers: Iterable[ServerId], kind: QueryKind, term: Term = NO_TERM
-    ) -> None:
-        asked = list(servers)
-        for server in self.group.unlisted.keys() & set(asked):
-            self._send(server, kind, term)
-        listed = [s for s in asked if s not in self.group.unlisted]
-        if not listed:
-            await asyncio.sleep(STATUS_PAUSE_S)
-        await asyncio.gather(*(self._command(s, kind, term) for s in listed))
-
-    def _send(self, server: ServerId, kind: QueryKind, term: Term) -> None:
-        """Run a command without waiting for it, unless the last one still runs."""
-        if server in self.sent:
-            return
-        task = asyncio.get_running_loop().create_task(
-            self._command(server, kind, term, HOLD_TIMEOUT_MS)
-        )
-        self.sent[server] = task
-        task.add_done_callback(lambda done: self._forget(server, done))
-
-    def _forget(self, server: ServerId, done: asyncio.Task[None]) -> None:
-        del self.sent[server]
-        self._record_failure(server, done)
-
-    def _record_failure(self, server: ServerId, done: asyncio.Task[None]) -> None:
-        if not done.cancelled() and done.exception() is not None:
-            self._record("failed", server=server, why=repr(done.exception()))
-
     async def stop(self) -> None:
         """End the commands that still run: a late pause would outlast the change."""
-        running: list[asyncio.Task] = list(self.sent.values())
+        running: list[asyncio.Task] = list(self.sending.sent.values())
         others = (self.detour, self.search, self.rounds.sealing, self.promotion.call)
         running += [task for task in others if task is not None]
         for task in running:
             task.cancel()
         await asyncio.gather(*running, return_exceptions=True)
 
-    async def _command(
-        self,
-        server: ServerId,
-        kind: QueryKind,
-        term: Term,
-        timeout_ms: int = COMMAND_TIMEOUT_MS,
-    ) -> None:
-        asked_at = read_boot_ms()
-        reply = await self.commands.ask(server, kind, term, timeout_ms)
-        if reply.report is not None:
-            self._update_status(server, reply.report, asked_at, kind)
-            return
-        change_attempt.remove_status(self.attempt, server, read_boot_ms())
-        if reply.refused:
-            change_attempt.observe_refusal(self.attempt, server)
-
     async def _secure(self, step: Secure) -> None:
         """Pause servers beside asking others, and wait for the first answer."""
         if step.paused:
             self._record("pausing", servers=step.paused, term=step.term)
-        self._send_beside(step)
-        if self.sent:
+        self.sending.send_beside(step)
+        if self.sending.sent:
             await asyncio.wait(
-                self.sent.values(),
+                self.sending.sent.values(),
                 timeout=STATUS_PAUSE_S,
                 return_when=asyncio.FIRST_COMPLETED,
             )
         is_sealed = self.attempt.barrier is not None
         await asyncio.sleep(STATUS_PAUSE_S if is_sealed else ANSWER_PAUSE_S)
 
-    def _send_beside(self, step: Secure) -> None:
-        for server in step.paused:
-            self._send(server, QueryKind.PAUSE, step.term)
-        for server in step.asked:
-            self._send(server, QueryKind.STATUS, NO_TERM)
-        if step.former is not None:
-            self._send(step.former, QueryKind.STEP_DOWN, step.term)
-
     async def _quiesce(self, server: ServerId) -> None:
         await self.rounds.quiesce(server, self.token)
 
     async def _seal(self, step: Seal) -> None:
         """Have all hosts confirm that former primaries can't answer them."""
-        self._send_beside(step.beside)
+        self.sending.send_beside(step.beside)
         is_named_late, self.token = await self.rounds.name_led(self.token)
         await self.rounds.seal(step.servers, self.token, is_named_late)
 
@@ -353,20 +294,9 @@
         """Have hosts send again to a primary that was not replaced, or leads again."""
         await self.rounds.reopen(self.token, self.promotion.is_settled())
 
-    def _update_status(
-        self,
-        server: ServerId,
-        report: ServerReport,
-        asked_at: int,
-        kind: QueryKind = QueryKind.STEP_DOWN,
-    ) -> None:
-        change_attempt.update_status(
-            self.attempt, server, read_status(report, kind), read_boot_ms(), asked_at
-        )
-
     async def _step_down(self, server: ServerId, term: Term) -> None:
         self._record("yielding", server=server, term=term)
-        await self._command(server, QueryKind.STEP_DOWN, term)
+        await self.sending.command(server, QueryKind.STEP_DOWN, term)
         end = self.attempt.final_end
         if end is None:
             await asyncio.sleep(STATUS_PAUSE_S)
@@ -382,7 +312,7 @@
         asked_at = read_boot_ms()
         reports = await self.detour
         for report in reports:
-            self._update_status(server, report, asked_at)
+            self.sending.update_status(server, report, asked_at)
         end = self.attempt.final_end
         mark = f"{end.term}.{end.position}" if end is not None else ""
         self._record("asked-others", server=server, answers=len(reports), mark=mark)
@@ -402,13 +332,13 @@
         self._record("holding", servers=step.servers, primary=step.primary)
         self.attempt.held = True
         for server in step.servers:
-            self._send(server, QueryKind.PAUSE, step.term)
+            self.sending.send(server, QueryKind.PAUSE, step.term)
         if step.primary is not None:
-            self._send(step.primary, QueryKind.STEP_DOWN, step.term)
+            self.sending.send(step.primary, QueryKind.STEP_DOWN, step.term)
             self._begin_search(step.primary, step.term)
         self._begin_late_list()
         if step.asked is not None:
-            self._send(step.asked, QueryKind.STATUS, NO_TERM)
+            self.sending.send(step.asked, QueryKind.STATUS, NO_TERM)
         self.group.probe_wanted.set()
         await asyncio.sleep(EFFECT_PAUSE_S)
 
@@ -439,7 +369,7 @@
         if self.search is None or self.search.done():
             self.search = asyncio.get_running_loop().create_task(search())
             self.search.add_done_callback(
-                lambda done: self._record_failure(server, done)
+                lambda done: self.sending.record_failure(server, done)
             )
 
     async def _search(self, primary: ServerId, term: Term) -> None:
@@ -450,7 +380,7 @@
         asked_at = read_boot_ms()
         reports = await self.detours.step_down(pool.server, term, self.is_held)
         for report in reports:
-            self._update_status(primary, report, asked_at)
+            self.sending.update_status(primary, report, asked_at)
 
     # -- the platform --
 
@@ -461,8 +391,8 @@
             self._record("waiting", why=f"store: {error}")
             await asyncio.sleep(EFFECT_PAUSE_S)
             return
-        if self.sent:
-            await asyncio.wait(self.sent.values(), timeout=UNLISTED_WAIT_S)
+        if self.sending.sent:
+            await asyncio.wait(self.sending.sent.values(), timeout=UNLISTED_WAIT_S)
         self.attempt.listed = True
 
     async def _record_target(self, server: ServerId) -> bool:
