Move searches of a change to a module

Change: ChangeSearches in change_searches.py lists servers, and asks a silent primary through other hosts. No behaviour changes.

--- a/src/apricotshore/pooling/change_steps.py
+++ b/src/apricotshore/pooling/change_steps.py
@@ -1,7 +1,7 @@
-"""Steps of one change of primary: commands, the lease and the promotion."""
+"""Steps of one change of primary: their plan, their dispatch and the promotion."""
 
 import asyncio
-from collections.abc import Awaitable, Callable, Coroutine
+from collections.abc import Awaitable, Callable
 
 from ..decisions import (
     change_attempt,
@@ -32,30 +32,21 @@
 from ..decisions.lease import FormerPrimaries
 from ..groups import LogPosition
 from ..identifiers import FencingToken, HostId, Position, ServerId, Term
-from ..queries import QueryKind, ServerReport
+from ..queries import QueryKind
 from ..services.clock import read_boot_ms
 from .change_commands import STATUS_PAUSE_S, ChangeCommands
 from .change_lease import ChangeLease
 from .change_rounds import ChangeRounds
+from .change_searches import EFFECT_PAUSE_S, ChangeSearches
 from .detours import Detours
 from .group import Group
-from .group_commands import (
-    NO_TERM,
-    GroupCommands,
-    record_phase,
-)
+from .group_commands import NO_TERM, GroupCommands, record_phase
 from .ports import Promoter, StoreError
 from .promotion_request import PromotionRequest
 from .write_barrier import WriteBarrier
 
 # Pause after the first of several answers: the others often come with it.
 ANSWER_PAUSE_S = 0.003
-EFFECT_PAUSE_S = 0.05
-# An order that shows no effect for this long has the servers listed, with a pause.
-LATE_EFFECT_MS = 1_000
-LATE_LIST_PAUSE_S = 0.5
-# Longest wait for servers that the store no longer lists; most of them are gone.
-UNLISTED_WAIT_S = 0.2
 
 
 class ChangeSteps:
@@ -99,8 +90,6 @@
     ) -> None:
         self.group = group
         self.lease = lease
-        self.refresh_servers = refresh_servers
-        self.detours = detours
         self.attempt = attempt
         self.token = token
         self.leased_at = read_boot_ms()
@@ -108,16 +97,22 @@
         self.sending = ChangeCommands(
             group=group, commands=commands, attempt=attempt, record=self._record
         )
-        # Answers of a silent primary through other hosts, once they were asked.
-        self.detour: asyncio.Task[tuple[ServerReport, ...]] | None = None
         self.rounds = ChangeRounds(
             lease=lease, barrier=barrier, attempt=attempt, record=self._record
         )
         self.promotion = PromotionRequest(
             group=group, host=host, promoter=promoter, attempt=attempt
         )
-        # Search for new servers and for the primary while a promotion is awaited.
-        self.search: asyncio.Task[None] | None = None
+        self.searches = ChangeSearches(
+            group=group,
+            attempt=attempt,
+            commands=self.sending,
+            promotion=self.promotion,
+            refresh_servers=refresh_servers,
+            detours=detours,
+            is_held=self.is_held,
+            record=self._record,
+        )
 
     def may_go_on(self, is_needed: bool) -> bool:
         """Return whether another step is due.
@@ -197,7 +192,7 @@
                 await asyncio.sleep(STATUS_PAUSE_S)
             case Pause(servers=servers, term=term):
                 self._record("pausing", servers=servers, term=term)
-                self._begin_detour(term)
+                self.searches.begin_detour(term)
                 self.rounds.begin_sealing(
                     commit_barrier.list_led(self.attempt), self.token
                 )
@@ -219,9 +214,9 @@
             case Seal():
                 await self._seal(step)
             case AskOthers(server=server, term=term):
-                await self._ask_others(server, term)
+                await self.searches.ask_others(server, term)
             case ListServers():
-                await self._list_servers()
+                await self.searches.list_servers()
             case Wait(why=why):
                 self._record("waiting", why=why)
                 self.group.probe_wanted.set()
@@ -256,12 +251,11 @@
                 LogPosition(term=Term(sample.term), position=Position(sample.position)),
             )
 
-    # -- commands --
-
     async def stop(self) -> None:
         """End the commands that still run: a late pause would outlast the change."""
         running: list[asyncio.Task] = list(self.sending.sent.values())
-        others = (self.detour, self.search, self.rounds.sealing, self.promotion.call)
+        searches = (self.searches.detour, self.searches.search)
+        others = (*searches, self.rounds.sealing, self.promotion.call)
         running += [task for task in others if task is not None]
         for task in running:
             task.cancel()
@@ -303,31 +297,6 @@
             return
         self._record("yielded", server=server, mark=f"{end.term}.{end.position}")
 
-    async def _ask_others(self, server: ServerId, term: Term) -> None:
-        """Have a silent primary step down through other hosts, if one reaches it."""
-        self.attempt.asked_others = True
-        self._begin_detour(term)
-        if self.detour is None:
-            return
-        asked_at = read_boot_ms()
-        reports = await self.detour
-        for report in reports:
-            self.sending.update_status(server, report, asked_at)
-        end = self.attempt.final_end
-        mark = f"{end.term}.{end.position}" if end is not None else ""
-        self._record("asked-others", server=server, answers=len(reports), mark=mark)
-
-    def _begin_detour(self, term: Term) -> None:
-        """Have other hosts ask a silent primary, beside the pauses."""
-        silent = self.attempt.replaced
-        if self.detour is not None or silent is None or silent in self.attempt.statuses:
-            return
-        pool = self.group.find_pool(silent)
-        if pool is not None:
-            self.detour = asyncio.get_running_loop().create_task(
-                self.detours.step_down(pool.server, term, self.is_held)
-            )
-
     async def _hold(self, step: Hold) -> None:
         self._record("holding", servers=step.servers, primary=step.primary)
         self.attempt.held = True
@@ -335,66 +304,13 @@
             self.sending.send(server, QueryKind.PAUSE, step.term)
         if step.primary is not None:
             self.sending.send(step.primary, QueryKind.STEP_DOWN, step.term)
-            self._begin_search(step.primary, step.term)
-        self._begin_late_list()
+            self.searches.begin_search(step.primary, step.term)
+        self.searches.begin_late_list()
         if step.asked is not None:
             self.sending.send(step.asked, QueryKind.STATUS, NO_TERM)
         self.group.probe_wanted.set()
         await asyncio.sleep(EFFECT_PAUSE_S)
 
-    def _begin_late_list(self) -> None:
-        """List the servers where no effect is seen: the target may be too full to say.
-
-        Its entry tells that it leads, so that this host sends it writes.
-        """
-        target = self.attempt.requested
-        is_late = read_boot_ms() - self.promotion.made_at >= LATE_EFFECT_MS
-        if is_late and target is not None:
-            self._begin(target, self._list_late)
-
-    async def _list_late(self) -> None:
-        await self._list_servers()
-        await asyncio.sleep(LATE_LIST_PAUSE_S)
-
-    def _begin_search(self, primary: ServerId, term: Term) -> None:
-        """Search again while the former primary may lead: a server may have joined."""
-        status = self.attempt.statuses.get(primary)
-        if status is None or status.is_primary:
-            self._begin(primary, lambda: self._search(primary, term))
-
-    def _begin(
-        self, server: ServerId, search: Callable[[], Coroutine[object, object, None]]
-    ) -> None:
-        """Begin a search on behalf of a server, unless one is under way."""
-        if self.search is None or self.search.done():
-            self.search = asyncio.get_running_loop().create_task(search())
-            self.search.add_done_callback(
-                lambda done: self.sending.record_failure(server, done)
-            )
-
-    async def _search(self, primary: ServerId, term: Term) -> None:
-        await self._list_servers()
-        pool = self.group.find_pool(primary)
-        if pool is None:
-            return
-        asked_at = read_boot_ms()
-        reports = await self.detours.step_down(pool.server, term, self.is_held)
-        for report in reports:
-            self.sending.update_status(primary, report, asked_at)
-
-    # -- the platform --
-
-    async def _list_servers(self) -> None:
-        try:
-            await self.refresh_servers()
-        except StoreError as error:
-            self._record("waiting", why=f"store: {error}")
-            await asyncio.sleep(EFFECT_PAUSE_S)
-            return
-        if self.sending.sent:
-            await asyncio.wait(self.sending.sent.values(), timeout=UNLISTED_WAIT_S)
-        self.attempt.listed = True
-
     async def _record_target(self, server: ServerId) -> bool:
         """Record the target in the lease; return False if the lease is lost."""
         former = commit_barrier.list_led(self.attempt)
