--- a/src/apricotshore/pooling/change_steps.py
+++ b/src/apricotshore/pooling/change_steps.py
@@ -1,7 +1,7 @@
-"""Steps of one change of primary: commands, the lease and the promotion."""
+"""Steps of one change of primary: their plan, their dispatch and the promotion."""
 
 import asyncio
-from collections.abc import Awaitable, Callable, Coroutine, Iterable
+from collections.abc import Awaitable, Callable
 
 from ..decisions import (
     change_attempt,
@@ -14,7 +14,6 @@
     Abandon,
     AskOthers,
     Attempt,
-    BarrierReport,
     Hold,
     ListServers,
     Member,
@@ -28,40 +27,26 @@
     Step,
     StepDown,
     Wait,
-    read_status,
 )
 from ..decisions.commit_barrier import BarrierProof
 from ..decisions.lease import FormerPrimaries
 from ..groups import LogPosition
 from ..identifiers import FencingToken, HostId, Position, ServerId, Term
-from ..queries import QueryKind, ServerReport
+from ..queries import QueryKind
 from ..services.clock import read_boot_ms
+from .change_commands import STATUS_PAUSE_S, ChangeCommands
 from .change_lease import ChangeLease
+from .change_rounds import ChangeRounds
+from .change_searches import EFFECT_PAUSE_S, ChangeSearches
 from .detours import Detours
 from .group import Group
-from .group_commands import (
-    COMMAND_TIMEOUT_MS,
-    NO_TERM,
-    GroupCommands,
-    record_phase,
-)
+from .group_commands import NO_TERM, GroupCommands, record_phase
 from .ports import Promoter, StoreError
 from .promotion_request import PromotionRequest
 from .write_barrier import WriteBarrier
 
-# Pause before servers are asked again, and while a promotion is awaited.
-STATUS_PAUSE_S = 0.02
 # Pause after the first of several answers: the others often come with it.
 ANSWER_PAUSE_S = 0.003
-EFFECT_PAUSE_S = 0.05
-# An order that shows no effect for this long has the servers listed, with a pause.
-LATE_EFFECT_MS = 1_000
-LATE_LIST_PAUSE_S = 0.5
-# Longest wait for servers that the store no longer lists; most of them are gone.
-UNLISTED_WAIT_S = 0.2
-# Commands that are repeated until a promotion takes effect: one without an answer
-# must not delay the next.
-HOLD_TIMEOUT_MS = 200
 
 
 class ChangeSteps:
@@ -105,26 +90,29 @@
     ) -> None:
         self.group = group
         self.lease = lease
-        self.commands = commands
-        self.refresh_servers = refresh_servers
-        self.detours = detours
-        self.barrier = barrier
         self.attempt = attempt
         self.token = token
         self.leased_at = read_boot_ms()
         self.last_phase: tuple[object, ...] = ()
-        # Commands that run without being waited for, by server.
-        self.sent: dict[ServerId, asyncio.Task[None]] = {}
-        # Answers of a silent primary through other hosts, once they were asked.
-        self.detour: asyncio.Task[tuple[ServerReport, ...]] | None = None
-        # Round of confirmations that is under way.
-        self.sealing: asyncio.Task[BarrierReport] | None = None
-        self.sealing_since = 0
+        self.sending = ChangeCommands(
+            group=group, commands=commands, attempt=attempt, record=self._record
+        )
+        self.rounds = ChangeRounds(
+            lease=lease, barrier=barrier, attempt=attempt, record=self._record
+        )
         self.promotion = PromotionRequest(
             group=group, host=host, promoter=promoter, attempt=attempt
         )
-        # Search for new servers and for the primary while a promotion is awaited.
-        self.search: asyncio.Task[None] | None = None
+        self.searches = ChangeSearches(
+            group=group,
+            attempt=attempt,
+            commands=self.sending,
+            promotion=self.promotion,
+            refresh_servers=refresh_servers,
+            detours=detours,
+            is_held=self.is_held,
+            record=self._record,
+        )
 
     def may_go_on(self, is_needed: bool) -> bool:
         """Return whether another step is due.
@@ -200,13 +188,15 @@
     async def _run(self, step: Step) -> None:
         match step:
             case RequestStatus(servers=servers):
-                await self._command_all(servers, QueryKind.STATUS)
+                await self.sending.command_all(servers, QueryKind.STATUS)
                 await asyncio.sleep(STATUS_PAUSE_S)
             case Pause(servers=servers, term=term):
                 self._record("pausing", servers=servers, term=term)
-                self._begin_detour(term)
-                self._begin_sealing(commit_barrier.list_led(self.attempt))
-                await self._command_all(servers, QueryKind.PAUSE, term)
+                self.searches.begin_detour(term)
+                self.rounds.begin_sealing(
+                    commit_barrier.list_led(self.attempt), self.token
+                )
+                await self.sending.command_all(servers, QueryKind.PAUSE, term)
             case Secure():
                 await self._secure(step)
             case StepDown(server=server, term=term):
@@ -224,9 +214,9 @@
             case Seal():
                 await self._seal(step)
             case AskOthers(server=server, term=term):
-                await self._ask_others(server, term)
+                await self.searches.ask_others(server, term)
             case ListServers():
-                await self._list_servers()
+                await self.searches.list_servers()
             case Wait(why=why):
                 self._record("waiting", why=why)
                 self.group.probe_wanted.set()
@@ -261,257 +251,66 @@
                 LogPosition(term=Term(sample.term), position=Position(sample.position)),
             )
 
-    # -- commands --
-
-    async def _command_all(
-        self, servers: Iterable[ServerId], kind: QueryKind, term: Term = NO_TERM
-    ) -> None:
-        asked = list(servers)
-        for server in self.group.unlisted.keys() & set(asked):
-            self._send(server, kind, term)
-        listed = [s for s in asked if s not in self.group.unlisted]
-        if not listed:
-            await asyncio.sleep(STATUS_PAUSE_S)
-        await asyncio.gather(*(self._command(s, kind, term) for s in listed))
-
-    def _send(self, server: ServerId, kind: QueryKind, term: Term) -> None:
-        """Run a command without waiting for it, unless the last one still runs."""
-        if server in self.sent:
-            return
-        task = asyncio.get_running_loop().create_task(
-            self._command(server, kind, term, HOLD_TIMEOUT_MS)
-        )
-        self.sent[server] = task
-        task.add_done_callback(lambda done: self._forget(server, done))
-
-    def _forget(self, server: ServerId, done: asyncio.Task[None]) -> None:
-        del self.sent[server]
-        self._record_failure(server, done)
-
-    def _record_failure(self, server: ServerId, done: asyncio.Task[None]) -> None:
-        if not done.cancelled() and done.exception() is not None:
-            self._record("failed", server=server, why=repr(done.exception()))
-
     async def stop(self) -> None:
         """End the commands that still run: a late pause would outlast the change."""
-        running: list[asyncio.Task] = list(self.sent.values())
-        others = (self.detour, self.search, self.sealing, self.promotion.call)
+        running: list[asyncio.Task] = list(self.sending.sent.values())
+        searches = (self.searches.detour, self.searches.search)
+        others = (*searches, self.rounds.sealing, self.promotion.call)
         running += [task for task in others if task is not None]
         for task in running:
             task.cancel()
         await asyncio.gather(*running, return_exceptions=True)
 
-    async def _command(
-        self,
-        server: ServerId,
-        kind: QueryKind,
-        term: Term,
-        timeout_ms: int = COMMAND_TIMEOUT_MS,
-    ) -> None:
-        asked_at = read_boot_ms()
-        reply = await self.commands.ask(server, kind, term, timeout_ms)
-        if reply.report is not None:
-            self._update_status(server, reply.report, asked_at, kind)
-            return
-        change_attempt.remove_status(self.attempt, server, read_boot_ms())
-        if reply.refused:
-            change_attempt.observe_refusal(self.attempt, server)
-
     async def _secure(self, step: Secure) -> None:
         """Pause servers beside asking others, and wait for the first answer."""
         if step.paused:
             self._record("pausing", servers=step.paused, term=step.term)
-        self._send_beside(step)
-        if self.sent:
+        self.sending.send_beside(step)
+        if self.sending.sent:
             await asyncio.wait(
-                self.sent.values(),
+                self.sending.sent.values(),
                 timeout=STATUS_PAUSE_S,
                 return_when=asyncio.FIRST_COMPLETED,
             )
         is_sealed = self.attempt.barrier is not None
         await asyncio.sleep(STATUS_PAUSE_S if is_sealed else ANSWER_PAUSE_S)
 
-    def _send_beside(self, step: Secure) -> None:
-        for server in step.paused:
-            self._send(server, QueryKind.PAUSE, step.term)
-        for server in step.asked:
-            self._send(server, QueryKind.STATUS, NO_TERM)
-        if step.former is not None:
-            self._send(step.former, QueryKind.STEP_DOWN, step.term)
-
     async def _quiesce(self, server: ServerId) -> None:
-        """Have all hosts send nothing more to a primary that is to step down."""
-        report = await self.barrier.quiesce(
-            server, self.attempt.from_term, self.token, commit_barrier.QUIESCE_MS
-        )
-        change_attempt.observe_quiesced(self.attempt, report)
+        await self.rounds.quiesce(server, self.token)
 
     async def _seal(self, step: Seal) -> None:
         """Have all hosts confirm that former primaries can't answer them."""
-        self._send_beside(step.beside)
-        is_named_late = await self._name_led()
-        is_early = self.sealing_since < self.attempt.stepped_down_at
-        if self.sealing and (is_early or is_named_late):
-            # A host that started before that may not have been listed.
-            self.sealing.cancel()
-            self.sealing = None
-        self._begin_sealing(step.servers)
-        if self.sealing is not None:
-            self.attempt.barrier = await self.sealing
-            self.sealing = None
-
-    async def _name_led(self) -> bool:
-        """Name servers in the lease that led since; return whether that was due.
-
-        Hosts that start read it there. One that names nobody stands for all servers.
-        """
-        led = commit_barrier.list_led(self.attempt)
-        named = self.lease.former.servers
-        if not named or set(led) <= set(named):
-            return False
-        self.lease.name_former(
-            FormerPrimaries(servers=led, term=self.attempt.from_term)
-        )
-        try:
-            token = await self.lease.extend()
-        except StoreError as error:
-            self._record("waiting", why=f"store: {error}")
-            return True
-        # Without a token the lease is lost, and no step follows.
-        self.token = token or self.token
-        return True
-
-    def _begin_sealing(self, servers: tuple[ServerId, ...]) -> None:
-        if self.sealing is None and self.attempt.barrier is None:
-            self.sealing_since = read_boot_ms()
-            self.sealing = asyncio.get_running_loop().create_task(
-                self.barrier.seal(
-                    servers,
-                    self.attempt.from_term,
-                    self.token,
-                    commit_barrier.SEAL_MS,
-                )
-            )
+        self.sending.send_beside(step.beside)
+        is_named_late, self.token = await self.rounds.name_led(self.token)
+        await self.rounds.seal(step.servers, self.token, is_named_late)
 
     async def reopen(self) -> None:
         """Have hosts send again to a primary that was not replaced, or leads again."""
-        for server in commit_barrier.list_reopened(
-            self.attempt, is_settled=self.promotion.is_settled()
-        ):
-            await self.barrier.reopen(server, self.attempt.from_term, self.token)
-
-    def _update_status(
-        self,
-        server: ServerId,
-        report: ServerReport,
-        asked_at: int,
-        kind: QueryKind = QueryKind.STEP_DOWN,
-    ) -> None:
-        change_attempt.update_status(
-            self.attempt, server, read_status(report, kind), read_boot_ms(), asked_at
-        )
+        await self.rounds.reopen(self.token, self.promotion.is_settled())
 
     async def _step_down(self, server: ServerId, term: Term) -> None:
         self._record("yielding", server=server, term=term)
-        await self._command(server, QueryKind.STEP_DOWN, term)
+        await self.sending.command(server, QueryKind.STEP_DOWN, term)
         end = self.attempt.final_end
         if end is None:
             await asyncio.sleep(STATUS_PAUSE_S)
             return
         self._record("yielded", server=server, mark=f"{end.term}.{end.position}")
 
-    async def _ask_others(self, server: ServerId, term: Term) -> None:
-        """Have a silent primary step down through other hosts, if one reaches it."""
-        self.attempt.asked_others = True
-        self._begin_detour(term)
-        if self.detour is None:
-            return
-        asked_at = read_boot_ms()
-        reports = await self.detour
-        for report in reports:
-            self._update_status(server, report, asked_at)
-        end = self.attempt.final_end
-        mark = f"{end.term}.{end.position}" if end is not None else ""
-        self._record("asked-others", server=server, answers=len(reports), mark=mark)
-
-    def _begin_detour(self, term: Term) -> None:
-        """Have other hosts ask a silent primary, beside the pauses."""
-        silent = self.attempt.replaced
-        if self.detour is not None or silent is None or silent in self.attempt.statuses:
-            return
-        pool = self.group.find_pool(silent)
-        if pool is not None:
-            self.detour = asyncio.get_running_loop().create_task(
-                self.detours.step_down(pool.server, term, self.is_held)
-            )
-
     async def _hold(self, step: Hold) -> None:
         self._record("holding", servers=step.servers, primary=step.primary)
         self.attempt.held = True
         for server in step.servers:
-            self._send(server, QueryKind.PAUSE, step.term)
+            self.sending.send(server, QueryKind.PAUSE, step.term)
         if step.primary is not None:
-            self._send(step.primary, QueryKind.STEP_DOWN, step.term)
-            self._begin_search(step.primary, step.term)
-        self._begin_late_list()
+            self.sending.send(step.primary, QueryKind.STEP_DOWN, step.term)
+            self.searches.begin_search(step.primary, step.term)
+        self.searches.begin_late_list()
         if step.asked is not None:
-            self._send(step.asked, QueryKind.STATUS, NO_TERM)
+            self.sending.send(step.asked, QueryKind.STATUS, NO_TERM)
         self.group.probe_wanted.set()
         await asyncio.sleep(EFFECT_PAUSE_S)
 
-    def _begin_late_list(self) -> None:
-        """List the servers where no effect is seen: the target may be too full to say.
-
-        Its entry tells that it leads, so that this host sends it writes.
-        """
-        target = self.attempt.requested
-        is_late = read_boot_ms() - self.promotion.made_at >= LATE_EFFECT_MS
-        if is_late and target is not None:
-            self._begin(target, self._list_late)
-
-    async def _list_late(self) -> None:
-        await self._list_servers()
-        await asyncio.sleep(LATE_LIST_PAUSE_S)
-
-    def _begin_search(self, primary: ServerId, term: Term) -> None:
-        """Search again while the former primary may lead: a server may have joined."""
-        status = self.attempt.statuses.get(primary)
-        if status is None or status.is_primary:
-            self._begin(primary, lambda: self._search(primary, term))
-
-    def _begin(
-        self, server: ServerId, search: Callable[[], Coroutine[object, object, None]]
-    ) -> None:
-        """Begin a search on behalf of a server, unless one is under way."""
-        if self.search is None or self.search.done():
-            self.search = asyncio.get_running_loop().create_task(search())
-            self.search.add_done_callback(
-                lambda done: self._record_failure(server, done)
-            )
-
-    async def _search(self, primary: ServerId, term: Term) -> None:
-        await self._list_servers()
-        pool = self.group.find_pool(primary)
-        if pool is None:
-            return
-        asked_at = read_boot_ms()
-        reports = await self.detours.step_down(pool.server, term, self.is_held)
-        for report in reports:
-            self._update_status(primary, report, asked_at)
-
-    # -- the platform --
-
-    async def _list_servers(self) -> None:
-        try:
-            await self.refresh_servers()
-        except StoreError as error:
-            self._record("waiting", why=f"store: {error}")
-            await asyncio.sleep(EFFECT_PAUSE_S)
-            return
-        if self.sent:
-            await asyncio.wait(self.sent.values(), timeout=UNLISTED_WAIT_S)
-        self.attempt.listed = True
-
     async def _record_target(self, server: ServerId) -> bool:
         """Record the target in the lease; return False if the lease is lost."""
         former = commit_barrier.list_led(self.attempt)
