Wait for a connection with wait_for again, and look for a cancellation

Why the two waits share connections so differently isn't understood.

Change: wait_for again; a cancellation that it dropped is found by the task's count, and raised.

Measured: test_shared_connections, test_pool and test_full_primaries, 21 tests: 15 of 15 runs pass, three at once, the two tests of a cancelled statement among them.

--- a/src/apricotshore/pooling/pool.py
+++ b/src/apricotshore/pooling/pool.py
@@ -195,11 +195,14 @@
         # Retry periodically: the server may accept another connection by then.
         step = min(RETRY_STEP_S, max(expires_at - now, 1) / 1000)
         try:
-            async with asyncio.timeout(step):
-                return await future
+            pooled = await asyncio.wait_for(future, step)
+            task = asyncio.current_task()
+            if task is not None and task.cancelling():
+                # In Python 3.11 that drops a cancellation that comes in the same turn.
+                raise asyncio.CancelledError
+            return pooled
         except TimeoutError:
-            # It may have come in the same turn.
-            return None if future.cancelled() else future.result()
+            return None
         except BaseException:
             if future.done() and not future.cancelled():
                 self._reassign(future.result())
