--- a/src/apricotshore/decisions/change_actions.py
+++ b/src/apricotshore/decisions/change_actions.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass
 
 from ..identifiers import ServerId, Term
+from .log_floor import NO_FLOOR, LogFloor
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -95,9 +96,10 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class RecordTarget:
-    """Action: record in the lease which server is to be promoted."""
+    """Action: record in the lease who is to be promoted, and the floor of logs."""
 
     server: ServerId
+    floor: LogFloor = NO_FLOOR
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/src/apricotshore/decisions/change_attempt.py
+++ b/src/apricotshore/decisions/change_attempt.py
@@ -5,6 +5,7 @@
 from ..groups import LogPosition
 from ..identifiers import HostId, ServerId, Term
 from .change_members import MemberStatus, log_order
+from .log_floor import NO_FLOOR, End, LogFloor
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -69,6 +70,13 @@
         Furthest end of each server's log in this change.
     shrunk
         Servers whose log has ended before that: they lost it.
+    floor
+        Floor of logs that earlier changes left in the lease.
+    lost_end
+        End up to which the log of a server that is gone counts, `UNKNOWN_END` where
+        that can't be told, None where no server has lost its log.
+    needed_end
+        End that a server's log has to reach to be ordered, None while it isn't known.
     is_silent
         Whether the primary is taken for silent, so that its answer is not waited for.
     returns_often
@@ -159,6 +167,9 @@
     answered_at: dict[ServerId, int] = field(default_factory=dict)
     ends: dict[ServerId, tuple[int, int]] = field(default_factory=dict)
     shrunk: set[ServerId] = field(default_factory=set)
+    floor: LogFloor = NO_FLOOR
+    lost_end: End | None = None
+    needed_end: End | None = None
     is_silent: bool = False
     returns_often: bool = False
     returned_at: int | None = None
--- a/src/apricotshore/decisions/change_members.py
+++ b/src/apricotshore/decisions/change_members.py
@@ -14,7 +14,7 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Member:
-    """A backend server that may hold acknowledged commits.
+    """A backend server that may receive commits.
 
     Parameters
     ----------
@@ -26,12 +26,16 @@
         Whether the store lists it. One that lost its entry may still receive.
     started_ms
         When it started, in Unix milliseconds.
+    is_counted
+        Whether it may hold acknowledged commits that others lack. One that was gone as
+        the last change settled holds none that the floor of logs doesn't cover.
     """
 
     server: ServerId
     leaving: bool = False
     listed: bool = True
     started_ms: int = 0
+    is_counted: bool = True
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/src/apricotshore/decisions/change_targets.py
+++ b/src/apricotshore/decisions/change_targets.py
@@ -6,9 +6,8 @@
 from ..identifiers import ServerId, Term
 from .change_attempt import Attempt
 from .change_members import Member, MemberStatus, log_order
+from .needed_end import may_lead
 
-# An acknowledged commit is stored on the primary and on one replica.
-COPIES_PER_COMMIT = 2
 # Age of an answer on which a promotion may still be requested. A pause or a log may be
 # gone since, if its server has restarted.
 FRESH_MS = 200
@@ -86,7 +85,7 @@
 
 def choose_target(attempt: Attempt, followers: list[Member]) -> ServerId | None:
     """Return the best follower to promote, None without one."""
-    candidates = [m for m in followers if m.listed and m.server not in attempt.rejected]
+    candidates = _list_candidates(attempt, followers)
     if not candidates:
         return None
     best = max(
@@ -113,6 +112,17 @@
     return best.server
 
 
+def _list_candidates(attempt: Attempt, followers: list[Member]) -> list[Member]:
+    """List the followers that may be ordered, one without an effect only if it must."""
+    candidates = [m for m in followers if m.listed and m.server not in attempt.rejected]
+    if attempt.ineffective is None:
+        return candidates
+    others = [m for m in candidates if m.server != attempt.ineffective]
+    if any(may_lead(attempt, m.server) for m in others):
+        return others
+    return candidates
+
+
 def set_target(attempt: Attempt, server: ServerId | None, now: int) -> None:
     """Set the target, and since when it is the target."""
     if server != attempt.target:
--- a/src/apricotshore/decisions/followed_order.py
+++ b/src/apricotshore/decisions/followed_order.py
@@ -14,13 +14,13 @@
 from .change_members import Member
 from .change_targets import (
     CATCH_UP_MS,
-    COPIES_PER_COMMIT,
     choose_pause_term,
     list_followers,
     list_names,
     read_order,
 )
 from .commit_barrier import is_running_late, list_led
+from .log_floor import find_floor_end
 from .order_effect import find_overdue
 from .promotion_order import list_unpaused, plan_proof, secure
 
@@ -118,9 +118,7 @@
         return False
     if not _is_inherited(attempt):
         return True
-    unknown = [m for m in others if m.listed and m.server not in attempt.statuses]
-    if len(unknown) >= COPIES_PER_COMMIT:
-        # They alone may hold a commit.
+    if attempt.needed_end is None:
         return False
     is_late = now - attempt.started_at >= CATCH_UP_MS
     return is_late or not list_unpaused(attempt, others)
@@ -177,6 +175,7 @@
     if not _is_inherited(attempt) or target not in attempt.statuses:
         return None
     ends = [read_order(attempt, m.server) for m in list_followers(attempt, members)]
+    ends.append(attempt.needed_end or find_floor_end(attempt.floor))
     if attempt.final_end is not None:
         ends.append((attempt.final_end.term, attempt.final_end.position))
     return attempt.started_at if read_order(attempt, target) < max(ends) else None
--- /dev/null
+++ b/src/apricotshore/decisions/log_floor.py
@@ -0,0 +1,136 @@
+"""End of the log below which no server of a group may be promoted.
+
+A commit is acknowledged once the primary and one replica hold it. So everything that
+was acknowledged lies at or below the second-longest log of all members, where one whose
+log isn't known may have any length. A server whose log ends there holds it all. While
+too many logs are unknown, nobody may be promoted: waiting without a primary is the
+price of losing nothing.
+
+The floor is kept in the lease on the group's change of primary. It outlives the change
+and its holder, so what one has read of a log counts for the next one as well. A log of
+a newer term that began at or above it lies above it.
+
+A member is anyone that was listed since the last settled change. One whose entry has
+only run out still counts: its log may be back with it.
+"""
+
+from collections.abc import Mapping
+from dataclasses import dataclass
+
+from ..groups import LogPosition
+from ..identifiers import ServerId
+from .change_members import log_order
+
+# An acknowledged commit is stored on the primary and on one replica.
+COPIES_PER_COMMIT = 2
+
+# Sort key of the end of a log.
+End = tuple[float, float]
+UNKNOWN_END: End = (float("inf"), float("inf"))
+EMPTY_END: End = (0, 0)
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class StoredMember:
+    """A server that may hold acknowledged commits, as the lease names it.
+
+    Parameters
+    ----------
+    server
+        The server.
+    address
+        Its ``ip:port``. A server that leaves hands its log to its successor there.
+    started_ms
+        When it started, in Unix milliseconds. Another value for the same server means
+        that it has lost its log.
+    """
+
+    server: ServerId
+    address: str
+    started_ms: int
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class LogFloor:
+    """End of the log below which no server of a group may be promoted.
+
+    Parameters
+    ----------
+    end
+        The end, None while none is known.
+    holder
+        Server that was known to hold a log up to it.
+    members
+        Servers that may hold acknowledged commits, listed or not.
+    """
+
+    end: LogPosition | None = None
+    holder: ServerId | None = None
+    members: tuple[StoredMember, ...] = ()
+
+
+NO_FLOOR = LogFloor()
+
+
+def find_floor_end(floor: LogFloor) -> End:
+    """Return the sort key of a floor's end."""
+    return EMPTY_END if floor.end is None else log_order(floor.end)
+
+
+def find_needed_end(
+    floor: LogFloor, ends: Mapping[ServerId, End], lost_end: End | None
+) -> End | None:
+    """Return the end that a server's log has to reach, None while it isn't known.
+
+    Parameters
+    ----------
+    floor
+        The floor that earlier changes left.
+    ends
+        Ends of the logs of all members, `UNKNOWN_END` of those that aren't known.
+    lost_end
+        End up to which a log that was lost counts, None where none was.
+    """
+    logs = list(ends.values())
+    if lost_end is not None:
+        logs.append(lost_end)
+    longest = sorted(logs, reverse=True)[:COPIES_PER_COMMIT]
+    needed = max(longest[-1:], default=EMPTY_END)
+    if not _is_replaced(floor, ends, lost_end):
+        needed = max(needed, find_floor_end(floor))
+    return None if needed == UNKNOWN_END else needed
+
+
+def _is_replaced(
+    floor: LogFloor, ends: Mapping[ServerId, End], lost_end: End | None
+) -> bool:
+    """Return whether all logs are known, that of the floor's holder up to it.
+
+    The floor may lie higher than any acknowledged commit, if a log was unknown then.
+    """
+    if floor.holder not in ends or lost_end is not None:
+        return False
+    return UNKNOWN_END not in ends.values() and (
+        ends[floor.holder] >= find_floor_end(floor)
+    )
+
+
+def find_shortfall(
+    floor: LogFloor, ends: Mapping[ServerId, End], lost_end: End | None, target: End
+) -> int:
+    """Return how many entries a target's log lacks of an end that is known.
+
+    Parameters
+    ----------
+    floor, ends, lost_end
+        See `find_needed_end`.
+    target
+        End of the target's log.
+    """
+    needed = find_needed_end(floor, ends, lost_end)
+    if needed is None:
+        known = [e for e in ends.values() if e != UNKNOWN_END]
+        needed = max([*known, find_floor_end(floor)])
+    if target >= needed:
+        return 0
+    return max(1, int(needed[1] - target[1]))
--- a/src/apricotshore/decisions/primary_change.py
+++ b/src/apricotshore/decisions/primary_change.py
@@ -60,6 +60,7 @@
     raise_led_term,
     replace_leader,
 )
+from .needed_end import list_unknown, may_lead, observe_needed_end
 from .paused_targets import is_kept_from, may_receive, plan_resumption
 from .position_history import PositionSample
 from .primary_return import plan_return
@@ -128,6 +129,7 @@
     now
         Milliseconds since boot.
     """
+    observe_needed_end(attempt, members, since_loss, lossless)
     if attempt.requested is not None:
         step = plan_until_effect(attempt, members, now)
         if step is not None:
@@ -145,10 +147,10 @@
     if other is not None:
         return _plan_other_leader(attempt, members, other, now)
     if attempt.final_end is not None:
-        return _plan_after_step_down(attempt, members, since_loss, lossless, now)
+        return _plan_after_step_down(attempt, members, now)
     if _can_step_down(attempt, now):
         return _plan_step_down(attempt, members, now)
-    return plan_with_pauses(attempt, members, since_loss, lossless, now)
+    return plan_with_pauses(attempt, members, now)
 
 
 def _find_other_leader(attempt: Attempt, now: int) -> ServerId | None:
@@ -244,11 +246,7 @@
 
 
 def _plan_after_step_down(
-    attempt: Attempt,
-    members: tuple[Member, ...],
-    since_loss: PositionSample | None,
-    lossless: bool,
-    now: int,
+    attempt: Attempt, members: tuple[Member, ...], now: int
 ) -> Step:
     """Promote a server that holds all that the former primary has stored."""
     if attempt.target == attempt.replaced or is_running_late(attempt, now):
@@ -264,7 +262,7 @@
     if step is not None:
         return step
     if target is None or target not in full:
-        return _plan_incomplete(attempt, members, others, since_loss, lossless, now)
+        return _plan_incomplete(attempt, members, others, now)
     return plan_order(attempt, members, target, now)
 
 
@@ -291,8 +289,6 @@
     attempt: Attempt,
     members: tuple[Member, ...],
     others: tuple[Member, ...],
-    since_loss: PositionSample | None,
-    lossless: bool,
     now: int,
 ) -> Step:
     """Find who is to be promoted while no server is known to hold all.
@@ -308,11 +304,7 @@
         return secure(attempt, unpaused)
     if not attempt.listed:
         return ListServers()
-    missing = tuple(
-        m.server
-        for m in others
-        if m.listed and (m.server not in attempt.statuses or m.server in attempt.shrunk)
-    )
+    missing = list_unknown(attempt, others)
     if missing and since < NO_ANSWER_LIMIT_MS:
         return Pause(servers=missing, term=choose_pause_term(attempt))
     followers = list_followers(attempt, others)
@@ -329,13 +321,8 @@
     )
     if receiving:
         return Pause(servers=receiving, term=choose_pause_term(attempt))
-    if target is not None and not missing:
-        needed = [read_order(attempt, m.server) for m in followers]
-        if not lossless:
-            proven = since_loss or attempt.final_end
-            needed.append((proven.term, proven.position))
-        if read_order(attempt, target) >= max(needed):
-            return plan_order(attempt, members, target, now)
+    if target is not None and may_lead(attempt, target):
+        return plan_order(attempt, members, target, now)
     return _plan_former(attempt, members, now)
 
 
--- a/src/apricotshore/decisions/primary_proof.py
+++ b/src/apricotshore/decisions/primary_proof.py
@@ -17,7 +17,7 @@
 
 from ..identifiers import ServerId, Term
 from .change_members import MemberStatus
-from .change_targets import COPIES_PER_COMMIT
+from .log_floor import COPIES_PER_COMMIT
 
 
 class ProbeResult(Enum):
--- a/src/apricotshore/decisions/promotion_order.py
+++ b/src/apricotshore/decisions/promotion_order.py
@@ -1,12 +1,12 @@
 """Whether a promotion may be ordered: the one rule of all paths.
 
-An order needs that nobody can be told of a commit by a former primary any more, and
-that every other server which may receive is paused. What can't be had in time is
-waived, and named in the order.
+An order needs that nobody can be told of a commit by a former primary any more, that
+the target's log reaches the needed end, and that every other server which may receive
+is paused. A pause that can't be had in time is waived, and named in the order.
 """
 
 from ..identifiers import ServerId
-from .change_actions import Promote, RecordTarget, Seal, Secure, Step
+from .change_actions import Promote, RecordTarget, RequestStatus, Seal, Secure, Step
 from .change_attempt import Attempt
 from .change_members import Member
 from .change_targets import (
@@ -25,6 +25,7 @@
     list_led,
     list_unasked,
 )
+from .needed_end import find_next_floor, list_unknown, may_lead
 
 # For this long after the primary stepped down, only its target may be promoted, and a
 # promotion waits for the pause of a server that has not answered before.
@@ -89,11 +90,15 @@
     step = plan_proof(attempt, others, now)
     if step is not None:
         return step
+    if not may_lead(attempt, target):
+        unknown = list_unknown(attempt, members)
+        return RequestStatus(servers=unknown or list_names(members))
     unpaused = list_unpaused(attempt, others)
     if _must_wait_for(attempt, others, unpaused, now):
         return secure(attempt, unpaused)
-    if attempt.recorded != target:
-        return RecordTarget(server=target)
+    floor = find_next_floor(attempt, target)
+    if attempt.recorded != target or attempt.floor != floor:
+        return RecordTarget(server=target, floor=floor)
     stale = _list_stale(attempt, members, now)
     if stale and _must_ask_again(attempt, stale, now):
         return Secure(
--- a/src/apricotshore/decisions/silent_primary.py
+++ b/src/apricotshore/decisions/silent_primary.py
@@ -11,37 +11,28 @@
 from .change_members import Member
 from .change_targets import (
     CATCH_UP_MS,
-    COPIES_PER_COMMIT,
     choose_pause_term,
     choose_target,
     find_unpaused,
     is_paused,
     list_followers,
     list_names,
-    read_order,
     set_target,
 )
-from .position_history import PositionSample
+from .needed_end import may_lead
 from .promotion_order import plan_order, plan_proof
 
 
-def plan_with_pauses(
-    attempt: Attempt,
-    members: tuple[Member, ...],
-    since_loss: PositionSample | None,
-    lossless: bool,
-    now: int,
-) -> Step:
+def plan_with_pauses(attempt: Attempt, members: tuple[Member, ...], now: int) -> Step:
     """Pause every server that answers except the target, and promote that one."""
     missing = tuple(m.server for m in members if m.server not in attempt.statuses)
-    listed = {m.server for m in members if m.listed}
     if attempt.replaced is None:
         # It may have led.
-        attempt.absent = listed.intersection(missing)
-    followers = _list_counted(attempt, list_followers(attempt, members))
+        attempt.absent = {m.server for m in members if m.listed}.intersection(missing)
+    followers = list_followers(attempt, members)
     # A server that is merely overloaded may be the primary.
     has_busy = bool(attempt.busy.intersection(missing)) and not attempt.is_cut_off
-    if has_busy or len(listed & set(missing)) >= COPIES_PER_COMMIT or not followers:
+    if has_busy or attempt.needed_end is None or not followers:
         servers = missing or list_names(members)
         return RequestStatus(servers=_prefer_responsive(attempt, servers))
     if attempt.target is None or attempt.target not in attempt.statuses:
@@ -53,59 +44,37 @@
     if unpaused:
         attempt.listed = False
         return Pause(servers=unpaused, term=term)
-    return _plan_promotion(attempt, members, followers, since_loss, lossless, now)
-
-
-def _list_counted(attempt: Attempt, followers: list[Member]) -> list[Member]:
-    """Leave out a server that can't be promoted and holds more than all others.
-
-    It counts as missing then, as a silent primary does: what it alone holds was
-    acknowledged to nobody, if all others are known.
-    """
-    others = [m for m in followers if m.server != attempt.ineffective]
-    if not others or len(others) == len(followers):
-        return followers
-    assert attempt.ineffective is not None
-    longest = max(read_order(attempt, m.server) for m in others)
-    is_ahead = read_order(attempt, attempt.ineffective) > longest
-    return others if is_ahead else followers
+    return _plan_promotion(attempt, members, followers, now)
 
 
 def _plan_promotion(
-    attempt: Attempt,
-    members: tuple[Member, ...],
-    followers: list[Member],
-    since_loss: PositionSample | None,
-    lossless: bool,
-    now: int,
+    attempt: Attempt, members: tuple[Member, ...], followers: list[Member], now: int
 ) -> Step:
     target = attempt.target
     if target is None:
         return Wait(why="no server can be promoted")
-    known = set(list_names(followers)) - attempt.shrunk
-    unknown = tuple(m.server for m in members if m.listed and m.server not in known)
-    if len(unknown) >= COPIES_PER_COMMIT:
-        return RequestStatus(servers=_prefer_responsive(attempt, unknown))
-    reached = read_order(attempt, target)
-    needed = max(attempt.ends[s] for s in list_names(followers))
-    if reached < needed:
-        if now - attempt.target_since < CATCH_UP_MS:
-            return RequestStatus(servers=(target,))
-        if not is_paused(attempt, target):
-            return Pause(servers=(target,), term=attempt.pause_term)
-        attempt.target = None
-        set_target(attempt, choose_target(attempt, followers), now)
-        return RequestStatus(servers=tuple(known))
-    if unknown and not lossless:
-        proven = None if since_loss is None else (since_loss.term, since_loss.position)
-        if proven is None or reached < proven:
-            return RequestStatus(servers=(*unknown, target))
+    if not may_lead(attempt, target):
+        return _plan_longer_log(attempt, target, followers, now)
     silent = attempt.replaced
-    if silent is not None and silent not in known and not attempt.asked_others:
+    is_unknown = silent not in attempt.statuses or silent in attempt.shrunk
+    if silent is not None and is_unknown and not attempt.asked_others:
         return AskOthers(server=silent, term=attempt.pause_term)
     return _plan_order(attempt, members, target, now)
 
 
+def _plan_longer_log(
+    attempt: Attempt, target: ServerId, followers: list[Member], now: int
+) -> Step:
+    """Wait until the target has received the rest, then choose the longest log."""
+    if now - attempt.target_since < CATCH_UP_MS:
+        return RequestStatus(servers=(target,))
+    if not is_paused(attempt, target):
+        return Pause(servers=(target,), term=attempt.pause_term)
+    attempt.target = None
+    set_target(attempt, choose_target(attempt, followers), now)
+    return RequestStatus(servers=list_names(followers))
+
+
 def _plan_order(
     attempt: Attempt, members: tuple[Member, ...], target: ServerId, now: int
 ) -> Step:
--- a/src/apricotshore/pooling/change_ending.py
+++ b/src/apricotshore/pooling/change_ending.py
@@ -2,12 +2,14 @@
 
 import asyncio
 from collections.abc import Awaitable, Callable
+from dataclasses import replace
 
 from ..decisions import lease
 from ..decisions.change_attempt import Attempt
 from ..identifiers import HostId, ServerId, Term
 from ..queries import QueryKind
 from ..services.clock import read_boot_ms
+from . import group_members
 from .change_lease import ChangeLease
 from .change_phases import record_phase
 from .change_steps import ChangeSteps
@@ -92,6 +94,7 @@
         self.resumption.begin(attempt)
         if unfinished or (attempt.pause_term and await self._is_led(attempt)):
             await self.resumption.resume_all()
+        self._settle_floor(attempt)
         await self.lease.release()
         record_phase(
             self.group,
@@ -100,6 +103,19 @@
             primary=self.group.primary_state.primary,
         )
 
+    def _settle_floor(self, attempt: Attempt) -> None:
+        """Have only servers count that are there, if one was ordered above the floor.
+
+        A primary that was not replaced may have commits that only a silent server has.
+        """
+        floor = self.lease.floor
+        if attempt.requested is None:
+            members = group_members.list_counted(self.group)
+            self.lease.floor = replace(floor, members=members)
+            return
+        members = group_members.list_present(self.group)
+        self.lease.floor = replace(floor, holder=None, members=members)
+
     async def _is_led(self, attempt: Attempt) -> bool:
         """Return whether a server has proved to lead since the change paused others."""
         return attempt.requested is not None or await self.find_leader() is not None
--- a/src/apricotshore/pooling/change_lease.py
+++ b/src/apricotshore/pooling/change_lease.py
@@ -6,6 +6,7 @@
 
 from ..decisions import lease
 from ..decisions.lease import NO_FORMER, FormerPrimaries, LeaseClaim, ObservedLease
+from ..decisions.log_floor import NO_FLOOR
 from ..identifiers import (
     FencingToken,
     GroupId,
@@ -74,6 +75,8 @@
         self.seen: ObservedLease | None = None
         # Primaries that this changer's change replaces.
         self.former = NO_FORMER
+        # Floor of the group's logs, as it was last read or named. It outlives eras.
+        self.floor = NO_FLOOR
         # What this changer wrote last; nothing else is ever written over by `write`.
         self.own: LeaseRecord | None = None
         self.writes = 0
@@ -106,6 +109,8 @@
         if record.era != era:
             if era is not None and record.era < era:
                 self.outdated.add(record.era)
+            if self.floor == NO_FLOOR:
+                self._take_floor(record)
             return
         if self.current is None or record.revision > self.current.revision:
             self._remember(record)
@@ -165,6 +170,12 @@
             target=record.target,
             former=record.former,
         )
+        self._take_floor(record)
+
+    def _take_floor(self, record: LeaseRecord) -> None:
+        """Take the floor of a lease; one of a host that knows of none names none."""
+        if record.floor != NO_FLOOR:
+            self.floor = record.floor
 
     async def is_abandoned(self, rank: int) -> bool:
         """Return whether a change has ended, or was lost, that is to be finished.
@@ -298,6 +309,7 @@
                 open=still_open,
                 target=target,
                 former=self.former if still_open else NO_FORMER,
+                floor=self.floor,
                 number=self.writes,
             )
             former = self.current
--- a/src/apricotshore/pooling/change_reasons.py
+++ b/src/apricotshore/pooling/change_reasons.py
@@ -150,6 +150,7 @@
         return Attempt(
             from_term=primary_state.term,
             started_at=began,
+            floor=self.lease.floor,
             replaced=replaced,
             inherited=inherited,
             requested=inherited,
--- a/src/apricotshore/pooling/change_steps.py
+++ b/src/apricotshore/pooling/change_steps.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Awaitable, Callable
+from dataclasses import replace
 
 from ..decisions import (
     commit_barrier,
@@ -29,6 +30,7 @@
 )
 from ..decisions.change_attempt import Attempt
 from ..decisions.lease import FormerPrimaries
+from ..decisions.log_floor import LogFloor
 from ..identifiers import FencingToken, HostId, ServerId, Term
 from ..queries import QueryKind
 from ..services.clock import read_boot_ms
@@ -164,8 +166,8 @@
         match self._plan():
             case Promote(server=server, waived=waived):
                 return await self._promote(server, waived)
-            case RecordTarget(server=server):
-                return await self._record_target(server)
+            case RecordTarget(server=server, floor=floor):
+                return await self._record_target(server, floor)
             case Abandon(leader=leader):
                 self._record("abandoned", leader=leader)
                 self.group.probe_wanted.set()
@@ -176,16 +178,15 @@
 
     def _plan(self) -> Step:
         group = self.group
+        lost_at = group.members.lost_at
         since_loss = None
-        if group.log_lost_at is not None:
-            since_loss = position_history.find_since(
-                group.position_history, group.log_lost_at
-            )
+        if lost_at is not None:
+            since_loss = position_history.find_since(group.position_history, lost_at)
         return primary_change.plan_step(
             self.attempt,
             group_members.list_members(self.group),
             since_loss,
-            group.log_lost_at is None,
+            lost_at is None,
             read_boot_ms(),
         )
 
@@ -301,12 +302,14 @@
         self.group.probe_wanted.set()
         await asyncio.sleep(EFFECT_PAUSE_S)
 
-    async def _record_target(self, server: ServerId) -> bool:
+    async def _record_target(self, server: ServerId, floor: LogFloor) -> bool:
         """Record the target in the lease; return False if the lease is lost."""
         former = commit_barrier.list_led(self.attempt)
         self.lease.name_former(
             FormerPrimaries(servers=former, term=self.attempt.from_term)
         )
+        counted = group_members.list_counted(self.group)
+        self.lease.floor = replace(floor, members=counted)
         try:
             token = await self.lease.write(still_open=True, target=server)
         except StoreError as error:
@@ -318,6 +321,7 @@
             return False
         self.token = token
         self.attempt.recorded = server
+        self.attempt.floor = floor
         return True
 
     async def _promote(self, server: ServerId, waived: tuple[ServerId, ...]) -> bool:
--- a/src/apricotshore/pooling/group.py
+++ b/src/apricotshore/pooling/group.py
@@ -3,8 +3,16 @@
 import asyncio
 from collections.abc import Callable
 
-from ..decisions import leadership, loop_stalls, placement, position_history
+from ..decisions import (
+    leadership,
+    log_members,
+    loop_stalls,
+    placement,
+    position_history,
+)
 from ..decisions.leadership import PrimaryState
+from ..decisions.log_floor import StoredMember
+from ..decisions.log_members import LogMembers
 from ..decisions.loop_stalls import Stall
 from ..decisions.placement import Distance, ServerLoad
 from ..decisions.position_history import PositionHistory
@@ -33,6 +41,13 @@
 Locate = Callable[[DataCentreId], Distance]
 
 
+def describe_member(server: ListedServer) -> StoredMember:
+    """Return a listed server as the lease on a change of primary names it."""
+    return StoredMember(
+        server=server.server, address=server.address, started_ms=server.started_ms
+    )
+
+
 class Group:
     """Servers, pools and primary of one database group, as known to this host.
 
@@ -76,7 +91,7 @@
         self.primary_confirmed = asyncio.Event()
         self.probe_wanted = asyncio.Event()
         # A log may have been lost before this host started, unknown to it.
-        self.log_lost_at: int | None = read_boot_ms()
+        self.members = LogMembers(lost_at=read_boot_ms(), is_assumed=True)
         self.leave_ms = DEFAULT_LEAVE_MS
         self.window_ms = DEFAULT_WINDOW_MS
         # Since when each leaving server is known to leave, in milliseconds since boot.
@@ -99,8 +114,8 @@
             read_boot_ms(),
             is_claimed=server.reports_primary,
         )
-        if old is not None and old.started_ms != server.started_ms:
-            self.log_lost_at = read_boot_ms()
+        member = describe_member(server)
+        if log_members.observe_listed(self.members, member, read_boot_ms()):
             self.journal.record(
                 EventKind.SERVER_RECREATED, group=self.group, server=server.server
             )
@@ -133,7 +148,9 @@
         self._keep_unlisted(removed)
         self.leaving.pop(server, None)
         self.primary_state.claimed.pop(server, None)
-        self.log_lost_at = read_boot_ms()
+        log_members.observe_unlisted(
+            self.members, server, read_boot_ms(), has_left=removed.leaving
+        )
         self.journal.record(EventKind.SERVER_GONE, group=self.group, server=server)
         self._drop_pool(server)
         self._forget_gates()
@@ -146,6 +163,23 @@
             self._close_unlisted(next(iter(self.unlisted)))
         self.unlisted[server.server] = self._make_pool(server)
 
+    def keep_stored(self, member: StoredMember) -> None:
+        """Send commands to a server that this host has never seen listed."""
+        if self.find_pool(member.server) is not None:
+            return
+        self._keep_unlisted(
+            ListedServer(
+                server=member.server,
+                group=self.group,
+                address=member.address,
+                data_centre=DataCentreId(""),
+                slots=1,
+                leaving=False,
+                reports_primary=False,
+                started_ms=member.started_ms,
+            )
+        )
+
     def _forget_unlisted(self, listed: ListedServer) -> None:
         """Forget a server that is listed again, or whose address another has taken."""
         for server, pool in list(self.unlisted.items()):
--- a/src/apricotshore/pooling/group_members.py
+++ b/src/apricotshore/pooling/group_members.py
@@ -1,21 +1,52 @@
 """Members of a group for a change of its primary, from what its host knows."""
 
-from ..decisions import change_attempt, position_history
+from ..decisions import change_attempt, log_members, position_history
 from ..decisions.change_attempt import Attempt
 from ..decisions.change_members import Member
+from ..decisions.log_floor import StoredMember
 from ..groups import LogPosition
 from ..identifiers import Position, Term
-from .group import Group
+from ..services.clock import read_boot_ms
+from .group import Group, describe_member
+from .stored_objects import LeaseRecord
 
 
 def list_members(group: Group) -> tuple[Member, ...]:
-    """Return the servers that may hold acknowledged commits, listed or not."""
+    """Return the servers that may receive commits, listed or not."""
+    counted = group.members.counted
     listed = [
         Member(server=s.server, leaving=s.leaving, started_ms=s.started_ms)
         for s in group.servers.values()
     ]
-    unlisted = [Member(server=s, listed=False) for s in group.unlisted]
-    return (*listed, *unlisted)
+    unlisted = sorted((group.unlisted.keys() | counted.keys()) - group.servers.keys())
+    return (
+        *listed,
+        *(Member(server=s, listed=False, is_counted=s in counted) for s in unlisted),
+    )
+
+
+def observe_lease(group: Group, record: LeaseRecord) -> None:
+    """Count the servers that the lease names, and reach them without an entry."""
+    log_members.observe_stored(
+        group.members,
+        record.floor.members,
+        list_present(group),
+        read_boot_ms(),
+        is_settled=not record.open,
+    )
+    for member in group.members.counted.values():
+        group.keep_stored(member)
+
+
+def list_counted(group: Group) -> tuple[StoredMember, ...]:
+    """Return the servers whose logs count, for the lease."""
+    counted = group.members.counted
+    return tuple(counted[server] for server in sorted(counted))
+
+
+def list_present(group: Group) -> tuple[StoredMember, ...]:
+    """Return the servers that the store lists, for the lease."""
+    return tuple(describe_member(group.servers[s]) for s in sorted(group.servers))
 
 
 def observe_primary_end(group: Group, attempt: Attempt, leased_at: int) -> None:
--- a/src/apricotshore/pooling/primary_changer.py
+++ b/src/apricotshore/pooling/primary_changer.py
@@ -11,6 +11,7 @@
 from ..identifiers import FencingToken, HostId
 from ..services.clock import read_boot_ms
 from ..services.eras import EraTracker
+from . import group_members
 from .change_ending import ChangeEnding
 from .change_lease import ChangeLease
 from .change_phases import end_promotion, record_phase
@@ -97,8 +98,9 @@
             store=store,
             eras=eras,
             record=self._record,
-            on_lease=on_lease,
+            on_lease=self._take_lease,
         )
+        self.on_lease = on_lease
         self.commands = GroupCommands(group=group, is_held=self.lease.is_held)
         self.silence = SilenceChecker(group=group, detours=detours)
         self.holders = HolderChecker(
@@ -223,6 +225,11 @@
         """Record a lease from a list that may be older than the one known."""
         self.lease.observe(record)
 
+    def _take_lease(self, record: LeaseRecord) -> None:
+        """Take a lease that was read or written, and tell those that follow it."""
+        group_members.observe_lease(self.group, record)
+        self.on_lease(record)
+
     def _record(self, phase: str, **details: object) -> None:
         record_phase(self.group, phase, **details)
 
@@ -324,8 +331,8 @@
             replaced=ineffective if former is None else former,
             led={ineffective, *work.attempt.led, *list_led(work.attempt)},
             recorded=ineffective,
-            rejected={ineffective},
             ineffective=ineffective,
+            floor=self.lease.floor,
         )
         another = self._make_steps(attempt, token)
         await self._take_steps(another, reason)
--- a/src/apricotshore/pooling/stored_objects.py
+++ b/src/apricotshore/pooling/stored_objects.py
@@ -4,6 +4,7 @@
 from enum import Enum
 
 from ..decisions.lease import NO_FORMER, FormerPrimaries
+from ..decisions.log_floor import NO_FLOOR, LogFloor
 from ..decisions.relays import ListedHost
 from ..identifiers import GroupId, ServerId, StoreEra, StoreRevision
 from ..routes import Configuration, ListedServer
@@ -39,6 +40,8 @@
         Server whose promotion may have been requested, None without one.
     former
         The primaries that the change replaces; none of a change that has ended.
+    floor
+        Floor of the group's logs, with the servers whose logs count.
     number
         Number of the write among those of its holder. The store takes a write that
         changes nothing for none, and others would see the lease expire.
@@ -51,6 +54,7 @@
     open: bool
     target: ServerId | None = None
     former: FormerPrimaries = NO_FORMER
+    floor: LogFloor = NO_FLOOR
     number: int = 0
 
 
--- a/tests/pooling/support.py
+++ b/tests/pooling/support.py
@@ -175,7 +175,7 @@
         )
         if not fenced:
             group.prover = PrimaryProver(group=group)
-        group.log_lost_at = None
+        group.members.lost_at = None
         for server in model.servers.values():
             group.update_server(model.list(server))
         eras = EraTracker()
