--- a/src/apricotshore/decisions/change_actions.py
+++ b/src/apricotshore/decisions/change_actions.py
@@ -3,7 +3,6 @@
 from dataclasses import dataclass
 
 from ..identifiers import ServerId, Term
-from .log_floor import NO_FLOOR, LogFloor
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -99,7 +98,6 @@
     """Action: record in the lease who is to be promoted, and the floor of logs."""
 
     server: ServerId
-    floor: LogFloor = NO_FLOOR
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/src/apricotshore/decisions/change_targets.py
+++ b/src/apricotshore/decisions/change_targets.py
@@ -85,7 +85,7 @@
 
 def choose_target(attempt: Attempt, followers: list[Member]) -> ServerId | None:
     """Return the best follower to promote, None without one."""
-    candidates = _list_candidates(attempt, followers)
+    candidates = list_candidates(attempt, followers)
     if not candidates:
         return None
     best = max(
@@ -112,7 +112,7 @@
     return best.server
 
 
-def _list_candidates(attempt: Attempt, followers: list[Member]) -> list[Member]:
+def list_candidates(attempt: Attempt, followers: list[Member]) -> list[Member]:
     """List the followers that may be ordered, one without an effect only if it must."""
     candidates = [m for m in followers if m.listed and m.server not in attempt.rejected]
     if attempt.ineffective is None:
--- a/src/apricotshore/decisions/needed_end.py
+++ b/src/apricotshore/decisions/needed_end.py
@@ -8,7 +8,7 @@
 from . import log_floor
 from .change_attempt import Attempt
 from .change_members import Member, log_order
-from .log_floor import UNKNOWN_END, End, LogFloor
+from .log_floor import UNKNOWN_END, End
 from .position_history import PositionSample
 
 
@@ -66,15 +66,21 @@
     )
 
 
-def find_next_floor(attempt: Attempt, target: ServerId) -> LogFloor:
-    """Return the floor of logs that the order of a server leaves."""
+def raise_floor(attempt: Attempt, target: ServerId) -> bool:
+    """Have the floor be what the order of a server demands.
+
+    Returns
+    -------
+    bool
+        Whether the lease names another floor with this target so far.
+    """
     needed = attempt.needed_end
-    if needed is None:
-        return attempt.floor
+    known = attempt.floor.end
+    if needed is None or (known is not None and log_order(known) == needed):
+        return False
     end = LogPosition(term=Term(int(needed[0])), position=Position(int(needed[1])))
-    if end == attempt.floor.end:
-        return attempt.floor
-    return replace(attempt.floor, end=end, holder=target)
+    attempt.floor = replace(attempt.floor, end=end, holder=target)
+    return known is not None
 
 
 def find_shortfall(
--- a/src/apricotshore/decisions/promotion_order.py
+++ b/src/apricotshore/decisions/promotion_order.py
@@ -25,7 +25,7 @@
     list_led,
     list_unasked,
 )
-from .needed_end import find_next_floor, list_unknown, may_lead
+from .needed_end import list_unknown, may_lead, raise_floor
 
 # For this long after the primary stepped down, only its target may be promoted, and a
 # promotion waits for the pause of a server that has not answered before.
@@ -96,9 +96,8 @@
     unpaused = list_unpaused(attempt, others)
     if _must_wait_for(attempt, others, unpaused, now):
         return secure(attempt, unpaused)
-    floor = find_next_floor(attempt, target)
-    if attempt.recorded != target or attempt.floor != floor:
-        return RecordTarget(server=target, floor=floor)
+    if raise_floor(attempt, target) or attempt.recorded != target:
+        return RecordTarget(server=target)
     stale = _list_stale(attempt, members, now)
     if stale and _must_ask_again(attempt, stale, now):
         return Secure(
--- a/src/apricotshore/decisions/silent_primary.py
+++ b/src/apricotshore/decisions/silent_primary.py
@@ -15,11 +15,13 @@
     choose_target,
     find_unpaused,
     is_paused,
+    list_candidates,
     list_followers,
     list_names,
     set_target,
 )
-from .needed_end import may_lead
+from .log_floor import COPIES_PER_COMMIT
+from .needed_end import list_unknown, may_lead
 from .promotion_order import plan_order, plan_proof
 
 
@@ -32,7 +34,8 @@
     followers = list_followers(attempt, members)
     # A server that is merely overloaded may be the primary.
     has_busy = bool(attempt.busy.intersection(missing)) and not attempt.is_cut_off
-    if has_busy or attempt.needed_end is None or not followers:
+    unknown = list_unknown(attempt, members)
+    if has_busy or len(unknown) >= COPIES_PER_COMMIT or not followers:
         servers = missing or list_names(members)
         return RequestStatus(servers=_prefer_responsive(attempt, servers))
     if attempt.target is None or attempt.target not in attempt.statuses:
@@ -54,7 +57,7 @@
     if target is None:
         return Wait(why="no server can be promoted")
     if not may_lead(attempt, target):
-        return _plan_longer_log(attempt, target, followers, now)
+        return _plan_longer_log(attempt, members, followers, now)
     silent = attempt.replaced
     is_unknown = silent not in attempt.statuses or silent in attempt.shrunk
     if silent is not None and is_unknown and not attempt.asked_others:
@@ -63,11 +66,17 @@
 
 
 def _plan_longer_log(
-    attempt: Attempt, target: ServerId, followers: list[Member], now: int
+    attempt: Attempt, members: tuple[Member, ...], followers: list[Member], now: int
 ) -> Step:
     """Wait until the target has received the rest, then choose the longest log."""
+    target = attempt.target
+    assert target is not None
     if now - attempt.target_since < CATCH_UP_MS:
         return RequestStatus(servers=(target,))
+    candidates = list_candidates(attempt, followers)
+    if not any(may_lead(attempt, m.server) for m in candidates):
+        unknown = list_unknown(attempt, members) or list_names(followers)
+        return RequestStatus(servers=_prefer_responsive(attempt, unknown))
     if not is_paused(attempt, target):
         return Pause(servers=(target,), term=attempt.pause_term)
     attempt.target = None
--- a/src/apricotshore/pooling/change_steps.py
+++ b/src/apricotshore/pooling/change_steps.py
@@ -30,7 +30,6 @@
 )
 from ..decisions.change_attempt import Attempt
 from ..decisions.lease import FormerPrimaries
-from ..decisions.log_floor import LogFloor
 from ..identifiers import FencingToken, HostId, ServerId, Term
 from ..queries import QueryKind
 from ..services.clock import read_boot_ms
@@ -166,8 +165,8 @@
         match self._plan():
             case Promote(server=server, waived=waived):
                 return await self._promote(server, waived)
-            case RecordTarget(server=server, floor=floor):
-                return await self._record_target(server, floor)
+            case RecordTarget(server=server):
+                return await self._record_target(server)
             case Abandon(leader=leader):
                 self._record("abandoned", leader=leader)
                 self.group.probe_wanted.set()
@@ -302,18 +301,19 @@
         self.group.probe_wanted.set()
         await asyncio.sleep(EFFECT_PAUSE_S)
 
-    async def _record_target(self, server: ServerId, floor: LogFloor) -> bool:
+    async def _record_target(self, server: ServerId) -> bool:
         """Record the target in the lease; return False if the lease is lost."""
         former = commit_barrier.list_led(self.attempt)
         self.lease.name_former(
             FormerPrimaries(servers=former, term=self.attempt.from_term)
         )
         counted = group_members.list_counted(self.group)
-        self.lease.floor = replace(floor, members=counted)
+        self.lease.floor = replace(self.attempt.floor, members=counted)
         try:
             token = await self.lease.write(still_open=True, target=server)
         except StoreError as error:
             self._record("waiting", why=f"store: {error}")
+            self.attempt.recorded = None
             await asyncio.sleep(EFFECT_PAUSE_S)
             return True
         if token is None:
@@ -321,7 +321,6 @@
             return False
         self.token = token
         self.attempt.recorded = server
-        self.attempt.floor = floor
         return True
 
     async def _promote(self, server: ServerId, waived: tuple[ServerId, ...]) -> bool:
--- a/tests/pooling/support.py
+++ b/tests/pooling/support.py
@@ -6,6 +6,7 @@
 from contextlib import asynccontextmanager, suppress
 from dataclasses import dataclass, field, replace
 
+from apricotshore.decisions.log_members import LogMembers
 from apricotshore.decisions.placement import Distance
 from apricotshore.decisions.relays import Fleet, ListedHost
 from apricotshore.groups import LogPosition
@@ -175,7 +176,7 @@
         )
         if not fenced:
             group.prover = PrimaryProver(group=group)
-        group.members.lost_at = None
+        group.members = LogMembers()
         for server in model.servers.values():
             group.update_server(model.list(server))
         eras = EraTracker()
--- a/tests/pooling/test_events_amid_changes.py
+++ b/tests/pooling/test_events_amid_changes.py
@@ -199,7 +199,7 @@
         await wait_until(lambda: len(model.acknowledged) > 5)
         for number in range(4):
             gone = model.add_server(ServerId(f"gone-{number}"))
-            host.group.update_server(model.list(gone))
+            host.group.update_server(model.list(gone, leaving=True))
             gone.up = gone.listed = False
             host.group.remove_server(gone.name)
         host.group.members.lost_at = None
