Record in the released lease which servers count, and wait for unlisted former primaries

Cause: a host that starts while the entry of a silent primary is missing knows nobody who may hold commits: the same cause, a missing entry taken for a log that is gone. Change: one host writes the members of a group that is led to the released lease; where nobody is known to have led, each counted server that is silent may have.

--- a/src/apricotshore/decisions/silent_primary.py
+++ b/src/apricotshore/decisions/silent_primary.py
@@ -30,7 +30,9 @@
     missing = tuple(m.server for m in members if m.server not in attempt.statuses)
     if attempt.replaced is None:
         # It may have led.
-        attempt.absent = {m.server for m in members if m.listed}.intersection(missing)
+        attempt.absent = {
+            m.server for m in members if m.is_counted and m.server in missing
+        }
     followers = list_followers(attempt, members)
     # A server that is merely overloaded may be the primary.
     has_busy = bool(attempt.busy.intersection(missing)) and not attempt.is_cut_off
--- a/src/apricotshore/pooling/change_lease.py
+++ b/src/apricotshore/pooling/change_lease.py
@@ -6,7 +6,7 @@
 
 from ..decisions import lease
 from ..decisions.lease import NO_FORMER, FormerPrimaries, LeaseClaim, ObservedLease
-from ..decisions.log_floor import NO_FLOOR
+from ..decisions.log_floor import NO_FLOOR, StoredMember
 from ..identifiers import (
     FencingToken,
     GroupId,
@@ -337,6 +337,13 @@
             return self._keep(answer.record, sent_at)
         return None
 
+    async def store_members(self, members: tuple[StoredMember, ...]) -> None:
+        """Write which servers count to a released lease, unless it is taken."""
+        current = self.current
+        if current is not None and not current.open:
+            self.floor = replace(self.floor, members=members)
+            await self._write(current.revision, still_open=False, target=None)
+
     def _keep(self, record: LeaseRecord, sent_at: int) -> FencingToken:
         self.own = record
         self.on_lease(record)
--- a/src/apricotshore/pooling/change_reasons.py
+++ b/src/apricotshore/pooling/change_reasons.py
@@ -6,6 +6,7 @@
 from ..decisions.change_attempt import Attempt
 from ..decisions.change_triggers import ChangeConditions
 from ..decisions.lease import FormerPrimaries
+from ..decisions.log_floor import COPIES_PER_COMMIT
 from ..decisions.silence_checks import LongSilence
 from ..identifiers import ServerId
 from ..services.clock import read_boot_ms
@@ -53,7 +54,7 @@
     def observe_conditions(self) -> ChangeConditions:
         """Return what this host observes of the primary now."""
         group = self.group
-        if len(group.servers) < 2:
+        if len(group.members.counted) < COPIES_PER_COMMIT:
             return ChangeConditions()
         return ChangeConditions(
             leaving_since=group.leaving_since,
--- /dev/null
+++ b/src/apricotshore/pooling/member_recorder.py
@@ -0,0 +1,59 @@
+"""Record of the servers whose logs count, in the lease of a change that has ended."""
+
+from collections.abc import Callable
+
+from ..services.clock import read_boot_ms
+from . import group_members
+from .change_lease import ChangeLease
+from .group import Group
+
+# Time for which the servers stay the same before they are written. Each host waits
+# that much longer than the one before it, so that one writes for all.
+STABLE_MS = 1_000
+
+
+class MemberRecorder:
+    """Writes to the lease which servers count, while nobody changes the primary.
+
+    A host that starts while entries are missing knows of these servers only from there.
+
+    Parameters
+    ----------
+    group
+        The group.
+    lease
+        The lease on its change of primary.
+    rank
+        Returns how many hosts are to write before this one.
+    """
+
+    def __init__(
+        self, *, group: Group, lease: ChangeLease, rank: Callable[[], int]
+    ) -> None:
+        self.group = group
+        self.lease = lease
+        self.rank = rank
+        # Since when the lease names other servers, None while it names these.
+        self.differs_since: int | None = None
+
+    async def record(self) -> None:
+        """Write the servers if the lease has named others for a while.
+
+        Raises
+        ------
+        StoreError
+            When the store gave no answer.
+        """
+        now = read_boot_ms()
+        current = self.lease.current
+        members = group_members.list_counted(self.group)
+        is_led = self.group.primary is not None
+        is_free = current is not None and not current.open
+        if not (is_led and is_free) or members == self.lease.floor.members:
+            self.differs_since = None
+            return
+        if self.differs_since is None:
+            self.differs_since = now
+        if now - self.differs_since >= STABLE_MS * (1 + self.rank()):
+            self.differs_since = None
+            await self.lease.store_members(members)
--- a/src/apricotshore/pooling/primary_changer.py
+++ b/src/apricotshore/pooling/primary_changer.py
@@ -22,6 +22,7 @@
 from .group_commands import GroupCommands
 from .holder_checker import HolderChecker
 from .journal import Journal
+from .member_recorder import MemberRecorder
 from .ports import ObjectStore, Promoter, StoreError
 from .resumption import Resumption
 from .silence_checker import SilenceChecker
@@ -117,6 +118,7 @@
             count_hosts=lambda: len(detours.fleet.hosts),
             find_leader=self.reasons.find_leader,
         )
+        self.members = MemberRecorder(group=group, lease=self.lease, rank=rank)
         self.stalls = StallChecker(
             group=group,
             commands=self.commands,
@@ -176,6 +178,8 @@
                 continue
             if reason is None:
                 reason = await self._find_unfinished()
+            if reason is None:
+                await self._record_members()
             if reason is None or self._leaves_changes:
                 await self.resumption.resume_remaining()
                 if not self.is_draining:
@@ -199,6 +203,12 @@
             if self.work is None or not self.work.attempt.is_silent:
                 self.silence.ask()
 
+    async def _record_members(self) -> None:
+        try:
+            await self.members.record()
+        except StoreError as error:
+            self._record("waiting", why=f"store: {error}")
+
     @property
     def _leaves_changes(self) -> bool:
         """Whether a change is left to the other hosts, if there are any."""
--- a/tests/pooling/test_zz_four.py
+++ b/tests/pooling/test_zz_four.py
@@ -1,9 +1,11 @@
 import asyncio
+
 import pytest
-from standins.in_memory import ModelGroup
+
 from .support import running, wait_until, writing
 from .test_orders_of_promotions import S1, S2, S3, S4, make_group
-from .test_shorter_logs import make_hosts, fail, come_back, COMMITS_OF_TWO
+from .test_shorter_logs import COMMITS_OF_TWO, come_back, fail, make_hosts
+
 
 @pytest.mark.parametrize("back_s", [6.0, 12.0])
 @pytest.mark.parametrize("count", [1, 3])
