Have the barrier stand while logs are waited for

Cause: the 3 s that prove a silent primary's silence began only once a log was back, and a change that ended meanwhile began them anew. Change: replicas that answer are paused, and hosts confirm, while logs are missing.

--- a/src/apricotshore/decisions/silent_primary.py
+++ b/src/apricotshore/decisions/silent_primary.py
@@ -20,6 +20,7 @@
     list_names,
     set_target,
 )
+from .followed_order import NO_ANSWER_LIMIT_MS
 from .log_floor import COPIES_PER_COMMIT
 from .needed_end import list_unknown, may_lead
 from .promotion_order import plan_order, plan_proof
@@ -36,10 +37,12 @@
     followers = list_followers(attempt, members)
     # A server that is merely overloaded may be the primary.
     has_busy = bool(attempt.busy.intersection(missing)) and not attempt.is_cut_off
-    unknown = list_unknown(attempt, members)
-    if has_busy or len(unknown) >= COPIES_PER_COMMIT or not followers:
+    if has_busy or not followers:
         servers = missing or list_names(members)
         return RequestStatus(servers=_prefer_responsive(attempt, servers))
+    unknown = list_unknown(attempt, members)
+    if len(unknown) >= COPIES_PER_COMMIT:
+        return _plan_wait(attempt, members, unknown, now)
     if attempt.target is None or attempt.target not in attempt.statuses:
         set_target(attempt, choose_target(attempt, followers), now)
     if attempt.target is None:
@@ -52,6 +55,26 @@
     return _plan_promotion(attempt, members, followers, now)
 
 
+def _plan_wait(
+    attempt: Attempt,
+    members: tuple[Member, ...],
+    unknown: tuple[ServerId, ...],
+    now: int,
+) -> Step:
+    """Ask for logs that aren't known, and have the barrier stand once one is."""
+    is_late = now - attempt.started_at >= NO_ANSWER_LIMIT_MS
+    if is_late and attempt.barrier is None:
+        attempt.target = None
+        unpaused = find_unpaused(attempt, members)
+        if unpaused:
+            return Pause(servers=unpaused, term=choose_pause_term(attempt))
+        others = tuple(m for m in members if m.server != attempt.replaced)
+        step = plan_proof(attempt, others, now)
+        if step is not None:
+            return step
+    return RequestStatus(servers=_prefer_responsive(attempt, unknown))
+
+
 def _plan_promotion(
     attempt: Attempt, members: tuple[Member, ...], followers: list[Member], now: int
 ) -> Step:
