Write to each lease which servers count, and strike off those that have left

Cause: a leaving primary that had ended was counted anew from the lease that its own change had written, so an order was never repeated while one more log was unknown. Change: each write of a lease names the servers that count then; struck ones stay so.

--- a/src/apricotshore/decisions/log_members.py
+++ b/src/apricotshore/decisions/log_members.py
@@ -24,6 +24,8 @@
     ----------
     counted
         The servers, listed or not.
+    struck
+        Servers whose log has ended, which an older lease may still name.
     lost_at
         When a log was last lost, None if none was. In milliseconds since boot.
     is_assumed
@@ -32,6 +34,7 @@
     """
 
     counted: dict[ServerId, StoredMember] = field(default_factory=dict)
+    struck: set[StoredMember] = field(default_factory=set)
     lost_at: int | None = None
     is_assumed: bool = False
 
@@ -40,13 +43,12 @@
     """Count a server that the store lists; return whether it has started anew."""
     for other in list(state.counted.values()):
         if other.address == member.address and other.server != member.server:
-            del state.counted[other.server]
-            _observe_loss(state, now)
+            _strike(state, other, now)
     known = state.counted.get(member.server)
-    state.counted[member.server] = member
     is_new = known is not None and known.started_ms != member.started_ms
-    if is_new:
-        _observe_loss(state, now)
+    if known is not None and is_new:
+        _strike(state, known, now)
+    state.counted[member.server] = member
     return is_new
 
 
@@ -54,8 +56,8 @@
     state: LogMembers, server: ServerId, now: int, *, has_left: bool
 ) -> None:
     """Strike a server off that has left; keep one whose entry has only run out."""
-    if has_left and state.counted.pop(server, None) is not None:
-        _observe_loss(state, now)
+    if has_left and server in state.counted:
+        _strike(state, state.counted[server], now)
 
 
 def observe_stored(
@@ -81,7 +83,7 @@
     is_settled
         Whether the change has ended: then only these and the listed ones count.
     """
-    stored = {m.server: m for m in members}
+    stored = {m.server: m for m in members if m not in state.struck}
     if not stored:
         return
     present = {m.server: m for m in listed}
@@ -102,6 +104,8 @@
         state.lost_at = now if lost else None
 
 
-def _observe_loss(state: LogMembers, now: int) -> None:
+def _strike(state: LogMembers, member: StoredMember, now: int) -> None:
+    del state.counted[member.server]
+    state.struck.add(member)
     state.lost_at = now
     state.is_assumed = False
--- a/src/apricotshore/pooling/change_lease.py
+++ b/src/apricotshore/pooling/change_lease.py
@@ -53,6 +53,8 @@
         Records a phase with its details.
     on_lease
         Called with the lease each time that it was read or written.
+    list_members
+        Returns the servers whose logs count.
     """
 
     def __init__(
@@ -65,11 +67,13 @@
         eras: EraTracker,
         record: Callable[..., None] = _omit,
         on_lease: Callable[[LeaseRecord], None] = _ignore,
+        list_members: Callable[[], tuple[StoredMember, ...]] = tuple,
     ) -> None:
         self.group = group
         self.store = store
         self.record = record
         self.on_lease = on_lease
+        self.list_members = list_members
         self.eras = eras
         self.holder = lease.name_holder(host, address, uuid.uuid4().hex[:8])
         self.seen: ObservedLease | None = None
@@ -299,6 +303,8 @@
         self, base: StoreRevision, still_open: bool, target: ServerId | None
     ) -> FencingToken | None:
         era = self._get_era()
+        if still_open:
+            self.floor = replace(self.floor, members=self.list_members())
         for _ in range(WRITE_TRIES):
             self.writes += 1
             record = LeaseRecord(
@@ -337,11 +343,11 @@
             return self._keep(answer.record, sent_at)
         return None
 
-    async def store_members(self, members: tuple[StoredMember, ...]) -> None:
+    async def store_members(self) -> None:
         """Write which servers count to a released lease, unless it is taken."""
         current = self.current
         if current is not None and not current.open:
-            self.floor = replace(self.floor, members=members)
+            self.floor = replace(self.floor, members=self.list_members())
             await self._write(current.revision, still_open=False, target=None)
 
     def _keep(self, record: LeaseRecord, sent_at: int) -> FencingToken:
--- a/src/apricotshore/pooling/change_steps.py
+++ b/src/apricotshore/pooling/change_steps.py
@@ -2,7 +2,6 @@
 
 import asyncio
 from collections.abc import Awaitable, Callable
-from dataclasses import replace
 
 from ..decisions import (
     commit_barrier,
@@ -307,8 +306,7 @@
         self.lease.name_former(
             FormerPrimaries(servers=former, term=self.attempt.from_term)
         )
-        counted = group_members.list_counted(self.group)
-        self.lease.floor = replace(self.attempt.floor, members=counted)
+        self.lease.floor = self.attempt.floor
         try:
             token = await self.lease.write(still_open=True, target=server)
         except StoreError as error:
--- a/src/apricotshore/pooling/member_recorder.py
+++ b/src/apricotshore/pooling/member_recorder.py
@@ -56,4 +56,4 @@
             self.differs_since = now
         if now - self.differs_since >= STABLE_MS * (1 + self.rank()):
             self.differs_since = None
-            await self.lease.store_members(members)
+            await self.lease.store_members()
--- a/src/apricotshore/pooling/primary_changer.py
+++ b/src/apricotshore/pooling/primary_changer.py
@@ -100,6 +100,7 @@
             eras=eras,
             record=self._record,
             on_lease=self._take_lease,
+            list_members=lambda: group_members.list_counted(group),
         )
         self.on_lease = on_lease
         self.commands = GroupCommands(group=group, is_held=self.lease.is_held)
--- a/tests/pooling/virtual_time.py
+++ b/tests/pooling/virtual_time.py
@@ -2,7 +2,8 @@
 
 import asyncio
 import heapq
-from collections.abc import Coroutine
+from collections.abc import Coroutine, Iterable
+from types import ModuleType
 from typing import Any
 
 from apricotshore.pooling import fleet_asker, server_gate, write_barrier
@@ -29,10 +30,14 @@
         super()._run_once()
 
 
-def run_in_virtual_time(monkeypatch, work: Coroutine[Any, Any, None]) -> None:
-    """Run a coroutine; the clock of the rounds' modules is that of its loop."""
+def run_in_virtual_time(
+    monkeypatch,
+    work: Coroutine[Any, Any, None],
+    modules: Iterable[ModuleType] = MODULES,
+) -> None:
+    """Run a coroutine; the clock of modules, as a rule the rounds', is its loop's."""
     loop = VirtualLoop()
-    for module in MODULES:
+    for module in modules:
         monkeypatch.setattr(module, "read_boot_ms", lambda: int(loop.now * 1000))
     try:
         loop.run_until_complete(work)
