Tell logs that were lost from those that count, and keep both in the lease

Change: lost logs are named until a position of the primary covers them, which raises the floor; the floor names which logs weren't known, and its holder's start.

--- a/src/apricotshore/decisions/change_attempt.py
+++ b/src/apricotshore/decisions/change_attempt.py
@@ -72,6 +72,8 @@
         Servers whose log has ended before that: they lost it.
     floor
         Floor of logs that earlier changes left in the lease.
+    knows_members
+        Whether this host knows all servers whose logs count.
     lost_end
         End up to which the log of a server that is gone counts, `UNKNOWN_END` where
         that can't be told, None where no server has lost its log.
@@ -168,6 +170,7 @@
     ends: dict[ServerId, tuple[int, int]] = field(default_factory=dict)
     shrunk: set[ServerId] = field(default_factory=set)
     floor: LogFloor = NO_FLOOR
+    knows_members: bool = True
     lost_end: End | None = None
     needed_end: End | None = None
     is_silent: bool = False
--- a/src/apricotshore/decisions/followed_order.py
+++ b/src/apricotshore/decisions/followed_order.py
@@ -101,7 +101,7 @@
             term=attempt.pause_term,
             asked=(attempt.requested, *leaders),
         )
-    if not leaders and since is None and _may_request(attempt, others, now):
+    if not leaders and since is None and _may_request(attempt, members, now):
         proof = _plan_inherited_proof(attempt, members, now) if is_inherited else None
         return proof or Promote(server=attempt.requested)
     if since is not None and attempt.held and attempt.barrier is None:
@@ -110,20 +110,32 @@
     return _plan_hold(attempt, members, leaders, now)
 
 
-def _may_request(attempt: Attempt, others: tuple[Member, ...], now: int) -> bool:
+def _may_request(attempt: Attempt, members: tuple[Member, ...], now: int) -> bool:
     """Return whether the promotion is to be requested while nobody leads."""
+    others = tuple(m for m in members if m.server != attempt.requested)
     if attempt.accepted or attempt.is_requesting:
         return False
     if attempt.pause_term and not attempt.held:
         return False
     if not _is_inherited(attempt):
         return True
-    if attempt.needed_end is None:
+    if attempt.needed_end is None or _has_lost_log(attempt, members):
         return False
     is_late = now - attempt.started_at >= CATCH_UP_MS
     return is_late or not list_unpaused(attempt, others)
 
 
+def _has_lost_log(attempt: Attempt, members: tuple[Member, ...]) -> bool:
+    """Return whether the requested server has started anew since its order."""
+    floor = attempt.floor
+    if floor.holder != attempt.requested or not floor.holder_started_ms:
+        return False
+    return any(
+        m.server == floor.holder and m.started_ms not in (0, floor.holder_started_ms)
+        for m in members
+    )
+
+
 def _plan_inherited_proof(
     attempt: Attempt, members: tuple[Member, ...], now: int
 ) -> Step | None:
@@ -172,7 +184,11 @@
     if attempt.refused_at is not None:
         return attempt.refused_at
     target = attempt.requested
-    if not _is_inherited(attempt) or target not in attempt.statuses:
+    if not _is_inherited(attempt):
+        return None
+    if _has_lost_log(attempt, members):
+        return attempt.started_at
+    if target not in attempt.statuses:
         return None
     ends = [read_order(attempt, m.server) for m in list_followers(attempt, members)]
     ends.append(attempt.needed_end or find_floor_end(attempt.floor))
--- a/src/apricotshore/decisions/log_floor.py
+++ b/src/apricotshore/decisions/log_floor.py
@@ -27,6 +27,8 @@
 # Sort key of the end of a log.
 End = tuple[float, float]
 UNKNOWN_END: End = (float("inf"), float("inf"))
+# Stands for a server that nobody knows.
+ANY_SERVER = ServerId("")
 EMPTY_END: End = (0, 0)
 
 
@@ -58,20 +60,32 @@
     ----------
     end
         The end, None while none is known.
-    holder
-        Server that was known to hold a log up to it.
+    holder, holder_started_ms
+        Server that was known to hold a log up to it, and when that had started, 0 if
+        that isn't known. In Unix milliseconds.
+    unknown
+        Servers whose logs weren't known then. Once they are, it may be too high.
     members
         Servers that may hold acknowledged commits, listed or not.
     """
 
     end: LogPosition | None = None
     holder: ServerId | None = None
+    holder_started_ms: int = 0
+    unknown: tuple[ServerId, ...] = (ANY_SERVER,)
     members: tuple[StoredMember, ...] = ()
 
 
 NO_FLOOR = LogFloor()
 
 
+def raise_floor(floor: LogFloor, end: LogPosition) -> LogFloor:
+    """Return a floor that is at least at an end, whatever becomes known."""
+    if floor.end is not None and log_order(floor.end) >= log_order(end):
+        return floor
+    return LogFloor(end=end, members=floor.members)
+
+
 def find_floor_end(floor: LogFloor) -> End:
     """Return the sort key of a floor's end."""
     return EMPTY_END if floor.end is None else log_order(floor.end)
@@ -91,27 +105,32 @@
     lost_end
         End up to which a log that was lost counts, None where none was.
     """
-    logs = list(ends.values())
+    logs = _read_logs(floor, ends)
     if lost_end is not None:
         logs.append(lost_end)
     longest = sorted(logs, reverse=True)[:COPIES_PER_COMMIT]
     needed = max(longest[-1:], default=EMPTY_END)
-    if not _is_replaced(floor, ends, lost_end):
+    if not _is_replaced(floor, ends):
         needed = max(needed, find_floor_end(floor))
     return None if needed == UNKNOWN_END else needed
 
 
-def _is_replaced(
-    floor: LogFloor, ends: Mapping[ServerId, End], lost_end: End | None
-) -> bool:
-    """Return whether all logs are known, that of the floor's holder up to it.
+def _read_logs(floor: LogFloor, ends: Mapping[ServerId, End]) -> list[End]:
+    """Return the ends of logs, that of a holder that lost its log as unknown."""
+    floor_end = find_floor_end(floor)
+    return [
+        UNKNOWN_END if server == floor.holder and end < floor_end else end
+        for server, end in ends.items()
+    ]
+
+
+def _is_replaced(floor: LogFloor, ends: Mapping[ServerId, End]) -> bool:
+    """Return whether all logs are known by now that weren't for the floor.
 
-    The floor may lie higher than any acknowledged commit, if a log was unknown then.
+    It lies at an end that was acknowledged only if one of them reached it as well.
     """
-    if floor.holder not in ends or lost_end is not None:
-        return False
-    return UNKNOWN_END not in ends.values() and (
-        ends[floor.holder] >= find_floor_end(floor)
+    return bool(floor.unknown) and all(
+        ends.get(server, UNKNOWN_END) != UNKNOWN_END for server in floor.unknown
     )
 
 
--- a/src/apricotshore/decisions/log_members.py
+++ b/src/apricotshore/decisions/log_members.py
@@ -1,4 +1,4 @@
-"""Servers of a group whose logs count, and when a log was last lost.
+"""Servers of a group whose logs count, and logs that were lost.
 
 A server counts from its first entry in the store on. Only what ends its log strikes it
 off: it leaves in good order, starts anew, or another has taken its address. An entry
@@ -6,14 +6,40 @@
 as a change settles counts no more: the floor of logs covers what it held.
 
 A log that was lost may have held what others lack. What it held lies below a position
-that the primary names afterwards.
+that the primary names afterwards. A server that leaves hands its log to its successor
+at its address, which counts in its place.
 """
 
 from collections.abc import Iterable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
+from ..groups import LogPosition
 from ..identifiers import ServerId
-from .log_floor import StoredMember
+from . import log_floor
+from .change_members import log_order
+from .log_floor import LogFloor, StoredMember
+
+# Stands for logs that may have been lost before the host started.
+ANY_SERVER = log_floor.ANY_SERVER
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class LostLog:
+    """A log that no server holds any more.
+
+    Parameters
+    ----------
+    at
+        When it was found lost, in milliseconds since boot.
+    member
+        The server that held it, None if that isn't known.
+    has_left
+        Whether the server left in good order.
+    """
+
+    at: int
+    member: StoredMember | None = None
+    has_left: bool = False
 
 
 @dataclass(kw_only=True, slots=True)
@@ -26,29 +52,47 @@
         The servers, listed or not.
     struck
         Servers whose log has ended, which an older lease may still name.
-    lost_at
-        When a log was last lost, None if none was. In milliseconds since boot.
-    is_assumed
-        Whether that loss is only assumed: a log may have been lost before the host
-        started.
+    lost
+        Lost logs that no position of a primary covers yet, by their servers.
+    covered_end
+        Position of a primary that covers lost logs, None without one.
     """
 
     counted: dict[ServerId, StoredMember] = field(default_factory=dict)
     struck: set[StoredMember] = field(default_factory=set)
-    lost_at: int | None = None
-    is_assumed: bool = False
+    lost: dict[ServerId, LostLog] = field(default_factory=dict)
+    covered_end: LogPosition | None = None
+
+    @property
+    def lost_at(self) -> int | None:
+        """When a log was last lost that isn't covered, in milliseconds since boot."""
+        return max((lost.at for lost in self.lost.values()), default=None)
+
+    @property
+    def is_assumed(self) -> bool:
+        """Whether nothing is known of logs that were lost before the start."""
+        return ANY_SERVER in self.lost
+
+
+def begin_members(now: int) -> LogMembers:
+    """Return the state of a host that starts: any log may have been lost before."""
+    return LogMembers(lost={ANY_SERVER: LostLog(at=now)})
 
 
 def observe_listed(state: LogMembers, member: StoredMember, now: int) -> bool:
     """Count a server that the store lists; return whether it has started anew."""
     for other in list(state.counted.values()):
         if other.address == member.address and other.server != member.server:
-            _strike(state, other, now)
+            _strike(state, other, LostLog(at=now, member=other))
     known = state.counted.get(member.server)
     is_new = known is not None and known.started_ms != member.started_ms
     if known is not None and is_new:
-        _strike(state, known, now)
+        _strike(state, known, LostLog(at=now, member=known))
     state.counted[member.server] = member
+    for server, lost in list(state.lost.items()):
+        held = lost.member
+        if lost.has_left and held is not None and held.address == member.address:
+            del state.lost[server]
     return is_new
 
 
@@ -56,8 +100,34 @@
     state: LogMembers, server: ServerId, now: int, *, has_left: bool
 ) -> None:
     """Strike a server off that has left; keep one whose entry has only run out."""
-    if has_left and server in state.counted:
-        _strike(state, state.counted[server], now)
+    member = state.counted.get(server)
+    if has_left and member is not None:
+        _strike(state, member, LostLog(at=now, member=member, has_left=True))
+        addresses = {m.address for m in state.counted.values()}
+        if member.address in addresses:
+            del state.lost[server]
+
+
+def observe_position(
+    state: LogMembers, log_position: LogPosition, asked_at: int
+) -> None:
+    """Take a position of a primary, which covers logs that were lost before.
+
+    Parameters
+    ----------
+    state
+        The servers that count; changed in place.
+    log_position
+        Position that the primary named.
+    asked_at
+        When it was asked, in milliseconds since boot.
+    """
+    left = {s: lost for s, lost in state.lost.items() if lost.at > asked_at}
+    if len(left) == len(state.lost):
+        return
+    state.lost = left
+    known = state.covered_end or log_position
+    state.covered_end = max(known, log_position, key=log_order)
 
 
 def observe_stored(
@@ -90,22 +160,35 @@
     if is_settled:
         kept = stored.keys() | present.keys()
         state.counted = {s: m for s, m in state.counted.items() if s in kept}
+    state.lost.pop(ANY_SERVER, None)
     addresses = {m.address for m in present.values()}
-    lost = False
     for server, member in stored.items():
-        if server in present:
-            lost |= present[server].started_ms != member.started_ms
-        elif member.address in addresses:
-            lost = True
-        else:
+        known = present.get(server)
+        is_lost = known is None and member.address in addresses
+        is_lost |= known is not None and known.started_ms != member.started_ms
+        if is_lost:
+            state.struck.add(member)
+            state.lost[server] = LostLog(at=now, member=member)
+        elif known is None:
             state.counted.setdefault(server, member)
+
+
+def make_floor(state: LogMembers, floor: LogFloor) -> LogFloor:
+    """Return the floor that the lease is to hold, with the servers that count.
+
+    A lost log that isn't covered is named by the server that held it, so that others
+    find it lost as well. Nobody is named while unknown logs may have been lost.
+    """
+    if state.covered_end is not None:
+        floor = log_floor.raise_floor(floor, state.covered_end)
     if state.is_assumed:
-        state.is_assumed = False
-        state.lost_at = now if lost else None
+        return replace(floor, members=())
+    lost = {s: x.member for s, x in state.lost.items() if x.member is not None}
+    members = {**state.counted, **lost}
+    return replace(floor, members=tuple(members[s] for s in sorted(members)))
 
 
-def _strike(state: LogMembers, member: StoredMember, now: int) -> None:
+def _strike(state: LogMembers, member: StoredMember, lost: LostLog) -> None:
     del state.counted[member.server]
     state.struck.add(member)
-    state.lost_at = now
-    state.is_assumed = False
+    state.lost[member.server] = lost
--- a/src/apricotshore/decisions/needed_end.py
+++ b/src/apricotshore/decisions/needed_end.py
@@ -8,7 +8,7 @@
 from . import log_floor
 from .change_attempt import Attempt
 from .change_members import Member, log_order
-from .log_floor import UNKNOWN_END, End
+from .log_floor import ANY_SERVER, COPIES_PER_COMMIT, UNKNOWN_END, End
 from .position_history import PositionSample
 
 
@@ -33,6 +33,7 @@
         Whether this host knows of no member that lost its log.
     """
     attempt.lost_end = None
+    members = tuple(members)
     if not lossless:
         attempt.lost_end = UNKNOWN_END
         if since_loss is not None:
@@ -41,6 +42,10 @@
     attempt.needed_end = log_floor.find_needed_end(
         attempt.floor, ends, attempt.lost_end
     )
+    known = [end for end in ends.values() if end != UNKNOWN_END]
+    if not attempt.knows_members and len(known) < COPIES_PER_COMMIT:
+        # Any number of others may exist.
+        attempt.needed_end = None
 
 
 def find_end(attempt: Attempt, server: ServerId) -> End:
@@ -66,9 +71,20 @@
     )
 
 
-def raise_floor(attempt: Attempt, target: ServerId) -> bool:
+def raise_floor(
+    attempt: Attempt, members: tuple[Member, ...], target: ServerId
+) -> bool:
     """Have the floor be what the order of a server demands.
 
+    Parameters
+    ----------
+    attempt
+        The change; its floor is set in place.
+    members
+        Servers that may receive commits.
+    target
+        The server, whose log reaches that end.
+
     Returns
     -------
     bool
@@ -79,7 +95,17 @@
     if needed is None or (known is not None and log_order(known) == needed):
         return False
     end = LogPosition(term=Term(int(needed[0])), position=Position(int(needed[1])))
-    attempt.floor = replace(attempt.floor, end=end, holder=target)
+    unknown = list_unknown(attempt, members)
+    if attempt.lost_end is not None:
+        unknown = (*unknown, ANY_SERVER)
+    started_ms = next((m.started_ms for m in members if m.server == target), 0)
+    attempt.floor = replace(
+        attempt.floor,
+        end=end,
+        holder=target,
+        holder_started_ms=started_ms,
+        unknown=unknown,
+    )
     return known is not None
 
 
--- a/src/apricotshore/decisions/promotion_order.py
+++ b/src/apricotshore/decisions/promotion_order.py
@@ -96,7 +96,7 @@
     unpaused = list_unpaused(attempt, others)
     if _must_wait_for(attempt, others, unpaused, now):
         return secure(attempt, unpaused)
-    if raise_floor(attempt, target) or attempt.recorded != target:
+    if raise_floor(attempt, members, target) or attempt.recorded != target:
         return RecordTarget(server=target)
     stale = _list_stale(attempt, members, now)
     if stale and _must_ask_again(attempt, stale, now):
--- a/src/apricotshore/pooling/change_ending.py
+++ b/src/apricotshore/pooling/change_ending.py
@@ -2,10 +2,10 @@
 
 import asyncio
 from collections.abc import Awaitable, Callable
-from dataclasses import replace
 
-from ..decisions import lease
+from ..decisions import lease, log_members
 from ..decisions.change_attempt import Attempt
+from ..decisions.log_floor import LogFloor
 from ..identifiers import HostId, ServerId, Term
 from ..queries import QueryKind
 from ..services.clock import read_boot_ms
@@ -108,13 +108,11 @@
 
         A primary that was not replaced may have commits that only a silent server has.
         """
-        floor = self.lease.floor
-        if attempt.requested is None:
-            members = group_members.list_counted(self.group)
-            self.lease.floor = replace(floor, members=members)
-            return
-        members = group_members.list_present(self.group)
-        self.lease.floor = replace(floor, holder=None, members=members)
+        floor = log_members.make_floor(self.group.members, self.lease.floor)
+        if attempt.requested is not None:
+            members = group_members.list_present(self.group)
+            floor = LogFloor(end=floor.end, members=members)
+        self.lease.floor = floor
 
     async def _is_led(self, attempt: Attempt) -> bool:
         """Return whether a server has proved to lead since the change paused others."""
--- a/src/apricotshore/pooling/change_lease.py
+++ b/src/apricotshore/pooling/change_lease.py
@@ -6,7 +6,7 @@
 
 from ..decisions import lease
 from ..decisions.lease import NO_FORMER, FormerPrimaries, LeaseClaim, ObservedLease
-from ..decisions.log_floor import NO_FLOOR, StoredMember
+from ..decisions.log_floor import NO_FLOOR, LogFloor
 from ..identifiers import (
     FencingToken,
     GroupId,
@@ -36,6 +36,11 @@
     """Do nothing with a lease."""
 
 
+def _keep_floor(floor: LogFloor) -> LogFloor:
+    """Return a floor as it is."""
+    return floor
+
+
 class ChangeLease:
     """Lease that allows one host at a time to change a group's primary.
 
@@ -53,8 +58,8 @@
         Records a phase with its details.
     on_lease
         Called with the lease each time that it was read or written.
-    list_members
-        Returns the servers whose logs count.
+    make_floor
+        Returns a floor of logs with the servers that count now.
     """
 
     def __init__(
@@ -67,13 +72,13 @@
         eras: EraTracker,
         record: Callable[..., None] = _omit,
         on_lease: Callable[[LeaseRecord], None] = _ignore,
-        list_members: Callable[[], tuple[StoredMember, ...]] = tuple,
+        make_floor: Callable[[LogFloor], LogFloor] = _keep_floor,
     ) -> None:
         self.group = group
         self.store = store
         self.record = record
         self.on_lease = on_lease
-        self.list_members = list_members
+        self.make_floor = make_floor
         self.eras = eras
         self.holder = lease.name_holder(host, address, uuid.uuid4().hex[:8])
         self.seen: ObservedLease | None = None
@@ -304,7 +309,7 @@
     ) -> FencingToken | None:
         era = self._get_era()
         if still_open:
-            self.floor = replace(self.floor, members=self.list_members())
+            self.floor = self.make_floor(self.floor)
         for _ in range(WRITE_TRIES):
             self.writes += 1
             record = LeaseRecord(
@@ -347,7 +352,7 @@
         """Write which servers count to a released lease, unless it is taken."""
         current = self.current
         if current is not None and not current.open:
-            self.floor = replace(self.floor, members=self.list_members())
+            self.floor = self.make_floor(self.floor)
             await self._write(current.revision, still_open=False, target=None)
 
     def _keep(self, record: LeaseRecord, sent_at: int) -> FencingToken:
--- a/src/apricotshore/pooling/change_steps.py
+++ b/src/apricotshore/pooling/change_steps.py
@@ -6,7 +6,6 @@
 from ..decisions import (
     commit_barrier,
     order_effect,
-    position_history,
     primary_change,
     primary_return,
 )
@@ -29,6 +28,7 @@
 )
 from ..decisions.change_attempt import Attempt
 from ..decisions.lease import FormerPrimaries
+from ..decisions.position_history import PositionSample
 from ..identifiers import FencingToken, HostId, ServerId, Term
 from ..queries import QueryKind
 from ..services.clock import read_boot_ms
@@ -175,16 +175,17 @@
                 return True
 
     def _plan(self) -> Step:
-        group = self.group
-        lost_at = group.members.lost_at
-        since_loss = None
-        if lost_at is not None:
-            since_loss = position_history.find_since(group.position_history, lost_at)
+        state = self.group.members
+        self.attempt.knows_members = not state.is_assumed
+        covered = None
+        if state.covered_end is not None and not state.lost:
+            end = state.covered_end
+            covered = PositionSample(asked_at=0, term=end.term, position=end.position)
         return primary_change.plan_step(
             self.attempt,
             group_members.list_members(self.group),
-            since_loss,
-            lost_at is None,
+            covered,
+            not state.lost and covered is None,
             read_boot_ms(),
         )
 
--- a/src/apricotshore/pooling/group.py
+++ b/src/apricotshore/pooling/group.py
@@ -12,7 +12,6 @@
 )
 from ..decisions.leadership import PrimaryState
 from ..decisions.log_floor import StoredMember
-from ..decisions.log_members import LogMembers
 from ..decisions.loop_stalls import Stall
 from ..decisions.placement import Distance, ServerLoad
 from ..decisions.position_history import PositionHistory
@@ -91,7 +90,7 @@
         self.primary_confirmed = asyncio.Event()
         self.probe_wanted = asyncio.Event()
         # A log may have been lost before this host started, unknown to it.
-        self.members = LogMembers(lost_at=read_boot_ms(), is_assumed=True)
+        self.members = log_members.begin_members(read_boot_ms())
         self.leave_ms = DEFAULT_LEAVE_MS
         self.window_ms = DEFAULT_WINDOW_MS
         # Since when each leaving server is known to leave, in milliseconds since boot.
@@ -394,6 +393,7 @@
     def observe_position(self, log_position: LogPosition, asked_at: int) -> None:
         """Record the log position that the primary had at ``asked_at`` or later."""
         position_history.observe(self.position_history, log_position, asked_at)
+        log_members.observe_position(self.members, log_position, asked_at)
 
     def observe_primary(
         self,
--- a/src/apricotshore/pooling/group_members.py
+++ b/src/apricotshore/pooling/group_members.py
@@ -38,12 +38,6 @@
         group.keep_stored(member)
 
 
-def list_counted(group: Group) -> tuple[StoredMember, ...]:
-    """Return the servers whose logs count, for the lease."""
-    counted = group.members.counted
-    return tuple(counted[server] for server in sorted(counted))
-
-
 def list_present(group: Group) -> tuple[StoredMember, ...]:
     """Return the servers that the store lists, for the lease."""
     return tuple(describe_member(group.servers[s]) for s in sorted(group.servers))
--- a/src/apricotshore/pooling/member_recorder.py
+++ b/src/apricotshore/pooling/member_recorder.py
@@ -2,8 +2,8 @@
 
 from collections.abc import Callable
 
+from ..decisions import log_members
 from ..services.clock import read_boot_ms
-from . import group_members
 from .change_lease import ChangeLease
 from .group import Group
 
@@ -46,10 +46,11 @@
         """
         now = read_boot_ms()
         current = self.lease.current
-        members = group_members.list_counted(self.group)
+        floor = log_members.make_floor(self.group.members, self.lease.floor)
         is_led = self.group.primary is not None
         is_free = current is not None and not current.open
-        if not (is_led and is_free) or members == self.lease.floor.members:
+        is_named = floor.members in ((), self.lease.floor.members)
+        if not (is_led and is_free) or is_named:
             self.differs_since = None
             return
         if self.differs_since is None:
--- a/src/apricotshore/pooling/primary_changer.py
+++ b/src/apricotshore/pooling/primary_changer.py
@@ -5,7 +5,7 @@
 
 from mode import Service
 
-from ..decisions import change_triggers, relays
+from ..decisions import change_triggers, log_members, relays
 from ..decisions.change_attempt import Attempt
 from ..decisions.commit_barrier import list_led
 from ..identifiers import FencingToken, HostId
@@ -100,7 +100,7 @@
             eras=eras,
             record=self._record,
             on_lease=self._take_lease,
-            list_members=lambda: group_members.list_counted(group),
+            make_floor=lambda floor: log_members.make_floor(group.members, floor),
         )
         self.on_lease = on_lease
         self.commands = GroupCommands(group=group, is_held=self.lease.is_held)
--- a/tests/pooling/test_events_amid_changes.py
+++ b/tests/pooling/test_events_amid_changes.py
@@ -202,11 +202,11 @@
             host.group.update_server(model.list(gone, leaving=True))
             gone.up = gone.listed = False
             host.group.remove_server(gone.name)
-        host.group.members.lost_at = None
+        host.group.members.lost.clear()
         model.servers[S1].up = model.servers[S1].is_primary = False
         model.servers[S1].listed = False
         host.group.remove_server(S1)
-        host.group.members.lost_at = None
+        host.group.members.lost.clear()
         await wait_until(lambda: model.promotions)
         promoted_at = read_boot_ms()
         await wait_until(lambda: not next(iter(platform.leases.values())).open)
