--- a/src/apricotshore/decisions/change_attempt.py
+++ b/src/apricotshore/decisions/change_attempt.py
@@ -77,6 +77,9 @@
     lost_end
         End up to which the log of a server that is gone counts, `UNKNOWN_END` where
         that can't be told, None where no server has lost its log.
+    sealed_end
+        Needed end when this change last set the floor, None before. All hosts had
+        confirmed then.
     needed_end
         End that a server's log has to reach to be ordered, None while it isn't known.
     is_silent
@@ -172,6 +175,7 @@
     floor: LogFloor = NO_FLOOR
     knows_members: bool = True
     lost_end: End | None = None
+    sealed_end: End | None = None
     needed_end: End | None = None
     is_silent: bool = False
     returns_often: bool = False
--- a/src/apricotshore/decisions/followed_order.py
+++ b/src/apricotshore/decisions/followed_order.py
@@ -14,13 +14,15 @@
 from .change_members import Member
 from .change_targets import (
     CATCH_UP_MS,
+    FRESH_MS,
     choose_pause_term,
     list_followers,
     list_names,
     read_order,
 )
 from .commit_barrier import is_running_late, list_led
-from .log_floor import find_floor_end
+from .log_floor import UNKNOWN_END, find_floor_end
+from .needed_end import find_end
 from .order_effect import find_overdue
 from .promotion_order import list_unpaused, plan_proof, secure
 
@@ -117,14 +119,31 @@
         return False
     if attempt.pause_term and not attempt.held:
         return False
+    if _has_lost_log(attempt, members):
+        return False
     if not _is_inherited(attempt):
-        return True
-    if attempt.needed_end is None or _has_lost_log(attempt, members):
+        return _reaches_floor(attempt) and _is_heard(attempt, now)
+    if attempt.needed_end is None:
         return False
     is_late = now - attempt.started_at >= CATCH_UP_MS
     return is_late or not list_unpaused(attempt, others)
 
 
+def _is_heard(attempt: Attempt, now: int) -> bool:
+    """Return whether the requested server has answered just now."""
+    server = attempt.requested
+    assert server is not None
+    is_known = server in attempt.statuses
+    return is_known and now - attempt.answered_at[server] <= FRESH_MS
+
+
+def _reaches_floor(attempt: Attempt) -> bool:
+    """Return whether the requested server still holds what its order demanded."""
+    server = attempt.requested
+    assert server is not None
+    return find_floor_end(attempt.floor) <= find_end(attempt, server) < UNKNOWN_END
+
+
 def _has_lost_log(attempt: Attempt, members: tuple[Member, ...]) -> bool:
     """Return whether the requested server has started anew since its order."""
     floor = attempt.floor
@@ -217,7 +236,10 @@
     others = tuple(
         s for s in list_names(members) if s not in (attempt.requested, former)
     )
-    asked = attempt.requested if _is_inherited(attempt) else overdue
+    is_repeated = _is_inherited(attempt) or not (
+        attempt.accepted or attempt.is_requesting
+    )
+    asked = attempt.requested if is_repeated else overdue
     return Hold(servers=others, primary=former, term=attempt.pause_term, asked=asked)
 
 
--- a/src/apricotshore/decisions/log_floor.py
+++ b/src/apricotshore/decisions/log_floor.py
@@ -92,7 +92,10 @@
 
 
 def find_needed_end(
-    floor: LogFloor, ends: Mapping[ServerId, End], lost_end: End | None
+    floor: LogFloor,
+    ends: Mapping[ServerId, End],
+    lost_end: End | None,
+    led_end: End = UNKNOWN_END,
 ) -> End | None:
     """Return the end that a server's log has to reach, None while it isn't known.
 
@@ -104,12 +107,15 @@
         Ends of the logs of all members, `UNKNOWN_END` of those that aren't known.
     lost_end
         End up to which a log that was lost counts, None where none was.
+    led_end
+        End of the logs of all servers that have led, `UNKNOWN_END` if it isn't known.
     """
-    logs = _read_logs(floor, ends)
+    # A lost log stands for that of a holder which lost it.
+    logs = list(ends.values()) if lost_end else _read_logs(floor, ends)
     if lost_end is not None:
         logs.append(lost_end)
     longest = sorted(logs, reverse=True)[:COPIES_PER_COMMIT]
-    needed = max(longest[-1:], default=EMPTY_END)
+    needed = min(max(longest[-1:], default=EMPTY_END), led_end)
     if not _is_replaced(floor, ends):
         needed = max(needed, find_floor_end(floor))
     return None if needed == UNKNOWN_END else needed
@@ -132,24 +138,3 @@
     return bool(floor.unknown) and all(
         ends.get(server, UNKNOWN_END) != UNKNOWN_END for server in floor.unknown
     )
-
-
-def find_shortfall(
-    floor: LogFloor, ends: Mapping[ServerId, End], lost_end: End | None, target: End
-) -> int:
-    """Return how many entries a target's log lacks of an end that is known.
-
-    Parameters
-    ----------
-    floor, ends, lost_end
-        See `find_needed_end`.
-    target
-        End of the target's log.
-    """
-    needed = find_needed_end(floor, ends, lost_end)
-    if needed is None:
-        known = [e for e in ends.values() if e != UNKNOWN_END]
-        needed = max([*known, find_floor_end(floor)])
-    if target >= needed:
-        return 0
-    return max(1, int(needed[1] - target[1]))
--- a/src/apricotshore/decisions/log_members.py
+++ b/src/apricotshore/decisions/log_members.py
@@ -3,7 +3,8 @@
 A server counts from its first entry in the store on. Only what ends its log strikes it
 off: it leaves in good order, starts anew, or another has taken its address. An entry
 that has run out doesn't, for the server may come back with its log. One that is gone
-as a change settles counts no more: the floor of logs covers what it held.
+as a change settles counts no more: the floor of logs covers what it held. Neither does
+one that has been gone for long while a primary led: its log is taken for lost.
 
 A log that was lost may have held what others lack. What it held lies below a position
 that the primary names afterwards. A server that leaves hands its log to its successor
@@ -19,8 +20,12 @@
 from .change_members import log_order
 from .log_floor import LogFloor, StoredMember
 
+# A server, and when it had started.
+LogKey = tuple[ServerId, int]
 # Stands for logs that may have been lost before the host started.
-ANY_SERVER = log_floor.ANY_SERVER
+ANY_LOG: LogKey = (log_floor.ANY_SERVER, 0)
+# A server that has had no entry for this long, and answers nobody, is taken for gone.
+GONE_MS = 10_000
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -53,15 +58,18 @@
     struck
         Servers whose log has ended, which an older lease may still name.
     lost
-        Lost logs that no position of a primary covers yet, by their servers.
+        Lost logs that no position of a primary covers yet.
     covered_end
         Position of a primary that covers lost logs, None without one.
+    missing_since
+        Since when each server has had no entry, in milliseconds since boot.
     """
 
     counted: dict[ServerId, StoredMember] = field(default_factory=dict)
     struck: set[StoredMember] = field(default_factory=set)
-    lost: dict[ServerId, LostLog] = field(default_factory=dict)
+    lost: dict[LogKey, LostLog] = field(default_factory=dict)
     covered_end: LogPosition | None = None
+    missing_since: dict[ServerId, int] = field(default_factory=dict)
 
     @property
     def lost_at(self) -> int | None:
@@ -71,12 +79,12 @@
     @property
     def is_assumed(self) -> bool:
         """Whether nothing is known of logs that were lost before the start."""
-        return ANY_SERVER in self.lost
+        return ANY_LOG in self.lost
 
 
 def begin_members(now: int) -> LogMembers:
     """Return the state of a host that starts: any log may have been lost before."""
-    return LogMembers(lost={ANY_SERVER: LostLog(at=now)})
+    return LogMembers(lost={ANY_LOG: LostLog(at=now)})
 
 
 def observe_listed(state: LogMembers, member: StoredMember, now: int) -> bool:
@@ -89,23 +97,50 @@
     if known is not None and is_new:
         _strike(state, known, LostLog(at=now, member=known))
     state.counted[member.server] = member
-    for server, lost in list(state.lost.items()):
-        held = lost.member
-        if lost.has_left and held is not None and held.address == member.address:
-            del state.lost[server]
+    state.missing_since.pop(member.server, None)
+    state.struck.discard(member)
+    state.lost = {s: x for s, x in state.lost.items() if not _is_back(x, member)}
     return is_new
 
 
+def _is_back(lost: LostLog, member: StoredMember) -> bool:
+    """Return whether a listed server holds a log that was taken for lost."""
+    if lost.member is None:
+        return False
+    is_successor = lost.has_left and lost.member.address == member.address
+    return is_successor or lost.member == member
+
+
 def observe_unlisted(
     state: LogMembers, server: ServerId, now: int, *, has_left: bool
 ) -> None:
     """Strike a server off that has left; keep one whose entry has only run out."""
     member = state.counted.get(server)
-    if has_left and member is not None:
-        _strike(state, member, LostLog(at=now, member=member, has_left=True))
-        addresses = {m.address for m in state.counted.values()}
-        if member.address in addresses:
-            del state.lost[server]
+    if member is None:
+        return
+    if not has_left:
+        state.missing_since[server] = now
+        return
+    _strike(state, member, LostLog(at=now, member=member, has_left=True))
+    if any(m.address == member.address for m in state.counted.values()):
+        del state.lost[_find_key(member)]
+
+
+def list_missing(state: LogMembers, now: int) -> tuple[ServerId, ...]:
+    """List the servers whose entries ran out long ago, and that may be gone."""
+    return tuple(
+        server
+        for server, since in state.missing_since.items()
+        if server in state.counted and now - since >= GONE_MS
+    )
+
+
+def observe_gone(state: LogMembers, server: ServerId, now: int) -> None:
+    """Take the log of a server for lost that has no entry and gives no answer."""
+    state.missing_since.pop(server, None)
+    member = state.counted.get(server)
+    if member is not None:
+        _strike(state, member, LostLog(at=now, member=member))
 
 
 def observe_position(
@@ -160,7 +195,7 @@
     if is_settled:
         kept = stored.keys() | present.keys()
         state.counted = {s: m for s, m in state.counted.items() if s in kept}
-    state.lost.pop(ANY_SERVER, None)
+    state.lost.pop(ANY_LOG, None)
     addresses = {m.address for m in present.values()}
     for server, member in stored.items():
         known = present.get(server)
@@ -168,9 +203,19 @@
         is_lost |= known is not None and known.started_ms != member.started_ms
         if is_lost:
             state.struck.add(member)
-            state.lost[server] = LostLog(at=now, member=member)
+            state.lost[_find_key(member)] = LostLog(at=now, member=member)
         elif known is None:
             state.counted.setdefault(server, member)
+            state.missing_since.setdefault(server, now)
+
+
+def observe_settled(state: LogMembers, members: Iterable[StoredMember]) -> None:
+    """Have only some servers count: the floor covers what others held."""
+    state.counted = {m.server: m for m in members}
+    state.missing_since = {
+        s: since for s, since in state.missing_since.items() if s in state.counted
+    }
+    state.lost.clear()
 
 
 def make_floor(state: LogMembers, floor: LogFloor) -> LogFloor:
@@ -183,12 +228,16 @@
         floor = log_floor.raise_floor(floor, state.covered_end)
     if state.is_assumed:
         return replace(floor, members=())
-    lost = {s: x.member for s, x in state.lost.items() if x.member is not None}
-    members = {**state.counted, **lost}
+    lost = sorted(state.lost.values(), key=lambda x: -x.at)
+    members = {**state.counted, **{x.member.server: x.member for x in lost if x.member}}
     return replace(floor, members=tuple(members[s] for s in sorted(members)))
 
 
 def _strike(state: LogMembers, member: StoredMember, lost: LostLog) -> None:
     del state.counted[member.server]
     state.struck.add(member)
-    state.lost[member.server] = lost
+    state.lost[_find_key(member)] = lost
+
+
+def _find_key(member: StoredMember) -> LogKey:
+    return (member.server, member.started_ms)
--- a/src/apricotshore/decisions/needed_end.py
+++ b/src/apricotshore/decisions/needed_end.py
@@ -1,6 +1,6 @@
 """End of the log that a change of primary demands of the server that it promotes."""
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 from dataclasses import replace
 
 from ..groups import LogPosition
@@ -38,10 +38,11 @@
         attempt.lost_end = UNKNOWN_END
         if since_loss is not None:
             attempt.lost_end = (since_loss.term, since_loss.position)
-    ends = {m.server: find_end(attempt, m.server) for m in members if m.is_counted}
-    attempt.needed_end = log_floor.find_needed_end(
-        attempt.floor, ends, attempt.lost_end
-    )
+    ends = _read_ends(attempt, members)
+    attempt.needed_end = _find_needed_end(attempt, ends)
+    if attempt.sealed_end is not None and _is_sealed(attempt):
+        attempt.needed_end = min(attempt.needed_end or UNKNOWN_END, attempt.sealed_end)
+        return
     known = [end for end in ends.values() if end != UNKNOWN_END]
     if not attempt.knows_members and len(known) < COPIES_PER_COMMIT:
         # Any number of others may exist.
@@ -56,6 +57,15 @@
     return log_order(status.log_position)
 
 
+def _read_ends(attempt: Attempt, members: Iterable[Member]) -> dict[ServerId, End]:
+    """Return the ends of all logs that count, as those of all that answer do."""
+    return {
+        m.server: find_end(attempt, m.server)
+        for m in members
+        if m.is_counted or m.server in attempt.statuses
+    }
+
+
 def may_lead(attempt: Attempt, server: ServerId) -> bool:
     """Return whether a server holds all that may have been acknowledged."""
     needed = attempt.needed_end
@@ -90,7 +100,7 @@
     bool
         Whether the lease names another floor with this target so far.
     """
-    needed = attempt.needed_end
+    needed = attempt.sealed_end = attempt.needed_end
     known = attempt.floor.end
     if needed is None or (known is not None and log_order(known) == needed):
         return False
@@ -113,9 +123,37 @@
     attempt: Attempt, members: Iterable[Member], target: ServerId
 ) -> int:
     """Return how many entries a server's log lacks of an end that is known."""
-    ends = {m.server: find_end(attempt, m.server) for m in members if m.is_counted}
     status = attempt.statuses.get(target)
     if status is None:
         return 0
-    target_end = log_order(status.log_position)
-    return log_floor.find_shortfall(attempt.floor, ends, attempt.lost_end, target_end)
+    ends = _read_ends(attempt, members)
+    needed = _find_needed_end(attempt, ends)
+    if needed is None:
+        known = [end for end in ends.values() if end != UNKNOWN_END]
+        needed = max([*known, log_floor.find_floor_end(attempt.floor)])
+    end = log_order(status.log_position)
+    return 0 if end >= needed else max(1, int(needed[1] - end[1]))
+
+
+def _find_needed_end(attempt: Attempt, ends: Mapping[ServerId, End]) -> End | None:
+    return log_floor.find_needed_end(
+        attempt.floor, ends, attempt.lost_end, _find_led_end(attempt)
+    )
+
+
+def _is_sealed(attempt: Attempt) -> bool:
+    """Return whether nothing was acknowledged since this change set the floor."""
+    has_order = attempt.requested is not None or attempt.ineffective is not None
+    return attempt.barrier is not None and not attempt.leaders and not has_order
+
+
+def _find_led_end(attempt: Attempt) -> End:
+    """Return the end of the logs of all that have led, `UNKNOWN_END` if it isn't known.
+
+    Nothing beyond it was acknowledged, whatever other servers hold.
+    """
+    others = attempt.led | {attempt.inherited, attempt.ineffective}
+    others -= {None, attempt.replaced}
+    if attempt.final_end is None or not others <= attempt.statuses.keys():
+        return UNKNOWN_END
+    return log_order(attempt.final_end)
--- a/src/apricotshore/decisions/silent_primary.py
+++ b/src/apricotshore/decisions/silent_primary.py
@@ -41,7 +41,7 @@
         servers = missing or list_names(members)
         return RequestStatus(servers=_prefer_responsive(attempt, servers))
     unknown = list_unknown(attempt, members)
-    if len(unknown) >= COPIES_PER_COMMIT:
+    if len(unknown) >= COPIES_PER_COMMIT and attempt.needed_end is None:
         return _plan_wait(attempt, members, unknown, now)
     if attempt.target is None or attempt.target not in attempt.statuses:
         set_target(attempt, choose_target(attempt, followers), now)
--- a/src/apricotshore/pooling/change_ending.py
+++ b/src/apricotshore/pooling/change_ending.py
@@ -110,7 +110,8 @@
         """
         floor = log_members.make_floor(self.group.members, self.lease.floor)
         if attempt.requested is not None:
-            members = group_members.list_present(self.group)
+            members = group_members.list_present(self.group, attempt.statuses)
+            log_members.observe_settled(self.group.members, members)
             floor = LogFloor(end=floor.end, members=members)
         self.lease.floor = floor
 
--- a/src/apricotshore/pooling/change_lease.py
+++ b/src/apricotshore/pooling/change_lease.py
@@ -182,9 +182,13 @@
         self._take_floor(record)
 
     def _take_floor(self, record: LeaseRecord) -> None:
-        """Take the floor of a lease; one of a host that knows of none names none."""
-        if record.floor != NO_FLOOR:
-            self.floor = record.floor
+        """Take the floor of another's lease, as far as its host knew one."""
+        read = record.floor
+        if record.holder == self.holder:
+            return
+        if read.end is None:
+            read = replace(self.floor, members=read.members or self.floor.members)
+        self.floor = read
 
     async def is_abandoned(self, rank: int) -> bool:
         """Return whether a change has ended, or was lost, that is to be finished.
--- a/src/apricotshore/pooling/group.py
+++ b/src/apricotshore/pooling/group.py
@@ -393,7 +393,6 @@
     def observe_position(self, log_position: LogPosition, asked_at: int) -> None:
         """Record the log position that the primary had at ``asked_at`` or later."""
         position_history.observe(self.position_history, log_position, asked_at)
-        log_members.observe_position(self.members, log_position, asked_at)
 
     def observe_primary(
         self,
--- a/src/apricotshore/pooling/member_recorder.py
+++ b/src/apricotshore/pooling/member_recorder.py
@@ -2,10 +2,15 @@
 
 from collections.abc import Callable
 
-from ..decisions import log_members
+from ..decisions import log_members, position_history
+from ..groups import LogPosition
+from ..identifiers import Position, Term
+from ..queries import QueryKind
 from ..services.clock import read_boot_ms
 from .change_lease import ChangeLease
 from .group import Group
+from .group_commands import GroupCommands
+from .journal import EventKind
 
 # Time for which the servers stay the same before they are written. Each host waits
 # that much longer than the one before it, so that one writes for all.
@@ -23,15 +28,23 @@
         The group.
     lease
         The lease on its change of primary.
+    commands
+        Sends commands to the servers of the group.
     rank
         Returns how many hosts are to write before this one.
     """
 
     def __init__(
-        self, *, group: Group, lease: ChangeLease, rank: Callable[[], int]
+        self,
+        *,
+        group: Group,
+        lease: ChangeLease,
+        commands: GroupCommands,
+        rank: Callable[[], int],
     ) -> None:
         self.group = group
         self.lease = lease
+        self.commands = commands
         self.rank = rank
         # Since when the lease names other servers, None while it names these.
         self.differs_since: int | None = None
@@ -44,6 +57,10 @@
         StoreError
             When the store gave no answer.
         """
+        current = self.lease.current
+        if self.group.primary is not None and not (current and current.open):
+            self._cover_lost_logs()
+            await self._strike_off()
         now = read_boot_ms()
         current = self.lease.current
         floor = log_members.make_floor(self.group.members, self.lease.floor)
@@ -58,3 +75,28 @@
         if now - self.differs_since >= STABLE_MS * (1 + self.rank()):
             self.differs_since = None
             await self.lease.store_members()
+
+    def _cover_lost_logs(self) -> None:
+        """Take a position that the primary has named since logs were lost."""
+        state = self.group.members
+        if state.lost_at is None:
+            return
+        history = self.group.position_history
+        sample = position_history.find_since(history, state.lost_at)
+        if sample is not None:
+            end = LogPosition(
+                term=Term(sample.term), position=Position(sample.position)
+            )
+            log_members.observe_position(state, end, sample.asked_at)
+
+    async def _strike_off(self) -> None:
+        """Strike off servers that have long been gone while a primary leads."""
+        state = self.group.members
+        for server in log_members.list_missing(state, read_boot_ms()):
+            reply = await self.commands.ask(server, QueryKind.STATUS)
+            is_silent = reply.report is None and not reply.refused
+            if is_silent and self.group.primary is not None:
+                log_members.observe_gone(state, server, read_boot_ms())
+                self.group.journal.record(
+                    EventKind.SERVER_GONE, group=self.group.group, server=server
+                )
--- a/src/apricotshore/pooling/primary_changer.py
+++ b/src/apricotshore/pooling/primary_changer.py
@@ -119,7 +119,9 @@
             count_hosts=lambda: len(detours.fleet.hosts),
             find_leader=self.reasons.find_leader,
         )
-        self.members = MemberRecorder(group=group, lease=self.lease, rank=rank)
+        self.members = MemberRecorder(
+            group=group, lease=self.lease, commands=self.commands, rank=rank
+        )
         self.stalls = StallChecker(
             group=group,
             commands=self.commands,
@@ -234,11 +236,15 @@
 
     def observe_lease(self, record: LeaseRecord) -> None:
         """Record a lease from a list that may be older than the one known."""
+        if record.era != self.lease.eras.era:
+            group_members.observe_lease(self.group, record, is_settled=False)
         self.lease.observe(record)
 
     def _take_lease(self, record: LeaseRecord) -> None:
         """Take a lease that was read or written, and tell those that follow it."""
-        group_members.observe_lease(self.group, record)
+        if record.holder != self.lease.holder:
+            is_settled = not record.open
+            group_members.observe_lease(self.group, record, is_settled=is_settled)
         self.on_lease(record)
 
     def _record(self, phase: str, **details: object) -> None:
--- a/tests/pooling/test_resumed_servers.py
+++ b/tests/pooling/test_resumed_servers.py
@@ -3,7 +3,7 @@
 import asyncio
 
 from apricotshore.decisions import lease
-from apricotshore.decisions.log_members import ANY_SERVER, LostLog
+from apricotshore.decisions.log_members import ANY_LOG, LostLog
 from apricotshore.identifiers import ServerId, StoreEra
 from apricotshore.queries import Query, QueryKind
 from apricotshore.services.clock import read_boot_ms
@@ -218,7 +218,7 @@
     async with running(host), writing(model):
         await wait_until(lambda: len(model.acknowledged) > 5)
         model.servers[ServerId("s1")].up = False
-        host.group.members.lost[ANY_SERVER] = LostLog(at=read_boot_ms())
+        host.group.members.lost[ANY_LOG] = LostLog(at=read_boot_ms())
         await wait_until(lambda: any(s.paused_term for s in model.servers.values()))
         revision = platform.revision
         # The change of 5.5 s ends, and the next one begins.
