Tell of a promotion below a known end before it is ordered

No counter moved, and no test looked for it.

Change: record_order computes the shortfall of the server that it orders, whoever planned the order. Where it isn't 0, a line with `short` right after `group` is written before the order is sent, and the group's apricotshore_short_promotions_total rises, once a promotion. The line at the end of such a promotion has `short` too; others stay as they are. Of each group the promotions with a shortfall and those without an effect are kept longer, and come last of what is written again. The tests' `running` asserts that none was counted.

--- a/src/apricotshore/pooling/change_counts.py
+++ b/src/apricotshore/pooling/change_counts.py
@@ -1,4 +1,4 @@
-"""Counts of a group's changes of primary on this host, by reason and outcome."""
+"""Counts of a group's changes of primary on this host, and of short promotions."""
 
 from collections import Counter
 
@@ -11,6 +11,8 @@
         # Reason of the change in progress, None between changes.
         self.reason: str | None = None
         self.abandoned = False
+        # Promotions of servers whose logs lacked entries of an end that was known.
+        self.short_promotions = 0
 
     def observe(self, phase: str, details: dict[str, object]) -> None:
         """Count a change when its end is recorded.
--- a/src/apricotshore/pooling/change_phases.py
+++ b/src/apricotshore/pooling/change_phases.py
@@ -1,14 +1,16 @@
 """Phases of a change of primary in the journal, and the promotions that they tell."""
 
+from ..decisions import needed_end
 from ..decisions.change_attempt import Attempt
 from ..decisions.commit_barrier import BarrierProof
 from ..groups import LogPosition
 from ..identifiers import ServerId
 from ..services.clock import read_boot_ms
-from . import promotion_summary
+from . import group_members, promotion_summary
 from .group import Group
 from .journal import EventKind
 from .promotion_line import record_promotion
+from .promotion_summary import Promotion
 
 
 def record_phase(group: Group, phase: str, **details: object) -> None:
@@ -27,7 +29,12 @@
 def record_order(
     group: Group, attempt: Attempt, server: ServerId, proof: BarrierProof
 ) -> None:
-    """Have the order of a server's promotion remembered for its summary."""
+    """Have the order of a server's promotion remembered for its summary.
+
+    A target whose log lacks entries of an end that is known is recorded at once, and
+    counted, whoever planned the order.
+    """
+    members = group_members.list_members(group)
     ordered = promotion_summary.describe_order(
         group=group.group,
         attempt=attempt,
@@ -36,12 +43,27 @@
         proof=proof,
         reason=group.changes.reason or "",
         now=read_boot_ms(),
+        short=needed_end.find_shortfall(attempt, members, server),
     )
+    former = group.promotions.under_way
     ended = promotion_summary.begin(group.promotions, ordered)
+    _record_shortfall(group, former)
     if ended is not None:
         record_promotion(group.journal, ended)
 
 
+def _record_shortfall(group: Group, former: Promotion | None) -> None:
+    """Record the shortfall of an order, unless that of an earlier one was as long."""
+    ordered = group.promotions.under_way
+    if ordered is None:
+        return
+    is_same = former is not None and former.target.server == ordered.target.server
+    known = former.short if former is not None and is_same else 0
+    if ordered.short > known:
+        record_promotion(group.journal, ordered)
+        group.changes.short_promotions += known == 0
+
+
 def end_promotion(group: Group, outcome: str) -> None:
     """Record the promotion of a change that ended before its last phase."""
     ended = promotion_summary.end(group.promotions, outcome)
--- a/src/apricotshore/pooling/change_story.py
+++ b/src/apricotshore/pooling/change_story.py
@@ -115,6 +115,7 @@
             if summary in self.summaries:
                 return []
             self.summaries.add(summary)
+            marks = _mark_shortfall(record)
         return [*(f"{MARK} {mark}" for mark in marks), record.describe()]
 
     def _observe_phase(self, record: Record) -> list[str]:
@@ -158,6 +159,14 @@
         return []
 
 
+def _mark_shortfall(record: Record) -> list[str]:
+    """Return a mark for a promotion of a server whose log lacked known entries."""
+    short, target = record.details.get("short"), record.details.get("to")
+    if not short:
+        return []
+    return [f"short: {record.host} orders {target}, {short} entries behind"]
+
+
 def tell_changes(
     records: Iterable[Record],
     group: str,
--- a/src/apricotshore/pooling/metrics.py
+++ b/src/apricotshore/pooling/metrics.py
@@ -75,6 +75,11 @@
             "Changes of primary that this host ran, by group, reason and outcome",
             registry=registry,
         )
+        self.short_promotions = Counter(
+            "apricotshore_short_promotions_total",
+            "Promotions ordered though the log lacked known entries, by group",
+            registry=registry,
+        )
         self.unresumed = Gauge(
             "apricotshore_unresumed_servers",
             "Servers that this host has still to find not paused, by group",
@@ -110,6 +115,7 @@
         self.term.set(labels, group.primary_state.term)
         for (reason, outcome), count in group.changes.outcomes.items():
             self.changes.set({**labels, "reason": reason, "outcome": outcome}, count)
+        self.short_promotions.set(labels, group.changes.short_promotions)
         if group.position_history.samples:
             age = read_boot_ms() - group.position_history.samples[-1].asked_at
             self.evidence_age.set(labels, age / 1000)
--- a/src/apricotshore/pooling/promotion_line.py
+++ b/src/apricotshore/pooling/promotion_line.py
@@ -35,7 +35,7 @@
             record_promotion(journal, promotion)
 
 
-def summarise(promotion: Promotion, room: int) -> dict[str, str]:
+def summarise(promotion: Promotion, room: int) -> dict[str, str | int]:
     """Return the keys of a promotion's line, the most important first.
 
     Parameters
@@ -46,9 +46,11 @@
         Bytes that the keys may take. The last ones are left out beyond that.
     """
     target = promotion.target
+    details: dict[str, str | int] = {"group": str(promotion.group)}
+    if promotion.short:
+        details["short"] = promotion.short
     # Excerpts of logs are picked by words such as "lost".
-    details = {
-        "group": str(promotion.group),
+    details |= {
         "to": _format_end(target),
         "lost": _format_end(promotion.former),
         "by": f"{promotion.proof} {_format_times(promotion)}",
@@ -118,15 +120,16 @@
     return f"+{len(names)}" if names else ""
 
 
-def _cut_values(details: dict[str, str], room: int) -> dict[str, str]:
-    """Return keys whose last values are cut off where even those have no room."""
+def _cut_values(details: dict[str, str | int], room: int) -> dict[str, str | int]:
+    """Return keys whose last texts are cut off where even those have no room."""
     cut = dict(details)
-    for key in reversed(details):
+    for key, value in reversed(details.items()):
         excess = max(0, _measure(cut) - room)
-        cut[key] = cut[key][: max(0, len(cut[key]) - excess)]
+        if isinstance(value, str):
+            cut[key] = value[: max(0, len(value) - excess)]
     return cut
 
 
-def _measure(details: dict[str, str]) -> int:
+def _measure(details: dict[str, str | int]) -> int:
     """Return the bytes that keys take in a line that has others before them."""
     return len(json.dumps(details, separators=(",", ":"))) - 1
--- a/src/apricotshore/pooling/promotion_summary.py
+++ b/src/apricotshore/pooling/promotion_summary.py
@@ -14,6 +14,7 @@
 MAX_KEPT = 4
 SETTLED = "settled"
 OPEN = "open"
+REFUSED = "refused"
 # What a promotion relies on that only raises the token of the server that leads.
 FENCE = "fence"
 
@@ -74,6 +75,8 @@
         Number of orders.
     outcome
         How the change ended.
+    short
+        Entries that the target's log lacked of an end that was known, 0 in good order.
     """
 
     group: GroupId
@@ -87,6 +90,13 @@
     effect_ms: int | None = None
     orders: int = 1
     outcome: str = OPEN
+    short: int = 0
+
+    @property
+    def has_no_effect(self) -> bool:
+        """Whether the order was not refused, and its target was never seen to lead."""
+        ended_well = self.outcome in (OPEN, REFUSED, SETTLED)
+        return self.effect_ms is None and not ended_well
 
 
 @dataclass(kw_only=True, slots=True)
@@ -98,7 +108,7 @@
     under_way
         The one whose change has not ended.
     ended
-        The last ones before, oldest first.
+        The last ones before, oldest first, after earlier ones that matter more.
     """
 
     under_way: Promotion | None = None
@@ -114,6 +124,7 @@
     proof: BarrierProof,
     reason: str,
     now: int,
+    short: int = 0,
 ) -> Promotion:
     """Return the promotion that is ordered now, as its change knows it."""
     former = attempt.replaced
@@ -127,6 +138,7 @@
         reason=reason,
         ordered_at=now,
         order_ms=now - attempt.started_at,
+        short=short,
     )
 
 
@@ -165,6 +177,7 @@
             ordered_at=earlier.ordered_at,
             order_ms=earlier.order_ms,
             orders=earlier.orders + 1,
+            short=max(earlier.short, promotion.short),
         )
         return None
     ended = end(promotions, "replaced")
@@ -178,10 +191,16 @@
     if promotion is None:
         return None
     ended = replace(promotion, outcome=outcome)
-    promotions.ended = [*promotions.ended, ended][-MAX_KEPT:]
+    promotions.ended = _choose_kept([*promotions.ended, ended])
     return ended
 
 
+def _choose_kept(ended: list[Promotion]) -> list[Promotion]:
+    """Return the latest promotions, after the earlier ones that matter more."""
+    earlier = [p for p in ended[:-MAX_KEPT] if find_rank(p)]
+    return [*sorted(earlier, key=find_rank)[-MAX_KEPT:], *ended[-MAX_KEPT:]]
+
+
 def observe_phase(
     promotions: Promotions,
     group: GroupId,
@@ -201,7 +220,7 @@
             return end(promotions, phase)
         # A refusal doesn't take back an earlier order of the same server.
         case "promotion-refused" if promotion is not None and promotion.orders == 1:
-            return end(promotions, "refused")
+            return end(promotions, REFUSED)
         case "answered" if promotion is not None and "received" in details:
             _observe_answer(promotions, promotion, details)
         case "settled" if promotion is not None:
@@ -261,12 +280,23 @@
     )
 
 
+def find_rank(promotion: Promotion) -> int:
+    """Return how much a promotion matters to whoever looks for a lost commit."""
+    return 2 if promotion.short else int(promotion.has_no_effect)
+
+
 def list_latest(histories: Iterable[Promotions]) -> list[Promotion]:
-    """Return the latest promotions of several groups, newest last."""
+    """Return what is written again of several groups' promotions.
+
+    These are the latest ones, then those without an effect, then those with a
+    shortfall, each newest last: the end of a log is what an excerpt shows.
+    """
     found = [
         promotion
         for promotions in histories
         for promotion in (*promotions.ended, promotions.under_way)
         if promotion is not None
     ]
-    return sorted(found, key=lambda p: p.ordered_at)[-MAX_KEPT:]
+    found.sort(key=lambda p: p.ordered_at)
+    earlier = [p for p in found[:-MAX_KEPT] if find_rank(p)]
+    return sorted([*earlier, *found[-MAX_KEPT:]], key=find_rank)
--- a/tests/pooling/support.py
+++ b/tests/pooling/support.py
@@ -251,15 +251,26 @@
 
 
 @asynccontextmanager
-async def running(*hosts: ModelHost) -> AsyncIterator[None]:
-    """Run the probers and changers of hosts, whose tasks are to end by no error."""
-    async with running_with_errors(*hosts) as errors:
+async def running(*hosts: ModelHost, short_promotions: int = 0) -> AsyncIterator[None]:
+    """Run the probers and changers of hosts, whose tasks are to end by no error.
+
+    Parameters
+    ----------
+    hosts
+        The hosts.
+    short_promotions
+        Promotions that they order, on purpose, of servers whose logs lack known
+        entries.
+    """
+    async with running_with_errors(*hosts, short_promotions=short_promotions) as errors:
         yield
     assert errors == [], errors
 
 
 @asynccontextmanager
-async def running_with_errors(*hosts: ModelHost) -> AsyncIterator[list[str]]:
+async def running_with_errors(
+    *hosts: ModelHost, short_promotions: int = 0
+) -> AsyncIterator[list[str]]:
     """Run the probers and changers of hosts; yield the errors that end their tasks."""
     services = [s for host in hosts for s in (host.prober, host.changer)]
     errors: list[str] = []
@@ -272,6 +283,8 @@
     finally:
         for service in services:
             await service.stop()
+    counted = sum(host.group.changes.short_promotions for host in hosts)
+    assert counted == short_promotions, f"{counted} short promotions"
 
 
 def collect_errors(journal: Journal, errors: list[str]) -> None:
--- a/tests/soak/excerpt.py
+++ b/tests/soak/excerpt.py
@@ -16,7 +16,7 @@
 SERVED = '"step":"request-served"'
 STARTED = '"step":"started"'
 _SUMMARY = re.compile(
-    r'"step":"promotion","group":"(?P<group>[^"]+)"'
+    r'"step":"promotion","group":"(?P<group>[^"]+)"(?:,"short":\d+)?'
     r',"to":"(?P<target>[^"@~?]+)@(?P<end>[\d.]+)"'
     r',"lost":"[^"@~?*]+(?:[@~*][\d.]+|\?)","by":"\w+ [^"]+"'
 )
