Keep promotions in the end of a log beside failing requests

Only the latest two were written again, a line of each promotion pushed out the ones before it, and failed requests took a line a second of each kind. Tasks that ended after a host's last lines could write after them.

Change: the first failure of a kind, and of each of four causes (code, and detail without names and figures), is written at once; those that follow in a line each three seconds, or sooner once that is full (120). A host writes three promotions again, those with a shortfall and without an effect before the latest, once 300 bytes have followed them as a whole, also right after lines of failures. At a stop it writes them again if other lines came after them. What is given up: a host that is killed loses the ids of up to three seconds of failures that go on, where it was one second; of those with a new cause it loses none.

--- a/src/apricotshore/pooling/host.py
+++ b/src/apricotshore/pooling/host.py
@@ -27,7 +27,7 @@
 from .metrics import PoolingMetrics
 from .open_changes import OpenChanges
 from .ports import CallerLink, HostLink, QuiesceReply, QuiesceRequest
-from .promotion_line import record_promotion, repeat_latest
+from .promotion_line import record_again, repeat_latest
 from .relay_dialer import RelayDialer
 from .sessions import Context
 from .settings import PoolingSettings
@@ -85,6 +85,7 @@
         self.settings = settings
         self.adapters = adapters
         self.journal = journal
+        journal.after_failures = self._repeat_promotions
         self.has_awaited_entry = False
         self.drain = Drain(grace_ms=settings.grace_ms)
         self.metrics = PoolingMetrics(registry=registry)
@@ -189,10 +190,28 @@
         await self.adapters.close()
         self.journal.record_left_out()
         self.journal.record(EventKind.STOPPED, sessions=len(self.caller_sessions))
-        for promotion in self.host_groups.list_promotions():
-            record_promotion(self.journal, promotion)
+        self._record_promotions()
+
+    async def on_shutdown(self) -> None:
+        """Have promotions last, after the lines of tasks that ended since."""
+        self.journal.record_left_out()
+        if self.journal.bytes_since_repeat:
+            self._record_promotions()
+
+    def _record_promotions(self) -> None:
+        record_again(self.journal, self.host_groups.list_promotions())
         self.journal.flush()
 
+    def write_due_lines(self) -> None:
+        """Write what the journal holds back, and promotions after it."""
+        self.journal.flush()
+        self._repeat_promotions()
+
+    def _repeat_promotions(self) -> None:
+        """Write promotions again where other lines push them out of an excerpt."""
+        promotions = self.host_groups.list_promotions()
+        repeat_latest(self.journal, promotions, read_boot_ms())
+
     async def _stop_services(self, services: Iterable[Service]) -> None:
         stops = (service.stop() for service in services)
         for outcome in await asyncio.gather(*stops, return_exceptions=True):
@@ -447,10 +466,7 @@
     async def _run_housekeeping(self) -> None:
         while not self.should_stop:
             await asyncio.sleep(HOUSEKEEPING_S if self.is_ready else 0.1)
-            self.journal.flush()
-            repeat_latest(
-                self.journal, self.host_groups.list_promotions(), read_boot_ms()
-            )
+            self.write_due_lines()
             for group in self.groups.values():
                 group.close_idle()
             if self.drain.began_at is None:
--- a/src/apricotshore/pooling/journal.py
+++ b/src/apricotshore/pooling/journal.py
@@ -2,7 +2,9 @@
 
 import json
 import os
+import re
 import sys
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from enum import Enum
 
@@ -12,6 +14,13 @@
 LINES_PER_S = 60
 # Failures of one kind that a line names.
 FAILURES_PER_LINE = 120
+# Time to the line of the failures after a first one, and between those that follow.
+FIRST_PERIOD_S = 1
+LATER_PERIOD_S = 3
+# Causes of one kind of failures that are written at once while they go on.
+CAUSES_AT_ONCE = 4
+# A word with a figure names an object or an amount, and no cause.
+_NAMES = re.compile(r"\S*\d\S*")
 # Start of a line that an excerpt shows.
 SHOWN_BYTES = 200
 # A smaller change of the time of day between two lines is none that matters.
@@ -93,6 +102,28 @@
     count: int = 0
 
 
+@dataclass(kw_only=True, slots=True)
+class Failures:
+    """Failures of one kind that go on.
+
+    Parameters
+    ----------
+    due
+        Second since boot as of which the next line is written.
+    written
+        Second of the last line.
+    causes
+        Causes of which a line was written at once.
+    left_out
+        Those since the last line, None without any.
+    """
+
+    due: int
+    written: int
+    causes: set[str] = field(default_factory=set)
+    left_out: LeftOut | None = None
+
+
 def encode_line(host: str, step: EventKind, details: dict[str, object]) -> bytes:
     """Return an event of now as a line, without its end."""
     line: dict[str, object] = {
@@ -125,17 +156,20 @@
         self.omitted = 0
         self.second = 0
         self.wall_offset = read_wall_offset_ms()
-        # Lines of served requests in this second, and kinds of failures with a line.
+        # Lines of served requests in this second.
         self.served = 0
-        self.written: set[EventKind] = set()
-        self.left_out: dict[EventKind, LeftOut] = {}
-        # Bytes of other lines than served requests since the last promotion's line.
-        self.bytes_since_promotion = 0
+        self.failures: dict[EventKind, Failures] = {}
+        # Called once lines of failures have been written.
+        self.after_failures: Callable[[], None] | None = None
+        # Bytes of lines other than served requests since promotions were written again.
+        self.bytes_since_repeat = 0
 
     def record(self, step: EventKind, **details: object) -> None:
         """Write an event, or only count it when its kind is over its rate.
 
-        Failures are at most one line a second of each kind, which names the others.
+        The first failure of a kind, and of each cause, is written at once. A line each
+        `LATER_PERIOD_S` names those that follow, or sooner once it is full, but at most
+        one a second.
         """
         self._observe_second()
         if step in _FAILURES:
@@ -147,28 +181,56 @@
             self._write(step, details)
 
     def _record_failure(self, step: EventKind, details: dict[str, object]) -> None:
-        if step not in self.written:
-            self.written.add(step)
+        failures = self.failures.setdefault(
+            step, Failures(due=self.second + FIRST_PERIOD_S, written=self.second)
+        )
+        cause = _find_cause(details)
+        if cause not in failures.causes and len(failures.causes) < CAUSES_AT_ONCE:
+            failures.causes.add(cause)
             self._write(step, details)
+            self._end_failures()
             return
-        timed = {"time": read_wall_ms(), **details}
-        left_out = self.left_out.get(step)
-        if left_out is None:
-            self.left_out[step] = LeftOut(newest=timed)
-            return
-        if len(left_out.others) < FAILURES_PER_LINE - 1:
-            left_out.others.append(left_out.newest)
-        left_out.newest = timed
-        left_out.count += 1
+        if failures.written < self.second and _is_full(failures):
+            self._write_left_out(step, failures)
+            self._end_failures()
+        _leave_out(failures, {"time": read_wall_ms(), **details})
 
     def record_left_out(self) -> None:
         """Write the failures that were left out, in a line of each kind."""
-        left_out, self.left_out = self.left_out, {}
-        for step, failures in left_out.items():
-            self.written.add(step)
-            counted: dict[str, object] = {"count": failures.count or None}
-            named = {"others": failures.others or None}
-            self._write(step, counted | failures.newest | named)
+        for step, failures in list(self.failures.items()):
+            self._write_left_out(step, failures)
+
+    def _write_left_out(self, step: EventKind, failures: Failures) -> None:
+        left_out, failures.left_out = failures.left_out, None
+        failures.written = self.second
+        failures.due = self.second + LATER_PERIOD_S
+        if left_out is None:
+            return
+        counted: dict[str, object] = {"count": left_out.count or None}
+        named = {"others": left_out.others or None}
+        self._write(step, counted | left_out.newest | named)
+
+    def _write_due_failures(self) -> None:
+        due = [
+            (step, failures)
+            for step, failures in self.failures.items()
+            if failures.due <= self.second or _is_full(failures)
+        ]
+        for step, failures in due:
+            quiet_until = failures.written + LATER_PERIOD_S
+            if failures.left_out is not None:
+                self._write_left_out(step, failures)
+            elif quiet_until <= self.second:
+                # They have ended: the next one is written at once.
+                del self.failures[step]
+            else:
+                failures.due = quiet_until
+        if due:
+            self._end_failures()
+
+    def _end_failures(self) -> None:
+        if self.after_failures is not None:
+            self.after_failures()
 
     def _observe_second(self) -> None:
         second = read_boot_ms() // 1000
@@ -176,11 +238,10 @@
             return
         self.second = second
         self.served = 0
-        self.written.clear()
         if self.omitted:
             omitted, self.omitted = self.omitted, 0
             self._write(EventKind.LINES_OMITTED, {"lines": omitted})
-        self.record_left_out()
+        self._write_due_failures()
 
     def _write(self, step: EventKind, details: dict[str, object]) -> None:
         self._observe_clock()
@@ -193,10 +254,8 @@
             self.omitted += 1
             return False
         self.buffer += data
-        if step is EventKind.PROMOTION:
-            self.bytes_since_promotion = 0
-        elif step is not EventKind.REQUEST_SERVED:
-            self.bytes_since_promotion += min(len(data), SHOWN_BYTES)
+        if step is not EventKind.REQUEST_SERVED:
+            self.bytes_since_repeat += min(len(data), SHOWN_BYTES)
         self._drain()
         return True
 
@@ -227,3 +286,27 @@
                 self.buffer.clear()
                 return
             del self.buffer[:written]
+
+
+def _find_cause(details: dict[str, object]) -> str:
+    """Return the code of a failure and why it came, without names and figures."""
+    why = str(details.get("detail") or details.get("why") or "")
+    return f"{details.get('code')} {_NAMES.sub('', why.partition(',')[0])}"
+
+
+def _leave_out(failures: Failures, details: dict[str, object]) -> None:
+    """Keep a failure for the next line of its kind."""
+    left_out = failures.left_out
+    if left_out is None:
+        failures.left_out = LeftOut(newest=details)
+        return
+    if not _is_full(failures):
+        left_out.others.append(left_out.newest)
+    left_out.newest = details
+    left_out.count += 1
+
+
+def _is_full(failures: Failures) -> bool:
+    """Return whether the next line of a kind can name no further failure."""
+    left_out = failures.left_out
+    return left_out is not None and len(left_out.others) >= FAILURES_PER_LINE - 1
--- a/src/apricotshore/pooling/promotion_line.py
+++ b/src/apricotshore/pooling/promotion_line.py
@@ -9,8 +9,8 @@
 
 # Longest line in bytes, without its end.
 LONGEST_LINE = 189
-# Latest promotions that are written again, and for how long.
-REPEATED = 2
+# Promotions that are written again, and for how long.
+REPEATED = 3
 REPEAT_MS = 60_000
 # An excerpt of 900 bytes has room for these lines after them.
 FOLLOWING_BYTES = 300
@@ -24,15 +24,21 @@
 
 
 def repeat_latest(journal: Journal, latest: Sequence[Promotion], now: int) -> None:
-    """Write the latest promotions again once other lines have followed them.
+    """Write promotions again, the last of a list, once other lines have followed them.
 
     A host that is killed, or whose log is read while it runs, writes no last lines.
     """
-    if journal.bytes_since_promotion < FOLLOWING_BYTES:
+    if journal.bytes_since_repeat < FOLLOWING_BYTES:
         return
-    for promotion in latest[-REPEATED:]:
-        if now - promotion.ordered_at < REPEAT_MS:
-            record_promotion(journal, promotion)
+    recent = [p for p in latest if now - p.ordered_at < REPEAT_MS]
+    record_again(journal, recent[-REPEATED:])
+
+
+def record_again(journal: Journal, promotions: Sequence[Promotion]) -> None:
+    """Write the lines of promotions together."""
+    for promotion in promotions:
+        record_promotion(journal, promotion)
+    journal.bytes_since_repeat = 0
 
 
 def summarise(promotion: Promotion, room: int) -> dict[str, str | int]:
--- a/tests/pooling/test_promotion_summaries.py
+++ b/tests/pooling/test_promotion_summaries.py
@@ -195,6 +195,80 @@
     assert cut_excerpt([*noise, *lines])[-len(lines) :] == lines
 
 
+def make_histories() -> list[Promotions]:
+    """Return the promotions of three groups, of which the last ordered as usual."""
+    short, usual = make_promotion(ordered_at=2, short=12), make_promotion(ordered_at=1)
+    without = make_promotion(ordered_at=0, effect_ms=None, outcome="without-effect")
+    return [
+        Promotions(ended=[without], under_way=None),
+        Promotions(ended=[usual], under_way=short),
+        Promotions(ended=[make_promotion(ordered_at=10 + n) for n in range(4)]),
+    ]
+
+
+def test_promotions_that_matter_most_are_the_last_of_all_groups(tmp_path):
+    latest = promotion_summary.list_latest(make_histories())
+    assert [p.ordered_at for p in latest] == [10, 11, 12, 13, 0, 2]
+    lines = write(tmp_path / "log", latest)
+    shown = "".join(cut_excerpt(lines))
+    assert '"short":12' in shown and "+without-effect" in shown
+
+
+def test_promotions_that_matter_most_are_written_again_first(tmp_path):
+    descriptor = os.open(tmp_path / "log", os.O_WRONLY | os.O_CREAT)
+    journal = Journal(host=HOST, descriptor=descriptor)
+    for _ in range(2):
+        journal.record(EventKind.ERROR, why="x" * 300)
+    latest = promotion_summary.list_latest(make_histories())
+    repeat_latest(journal, latest, REPEAT_MS - 1)
+    rows = [json.loads(line) for line in read_promotions(tmp_path / "log")]
+    assert [row.get("short") for row in rows] == [None, None, 12]
+    assert "without-effect" in rows[1]["by"]
+
+
+def read_promotions(path) -> list[str]:
+    lines = path.read_text().splitlines()
+    return [line for line in lines if '"step":"promotion"' in line]
+
+
+@pytest.mark.parametrize(
+    ("details", "matters"),
+    [
+        ({"effect_ms": None, "outcome": "without-effect"}, True),
+        ({"effect_ms": None, "outcome": "unconfirmed"}, True),
+        ({"effect_ms": None, "outcome": "replaced"}, True),
+        ({"effect_ms": None, "outcome": "lease lost"}, True),
+        ({"short": 1}, True),
+        ({"effect_ms": None, "outcome": "open"}, False),
+        ({"effect_ms": None, "outcome": "refused"}, False),
+        ({"outcome": "settled"}, False),
+    ],
+)
+def test_promotion_that_matters_outlives_later_ones_of_its_group(details, matters):
+    promotions = Promotions(under_way=make_promotion(**details))
+    promotion_summary.end(promotions, details.get("outcome", "settled"))
+    for number in range(3 * MAX_KEPT):
+        promotion_summary.begin(promotions, make_promotion(ordered_at=1 + number))
+        promotion_summary.end(promotions, "settled")
+    kept = promotion_summary.list_latest([promotions])
+    assert [p.ordered_at for p in kept[:MAX_KEPT]] == [9, 10, 11, 12]
+    assert [p.ordered_at for p in kept[MAX_KEPT:]] == [0] * matters
+
+
+def test_promotions_that_matter_are_kept_in_a_bounded_number():
+    promotions = Promotions()
+    short = make_promotion(ordered_at=0, short=3)
+    for promotion in (short, *[make_promotion(ordered_at=n) for n in range(1, 40)]):
+        promotion_summary.begin(promotions, promotion)
+        promotion_summary.end(promotions, "settled")
+    for number in range(40, 80):
+        unseen = make_promotion(ordered_at=number, effect_ms=None)
+        promotion_summary.begin(promotions, unseen)
+        promotion_summary.end(promotions, "unconfirmed")
+    assert len(promotions.ended) == 2 * MAX_KEPT
+    assert short.short in {p.short for p in promotions.ended}
+
+
 def test_promotions_are_written_again_for_a_while_once_other_lines_follow(tmp_path):
     descriptor = os.open(tmp_path / "log", os.O_WRONLY | os.O_CREAT)
     journal = Journal(host=HOST, descriptor=descriptor)
--- a/tests/test_trace.py
+++ b/tests/test_trace.py
@@ -6,7 +6,9 @@
 from apricotshore.pooling.change_story import order_records, tell_changes
 from apricotshore.pooling.journal import (
     BUFFER_BYTES,
+    CAUSES_AT_ONCE,
     FAILURES_PER_LINE,
+    LATER_PERIOD_S,
     EventKind,
     Journal,
 )
@@ -122,6 +124,104 @@
     assert databases == ["a", "b", "c"]
 
 
+def test_failures_that_go_on_are_one_line_in_three_seconds(monkeypatch):
+    reader, writer = os.pipe()
+    journal = Journal(host="h", descriptor=writer)
+    seconds = 30
+    events = [
+        (1_000 * second + 999 * each, EventKind.REQUEST_FAILED, {"request": "r"})
+        for second in range(1, seconds + 1)
+        for each in (0, 1)
+    ]
+    lines = read_failures(journal, reader, monkeypatch, events)
+    # The first at once, and the others from a second later.
+    assert len(lines) <= 2 + seconds // LATER_PERIOD_S
+    rows = list(read_records(lines))
+    assert len(rows) == len(events)
+
+
+@pytest.mark.parametrize("period_s", [1, 2, 3])
+def test_single_failures_that_go_on_are_one_line_in_three_seconds(
+    monkeypatch, period_s
+):
+    reader, writer = os.pipe()
+    journal = Journal(host="h", descriptor=writer)
+    seconds = 30
+    events = [
+        (1_000 * second, EventKind.REQUEST_FAILED, {"request": f"r{second}"})
+        for second in range(1, seconds + 1, period_s)
+    ]
+    lines = read_failures(journal, reader, monkeypatch, events)
+    assert len(lines) <= 2 + seconds // LATER_PERIOD_S
+    found = {r.details["request"] for r in read_records(lines)}
+    assert found == {details["request"] for _, _, details in events}
+
+
+def test_failure_after_quiet_seconds_is_written_at_once(monkeypatch):
+    reader, writer = os.pipe()
+    journal = Journal(host="h", descriptor=writer)
+    failed = EventKind.REQUEST_FAILED
+    for now in (1_000, 1_500, 2_000, 5_000, 5_500):
+        monkeypatch.setattr(
+            "apricotshore.pooling.journal.read_boot_ms", lambda now=now: now
+        )
+        journal.flush()
+    journal.record(failed, request="r1")
+    assert [row["request"] for row in read_lines(reader)] == ["r1"]
+    for now in (6_000, 7_000, 8_000):
+        monkeypatch.setattr(
+            "apricotshore.pooling.journal.read_boot_ms", lambda now=now: now
+        )
+        journal.flush()
+    journal.record(failed, request="r2")
+    assert [row["request"] for row in read_lines(reader)] == ["r2"]
+
+
+def test_first_failure_of_each_cause_is_written_at_once(monkeypatch):
+    reader, writer = os.pipe()
+    monkeypatch.setattr("apricotshore.pooling.journal.read_boot_ms", lambda: 5_000)
+    journal = Journal(host="h", descriptor=writer)
+    no_primary = {"code": "overloaded", "detail": "no primary, retry-after-ms=190"}
+    later = {"code": "overloaded", "detail": "no primary, retry-after-ms=480"}
+    in_doubt = {"code": "unknown-outcome", "detail": "no answer in time"}
+    cut = {"code": "unknown-outcome", "detail": "i-5f3cadb598 closed the connection"}
+    also_cut = {"code": "unknown-outcome", "detail": "i-7e closed the connection"}
+    causes = (no_primary, later, in_doubt, cut, also_cut)
+    for number, details in enumerate(causes):
+        journal.record(EventKind.REQUEST_FAILED, request=f"r{number}", **details)
+    assert [row["request"] for row in read_lines(reader)] == ["r0", "r2", "r3"]
+
+
+def test_failures_of_ever_new_causes_are_few_lines(monkeypatch):
+    reader, writer = os.pipe()
+    monkeypatch.setattr("apricotshore.pooling.journal.read_boot_ms", lambda: 5_000)
+    journal = Journal(host="h", descriptor=writer)
+    for number in range(60):
+        words = "x" * number
+        journal.record(EventKind.REQUEST_FAILED, request=str(number), detail=words)
+    assert len(read_lines(reader)) == CAUSES_AT_ONCE
+    journal.record_left_out()
+    (left_out,) = read_lines(reader)
+    assert left_out["count"] == 59 - CAUSES_AT_ONCE
+
+
+@pytest.mark.parametrize("rate", [1, 39, 40, 100, FAILURES_PER_LINE])
+def test_each_of_failures_that_go_on_is_found_by_its_id(monkeypatch, tmp_path, rate):
+    path = tmp_path / "log"
+    journal = Journal(host="h", descriptor=os.open(path, os.O_WRONLY | os.O_CREAT))
+    requests = {f"r{n}" for n in range(20 * rate)}
+    for number in range(20 * rate):
+        now = 1_000 + 1_000 * number // rate
+        monkeypatch.setattr(
+            "apricotshore.pooling.journal.read_boot_ms", lambda now=now: now
+        )
+        journal.record(EventKind.REQUEST_FAILED, request=f"r{number}", code="x")
+    journal.record_left_out()
+    lines = path.read_text().splitlines()
+    assert {r.details["request"] for r in read_records(lines)} == requests
+    assert len(lines) <= 22
+
+
 def test_count_is_in_front_of_what_is_cut_off(monkeypatch):
     reader, writer = os.pipe()
     journal = Journal(host="front-braga-a-2", descriptor=writer)
@@ -324,6 +424,14 @@
     assert told[0].endswith("promotion group=g to=s2@1.9 lost=s1@1.9 by=hosts 9+600")
 
 
+def test_promotion_with_a_shortfall_is_marked():
+    summary = {"to": "s2@1.9", "lost": "s1@1.21", "by": "hosts 9+open"}
+    lines = make_change(1_000, "a", "a/1")
+    short = line(1_004, "a", "promotion", group="g", short=12, **summary)
+    lines[3:3] = [short, short]
+    assert find_marks(lines) == ["!! short: a orders s2@1.9, 12 entries behind"]
+
+
 def test_lease_that_is_taken_over_is_marked_as_that():
     over = {"holder": "a/1", "former": "b/2", "open": True}
     open_one = line(1_500, "a", phase="leased", former_open=True, **over)
