Have the soak fail on a promotion below a known end

Change: violation SHORT, for each line of a promotion with `short` in a host's log, and for each count that isn't 0 at its metrics address at the end of the run, once the hosts have recovered. Hosts of the soak keep the port of their metrics.

--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -9,8 +9,6 @@
 
 import aiohttp
 
-from standins.ports import find_free_port
-
 from .tcpproxy import TcpProxy
 
 ROOT = Path(__file__).resolve().parents[2]
@@ -61,6 +59,8 @@
     ----------
     folder
         Folder of its settings and its log.
+    ready_port, metrics_port
+        Ports of its readiness and of its metrics.
     code
         Tree whose code it runs.
     store_proxy
@@ -81,6 +81,7 @@
     store_proxy: TcpProxy
     caller_proxy: TcpProxy
     ready_port: int
+    metrics_port: int
     peer_proxy: TcpProxy
     code: Path = ROOT
     server_proxies: dict[str, TcpProxy] = field(default_factory=dict)
@@ -105,7 +106,7 @@
                 zone=self.zone,
                 caller=self.caller_proxy.target,
                 ready=self.ready_port,
-                metrics=find_free_port(),
+                metrics=self.metrics_port,
                 peer=self.peer_proxy.target,
                 store=self.store_proxy.port,
                 grace=GRACE_S,
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -23,6 +23,7 @@
 from .restores import restore_store
 from .rounds import Rounds, play_rounds
 from .servers import LineServer
+from .shortpromotions import list_short_counts, list_short_promotions, read_metrics
 from .store import LEASES, Store, StoreMode
 from .taskerrors import list_task_errors
 from .tcpproxy import TcpProxy
@@ -216,6 +217,7 @@
             self._end_releases()
             self._heal_store()
             self.checker.violations += await self._recover()
+            await self.check_short_counts()
             await self.operator.check_last_change()
             self._check_drains()
         finally:
@@ -229,6 +231,7 @@
                     "EXIT", f"{host.name} exited unexpectedly with {code}"
                 )
         self._check_tasks()
+        self.check_short_promotions()
         return Result(
             seed=self.seed,
             violations=self.checker.violations,
@@ -247,6 +250,23 @@
             for error in list_task_errors(lines):
                 self.checker.add_violation("TASK", f"{host.name} {error}")
 
+    def check_short_promotions(self) -> None:
+        """Add a violation for each line of a promotion below a known end."""
+        for host in self.hosts:
+            lines = (self.folder / f"{host.name}.log").read_text().splitlines()
+            for line in list_short_promotions(lines):
+                self.checker.add_violation("SHORT", f"{host.name} {line}")
+
+    async def check_short_counts(self) -> None:
+        """Add a violation for each count of them that a host shows."""
+        for host in self.hosts:
+            page = await read_metrics(host.metrics_port) if host.is_running else None
+            if page is None:
+                self.checker.add_note(f"{host.name} shows no metrics")
+                continue
+            for count in list_short_counts(page):
+                self.checker.add_violation("SHORT", f"{host.name} counts {count}")
+
     async def _inject_faults(self, cluster: Cluster, seconds: float) -> list[str]:
         if isinstance(self.rounds, FleetStops):
             releases = self._make_releases(cluster, "fleet-stops")
@@ -388,6 +408,7 @@
             store_proxy=store_proxy,
             caller_proxy=caller_proxy,
             ready_port=find_free_port(),
+            metrics_port=find_free_port(),
             peer_proxy=peer_proxy,
             code=self.code,
         )
