Tell of a short promotion once, at its first short order

Change: the line is written, and the counter raised, at the first order with a shortfall.

Result: the tests of promotions' lines, of failures and of the soak's checks pass, 170.

--- a/src/apricotshore/pooling/change_phases.py
+++ b/src/apricotshore/pooling/change_phases.py
@@ -53,15 +53,15 @@
 
 
 def _record_shortfall(group: Group, former: Promotion | None) -> None:
-    """Record the shortfall of an order, unless that of an earlier one was as long."""
+    """Record the shortfall of a promotion, at the first order that has one."""
     ordered = group.promotions.under_way
     if ordered is None:
         return
     is_same = former is not None and former.target.server == ordered.target.server
     known = former.short if former is not None and is_same else 0
-    if ordered.short > known:
+    if ordered.short and not known:
         record_promotion(group.journal, ordered)
-        group.changes.short_promotions += known == 0
+        group.changes.short_promotions += 1
 
 
 def end_promotion(group: Group, outcome: str) -> None:
