Reject statements for the primary at once while nobody may be ordered

Cause: while too many logs are unknown, the change waits for long, and each statement for the primary was held for the share of its objective before it was rejected ("took_ms":193, "no primary"), though nobody could lead in that time. Rejections carry the hint of others, 1 s.

--- a/src/apricotshore/decisions/wait_queue.py
+++ b/src/apricotshore/decisions/wait_queue.py
@@ -12,6 +12,8 @@
 MIN_RETRY_MS = 50
 # Approximate duration of a change of primary, from the first missing answer.
 OUTAGE_MS = 2_000
+# A server whose log is awaited leads no sooner than that after its return.
+LOG_RETRY_MS = 1_000
 # The connections of other hosts that fill a server are not released sooner.
 FULL_SERVER_RETRY_MS = 500
 
--- a/src/apricotshore/pooling/change_steps.py
+++ b/src/apricotshore/pooling/change_steps.py
@@ -34,7 +34,7 @@
 from ..identifiers import FencingToken, HostId, ServerId, Term
 from ..queries import QueryKind
 from ..services.clock import read_boot_ms
-from . import group_members
+from . import group_members, log_waits
 from .change_commands import STATUS_PAUSE_S, ChangeCommands
 from .change_lease import ChangeLease
 from .change_phases import record_order, record_phase
@@ -182,13 +182,12 @@
         since_loss = None
         if lost_at is not None:
             since_loss = position_history.find_since(group.position_history, lost_at)
-        return primary_change.plan_step(
-            self.attempt,
-            group_members.list_members(self.group),
-            since_loss,
-            lost_at is None,
-            read_boot_ms(),
+        members = group_members.list_members(group)
+        step = primary_change.plan_step(
+            self.attempt, members, since_loss, lost_at is None, read_boot_ms()
         )
+        log_waits.observe_step(group, self.attempt, members)
+        return step
 
     async def _run(self, step: Step) -> None:
         match step:
--- a/src/apricotshore/pooling/group.py
+++ b/src/apricotshore/pooling/group.py
@@ -97,6 +97,9 @@
         # Since when each leaving server is known to leave, in milliseconds since boot.
         self.leaving: dict[ServerId, int] = {}
         self.no_primary_since: int | None = None
+        # Why this host's change found that nobody may be ordered, `NO_WAIT` if somebody
+        # may be, None while it isn't known.
+        self.log_wait: str | None = None
         # Notices a stall of this process that has just ended.
         self.check_loop: Callable[[], None] = lambda: None
         self.loop_stalled_until = 0
@@ -428,7 +431,7 @@
             )
             self.writes.unanswered.clear()
         self._open_gates(server, state.term)
-        self.no_primary_since = None
+        self.no_primary_since = self.log_wait = None
         self.primary_confirmed.set()
         return True
 
--- a/src/apricotshore/pooling/metrics.py
+++ b/src/apricotshore/pooling/metrics.py
@@ -8,6 +8,7 @@
 from ..queries import Answer, Query
 from ..services.clock import read_boot_ms
 from .group import Group
+from .log_waits import waits_for_logs
 
 LATENCY_BUCKETS_S = [0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2]
 
@@ -80,6 +81,11 @@
             "Servers that this host has still to find not paused, by group",
             registry=registry,
         )
+        self.waits_for_logs = Gauge(
+            "apricotshore_waits_for_logs",
+            "Whether nobody may lead until the log of a server is back, by group",
+            registry=registry,
+        )
 
     def observe(self, query: Query, answer: Answer, took_ms: int) -> None:
         """Count an answered statement and its latency."""
@@ -108,6 +114,7 @@
     def _refresh_group(self, group: Group) -> None:
         labels = {"group": group.group}
         self.term.set(labels, group.primary_state.term)
+        self.waits_for_logs.set(labels, int(waits_for_logs(group)))
         for (reason, outcome), count in group.changes.outcomes.items():
             self.changes.set({**labels, "reason": reason, "outcome": outcome}, count)
         if group.position_history.samples:
--- a/src/apricotshore/pooling/primary_access.py
+++ b/src/apricotshore/pooling/primary_access.py
@@ -7,6 +7,7 @@
 from ..queries import FailureCode, Query
 from ..services.clock import read_boot_ms
 from .group import Group
+from .log_waits import waits_for_logs
 from .pool import ServerPool
 from .pooled_connection import NoConnectionError, PooledConnection
 from .ports import ConnectionLostError
@@ -47,7 +48,7 @@
     Raises
     ------
     RefusedError
-        When no primary answers by then, or it is about to end.
+        When no primary answers by then, it is about to end, or nobody may lead soon.
     """
     while True:
         primary = group.primary
@@ -57,6 +58,9 @@
         is_shut = pool is not None and pool.gate.is_shut
         if pool is not None and is_led and not is_shut:
             return pool
+        if waits_for_logs(group):
+            detail = _describe_primary(pool)
+            raise refuse_overloaded(detail, wait_queue.LOG_RETRY_MS)
         now = read_boot_ms()
         left_ms = job.expires_at - now
         if left_ms <= 0:
--- a/src/apricotshore/pooling/primary_changer.py
+++ b/src/apricotshore/pooling/primary_changer.py
@@ -11,7 +11,7 @@
 from ..identifiers import FencingToken, HostId
 from ..services.clock import read_boot_ms
 from ..services.eras import EraTracker
-from . import group_members
+from . import group_members, log_waits
 from .change_ending import ChangeEnding
 from .change_lease import ChangeLease
 from .change_phases import end_promotion, record_phase
@@ -228,6 +228,7 @@
     def _take_lease(self, record: LeaseRecord) -> None:
         """Take a lease that was read or written, and tell those that follow it."""
         group_members.observe_lease(self.group, record)
+        log_waits.observe_lease(self.group, record, self.lease.holder)
         self.on_lease(record)
 
     def _record(self, phase: str, **details: object) -> None:
