--- a/src/apricotshore/pooling/primary_changer.py
+++ b/src/apricotshore/pooling/primary_changer.py
@@ -11,7 +11,7 @@
 from ..identifiers import FencingToken, HostId
 from ..services.clock import read_boot_ms
 from ..services.eras import EraTracker
-from . import group_members
+from . import group_members, log_waits
 from .change_ending import ChangeEnding
 from .change_lease import ChangeLease
 from .change_phases import end_promotion, record_phase
@@ -245,6 +245,7 @@
         if record.holder != self.lease.holder:
             is_settled = not record.open
             group_members.observe_lease(self.group, record, is_settled=is_settled)
+        log_waits.observe_lease(self.group, record, self.lease.holder)
         self.on_lease(record)
 
     def _record(self, phase: str, **details: object) -> None:
