Name the members of a lease by the addresses of the host that reads it

Cause: each host of the soak reaches a server by a proxy of its own, but a lease gave every host the addresses of the host that wrote it. A server that had left was then never matched with its successor at its address, and the group waited for it. Change: the store's stand-in names each member of a lease as it names entries.

--- a/tests/soak/store.py
+++ b/tests/soak/store.py
@@ -197,13 +197,15 @@
             self.remove(*parts)
             answer = web.json_response({})
         else:
-            answer = self._put(body, parts)
+            answer = self._put(host, body, parts)
             if mode is StoreMode.LOSES_ANSWERS and self.random.random() < 0.4:
                 await asyncio.sleep(SILENCE_S)
         return answer
 
     def _substitute_address(self, host: str, item: dict[str, Any]) -> dict[str, Any]:
         """Return an item with the address of the proxy between it and the host."""
+        if item["spec"].get("members"):
+            return self._substitute_members(host, item)
         name = item["meta"]["name"]
         for seen_by, key in ((host, "address"), ("", "peerAddress")):
             address = self.addresses.get((seen_by, name))
@@ -215,6 +217,16 @@
         copied["spec"][key] = address
         return copied
 
+    def _substitute_members(self, host: str, item: dict[str, Any]) -> dict[str, Any]:
+        """Return an item with the addresses at which a host reaches its members."""
+        if not item["spec"].get("members"):
+            return item
+        copied = copy.deepcopy(item)
+        for member in copied["spec"]["members"]:
+            key = (host, member["id"])
+            member["address"] = self.addresses.get(key, member["address"])
+        return copied
+
     async def _get(
         self, host: str, request: web.Request, parts: list[str]
     ) -> web.Response:
@@ -252,20 +264,21 @@
         ]
         return web.json_response({"events": events, "storeRevision": self.revision})
 
-    def _put(self, body: dict[str, Any], parts: list[str]) -> web.Response:
+    def _put(self, host: str, body: dict[str, Any], parts: list[str]) -> web.Response:
         kind, name = parts[0], body["meta"]["name"]
         old = self.objects.get(kind, {}).get(name)
         expected_revision = body["meta"].get("revision")
         if len(parts) == 1 and old is not None:
-            return web.json_response(old, status=409)
+            return web.json_response(self._substitute_members(host, old), status=409)
         if len(parts) > 1 and old is None:
             return web.Response(status=404)
         if old is not None and expected_revision not in (None, old["meta"]["revision"]):
-            return web.json_response(old, status=409)
+            return web.json_response(self._substitute_members(host, old), status=409)
         if kind == LEASES:
             self._check_lease(name, old["spec"] if old else {}, body["spec"])
         self.write(kind, name, body["spec"])
-        return web.json_response(self.objects[kind][name])
+        item = self._substitute_members(host, self.objects[kind][name])
+        return web.json_response(item)
 
     def _check_lease(self, name: str, old: dict[str, Any], new: dict[str, Any]) -> None:
         """Record a violation if a host writes over the lease that another holds."""
--- a/tests/soak/test_targetloss.py
+++ b/tests/soak/test_targetloss.py
@@ -21,7 +21,7 @@
     draw_play,
     draw_stop,
 )
-from .test_model import make_group
+from .test_model import make_group, make_store
 
 # Long enough for the entries to run out, and for a change by the next holder.
 AWAY_S = (6.0, 7.0)
@@ -118,3 +118,12 @@
     journal.flush()
     found = list_short_orders(path.read_text().splitlines())
     assert found == ["g to g-3@9.3097, 12 commits too short"]
+
+
+def test_lease_names_members_by_the_addresses_of_the_host_that_reads_it():
+    store = make_store(REAL_LEEWAY)
+    store.addresses = {("h0", "g-1"): "h0:1", ("h1", "g-1"): "h1:1"}
+    members = [{"id": "g-1", "address": "h0:1"}]
+    read = store._substitute_members("h1", {"spec": {"members": members}})
+    assert read["spec"]["members"] == [{"id": "g-1", "address": "h1:1"}]
+    assert members == [{"id": "g-1", "address": "h0:1"}]
