--- /dev/null
+++ b/tests/test_log_floor_search.py
@@ -0,0 +1,307 @@
+"""No reachable state orders a server that lacks what was acknowledged.
+
+All orders of failures, returns and changes are tried on three servers, where the pair
+that holds the last commits may fail at any moment. Nor does any state wait for ever: a
+server leads once one of each pair of servers answers again.
+"""
+
+from collections.abc import Iterator
+from dataclasses import dataclass, field
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from apricotshore.identifiers import ServerId
+
+from .logfloormodel import (
+    Failures,
+    LogFloorModel,
+    Mode,
+    describe_state,
+    find_position,
+    hold,
+    list_events,
+    run_event,
+)
+
+Trace = tuple[str, ...]
+# Orders and ends of changes within which a server has to lead.
+ROUNDS = 8
+
+
+@dataclass(kw_only=True)
+class Search:
+    """What a search has found.
+
+    Parameters
+    ----------
+    states
+        Number of states.
+    beyond_help
+        Number of those in which a commit is gone with the logs of all its holders.
+    faults
+        A shortest trace to each fault.
+    """
+
+    states: int = 1
+    beyond_help: int = 0
+    faults: dict[str, Trace] = field(default_factory=dict)
+
+
+def follow_events(
+    model: LogFloorModel, depth: int, found: Search
+) -> Iterator[tuple[Trace, LogFloorModel]]:
+    """Yield each state that events lead to, once, and follow those without a fault.
+
+    Parameters
+    ----------
+    model
+        The state at the start.
+    depth
+        Number of events of the longest traces.
+    found
+        What is found; changed in place.
+    """
+    seen = {describe_state(model)}
+    states: list[tuple[Trace, LogFloorModel]] = [((), model)]
+    yield states[0]
+    for _ in range(depth):
+        following = []
+        for trace, before in states:
+            has_recorded = False
+            for name, arguments in list_events(before):
+                if name == "record_target_only" and not has_recorded:
+                    # The change that came before it is the same.
+                    continue
+                after = before.copy()
+                run_event(after, name, arguments)
+                has_recorded = after.has_recorded
+                longer = (*trace, " ".join((name, *arguments)))
+                for fault in after.faults:
+                    found.faults.setdefault(fault, longer)
+                key = describe_state(after)
+                if after.faults or key in seen:
+                    continue
+                seen.add(key)
+                found.states += 1
+                found.beyond_help += after.is_beyond_help
+                following.append((longer, after))
+                yield longer, after
+        states = following
+
+
+def search(model: LogFloorModel, depth: int) -> Search:
+    """Return what comes of all traces of a number of events."""
+    found = Search()
+    for _ in follow_events(model, depth, found):
+        pass
+    return found
+
+
+# -- waiting --
+
+
+def return_all_but(model: LogFloorModel, missing: ServerId | None) -> LogFloorModel:
+    """Return the state in which all servers but one answer, with their logs."""
+    model = model.copy()
+    for server in list(model.servers.values()):
+        if not server.answers and server.name != missing:
+            run_event(model, "come_back", (server.name,))
+    return model
+
+
+def list_gone(model: LogFloorModel) -> list[ServerId]:
+    """List the servers that give no answer."""
+    return [s.name for s in model.servers.values() if not s.answers]
+
+
+def lacks_lost_log(model: LogFloorModel) -> bool:
+    """Return whether a log was lost that may hold more than any server that answers.
+
+    It counts as one that is missing: with another, a pair of servers gives no answer.
+    """
+    if not model.is_log_lost:
+        return False
+    sample = model.known.sample
+    ends = (find_position(s.log) for s in model.servers.values() if s.answers)
+    return sample is None or max((e.term, e.position) for e in ends) < (
+        sample.term,
+        sample.position,
+    )
+
+
+def is_covered(model: LogFloorModel) -> bool:
+    """Return whether a holder of each acknowledged commit answers."""
+    logs = (hold(s.log) for s in model.servers.values() if s.answers)
+    return model.acked <= frozenset().union(*logs)
+
+
+def replicate(model: LogFloorModel) -> None:
+    """Have the replicas receive, and the host take its sample of the position."""
+    for name, arguments in list(list_events(model)):
+        if name in ("receive", "sample"):
+            run_event(model, name, arguments)
+
+
+def comes_to_lead(model: LogFloorModel) -> bool:
+    """Return whether a server leads after a bounded number of changes."""
+    for _ in range(ROUNDS):
+        replicate(model)
+        if model.pending is not None:
+            is_up = model.servers[model.pending].answers
+            run_event(model, "take_effect" if is_up else "have_no_effect", ())
+        elif model.attempt is not None or model.needs_change():
+            run_event(model, "change", ())
+    leader = model.find_leader()
+    return leader is not None and model.acked <= hold(leader.log)
+
+
+def find_waits(model: LogFloorModel, depth: int) -> dict[Trace, str | None]:
+    """Return the traces after which nobody leads, and the server that is missing."""
+    known: dict[object, bool] = {}
+    waits = {}
+    for trace, state in follow_events(model, depth, Search()):
+        for missing in (None, *list_gone(state)):
+            back = return_all_but(state, missing)
+            if missing is not None and lacks_lost_log(back):
+                continue
+            key = describe_state(back)
+            if key not in known:
+                known[key] = not is_covered(back) or comes_to_lead(back)
+            if not known[key]:
+                waits[trace] = missing
+    return waits
+
+
+# -- three servers: all traces --
+
+S1, S2, S3 = (ServerId(f"s{n}") for n in (1, 2, 3))
+# Ends of the logs, the primary's first: each way in which they may lie to each other.
+ENDS = [(3, 3, 3), (3, 3, 1), (3, 1, 3), (3, 2, 2), (3, 2, 1), (3, 1, 2)]
+Event = tuple[str, tuple[ServerId, ...]]
+# More than the states are deep.
+ALL = 99
+DEPTH = 5
+RARE_DEPTH = 4
+WAIT_DEPTH = 3
+# The pair ends, its entries run out, a host starts.
+NO_LEASE_DEPTH = 6
+ORDERED: tuple[Event, ...] = (("end", (S1,)), ("change", ()))
+RECORDED: tuple[Event, ...] = (("end", (S1,)), ("record_target_only", ()))
+RETURNED: tuple[Event, ...] = (*RECORDED, ("come_back", (S1,)))
+AMID = {"ordered": ORDERED, "recorded": RECORDED, "former is back": RETURNED}
+RARE = {
+    "host starts": {"hosts": 1},
+    "server is born anew": {"births": 1},
+    "server leaves": {"leaves": 1},
+    "store restored": {"restores": 1},
+    "commits go on": {"commits": 1},
+}
+
+every_end = pytest.mark.parametrize("ends", ENDS, ids=str)
+every_rare = pytest.mark.parametrize("rare", RARE)
+amid = pytest.mark.parametrize("moment", AMID)
+
+
+def follow(model: LogFloorModel, events: tuple[Event, ...]) -> LogFloorModel:
+    """Return the state that events lead to."""
+    for name, arguments in events:
+        run_event(model, name, arguments)
+    return model
+
+
+def make_rare(rare: str, moment: str) -> LogFloorModel:
+    """Return the state amid a change in which a rare failure may come as well."""
+    failures = Failures(**RARE[rare])
+    return follow(LogFloorModel((3, 3, 1), failures), AMID[moment])
+
+
+def test_pair_of_processes_that_ends_loses_nothing_in_any_trace():
+    """The pair that holds the last commits ends, before or after the order of one."""
+    found = search(LogFloorModel((3, 3, 1), Failures(modes=(Mode.ENDED,))), ALL)
+    assert found.faults == {}
+    assert found.states > 10_000
+
+
+@every_end
+def test_pair_that_ends_or_falls_silent_loses_nothing(ends):
+    assert search(LogFloorModel(ends, Failures()), DEPTH).faults == {}
+
+
+@amid
+def test_ordered_server_that_ends_or_falls_silent_loses_nothing(moment):
+    model = follow(LogFloorModel((3, 3, 1), Failures()), AMID[moment])
+    assert search(model, DEPTH).faults == {}
+
+
+@amid
+@every_rare
+def test_rare_failure_amid_a_change_loses_nothing(rare, moment):
+    assert search(make_rare(rare, moment), RARE_DEPTH).faults == {}
+
+
+def test_pair_that_ends_before_any_change_loses_nothing_with_a_host_that_starts():
+    """No lease has named the members yet, and the entries have run out."""
+    model = LogFloorModel((3, 3, 1), Failures(hosts=1), has_lease=False)
+    assert search(model, NO_LEASE_DEPTH).faults == {}
+
+
+@every_end
+def test_group_waits_no_more_once_all_but_one_server_answer(ends):
+    assert find_waits(LogFloorModel(ends, Failures()), WAIT_DEPTH) == {}
+
+
+@amid
+@every_rare
+def test_group_waits_no_more_after_a_rare_failure(rare, moment):
+    assert find_waits(make_rare(rare, moment), WAIT_DEPTH) == {}
+
+
+# -- four and five servers: short traces amid a change, and random ones --
+
+MANY_ENDS = [(4, 4, 2, 1), (4, 3, 4, 4), (4, 4, 2, 2, 1), (4, 4, 4, 3, 1)]
+STEPS = 14
+MANY_FALLS = {"falls": 4, "births": 1, "hosts": 1, "commits": 1}
+
+many_ends = st.sampled_from(MANY_ENDS)
+many_starts = st.sampled_from([(), ORDERED, RECORDED])
+many_choices = st.lists(st.integers(0, 99), min_size=4, max_size=STEPS)
+MANY = settings(max_examples=200, deadline=None, derandomize=True)
+
+
+@pytest.mark.parametrize("ends", MANY_ENDS, ids=str)
+def test_ordered_server_of_a_larger_group_that_ends_loses_nothing(ends):
+    failures = Failures(modes=(Mode.ENDED,))
+    model = follow(LogFloorModel(ends, failures), ORDERED)
+    assert search(model, DEPTH).faults == {}
+
+
+def run_choices(model: LogFloorModel, choices: list[int]) -> Trace:
+    """Have events come as numbers choose them, until a fault; return their trace."""
+    trace: Trace = ()
+    for choice in choices:
+        events = list(list_events(model))
+        name, arguments = events[choice % len(events)]
+        run_event(model, name, arguments)
+        trace = (*trace, " ".join((name, *arguments)))
+        if model.faults:
+            break
+    return trace
+
+
+@MANY
+@given(ends=many_ends, start=many_starts, choices=many_choices)
+def test_larger_group_loses_nothing(ends, start, choices):
+    failures = Failures(**MANY_FALLS, leaves=1, restores=1)
+    model = follow(LogFloorModel(ends, failures), start)
+    trace = run_choices(model, choices)
+    assert model.faults == (), trace
+
+
+@MANY
+@given(ends=many_ends, start=many_starts, choices=many_choices)
+def test_larger_group_waits_no_more_once_all_but_one_answer(ends, start, choices):
+    model = follow(LogFloorModel(ends, Failures(**MANY_FALLS)), start)
+    trace = run_choices(model, choices)
+    assert model.faults or find_waits(model, 0) == {}, trace
