--- a/src/apricotshore/decisions/silent_primary.py
+++ b/src/apricotshore/decisions/silent_primary.py
@@ -15,11 +15,14 @@
     choose_target,
     find_unpaused,
     is_paused,
+    list_candidates,
     list_followers,
     list_names,
     set_target,
 )
-from .needed_end import may_lead
+from .followed_order import NO_ANSWER_LIMIT_MS
+from .log_floor import COPIES_PER_COMMIT
+from .needed_end import list_unknown, may_lead
 from .promotion_order import plan_order, plan_proof
 
 
@@ -28,13 +31,18 @@
     missing = tuple(m.server for m in members if m.server not in attempt.statuses)
     if attempt.replaced is None:
         # It may have led.
-        attempt.absent = {m.server for m in members if m.listed}.intersection(missing)
+        attempt.absent = {
+            m.server for m in members if m.is_counted and m.server in missing
+        }
     followers = list_followers(attempt, members)
     # A server that is merely overloaded may be the primary.
     has_busy = bool(attempt.busy.intersection(missing)) and not attempt.is_cut_off
-    if has_busy or attempt.needed_end is None or not followers:
+    if has_busy or not followers:
         servers = missing or list_names(members)
         return RequestStatus(servers=_prefer_responsive(attempt, servers))
+    unknown = list_unknown(attempt, members)
+    if len(unknown) >= COPIES_PER_COMMIT:
+        return _plan_wait(attempt, members, unknown, now)
     if attempt.target is None or attempt.target not in attempt.statuses:
         set_target(attempt, choose_target(attempt, followers), now)
     if attempt.target is None:
@@ -47,6 +55,26 @@
     return _plan_promotion(attempt, members, followers, now)
 
 
+def _plan_wait(
+    attempt: Attempt,
+    members: tuple[Member, ...],
+    unknown: tuple[ServerId, ...],
+    now: int,
+) -> Step:
+    """Ask for logs that aren't known, and have the barrier stand once one is."""
+    is_late = now - attempt.started_at >= NO_ANSWER_LIMIT_MS
+    if is_late and attempt.barrier is None:
+        attempt.target = None
+        unpaused = find_unpaused(attempt, members)
+        if unpaused:
+            return Pause(servers=unpaused, term=choose_pause_term(attempt))
+        others = tuple(m for m in members if m.server != attempt.replaced)
+        step = plan_proof(attempt, others, now)
+        if step is not None:
+            return step
+    return RequestStatus(servers=_prefer_responsive(attempt, unknown))
+
+
 def _plan_promotion(
     attempt: Attempt, members: tuple[Member, ...], followers: list[Member], now: int
 ) -> Step:
@@ -54,7 +82,7 @@
     if target is None:
         return Wait(why="no server can be promoted")
     if not may_lead(attempt, target):
-        return _plan_longer_log(attempt, target, followers, now)
+        return _plan_longer_log(attempt, members, followers, now)
     silent = attempt.replaced
     is_unknown = silent not in attempt.statuses or silent in attempt.shrunk
     if silent is not None and is_unknown and not attempt.asked_others:
@@ -63,11 +91,17 @@
 
 
 def _plan_longer_log(
-    attempt: Attempt, target: ServerId, followers: list[Member], now: int
+    attempt: Attempt, members: tuple[Member, ...], followers: list[Member], now: int
 ) -> Step:
     """Wait until the target has received the rest, then choose the longest log."""
+    target = attempt.target
+    assert target is not None
     if now - attempt.target_since < CATCH_UP_MS:
         return RequestStatus(servers=(target,))
+    candidates = list_candidates(attempt, followers)
+    if not any(may_lead(attempt, m.server) for m in candidates):
+        unknown = list_unknown(attempt, members) or list_names(followers)
+        return RequestStatus(servers=_prefer_responsive(attempt, unknown))
     if not is_paused(attempt, target):
         return Pause(servers=(target,), term=attempt.pause_term)
     attempt.target = None
--- a/src/apricotshore/pooling/change_steps.py
+++ b/src/apricotshore/pooling/change_steps.py
@@ -2,12 +2,10 @@
 
 import asyncio
 from collections.abc import Awaitable, Callable
-from dataclasses import replace
 
 from ..decisions import (
     commit_barrier,
     order_effect,
-    position_history,
     primary_change,
     primary_return,
 )
@@ -30,7 +28,7 @@
 )
 from ..decisions.change_attempt import Attempt
 from ..decisions.lease import FormerPrimaries
-from ..decisions.log_floor import LogFloor
+from ..decisions.position_history import PositionSample
 from ..identifiers import FencingToken, HostId, ServerId, Term
 from ..queries import QueryKind
 from ..services.clock import read_boot_ms
@@ -166,8 +164,8 @@
         match self._plan():
             case Promote(server=server, waived=waived):
                 return await self._promote(server, waived)
-            case RecordTarget(server=server, floor=floor):
-                return await self._record_target(server, floor)
+            case RecordTarget(server=server):
+                return await self._record_target(server)
             case Abandon(leader=leader):
                 self._record("abandoned", leader=leader)
                 self.group.probe_wanted.set()
@@ -177,16 +175,17 @@
                 return True
 
     def _plan(self) -> Step:
-        group = self.group
-        lost_at = group.members.lost_at
-        since_loss = None
-        if lost_at is not None:
-            since_loss = position_history.find_since(group.position_history, lost_at)
+        state = self.group.members
+        self.attempt.knows_members = not state.is_assumed
+        covered = None
+        if state.covered_end is not None and not state.lost:
+            end = state.covered_end
+            covered = PositionSample(asked_at=0, term=end.term, position=end.position)
         return primary_change.plan_step(
             self.attempt,
             group_members.list_members(self.group),
-            since_loss,
-            lost_at is None,
+            covered,
+            not state.lost and covered is None,
             read_boot_ms(),
         )
 
@@ -302,18 +301,18 @@
         self.group.probe_wanted.set()
         await asyncio.sleep(EFFECT_PAUSE_S)
 
-    async def _record_target(self, server: ServerId, floor: LogFloor) -> bool:
+    async def _record_target(self, server: ServerId) -> bool:
         """Record the target in the lease; return False if the lease is lost."""
         former = commit_barrier.list_led(self.attempt)
         self.lease.name_former(
             FormerPrimaries(servers=former, term=self.attempt.from_term)
         )
-        counted = group_members.list_counted(self.group)
-        self.lease.floor = replace(floor, members=counted)
+        self.lease.floor = self.attempt.floor
         try:
             token = await self.lease.write(still_open=True, target=server)
         except StoreError as error:
             self._record("waiting", why=f"store: {error}")
+            self.attempt.recorded = None
             await asyncio.sleep(EFFECT_PAUSE_S)
             return True
         if token is None:
@@ -321,7 +320,6 @@
             return False
         self.token = token
         self.attempt.recorded = server
-        self.attempt.floor = floor
         return True
 
     async def _promote(self, server: ServerId, waived: tuple[ServerId, ...]) -> bool:
