Follow the reworked floor of logs in the model of lost logs

Cause: the members, the lost logs and the floor are decided otherwise by now, and the model called what is gone.

Change: the model keeps lost logs and the position that covers them, the lease holds what make_floor returns, an event writes the members to a released lease, and a lost log counts as one that is missing until a position covers it. The position that the host takes of a primary replaces its sample.

--- a/tests/logfloormodel.py
+++ b/tests/logfloormodel.py
@@ -156,8 +156,6 @@
         Servers whose entries it saw removed.
     primary, term
         Server that led when last asked, and the latest term of a primary.
-    sample
-        The primary's position since a log was last lost.
     floor
         Floor of logs, as last read or named.
     """
@@ -166,7 +164,6 @@
     unlisted: frozenset[ServerId] = frozenset()
     primary: ServerId | None = None
     term: int = 0
-    sample: PositionSample | None = None
     floor: LogFloor = NO_FLOOR
 
 
@@ -251,8 +248,16 @@
         other = copy.copy(self)
         other.servers = dict(self.servers)
         other.failures = replace(self.failures)
-        members = replace(self.known.members, counted=dict(self.known.members.counted))
-        other.known = replace(self.known, members=members)
+        members = self.known.members
+        other.known = replace(
+            self.known,
+            members=replace(
+                members,
+                counted=dict(members.counted),
+                struck=set(members.struck),
+                lost=dict(members.lost),
+            ),
+        )
         if self.attempt is not None:
             other.attempt = copy_attempt(self.attempt)
         return other
@@ -396,7 +401,6 @@
     def observe(self) -> None:
         """Have the host see the store's list, and who leads."""
         known = self.known
-        lost_at = known.members.lost_at
         for server in self.servers.values():
             if server.is_listed:
                 log_members.observe_listed(known.members, describe(server), self.now)
@@ -404,8 +408,6 @@
                 self._observe_unlisted(server.name)
         listed = {s.name for s in self.servers.values() if s.is_listed}
         known.unlisted = known.unlisted.intersection(self.servers) - listed
-        if known.members.lost_at != lost_at:
-            known.sample = None
         leader = self.find_leader()
         last = self.servers.get(known.primary) if known.primary is not None else None
         if leader is not None:
@@ -419,19 +421,31 @@
         self.known.unlisted |= {name}
 
     def sample(self) -> None:
-        """Have the host take a sample of the primary's position since a loss."""
+        """Have the host take the primary's position, which covers lost logs."""
         leader = self.find_leader()
         assert leader is not None
         end = find_position(leader.log)
-        self.known.sample = PositionSample(
-            asked_at=self.now, term=end.term, position=end.position
-        )
+        log_members.observe_position(self.known.members, end, self.now)
+
+    def names_other_members(self) -> bool:
+        """Return whether a host is to write other servers to the released lease."""
+        stored, known = self.lease, self.known
+        if known.primary is None or stored is None or stored.is_open:
+            return False
+        floor = log_members.make_floor(known.members, known.floor)
+        return floor.members not in ((), known.floor.members)
+
+    def store_members(self) -> None:
+        """Have the host write to the released lease which servers count."""
+        known = self.known
+        known.floor = log_members.make_floor(known.members, known.floor)
+        self._write_lease(is_open=False, target=None)
 
     def start_host(self) -> None:
         """Have a host take over that knows only the store."""
         self.failures.hosts -= 1
         self.attempt = None
-        members = LogMembers(lost_at=self.now, is_assumed=True)
+        members = log_members.begin_members(self.now)
         self.known = Knowledge(members=members)
         for server in self._list_listed():
             log_members.observe_listed(members, describe(server), self.now)
@@ -447,7 +461,6 @@
         assert stored is not None
         if stored.floor != NO_FLOOR:
             known.floor = stored.floor
-        lost_at = known.members.lost_at
         log_members.observe_stored(
             known.members,
             stored.floor.members,
@@ -455,11 +468,12 @@
             self.now,
             is_settled=not stored.is_open,
         )
-        if known.members.lost_at != lost_at:
-            known.sample = None
 
     def _write_lease(self, *, is_open: bool, target: ServerId | None) -> None:
-        self.lease = StoredLease(is_open=is_open, target=target, floor=self.known.floor)
+        known = self.known
+        if is_open:
+            known.floor = log_members.make_floor(known.members, known.floor)
+        self.lease = StoredLease(is_open=is_open, target=target, floor=known.floor)
         self._take_lease()
 
     def list_members(self) -> tuple[Member, ...]:
@@ -627,12 +641,17 @@
 
     def _plan(self) -> Step:
         assert self.attempt is not None
-        is_lossless = self.known.members.lost_at is None
+        state = self.known.members
+        self.attempt.knows_members = not state.is_assumed
+        covered = None
+        if state.covered_end is not None and not state.lost:
+            end = state.covered_end
+            covered = PositionSample(asked_at=0, term=end.term, position=end.position)
         return primary_change.plan_step(
             self.attempt,
             self.list_members(),
-            None if is_lossless else self.known.sample,
-            is_lossless,
+            covered,
+            not state.lost and covered is None,
             self.now,
         )
 
@@ -641,7 +660,7 @@
         assert attempt is not None
         match step:
             case RecordTarget(server=server):
-                self._record_target(server, step)
+                self._record_target(server)
             case Promote(server=server):
                 self._promote(server)
             case Quiesce():
@@ -726,14 +745,11 @@
             if self.servers[name].answers:
                 self._set(name, paused=0)
 
-    def _record_target(self, server: ServerId, step: RecordTarget) -> None:
+    def _record_target(self, server: ServerId) -> None:
         assert self.attempt is not None
-        counted = self.known.members.counted
-        members = tuple(counted[s] for s in sorted(counted))
-        self.known.floor = replace(step.floor, members=members)
+        self.known.floor = self.attempt.floor
         self._write_lease(is_open=True, target=server)
         self.attempt.recorded = server
-        self.attempt.floor = step.floor
 
     def _promote(self, server: ServerId) -> None:
         """Request a promotion; the platform refuses it if the server has ended."""
@@ -808,6 +824,7 @@
             if leader is None or attempt.inherited not in (None, leader.name):
                 return
             self.now += lease.PROMOTION_MS
+        self._write_lease(is_open=True, target=None)
         if leader is not None:
             self._resume(self.servers)
         self._settle_floor(attempt)
@@ -815,13 +832,13 @@
 
     def _settle_floor(self, attempt: Attempt) -> None:
         known = self.known
-        if attempt.requested is None:
-            counted = known.members.counted
-            members = tuple(counted[s] for s in sorted(counted))
-            known.floor = replace(known.floor, members=members)
-            return
-        members = tuple(describe(s) for s in self._list_listed())
-        known.floor = replace(known.floor, holder=None, members=members)
+        floor = log_members.make_floor(known.members, known.floor)
+        if attempt.requested is not None:
+            members = tuple(
+                describe(s) for s in sorted(self._list_listed(), key=lambda s: s.name)
+            )
+            floor = LogFloor(end=floor.end, members=members)
+        known.floor = floor
 
 
 def known_target(stored: StoredLease | None) -> ServerId | None:
@@ -912,9 +929,10 @@
         yield "start_host", ()
     if failures.restores and model.lease is not None:
         yield "lose_lease", ()
-    is_lossless = known.members.lost_at is None
-    if not is_lossless and known.sample is None and model.find_leader() is not None:
+    if known.members.lost and model.find_leader() is not None:
         yield "sample", ()
+    if model.names_other_members():
+        yield "store_members", ()
 
 
 def run_event(model: LogFloorModel, name: str, arguments: tuple[Any, ...]) -> None:
@@ -967,7 +985,6 @@
     """Describe a state by what its future depends on."""
     known = model.known
     members = known.members
-    sample = known.sample
     attempt = model.attempt
     is_open = attempt is not None
     return (
@@ -976,8 +993,8 @@
         (model.term, model.source, model.pending, model.acked, model.is_log_lost),
         (model.lease, known.floor, known.unlisted, known.primary, known.term),
         tuple(sorted(members.counted.values(), key=lambda m: m.server)),
-        (members.lost_at is None, members.is_assumed),
-        (sample and (sample.term, sample.position)),
+        (members.covered_end, frozenset(members.struck)),
+        tuple(sorted((s, x.member, x.has_left) for s, x in members.lost.items())),
         (model.is_another, model.reason, model.is_unfinished) if is_open else None,
         model.now - model.made_at if is_open else None,
         tuple(describe_attempt(attempt, model.now)) if attempt is not None else None,
--- a/tests/test_log_floor_search.py
+++ b/tests/test_log_floor_search.py
@@ -132,11 +132,12 @@
     """
     if not model.is_log_lost:
         return False
-    sample = model.known.sample
+    members = model.known.members
+    covered = None if members.lost else members.covered_end
     ends = (find_position(s.log) for s in model.servers.values() if s.answers)
-    return sample is None or max((e.term, e.position) for e in ends) < (
-        sample.term,
-        sample.position,
+    return covered is None or max((e.term, e.position) for e in ends) < (
+        covered.term,
+        covered.position,
     )
 
 
