--- a/src/apricotshore/pooling/change_steps.py
+++ b/src/apricotshore/pooling/change_steps.py
@@ -32,7 +32,7 @@
 from ..identifiers import FencingToken, HostId, ServerId, Term
 from ..queries import QueryKind
 from ..services.clock import read_boot_ms
-from . import group_members
+from . import group_members, log_waits
 from .change_commands import STATUS_PAUSE_S, ChangeCommands
 from .change_lease import ChangeLease
 from .change_phases import record_order, record_phase
@@ -134,6 +134,8 @@
             is_late = age >= primary_change.CONFIRM_MS
             is_late &= now - self.promotion.made_at >= primary_change.FOLLOW_MS
             is_late &= not order_effect.may_be_followed(attempt, now)
+            limit = attempt.started_at + primary_change.find_limit(attempt)
+            is_late &= not order_effect.is_refusal_followed(attempt, limit, now)
             return not is_late and not self.promotion.is_settled()
         has_none = attempt.final_end is not None or attempt.has_lost_lead
         has_none |= attempt.ineffective is not None
@@ -176,18 +178,18 @@
 
     def _plan(self) -> Step:
         state = self.group.members
+        members = group_members.list_members(self.group)
         self.attempt.knows_members = not state.is_assumed
         covered = None
         if state.covered_end is not None and not state.lost:
             end = state.covered_end
             covered = PositionSample(asked_at=0, term=end.term, position=end.position)
-        return primary_change.plan_step(
-            self.attempt,
-            group_members.list_members(self.group),
-            covered,
-            not state.lost and covered is None,
-            read_boot_ms(),
+        is_lossless = not state.lost and covered is None
+        step = primary_change.plan_step(
+            self.attempt, members, covered, is_lossless, read_boot_ms()
         )
+        log_waits.observe_step(self.group, self.attempt, members)
+        return step
 
     async def _run(self, step: Step) -> None:
         match step:
--- a/src/apricotshore/pooling/group.py
+++ b/src/apricotshore/pooling/group.py
@@ -96,6 +96,9 @@
         # Since when each leaving server is known to leave, in milliseconds since boot.
         self.leaving: dict[ServerId, int] = {}
         self.no_primary_since: int | None = None
+        # Why this host's change found that nobody may be ordered, `NO_WAIT` if somebody
+        # may be, None while it isn't known.
+        self.log_wait: str | None = None
         # Notices a stall of this process that has just ended.
         self.check_loop: Callable[[], None] = lambda: None
         self.loop_stalled_until = 0
@@ -393,7 +396,6 @@
     def observe_position(self, log_position: LogPosition, asked_at: int) -> None:
         """Record the log position that the primary had at ``asked_at`` or later."""
         position_history.observe(self.position_history, log_position, asked_at)
-        log_members.observe_position(self.members, log_position, asked_at)
 
     def observe_primary(
         self,
@@ -428,7 +430,7 @@
             )
             self.writes.unanswered.clear()
         self._open_gates(server, state.term)
-        self.no_primary_since = None
+        self.no_primary_since = self.log_wait = None
         self.primary_confirmed.set()
         return True
 
--- a/src/apricotshore/pooling/metrics.py
+++ b/src/apricotshore/pooling/metrics.py
@@ -8,6 +8,7 @@
 from ..queries import Answer, Query
 from ..services.clock import read_boot_ms
 from .group import Group
+from .log_waits import waits_for_logs
 
 LATENCY_BUCKETS_S = [0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2]
 
@@ -75,11 +76,21 @@
             "Changes of primary that this host ran, by group, reason and outcome",
             registry=registry,
         )
+        self.short_promotions = Counter(
+            "apricotshore_short_promotions_total",
+            "Promotions ordered though the log lacked known entries, by group",
+            registry=registry,
+        )
         self.unresumed = Gauge(
             "apricotshore_unresumed_servers",
             "Servers that this host has still to find not paused, by group",
             registry=registry,
         )
+        self.waits_for_logs = Gauge(
+            "apricotshore_waits_for_logs",
+            "Whether nobody may lead until the log of a server is back, by group",
+            registry=registry,
+        )
 
     def observe(self, query: Query, answer: Answer, took_ms: int) -> None:
         """Count an answered statement and its latency."""
@@ -108,8 +119,10 @@
     def _refresh_group(self, group: Group) -> None:
         labels = {"group": group.group}
         self.term.set(labels, group.primary_state.term)
+        self.waits_for_logs.set(labels, int(waits_for_logs(group)))
         for (reason, outcome), count in group.changes.outcomes.items():
             self.changes.set({**labels, "reason": reason, "outcome": outcome}, count)
+        self.short_promotions.set(labels, group.changes.short_promotions)
         if group.position_history.samples:
             age = read_boot_ms() - group.position_history.samples[-1].asked_at
             self.evidence_age.set(labels, age / 1000)
--- a/src/apricotshore/pooling/promotion_line.py
+++ b/src/apricotshore/pooling/promotion_line.py
@@ -9,8 +9,8 @@
 
 # Longest line in bytes, without its end.
 LONGEST_LINE = 189
-# Latest promotions that are written again, and for how long.
-REPEATED = 2
+# Promotions that are written again, and for how long.
+REPEATED = 3
 REPEAT_MS = 60_000
 # An excerpt of 900 bytes has room for these lines after them.
 FOLLOWING_BYTES = 300
@@ -24,18 +24,24 @@
 
 
 def repeat_latest(journal: Journal, latest: Sequence[Promotion], now: int) -> None:
-    """Write the latest promotions again once other lines have followed them.
+    """Write promotions again, the last of a list, once other lines have followed them.
 
     A host that is killed, or whose log is read while it runs, writes no last lines.
     """
-    if journal.bytes_since_promotion < FOLLOWING_BYTES:
+    if journal.bytes_since_repeat < FOLLOWING_BYTES:
         return
-    for promotion in latest[-REPEATED:]:
-        if now - promotion.ordered_at < REPEAT_MS:
-            record_promotion(journal, promotion)
+    recent = [p for p in latest if now - p.ordered_at < REPEAT_MS]
+    record_again(journal, recent[-REPEATED:])
 
 
-def summarise(promotion: Promotion, room: int) -> dict[str, str]:
+def record_again(journal: Journal, promotions: Sequence[Promotion]) -> None:
+    """Write the lines of promotions together."""
+    for promotion in promotions:
+        record_promotion(journal, promotion)
+    journal.bytes_since_repeat = 0
+
+
+def summarise(promotion: Promotion, room: int) -> dict[str, str | int]:
     """Return the keys of a promotion's line, the most important first.
 
     Parameters
@@ -46,9 +52,11 @@
         Bytes that the keys may take. The last ones are left out beyond that.
     """
     target = promotion.target
+    details: dict[str, str | int] = {"group": str(promotion.group)}
+    if promotion.short:
+        details["short"] = promotion.short
     # Excerpts of logs are picked by words such as "lost".
-    details = {
-        "group": str(promotion.group),
+    details |= {
         "to": _format_end(target),
         "lost": _format_end(promotion.former),
         "by": f"{promotion.proof} {_format_times(promotion)}",
@@ -118,15 +126,16 @@
     return f"+{len(names)}" if names else ""
 
 
-def _cut_values(details: dict[str, str], room: int) -> dict[str, str]:
-    """Return keys whose last values are cut off where even those have no room."""
+def _cut_values(details: dict[str, str | int], room: int) -> dict[str, str | int]:
+    """Return keys whose last texts are cut off where even those have no room."""
     cut = dict(details)
-    for key in reversed(details):
+    for key, value in reversed(details.items()):
         excess = max(0, _measure(cut) - room)
-        cut[key] = cut[key][: max(0, len(cut[key]) - excess)]
+        if isinstance(value, str):
+            cut[key] = value[: max(0, len(value) - excess)]
     return cut
 
 
-def _measure(details: dict[str, str]) -> int:
+def _measure(details: dict[str, str | int]) -> int:
     """Return the bytes that keys take in a line that has others before them."""
     return len(json.dumps(details, separators=(",", ":"))) - 1
