--- a/tests/logfloormodel.py
+++ b/tests/logfloormodel.py
@@ -453,7 +453,7 @@
         sample = None if lost_at is None else self.make_sample()
         if lost_at is None or sample is None:
             return False
-        if last is None or last.asked_at < lost_at:
+        if last is None or not self.has_recent_sample():
             return True
         return (last.term, last.position) != (sample.term, sample.position)
 
@@ -464,8 +464,12 @@
 
     def may_cover(self) -> bool:
         """Return whether the host is to take a position that covers lost logs."""
+        return self.has_recent_sample() and self.may_record()
+
+    def has_recent_sample(self) -> bool:
+        """Return whether the host has a position since a log was last lost."""
         sample, lost_at = self.known.sample, self.known.members.lost_at
-        if not self.may_record() or lost_at is None or sample is None:
+        if lost_at is None or sample is None:
             return False
         return sample.asked_at >= lost_at
 
@@ -1088,7 +1092,8 @@
     """Describe a state by what its future depends on."""
     known = model.known
     members = known.members
-    attempt, sample = model.attempt, known.sample
+    attempt = model.attempt
+    sample = known.sample if model.has_recent_sample() else None
     is_open = attempt is not None
     return (
         tuple(sorted(model.servers.values())),
@@ -1098,8 +1103,8 @@
         (model.lease, known.floor, known.unlisted, known.primary, known.term),
         tuple(sorted(members.counted.values(), key=lambda m: m.server)),
         (members.covered_end, frozenset(members.struck)),
-        frozenset(members.missing_since),
-        (sample and (sample.term, sample.position), model.may_cover()),
+        frozenset(members.missing_since.keys() & members.counted.keys()),
+        sample and (sample.term, sample.position),
         tuple(sorted((s, x.member, x.has_left) for s, x in members.lost.items())),
         (model.is_another, model.reason, model.is_unfinished) if is_open else None,
         model.now - model.made_at if is_open else None,
