Run each change once for the end of its holder before the order

Change: the state in which a change first names a target is kept as it is run, in place of a second run up to there.

--- a/tests/logfloormodel.py
+++ b/tests/logfloormodel.py
@@ -250,8 +250,8 @@
         self.made_at = 0
         self.is_unfinished = False
         self.is_another = False
-        # Whether the last part of a change named a target in the lease.
-        self.has_recorded = False
+        # The state as the last part of a change first named a target in the lease.
+        self.recorded: LogFloorModel | None = None
 
     def copy(self) -> "LogFloorModel":
         """Return a model that changes by itself."""
@@ -576,15 +576,9 @@
         is_open = self.lease is not None and self.lease.is_open
         return leader is None or leader.is_leaving or is_open
 
-    def change(self, *, until_record: bool = False) -> None:
-        """Begin a change or go on with it, up to its next order or its end.
-
-        Parameters
-        ----------
-        until_record
-            Whether the holder ends once the lease names a target, before its order.
-        """
-        self.has_recorded = False
+    def change(self) -> None:
+        """Begin a change or go on with it, up to its next order or its end."""
+        self.recorded = None
         if self.attempt is None:
             self._begin()
         while self.attempt is not None and self._may_go_on():
@@ -596,17 +590,18 @@
             if isinstance(step, Abandon):
                 break
             self._take(step)
-            self.has_recorded |= isinstance(step, RecordTarget)
-            if until_record and self.has_recorded:
-                self.end_holder()
-                return
+            if isinstance(step, RecordTarget) and self.recorded is None:
+                self.recorded = self.copy()
             if self.pending is not None:
                 return
         self._finish()
 
     def record_target_only(self) -> None:
         """Have a change's host end once the lease names a target, before its order."""
-        self.change(until_record=True)
+        self.change()
+        if self.recorded is not None:
+            self.__dict__ = self.recorded.__dict__
+            self.end_holder()
 
     def end_holder(self) -> None:
         """End the process that makes the change."""
@@ -1046,6 +1041,11 @@
     """Have an event come, and the host see what it has changed."""
     model.now += STEP_MS
     getattr(model, name)(*arguments)
+    end_event(model)
+
+
+def end_event(model: LogFloorModel) -> None:
+    """Have the host see what an event has changed."""
     model.observe()
     model.hold_others()
     model.forget_destroyed()
--- a/tests/test_log_floor_search.py
+++ b/tests/test_log_floor_search.py
@@ -22,6 +22,7 @@
     LogFloorModel,
     Mode,
     describe_state,
+    end_event,
     find_position,
     hold,
     list_events,
@@ -83,14 +84,20 @@
     for _ in range(depth):
         following = []
         for trace, before in states:
-            has_recorded = False
+            recorded = None
             for name, arguments in list_events(before):
-                if name == "record_target_only" and not has_recorded:
-                    # The change that came before it is the same.
-                    continue
-                after = before.copy()
-                run_event(after, name, arguments)
-                has_recorded = after.has_recorded
+                if name == "record_target_only":
+                    # The change that came before it is the same until then.
+                    if recorded is None:
+                        continue
+                    after = recorded
+                    after.end_holder()
+                    end_event(after)
+                else:
+                    after = before.copy()
+                    run_event(after, name, arguments)
+                    recorded = after.recorded
+                    after.recorded = None
                 longer = (*trace, " ".join((name, *arguments)))
                 for fault in after.faults:
                     found.faults.setdefault(fault, longer)
