Count lost logs that a server may still hold by themselves, and settle each lease once

Change: such logs count beside those that no server holds; the members of a settled lease are dropped once, when it is first read.

--- a/src/apricotshore/decisions/change_attempt.py
+++ b/src/apricotshore/decisions/change_attempt.py
@@ -74,6 +74,8 @@
         Floor of logs that earlier changes left in the lease.
     knows_members
         Whether this host knows all servers whose logs count.
+    lost_count
+        How many logs of unknown length the lost ones stand for.
     lost_end
         End up to which the log of a server that is gone counts, `UNKNOWN_END` where
         that can't be told, None where no server has lost its log.
@@ -174,6 +176,7 @@
     shrunk: set[ServerId] = field(default_factory=set)
     floor: LogFloor = NO_FLOOR
     knows_members: bool = True
+    lost_count: int = 1
     lost_end: End | None = None
     sealed_end: End | None = None
     needed_end: End | None = None
--- a/src/apricotshore/decisions/log_floor.py
+++ b/src/apricotshore/decisions/log_floor.py
@@ -14,7 +14,7 @@
 only run out still counts: its log may be back with it.
 """
 
-from collections.abc import Mapping
+from collections.abc import Collection, Mapping
 from dataclasses import dataclass
 
 from ..groups import LogPosition
@@ -94,7 +94,7 @@
 def find_needed_end(
     floor: LogFloor,
     ends: Mapping[ServerId, End],
-    lost_end: End | None,
+    lost_ends: Collection[End] = (),
     led_end: End = UNKNOWN_END,
 ) -> End | None:
     """Return the end that a server's log has to reach, None while it isn't known.
@@ -105,15 +105,14 @@
         The floor that earlier changes left.
     ends
         Ends of the logs of all members, `UNKNOWN_END` of those that aren't known.
-    lost_end
-        End up to which a log that was lost counts, None where none was.
+    lost_ends
+        Ends up to which logs that were lost count.
     led_end
         End of the logs of all servers that have led, `UNKNOWN_END` if it isn't known.
     """
     # A lost log stands for that of a holder which lost it.
-    logs = list(ends.values()) if lost_end else _read_logs(floor, ends)
-    if lost_end is not None:
-        logs.append(lost_end)
+    logs = list(ends.values()) if lost_ends else _read_logs(floor, ends)
+    logs.extend(lost_ends)
     longest = sorted(logs, reverse=True)[:COPIES_PER_COMMIT]
     needed = min(max(longest[-1:], default=EMPTY_END), led_end)
     if not _is_replaced(floor, ends):
--- a/src/apricotshore/decisions/log_members.py
+++ b/src/apricotshore/decisions/log_members.py
@@ -20,6 +20,8 @@
 from .change_members import log_order
 from .log_floor import LogFloor, StoredMember
 
+# Era and revision of a lease.
+LeaseKey = tuple[int, int]
 # A server, and when it had started.
 LogKey = tuple[ServerId, int]
 # Stands for logs that may have been lost before the host started.
@@ -40,11 +42,19 @@
         The server that held it, None if that isn't known.
     has_left
         Whether the server left in good order.
+    is_gone
+        Whether it is only taken for gone, and may come back with its log.
     """
 
     at: int
     member: StoredMember | None = None
     has_left: bool = False
+    is_gone: bool = False
+
+    @property
+    def may_be_held(self) -> bool:
+        """Whether a server that nobody lists may still hold it."""
+        return self.has_left or self.is_gone
 
 
 @dataclass(kw_only=True, slots=True)
@@ -63,6 +73,8 @@
         Position of a primary that covers lost logs, None without one.
     missing_since
         Since when each server has had no entry, in milliseconds since boot.
+    settled_at
+        Era and revision of the last lease of a settled change that was taken.
     """
 
     counted: dict[ServerId, StoredMember] = field(default_factory=dict)
@@ -70,6 +82,7 @@
     lost: dict[LogKey, LostLog] = field(default_factory=dict)
     covered_end: LogPosition | None = None
     missing_since: dict[ServerId, int] = field(default_factory=dict)
+    settled_at: LeaseKey = (0, 0)
 
     @property
     def lost_at(self) -> int | None:
@@ -140,7 +153,16 @@
     state.missing_since.pop(server, None)
     member = state.counted.get(server)
     if member is not None:
-        _strike(state, member, LostLog(at=now, member=member))
+        _strike(state, member, LostLog(at=now, member=member, is_gone=True))
+
+
+def count_lost(state: LogMembers) -> int:
+    """Return how many logs of unknown length the lost ones stand for.
+
+    Logs that no server holds can't be waited for, so they stand for one.
+    """
+    held = sum(lost.may_be_held for lost in state.lost.values())
+    return held + (held < len(state.lost))
 
 
 def observe_position(
@@ -171,7 +193,7 @@
     listed: Iterable[StoredMember],
     now: int,
     *,
-    is_settled: bool,
+    settled_at: LeaseKey | None,
 ) -> None:
     """Take the members that the lease names.
 
@@ -185,14 +207,16 @@
         Servers that the store lists now.
     now
         Milliseconds since boot.
-    is_settled
-        Whether the change has ended: then only these and the listed ones count.
+    settled_at
+        Era and revision of the lease of a change that has ended, None of an open one.
+        Only its members and the listed ones count from when it is first taken.
     """
     stored = {m.server: m for m in members if m not in state.struck}
     if not stored:
         return
     present = {m.server: m for m in listed}
-    if is_settled:
+    if settled_at is not None and settled_at > state.settled_at:
+        state.settled_at = settled_at
         kept = stored.keys() | present.keys()
         state.counted = {s: m for s, m in state.counted.items() if s in kept}
     state.lost.pop(ANY_LOG, None)
--- a/src/apricotshore/decisions/needed_end.py
+++ b/src/apricotshore/decisions/needed_end.py
@@ -136,8 +136,10 @@
 
 
 def _find_needed_end(attempt: Attempt, ends: Mapping[ServerId, End]) -> End | None:
+    lost_end = attempt.lost_end
+    lost_ends = () if lost_end is None else (lost_end,) * max(1, attempt.lost_count)
     return log_floor.find_needed_end(
-        attempt.floor, ends, attempt.lost_end, _find_led_end(attempt)
+        attempt.floor, ends, lost_ends, _find_led_end(attempt)
     )
 
 
--- a/src/apricotshore/pooling/change_steps.py
+++ b/src/apricotshore/pooling/change_steps.py
@@ -5,6 +5,7 @@
 
 from ..decisions import (
     commit_barrier,
+    log_members,
     order_effect,
     primary_change,
     primary_return,
@@ -180,6 +181,7 @@
         state = self.group.members
         members = group_members.list_members(self.group)
         self.attempt.knows_members = not state.is_assumed
+        self.attempt.lost_count = log_members.count_lost(state)
         covered = None
         if state.covered_end is not None and not state.lost:
             end = state.covered_end
--- a/src/apricotshore/pooling/group_members.py
+++ b/src/apricotshore/pooling/group_members.py
@@ -27,22 +27,15 @@
     )
 
 
-def observe_lease(group: Group, record: LeaseRecord, *, is_settled: bool) -> None:
-    """Count the servers that the lease names, and reach them without an entry.
-
-    Parameters
-    ----------
-    group, record
-        The group and the lease.
-    is_settled
-        Whether the servers that it doesn't name count no more.
-    """
+def observe_lease(group: Group, record: LeaseRecord) -> None:
+    """Count the servers that a lease names, and reach them without an entry."""
+    settled_at = None if record.open else (int(record.era), int(record.revision))
     log_members.observe_stored(
         group.members,
         record.floor.members,
         list_present(group),
         read_boot_ms(),
-        is_settled=is_settled,
+        settled_at=settled_at,
     )
     for member in group.members.counted.values():
         group.keep_stored(member)
--- a/src/apricotshore/pooling/primary_changer.py
+++ b/src/apricotshore/pooling/primary_changer.py
@@ -237,14 +237,13 @@
     def observe_lease(self, record: LeaseRecord) -> None:
         """Record a lease from a list that may be older than the one known."""
         if record.era != self.lease.eras.era:
-            group_members.observe_lease(self.group, record, is_settled=False)
+            group_members.observe_lease(self.group, record)
         self.lease.observe(record)
 
     def _take_lease(self, record: LeaseRecord) -> None:
         """Take a lease that was read or written, and tell those that follow it."""
         if record.holder != self.lease.holder:
-            is_settled = not record.open
-            group_members.observe_lease(self.group, record, is_settled=is_settled)
+            group_members.observe_lease(self.group, record)
         log_waits.observe_lease(self.group, record, self.lease.holder)
         self.on_lease(record)
 
--- a/tests/pooling/test_review_of_log_floors.py
+++ b/tests/pooling/test_review_of_log_floors.py
@@ -356,3 +356,68 @@
     assert await lease.write(still_open=True, target=S2) is not None
     stored = platform.leases[KEY]
     assert (stored.target, stored.floor.end) == (S2, make_end(3109))
+
+
+def test_every_counted_server_without_an_entry_can_be_reached():
+    model, platform = make_group(6)
+    for server in model.servers.values():
+        server.listed = server.name == S1
+    late = make_late_host(model, platform)
+    members = tuple(
+        StoredMember(server=s, address=f"10.0.0.{n}:1", started_ms=1)
+        for n, s in enumerate(model.servers, start=1)
+    )
+    record = platform.leases[KEY]
+    late.changer.observe_lease(
+        replace(record, revision=99, floor=LogFloor(members=members))
+    )
+    counted = late.group.members.counted
+    unreachable = [s for s in counted if late.group.find_pool(s) is None]
+    assert len(counted) == len(members)
+    assert unreachable == []
+
+
+def test_server_that_left_long_ago_keeps_no_successor_from_counting(monkeypatch):
+    """A replica leaves, and its successor with its log stands at its address."""
+
+    async def replace_replica() -> None:
+        model, platform = make_group()
+        hosts = make_hosts(model, platform, 1)
+        async with writing(model), running(*hosts):
+            await wait_until(lambda: len(model.acknowledged) > 5)
+            hosts[0].mark_leaving(S3)
+            await asyncio.sleep(0.5)
+            fail(model, hosts, S3, "shut")
+            remove_entry(model, hosts, S3)
+            successor = model.add_server(S4)
+            entry = replace(model.list(successor), address="10.0.0.3:1")
+            hosts[0].group.update_server(entry)
+            await asyncio.sleep(RECORD_S)
+            fail(model, hosts, S1, "shut")
+            is_led = await lead_for(model, LEAD_S)
+        assert_nothing_lost(model, platform)
+        assert is_led, (platform.orders, hosts[0].group.members)
+
+    play(monkeypatch, replace_replica())
+
+
+def test_floor_is_kept_where_the_store_comes_back_amid_a_change(monkeypatch):
+    async def restore() -> None:
+        model, platform = make_group()
+        hosts = make_hosts(model, platform, 1)
+        async with writing(model), running(*hosts):
+            await fall_behind(model, S3)
+            fail(model, hosts, S1, "crashed")
+            await wait_until(lambda: platform.orders, ORDER_LIMIT_S)
+            fail(model, hosts, S2, "crashed")
+            platform.restore()
+            hosts[0].eras.accept(StoreEra(platform.era))
+            model.servers[S3].partitioned = False
+            await asyncio.sleep(2 * LEAD_S)
+            assert_nothing_lost(model, platform)
+            come_back(model, hosts, S2)
+            is_led = await lead_for(model, 2 * LEAD_S)
+        assert_nothing_lost(model, platform)
+        assert is_led, (platform.orders, hosts[0].group.members)
+
+    play(monkeypatch, restore())
