--- a/src/apricotshore/decisions/log_floor.py
+++ b/src/apricotshore/decisions/log_floor.py
@@ -115,7 +115,7 @@
     logs.extend(lost_ends)
     longest = sorted(logs, reverse=True)[:COPIES_PER_COMMIT]
     needed = min(max(longest[-1:], default=EMPTY_END), led_end)
-    if not _is_replaced(floor, ends):
+    if not _is_outdated(floor, ends):
         needed = max(needed, find_floor_end(floor))
     return None if needed == UNKNOWN_END else needed
 
@@ -129,10 +129,11 @@
     ]
 
 
-def _is_replaced(floor: LogFloor, ends: Mapping[ServerId, End]) -> bool:
-    """Return whether all logs are known by now that weren't for the floor.
+def _is_outdated(floor: LogFloor, ends: Mapping[ServerId, End]) -> bool:
+    """Return whether all logs are known by now that weren't when the floor was set.
 
-    It lies at an end that was acknowledged only if one of them reached it as well.
+    The floor was at the longest log known then, for an unknown one could reach as far.
+    What is needed by the ends that are known now replaces it.
     """
     return bool(floor.unknown) and all(
         ends.get(server, UNKNOWN_END) != UNKNOWN_END for server in floor.unknown
--- a/src/apricotshore/decisions/needed_end.py
+++ b/src/apricotshore/decisions/needed_end.py
@@ -81,10 +81,8 @@
     )
 
 
-def raise_floor(
-    attempt: Attempt, members: tuple[Member, ...], target: ServerId
-) -> bool:
-    """Have the floor be what the order of a server demands.
+def set_floor(attempt: Attempt, members: tuple[Member, ...], target: ServerId) -> bool:
+    """Set the floor to the end that the order of a server demands.
 
     Parameters
     ----------
@@ -98,7 +96,7 @@
     Returns
     -------
     bool
-        Whether the lease names another floor with this target so far.
+        Whether the lease has to be written again for it.
     """
     needed = attempt.sealed_end = attempt.needed_end
     known = attempt.floor.end
--- a/src/apricotshore/decisions/order_effect.py
+++ b/src/apricotshore/decisions/order_effect.py
@@ -6,9 +6,11 @@
 and are refused from the acceptance on. So the order of another server meets none.
 """
 
-from ..identifiers import ServerId
+from ..identifiers import ServerId, Term
 from . import lease
 from .change_attempt import Attempt
+from .commit_barrier import list_led
+from .log_floor import LogFloor
 
 # Time for the server to say that it doesn't lead.
 ANSWER_MS = 400
@@ -52,6 +54,36 @@
     return is_in_time and now < limit
 
 
+def make_next_attempt(
+    attempt: Attempt, floor: LogFloor, term: Term, now: int
+) -> Attempt:
+    """Return a change that follows an order without effect.
+
+    Parameters
+    ----------
+    attempt
+        The change whose order had none.
+    floor
+        Floor of logs in the lease.
+    term
+        Latest term that this host knows.
+    now
+        Milliseconds since boot.
+    """
+    ineffective = attempt.requested
+    assert ineffective is not None
+    former = attempt.replaced
+    return Attempt(
+        from_term=max(attempt.from_term, term),
+        started_at=now,
+        replaced=ineffective if former is None else former,
+        led={ineffective, *attempt.led, *list_led(attempt)},
+        recorded=ineffective,
+        ineffective=ineffective,
+        floor=floor,
+    )
+
+
 def is_without_effect(attempt: Attempt, unanswered: int, now: int) -> bool:
     """Return whether no request for the server's promotion can take effect any more.
 
--- a/src/apricotshore/decisions/promotion_order.py
+++ b/src/apricotshore/decisions/promotion_order.py
@@ -1,4 +1,4 @@
-"""Whether a promotion may be ordered: the one rule of all paths.
+"""Whether a promotion may be ordered first: the one rule of all paths.
 
 An order needs that nobody can be told of a commit by a former primary any more, that
 the target's log reaches the needed end, and that every other server which may receive
@@ -25,7 +25,7 @@
     list_led,
     list_unasked,
 )
-from .needed_end import list_unknown, may_lead, raise_floor
+from .needed_end import list_unknown, may_lead, set_floor
 
 # For this long after the primary stepped down, only its target may be promoted, and a
 # promotion waits for the pause of a server that has not answered before.
@@ -96,7 +96,7 @@
     unpaused = list_unpaused(attempt, others)
     if _must_wait_for(attempt, others, unpaused, now):
         return secure(attempt, unpaused)
-    if raise_floor(attempt, members, target) or attempt.recorded != target:
+    if set_floor(attempt, members, target) or attempt.recorded != target:
         return RecordTarget(server=target)
     stale = _list_stale(attempt, members, now)
     if stale and _must_ask_again(attempt, stale, now):
--- a/src/apricotshore/pooling/member_recorder.py
+++ b/src/apricotshore/pooling/member_recorder.py
@@ -8,9 +8,11 @@
 from ..queries import QueryKind
 from ..services.clock import read_boot_ms
 from .change_lease import ChangeLease
+from .change_phases import record_phase
 from .group import Group
 from .group_commands import GroupCommands
 from .journal import EventKind
+from .ports import StoreError
 
 # Time for which the servers stay the same before they are written. Each host waits
 # that much longer than the one before it, so that one writes for all.
@@ -50,13 +52,7 @@
         self.differs_since: int | None = None
 
     async def record(self) -> None:
-        """Write the servers if the lease has named others for a while.
-
-        Raises
-        ------
-        StoreError
-            When the store gave no answer.
-        """
+        """Write the servers if the lease has named others for a while."""
         current = self.lease.current
         if self.group.primary is not None and not (current and current.open):
             self._cover_lost_logs()
@@ -74,7 +70,13 @@
             self.differs_since = now
         if now - self.differs_since >= STABLE_MS * (1 + self.rank()):
             self.differs_since = None
+            await self._store()
+
+    async def _store(self) -> None:
+        try:
             await self.lease.store_members()
+        except StoreError as error:
+            record_phase(self.group, "waiting", why=f"store: {error}")
 
     def _cover_lost_logs(self) -> None:
         """Take a position that the primary has named since logs were lost."""
--- a/src/apricotshore/pooling/primary_changer.py
+++ b/src/apricotshore/pooling/primary_changer.py
@@ -5,9 +5,8 @@
 
 from mode import Service
 
-from ..decisions import change_triggers, log_members, relays
+from ..decisions import change_triggers, log_members, order_effect, relays
 from ..decisions.change_attempt import Attempt
-from ..decisions.commit_barrier import list_led
 from ..identifiers import FencingToken, HostId
 from ..services.clock import read_boot_ms
 from ..services.eras import EraTracker
@@ -182,7 +181,7 @@
             if reason is None:
                 reason = await self._find_unfinished()
             if reason is None:
-                await self._record_members()
+                await self.members.record()
             if reason is None or self._leaves_changes:
                 await self.resumption.resume_remaining()
                 if not self.is_draining:
@@ -206,12 +205,6 @@
             if self.work is None or not self.work.attempt.is_silent:
                 self.silence.ask()
 
-    async def _record_members(self) -> None:
-        try:
-            await self.members.record()
-        except StoreError as error:
-            self._record("waiting", why=f"store: {error}")
-
     @property
     def _leaves_changes(self) -> bool:
         """Whether a change is left to the other hosts, if there are any."""
@@ -335,34 +328,20 @@
         Nobody leads, and no order may take effect any more: it is a new change, with
         barriers of its own. Return its steps, the former ones if the lease is lost.
         """
-        ineffective = work.attempt.requested
-        assert ineffective is not None
-        self._record("without-effect", server=ineffective)
+        self._record("without-effect", server=work.attempt.requested)
         token = await self.lease.extend()
         if token is None:
             return work
-        former = work.attempt.replaced
-        attempt = Attempt(
-            from_term=max(work.attempt.from_term, self.group.primary_state.term),
-            started_at=read_boot_ms(),
-            replaced=ineffective if former is None else former,
-            led={ineffective, *work.attempt.led, *list_led(work.attempt)},
-            recorded=ineffective,
-            ineffective=ineffective,
-            floor=self.lease.floor,
+        term = self.group.primary_state.term
+        attempt = order_effect.make_next_attempt(
+            work.attempt, self.lease.floor, term, read_boot_ms()
         )
         another = self._make_steps(attempt, token)
         await self._take_steps(another, reason)
         return another
 
     async def _name_former(self, token: FencingToken) -> FencingToken | None:
-        """Name a primary in the lease that was found since it was taken.
-
-        Returns
-        -------
-        FencingToken or None
-            The token of the lease, None if it is lost.
-        """
+        """Name a primary found since in the lease; return its token if it is held."""
         former = self.reasons.find_former()
         if set(former.servers) <= set(self.lease.former.servers):
             return token
