--- a/src/apricotshore/decisions/log_members.py
+++ b/src/apricotshore/decisions/log_members.py
@@ -112,7 +112,11 @@
     state.counted[member.server] = member
     state.missing_since.pop(member.server, None)
     state.struck.discard(member)
-    state.lost = {s: x for s, x in state.lost.items() if not _is_back(x, member)}
+    state.lost = {
+        key: replace(lost, is_gone=lost.is_gone and key[0] != member.server)
+        for key, lost in state.lost.items()
+        if not _is_back(lost, member)
+    }
     return is_new
 
 
