--- a/src/apricotshore/decisions/log_members.py
+++ b/src/apricotshore/decisions/log_members.py
@@ -28,6 +28,8 @@
 ANY_LOG: LogKey = (log_floor.ANY_SERVER, 0)
 # A server that has had no entry for this long, and answers nobody, is taken for gone.
 GONE_MS = 10_000
+# Servers that are remembered as struck off. A lease names older ones no more.
+MAX_STRUCK = 64
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -66,7 +68,7 @@
     counted
         The servers, listed or not.
     struck
-        Servers whose log has ended, which an older lease may still name.
+        Servers whose log has ended, oldest first, which an older lease may still name.
     lost
         Lost logs that no position of a primary covers yet.
     covered_end
@@ -78,7 +80,7 @@
     """
 
     counted: dict[ServerId, StoredMember] = field(default_factory=dict)
-    struck: set[StoredMember] = field(default_factory=set)
+    struck: dict[StoredMember, None] = field(default_factory=dict)
     lost: dict[LogKey, LostLog] = field(default_factory=dict)
     covered_end: LogPosition | None = None
     missing_since: dict[ServerId, int] = field(default_factory=dict)
@@ -111,7 +113,7 @@
         _strike(state, known, LostLog(at=now, member=known))
     state.counted[member.server] = member
     state.missing_since.pop(member.server, None)
-    state.struck.discard(member)
+    state.struck.pop(member, None)
     state.lost = {
         key: replace(lost, is_gone=lost.is_gone and key[0] != member.server)
         for key, lost in state.lost.items()
@@ -230,7 +232,7 @@
         is_lost = known is None and member.address in addresses
         is_lost |= known is not None and known.started_ms != member.started_ms
         if is_lost:
-            state.struck.add(member)
+            _remember_struck(state, member)
             state.lost[_find_key(member)] = LostLog(at=now, member=member)
         elif known is None:
             state.counted.setdefault(server, member)
@@ -263,9 +265,15 @@
 
 def _strike(state: LogMembers, member: StoredMember, lost: LostLog) -> None:
     del state.counted[member.server]
-    state.struck.add(member)
+    _remember_struck(state, member)
     state.lost[_find_key(member)] = lost
 
 
+def _remember_struck(state: LogMembers, member: StoredMember) -> None:
+    state.struck[member] = None
+    while len(state.struck) > MAX_STRUCK:
+        state.struck.pop(next(iter(state.struck)))
+
+
 def _find_key(member: StoredMember) -> LogKey:
     return (member.server, member.started_ms)
--- a/tests/logfloormodel.py
+++ b/tests/logfloormodel.py
@@ -266,7 +266,7 @@
         other.known = copy_fields(self.known)
         other.known.members = LogMembers(
             counted=dict(members.counted),
-            struck=set(members.struck),
+            struck=dict(members.struck),
             lost=dict(members.lost),
             covered_end=members.covered_end,
             missing_since=dict(members.missing_since),
