Ask a server without an entry that answers only now and then

Cause: one that answered stayed in the list of missing servers, and got a STATUS each 0.1 s (read, not run). Change: an answer begins the 10 s anew.

--- a/src/apricotshore/decisions/log_members.py
+++ b/src/apricotshore/decisions/log_members.py
@@ -154,6 +154,12 @@
     )
 
 
+def observe_answer(state: LogMembers, server: ServerId, now: int) -> None:
+    """Take it that a server without an entry has answered: it isn't gone."""
+    if server in state.missing_since:
+        state.missing_since[server] = now
+
+
 def observe_gone(state: LogMembers, server: ServerId, now: int) -> None:
     """Take the log of a server for lost that has no entry and gives no answer."""
     state.missing_since.pop(server, None)
--- a/src/apricotshore/pooling/member_recorder.py
+++ b/src/apricotshore/pooling/member_recorder.py
@@ -96,9 +96,11 @@
         state = self.group.members
         for server in log_members.list_missing(state, read_boot_ms()):
             reply = await self.commands.ask(server, QueryKind.STATUS)
-            is_silent = reply.report is None and not reply.refused
-            if is_silent and self.group.primary is not None:
-                log_members.observe_gone(state, server, read_boot_ms())
+            now = read_boot_ms()
+            if reply.report is not None or reply.refused:
+                log_members.observe_answer(state, server, now)
+            elif self.group.primary is not None:
+                log_members.observe_gone(state, server, now)
                 self.group.journal.record(
                     EventKind.SERVER_GONE, group=self.group.group, server=server
                 )
