--- a/tests/pooling/test_unrecognised_leaders.py
+++ b/tests/pooling/test_unrecognised_leaders.py
@@ -199,6 +199,7 @@
     attempt = make_attempt(
         requested=S3, held=True, pause_term=Term(2), target=S3, recorded=S3
     )
+    observe(attempt, {S3: status(60, 1)}, 0)
     assert plan(attempt, 0) == Promote(server=S3)
     observe(attempt, {S4: status(60, 4, is_primary=True)}, 10)
     step = plan(attempt, 20)
