Have the live tests of faults tell what ended around their longest gap

The logs were gone with the machine.

Change: the assertion shows the operations that ended in the gap, with their host and reason, and the end of each process's log.

--- a/tests/live/support.py
+++ b/tests/live/support.py
@@ -13,7 +13,7 @@
     parse_scenario,
     run_load,
 )
-from apricotshore.load.history import Work
+from apricotshore.load.history import Operation, Work
 from apricotshore.load.runner import EntryHost
 from standins.deployment import PASSWORD, Deployment, DeploymentOptions
 
@@ -51,16 +51,19 @@
 sessions = 4
 """
 
+LOG_END_CHARACTERS = 6_000
+
 Fault = Callable[[Deployment], Awaitable[None]]
 
 
 @dataclass(kw_only=True)
 class LiveRun:
-    """Result of a live run."""
+    """Result of a live run, with the end of each process's log."""
 
     result: LoadResult
     findings: Findings
     fault_at_s: float
+    logs: dict[str, str]
 
     @property
     def acknowledged(self) -> int:
@@ -73,8 +76,27 @@
 
     def measure_gap_s(self) -> float:
         """Return the longest time without an acknowledged write."""
-        ends = sorted(o.ended_s for o in self._writes() if o.verdict is Verdicts.RAN)
-        return max(b - a for a, b in zip(ends, ends[1:], strict=False))
+        before, after = self._find_gap()
+        return after.ended_s - before.ended_s
+
+    def describe_gap(self) -> str:
+        """Return the operations that ended in that time, and the end of each log."""
+        before, after = self._find_gap()
+        lines = [
+            f"{o.stream} {o.number} of {o.session} at host {o.host}, "
+            f"{o.arrived_s:.2f} to {o.ended_s:.2f} s: {o.verdict.value} {o.reason}"
+            for o in sorted(self.result.operations, key=lambda o: o.ended_s)
+            if before.ended_s <= o.ended_s <= after.ended_s
+        ]
+        logs = [f"{name}:\n{text}" for name, text in self.logs.items()]
+        return "\n".join([*lines, *logs])
+
+    def _find_gap(self) -> tuple[Operation, Operation]:
+        """Return the acknowledged writes before and after the longest gap."""
+        acked = [o for o in self._writes() if o.verdict is Verdicts.RAN]
+        acked.sort(key=lambda o: o.ended_s)
+        pairs = zip(acked, acked[1:], strict=False)
+        return max(pairs, key=lambda pair: pair[1].ended_s - pair[0].ended_s)
 
 
 def list_entry_hosts(deployment: Deployment) -> list[EntryHost]:
@@ -85,6 +107,11 @@
     ]
 
 
+def _read_log_ends(deployment: Deployment) -> dict[str, str]:
+    paths = sorted(deployment.folder.glob("*.log"))
+    return {path.stem: path.read_text()[-LOG_END_CHARACTERS:] for path in paths}
+
+
 async def run_with_fault(
     options: DeploymentOptions,
     fault: Fault,
@@ -112,6 +139,11 @@
         await fault(deployment)
         result = await load
         findings = check_history(result.operations, result.stored)
-        return LiveRun(result=result, findings=findings, fault_at_s=started)
+        return LiveRun(
+            result=result,
+            findings=findings,
+            fault_at_s=started,
+            logs=_read_log_ends(deployment),
+        )
     finally:
         deployment.stop()
--- a/tests/live/test_faults.py
+++ b/tests/live/test_faults.py
@@ -100,7 +100,7 @@
     run = await run_with_fault(options, fault, move_with="name")
     assert run.findings.count() == 0, run.findings.describe()
     assert run.acknowledged > 100
-    assert run.measure_gap_s() <= MAX_GAP_S
+    assert run.measure_gap_s() <= MAX_GAP_S, run.describe_gap()
 
 
 async def test_guarantees_hold_for_sessions_with_a_token():
