Split the lease on a change of primary: reads, writes, and who may hold it

Change: lease_reader.py knows the stored lease, lease_writer.py writes it and records each write, and change_lease.py decides on both. No behaviour is changed. A first run failed test_host_that_starts_writes_to_a_promoted_server_that_had_led_before, as it sets `on_lease` later; the lease passes that on now, and the test is unchanged.

--- a/src/apricotshore/pooling/change_lease.py
+++ b/src/apricotshore/pooling/change_lease.py
@@ -6,26 +6,19 @@
 
 from ..decisions import lease
 from ..decisions.lease import NO_FORMER, FormerPrimaries, LeaseClaim, ObservedLease
-from ..decisions.log_floor import NO_FLOOR, LogFloor
-from ..identifiers import (
-    FencingToken,
-    GroupId,
-    HostId,
-    ServerId,
-    StoreEra,
-    StoreRevision,
-)
+from ..decisions.log_floor import LogFloor
+from ..identifiers import FencingToken, GroupId, HostId, ServerId, StoreRevision
 from ..services.clock import read_boot_ms
 from ..services.eras import EraTracker
-from .ports import ObjectStore, StoreConflictError, StoreError
+from .lease_reader import LeaseReader
+from .lease_writer import LeaseWriter
+from .ports import ObjectStore
 from .stored_objects import LeaseRecord
 
 POLL_MS = 300
 UNSETTLED_PAUSE_MS = 2_000
 # Time between two looks at a lease that another host holds.
 FOLLOW_MS = 500
-# An own write that took effect unnoticed, a call that was sent twice, and one more.
-WRITE_TRIES = 3
 
 
 def _omit(phase: str, **details: object) -> None:
@@ -76,34 +69,46 @@
     ) -> None:
         self.group = group
         self.store = store
-        self.record = record
         self.on_lease = on_lease
         self.make_floor = make_floor
         self.eras = eras
         self.holder = lease.name_holder(host, address, uuid.uuid4().hex[:8])
-        self.seen: ObservedLease | None = None
+        self.reader = LeaseReader(
+            group=group,
+            holder=self.holder,
+            store=store,
+            eras=eras,
+            on_lease=lambda record: self.on_lease(record),
+        )
+        self.writer = LeaseWriter(reader=self.reader, record=record)
         # Primaries that this changer's change replaces.
         self.former = NO_FORMER
-        # Floor of the group's logs, as it was last read or named. It outlives eras.
-        self.floor = NO_FLOOR
         # What this changer wrote last; nothing else is ever written over by `write`.
         self.own: LeaseRecord | None = None
-        self.writes = 0
         self.held_until = 0
         self.check_after = 0
         self.follow_after = 0
-        # Era that had no lease when it was last read.
-        self.absent_in: StoreEra | None = None
         # Whether the store has come back without a lease that may have been open.
         self.follows_lost = False
-        # Earlier eras of which the store still holds a lease.
-        self.outdated: set[StoreEra] = set()
+
+    @property
+    def seen(self) -> ObservedLease | None:
+        """Lease as it was last read or written, None without one."""
+        return self.reader.seen
 
     @property
     def current(self) -> ObservedLease | None:
         """Lease of the store's latest era, None without one."""
-        seen = self.seen
-        return seen if seen is not None and seen.era == self.eras.era else None
+        return self.reader.current
+
+    @property
+    def floor(self) -> LogFloor:
+        """Floor of the group's logs, as it was last read or named."""
+        return self.reader.floor
+
+    @floor.setter
+    def floor(self, floor: LogFloor) -> None:
+        self.reader.floor = floor
 
     def _claim(self) -> LeaseClaim:
         return LeaseClaim(
@@ -114,16 +119,7 @@
 
     def observe(self, record: LeaseRecord) -> None:
         """Record a lease from a list that may be older than the one known."""
-        era = self.eras.era
-        if record.era != era:
-            if era is not None and record.era < era:
-                self.outdated.add(record.era)
-            if self.floor == NO_FLOOR:
-                self._take_floor(record)
-            return
-        if self.current is None or record.revision > self.current.revision:
-            self._remember(record)
-            self.on_lease(record)
+        self.reader.observe(record)
 
     def is_held(self, now: int) -> bool:
         """Return whether this changer still holds the lease.
@@ -140,55 +136,8 @@
         return current is not None and current.open and current.holder == self.holder
 
     async def read(self) -> LeaseRecord | None:
-        """Read the stored lease of the store's latest era; return None without one.
-
-        Raises
-        ------
-        StoreError
-            When the store gave no answer of that era.
-        """
-        while True:
-            era = self._get_era()
-            answer = await self.store.read_lease(self.group, era)
-            if not self.eras.accept(answer.era):
-                raise StoreError(f"a lease of era {answer.era}, not {self.eras.era}")
-            if answer.era == era:
-                break
-        record = answer.record
-        self.absent_in = era if record is None else None
-        if record is None:
-            self.seen = None
-        elif self.current is None or self.current.revision != record.revision:
-            self._remember(record)
-        if record is not None:
-            self.on_lease(record)
-        return record
-
-    def _get_era(self) -> StoreEra:
-        if self.eras.era is None:
-            raise StoreError("the store has not answered yet")
-        return self.eras.era
-
-    def _remember(self, record: LeaseRecord) -> None:
-        self.seen = ObservedLease(
-            era=record.era,
-            revision=record.revision,
-            holder=record.holder,
-            open=record.open,
-            seen_at=read_boot_ms(),
-            target=record.target,
-            former=record.former,
-        )
-        self._take_floor(record)
-
-    def _take_floor(self, record: LeaseRecord) -> None:
-        """Take the floor of another's lease, as far as its host knew one."""
-        read = record.floor
-        if record.holder == self.holder:
-            return
-        if read.end is None:
-            read = replace(self.floor, members=read.members or self.floor.members)
-        self.floor = read
+        """Read the stored lease; see `LeaseReader.read`."""
+        return await self.reader.read()
 
     async def is_abandoned(self, rank: int) -> bool:
         """Return whether a change has ended, or was lost, that is to be finished.
@@ -229,8 +178,7 @@
             The primaries that the change replaces, as far as they are known. Those of
             an unfinished change are added.
         """
-        is_absent = self.current is None and self.absent_in == self.eras.era
-        if is_absent and not self._may_acquire():
+        if self.reader.is_absent and not self._may_acquire():
             return None
         await self.read()
         if not self._may_acquire():
@@ -300,7 +248,7 @@
     async def _write(
         self, base: StoreRevision, *, still_open: bool, target: ServerId | None
     ) -> FencingToken | None:
-        era = self._get_era()
+        era = self.reader.get_era()
         token = await self._write_in_era(base, still_open, target)
         if token is not None or self.eras.era == era:
             return token
@@ -311,46 +259,30 @@
     async def _write_in_era(
         self, base: StoreRevision, still_open: bool, target: ServerId | None
     ) -> FencingToken | None:
-        era = self._get_era()
         if still_open:
             self.floor = self.make_floor(self.floor)
-        for _ in range(WRITE_TRIES):
-            self.writes += 1
-            record = LeaseRecord(
+        era = self.reader.get_era()
+
+        def make_record(revision: StoreRevision, number: int) -> LeaseRecord:
+            return LeaseRecord(
                 group=self.group,
                 era=era,
-                revision=base,
+                revision=revision,
                 holder=self.holder,
                 open=still_open,
                 target=target,
                 former=self.former if still_open else NO_FORMER,
                 floor=self.floor,
-                number=self.writes,
+                number=number,
             )
-            former = self.current
-            sent_at = read_boot_ms()
-            try:
-                answer = await self.store.write_lease(record)
-            except StoreConflictError:
-                stored = await self.read()
-                self._record_write("lease-conflict", record, former, found=self.seen)
-                if stored is None or (stored.era, stored.holder) != (era, self.holder):
-                    return None
-                # This changer's own write, whose answer was lost.
-                if stored.number == record.number:
-                    return self._keep(stored, sent_at)
-                base = stored.revision
-                continue
-            except StoreError as error:
-                self._record_write("lease-unknown", record, former, why=str(error))
-                raise
-            self._record_write("leased", answer.record, former)
-            # Written to a restored store, where nobody asks for a lease of this era.
-            if not self.eras.accept(answer.era) or answer.era != era:
-                return None
-            self._remember(answer.record)
-            return self._keep(answer.record, sent_at)
-        return None
+
+        written = await self.writer.write(make_record, base)
+        if written is None:
+            return None
+        record = self.own = written.record
+        self.on_lease(record)
+        self.held_until = written.sent_at + lease.LEASE_MS if record.open else 0
+        return lease.make_token(record.era, record.revision)
 
     async def store_members(self) -> None:
         """Write which servers count to a released lease, unless it is taken."""
@@ -359,38 +291,6 @@
             self.floor = self.make_floor(self.floor)
             await self._write(current.revision, still_open=False, target=None)
 
-    def _keep(self, record: LeaseRecord, sent_at: int) -> FencingToken:
-        self.own = record
-        self.on_lease(record)
-        self.held_until = sent_at + lease.LEASE_MS if record.open else 0
-        return lease.make_token(record.era, record.revision)
-
-    def _record_write(
-        self,
-        phase: str,
-        record: LeaseRecord,
-        former: ObservedLease | None,
-        found: ObservedLease | None = None,
-        why: str | None = None,
-    ) -> None:
-        """Record a write and the lease of another that it replaces, or was to."""
-        other = former if former and former.holder != self.holder else None
-        self.record(
-            phase,
-            revision=record.revision,
-            era=record.era,
-            open=record.open,
-            target=record.target,
-            holder=self.holder,
-            former_revision=former and former.revision,
-            former=other and other.holder,
-            former_open=other and other.open,
-            found=found and found.holder,
-            found_revision=found and found.revision,
-            found_open=found and found.open,
-            why=why,
-        )
-
     async def hand_on(self) -> None:
         """Leave the lease of an unfinished change to whoever takes it first.
 
@@ -400,20 +300,13 @@
         if own is None or not own.open or not self.is_held(read_boot_ms()):
             return
         self.held_until = 0
-        former = self.current
         record = replace(own, holder=f"{lease.LEFT_BY}{own.holder}")
-        try:
-            answer = await self.store.write_lease(record)
-        except StoreError as error:
-            self._record_write("lease-unknown", record, former, why=str(error))
-            return
-        self._record_write("handed-on", answer.record, former)
-        if self.eras.accept(answer.era):
-            self.observe(answer.record)
+        await self.writer.hand_on(record)
 
     async def release(self) -> None:
         """Write the lease as released, and remove those of earlier eras."""
         await self.write(still_open=False)
         self.follows_lost = False
-        while self.outdated:
-            await self.store.remove_lease(self.group, self.outdated.pop())
+        outdated = self.reader.outdated
+        while outdated:
+            await self.store.remove_lease(self.group, outdated.pop())
