--- a/src/apricotshore/decisions/change_attempt.py
+++ b/src/apricotshore/decisions/change_attempt.py
@@ -1,53 +1,15 @@
 """State and steps of one change of primary."""
 
-from dataclasses import dataclass, field, replace
+from dataclasses import dataclass, field
 
 from ..groups import LogPosition
-from ..identifiers import HostId, ServerId, Term
+from ..identifiers import ServerId, Term
+from . import barrier_report
+from .barrier_report import BarrierReport
 from .change_members import MemberStatus, log_order
 from .log_floor import NO_FLOOR, End, LogFloor
 
 
-@dataclass(frozen=True, kw_only=True, slots=True)
-class BarrierReport:
-    """What the hosts confirmed: that none of them can get an answer of a server.
-
-    Parameters
-    ----------
-    at
-        When the last confirmation came, in milliseconds since boot.
-    began_at
-        When the first host was asked, None if that was the longest round ago.
-    is_listed
-        Whether the list of hosts was read for it.
-    hosts
-        Hosts that confirmed.
-    missing
-        Hosts that gave no confirmation.
-    ended, closed
-        Statements that got their answers, and that were closed without one.
-    unproven_at
-        When a round of before the step-down last was not complete, None if all were.
-    """
-
-    at: int
-    began_at: int | None = None
-    is_listed: bool = True
-    hosts: frozenset[HostId] = frozenset()
-    missing: tuple[HostId, ...] = ()
-    ended: int = 0
-    closed: int = 0
-    unproven_at: int | None = None
-
-    @property
-    def is_complete(self) -> bool:
-        """Whether all hosts confirmed, and no connection was closed for it.
-
-        A server may learn late of a connection that was closed.
-        """
-        return self.is_listed and not self.missing and not self.closed
-
-
 @dataclass(kw_only=True, slots=True)
 class Attempt:
     """One change of primary, run by this host.
@@ -222,18 +184,7 @@
 
 def observe_quiesced(attempt: Attempt, report: BarrierReport) -> None:
     """Record a round before the step-down, with what an earlier one closed."""
-    earlier = attempt.quiesced
-    unproven_at = None if earlier is None else earlier.unproven_at
-    if not report.is_complete:
-        unproven_at = report.at
-    report = replace(report, unproven_at=unproven_at)
-    if earlier is not None:
-        report = replace(
-            report,
-            missing=tuple(sorted({*report.missing, *earlier.missing})),
-            closed=report.closed + earlier.closed,
-        )
-    attempt.quiesced = report
+    attempt.quiesced = barrier_report.combine(attempt.quiesced, report)
 
 
 def observe_primary_end(attempt: Attempt, log_position: LogPosition) -> None:
--- a/src/apricotshore/decisions/commit_barrier.py
+++ b/src/apricotshore/decisions/commit_barrier.py
@@ -4,7 +4,8 @@
 from enum import Enum
 
 from ..identifiers import ServerId
-from .change_attempt import Attempt, BarrierReport
+from .barrier_report import BarrierReport
+from .change_attempt import Attempt
 from .change_members import Member
 from .change_targets import is_paused
 
--- a/src/apricotshore/pooling/change_rounds.py
+++ b/src/apricotshore/pooling/change_rounds.py
@@ -4,7 +4,8 @@
 from collections.abc import Callable
 
 from ..decisions import change_attempt, commit_barrier
-from ..decisions.change_attempt import Attempt, BarrierReport
+from ..decisions.barrier_report import BarrierReport
+from ..decisions.change_attempt import Attempt
 from ..decisions.lease import FormerPrimaries
 from ..identifiers import FencingToken, ServerId
 from ..services.clock import read_boot_ms
--- a/src/apricotshore/pooling/write_barrier.py
+++ b/src/apricotshore/pooling/write_barrier.py
@@ -7,7 +7,7 @@
 import asyncio
 from collections.abc import Awaitable, Callable
 
-from ..decisions.change_attempt import BarrierReport
+from ..decisions.barrier_report import BarrierReport
 from ..decisions.commit_barrier import LONGEST_ROUND_MS
 from ..decisions.relays import Fleet, ListedHost, list_backed_off
 from ..decisions.rounds import DIRECT_HOSTS
