Split a group: its pools and gates, its leaving servers, and its primary

Change: group_pools.py has the pools of listed and unlisted servers and the gates, leaving_servers.py the bounds of those that leave, primary_observer.py what servers' answers show of the primary. Group joins them and follows the store.

--- a/src/apricotshore/pooling/host.py
+++ b/src/apricotshore/pooling/host.py
@@ -224,7 +224,7 @@
         for session in self.host_sessions:
             session.link.close()
         for group in self.groups.values():
-            group.close_pools()
+            group.all_pools.close()
 
     async def _wait_until_closed(self) -> bool:
         """Wait until no connection to a backend server is open; return whether so."""
@@ -468,7 +468,7 @@
             await asyncio.sleep(HOUSEKEEPING_S if self.is_ready else 0.1)
             self.write_due_lines()
             for group in self.groups.values():
-                group.close_idle()
+                group.all_pools.close_idle()
             if self.drain.began_at is None:
                 continue
             self._close_idle()
--- a/src/apricotshore/pooling/host_groups.py
+++ b/src/apricotshore/pooling/host_groups.py
@@ -171,7 +171,7 @@
         self.server_groups[server.server] = server.group
         group = self._get_group(server.group)
         group.update_server(server)
-        group.update_relayed(self.dialer.is_relayed)
+        group.all_pools.update_relayed(self.dialer.is_relayed)
         self.sources.open_changes.renew(group)
 
     def remove_server(self, server: ServerId) -> None:
@@ -185,11 +185,11 @@
         configuration = self.sources.store_watcher.configuration
         settings = configuration.groups.get(group.group)
         if settings is not None:
-            group.set_connections(settings.connections)
+            group.all_pools.set_connections(settings.connections)
             self.dialer.limits[group.group] = settings.connections
             count = relays.count_relays(self.fleet, settings.connections)
-            group.set_relay_count(count)
-            group.update_relayed(self.dialer.is_relayed)
+            group.all_pools.set_relay_count(count)
+            group.all_pools.update_relayed(self.dialer.is_relayed)
         group.sample_period_ms = position_history.choose_period_ms(
             route.staleness_ms
             for route in configuration.routes.values()
