--- a/src/apricotshore/pooling/store_watcher.py
+++ b/src/apricotshore/pooling/store_watcher.py
@@ -11,6 +11,7 @@
 from ..services.eras import EraTracker
 from .journal import EventKind, Journal
 from .ports import HistoryLostError, ObjectStore, StoreError
+from .server_entries import ServerEntries
 from .stored_objects import Change, LeaseRecord, Snapshot, StoredKind
 from .supervision import keep_running
 
@@ -95,7 +96,11 @@
         self.eras = eras
         self.eras.listeners.append(self._interrupt_watches)
         self.on_server = on_server
-        self.on_server_gone = on_server_gone
+        self.entries = ServerEntries(
+            journal=journal,
+            on_server=lambda server: self.on_server(server),
+            on_server_gone=on_server_gone,
+        )
         self.on_configuration = on_configuration
         self.on_lease = on_lease
         self.check_period_ms = LONGEST_CHECK_MS
@@ -103,14 +108,17 @@
         self.set_bounds(apply_ms, leave_ms, window_ms)
         self.watch_timeouts: dict[StoredKind, asyncio.Timeout] = {}
         self.configuration = EMPTY_CONFIGURATION
-        self.listed: dict[ServerId, ListedServer] = {}
-        self.missing: dict[ServerId, int] = {}
         self.unavailable: set[StoredKind] = set()
         self.back_at = 0
         self.servers_listed = False
         # When the servers are to be listed anew, None after a list that was applied.
         self.list_servers_at: int | None = None
 
+    @property
+    def listed(self) -> dict[ServerId, ListedServer]:
+        """Servers that the store lists, as their entries were last read."""
+        return self.entries.listed
+
     def set_bounds(self, apply_ms: int, leave_ms: int, window_ms: int) -> None:
         """Derive the waits of watches and the period of checks from the bounds."""
         self.check_period_ms = choose_check_period_ms(min(apply_ms, leave_ms))
@@ -289,13 +297,7 @@
         self.servers_listed = True
         self.list_servers_at = None
         names = {ServerId(change.name) for change in changes}
-        gone = self.listed.keys() - names
-        for server in gone:
-            self._mark_missing(server)
-        return changed or bool(gone)
-
-    def _mark_missing(self, server: ServerId) -> None:
-        self.missing.setdefault(server, read_boot_ms())
+        return self.entries.mark_unlisted(names) or changed
 
     def _remove_missing(self) -> None:
         now = read_boot_ms()
@@ -303,10 +305,7 @@
             return
         if self.eras.is_settling(RETURN_GRACE_MS):
             return
-        for server in list(self.missing):
-            self.missing.pop(server)
-            self.listed.pop(server, None)
-            self.on_server_gone(server)
+        self.entries.remove_missing()
 
     def _apply_changes(self, kind: StoredKind, changes: tuple[Change, ...]) -> bool:
         """Apply changes; return whether anything that is used here changed."""
@@ -316,7 +315,7 @@
                 self._apply_configuration(change)
                 changed = True
             else:
-                changed |= self._apply_server(change)
+                changed |= self.entries.apply(change)
         return changed
 
     def _apply_configuration(self, change: Change) -> None:
@@ -347,22 +346,3 @@
             version_in_force=self.configuration.version,
             revision_in_force=self.configuration.revision,
         )
-
-    def _apply_server(self, change: Change) -> bool:
-        server = ServerId(change.name)
-        if change.removed:
-            self._mark_missing(server)
-            return True
-        if not isinstance(change.content, ListedServer):
-            self.journal.record(EventKind.ENTRY_REFUSED, server=server)
-            return True
-        was_missing = self.missing.pop(server, None) is not None
-        known = self.listed.get(server)
-        try:
-            self.on_server(change.content)
-        except Exception as error:
-            # What one entry says must not keep the others from being followed.
-            self.journal.record(EventKind.ERROR, server=server, why=repr(error))
-            return True
-        self.listed[server] = change.content
-        return was_missing or known != change.content
