Take the messages and the state of a failover out of its steps

Change: failover_messages.py has the actions and answers, failover_state.py the phases and the coordinator's state. Their names stay importable from failover. Not run: tests/live and tests/soak.

--- a/src/apricotshore/decisions/failover.py
+++ b/src/apricotshore/decisions/failover.py
@@ -6,30 +6,35 @@
 """
 
 from collections.abc import Mapping
-from dataclasses import dataclass, field
 from enum import Enum
 
 from ..groups import LogPosition, Role
 from ..identifiers import ServerId, Term
+from .failover_messages import (
+    Action,
+    AskWitnesses,
+    Fence,
+    FenceAnswer,
+    Follow,
+    Promote,
+    PromoteAnswer,
+    ReportStep,
+)
+from .failover_state import (
+    DETECT_MS,
+    FIRST_BACKOFF_MS,
+    REPAIR_PERIOD_MS,
+    Failover,
+    Phase,
+)
 from .routing import GroupView, is_leaving
 
-DETECT_MS = 900
 WITNESSES_NEEDED = 2
 STALL_MS = 2_500
 FENCE_GRACE_MS = 150
 STEP_TIMEOUT_MS = 1_000
-FIRST_BACKOFF_MS = 300
 MAX_BACKOFF_MS = 3_000
 SETTLE_MS = 2_000
-REPAIR_PERIOD_MS = 500
-
-
-class Phase(Enum):
-    """Phase of a failover."""
-
-    WATCHING = "watching"
-    FENCING = "fencing"
-    PROMOTING = "promoting"
 
 
 class Cause(Enum):
@@ -42,122 +47,6 @@
     ABSENT = "no-primary"
 
 
-@dataclass(frozen=True, kw_only=True, slots=True)
-class Fence:
-    """Action: ask a server to adopt a term."""
-
-    server: ServerId
-    term: Term
-
-
-@dataclass(frozen=True, kw_only=True, slots=True)
-class Promote:
-    """Action: ask a fenced server to become primary."""
-
-    server: ServerId
-    term: Term
-
-
-@dataclass(frozen=True, kw_only=True, slots=True)
-class Follow:
-    """Action: make a server replicate from a primary."""
-
-    server: ServerId
-    primary: ServerId
-    term: Term
-
-
-@dataclass(frozen=True, kw_only=True, slots=True)
-class AskWitnesses:
-    """Action: ask other hosts whether they can reach the primary."""
-
-    server: ServerId
-
-
-@dataclass(frozen=True, kw_only=True, slots=True)
-class ReportStep:
-    """Action: record a step for operators."""
-
-    step: str
-    detail: str
-
-
-Action = Fence | Promote | Follow | AskWitnesses | ReportStep
-
-
-@dataclass(frozen=True, kw_only=True, slots=True)
-class FenceAnswer:
-    """Message: a server's answer to a fence."""
-
-    server: ServerId
-    granted: bool
-    term: Term
-    end: LogPosition
-
-
-@dataclass(frozen=True, kw_only=True, slots=True)
-class PromoteAnswer:
-    """Message: a server's answer to a promotion."""
-
-    server: ServerId
-    term: Term
-    done: bool
-
-
-@dataclass(kw_only=True, slots=True)
-class Failover:
-    """State of the failover coordinator of one group.
-
-    Parameters
-    ----------
-    phase
-        Current phase.
-    term
-        Term being fenced or promoted.
-    highest_term
-        Highest term that was fenced or that a server answered with.
-    granted
-        Log ends of the servers that granted the term.
-    replaced
-        Primary to be replaced.
-    candidate
-        Server being promoted.
-    began_at, majority_at
-        When the phase began and when a majority had granted.
-    backoff_until
-        No attempt starts before this time.
-    backoff_ms
-        Pause after the next failed attempt.
-    silent_hosts
-        Hosts that failed to reach the primary, when last asked.
-    asked_at
-        When the witnesses were last asked.
-    repaired_at
-        When replicas were last redirected to the primary.
-    stalled_since
-        When the first of the commits that failed to become durable was sent;
-        None while commits succeed.
-    durable_at
-        When a commit last became durable.
-    """
-
-    phase: Phase = Phase.WATCHING
-    term: Term = Term(0)
-    highest_term: Term = Term(0)
-    granted: dict[ServerId, LogPosition] = field(default_factory=dict)
-    replaced: ServerId | None = None
-    candidate: ServerId | None = None
-    began_at: int = 0
-    majority_at: int | None = None
-    backoff_until: int = 0
-    backoff_ms: int = FIRST_BACKOFF_MS
-    silent_hosts: int = 0
-    asked_at: int = -DETECT_MS
-    repaired_at: int = -REPAIR_PERIOD_MS
-    stalled_since: int | None = None
-    durable_at: int = -1
-
-
 def count_lost_contact(view: GroupView, now: int) -> int:
     """Return how many reachable replicas have lost contact with the primary."""
     lost = 0
--- a/src/apricotshore/services/groupwatch.py
+++ b/src/apricotshore/services/groupwatch.py
@@ -7,18 +7,17 @@
 from mode import Service
 
 from ..decisions import failover
-from ..decisions.failover import (
+from ..decisions.failover_messages import (
     Action,
     AskWitnesses,
-    Failover,
     Fence,
     FenceAnswer,
     Follow,
-    Phase,
     Promote,
     PromoteAnswer,
     ReportStep,
 )
+from ..decisions.failover_state import Failover, Phase
 from ..decisions.routing import GroupView, observe_silence, observe_status
 from ..groups import Claim, LogPosition
 from ..identifiers import Position, ServerId, Term
