Take the backlog of a database out of the admission of requests

Change: backlog.py has the queued and running requests and the estimates of their costs, admission.py who is admitted and gets a slot next. requestrunner.py also takes the state of a failover from its new module. Not run: tests/live and tests/soak.

--- a/src/apricotshore/cli.py
+++ b/src/apricotshore/cli.py
@@ -16,7 +16,7 @@
 
 from . import __version__
 from .bundles import EMPTY_BUNDLE, Bundle, describe_changes, parse_bundle
-from .decisions.admission import Policy
+from .decisions.backlog import Policy
 from .decisions.burn import Bucket, compute_burn, format_burn
 from .events import Event
 from .exceptions import (
--- a/src/apricotshore/services/application.py
+++ b/src/apricotshore/services/application.py
@@ -9,7 +9,7 @@
 
 from ..bundles import Bundle
 from ..decisions import burn
-from ..decisions.admission import Policy
+from ..decisions.backlog import Policy
 from ..decisions.burn import BurnKey, BurnRecord
 from ..decisions.membership import Member, MemberState
 from ..events import EventLog, Topic
--- a/src/apricotshore/services/owner.py
+++ b/src/apricotshore/services/owner.py
@@ -10,7 +10,7 @@
 
 from ..bundles import Bundle
 from ..decisions import admission, retry, routing, sessions
-from ..decisions.admission import (
+from ..decisions.backlog import (
     Backlog,
     FlowId,
     Policy,
--- a/src/apricotshore/services/registry.py
+++ b/src/apricotshore/services/registry.py
@@ -7,7 +7,7 @@
 from mode import Service
 
 from ..bundles import Bundle, list_withdrawn
-from ..decisions.admission import Policy
+from ..decisions.backlog import Policy
 from ..decisions.ownership import (
     OwnershipAction,
     OwnershipFacts,
--- a/src/apricotshore/services/requestrunner.py
+++ b/src/apricotshore/services/requestrunner.py
@@ -6,8 +6,8 @@
 from dataclasses import dataclass
 
 from ..decisions import failover, retry, routing, sessions
-from ..decisions.admission import Assignment, Ticket
-from ..decisions.failover import Failover
+from ..decisions.backlog import Assignment, Ticket
+from ..decisions.failover_state import Failover
 from ..decisions.retry import WriteStage
 from ..decisions.routing import GroupView
 from ..decisions.sessions import SessionKey, SessionPositions
