Strike a server off only by what ends its log

Cause: a server without an entry that had answered no host for 10 s was taken for gone while a primary led, and a settled change counted only servers that were there. Either may be alive, be reached by the primary alone and hold the only other copy of later commits.

Change: only leaving in good order, starting anew, and another server at its address strike a server off. GONE_MS, list_missing, observe_gone, observe_answer, observe_settled, is_gone, missing_since and settled_at are gone, as is the question that MemberRecorder asked. So that hosts which missed why a server was struck off don't name it in the lease again and again, one that the next lease of the same era names no more is struck off there too. The floor's end is still kept as a change settles.

Price: where a server is gone for good without a successor and the primary then fails, nobody leads until one of the two is back.

--- a/src/apricotshore/decisions/log_members.py
+++ b/src/apricotshore/decisions/log_members.py
@@ -2,16 +2,18 @@
 
 A server counts from its first entry in the store on. Only what ends its log strikes it
 off: it leaves in good order, starts anew, or another has taken its address. An entry
-that has run out doesn't, for the server may come back with its log. One that is gone
-as a change settles counts no more: the floor of logs covers what it held. Neither does
-one that has been gone for long while a primary led: its log is taken for lost.
+that has run out doesn't, however long ago: the primary may reach the server still, so
+that with it the server holds the only copies of a commit. Nor does a settled change.
 
 A log that was lost may have held what others lack. What it held lies below a position
 that the primary names afterwards. A server that leaves hands its log to its successor
 at its address, which counts in its place.
+
+A lease names a server until its log is covered. So one that the next lease of the same
+era names no more was struck off by its writer, and hosts that missed why follow.
 """
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field, replace
 
 from ..groups import LogPosition
@@ -20,14 +22,10 @@
 from .change_members import log_order
 from .log_floor import LogFloor, StoredMember
 
-# Era and revision of a lease.
-LeaseKey = tuple[int, int]
 # A server, and when it had started.
 LogKey = tuple[ServerId, int]
 # Stands for logs that may have been lost before the host started.
 ANY_LOG: LogKey = (log_floor.ANY_SERVER, 0)
-# A server that has had no entry for this long, and answers nobody, is taken for gone.
-GONE_MS = 10_000
 # Servers that are remembered as struck off. A lease names older ones no more.
 MAX_STRUCK = 64
 
@@ -43,20 +41,12 @@
     member
         The server that held it, None if that isn't known.
     has_left
-        Whether the server left in good order.
-    is_gone
-        Whether it is only taken for gone, and may come back with its log.
+        Whether the server left in good order, so that its successor holds the log.
     """
 
     at: int
     member: StoredMember | None = None
     has_left: bool = False
-    is_gone: bool = False
-
-    @property
-    def may_be_held(self) -> bool:
-        """Whether a server that nobody lists may still hold it."""
-        return self.has_left or self.is_gone
 
 
 @dataclass(kw_only=True, slots=True)
@@ -73,18 +63,16 @@
         Lost logs that no position of a primary covers yet.
     covered_end
         Position of a primary that covers lost logs, None without one.
-    missing_since
-        Since when each server has had no entry, in milliseconds since boot.
-    settled_at
-        Era and revision of the last lease of a settled change that was taken.
+    named, named_in
+        Servers that the last lease named, and its era.
     """
 
     counted: dict[ServerId, StoredMember] = field(default_factory=dict)
     struck: dict[StoredMember, None] = field(default_factory=dict)
     lost: dict[LogKey, LostLog] = field(default_factory=dict)
     covered_end: LogPosition | None = None
-    missing_since: dict[ServerId, int] = field(default_factory=dict)
-    settled_at: LeaseKey = (0, 0)
+    named: frozenset[StoredMember] = frozenset()
+    named_in: int = 0
 
     @property
     def lost_at(self) -> int | None:
@@ -112,12 +100,9 @@
     if known is not None and is_new:
         _strike(state, known, LostLog(at=now, member=known))
     state.counted[member.server] = member
-    state.missing_since.pop(member.server, None)
     state.struck.pop(member, None)
     state.lost = {
-        key: replace(lost, is_gone=lost.is_gone and key[0] != member.server)
-        for key, lost in state.lost.items()
-        if not _is_back(lost, member)
+        key: lost for key, lost in state.lost.items() if not _is_back(lost, member)
     }
     return is_new
 
@@ -130,50 +115,22 @@
     return is_successor or lost.member == member
 
 
-def observe_unlisted(
-    state: LogMembers, server: ServerId, now: int, *, has_left: bool
-) -> None:
-    """Strike a server off that has left; keep one whose entry has only run out."""
+def observe_left(state: LogMembers, server: ServerId, now: int) -> None:
+    """Strike a server off that has left in good order."""
     member = state.counted.get(server)
     if member is None:
         return
-    if not has_left:
-        state.missing_since[server] = now
-        return
     _strike(state, member, LostLog(at=now, member=member, has_left=True))
     if any(m.address == member.address for m in state.counted.values()):
         del state.lost[_find_key(member)]
 
 
-def list_missing(state: LogMembers, now: int) -> tuple[ServerId, ...]:
-    """List the servers whose entries ran out long ago, and that may be gone."""
-    return tuple(
-        server
-        for server, since in state.missing_since.items()
-        if server in state.counted and now - since >= GONE_MS
-    )
-
-
-def observe_answer(state: LogMembers, server: ServerId, now: int) -> None:
-    """Take it that a server without an entry has answered: it isn't gone."""
-    if server in state.missing_since:
-        state.missing_since[server] = now
-
-
-def observe_gone(state: LogMembers, server: ServerId, now: int) -> None:
-    """Take the log of a server for lost that has no entry and gives no answer."""
-    state.missing_since.pop(server, None)
-    member = state.counted.get(server)
-    if member is not None:
-        _strike(state, member, LostLog(at=now, member=member, is_gone=True))
-
-
 def count_lost(state: LogMembers) -> int:
     """Return how many logs of unknown length the lost ones stand for.
 
     Logs that no server holds can't be waited for, so they stand for one.
     """
-    held = sum(lost.may_be_held for lost in state.lost.values())
+    held = sum(lost.has_left for lost in state.lost.values())
     return held + (held < len(state.lost))
 
 
@@ -201,57 +158,64 @@
 
 def observe_stored(
     state: LogMembers,
-    members: Iterable[StoredMember],
+    floor: LogFloor,
     listed: Iterable[StoredMember],
     now: int,
     *,
-    settled_at: LeaseKey | None,
+    era: int,
 ) -> None:
-    """Take the members that the lease names.
+    """Take the members that a lease names.
 
     Parameters
     ----------
     state
         The servers that count; changed in place.
-    members
-        Servers that the lease names.
+    floor
+        Floor that the lease names.
     listed
         Servers that the store lists now.
     now
         Milliseconds since boot.
-    settled_at
-        Era and revision of the lease of a change that has ended, None of an open one.
-        Only its members and the listed ones count from when it is first taken.
+    era
+        Era of the lease.
     """
-    stored = {m.server: m for m in members if m not in state.struck}
-    if not stored:
+    if not floor.members:
         return
     present = {m.server: m for m in listed}
-    if settled_at is not None and settled_at > state.settled_at:
-        state.settled_at = settled_at
-        kept = stored.keys() | present.keys()
-        state.counted = {s: m for s, m in state.counted.items() if s in kept}
+    if era == state.named_in:
+        _strike_unnamed(state, floor.members, present)
+    observe_named(state, floor, era)
     state.lost.pop(ANY_LOG, None)
     addresses = {m.address for m in present.values()}
-    for server, member in stored.items():
-        known = present.get(server)
+    for member in floor.members:
+        if member in state.struck:
+            continue
+        known = present.get(member.server)
         is_lost = known is None and member.address in addresses
         is_lost |= known is not None and known.started_ms != member.started_ms
         if is_lost:
             _remember_struck(state, member)
             state.lost[_find_key(member)] = LostLog(at=now, member=member)
         elif known is None:
-            state.counted.setdefault(server, member)
-            state.missing_since.setdefault(server, now)
+            state.counted.setdefault(member.server, member)
 
 
-def observe_settled(state: LogMembers, members: Iterable[StoredMember]) -> None:
-    """Have only some servers count: the floor covers what others held."""
-    state.counted = {m.server: m for m in members}
-    state.missing_since = {
-        s: since for s, since in state.missing_since.items() if s in state.counted
-    }
-    state.lost.clear()
+def _strike_unnamed(
+    state: LogMembers,
+    members: tuple[StoredMember, ...],
+    present: Mapping[ServerId, StoredMember],
+) -> None:
+    """Strike off servers that a lease named, and that its next one doesn't."""
+    for member in state.named.difference(members):
+        is_counted = state.counted.get(member.server) == member
+        if is_counted and member.server not in present:
+            del state.counted[member.server]
+            _remember_struck(state, member)
+
+
+def observe_named(state: LogMembers, floor: LogFloor, era: int) -> None:
+    """Remember which servers the last lease names, whoever has written it."""
+    state.named, state.named_in = frozenset(floor.members), era
 
 
 def make_floor(state: LogMembers, floor: LogFloor) -> LogFloor:
--- a/src/apricotshore/pooling/change_ending.py
+++ b/src/apricotshore/pooling/change_ending.py
@@ -9,7 +9,6 @@
 from ..identifiers import HostId, ServerId, Term
 from ..queries import QueryKind
 from ..services.clock import read_boot_ms
-from . import group_members
 from .change_lease import ChangeLease
 from .change_phases import record_phase
 from .change_steps import ChangeSteps
@@ -104,15 +103,10 @@
         )
 
     def _settle_floor(self, attempt: Attempt) -> None:
-        """Have only servers count that are there, if one was ordered above the floor.
-
-        A primary that was not replaced may have commits that only a silent server has.
-        """
+        """Keep the end that the order of a change demanded, whatever becomes known."""
         floor = log_members.make_floor(self.group.members, self.lease.floor)
         if attempt.requested is not None:
-            members = group_members.list_present(self.group, attempt.statuses)
-            log_members.observe_settled(self.group.members, members)
-            floor = LogFloor(end=floor.end, members=members)
+            floor = LogFloor(end=floor.end, members=floor.members)
         self.lease.floor = floor
 
     async def _is_led(self, attempt: Attempt) -> bool:
--- a/src/apricotshore/pooling/group.py
+++ b/src/apricotshore/pooling/group.py
@@ -150,9 +150,8 @@
         self._keep_unlisted(removed)
         self.leaving.pop(server, None)
         self.primary_state.claimed.pop(server, None)
-        log_members.observe_unlisted(
-            self.members, server, read_boot_ms(), has_left=removed.leaving
-        )
+        if removed.leaving:
+            log_members.observe_left(self.members, server, read_boot_ms())
         self.journal.record(EventKind.SERVER_GONE, group=self.group, server=server)
         self._drop_pool(server)
         self._forget_gates()
--- a/src/apricotshore/pooling/group_members.py
+++ b/src/apricotshore/pooling/group_members.py
@@ -1,13 +1,10 @@
 """Members of a group for a change of its primary, from what its host knows."""
 
-from collections.abc import Collection
-
 from ..decisions import change_attempt, log_members, position_history
 from ..decisions.change_attempt import Attempt
 from ..decisions.change_members import Member
-from ..decisions.log_floor import StoredMember
 from ..groups import LogPosition
-from ..identifiers import Position, ServerId, Term
+from ..identifiers import Position, Term
 from ..services.clock import read_boot_ms
 from .group import Group, describe_member
 from .stored_objects import LeaseRecord
@@ -29,28 +26,14 @@
 
 def observe_lease(group: Group, record: LeaseRecord) -> None:
     """Count the servers that a lease names, and reach them without an entry."""
-    settled_at = None if record.open else (int(record.era), int(record.revision))
+    listed = [describe_member(server) for server in group.servers.values()]
     log_members.observe_stored(
-        group.members,
-        record.floor.members,
-        list_present(group),
-        read_boot_ms(),
-        settled_at=settled_at,
+        group.members, record.floor, listed, read_boot_ms(), era=record.era
     )
     for member in group.members.counted.values():
         group.keep_stored(member)
 
 
-def list_present(
-    group: Group, answered: Collection[ServerId] = ()
-) -> tuple[StoredMember, ...]:
-    """Return the servers that the store lists, and those that count and answer."""
-    present = {s: describe_member(server) for s, server in group.servers.items()}
-    counted = group.members.counted
-    present |= {s: counted[s] for s in answered if s in counted}
-    return tuple(present[server] for server in sorted(present))
-
-
 def observe_primary_end(group: Group, attempt: Attempt, leased_at: int) -> None:
     """Take a position that the primary proved in this change, if it is too busy.
 
--- a/src/apricotshore/pooling/member_recorder.py
+++ b/src/apricotshore/pooling/member_recorder.py
@@ -5,13 +5,10 @@
 from ..decisions import log_members, position_history
 from ..groups import LogPosition
 from ..identifiers import Position, Term
-from ..queries import QueryKind
 from ..services.clock import read_boot_ms
 from .change_lease import ChangeLease
 from .change_phases import record_phase
 from .group import Group
-from .group_commands import GroupCommands
-from .journal import EventKind
 from .ports import StoreError
 
 # Time for which the servers stay the same before they are written. Each host waits
@@ -30,8 +27,6 @@
         The group.
     lease
         The lease on its change of primary.
-    commands
-        Sends commands to the servers of the group.
     rank
         Returns how many hosts are to write before this one.
     """
@@ -41,12 +36,10 @@
         *,
         group: Group,
         lease: ChangeLease,
-        commands: GroupCommands,
         rank: Callable[[], int],
     ) -> None:
         self.group = group
         self.lease = lease
-        self.commands = commands
         self.rank = rank
         # Since when the lease names other servers, None while it names these.
         self.differs_since: int | None = None
@@ -56,7 +49,6 @@
         current = self.lease.current
         if self.group.primary is not None and not (current and current.open):
             self._cover_lost_logs()
-            await self._strike_off()
         now = read_boot_ms()
         current = self.lease.current
         floor = log_members.make_floor(self.group.members, self.lease.floor)
@@ -90,17 +82,3 @@
                 term=Term(sample.term), position=Position(sample.position)
             )
             log_members.observe_position(state, end, sample.asked_at)
-
-    async def _strike_off(self) -> None:
-        """Strike off servers that have long been gone while a primary leads."""
-        state = self.group.members
-        for server in log_members.list_missing(state, read_boot_ms()):
-            reply = await self.commands.ask(server, QueryKind.STATUS)
-            now = read_boot_ms()
-            if reply.report is not None or reply.refused:
-                log_members.observe_answer(state, server, now)
-            elif self.group.primary is not None:
-                log_members.observe_gone(state, server, now)
-                self.group.journal.record(
-                    EventKind.SERVER_GONE, group=self.group.group, server=server
-                )
--- a/src/apricotshore/pooling/primary_changer.py
+++ b/src/apricotshore/pooling/primary_changer.py
@@ -118,9 +118,7 @@
             count_hosts=lambda: len(detours.fleet.hosts),
             find_leader=self.reasons.find_leader,
         )
-        self.members = MemberRecorder(
-            group=group, lease=self.lease, commands=self.commands, rank=rank
-        )
+        self.members = MemberRecorder(group=group, lease=self.lease, rank=rank)
         self.stalls = StallChecker(
             group=group,
             commands=self.commands,
@@ -237,6 +235,8 @@
         """Take a lease that was read or written, and tell those that follow it."""
         if record.holder != self.lease.holder:
             group_members.observe_lease(self.group, record)
+        else:
+            log_members.observe_named(self.group.members, record.floor, record.era)
         log_waits.observe_lease(self.group, record, self.lease.holder)
         self.on_lease(record)
 
