Give the losses of the soak the times of orders and acknowledgements

Change: a loss names each order since the term of its first commit with the times of acceptance and effect and its term, when each commit was acknowledged, and how many were after the first order of another server.

--- a/tests/soak/model.py
+++ b/tests/soak/model.py
@@ -79,6 +79,33 @@
     after_step_down: bool
 
 
+@dataclass(kw_only=True, eq=False)
+class Order:
+    """An accepted order of a server.
+
+    Parameters
+    ----------
+    server
+        Name of the server.
+    accepted_at, effect_at
+        When it was accepted, and when it took effect, if it has.
+    term
+        Term that began with its effect.
+    """
+
+    server: str
+    accepted_at: float
+    effect_at: float | None = None
+    term: int = 0
+
+    def __str__(self) -> str:
+        """Describe it in a few words."""
+        effect = "no effect"
+        if self.effect_at is not None:
+            effect = f"effect at {self.effect_at:.3f} with term {self.term}"
+        return f"{self.server} accepted at {self.accepted_at:.3f}, {effect}"
+
+
 @dataclass(frozen=True, kw_only=True)
 class Leeway:
     """What servers do that no page rules out; by default they do none of it.
@@ -403,6 +430,7 @@
         # What servers count as acknowledged though its connection was closed.
         self.counted: list[Acknowledgement] = []
         self.unheard: list[Unheard] = []
+        self.orders: list[Order] = []
         self.promotions = 0
         self.close_promotions = 0
         self.promoted_at = 0.0
@@ -699,7 +727,12 @@
 
     # -- promotions --
 
-    def promote(self, name: str) -> None:
+    def accept(self, name: str) -> Order:
+        """Return the order of a server that is accepted now."""
+        self.orders.append(Order(server=name, accepted_at=now()))
+        return self.orders[-1]
+
+    def promote(self, name: str, order: Order | None = None) -> None:
         """Make a server the primary of the next term, with the log it has received."""
         target = self.servers.get(name)
         if target is not None:
@@ -711,16 +744,10 @@
         self.close_promotions += 0.0 < now() - self.promoted_at < CLOSE_PROMOTIONS_S
         self.promotions += 1
         self.promoted_at = now()
+        if order is not None:
+            order.effect_at, order.term = self.promoted_at, self.term
         self.leader = self.leaders[self.term] = target
-        held = {id(entry) for entry in target.log}
-        lost = [a for a in self.acknowledged if id(a.entry) not in held]
-        if lost:
-            self.checker.add_violation("LOST", self._describe_loss(target, lost))
-            self.acknowledged = [a for a in self.acknowledged if id(a.entry) in held]
-        if unheard := [a for a in self.counted if id(a.entry) not in held]:
-            detail = self._describe_loss(target, unheard)
-            self.checker.add_violation("LOST-BY-SERVER", detail)
-            self.counted = [a for a in self.counted if id(a.entry) in held]
+        self._record_losses(target)
         self.checker.add_note(
             f"{name} leads term {self.term}, at {target.received_position}; "
             f"{former.name} led term {former_term}, at {former.received_position}"
@@ -743,6 +770,18 @@
             if not self.leeway.leads_until_learnt:
                 server.is_primary = False
 
+    def _record_losses(self, target: Server) -> None:
+        """Record a violation if the new primary lacks acknowledged commits."""
+        held = {id(entry) for entry in target.log}
+        lost = [a for a in self.acknowledged if id(a.entry) not in held]
+        if lost:
+            self.checker.add_violation("LOST", self._describe_loss(target, lost))
+            self.acknowledged = [a for a in self.acknowledged if id(a.entry) in held]
+        if unheard := [a for a in self.counted if id(a.entry) not in held]:
+            detail = self._describe_loss(target, unheard)
+            self.checker.add_violation("LOST-BY-SERVER", detail)
+            self.counted = [a for a in self.counted if id(a.entry) in held]
+
     def _can_lead(self, target: Server) -> bool:
         """Return whether the promotion of a server takes effect."""
         if not target.up or self.is_present(target):
@@ -790,18 +829,30 @@
     def _describe_loss(self, target: Server, lost: list[Acknowledgement]) -> str:
         """Return who lost what, and who had acknowledged and received it."""
         effect = now()
+        term = min(a.entry.term for a in lost)
+        orders = self._list_orders_since(term)
+        leader = self.leaders[term].name
+        others = [o.accepted_at for o in orders if o.server != leader]
+        late = sum(a.at > min(others, default=effect) for a in lost)
         commits = "; ".join(
             f"{a.entry.position} by {a.server} with {'+'.join(a.receivers)}, "
-            f"{effect - a.at:.3f} s before the effect and "
+            f"at {a.at:.3f}, {effect - a.at:.3f} s before the effect and "
             f"{a.at - a.entry.committed_at:.3f} s after its start"
             f"{', after the step-down' * a.after_step_down}"
             for a in lost
         )
         return (
             f"{target.name} became primary of term {self.term} with "
-            f"{target.received_position}, without {len(lost)}: {commits}"
+            f"{target.received_position}, without {len(lost)}: {commits}; {late} after "
+            f"the first order of another than {leader}: {', '.join(map(str, orders))}"
         )
 
+    def _list_orders_since(self, term: int) -> list[Order]:
+        """Return the orders that were accepted since a term began."""
+        effects = [o.effect_at or 0.0 for o in self.orders if o.term == term]
+        since = max(effects, default=0.0)
+        return [o for o in self.orders if o.accepted_at > since]
+
     def check_read(self, server: Server, request: str) -> None:
         """Record a violation if a read misses a commit that it must see."""
         statement = self.checker.statements[request]
--- a/tests/soak/store.py
+++ b/tests/soak/store.py
@@ -10,7 +10,7 @@
 
 from aiohttp import web
 
-from .model import Checker, Group, Server, TargetStops, now
+from .model import Checker, Group, Order, Server, TargetStops, now
 
 SILENCE_S = 60.0
 SLOW_ANSWER_S = 0.4
@@ -357,17 +357,18 @@
             )
         self.tokens[service] = (token, holder)
         self.accepted[service].append(name)
+        accepted = group.accept(name)
         if not group.is_present(server):
             if group.leeway.call_ends_pauses:
                 for each in group.servers.values():
                     each.paused_term = 0
             server.is_ordered = group.leeway.target_stops is not TargetStops.AT_EFFECT
-            self._spawn(self._finish_promotion(group, name))
+            self._spawn(self._finish_promotion(group, accepted))
         return True
 
-    async def _finish_promotion(self, group: Group, name: str) -> None:
+    async def _finish_promotion(self, group: Group, order: Order) -> None:
         await asyncio.sleep(group.draw_promotion())
-        group.promote(name)
+        group.promote(order.server, order)
 
     def _spawn(self, work: Any) -> None:
         task = asyncio.get_running_loop().create_task(work)
--- a/tests/soak/test_model.py
+++ b/tests/soak/test_model.py
@@ -482,6 +482,42 @@
     assert [e.writes for e in group.servers["g-3"].log] == [("new",)]
 
 
+async def test_loss_without_the_times_of_the_orders_before_it(clock):
+    group = make_group(REAL_LEEWAY)
+    deafen(group, "g-2")
+    assert await commit(group, "g-1", "early")
+    clock.at_s += 1.0
+    group.accept("g-3")
+    clock.at_s += 1.0
+    assert await commit(group, "g-1", "late")
+    second = group.accept("g-2")
+    clock.at_s += 1.0
+    group.promote("g-2", second)
+    (violation,) = group.checker.violations
+    assert "(1, 1) by g-1 with g-3, at 1000.000, 3.000 s before the effect" in violation
+    assert "(1, 2) by g-1 with g-3, at 1002.000, 1.000 s before the effect" in violation
+    assert violation.endswith(
+        "; 1 after the first order of another than g-1: g-3 accepted at 1001.000, "
+        "no effect, g-2 accepted at 1002.000, effect at 1003.000 with term 2"
+    )
+
+
+async def test_earlier_order_that_took_effect_is_missing_in_a_loss(clock):
+    group = make_group(REAL_LEEWAY)
+    deafen(group, "g-2")
+    assert await commit(group, "g-1", "w")
+    first, second = group.accept("g-3"), group.accept("g-2")
+    group.promote("g-3", first)
+    clock.at_s += 1.0
+    group.promote("g-2", second)
+    (violation,) = group.checker.violations
+    assert violation.endswith(
+        "; 0 after the first order of another than g-1: "
+        "g-3 accepted at 1000.000, effect at 1000.000 with term 2, "
+        "g-2 accepted at 1000.000, effect at 1001.000 with term 3"
+    )
+
+
 async def test_commit_that_the_promoted_server_lacks_is_lost(clock):
     group = make_group(REAL_LEEWAY)
     deafen(group, "g-2")
