Add losses of servers that acknowledge unseen by the hosts, which fail

Cause: a server without an entry that gives hosts no answer is struck off after 10 s, but may still receive from the primary, or be back before its entry is; it then holds the only other copy of a commit. Two seeded cases, known red.

--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -69,6 +69,12 @@
         default=0,
         help="lose all primaries and the servers ordered this often, as in issue 43",
     )
+    parser.add_argument(
+        "--unseen-share",
+        type=float,
+        default=0.0,
+        help="share of lost targets' plays that lose a server unseen by the hosts",
+    )
     parser.add_argument("--busy", type=int, default=0, help="busy processes beside")
     parser.add_argument(
         "--code", type=Path, default=ROOT, help="tree whose code the hosts run"
@@ -83,7 +89,9 @@
     if options.fleet_stops:
         rounds = FleetStops(count=options.fleet_stops, busy=options.busy)
     if options.lost_targets:
-        rounds = TargetLosses(count=options.lost_targets)
+        rounds = TargetLosses(
+            count=options.lost_targets, unseen_share=options.unseen_share
+        )
     fresh = random.SystemRandom().randrange(1_000_000)
     first = fresh if options.first is None else options.first
     failed_seeds = 0
--- a/tests/soak/serverlosses.py
+++ b/tests/soak/serverlosses.py
@@ -84,9 +84,19 @@
 async def _kill(
     cluster: Cluster, group: Group, server: Server, draws: LossDraws
 ) -> None:
-    _end(cluster, server)
-    server.down_since = now() - draws.heartbeat_s
+    end_process(cluster, server, draws.heartbeat_s)
     await asyncio.sleep(draws.away_s)
+    await start_process(cluster, group, server)
+
+
+def end_process(cluster: Cluster, server: Server, heartbeat_s: float) -> None:
+    """End a server's process, whose last heartbeat has an age."""
+    _end(cluster, server)
+    server.down_since = now() - heartbeat_s
+
+
+async def start_process(cluster: Cluster, group: Group, server: Server) -> None:
+    """Start a server whose process has ended, with its log."""
     for host in cluster.hosts:
         await host.server_proxies[server.name].accept()
     group.restart(server)
--- a/tests/soak/targetloss.py
+++ b/tests/soak/targetloss.py
@@ -11,6 +11,7 @@
 from enum import Enum
 
 from .changes import find_holder, wait_until
+from .cutoffs import UNSEEN_S, Unseen, UnseenDraws, draw_unseen, hide
 from .faults import Cluster
 from .fleet import LEAVE_S
 from .fleetstops import WRITE_SHARE, draw_leeway, stop_host
@@ -69,6 +70,10 @@
         Ways in which the primary and the ordered server are lost.
     stopped
         Which hosts may be stopped.
+    unseen_share
+        Share of the plays that lose a server unseen by the hosts, before any order.
+    unseen, unseen_s
+        Why no host sees it, and for how long before the loss.
     """
 
     count: int
@@ -77,6 +82,9 @@
     first: tuple[Loss, ...] = FIRST_LOSSES
     target: tuple[Loss, ...] = TARGET_LOSSES
     stopped: tuple[Stopped, ...] = STOPPED
+    unseen_share: float = 0.0
+    unseen: tuple[Unseen, ...] = tuple(Unseen)
+    unseen_s: tuple[float, float] = UNSEEN_S
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -97,6 +105,9 @@
         How the primary and the ordered server are lost.
     after_order_s
         From the acceptance of the order to the loss of its server.
+    unseen
+        How the second server acknowledges unseen and is lost with the primary, before
+        any order; None where the ordered server is lost.
     """
 
     start_s: float
@@ -106,9 +117,13 @@
     first: LossDraws
     target: LossDraws
     after_order_s: float
+    unseen: UnseenDraws | None = None
 
     def __str__(self) -> str:
         """Describe the play in one line."""
+        if self.unseen is not None:
+            away = f"{self.first.away_s:.1f} s and {self.target.away_s:.1f} s"
+            return f"a replica {self.unseen}; back after {away}"
         return (
             f"primary {self.first}; ordered server {self.target}, lost "
             f"{self.after_order_s:.2f} s after its order"
@@ -162,14 +177,20 @@
     if first.kind is Loss.LEAVES:
         end_s = None if is_short else drain_s
         first = replace(first, drain_s=end_s, end_after_s=end_after_s)
+    start_s, third = rng.uniform(*START_SPREAD_S), random.Random(rng.random())
+    behind, resets = rng.randint(*BEHIND), rng.random() < RESET_SHARE
+    after_order_s, unseen = rng.uniform(*AFTER_ORDER_S), None
+    if losses.unseen_share and rng.random() < losses.unseen_share:
+        unseen = draw_unseen(losses.unseen, losses.unseen_s, rng)
     return Play(
-        start_s=rng.uniform(*START_SPREAD_S),
-        third=random.Random(rng.random()),
-        behind=rng.randint(*BEHIND),
-        resets=rng.random() < RESET_SHARE,
+        start_s=start_s,
+        third=third,
+        behind=behind,
+        resets=resets,
         first=first,
         target=target,
-        after_order_s=rng.uniform(*AFTER_ORDER_S),
+        after_order_s=after_order_s,
+        unseen=unseen,
     )
 
 
@@ -254,6 +275,10 @@
         group.checker.add_note(f"{group.name} isn't whole: nothing is played")
         return
     third = play.third.choice([s for s in group.servers.values() if s is not primary])
+    if play.unseen is not None:
+        await _lose_unseen(cluster, group, primary, third, play, play.unseen, loss)
+        await _check_led(cluster, group)
+        return
     third.receive_paused = True
     try:
         await wait_until(
@@ -275,6 +300,39 @@
     await _check_led(cluster, group)
 
 
+async def _lose_unseen(
+    cluster: Cluster,
+    group: Group,
+    primary: Server,
+    third: Server,
+    play: Play,
+    unseen: UnseenDraws,
+    loss: FirstLoss,
+) -> None:
+    """Lose the primary and a replica that acknowledges unseen by the hosts."""
+    server = next(s for s in group.servers.values() if s not in (primary, third))
+    first, second = (
+        replace(draws, kind=Loss.KILLED) for draws in (play.first, play.target)
+    )
+    is_back = unseen.kind is Unseen.BACK
+    async with asyncio.TaskGroup() as tasks:
+        async with hide(cluster, group, server, third, unseen):
+            await wait_until(
+                lambda: len(server.log) - len(third.log) >= play.behind,
+                HEARTBEAT_S if is_back else BEHIND_TIMEOUT_S,
+            )
+            missing = len(server.log) - len(third.log)
+            group.checker.add_note(f"{third.name} lacks {missing} commits")
+            tasks.create_task(lose(cluster, group, primary, first, lambda: False))
+            await asyncio.sleep(unseen.lost_after_s)
+            tasks.create_task(lose(cluster, group, server, second, lambda: False))
+            # It has ended by the time it may be seen.
+            await asyncio.sleep(0)
+        if not loss.happened.is_set():
+            loss.group = group.name
+            loss.happened.set()
+
+
 async def _lose_both(
     cluster: Cluster,
     group: Group,
--- a/tests/soak/test_targetloss.py
+++ b/tests/soak/test_targetloss.py
@@ -2,15 +2,18 @@
 
 import os
 import random
+import re
 from dataclasses import replace
+from pathlib import Path
 from types import SimpleNamespace
 
 import pytest
 
 from apricotshore.pooling.journal import EventKind, Journal
 
-from . import serverlosses, targetloss
-from .run import REAL_LEEWAY, run_seed
+from . import cutoffs, serverlosses, targetloss
+from .cutoffs import Unseen, UnseenDraws
+from .run import REAL_LEEWAY, Result, run_seed
 from .serverlosses import Loss, LossDraws
 from .shortpromotions import list_short_promotions
 from .targetloss import (
@@ -21,6 +24,7 @@
     draw_play,
     draw_stop,
 )
+from .tcpproxy import TcpProxy
 from .test_model import make_group, make_store
 
 # Long enough for the entries to run out, and for a change by the next holder.
@@ -37,27 +41,52 @@
         count=1, away_s=(AWAY_S,), first=(Loss.LEAVES,), stopped=(Stopped.ALL,)
     ),
 }
+UNSEEN = TargetLosses(
+    count=1,
+    away_s=((9.0, 10.0),),
+    stopped=(Stopped.NONE,),
+    unseen_share=1.0,
+    unseen_s=(16.0, 18.0),
+)
+UNSEEN_CASES = {
+    4343: replace(UNSEEN, unseen=(Unseen.CUT_OFF,)),
+    4344: replace(UNSEEN, unseen=(Unseen.BACK,)),
+}
 RULES = ("LOST", "LATE-ACK", "LATE-BY-SERVER", "SHORT", "WAITS")
 
 
-@pytest.mark.timeout(120)
-@pytest.mark.parametrize("seed", CASES)
-def test_shorter_log_is_not_ordered_once_the_ordered_server_is_lost(seed, tmp_path):
+def play(seed: int, losses: TargetLosses, folder: Path) -> tuple[Result, list[str]]:
+    """Play a seed; return the result and what broke a promise."""
     result = run_seed(
         seed,
         0.0,
         hosts=4,
         groups=6,
         callers=48,
-        folder=tmp_path,
-        rounds=CASES[seed],
+        folder=folder,
+        rounds=losses,
         leeway={"has_earlier_life": False},
     )
-    found = [v for v in result.violations if any(rule in v for rule in RULES)]
+    return result, [v for v in result.violations if any(rule in v for rule in RULES)]
+
+
+@pytest.mark.timeout(120)
+@pytest.mark.parametrize("seed", CASES)
+def test_shorter_log_is_not_ordered_once_the_ordered_server_is_lost(seed, tmp_path):
+    result, found = play(seed, CASES[seed], tmp_path)
     assert found == []
     assert result.promotions >= 6
 
 
+@pytest.mark.timeout(120)
+@pytest.mark.parametrize("seed", UNSEEN_CASES)
+def test_commit_of_a_server_that_no_host_saw_is_lost_with_its_primary(seed, tmp_path):
+    _, found = play(seed, UNSEEN_CASES[seed], tmp_path)
+    assert found == []
+    notes = (tmp_path / "notes.txt").read_text()
+    assert len(re.findall(r" lacks [1-9]\d* commits", notes)) == 6
+
+
 def make_cluster(group) -> SimpleNamespace:
     return SimpleNamespace(
         hosts=[SimpleNamespace(is_running=True)], groups={"g": group}
@@ -88,6 +117,31 @@
     assert not (server.silent or server.partitioned or server.unlisted)
 
 
+@pytest.mark.parametrize("kind", list(Unseen))
+async def test_hidden_server_is_seen_by_hosts_or_store(kind, monkeypatch):
+    group, seen = make_group(REAL_LEEWAY), []
+    server, third, cluster = (
+        group.servers["g-2"],
+        group.servers["g-3"],
+        make_cluster(group),
+    )
+    proxy, served = TcpProxy(target=1), SimpleNamespace(drop_connections=lambda: None)
+    cluster.hosts[0].server_proxies = {"g-2": proxy}
+    cluster.servers = {"g-2": served}
+    draws = UnseenDraws(kind=kind, seconds=12.0, heartbeat_s=0.6, lost_after_s=0.0)
+
+    async def sleep(seconds: float) -> None:
+        seen.append((round(seconds, 3), server.up, server.unlisted, proxy.silent_to))
+
+    monkeypatch.setattr(cutoffs.asyncio, "sleep", sleep)
+    async with cutoffs.hide(cluster, group, server, third, draws):
+        assert server.up and server.unlisted and third.receive_paused
+        assert proxy.silent_from == (kind is Unseen.CUT_OFF)
+    is_cut = kind is Unseen.CUT_OFF
+    assert seen == [(3.0, is_cut, False, is_cut), (9.0, is_cut, True, is_cut)]
+    assert not (server.unlisted or proxy.silent_to or third.receive_paused)
+
+
 @pytest.mark.parametrize("promotes_frozen", [True, False])
 def test_promotion_of_a_frozen_server(promotes_frozen):
     leeway = draw_loss_leeway(REAL_LEEWAY, 1)
@@ -99,12 +153,14 @@
 
 
 def test_draws_belong_to_the_seed():
-    losses = TargetLosses(count=1)
     texts = [
         f"{draw_play(losses, rng)} {draw_stop(losses, rng)}"
+        for losses in (TargetLosses(count=1), UNSEEN)
         for rng in (random.Random(1), random.Random(1), random.Random(2))
     ]
     assert texts[0] == texts[1] != texts[2]
+    assert texts[3] == texts[4] != texts[5]
+    assert "unseen for" in texts[3]
 
 
 def test_order_of_a_shorter_log_is_found_in_the_log_of_its_host(tmp_path):
