Name the end of lost logs in one argument of a change's plan

Cause: plan_step took `since_loss` and `lossless`, two arguments for one end, and its caller made up a position sample without a time for them; a model in tests did the same. The calls in tests pass the same knowledge, their assertions are unchanged. Not run on it: test_primary_change_stops.py, tests/soak and tests/live.

--- a/src/apricotshore/decisions/primary_change.py
+++ b/src/apricotshore/decisions/primary_change.py
@@ -60,6 +60,7 @@
     raise_led_term,
     replace_leader,
 )
+from .log_floor import UNKNOWN_END, End
 from .needed_end import list_unknown, may_lead, observe_needed_end
 from .paused_targets import is_kept_from, may_receive, plan_resumption
 from .position_history import PositionSample
@@ -109,8 +110,7 @@
 def plan_step(
     attempt: Attempt,
     members: tuple[Member, ...],
-    since_loss: PositionSample | None,
-    lossless: bool,
+    lost_end: End | None,
     now: int,
 ) -> Step:
     """Return the next step of a change of primary.
@@ -121,15 +121,13 @@
         The change; its target and pause term are set in place.
     members
         Servers that may hold acknowledged commits.
-    since_loss
-        Sample of the primary's log position since a member last lost its log,
-        None without one.
-    lossless
-        Whether this host knows of no member that lost its log.
+    lost_end
+        End up to which logs that members have lost count, `UNKNOWN_END` where that
+        can't be told, None where this host knows of no member that lost its log.
     now
         Milliseconds since boot.
     """
-    observe_needed_end(attempt, members, since_loss, lossless)
+    observe_needed_end(attempt, members, _sample(lost_end), lost_end is None)
     if attempt.requested is not None:
         step = plan_until_effect(attempt, members, now)
         if step is not None:
@@ -153,6 +151,14 @@
     return plan_with_pauses(attempt, members, now)
 
 
+def _sample(lost_end: End | None) -> PositionSample | None:
+    """Return the end of lost logs as a position of the primary, None without one."""
+    if lost_end is None or lost_end == UNKNOWN_END:
+        return None
+    term, position = lost_end
+    return PositionSample(asked_at=0, term=int(term), position=int(position))
+
+
 def _find_other_leader(attempt: Attempt, now: int) -> ServerId | None:
     """Return a server that leads beside the primary that this change replaces.
 
--- a/src/apricotshore/pooling/change_steps.py
+++ b/src/apricotshore/pooling/change_steps.py
@@ -29,7 +29,7 @@
 )
 from ..decisions.change_attempt import Attempt
 from ..decisions.lease import FormerPrimaries
-from ..decisions.position_history import PositionSample
+from ..decisions.lost_logs import find_lost_end
 from ..identifiers import FencingToken, HostId, ServerId, Term
 from ..queries import QueryKind
 from ..services.clock import read_boot_ms
@@ -182,13 +182,8 @@
         members = group_members.list_members(self.group)
         self.attempt.knows_members = not state.is_assumed
         self.attempt.lost_count = log_members.count_lost(state)
-        covered = None
-        if state.covered_end is not None and not state.lost:
-            end = state.covered_end
-            covered = PositionSample(asked_at=0, term=end.term, position=end.position)
-        is_lossless = not state.lost and covered is None
         step = primary_change.plan_step(
-            self.attempt, members, covered, is_lossless, read_boot_ms()
+            self.attempt, members, find_lost_end(state), read_boot_ms()
         )
         log_waits.observe_step(self.group, self.attempt, members)
         return step
--- a/tests/changemodel.py
+++ b/tests/changemodel.py
@@ -3,7 +3,7 @@
 Every event is a method; the tests decide which events may come, and in which order.
 """
 
-from collections.abc import Callable, Collection, Iterable
+from collections.abc import Collection, Iterable
 from dataclasses import dataclass, field
 from typing import Any
 
@@ -31,6 +31,7 @@
     BarrierProof,
     find_proof,
 )
+from apricotshore.decisions.log_floor import UNKNOWN_END, End
 from apricotshore.decisions.position_history import PositionSample
 from apricotshore.groups import LogPosition
 from apricotshore.identifiers import HostId, Position, ServerId, Term
@@ -43,6 +44,11 @@
 SERVERS = (*FIRST, JOINING)
 
 
+def read_lost_end(sample: PositionSample | None) -> End:
+    """Return the end up to which a lost log counts, by a sample of since the loss."""
+    return UNKNOWN_END if sample is None else (sample.term, sample.position)
+
+
 @dataclass
 class Server:
     """A server's log, role and pause, and a term that it adopted from a command."""
@@ -455,12 +461,13 @@
         sample = host.sample
         if sample is not None and sample.asked_at < (self.lost_log_at or 0):
             sample = None
-        planner: Callable[..., Any] = (
-            decisions_before.plan_step if self.as_before else primary_change.plan_step
-        )
-        return planner(
-            attempt, tuple(members), sample, self.lost_log_at is None, self.now
-        )
+        is_lossless = self.lost_log_at is None
+        if self.as_before:
+            return decisions_before.plan_step(
+                attempt, tuple(members), sample, is_lossless, self.now
+            )
+        lost_end = None if is_lossless else read_lost_end(sample)
+        return primary_change.plan_step(attempt, tuple(members), lost_end, self.now)
 
     def _pause(
         self, servers: Iterable[ServerId], term: int, reached: Collection[ServerId]
--- a/tests/logfloormodel.py
+++ b/tests/logfloormodel.py
@@ -53,6 +53,7 @@
     find_floor_end,
 )
 from apricotshore.decisions.log_members import LogMembers
+from apricotshore.decisions.lost_logs import find_lost_end
 from apricotshore.decisions.position_history import PositionSample
 from apricotshore.groups import LogPosition
 from apricotshore.identifiers import (
@@ -722,16 +723,8 @@
         state = self.known.members
         self.attempt.knows_members = not state.is_assumed
         self.attempt.lost_count = log_members.count_lost(state)
-        covered = None
-        if state.covered_end is not None and not state.lost:
-            end = state.covered_end
-            covered = PositionSample(asked_at=0, term=end.term, position=end.position)
         return primary_change.plan_step(
-            self.attempt,
-            self.list_members(),
-            covered,
-            not state.lost and covered is None,
-            self.now,
+            self.attempt, self.list_members(), find_lost_end(state), self.now
         )
 
     def _take(self, step: Step) -> None:
--- a/tests/pooling/test_review_of_barriers.py
+++ b/tests/pooling/test_review_of_barriers.py
@@ -87,7 +87,7 @@
     attempt = make_attempt(S1)
     attempt.barrier = barrier
     assert commit_barrier.find_proof(attempt) is commit_barrier.BarrierProof.TIME
-    step = primary_change.plan_step(attempt, MEMBERS, None, True, NOW)
+    step = primary_change.plan_step(attempt, MEMBERS, None, NOW)
     assert not isinstance(step, Promote)
 
 
@@ -144,7 +144,7 @@
     attempt.statuses[S1] = status(paused=2)
     attempt.answered_at[S1] = attempt.asked_at[S1] = NOW
     attempt.ends[S1] = (1, 5)
-    step = primary_change.plan_step(attempt, MEMBERS, None, True, NOW)
+    step = primary_change.plan_step(attempt, MEMBERS, None, NOW)
     assert S1 in getattr(step, "servers", ()), step
 
 
--- a/tests/pooling/test_unrecognised_leaders.py
+++ b/tests/pooling/test_unrecognised_leaders.py
@@ -94,7 +94,7 @@
 
 
 def plan(attempt: Attempt, now: int):
-    return primary_change.plan_step(attempt, MEMBERS, None, True, now)
+    return primary_change.plan_step(attempt, MEMBERS, None, now)
 
 
 def run_until_order(attempt: Attempt, answers, now: int = 0) -> list:
--- a/tests/test_followed_orders.py
+++ b/tests/test_followed_orders.py
@@ -47,7 +47,7 @@
 
 
 def plan(attempt: Attempt, now: int) -> object:
-    return primary_change.plan_step(attempt, MEMBERS, None, True, now)
+    return primary_change.plan_step(attempt, MEMBERS, None, now)
 
 
 def hear(attempt: Attempt, now: int, **found: MemberStatus) -> None:
--- a/tests/test_order_effect.py
+++ b/tests/test_order_effect.py
@@ -110,7 +110,7 @@
 @pytest.mark.parametrize(("after_ms", "asked"), [(-1, None), (0, S1)])
 def test_ordered_server_is_asked_once_it_should_lead(after_ms, asked):
     step = primary_change.plan_step(
-        make_ordered(), MEMBERS, None, True, SHOWN_FROM + after_ms
+        make_ordered(), MEMBERS, None, SHOWN_FROM + after_ms
     )
     assert isinstance(step, Hold)
     assert step.asked == asked
@@ -142,7 +142,7 @@
         paused_term = Term(0 if server == S2 else 2)
         known = status(position, running=running * is_former, paused_term=paused_term)
         change_attempt.update_status(attempt, server, known, NOW)
-    return primary_change.plan_step(attempt, MEMBERS, None, True, NOW)
+    return primary_change.plan_step(attempt, MEMBERS, None, NOW)
 
 
 def test_longest_of_the_other_logs_is_promoted_if_all_are_known():
--- a/tests/test_paused_targets.py
+++ b/tests/test_paused_targets.py
@@ -92,7 +92,7 @@
     def plan_at(now: int, paused_term: int) -> object:
         hear(attempt, now)
         answer(attempt, now, paused_term)
-        return primary_change.plan_step(attempt, members, None, True, now)
+        return primary_change.plan_step(attempt, members, None, now)
 
     begun_at = STEPPED_DOWN_AT + 20
     for now in range(begun_at, begun_at + CATCH_UP_MS, 50):
--- a/tests/test_primary_change_races.py
+++ b/tests/test_primary_change_races.py
@@ -33,6 +33,8 @@
 from apricotshore.groups import LogPosition
 from apricotshore.identifiers import HostId, Position, ServerId, Term
 
+from .changemodel import read_lost_end
+
 SERVERS = tuple(ServerId(f"s{n}") for n in (1, 2, 3))
 STEP_MS = 50
 
@@ -228,10 +230,10 @@
             host.attempt = None
             return
         members = tuple(Member(server=name) for name in SERVERS)
-        sample = self._find_sample(host)
-        step = primary_change.plan_step(
-            attempt, members, sample, self.lost_at is None, self.now
-        )
+        lost_end = None
+        if self.lost_at is not None:
+            lost_end = read_lost_end(self._find_sample(host))
+        step = primary_change.plan_step(attempt, members, lost_end, self.now)
         self._run_action(host, attempt, step, reached)
 
     def _find_sample(self, host):
--- a/tests/test_primary_return.py
+++ b/tests/test_primary_return.py
@@ -47,7 +47,7 @@
 
 
 def plan(attempt: Attempt, now: int) -> object:
-    return plan_step(attempt, MEMBERS, None, True, now)
+    return plan_step(attempt, MEMBERS, None, now)
 
 
 def test_answer_that_does_not_hold_ends_no_change():
--- a/tests/test_stepped_down_primaries.py
+++ b/tests/test_stepped_down_primaries.py
@@ -77,7 +77,7 @@
 
 
 def plan(attempt: Attempt, now: int) -> object:
-    return primary_change.plan_step(attempt, MEMBERS, None, True, now)
+    return primary_change.plan_step(attempt, MEMBERS, None, now)
 
 
 def test_hosts_stop_sending_before_the_primary_steps_down():
