Define the time of a silent server where all plans take their times

Cause: NO_ANSWER_LIMIT_MS stood in followed_order.py, so that four modules that follow no order imported it from there. Change: it stands in change_targets.py, beside CATCH_UP_MS. Its value is unchanged.

--- a/src/apricotshore/decisions/change_targets.py
+++ b/src/apricotshore/decisions/change_targets.py
@@ -13,6 +13,8 @@
 FRESH_MS = 200
 # Longest wait for the target to receive the log entries of the other members.
 CATCH_UP_MS = 300
+# A server that answers none of its commands for this long is taken for silent.
+NO_ANSWER_LIMIT_MS = 700
 
 
 def list_names(members: Iterable[Member]) -> tuple[ServerId, ...]:
--- a/src/apricotshore/decisions/followed_order.py
+++ b/src/apricotshore/decisions/followed_order.py
@@ -15,6 +15,7 @@
 from .change_targets import (
     CATCH_UP_MS,
     FRESH_MS,
+    NO_ANSWER_LIMIT_MS,
     choose_pause_term,
     list_followers,
     list_names,
@@ -26,9 +27,6 @@
 from .order_effect import find_overdue
 from .promotion_order import list_unpaused, plan_proof, secure
 
-# A primary that answers none of its commands for this long is taken for silent.
-NO_ANSWER_LIMIT_MS = 700
-
 
 def replace_leader(attempt: Attempt, leader: ServerId) -> None:
     """Replace a server that leads although an earlier holder may have ordered another.
--- a/src/apricotshore/decisions/log_wait.py
+++ b/src/apricotshore/decisions/log_wait.py
@@ -10,8 +10,7 @@
 from ..identifiers import ServerId
 from .change_attempt import Attempt
 from .change_members import Member
-from .change_targets import list_followers
-from .followed_order import NO_ANSWER_LIMIT_MS
+from .change_targets import NO_ANSWER_LIMIT_MS, list_followers
 from .log_floor import COPIES_PER_COMMIT, UNKNOWN_END
 from .needed_end import list_unknown, may_lead
 
--- a/src/apricotshore/decisions/primary_change.py
+++ b/src/apricotshore/decisions/primary_change.py
@@ -42,6 +42,7 @@
 from .change_members import Member, log_order
 from .change_targets import (
     CATCH_UP_MS,
+    NO_ANSWER_LIMIT_MS,
     choose_pause_term,
     choose_target,
     is_paused,
@@ -54,7 +55,6 @@
 )
 from .commit_barrier import is_quiesced, is_running_late
 from .followed_order import (
-    NO_ANSWER_LIMIT_MS,
     list_leaders,
     plan_until_effect,
     raise_led_term,
--- a/src/apricotshore/decisions/silent_primary.py
+++ b/src/apricotshore/decisions/silent_primary.py
@@ -11,6 +11,7 @@
 from .change_members import Member
 from .change_targets import (
     CATCH_UP_MS,
+    NO_ANSWER_LIMIT_MS,
     choose_pause_term,
     choose_target,
     find_unpaused,
@@ -20,7 +21,6 @@
     list_names,
     set_target,
 )
-from .followed_order import NO_ANSWER_LIMIT_MS
 from .log_floor import COPIES_PER_COMMIT
 from .needed_end import list_unknown, may_lead
 from .promotion_order import plan_order, plan_proof
--- a/src/apricotshore/pooling/change_commands.py
+++ b/src/apricotshore/pooling/change_commands.py
@@ -7,7 +7,7 @@
 from ..decisions.change_actions import Secure
 from ..decisions.change_attempt import Attempt
 from ..decisions.change_members import read_status
-from ..decisions.followed_order import NO_ANSWER_LIMIT_MS
+from ..decisions.change_targets import NO_ANSWER_LIMIT_MS
 from ..decisions.primary_return import QUESTION_MS, may_return
 from ..identifiers import ServerId, Term
 from ..queries import QueryKind, ServerReport
