Check each order against ends that no change can forget

Cause: the host's check of itself asked the same function with the same floor as the gate that it checks.

Change: decisions/known_ends.py keeps the furthest end that each server stated to this host since the last leader's term. No plan reads or writes it, and no change begins it anew. "short" and the counter are the larger of both checks.

--- a/src/apricotshore/pooling/change_commands.py
+++ b/src/apricotshore/pooling/change_commands.py
@@ -3,7 +3,7 @@
 import asyncio
 from collections.abc import Callable, Iterable
 
-from ..decisions import change_attempt, change_targets
+from ..decisions import change_attempt, change_targets, known_ends
 from ..decisions.change_actions import Secure
 from ..decisions.change_attempt import Attempt
 from ..decisions.change_members import read_status
@@ -153,6 +153,7 @@
         kind: QueryKind = QueryKind.STEP_DOWN,
     ) -> None:
         """Take a server's answer to a command."""
+        known_ends.observe_end(self.group.known_ends, server, report.received)
         change_attempt.update_status(
             self.attempt, server, read_status(report, kind), read_boot_ms(), asked_at
         )
--- a/src/apricotshore/pooling/change_phases.py
+++ b/src/apricotshore/pooling/change_phases.py
@@ -1,6 +1,6 @@
 """Phases of a change of primary in the journal, and the promotions that they tell."""
 
-from ..decisions import needed_end
+from ..decisions import known_ends, needed_end
 from ..decisions.change_attempt import Attempt
 from ..decisions.commit_barrier import BarrierProof
 from ..groups import LogPosition
@@ -35,6 +35,8 @@
     counted, whoever planned the order.
     """
     members = group_members.list_members(group)
+    for stated, status in attempt.statuses.items():
+        known_ends.observe_end(group.known_ends, stated, status.log_position)
     ordered = promotion_summary.describe_order(
         group=group.group,
         attempt=attempt,
@@ -43,7 +45,10 @@
         proof=proof,
         reason=group.changes.reason or "",
         now=read_boot_ms(),
-        short=needed_end.find_shortfall(attempt, members, server),
+        short=max(
+            needed_end.find_shortfall(attempt, members, server),
+            known_ends.find_shortfall(group.known_ends, attempt, members, server),
+        ),
     )
     former = group.promotions.under_way
     ended = promotion_summary.begin(group.promotions, ordered)
--- a/src/apricotshore/pooling/group.py
+++ b/src/apricotshore/pooling/group.py
@@ -1,6 +1,6 @@
 """State of one database group on this host: servers, pools, primary."""
 
-from ..decisions import leadership, log_members, placement
+from ..decisions import known_ends, leadership, log_members, placement
 from ..decisions.log_floor import StoredMember
 from ..identifiers import DataCentreId, GroupId, ServerId
 from ..routes import ListedServer
@@ -103,6 +103,7 @@
         member = describe_member(server)
         is_new_log = log_members.observe_listed(self.members, member, read_boot_ms())
         if is_new_log:
+            known_ends.observe_new_log(self.known_ends, server.server)
             self.journal.record(
                 EventKind.SERVER_RECREATED, group=self.group, server=server.server
             )
--- a/src/apricotshore/pooling/primary_observer.py
+++ b/src/apricotshore/pooling/primary_observer.py
@@ -3,7 +3,8 @@
 import asyncio
 from collections.abc import Callable
 
-from ..decisions import leadership, loop_stalls, position_history
+from ..decisions import known_ends, leadership, loop_stalls, position_history
+from ..decisions.known_ends import KnownEnds
 from ..decisions.leadership import PrimaryState
 from ..decisions.loop_stalls import Stall
 from ..decisions.position_history import PositionHistory
@@ -51,6 +52,7 @@
         self.proof: PrimaryProof | None = None
         self.begun: BegunTransaction | None = None
         self.position_history = PositionHistory()
+        self.known_ends = KnownEnds()
         self.sample_period_ms = position_history.choose_period_ms(())
         self.writes = PendingWrites()
         self.primary_confirmed = asyncio.Event()
@@ -170,6 +172,7 @@
                 EventKind.PRIMARY_FOUND, group=self.group, server=server, term=term
             )
             self.writes.unanswered.clear()
+        known_ends.observe_leader(self.known_ends, state.term)
         self.open_gates(server, state.term)
         self.no_primary_since = self.log_wait = None
         self.primary_confirmed.set()
