Promote no server anew by a fence that has started anew since its proof

Cause: raise_token proves who leads, writes the lease and calls the platform. A server that the host learns was born anew in between is promoted with an empty log. Change: the start that the host knows is compared after the write.

--- a/src/apricotshore/pooling/change_ending.py
+++ b/src/apricotshore/pooling/change_ending.py
@@ -190,10 +190,14 @@
         # Without a prover the platform checks tokens.
         if self.group.prover is not None:
             return True
+        known = self.group.members.counted.get(primary)
         token = await self.lease.write(still_open=True, target=primary)
         if token is None or not self.lease.is_held(read_boot_ms()):
             record_phase(self.group, "lease-expired")
             return False
+        if self.group.members.counted.get(primary) != known:
+            record_phase(self.group, "waiting", why=f"{primary} has started anew")
+            return False
         record_phase(self.group, "fencing", server=primary, token=token)
         group = self.group.group
         if not await self.promoter.promote(group, primary, self.host, token):
