Keep the higher floor of logs across eras of the store

Cause: a lease of a new era, written by a host that had missed a higher floor, replaced it (9.3097 for 9.3109); one that names members alone hid the floor of the older era. Change: a lower floor replaces the known one only in its own era, where its host has read that. An older era's floor is taken while none is known.

--- a/src/apricotshore/decisions/log_floor.py
+++ b/src/apricotshore/decisions/log_floor.py
@@ -86,6 +86,11 @@
     return LogFloor(end=end, members=floor.members)
 
 
+def is_below(floor: LogFloor, other: LogFloor) -> bool:
+    """Return whether a floor's end lies below that of another."""
+    return find_floor_end(floor) < find_floor_end(other)
+
+
 def find_floor_end(floor: LogFloor) -> End:
     """Return the sort key of a floor's end."""
     return EMPTY_END if floor.end is None else log_order(floor.end)
--- a/src/apricotshore/pooling/change_lease.py
+++ b/src/apricotshore/pooling/change_lease.py
@@ -108,7 +108,7 @@
 
     @floor.setter
     def floor(self, floor: LogFloor) -> None:
-        self.reader.floor = floor
+        self.reader.floor, self.reader.floor_era = floor, self.eras.era
 
     def _claim(self) -> LeaseClaim:
         return LeaseClaim(
--- a/src/apricotshore/pooling/lease_reader.py
+++ b/src/apricotshore/pooling/lease_reader.py
@@ -4,7 +4,7 @@
 from dataclasses import replace
 
 from ..decisions.lease import ObservedLease
-from ..decisions.log_floor import NO_FLOOR
+from ..decisions.log_floor import NO_FLOOR, is_below
 from ..identifiers import GroupId, StoreEra
 from ..services.clock import read_boot_ms
 from ..services.eras import EraTracker
@@ -46,6 +46,8 @@
         self.seen: ObservedLease | None = None
         # Floor of the group's logs, as it was last read or named. It outlives eras.
         self.floor = NO_FLOOR
+        # Era in which it was read or named.
+        self.floor_era: StoreEra | None = None
         # Era that had no lease when it was last read.
         self.absent_in: StoreEra | None = None
         # Earlier eras of which the store still holds a lease.
@@ -68,8 +70,9 @@
         if record.era != era:
             if era is not None and record.era < era:
                 self.outdated.add(record.era)
-            if self.floor == NO_FLOOR:
-                self._take_floor(record)
+            if self.floor.end is None:
+                members = self.floor.members or record.floor.members
+                self.floor = replace(record.floor, members=members)
             return
         if self.current is None or record.revision > self.current.revision:
             self.remember(record)
@@ -126,10 +129,15 @@
         self._take_floor(record)
 
     def _take_floor(self, record: LeaseRecord) -> None:
-        """Take the floor of another's lease, as far as its host knew one."""
+        """Take the floor of another's lease, as far as its host knew one.
+
+        In the era of the own one its host has read that before it wrote. In a later
+        one it may have missed it.
+        """
         read = record.floor
         if record.holder == self.holder:
             return
-        if read.end is None:
+        has_missed = record.era != self.floor_era and is_below(read, self.floor)
+        if read.end is None or has_missed:
             read = replace(self.floor, members=read.members or self.floor.members)
-        self.floor = read
+        self.floor, self.floor_era = read, record.era
