End the sealed end of a change with its barrier

Cause: the end at which nothing more was acknowledged was kept where the barrier was reopened, as a former primary was back: 9.3097 was enough where 9.3109 is needed. Change: both end at once.

--- a/src/apricotshore/decisions/change_attempt.py
+++ b/src/apricotshore/decisions/change_attempt.py
@@ -237,7 +237,8 @@
         observe_primary_end(attempt, status.log_position)
         if attempt.final_end is not None:
             # It crashed after it had stepped down, and leads again in a later term.
-            attempt.final_end = attempt.quiesced = attempt.barrier = None
+            attempt.final_end = attempt.quiesced = None
+            _reopen_barrier(attempt)
         if attempt.pause_term and status.term >= attempt.pause_term:
             attempt.pause_term = Term(status.term + 1)
     elif attempt.final_end is not None:
@@ -247,18 +248,23 @@
         attempt.final_end = status.log_position
         attempt.stepped_down_at = now
         # A host that has started since the last barrier may have sent to it.
-        attempt.barrier = None
+        _reopen_barrier(attempt)
         attempt.listed = False
         # What the others held before may have grown until the primary stepped down.
         attempt.statuses = {server: status}
 
 
+def _reopen_barrier(attempt: Attempt) -> None:
+    """Take it that former primaries may have acknowledged more since the barrier."""
+    attempt.barrier = attempt.sealed_end = None
+
+
 def _observe_other_end(
     attempt: Attempt, server: ServerId, status: MemberStatus, now: int
 ) -> None:
     """Add the log of a server that led beside the replaced primary, until now."""
     assert attempt.final_end is not None
-    attempt.barrier = None
+    _reopen_barrier(attempt)
     attempt.final_end = max(attempt.final_end, status.log_position, key=log_order)
     attempt.stepped_down_at = now
     attempt.listed = False
