Drop the end of an order once its server leads

Cause: a settled lease kept the end that its order had demanded, whatever became known later. A server ordered for what only it held, which ended before a replica had that, kept all others from being ordered until it was back.

Change: members are strict, so all that was acknowledged is on two servers that count, a lost log standing for its server until a position of a primary covers it. A change whose order took effect therefore writes only the end that covers lost logs. A host that reads a lease takes an end for that where the floor names ANY_SERVER as unknown, and drops its own where a settled lease names members and no end.

--- a/src/apricotshore/decisions/log_members.py
+++ b/src/apricotshore/decisions/log_members.py
@@ -164,7 +164,7 @@
     *,
     era: int,
 ) -> None:
-    """Take the members that a lease names.
+    """Take the members that a lease names, and the end that covers lost logs.
 
     Parameters
     ----------
@@ -179,6 +179,9 @@
     era
         Era of the lease.
     """
+    if floor.end is not None and log_floor.ANY_SERVER in floor.unknown:
+        covered = state.covered_end or floor.end
+        state.covered_end = max(covered, floor.end, key=log_order)
     if not floor.members:
         return
     present = {m.server: m for m in listed}
--- a/src/apricotshore/pooling/change_ending.py
+++ b/src/apricotshore/pooling/change_ending.py
@@ -5,7 +5,7 @@
 
 from ..decisions import lease, log_members
 from ..decisions.change_attempt import Attempt
-from ..decisions.log_floor import LogFloor
+from ..decisions.log_floor import NO_FLOOR
 from ..identifiers import HostId, ServerId, Term
 from ..queries import QueryKind
 from ..services.clock import read_boot_ms
@@ -103,11 +103,13 @@
         )
 
     def _settle_floor(self, attempt: Attempt) -> None:
-        """Keep the end that the order of a change demanded, whatever becomes known."""
-        floor = log_members.make_floor(self.group.members, self.lease.floor)
-        if attempt.requested is not None:
-            floor = LogFloor(end=floor.end, members=floor.members)
-        self.lease.floor = floor
+        """Drop the floor of an order that took effect: its server leads above it.
+
+        All that was acknowledged is on servers that count, or the position of a primary
+        covers it. One that was not replaced may lack what only a silent server has.
+        """
+        floor = self.lease.floor if attempt.requested is None else NO_FLOOR
+        self.lease.floor = log_members.make_floor(self.group.members, floor)
 
     async def _is_led(self, attempt: Attempt) -> bool:
         """Return whether a server has proved to lead since the change paused others."""
--- a/src/apricotshore/pooling/change_lease.py
+++ b/src/apricotshore/pooling/change_lease.py
@@ -182,11 +182,14 @@
         self._take_floor(record)
 
     def _take_floor(self, record: LeaseRecord) -> None:
-        """Take the floor of another's lease, as far as its host knew one."""
+        """Take the floor of another's lease, as far as its host knew one.
+
+        A change that has ended drops the floor of its order.
+        """
         read = record.floor
         if record.holder == self.holder:
             return
-        if read.end is None:
+        if read.end is None and (record.open or not read.members):
             read = replace(self.floor, members=read.members or self.floor.members)
         self.floor = read
 
--- a/tests/test_log_members.py
+++ b/tests/test_log_members.py
@@ -5,7 +5,8 @@
 from apricotshore.decisions import log_members
 from apricotshore.decisions.log_floor import NO_FLOOR, LogFloor, StoredMember
 from apricotshore.decisions.log_members import MAX_STRUCK, LogMembers
-from apricotshore.identifiers import ServerId
+from apricotshore.groups import LogPosition
+from apricotshore.identifiers import Position, ServerId, Term
 
 ERA = 7
 S1, S2, S3 = (ServerId(f"s{n}") for n in (1, 2, 3))
@@ -73,6 +74,22 @@
     assert (S3 in state.counted, state.lost_at) == (True, None)
 
 
+def test_end_that_covers_lost_logs_is_taken_from_the_lease():
+    state = make_members()
+    end = LogPosition(term=Term(2), position=Position(9))
+    floor = LogFloor(end=end, members=(make_member(S1), make_member(S2)))
+    log_members.observe_stored(state, floor, [], 100, era=ERA)
+    assert log_members.make_floor(state, NO_FLOOR).end == end
+
+
+def test_end_of_an_order_covers_no_lost_logs():
+    state = make_members()
+    end = LogPosition(term=Term(2), position=Position(9))
+    floor = LogFloor(end=end, unknown=(S1,), members=(make_member(S1),))
+    log_members.observe_stored(state, floor, [], 100, era=ERA)
+    assert log_members.make_floor(state, NO_FLOOR).end is None
+
+
 def test_struck_servers_take_no_memory_for_ever():
     state = make_members()
     for started_ms in range(2, 2 * MAX_STRUCK):
