--- a/src/apricotshore/pooling/lease_reader.py
+++ b/src/apricotshore/pooling/lease_reader.py
@@ -131,13 +131,16 @@
     def _take_floor(self, record: LeaseRecord) -> None:
         """Take the floor of another's lease, as far as its host knew one.
 
-        In the era of the own one its host has read that before it wrote. In a later
-        one it may have missed it.
+        In the era of the own one its host has read that before it wrote, and a change
+        that has ended drops the floor of its order. In a later era it may have missed
+        the own one.
         """
         read = record.floor
         if record.holder == self.holder:
             return
+        is_dropped = not record.open and bool(read.members)
+        is_unknown = read.end is None and not is_dropped
         has_missed = record.era != self.floor_era and is_below(read, self.floor)
-        if read.end is None or has_missed:
+        if is_unknown or has_missed:
             read = replace(self.floor, members=read.members or self.floor.members)
         self.floor, self.floor_era = read, record.era
