Have the model try servers that help to acknowledge while no host sees them

Cause: the search of decisions had no server that the primary reaches and the hosts don't, so it couldn't show that one which is struck off by time, or not counted by a settled change, may hold the other copy of a later commit.

Change: two rare failures with their own bounds, `cuts` (no answer, the entry runs out, it still receives and helps) and `unseen` (a return and the sight of the entry are two events; the server may end in between). find_leader asks for an entry that hosts see; writes reach a primary without one, as other hosts may see it. New searches of three servers, of four by a search and by samples that a search follows. run_choices ends where no event may come.

--- a/tests/logfloormodel.py
+++ b/tests/logfloormodel.py
@@ -85,6 +85,8 @@
 
     ANSWERS = "answers"
     SILENT = "silent"
+    # Cut off from hosts and store, but reached by the primary only.
+    CUT_OFF = "cut off"
     ENDED = "ended"
 
 
@@ -109,6 +111,12 @@
         """Whether hosts reach it."""
         return self.mode is Mode.ANSWERS
 
+    @property
+    def receives(self) -> bool:
+        """Whether a primary reaches it, as a replica that isn't paused."""
+        is_reached = self.mode in (Mode.ANSWERS, Mode.CUT_OFF)
+        return is_reached and not self.paused and not self.is_primary
+
 
 class StoredLease(NamedTuple):
     """The lease in the store."""
@@ -138,6 +146,10 @@
         Commits after the start.
     hosts
         Hosts that start anew and take over.
+    cuts
+        Replicas that only the primary reaches from then on.
+    unseen
+        Returns of servers that hosts see in the store only a while later.
     modes
         What a server that falls may be.
     """
@@ -148,6 +160,8 @@
     restores: int = 0
     commits: int = 0
     hosts: int = 0
+    cuts: int = 0
+    unseen: int = 0
     modes: tuple[Mode, ...] = (Mode.SILENT, Mode.ENDED)
 
 
@@ -282,8 +296,8 @@
         self.servers[name] = self.servers[name]._replace(**changes)
 
     def find_leader(self) -> Server | None:
-        """Return the server that leads and answers."""
-        led = (s for s in self.servers.values() if s.is_primary and s.answers)
+        """Return the server that leads and answers, and whose entry hosts see."""
+        led = (s for s in self._list_listed() if s.is_primary and s.answers)
         return next(led, None)
 
     def find_source(self) -> Server | None:
@@ -295,19 +309,36 @@
         self.failures.falls -= 1
         self._set(name, mode=Mode.SILENT)
 
+    def be_cut_off(self, name: ServerId) -> None:
+        """Cut a replica off from all hosts and the store, but not from the primary."""
+        self.failures.cuts -= 1
+        self._set(name, mode=Mode.CUT_OFF)
+
     def end(self, name: ServerId) -> None:
         """End a server's process."""
         self.failures.falls -= 1
         self._set(name, mode=Mode.ENDED, is_primary=False, paused=0)
 
     def come_back(self, name: ServerId) -> None:
-        """Have a server answer again, with its log."""
+        """Have a server answer again, with its log, and be listed."""
+        self._return(name)
+        self.be_listed(name)
+
+    def come_back_unseen(self, name: ServerId) -> None:
+        """Have a server answer again, with its log, before hosts see its entry."""
+        self.failures.unseen -= 1
+        self._return(name)
+
+    def be_listed(self, name: ServerId) -> None:
+        """Have hosts see the entry of a server that answers."""
+        self._set(name, is_listed=True)
+
+    def _return(self, name: ServerId) -> None:
         server = self.servers[name]
         has_led = server.mode is Mode.ENDED and name == self.source
         self._set(
             name,
             mode=Mode.ANSWERS,
-            is_listed=True,
             started_ms=server.started_ms or 1,
             is_primary=has_led or server.is_primary,
         )
@@ -365,11 +396,11 @@
 
     def commit(self, name: ServerId) -> None:
         """Have the primary acknowledge a commit with the help of one replica."""
-        leader = self.find_leader()
-        assert leader is not None
+        source = self.find_source()
+        assert source is not None
         self.failures.commits -= 1
-        log = (*leader.log, self.term)
-        self._set(leader.name, log=log)
+        log = (*source.log, self.term)
+        self._set(source.name, log=log)
         self._set(name, log=log)
         self.acked |= hold(log)
 
@@ -990,12 +1021,15 @@
         yield "end", (name,)
     if may_fall and server.answers and Mode.SILENT in failures.modes:
         yield "fall_silent", (name,)
+    if failures.cuts and server.answers and not server.is_primary:
+        yield "be_cut_off", (name,)
     if failures.births and server.started_ms and not server.is_primary:
         yield "be_born", (name,)
-    if failures.leaves and server.answers:
+    is_present = server.answers and server.is_listed
+    if failures.leaves and is_present:
         yield "begin_to_leave", (name,)
     is_free = not server.is_primary and name != model.pending
-    if server.is_leaving and server.answers and is_free:
+    if server.is_leaving and is_present and is_free:
         yield "leave", (name,)
         yield "leave_early", (name,)
 
@@ -1007,6 +1041,10 @@
         yield "come_back", (server.name,)
         if server.is_listed:
             yield "run_out", (server.name,)
+        elif model.failures.unseen:
+            yield "come_back_unseen", (server.name,)
+    elif not server.is_listed:
+        yield "be_listed", (server.name,)
 
 
 def _list_receipts(
@@ -1016,7 +1054,7 @@
     is_sent = source is not None and source.mode is not Mode.ENDED
     if source is None or not is_sent or source.name == server.name:
         return
-    if server.paused or not server.answers or server.is_primary:
+    if not server.receives:
         return
     if source.log != server.log and find_common(server.log, source.log) == server.log:
         yield "receive", (server.name,)
--- a/tests/test_log_floor_search.py
+++ b/tests/test_log_floor_search.py
@@ -7,7 +7,7 @@
 
 import gc
 from collections.abc import Iterator
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 import pytest
 from hypothesis import given, settings
@@ -128,8 +128,12 @@
     """Return the state in which all servers but one answer, with their logs."""
     model = model.copy()
     for server in list(model.servers.values()):
-        if not server.answers and server.name != missing:
+        if server.name == missing:
+            continue
+        if not server.answers:
             run_event(model, "come_back", (server.name,))
+        elif not server.is_listed:
+            run_event(model, "be_listed", (server.name,))
     return model
 
 
@@ -256,6 +260,9 @@
 DEPTH = 5
 RARE_DEPTH = 4
 WAIT_DEPTH = 3
+# A server that no host sees helps to acknowledge: amid a change, and from the start.
+UNSEEN_DEPTH = 7
+HIDDEN_DEPTH = 8
 # The pair ends, its entries run out, a host starts.
 NO_LEASE_DEPTH = 6
 ORDERED: tuple[Event, ...] = (("end", (S1,)), ("change", ()))
@@ -270,6 +277,28 @@
     ("change", ()),
     ("end_holder", ()),
 )
+# Only the primary reaches the server, and its entry has run out.
+CUT_OFF: tuple[Event, ...] = (("be_cut_off", (S2,)), ("run_out", (S2,)))
+UNLISTED: tuple[Event, ...] = (("end", (S2,)), ("run_out", (S2,)))
+# The former primary has had no entry when the change settles.
+SETTLED: tuple[Event, ...] = (
+    ("end", (S1,)),
+    ("run_out", (S1,)),
+    ("change", ()),
+    ("take_effect", ()),
+    ("change", ()),
+)
+# The same of a server that only the primaries reach.
+SETTLED_CUT_OFF: tuple[Event, ...] = (
+    *CUT_OFF,
+    ("begin_to_leave", (S1,)),
+    ("change", ()),
+    ("take_effect", ()),
+    ("change", ()),
+)
+# What a server that no host sees may need to acknowledge, and then to be lost.
+HELPED = Failures(falls=1, cuts=1, commits=1, modes=(Mode.ENDED,))
+UNSEEN = Failures(falls=3, unseen=1, commits=1, modes=(Mode.ENDED,))
 AMID = {"ordered": ORDERED, "recorded": RECORDED, "former is back": RETURNED}
 RARE = {
     "host starts": {"hosts": 1},
@@ -277,6 +306,8 @@
     "server leaves": {"leaves": 1},
     "store restored": {"restores": 1},
     "commits go on": {"commits": 1},
+    "primary alone reaches a server": {"cuts": 1, "commits": 1},
+    "server is back unseen": {"unseen": 1, "commits": 1},
 }
 PAIRS = [
     ("host starts", "server is born anew"),
@@ -285,6 +316,8 @@
 ]
 
 every_end = pytest.mark.parametrize("ends", ENDS, ids=str)
+# Names without blanks, which `KNOWN-RED.txt` can list.
+each_end = pytest.mark.parametrize("ends", ENDS, ids=lambda e: "-".join(map(str, e)))
 every_rare = pytest.mark.parametrize("rare", RARE)
 amid = pytest.mark.parametrize("moment", AMID)
 
@@ -381,6 +414,43 @@
     assert search(follow(model, RETURNED), RARE_DEPTH).faults == {}
 
 
+def test_commit_of_the_primary_and_a_server_it_alone_reaches_is_not_lost():
+    """All traces from the start: the server is cut off, helps, and the primary ends."""
+    model = LogFloorModel((3, 3, 3), replace(HELPED))
+    assert search(model, HIDDEN_DEPTH).faults == {}
+
+
+@each_end
+def test_server_that_the_primary_alone_reaches_counts_however_long(ends):
+    """Its entry has run out, and others fail meanwhile."""
+    model = LogFloorModel(ends, replace(HELPED, falls=2))
+    assert search(follow(model, CUT_OFF), UNSEEN_DEPTH).faults == {}
+
+
+def test_server_that_primaries_alone_reach_counts_after_a_settled_change():
+    """The primary that was replaced has left or leaves."""
+    model = LogFloorModel((3, 3, 3), replace(HELPED, leaves=1))
+    assert search(follow(model, SETTLED_CUT_OFF), UNSEEN_DEPTH).faults == {}
+
+
+@each_end
+def test_server_that_is_back_unseen_after_a_settled_change_counts(ends):
+    """It helps to acknowledge a commit and may end again before hosts see it."""
+    model = follow(LogFloorModel(ends, replace(UNSEEN)), SETTLED)
+    assert search(model, UNSEEN_DEPTH).faults == {}
+
+
+def test_server_that_is_back_unseen_counts_for_a_host_that_starts():
+    model = follow(LogFloorModel((3, 3, 3), replace(UNSEEN, hosts=1)), SETTLED)
+    assert search(model, DEPTH + 1).faults == {}
+
+
+def test_server_that_was_long_gone_and_is_back_unseen_counts():
+    """A primary has led all the while, without any change."""
+    model = follow(LogFloorModel((3, 3, 3), replace(UNSEEN)), UNLISTED)
+    assert search(model, HIDDEN_DEPTH).faults == {}
+
+
 def test_larger_group_without_a_lease_loses_nothing_but_in_the_known_gap():
     """A host that starts can't know of a pair whose entries have run out."""
     failures = Failures(hosts=1, modes=(Mode.ENDED,))
@@ -399,6 +469,21 @@
     assert find_waits(make_rare(rare, moment), WAIT_DEPTH).all == {}
 
 
+@each_end
+def test_group_waits_no_more_while_a_server_is_cut_off_from_all_but_the_primary(ends):
+    """The primary alone may hold what it acknowledged to nobody."""
+    model = LogFloorModel(ends, Failures(cuts=1, commits=1))
+    waits = find_waits(follow(model, CUT_OFF), RARE_DEPTH)
+    assert waits.all == {}
+
+
+@each_end
+def test_group_waits_no_more_after_a_server_was_back_unseen(ends):
+    failures = Failures(falls=3, unseen=1, commits=1)
+    model = follow(LogFloorModel(ends, failures), SETTLED)
+    assert find_waits(model, RARE_DEPTH).all == {}
+
+
 def test_group_waits_no_more_for_a_commit_that_only_its_former_primary_had():
     """All others answer by then, and none of them holds it."""
     model = LogFloorModel((3, 2, 1), Failures(falls=3))
@@ -466,11 +551,20 @@
     assert search(model, DEPTH).faults == {}
 
 
+@pytest.mark.parametrize("start", [CUT_OFF, SETTLED], ids=["cut-off", "unseen"])
+def test_larger_group_counts_a_server_that_no_host_sees(start):
+    failures = replace(UNSEEN, cuts=1)
+    model = follow(LogFloorModel((4, 4, 4, 4), failures), start)
+    assert search(model, DEPTH + 1).faults == {}
+
+
 def run_choices(model: LogFloorModel, choices: list[int]) -> Trace:
     """Have events come as numbers choose them, until a fault; return their trace."""
     trace: Trace = ()
     for choice in choices:
         events = list(list_events(model))
+        if not events:
+            break
         name, arguments = events[choice % len(events)]
         run_event(model, name, arguments)
         trace = (*trace, " ".join((name, *arguments)))
@@ -495,3 +589,39 @@
     trace = run_choices(model, choices)
     is_over = model.faults or model.is_in_gap
     assert is_over or find_waits(model, 0).traces == {}, trace
+
+
+# A server that no host sees may help to acknowledge, or has.
+hidden_ends = st.sampled_from([(4, 4, 4, 4), (4, 4, 2, 1), (4, 3, 4, 4)])
+HELPED_UNSEEN = (*SETTLED, ("come_back_unseen", (S1,)), ("commit", (S1,)))
+HELPED_CUT_OFF = (*CUT_OFF, ("commit", (S2,)))
+hidden_starts = st.sampled_from([CUT_OFF, SETTLED, HELPED_CUT_OFF, HELPED_UNSEEN])
+HIDDEN_RARE = {"cuts": 1, "unseen": 2, "commits": 2}
+
+
+hidden_choices = st.lists(st.integers(0, 99), max_size=3)
+HIDDEN = settings(max_examples=40, deadline=None, derandomize=True)
+
+
+@HIDDEN
+@given(ends=hidden_ends, start=hidden_starts, choices=hidden_choices)
+def test_larger_group_with_servers_that_no_host_sees_loses_nothing(
+    ends, start, choices
+):
+    failures = Failures(falls=3, hosts=1, **HIDDEN_RARE, modes=(Mode.ENDED,))
+    model = follow(LogFloorModel(ends, failures), start)
+    trace = run_choices(model, choices)
+    assert model.faults == (), trace
+    assert model.is_in_gap or search(model, WAIT_DEPTH).faults == {}, trace
+
+
+@MANY
+@given(ends=hidden_ends, start=hidden_starts, choices=many_choices)
+def test_larger_group_with_servers_that_no_host_sees_waits_no_more(
+    ends, start, choices
+):
+    failures = Failures(falls=4, births=1, hosts=1, **HIDDEN_RARE)
+    model = follow(LogFloorModel(ends, failures), start)
+    trace = run_choices(model, choices)
+    is_over = model.faults or model.is_in_gap
+    assert is_over or find_waits(model, 0).traces == {}, trace
