--- a/tests/test_log_floor_search.py
+++ b/tests/test_log_floor_search.py
@@ -440,6 +440,13 @@
     assert search(model, UNSEEN_DEPTH).faults == {}
 
 
+@each_end
+def test_commit_of_a_server_that_is_back_unseen_is_not_lost(ends):
+    """Short traces, which find the loss but not the order below an outdated floor."""
+    model = follow(LogFloorModel(ends, replace(UNSEEN)), SETTLED)
+    assert search(model, DEPTH + 1).faults == {}
+
+
 def test_server_that_is_back_unseen_counts_for_a_host_that_starts():
     model = follow(LogFloorModel((3, 3, 3), replace(UNSEEN, hosts=1)), SETTLED)
     assert search(model, DEPTH + 1).faults == {}
