--- a/src/apricotshore/decisions/needed_end.py
+++ b/src/apricotshore/decisions/needed_end.py
@@ -9,14 +9,10 @@
 from .change_attempt import Attempt
 from .change_members import Member, log_order
 from .log_floor import ANY_SERVER, COPIES_PER_COMMIT, UNKNOWN_END, End
-from .position_history import PositionSample
 
 
 def observe_needed_end(
-    attempt: Attempt,
-    members: Iterable[Member],
-    since_loss: PositionSample | None,
-    lossless: bool,
+    attempt: Attempt, members: Iterable[Member], lost_end: End | None
 ) -> None:
     """Find the end that a server's log has to reach from what is known now.
 
@@ -26,18 +22,12 @@
         The change; its `lost_end` and `needed_end` are set in place.
     members
         Servers that may receive commits.
-    since_loss
-        Sample of the primary's log position since a member last lost its log, None
-        without one. What that member held lies at or below it.
-    lossless
-        Whether this host knows of no member that lost its log.
+    lost_end
+        End up to which logs that were lost count, `UNKNOWN_END` if it isn't known, None
+        if this host knows of no lost log.
     """
-    attempt.lost_end = None
+    attempt.lost_end = lost_end
     members = tuple(members)
-    if not lossless:
-        attempt.lost_end = UNKNOWN_END
-        if since_loss is not None:
-            attempt.lost_end = (since_loss.term, since_loss.position)
     ends = _read_ends(attempt, members)
     attempt.needed_end = _find_needed_end(attempt, ends)
     if attempt.sealed_end is not None and _is_sealed(attempt):
--- a/src/apricotshore/decisions/primary_change.py
+++ b/src/apricotshore/decisions/primary_change.py
@@ -60,10 +60,9 @@
     raise_led_term,
     replace_leader,
 )
-from .log_floor import UNKNOWN_END, End
+from .log_floor import End
 from .needed_end import list_unknown, may_lead, observe_needed_end
 from .paused_targets import is_kept_from, may_receive, plan_resumption
-from .position_history import PositionSample
 from .primary_return import plan_return
 from .promotion_order import SECURE_MS, list_unpaused, plan_order, plan_proof, secure
 from .silent_primary import plan_with_pauses
@@ -127,7 +126,7 @@
     now
         Milliseconds since boot.
     """
-    observe_needed_end(attempt, members, _sample(lost_end), lost_end is None)
+    observe_needed_end(attempt, members, lost_end)
     if attempt.requested is not None:
         step = plan_until_effect(attempt, members, now)
         if step is not None:
@@ -151,14 +150,6 @@
     return plan_with_pauses(attempt, members, now)
 
 
-def _sample(lost_end: End | None) -> PositionSample | None:
-    """Return the end of lost logs as a position of the primary, None without one."""
-    if lost_end is None or lost_end == UNKNOWN_END:
-        return None
-    term, position = lost_end
-    return PositionSample(asked_at=0, term=int(term), position=int(position))
-
-
 def _find_other_leader(attempt: Attempt, now: int) -> ServerId | None:
     """Return a server that leads beside the primary that this change replaces.
 
