Let an old cover of lost logs stand for no holder that lost its log

Cause: a lost log that was covered long ago turned off the rule that a holder whose log ends below its floor counts as unknown: 9.3097 was enough where 9.3109 is needed. Change: only a cover that reaches the floor does. Result: test_old_cover_of_a_lost_log_leaves_a_holder_that_lost_its_log_unknown failed, and passes; tests/test_log_floor_search.py: the same 4 known red, else passed.

--- a/src/apricotshore/decisions/log_floor.py
+++ b/src/apricotshore/decisions/log_floor.py
@@ -115,8 +115,9 @@
     led_end
         End of the logs of all servers that have led, `UNKNOWN_END` if it isn't known.
     """
-    # A lost log stands for that of a holder which lost it.
-    logs = list(ends.values()) if lost_ends else _read_logs(floor, ends)
+    # A lost log that reaches the floor stands for that of a holder which lost it.
+    is_holder_lost = any(end >= find_floor_end(floor) for end in lost_ends)
+    logs = list(ends.values()) if is_holder_lost else _read_logs(floor, ends)
     logs.extend(lost_ends)
     longest = sorted(logs, reverse=True)[:COPIES_PER_COMMIT]
     needed = min(max(longest[-1:], default=EMPTY_END), led_end)
