Let an empty log end no floor

Cause: a former primary that was born anew, and answered before its entry showed that, counted as a known log, so that the floor it had been unknown to was taken for outdated: 13 commits lost in the model. Change: a log without an entry isn't known there.

--- a/src/apricotshore/decisions/log_floor.py
+++ b/src/apricotshore/decisions/log_floor.py
@@ -142,5 +142,10 @@
     What is needed by the ends that are known now replaces it.
     """
     return bool(floor.unknown) and all(
-        ends.get(server, UNKNOWN_END) != UNKNOWN_END for server in floor.unknown
+        _is_known(ends.get(server, UNKNOWN_END)) for server in floor.unknown
     )
+
+
+def _is_known(end: End) -> bool:
+    """Return whether a log is known that is no empty one: such a one was lost."""
+    return end != UNKNOWN_END and end[1] > 0
