Take an empty log for a lost one only where its server may have led

Change: the check takes an empty log for unknown only at a former primary, which cannot have had none.

--- a/src/apricotshore/decisions/known_ends.py
+++ b/src/apricotshore/decisions/known_ends.py
@@ -38,10 +38,7 @@
 
 
 def observe_end(known: KnownEnds, server: ServerId, log_position: LogPosition) -> None:
-    """Record the end that a server stated, unless it has stated a further one.
-
-    An empty log is one that was lost as long as nothing shows that it started anew.
-    """
+    """Record the end that a server stated, unless it has stated a further one."""
     end = log_order(log_position)
     if log_position.position and end > known.ends.get(server, EMPTY_END):
         known.ends[server] = end
@@ -92,6 +89,8 @@
     status = attempt.statuses.get(server)
     if status is None:
         return UNKNOWN_END
-    if not status.log_position.position and server not in known.ends:
+    may_have_led = server == attempt.replaced or server in attempt.led
+    if may_have_led and not status.log_position.position and server not in known.ends:
+        # It has lost its log, and no entry shows that yet.
         return UNKNOWN_END
     return max(log_order(status.log_position), known.ends.get(server, EMPTY_END))
