Load what hypothesis imports late before any test runs

The module of st.randoms is imported, and so parsed for assertions, amid the test. A StreamWriter that an earlier test left was collected in that moment, and the traceback of its error is formatted, which parses as well. CPython 3.11.6 keeps one depth for both: a script that parses in __del__ amid a parse fails so in 178 of 200 tries.

Change: conftest builds the strategy at collection.

Result: traced and shown by that script; the test passes alone. It can't be made to fail at will in the suite.

--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -9,7 +9,7 @@
 from types import SimpleNamespace
 
 import pytest
-from hypothesis import HealthCheck, settings
+from hypothesis import HealthCheck, settings, strategies
 
 settings.register_profile(
     "ci",
@@ -21,6 +21,10 @@
 settings.register_profile("default", deadline=None, derandomize=True)
 settings.load_profile(os.environ.get("HYPOTHESIS_PROFILE", "default"))
 
+# Imports its module now: CPython 3.11 can't parse one amid a test while the error of a
+# collected object is formatted, which parses as well.
+strategies.randoms(use_true_random=False).validate()
+
 FLEET_TESTS = ("tests/live/", "tests/soak/test_soak.py")
 
 
