Start the soak's successors at the address of the server that left

Cause: a server that leaves hands its log to a new server at its address, which is how hosts know of it. The soak started the new one at another address, so its log counted as lost: with a second log that nobody knows, the group had no primary for good.

A promise is checked as before.

--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -379,7 +379,10 @@
                 }
                 self.store.write(LEASES, f"{group.name}.{self.store.era}", spec)
 
-    async def _start_server(self, group: Group, server: Server) -> None:
+    async def _start_server(
+        self, group: Group, server: Server, predecessor: Server | None = None
+    ) -> None:
+        """Start a server, at the address of its predecessor if it has one."""
         self.servers[server.name] = LineServer(
             group=group,
             server=server,
@@ -389,7 +392,17 @@
         )
         await self.servers[server.name].start()
         for host in self.hosts:
-            await self._add_server_proxy(host, server.name)
+            if predecessor is None:
+                await self._add_server_proxy(host, server.name)
+            else:
+                await self._hand_proxy_over(host, predecessor.name, server.name)
+
+    async def _hand_proxy_over(self, host: Host, old: str, new: str) -> None:
+        proxy = host.server_proxies[old]
+        proxy.target = self.servers[new].port
+        host.server_proxies[new] = proxy
+        self.store.addresses[(host.name, new)] = f"127.0.0.1:{proxy.port}"
+        await proxy.accept()
 
     async def _add_server_proxy(self, host: Host, server: str) -> None:
         proxy = TcpProxy(target=self.servers[server].port)
@@ -426,13 +439,13 @@
         self.spawn(host.poll_readiness())
 
     async def _replace_server(self, group: Group, old: Server) -> None:
-        """Stop a leaving server and start a new one with its log."""
+        """Stop a leaving server and start a new one with its log at its address."""
         old.up = False
         old.is_primary = False
         self.servers[old.name].drop_connections()
         name = f"{group.name}-{len(self.servers)}"
         new = Server(name=name, zone=old.zone, log=list(old.log), applied=old.applied)
-        await self._start_server(group, new)
+        await self._start_server(group, new, predecessor=old)
         del group.servers[old.name]
         group.servers[name] = new
         self.store.remove("servers", old.name)
--- a/tests/soak/serverlosses.py
+++ b/tests/soak/serverlosses.py
@@ -147,11 +147,4 @@
     before = set(group.servers)
     await cluster.replace_server(group, server)
     (name,) = set(group.servers) - before
-    for host in cluster.hosts:
-        proxy = host.server_proxies[server.name]
-        proxy.target = cluster.servers[name].port
-        host.server_proxies[name] = proxy
-        cluster.store.addresses[(host.name, name)] = f"127.0.0.1:{proxy.port}"
-    for host in cluster.hosts:
-        await host.server_proxies[name].accept()
     group.checker.add_note(f"{name} has the address and the log of {server.name}")
