--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -149,6 +149,8 @@
         self.rounds = rounds
         self.code = code
         self.random = random.Random(seed)
+        # Draws that come as often as callers connect leave those of the faults alone.
+        self.host_draws = random.Random(f"{seed}hosts")
         self.checker = Checker()
         self.record = Record()
         self.fault_log = FaultLog()
@@ -193,7 +195,7 @@
             fault_log=self.fault_log,
             checker=self.checker,
             hosts=self.hosts,
-            random=self.random,
+            random=random.Random(f"{seed}operator"),
         )
         self.servers: dict[str, LineServer] = {}
         self.tasks: list[asyncio.Task] = []
@@ -456,7 +458,7 @@
         ready = [h for h in self.hosts if h.in_rotation] or self.hosts
         if isinstance(self.rounds, FleetStops | TargetLosses):
             ready = [h for h in self.hosts if h.is_running] or self.hosts
-        host = self.random.choice(ready)
+        host = self.host_draws.choice(ready)
         return host.name, host.caller_proxy.port
 
     async def _report_servers(self) -> None:
--- a/tests/soak/test_successors.py
+++ b/tests/soak/test_run.py
@@ -1,4 +1,4 @@
-"""Servers of the soak that take the place of one that left."""
+"""Parts of a run of the soak."""
 
 from .fleet import Host
 from .run import Soak
@@ -49,3 +49,13 @@
     assert after == before
     assert {h.server_proxies[successor.name].target for h in soak.hosts} == {port}
     assert successor.log == left.log
+
+
+def test_callers_and_the_operator_draw_nothing_from_the_seeded_faults(tmp_path):
+    soak = make_soak(tmp_path)
+    soak.hosts += [make_host("h0", tmp_path), make_host("h1", tmp_path)]
+    before = soak.random.getstate()
+    for _ in range(3):
+        soak._choose_host()
+    soak.operator.random.random()
+    assert soak.random.getstate() == before
