--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -8,6 +8,7 @@
 import pytest
 
 from .compare import count_violations
+from .failures import print_failure
 from .fleetstops import CONNECTIONS, FleetStops
 from .model import TargetStops
 from .rounds import Rounds, make_rounds_by_the_clock
@@ -116,6 +117,7 @@
 @pytest.mark.parametrize("case", CASES, ids=lambda case: str(case.seed))
 def test_soak_violates_no_guarantee(case, results):
     result = results[case.seed]
+    print_failure(result)
     assert result.violations == [], case.cause
     assert result.served > 300
 
@@ -132,6 +134,7 @@
         rounds=make_rounds_by_the_clock(1),
     )
     result = case.run(tmp_path)
+    print_failure(result)
     tally = count_violations(result)
     assert tally.promotions >= case.groups
     assert tally.lost_commits == 0, result.violations
@@ -163,6 +166,7 @@
         },
     )
     result = case.run(tmp_path)
+    print_failure(result)
     assert result.promotions >= 3
     lost = [line for line in result.violations if "LOST" in line or "LATE" in line]
     assert lost == []
--- a/tests/soak/test_targetloss.py
+++ b/tests/soak/test_targetloss.py
@@ -13,6 +13,7 @@
 
 from . import cutoffs, serverlosses, targetloss
 from .cutoffs import Unseen, UnseenDraws
+from .failures import print_failure
 from .run import REAL_LEEWAY, Result, run_seed
 from .serverlosses import Loss, LossDraws
 from .shortpromotions import list_short_promotions
@@ -67,6 +68,7 @@
         rounds=losses,
         leeway={"has_earlier_life": False},
     )
+    print_failure(result)
     return result, [v for v in result.violations if any(rule in v for rule in RULES)]
 
 
