Take an order for ineffective whose server was asked too early and not since

Cause: a change ends 2.4 s after the acceptance of its order. Where its server had answered before and was not asked again in the last 0.4 s (the host stood still, or its commands were late), the order counted as open. So the next change took it over and repeated it, as if nothing was known.

Change: without an answer to a later question the order counts as that of a silent server, as it did where there was no answer at all.

Result: test_order_is_over_where_its_server_was_asked_too_early_and_not_since failed before (1 of its 2 cases).

--- a/src/apricotshore/decisions/order_effect.py
+++ b/src/apricotshore/decisions/order_effect.py
@@ -9,6 +9,7 @@
 from ..identifiers import ServerId, Term
 from . import lease
 from .change_attempt import Attempt
+from .change_members import MemberStatus
 from .commit_barrier import list_led
 from .log_floor import LogFloor
 
@@ -104,9 +105,12 @@
         # It leads as far as is known, or answers and may be full of writes.
         return False
     status = attempt.statuses.get(server)
-    if status is None:
-        # It is replaced as a silent primary, by a change of its own.
-        return not may_be_followed(attempt, now)
     shown_from = attempt.accepted_at + lease.PROMOTION_MS
-    is_asked = status is not None and attempt.asked_at[server] > shown_from
-    return is_asked and not status.is_primary
+    if status is None or attempt.asked_at[server] <= shown_from:
+        # It is replaced as a silent primary, by a change of its own.
+        return not (may_be_followed(attempt, now) or _says_it_leads(status))
+    return not status.is_primary
+
+
+def _says_it_leads(status: MemberStatus | None) -> bool:
+    return status is not None and status.is_primary
--- a/tests/test_order_effect.py
+++ b/tests/test_order_effect.py
@@ -80,6 +80,18 @@
     assert not is_without_effect(attempt, 1, now)
 
 
+@pytest.mark.parametrize(("after_ms", "expected"), [(-1, False), (0, True)])
+def test_order_is_over_where_its_server_was_asked_too_early_and_not_since(
+    after_ms, expected
+):
+    """A host that stands still asks nobody, and its next change repeats the order."""
+    attempt = make_ordered()
+    now = SHOWN_FROM + ANSWER_MS + after_ms
+    change_attempt.update_status(attempt, S1, status(5), NOW + 1)
+    assert is_without_effect(attempt, 0, now) is expected
+    assert not is_without_effect(attempt, 1, now)
+
+
 @pytest.mark.parametrize("has_led", [True, False])
 def test_order_is_not_over_while_its_server_is_too_busy_to_answer(has_led):
     """Writes that keep a new primary full show no order without an effect."""
