Split the application object of a host along its jobs

Change: each job is a module of its own: readiness (start-up), callers, other_hosts, host_shutdown, background_tasks, store_followers (what follows the store). What concerns all groups moved to host_groups. PoolingHost makes the parts, and goes on to own the life-cycle hooks and the clean-up; its interface to the program is unchanged. It no longer has `host_sessions` and `has_read_store`, which only tests used.

Tests: only paths changed. LISTING_S, LOADING_S and LEASES_S are patched in pooling.readiness (test_host, test_open_changes, test_review_of_leases); in test_host, `host.host_sessions` is `host.other_hosts.sessions`, and `host.has_read_store` is `host.readiness.has_read_store`.

--- a/src/apricotshore/pooling/host_groups.py
+++ b/src/apricotshore/pooling/host_groups.py
@@ -6,6 +6,7 @@
 from mode import Service
 
 from ..decisions import position_history, relays
+from ..decisions.loop_stalls import Stall
 from ..decisions.relays import Fleet
 from ..identifiers import GroupId, ServerId
 from ..routes import ListedServer
@@ -196,6 +197,39 @@
             if route.group == group.group and route.reads_replicas
         )
 
+    def configure_all(self) -> None:
+        """Apply the latest configuration to all groups."""
+        for group in self.groups.values():
+            self.configure(group)
+
+    def apply_settings(self, settings: PoolingSettings) -> None:
+        """Apply changed settings of the host."""
+        self.settings = settings
+        for group in self.groups.values():
+            group.set_leave_bounds(settings.leave_ms, settings.window_ms)
+
+    def observe_loop_stall(self, stall: Stall) -> None:
+        """Tell all groups of a time in which this process stood still."""
+        for group in self.groups.values():
+            group.observe_loop_stall(stall)
+
+    @property
+    def has_connections(self) -> bool:
+        """Whether a pool holds a connection to a backend server."""
+        groups = self.groups.values()
+        pools = [p for g in groups for p in (*g.pools.values(), *g.unlisted.values())]
+        return any(pool.held for pool in pools)
+
+    def close_idle(self) -> None:
+        """Close connections that have been idle for too long."""
+        for group in self.groups.values():
+            group.all_pools.close_idle()
+
+    def close(self) -> None:
+        """Close every connection."""
+        for group in self.groups.values():
+            group.all_pools.close()
+
     def list_promotions(self) -> list[Promotion]:
         """Return the latest promotions that this host ran."""
         groups = self.groups.values()
--- /dev/null
+++ b/src/apricotshore/pooling/host_shutdown.py
@@ -0,0 +1,77 @@
+"""Shutdown of a host: open sessions end, and the process after them."""
+
+import asyncio
+
+from ..decisions import shutdown
+from ..decisions.shutdown import Drain
+from ..services.clock import read_boot_ms
+from .callers import Callers
+from .host_groups import HostGroups
+from .host_watcher import HostWatcher
+from .journal import EventKind, Journal
+from .other_hosts import OtherHosts
+
+
+class HostShutdown:
+    """Shutdown of a host.
+
+    Parameters
+    ----------
+    drain
+        State of the shutdown.
+    callers, other_hosts
+        Sessions that end.
+    host_groups
+        Groups, whose changes of primary go on until others can take them over.
+    host_watcher
+        This host's entry, which is marked.
+    journal
+        Journal of the host.
+    """
+
+    def __init__(
+        self,
+        *,
+        drain: Drain,
+        callers: Callers,
+        other_hosts: OtherHosts,
+        host_groups: HostGroups,
+        host_watcher: HostWatcher,
+        journal: Journal,
+    ) -> None:
+        self.drain = drain
+        self.callers = callers
+        self.other_hosts = other_hosts
+        self.host_groups = host_groups
+        self.host_watcher = host_watcher
+        self.journal = journal
+        self.ended = asyncio.Event()
+
+    def begin(self) -> None:
+        """Stop accepting callers and let open sessions end."""
+        if self.drain.began_at is not None:
+            return
+        self.drain.began_at = read_boot_ms()
+        self.journal.record(EventKind.STOPPING, sessions=len(self.callers.sessions))
+        self.host_watcher.mark_leaving()
+        for changer in self.host_groups.changers.values():
+            changer.is_draining = True
+        self._close_idle()
+
+    def go_on(self) -> None:
+        """Close what has become idle, and end the shutdown once it is due."""
+        if self.drain.began_at is None:
+            return
+        self._close_idle()
+        if shutdown.should_exit(self.drain, self._count_busy(), read_boot_ms()):
+            self.ended.set()
+
+    def _close_idle(self) -> None:
+        self.other_hosts.leave()
+        self.callers.close_idle()
+
+    def _count_busy(self) -> int:
+        """Count the open sessions, and the changes that others would wait for."""
+        changers = self.host_groups.changers.values()
+        changing = sum(changer.is_critical for changer in changers)
+        return len(self.callers.sessions) + len(self.other_hosts.sessions) + changing
--- /dev/null
+++ b/src/apricotshore/pooling/other_hosts.py
@@ -0,0 +1,88 @@
+"""Other hosts that connect to this one: their statements and their questions."""
+
+from ..decisions import relays
+from ..decisions.relays import Fleet
+from ..decisions.shutdown import Drain
+from ..identifiers import GroupId, ServerId
+from ..queries import FailureCode
+from .fleet_asker import FleetAsker
+from .host_groups import HostGroups
+from .host_session import HostSession
+from .ports import HostLink, QuiesceReply, QuiesceRequest
+
+
+class OtherHosts:
+    """Other hosts that connect to this one.
+
+    Parameters
+    ----------
+    host_groups
+        Groups of this host.
+    fleet, asker
+        The other hosts, and what asks them.
+    drain
+        State of this host's shutdown.
+    """
+
+    def __init__(
+        self,
+        *,
+        host_groups: HostGroups,
+        fleet: Fleet,
+        asker: FleetAsker,
+        drain: Drain,
+    ) -> None:
+        self.host_groups = host_groups
+        self.fleet = fleet
+        self.asker = asker
+        self.drain = drain
+        self.sessions: set[HostSession] = set()
+
+    def admit(self, group: GroupId, server: ServerId) -> FailureCode | None:
+        """Return why a server is not reached through this host, None if it is."""
+        known = self.host_groups.groups.get(group)
+        # Two hosts that reach a server through each other would reach it never.
+        is_detoured = relays.find_detour(self.fleet, server) is not None
+        if known is None or server not in known.pools or is_detoured:
+            return FailureCode.WRONG_SERVER
+        return FailureCode.OVERLOADED if self.drain.began_at is not None else None
+
+    async def serve(self, group: GroupId, server: ServerId, link: HostLink) -> None:
+        """Run another host's statements on this host's connections to a server."""
+        known = self.host_groups.groups[group]
+        session = HostSession(group=known, pool=known.pools[server], link=link)
+        self.sessions.add(session)
+        try:
+            await session.run()
+        finally:
+            self.sessions.discard(session)
+
+    async def quiesce(self, request: QuiesceRequest) -> QuiesceReply:
+        """Send nothing more to a server that another host replaces, and confirm it.
+
+        The hosts of the request's share are asked as well.
+        """
+        if request.share:
+            return await self.asker.forward(request, self._quiesce)
+        return await self._quiesce(request)
+
+    async def _quiesce(self, request: QuiesceRequest) -> QuiesceReply:
+        """Quiesce a server at this host, whose group may be known a moment later."""
+        known = self.host_groups.groups.get(request.group)
+        return await (known or self.host_groups.early_gates).quiesce(request)
+
+    def release_relayed(self) -> None:
+        """Send other hosts away from servers that this host is no relay of any more."""
+        for session in list(self.sessions):
+            if session.pool.relayed:
+                session.leave()
+
+    def leave(self) -> None:
+        """Send all other hosts away as this one stops."""
+        for session in list(self.sessions):
+            session.leave()
+
+    def close(self) -> None:
+        """Close every connection."""
+        for session in self.sessions:
+            session.link.close()
--- a/tests/pooling/test_host.py
+++ b/tests/pooling/test_host.py
@@ -132,7 +132,7 @@
     async with running_host(LISTED) as (host, store):
         store.takes_writes = False
         configure(store)
-        await wait_until(lambda: host.has_read_store)
+        await wait_until(lambda: host.readiness.has_read_store)
         await asyncio.sleep(0.1)
         assert not store.hosts
         assert not host.is_loaded
@@ -149,11 +149,11 @@
 async def test_store_that_takes_no_writes_delays_callers_for_a_bounded_time(
     monkeypatch,
 ):
-    monkeypatch.setattr("apricotshore.pooling.host.LISTING_S", 0.2)
+    monkeypatch.setattr("apricotshore.pooling.readiness.LISTING_S", 0.2)
     async with running_host(LISTED) as (host, store):
         store.takes_writes = False
         configure(store)
-        await wait_until(lambda: host.has_read_store)
+        await wait_until(lambda: host.readiness.has_read_store)
         assert not host.is_loaded
         assert await host.admit(SHOP) is None
         assert host.is_ready
@@ -198,7 +198,7 @@
         await wait_until(lambda: host.is_ready)
         host.begin_drain()
         await wait_until(lambda: store.hosts[host.settings.host].leaving)
-        host.host_sessions.add(StuckSession())
+        host.other_hosts.sessions.add(StuckSession())
         async with asyncio.timeout(3):
             await host.stop()
         assert store.hosts[host.settings.host].leaving
@@ -207,7 +207,7 @@
 async def test_missing_configuration_is_not_reported_as_an_unknown_database(
     monkeypatch,
 ):
-    monkeypatch.setattr("apricotshore.pooling.host.LOADING_S", 0.05)
+    monkeypatch.setattr("apricotshore.pooling.readiness.LOADING_S", 0.05)
     async with running_host() as (host, store):
         assert await host.admit(SHOP) is FailureCode.OVERLOADED
         configure(store)
--- a/tests/pooling/test_open_changes.py
+++ b/tests/pooling/test_open_changes.py
@@ -145,7 +145,7 @@
 async def test_store_that_does_not_list_leases_delays_callers_for_a_bounded_time(
     monkeypatch,
 ):
-    monkeypatch.setattr("apricotshore.pooling.host.LEASES_S", 0.2)
+    monkeypatch.setattr("apricotshore.pooling.readiness.LEASES_S", 0.2)
     store = LeasingStore()
     store.answers_leases = False
     async with starting_host(monkeypatch, store) as host:
@@ -157,7 +157,7 @@
 
 
 async def test_host_whose_entry_is_written_late_reads_the_leases_then(monkeypatch):
-    monkeypatch.setattr("apricotshore.pooling.host.LISTING_S", 0.2)
+    monkeypatch.setattr("apricotshore.pooling.readiness.LISTING_S", 0.2)
     monkeypatch.setattr("apricotshore.pooling.host_watcher.RETRY_PERIOD_S", 0.5)
     store = LeasingStore()
     store.takes_writes = False
--- a/tests/pooling/test_review_of_leases.py
+++ b/tests/pooling/test_review_of_leases.py
@@ -83,7 +83,7 @@
         return replace(snapshot, changes=()) if is_behind else snapshot
 
     store.list = list_objects
-    monkeypatch.setattr("apricotshore.pooling.host.LISTING_S", 0.2)
+    monkeypatch.setattr("apricotshore.pooling.readiness.LISTING_S", 0.2)
     monkeypatch.setattr("apricotshore.pooling.host_watcher.RETRY_PERIOD_S", 0.5)
     store.takes_writes = False
     async with starting_host(monkeypatch, store) as host:
