Let an entry with another server's address strike it off only without its own

Cause: an entry at the address of a listed server struck that server off at once. An entry that came and went (a borrowed address) left the server listed but counted no more, so its later crash was not noticed and a shorter log was ordered.

Change: LogMembers knows which of its servers have no entry (`unlisted`). A server that the store lists always counts; another one listed at its address strikes it off once its own entry is gone, whichever of the two comes last. The model of the floor copies and describes that field, and tells it of removed entries.

Price: a successor that is listed before the entry of a crashed server has run out replaces it only then, so it counts as unknown up to three heartbeats longer.

--- a/src/apricotshore/decisions/log_members.py
+++ b/src/apricotshore/decisions/log_members.py
@@ -3,7 +3,9 @@
 A server counts from its first entry in the store on. Only what ends its log strikes it
 off: it leaves in good order, starts anew, or another has taken its address. An entry
 that has run out doesn't, however long ago: the primary may reach the server still, so
-that with it the server holds the only copies of a commit. Nor does a settled change.
+that with it the server holds the only copies of a commit. Nor does a settled change. An
+entry with the address of a server that has one itself strikes neither off while both
+are listed.
 
 A log that was lost may have held what others lack. What it held lies below a position
 that the primary names afterwards. A server that leaves hands its log to its successor
@@ -57,6 +59,8 @@
     ----------
     counted
         The servers, listed or not.
+    unlisted
+        Those of them without an entry, and whether each was leaving by its last one.
     struck
         Servers whose log has ended, oldest first, which an older lease may still name.
     lost
@@ -68,6 +72,7 @@
     """
 
     counted: dict[ServerId, StoredMember] = field(default_factory=dict)
+    unlisted: dict[ServerId, bool] = field(default_factory=dict)
     struck: dict[StoredMember, None] = field(default_factory=dict)
     lost: dict[LogKey, LostLog] = field(default_factory=dict)
     covered_end: LogPosition | None = None
@@ -92,21 +97,55 @@
 
 def observe_listed(state: LogMembers, member: StoredMember, now: int) -> bool:
     """Count a server that the store lists; return whether it has started anew."""
-    for other in list(state.counted.values()):
-        if other.address == member.address and other.server != member.server:
-            _strike(state, other, LostLog(at=now, member=other))
     known = state.counted.get(member.server)
     is_new = known is not None and known.started_ms != member.started_ms
     if known is not None and is_new:
         _strike(state, known, LostLog(at=now, member=known))
     state.counted[member.server] = member
+    state.unlisted.pop(member.server, None)
     state.struck.pop(member, None)
+    for server in list(state.unlisted):
+        _strike_replaced(state, server, now)
     state.lost = {
         key: lost for key, lost in state.lost.items() if not _is_back(lost, member)
     }
     return is_new
 
 
+def observe_unlisted(
+    state: LogMembers, server: ServerId, now: int, *, is_leaving: bool
+) -> None:
+    """Record that the store lists a server no more, which may go on without an entry.
+
+    Parameters
+    ----------
+    state
+        The servers that count; changed in place.
+    server
+        The server.
+    now
+        Milliseconds since boot.
+    is_leaving
+        Whether it was leaving by its last entry.
+    """
+    if server in state.counted:
+        state.unlisted[server] = is_leaving
+        _strike_replaced(state, server, now)
+
+
+def _strike_replaced(state: LogMembers, server: ServerId, now: int) -> None:
+    """Strike a server without an entry off if another is listed at its address."""
+    member, has_left = state.counted[server], state.unlisted[server]
+    is_replaced = any(
+        other.address == member.address and other.server not in state.unlisted
+        for other in state.counted.values()
+    )
+    if is_replaced and has_left:
+        observe_left(state, server, now)
+    elif is_replaced:
+        _strike(state, member, LostLog(at=now, member=member))
+
+
 def _is_back(lost: LostLog, member: StoredMember) -> bool:
     """Return whether a listed server holds a log that was taken for lost."""
     if lost.member is None:
@@ -199,8 +238,9 @@
         if is_lost:
             _remember_struck(state, member)
             state.lost[_find_key(member)] = LostLog(at=now, member=member)
-        elif known is None:
-            state.counted.setdefault(member.server, member)
+        elif known is None and member.server not in state.counted:
+            state.counted[member.server] = member
+            state.unlisted[member.server] = False
 
 
 def _strike_unnamed(
@@ -212,8 +252,7 @@
     for member in state.named.difference(members):
         is_counted = state.counted.get(member.server) == member
         if is_counted and member.server not in present:
-            del state.counted[member.server]
-            _remember_struck(state, member)
+            _forget(state, member)
 
 
 def observe_named(state: LogMembers, floor: LogFloor, era: int) -> None:
@@ -237,9 +276,14 @@
 
 
 def _strike(state: LogMembers, member: StoredMember, lost: LostLog) -> None:
+    _forget(state, member)
+    state.lost[_find_key(member)] = lost
+
+
+def _forget(state: LogMembers, member: StoredMember) -> None:
     del state.counted[member.server]
+    state.unlisted.pop(member.server, None)
     _remember_struck(state, member)
-    state.lost[_find_key(member)] = lost
 
 
 def _remember_struck(state: LogMembers, member: StoredMember) -> None:
--- a/src/apricotshore/pooling/group.py
+++ b/src/apricotshore/pooling/group.py
@@ -129,6 +129,9 @@
         self.all_pools.keep_unlisted(removed, self.members.counted)
         self.leaving_servers.remove(server)
         self.primary_state.claimed.pop(server, None)
+        log_members.observe_unlisted(
+            self.members, server, read_boot_ms(), is_leaving=removed.leaving
+        )
         if removed.leaving:
             log_members.observe_left(self.members, server, read_boot_ms())
         self.journal.record(EventKind.SERVER_GONE, group=self.group, server=server)
--- a/tests/logfloormodel.py
+++ b/tests/logfloormodel.py
@@ -281,6 +281,7 @@
         other.known = copy_fields(self.known)
         other.known.members = LogMembers(
             counted=dict(members.counted),
+            unlisted=dict(members.unlisted),
             struck=dict(members.struck),
             lost=dict(members.lost),
             covered_end=members.covered_end,
@@ -458,6 +459,12 @@
                 log_members.observe_listed(known.members, describe(server), self.now)
             elif server.name in known.members.counted:
                 known.unlisted |= {server.name}
+                log_members.observe_unlisted(
+                    known.members,
+                    server.name,
+                    self.now,
+                    is_leaving=server.is_leaving,
+                )
         listed = {s.name for s in self.servers.values() if s.is_listed}
         known.unlisted = known.unlisted.intersection(self.servers) - listed
         leader = self.find_leader()
@@ -1115,6 +1122,7 @@
         (model.lease, known.floor, known.unlisted, known.primary, known.term),
         tuple(sorted(members.counted.values(), key=lambda m: m.server)),
         (members.covered_end, frozenset(members.struck), members.named),
+        frozenset(members.unlisted.items()),
         sample and (sample.term, sample.position),
         frozenset((x.member, x.has_left) for x in members.lost.values()),
         (model.is_another, model.reason, model.is_unfinished) if is_open else None,
