Order a server without an effect again only while no other may lead

Cause: a change that follows an order without an effect chose that server again as long as another's log was unknown, and kept to it once it was known: after a step-down a target that is the former primary was ordered in any case.

Change: a former primary whose order had no effect is due only where no other server that answers holds all that is known.

Result: test_server_without_an_effect_is_not_kept_once_another_that_may_lead_answers failed before. tests/test_order_effect, test_followed_orders, test_primary_change*, pooling/test_orders_without_effect, test_slow_commands, test_orders_of_promotions: 2014 passed, 2 failed, both known red.

--- a/src/apricotshore/decisions/primary_change.py
+++ b/src/apricotshore/decisions/primary_change.py
@@ -246,10 +246,13 @@
     attempt: Attempt, members: tuple[Member, ...], now: int
 ) -> Step:
     """Promote a server that holds all that the former primary has stored."""
-    if attempt.target == attempt.replaced or is_running_late(attempt, now):
-        return _plan_former(attempt, members, now)
     others = tuple(m for m in members if m.server != attempt.replaced)
     full = _list_full(attempt, others)
+    is_former_due = attempt.target == attempt.replaced
+    # An order of it had no effect, so it is ordered only if it must.
+    is_former_due &= attempt.replaced != attempt.ineffective or not full
+    if is_former_due or is_running_late(attempt, now):
+        return _plan_former(attempt, members, now)
     if attempt.target not in full and now - attempt.stepped_down_at >= SECURE_MS:
         other = choose_target(attempt, [m for m in others if m.server in full])
         set_target(attempt, other or attempt.target, now)
--- a/tests/test_order_effect.py
+++ b/tests/test_order_effect.py
@@ -6,6 +6,7 @@
 from apricotshore.decisions.change_actions import (
     Hold,
     Promote,
+    RecordTarget,
     RequestStatus,
     Secure,
     Step,
@@ -188,3 +189,30 @@
 ):
     step = plan({S1: 5, S2: 5, S3: 5}, missing=missing, running=running)
     assert isinstance(step, expected)
+
+
+def plan_after_step_down(positions: dict[ServerId, int]) -> Step:
+    """Return the next step of a change that was to order s1 again, in vain before."""
+    attempt = Attempt(
+        from_term=Term(1),
+        started_at=NOW - 1_000,
+        replaced=S1,
+        recorded=S1,
+        ineffective=S1,
+        pause_term=Term(2),
+        target=S1,
+        target_since=NOW - 1_000,
+        stepped_down_at=NOW - 1_000,
+        final_end=LogPosition(term=Term(1), position=Position(9)),
+        listed=True,
+        barrier=BarrierReport(at=NOW - 1, hosts=HOSTS, missing=()),
+    )
+    for server, position in positions.items():
+        known = status(position, paused_term=Term(0 if server == S1 else 2))
+        change_attempt.update_status(attempt, server, known, NOW)
+    return primary_change.plan_step(attempt, MEMBERS, None, NOW)
+
+
+def test_server_without_an_effect_is_not_kept_once_another_that_may_lead_answers():
+    assert plan_after_step_down({S1: 9, S3: 5}) == Promote(server=S1, waived=(S2,))
+    assert plan_after_step_down({S1: 9, S2: 9, S3: 5}) == RecordTarget(server=S2)
