Take an entry without a start for no other start of its server

Cause: an entry without "born", which another writer may leave, was read as a start at 0. So it and the next whole entry each struck the server off and left a lost log behind, one of them of a log that no server had, until a primary's position covered it.

Change: a start of 0 is none. Such an entry leaves the start that is known, and a lease that names one finds nothing lost by it. A server first seen without a start and then with one is still taken for started anew: its earlier log may have been another one.

Tried first and left out: refusing such entries as a whole, which failed 4 tests of test_sockets.py, whose good entry has no "born".

--- a/src/apricotshore/decisions/log_members.py
+++ b/src/apricotshore/decisions/log_members.py
@@ -98,9 +98,11 @@
 def observe_listed(state: LogMembers, member: StoredMember, now: int) -> bool:
     """Count a server that the store lists; return whether it has started anew."""
     known = state.counted.get(member.server)
-    is_new = known is not None and known.started_ms != member.started_ms
+    is_new = known is not None and _has_restarted(known, member)
     if known is not None and is_new:
         _strike(state, known, LostLog(at=now, member=known))
+    elif known is not None:
+        member = replace(member, started_ms=known.started_ms)
     state.counted[member.server] = member
     state.unlisted.pop(member.server, None)
     state.struck.pop(member, None)
@@ -112,6 +114,11 @@
     return is_new
 
 
+def _has_restarted(known: StoredMember, listed: StoredMember) -> bool:
+    """Return whether an entry names another start, and not just none."""
+    return listed.started_ms not in (0, known.started_ms)
+
+
 def observe_unlisted(
     state: LogMembers, server: ServerId, now: int, *, is_leaving: bool
 ) -> None:
@@ -234,7 +241,7 @@
             continue
         known = present.get(member.server)
         is_lost = known is None and member.address in addresses
-        is_lost |= known is not None and known.started_ms != member.started_ms
+        is_lost |= known is not None and _has_restarted(member, known)
         if is_lost:
             _remember_struck(state, member)
             state.lost[_find_key(member)] = LostLog(at=now, member=member)
--- a/tests/test_log_members.py
+++ b/tests/test_log_members.py
@@ -95,3 +95,19 @@
     for started_ms in range(2, 2 * MAX_STRUCK):
         log_members.observe_listed(state, make_member(S2, started_ms), started_ms)
     assert len(state.struck) == MAX_STRUCK
+
+
+def test_entry_without_a_start_tells_of_no_lost_log():
+    state = make_members()
+    assert not log_members.observe_listed(state, make_member(S2, 0), 100)
+    floor = LogFloor(members=(make_member(S1), make_member(S2)))
+    listed = [make_member(S1), make_member(S2, 0)]
+    log_members.observe_stored(state, floor, listed, 200, era=ERA)
+    assert (state.counted[S2], state.lost_at) == (make_member(S2), None)
+
+
+def test_start_after_an_entry_without_one_is_another_if_it_differs():
+    state = make_members()
+    log_members.observe_listed(state, make_member(S2, 0), 100)
+    assert log_members.observe_listed(state, make_member(S2, 2), 200)
+    assert (state.counted[S2], state.lost_at) == (make_member(S2, 2), 200)
