Write the members again over a lease that names none

Cause: the recorder compared the servers that count with the floor that this host knows, and that keeps its members where a lease names none. So over a lease of a build without floors nobody wrote them again, and a host that starts knew of no server without an entry.

Change: the lease as last read holds the members that it names, and the recorder compares with these.

--- a/src/apricotshore/decisions/lease.py
+++ b/src/apricotshore/decisions/lease.py
@@ -22,6 +22,7 @@
     StoreRevision,
     Term,
 )
+from .log_floor import StoredMember
 
 LEASE_MS = 6_000
 # What a holder sends this long before its lease expires has arrived by then.
@@ -83,6 +84,8 @@
         Server whose promotion its holder may have requested, None without one.
     former
         The primaries that the change replaces.
+    members
+        Servers that it names as those whose logs count.
     ended_at
         When its holder's host was found to refuse connections, None before. In
         milliseconds since boot.
@@ -95,6 +98,7 @@
     seen_at: int
     target: ServerId | None = None
     former: FormerPrimaries = NO_FORMER
+    members: tuple[StoredMember, ...] = ()
     ended_at: int | None = None
 
 
--- a/src/apricotshore/pooling/lease_reader.py
+++ b/src/apricotshore/pooling/lease_reader.py
@@ -125,6 +125,7 @@
             seen_at=read_boot_ms(),
             target=record.target,
             former=record.former,
+            members=record.floor.members,
         )
         self._take_floor(record)
 
--- a/src/apricotshore/pooling/member_recorder.py
+++ b/src/apricotshore/pooling/member_recorder.py
@@ -54,7 +54,8 @@
         floor = log_members.make_floor(self.group.members, self.lease.floor)
         is_led = self.group.primary is not None
         is_free = current is not None and not current.open
-        is_named = floor.members in ((), self.lease.floor.members)
+        # What this host knows may come from an earlier lease.
+        is_named = current is not None and floor.members in ((), current.members)
         if not (is_led and is_free) or is_named:
             self.differs_since = None
             return
