Take an empty log for an unknown one unless its server is known to be new

Cause: a replica that was born anew and answered before its entry showed that counted as a known empty log. So a change saw one unknown log, that of the crashed primary, where there were two, and ordered the shorter third: 13 acknowledged commits were lost in the model.

Change: an empty log is unknown as long as any log, position or the floor of the group holds an entry. It is known where the entry shows that the server started anew and this host saw so, as its earlier log counts among the lost ones then. The exhaustive model wires that as the host does.

Tried first: any empty log unknown (14 failures in test_log_floor_search, 10 of them new waits after a birth), and new starts told from the lease's members (the search green, but test_group_waits_for_no_log_that_has_ended[born-anew-*] waited: its server is still empty when the lease names its new start).

What remains: a server seen to start anew once, and again before its entry shows that, still counts as empty. A replica that was just added and has received nothing counts as unknown, so that the group waits for its primary.

--- a/src/apricotshore/decisions/needed_end.py
+++ b/src/apricotshore/decisions/needed_end.py
@@ -8,7 +8,14 @@
 from . import log_floor
 from .change_attempt import Attempt
 from .change_members import Member, log_order
-from .log_floor import ANY_SERVER, COPIES_PER_COMMIT, UNKNOWN_END, End
+from .log_floor import (
+    ANY_SERVER,
+    COPIES_PER_COMMIT,
+    EMPTY_END,
+    UNKNOWN_END,
+    End,
+)
+from .log_members import LogMembers
 
 
 def observe_needed_end(
@@ -50,12 +57,36 @@
 def _read_ends(attempt: Attempt, members: Iterable[Member]) -> dict[ServerId, End]:
     """Return the ends of all logs that count, as those of all that answer do."""
     return {
-        m.server: find_end(attempt, m.server)
+        m.server: _find_whole_end(attempt, m)
         for m in members
         if m.is_counted or m.server in attempt.statuses
     }
 
 
+def _find_whole_end(attempt: Attempt, member: Member) -> End:
+    """Return the end of a member's log, `UNKNOWN_END` where it may have been lost.
+
+    An empty log counts as lost already where the entry shows that its server is new.
+    """
+    end = find_end(attempt, member.server)
+    is_new = member.listed and member.server in attempt.born_anew
+    is_lost = end == EMPTY_END and not is_new and _holds_commits(attempt)
+    return UNKNOWN_END if is_lost else end
+
+
+def _holds_commits(attempt: Attempt) -> bool:
+    """Return whether any log of the group is known to hold an entry."""
+    named = (attempt.primary_end, attempt.final_end, attempt.floor.end)
+    ends = (*attempt.ends.values(), *(log_order(end) for end in named if end))
+    return max(ends, default=EMPTY_END) > EMPTY_END
+
+
+def list_born_anew(state: LogMembers) -> frozenset[ServerId]:
+    """List the servers whose entries showed that they have started anew."""
+    struck = frozenset(member.server for member in state.struck)
+    return struck & state.counted.keys()
+
+
 def may_lead(attempt: Attempt, server: ServerId) -> bool:
     """Return whether a server holds all that may have been acknowledged."""
     needed = attempt.needed_end
@@ -67,7 +98,7 @@
     return tuple(
         m.server
         for m in members
-        if m.is_counted and find_end(attempt, m.server) == UNKNOWN_END
+        if m.is_counted and _find_whole_end(attempt, m) == UNKNOWN_END
     )
 
 
--- a/src/apricotshore/pooling/change_steps.py
+++ b/src/apricotshore/pooling/change_steps.py
@@ -6,6 +6,7 @@
 from ..decisions import (
     commit_barrier,
     log_members,
+    needed_end,
     order_effect,
     primary_change,
     primary_return,
@@ -182,6 +183,7 @@
         members = group_members.list_members(self.group)
         self.attempt.knows_members = not state.is_assumed
         self.attempt.lost_count = log_members.count_lost(state)
+        self.attempt.born_anew = needed_end.list_born_anew(state)
         step = primary_change.plan_step(
             self.attempt, members, find_lost_end(state), read_boot_ms()
         )
--- a/tests/logfloormodel.py
+++ b/tests/logfloormodel.py
@@ -742,6 +742,7 @@
         state = self.known.members
         self.attempt.knows_members = not state.is_assumed
         self.attempt.lost_count = log_members.count_lost(state)
+        self.attempt.born_anew = needed_end.list_born_anew(state)
         return primary_change.plan_step(
             self.attempt, self.list_members(), find_lost_end(state), self.now
         )
