Ask other hosts for a server in one place

Cause: Detours.find_reaching and Detours.step_down each held the same loop, which asks hosts at once, takes the first reply within DETOUR_TIMEOUT_S and cancels the rest.

Change: _find_first does it for both.

--- a/src/apricotshore/pooling/detours.py
+++ b/src/apricotshore/pooling/detours.py
@@ -1,8 +1,9 @@
 """Commands to a server that this host can't reach, run by other hosts."""
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Coroutine, Iterable
 from dataclasses import dataclass, replace
+from typing import Any, TypeVar
 
 from ..decisions import relays
 from ..decisions.relays import Fleet, ListedHost
@@ -12,6 +13,8 @@
 from .journal import EventKind, Journal
 from .ports import ConnectionLostError, ConnectionRejectedError, Dialer
 
+T = TypeVar("T")
+
 # Two connections one after the other, each to another region, and two commands.
 DETOUR_TIMEOUT_S = 0.25
 # Hosts that are asked whether they reach a server.
@@ -58,18 +61,7 @@
         A server that refuses the question as it is full has answered.
         """
         hosts = relays.list_detours(self.fleet, server.server)[:ASKED_HOSTS]
-        asked = [asyncio.create_task(self._reach(host, server)) for host in hosts]
-        try:
-            async with asyncio.timeout(DETOUR_TIMEOUT_S):
-                for reply in asyncio.as_completed(asked):
-                    if (reached := await reply) is not None:
-                        return reached
-        except TimeoutError:
-            return None
-        finally:
-            for task in asked:
-                task.cancel()
-        return None
+        return await _find_first(self._reach(host, server) for host in hosts)
 
     async def read_report(self, server: ListedServer) -> ServerReport | None:
         """Return a server's report to another host, None without one."""
@@ -102,21 +94,10 @@
             Its reports before and after; empty if nobody reached it in time.
         """
         hosts = relays.list_detours(self.fleet, server.server)
-        asked = [
-            asyncio.create_task(self._step_down_through(host, server, term, may_send))
-            for host in hosts
-        ]
-        try:
-            async with asyncio.timeout(DETOUR_TIMEOUT_S):
-                for reply in asyncio.as_completed(asked):
-                    if reports := await reply:
-                        return reports
-        except TimeoutError:
-            return ()
-        finally:
-            for task in asked:
-                task.cancel()
-        return ()
+        reports = await _find_first(
+            self._step_down_through(host, server, term, may_send) for host in hosts
+        )
+        return reports or ()
 
     async def _step_down_through(
         self,
@@ -156,3 +137,19 @@
                 why=str(error),
             )
             return []
+
+
+async def _find_first(questions: Iterable[Coroutine[Any, Any, T | None]]) -> T | None:
+    """Ask at once; return the first reply that says anything, None without one."""
+    asked = [asyncio.create_task(question) for question in questions]
+    try:
+        async with asyncio.timeout(DETOUR_TIMEOUT_S):
+            for reply in asyncio.as_completed(asked):
+                if found := await reply:
+                    return found
+    except TimeoutError:
+        return None
+    finally:
+        for task in asked:
+            task.cancel()
+    return None
