Change the state of a session in one place

Cause: the sessions of callers and those of other hosts each carried out SET, PREPARE and DEALLOCATE on the same state.

Change: Session.change does it for both. A caller's RESET is refused before that.

--- a/src/apricotshore/pooling/caller_session.py
+++ b/src/apricotshore/pooling/caller_session.py
@@ -280,16 +280,11 @@
         return await transactions.run_in_transaction(self.context, session, job)
 
     async def _change_session(self, query: Query) -> Answer:
-        session = self.session
+        if query.kind is QueryKind.RESET:
+            raise RefusedError(FailureCode.MALFORMED, "not for callers")
         if query.kind is QueryKind.SET:
             await self._set_at_server(query)
-            session.values[query.name] = query.value
-        elif query.kind is QueryKind.PREPARE and query.shape is not None:
-            session.prepared[query.name] = query.shape
-        elif query.kind is QueryKind.DEALLOCATE:
-            session.prepared.pop(query.name, None)
-        elif query.kind is QueryKind.RESET:
-            raise RefusedError(FailureCode.MALFORMED, "not for callers")
+        self.session.change(query)
         return Answer(state=self.state)
 
     async def _set_at_server(self, query: Query) -> None:
--- a/src/apricotshore/pooling/host_session.py
+++ b/src/apricotshore/pooling/host_session.py
@@ -91,7 +91,8 @@
         query = statement.query
         if self.pinned is None:
             if query.kind in _SESSION_CHANGES:
-                return self._change_session(query)
+                self.session.change(query)
+                return Answer()
             if query.kind in _TRANSACTION_ENDS:
                 return Answer()
         shape = None
@@ -151,7 +152,7 @@
         if answer.failure is FailureCode.NOT_PREPARED:
             pooled.prepared.clear()
         if answer.failure is None and query.kind in _SESSION_CHANGES:
-            self._change_session(query)
+            self.session.change(query)
             if query.kind is QueryKind.SET:
                 pooled.values[query.name] = query.value
         if answer.state is TransactionState.IDLE:
@@ -161,19 +162,6 @@
     def _state(self) -> TransactionState:
         return TransactionState.OPEN if self.pinned else TransactionState.IDLE
 
-    def _change_session(self, query: Query) -> Answer:
-        session = self.session
-        if query.kind is QueryKind.SET:
-            session.values[query.name] = query.value
-        elif query.kind is QueryKind.PREPARE and query.shape is not None:
-            session.prepared[query.name] = query.shape
-        elif query.kind is QueryKind.DEALLOCATE:
-            session.prepared.pop(query.name, None)
-        elif query.kind is QueryKind.RESET:
-            session.values.clear()
-            session.prepared.clear()
-        return Answer(state=self._state())
-
     async def _while_open(self, work: Coroutine[Any, Any, Any]) -> Any:
         """Wait for work; cancel it when the other host disconnects."""
         task = asyncio.ensure_future(work)
--- a/src/apricotshore/pooling/sessions.py
+++ b/src/apricotshore/pooling/sessions.py
@@ -6,7 +6,7 @@
 from ..decisions import wait_queue
 from ..groups import LogPosition
 from ..identifiers import DatabaseId, GroupId, HostId
-from ..queries import FailureCode, PreparedShape, Query
+from ..queries import FailureCode, PreparedShape, Query, QueryKind
 from ..routes import Configuration, Route
 from .group import Group
 from .journal import Journal
@@ -95,6 +95,18 @@
     log_position: LogPosition | None = None
     transaction: Transaction | None = None
 
+    def change(self, query: Query) -> None:
+        """Carry out a statement that changes values or prepared statements."""
+        if query.kind is QueryKind.SET:
+            self.values[query.name] = query.value
+        elif query.kind is QueryKind.PREPARE and query.shape is not None:
+            self.prepared[query.name] = query.shape
+        elif query.kind is QueryKind.DEALLOCATE:
+            self.prepared.pop(query.name, None)
+        elif query.kind is QueryKind.RESET:
+            self.values.clear()
+            self.prepared.clear()
+
 
 class RefusedError(Exception):
     """Refusal of a statement by the proxy itself.
