Show that a second birth before its entry is taken for a known empty log

Seen: list_born_anew names every server that was struck off once and counts again, for as long as `struck` remembers it.

--- /dev/null
+++ b/tests/pooling/test_review_of_empty_logs.py
@@ -0,0 +1,49 @@
+"""Empty logs that are taken for known, or for unknown for ever."""
+
+import asyncio
+
+from apricotshore.identifiers import ServerId
+
+from .support import running, wait_until, writing
+from .test_orders_of_promotions import S1, S2, S3, make_group
+from .test_review_of_log_floors import RECORD_S, start_anew
+from .test_shorter_logs import (
+    LEAD_S,
+    assert_nothing_lost,
+    come_back,
+    fail,
+    fall_behind,
+    make_hosts,
+    play,
+)
+
+
+def lose_log(model, name: ServerId) -> None:
+    """Start a server anew, empty, before its entry shows it."""
+    server = model.servers[name]
+    server.log, server.applied, server.partitioned = [], 0, True
+
+
+def test_second_birth_before_its_entry_shows_it_lets_no_shorter_log_lead(monkeypatch):
+    """The first birth was long ago: the server has received all since."""
+
+    async def lose_both() -> None:
+        model, platform = make_group()
+        hosts = make_hosts(model, platform, 1)
+        async with writing(model), running(*hosts):
+            await wait_until(lambda: len(model.acknowledged) > 5)
+            start_anew(model, hosts, S2)
+            model.servers[S2].partitioned = False
+            await asyncio.sleep(RECORD_S)
+            assert hosts[0].group.members.lost == {}
+            assert model.servers[S2].log
+            await fall_behind(model, S3)
+            fail(model, hosts, S1, "crashed")
+            lose_log(model, S2)
+            await asyncio.sleep(2 * LEAD_S)
+            assert_nothing_lost(model, platform)
+            come_back(model, hosts, S1)
+            await asyncio.sleep(2 * LEAD_S)
+        assert_nothing_lost(model, platform)
+
+    play(monkeypatch, lose_both())
