Show that a server that left and starts anew ends its own lost log

Seen: s2 is draining and ends as s1 crashes; its entry is removed, and it starts again under its id, with an empty log (PROTOCOL.md: "It then holds and knows nothing of before"). _is_back takes it for its own successor, for it has the address, so the lost log is dropped; and list_born_anew names it, for it was struck off as it left, so its empty log is known. One unknown log is left of two: s3 is ordered, 13 lost in the model.

--- a/tests/pooling/test_review_of_empty_logs.py
+++ b/tests/pooling/test_review_of_empty_logs.py
@@ -47,3 +47,28 @@
         assert_nothing_lost(model, platform)
 
     play(monkeypatch, lose_both())
+
+
+def test_server_that_left_and_starts_anew_under_its_id_is_not_its_own_successor(
+    monkeypatch,
+):
+    """It holds nothing, and its primary has the only copy of the last commits."""
+
+    async def lose_both() -> None:
+        model, platform = make_group()
+        hosts = make_hosts(model, platform, 1)
+        async with writing(model), running(*hosts):
+            await fall_behind(model, S3)
+            hosts[0].mark_leaving(S2)
+            fail(model, hosts, S1, "crashed")
+            model.servers[S2].up = model.servers[S2].listed = False
+            hosts[0].group.remove_server(S2)
+            await asyncio.sleep(0.1)
+            start_anew(model, hosts, S2)
+            await asyncio.sleep(2 * LEAD_S)
+            assert_nothing_lost(model, platform)
+            come_back(model, hosts, S1)
+            await asyncio.sleep(2 * LEAD_S)
+        assert_nothing_lost(model, platform)
+
+    play(monkeypatch, lose_both())
