--- a/tests/pooling/test_review_of_empty_logs.py
+++ b/tests/pooling/test_review_of_empty_logs.py
@@ -2,6 +2,8 @@
 
 import asyncio
 
+import pytest
+
 from apricotshore.identifiers import ServerId
 
 from .support import running, wait_until, writing
@@ -72,3 +74,27 @@
         assert_nothing_lost(model, platform)
 
     play(monkeypatch, lose_both())
+
+
+@pytest.mark.parametrize("size", [2, 3])
+def test_replicas_born_anew_before_their_entries_show_it_do_not_lead_empty(
+    monkeypatch, size
+):
+    """All that answer are empty, but their host has seen a primary with a log."""
+
+    async def lose_all_replicas() -> None:
+        model, platform = make_group(size)
+        hosts = make_hosts(model, platform, 1)
+        async with writing(model), running(*hosts):
+            await wait_until(lambda: len(model.acknowledged) > 5)
+            await asyncio.sleep(RECORD_S)
+            fail(model, hosts, S1, "crashed")
+            for name in list(model.servers)[1:]:
+                lose_log(model, name)
+            await asyncio.sleep(2 * LEAD_S)
+            assert_nothing_lost(model, platform)
+            come_back(model, hosts, S1)
+            await asyncio.sleep(2 * LEAD_S)
+        assert_nothing_lost(model, platform)
+
+    play(monkeypatch, lose_all_replicas())
