Show that a group waits for ever for the log of a server that is new

Seen: s1 is gone for good, s2 crashes with it and is back with its log. A new server s4 has s1's address and an empty log. So s1 is struck off and its log stands for one unknown log, which nobody waits for; but s4 was never struck off under its id, so its empty log is the second. Nobody leads 36 s after s2, s3 and s4 answer, and s4 receives nothing before somebody does.

--- a/tests/pooling/test_review_of_empty_logs.py
+++ b/tests/pooling/test_review_of_empty_logs.py
@@ -7,7 +7,7 @@
 from apricotshore.identifiers import ServerId
 
 from .support import running, wait_until, writing
-from .test_orders_of_promotions import S1, S2, S3, make_group
+from .test_orders_of_promotions import S1, S2, S3, S4, make_group
 from .test_review_of_log_floors import RECORD_S, start_anew
 from .test_shorter_logs import (
     LEAD_S,
@@ -98,3 +98,37 @@
         assert_nothing_lost(model, platform)
 
     play(monkeypatch, lose_all_replicas())
+
+
+def put_in_place(model, hosts, former: ServerId, name: ServerId) -> None:
+    """Start an empty server with another id at the address of one gone for good."""
+    servers = list(model.servers.items())
+    at = list(model.servers).index(former)
+    model.servers.clear()
+    server = model.add_server(name)
+    server.started_ms = 2
+    servers[at] = (name, server)
+    model.servers.clear()
+    model.servers.update(servers)
+    come_back(model, hosts, name)
+
+
+def test_group_waits_for_no_empty_server_in_place_of_one_gone_for_good(monkeypatch):
+    """All servers there are answer, and both that are left of three hold their logs."""
+
+    async def lose_first() -> None:
+        model, platform = make_group()
+        hosts = make_hosts(model, platform, 1)
+        async with writing(model), running(*hosts):
+            await wait_until(lambda: len(model.acknowledged) > 5)
+            await asyncio.sleep(RECORD_S)
+            fail(model, hosts, S2, "crashed")
+            fail(model, hosts, S1, "crashed")
+            await asyncio.sleep(LEAD_S)
+            put_in_place(model, hosts, S1, S4)
+            come_back(model, hosts, S2)
+            await asyncio.sleep(3 * LEAD_S)
+            assert_nothing_lost(model, platform)
+            assert model.find_primary() is not None, platform.orders
+
+    play(monkeypatch, lose_first())
