--- a/tests/pooling/test_review_of_empty_logs.py
+++ b/tests/pooling/test_review_of_empty_logs.py
@@ -132,3 +132,26 @@
             assert model.find_primary() is not None, platform.orders
 
     play(monkeypatch, lose_first())
+
+
+def test_replica_born_anew_that_has_received_a_little_lets_no_shorter_log_lead(
+    monkeypatch,
+):
+    """Its log is neither empty nor what it was, and its entry doesn't show that yet."""
+
+    async def lose_both() -> None:
+        model, platform = make_group()
+        hosts = make_hosts(model, platform, 1)
+        async with writing(model), running(*hosts):
+            await fall_behind(model, S3)
+            first = model.servers[S2].log[:1]
+            fail(model, hosts, S1, "crashed")
+            lose_log(model, S2)
+            model.servers[S2].log, model.servers[S2].applied = first, 1
+            await asyncio.sleep(2 * LEAD_S)
+            assert_nothing_lost(model, platform)
+            come_back(model, hosts, S1)
+            await asyncio.sleep(2 * LEAD_S)
+        assert_nothing_lost(model, platform)
+
+    play(monkeypatch, lose_both())
