Show that a host that starts waits for ever for an empty log of a covered birth

Seen: s2 was born anew, its lost log is covered, and the lease names its new start; it has received nothing yet. s1 crashes and is born anew as the hosts are replaced. A host that starts never saw the start of s2, so its empty log is unknown beside the lost one of s1. All three answer, s3 holds what was acknowledged, and nobody leads 36 s later.

--- a/tests/pooling/test_review_of_empty_logs.py
+++ b/tests/pooling/test_review_of_empty_logs.py
@@ -7,8 +7,8 @@
 from apricotshore.identifiers import ServerId
 
 from .support import running, wait_until, writing
-from .test_orders_of_promotions import S1, S2, S3, S4, make_group
-from .test_review_of_log_floors import RECORD_S, start_anew
+from .test_orders_of_promotions import KEY, S1, S2, S3, S4, make_group
+from .test_review_of_log_floors import RECORD_S, make_late_host, start_anew
 from .test_shorter_logs import (
     LEAD_S,
     assert_nothing_lost,
@@ -155,3 +155,30 @@
         assert_nothing_lost(model, platform)
 
     play(monkeypatch, lose_both())
+
+
+def test_host_that_starts_waits_for_no_empty_log_of_a_birth_that_is_covered(
+    monkeypatch,
+):
+    """All servers answer; a host that has seen both births orders the third one."""
+
+    async def start_host() -> None:
+        model, platform = make_group()
+        hosts = make_hosts(model, platform, 1)
+        async with writing(model):
+            async with running(*hosts):
+                await wait_until(lambda: len(model.acknowledged) > 5)
+                await asyncio.sleep(RECORD_S)
+                start_anew(model, hosts, S2)
+                await asyncio.sleep(RECORD_S)
+                named = platform.leases[KEY].floor.members
+                assert [m.started_ms for m in named] == [1, 2, 1]
+            fail(model, hosts, S1, "crashed")
+            late = make_late_host(model, platform)
+            start_anew(model, [late], S1)
+            async with running(late):
+                await asyncio.sleep(3 * LEAD_S)
+            assert_nothing_lost(model, platform)
+            assert model.find_primary() is not None, platform.orders
+
+    play(monkeypatch, start_host())
