Take the empty log of a server that was added since nobody leads for known

Cause: an empty log counts as unknown unless its server was seen to start anew. A server that is new, at the address of one that is gone for good, was never struck off under its id, so its log was a second unknown one beside that which is gone, for ever: it receives nothing before somebody leads.

Change: a server that was first listed after the last proof of a primary is new. A lease names no such server, so one that a lease names isn't.

Still red: a host that starts beside a server that was born anew long ago and has received nothing since.

--- a/src/apricotshore/decisions/change_attempt.py
+++ b/src/apricotshore/decisions/change_attempt.py
@@ -36,8 +36,9 @@
         Floor of logs that earlier changes left in the lease.
     knows_members
         Whether this host knows all servers whose logs count.
-    born_anew
-        Servers whose entries showed to this host that they have started anew.
+    new_servers
+        Servers whose logs may be empty without a loss: their entries showed to this
+        host that they have started anew, or were added since nobody leads.
     lost_count
         How many logs of unknown length the lost ones stand for.
     lost_end
@@ -140,7 +141,7 @@
     shrunk: set[ServerId] = field(default_factory=set)
     floor: LogFloor = NO_FLOOR
     knows_members: bool = True
-    born_anew: frozenset[ServerId] = frozenset()
+    new_servers: frozenset[ServerId] = frozenset()
     lost_count: int = 1
     lost_end: End | None = None
     sealed_end: End | None = None
--- a/src/apricotshore/decisions/log_members.py
+++ b/src/apricotshore/decisions/log_members.py
@@ -59,6 +59,9 @@
     ----------
     counted
         The servers, listed or not.
+    listed_since
+        When this host first saw the entries of those that no earlier lease named, in
+        milliseconds since boot.
     unlisted
         Those of them without an entry, and whether each was leaving by its last one.
     struck
@@ -72,6 +75,7 @@
     """
 
     counted: dict[ServerId, StoredMember] = field(default_factory=dict)
+    listed_since: dict[ServerId, int] = field(default_factory=dict)
     unlisted: dict[ServerId, bool] = field(default_factory=dict)
     struck: dict[StoredMember, None] = field(default_factory=dict)
     lost: dict[LogKey, LostLog] = field(default_factory=dict)
@@ -103,6 +107,8 @@
         _strike(state, known, LostLog(at=now, member=known))
     elif known is not None:
         member = replace(member, started_ms=known.started_ms)
+    else:
+        state.listed_since[member.server] = now
     state.counted[member.server] = member
     state.unlisted.pop(member.server, None)
     state.struck.pop(member, None)
@@ -245,7 +251,9 @@
         if is_lost:
             _remember_struck(state, member)
             state.lost[_find_key(member)] = LostLog(at=now, member=member)
-        elif known is None and member.server not in state.counted:
+            continue
+        state.listed_since.pop(member.server, None)
+        if member.server not in state.counted:
             state.counted[member.server] = member
             state.unlisted[member.server] = False
 
@@ -289,6 +297,7 @@
 
 def _forget(state: LogMembers, member: StoredMember) -> None:
     del state.counted[member.server]
+    state.listed_since.pop(member.server, None)
     state.unlisted.pop(member.server, None)
     _remember_struck(state, member)
 
--- a/src/apricotshore/decisions/needed_end.py
+++ b/src/apricotshore/decisions/needed_end.py
@@ -69,7 +69,7 @@
     An empty log counts as lost already where the entry shows that its server is new.
     """
     end = find_end(attempt, member.server)
-    is_new = member.listed and member.server in attempt.born_anew
+    is_new = member.listed and member.server in attempt.new_servers
     is_lost = end == EMPTY_END and not is_new and _holds_commits(attempt)
     return UNKNOWN_END if is_lost else end
 
@@ -81,10 +81,20 @@
     return max(ends, default=EMPTY_END) > EMPTY_END
 
 
-def list_born_anew(state: LogMembers) -> frozenset[ServerId]:
-    """List the servers whose entries showed that they have started anew."""
+def list_new(state: LogMembers, led_at: int) -> frozenset[ServerId]:
+    """List the servers whose logs may be empty without a loss.
+
+    Parameters
+    ----------
+    state
+        The servers that count.
+    led_at
+        When a server last proved to lead, in milliseconds since boot. One that was
+        first listed after that has received nothing yet, and lost nothing.
+    """
     struck = frozenset(member.server for member in state.struck)
-    return struck & state.counted.keys()
+    added = frozenset(s for s, since in state.listed_since.items() if since > led_at)
+    return (struck & state.counted.keys()) | added
 
 
 def may_lead(attempt: Attempt, server: ServerId) -> bool:
--- a/src/apricotshore/pooling/change_steps.py
+++ b/src/apricotshore/pooling/change_steps.py
@@ -184,7 +184,8 @@
         members = group_members.list_members(self.group)
         self.attempt.knows_members = not state.is_assumed
         self.attempt.lost_count = log_members.count_lost(state)
-        self.attempt.born_anew = needed_end.list_born_anew(state)
+        led_at = self.group.primary_state.confirmed_at
+        self.attempt.new_servers = needed_end.list_new(state, led_at)
         step = primary_change.plan_step(
             self.attempt, members, find_lost_end(state), read_boot_ms()
         )
--- a/tests/logfloormodel.py
+++ b/tests/logfloormodel.py
@@ -179,6 +179,8 @@
         The oldest position of a primary that it has since a log was last lost.
     primary, term
         Server that led when last asked, and the latest term of a primary.
+    led_at
+        When a server was last seen to lead.
     floor
         Floor of logs, as last read or named.
     """
@@ -187,6 +189,7 @@
     unlisted: frozenset[ServerId] = frozenset()
     primary: ServerId | None = None
     term: int = 0
+    led_at: int = 0
     sample: PositionSample | None = None
     floor: LogFloor = NO_FLOOR
 
@@ -281,6 +284,7 @@
         other.known = copy_fields(self.known)
         other.known.members = LogMembers(
             counted=dict(members.counted),
+            listed_since=dict(members.listed_since),
             unlisted=dict(members.unlisted),
             struck=dict(members.struck),
             lost=dict(members.lost),
@@ -471,6 +475,7 @@
         last = self.servers.get(known.primary) if known.primary is not None else None
         if leader is not None:
             known.primary, known.term = leader.name, self.term
+            known.led_at = self.now
         elif last is None or last.answers:
             known.primary = None
 
@@ -749,7 +754,7 @@
         state = self.known.members
         self.attempt.knows_members = not state.is_assumed
         self.attempt.lost_count = log_members.count_lost(state)
-        self.attempt.born_anew = needed_end.list_born_anew(state)
+        self.attempt.new_servers = needed_end.list_new(state, self.known.led_at)
         return primary_change.plan_step(
             self.attempt, self.list_members(), find_lost_end(state), self.now
         )
@@ -1124,6 +1129,7 @@
         tuple(sorted(members.counted.values(), key=lambda m: m.server)),
         (members.covered_end, frozenset(members.struck), members.named),
         frozenset(members.unlisted.items()),
+        frozenset(s for s, at in members.listed_since.items() if at > known.led_at),
         sample and (sample.term, sample.position),
         frozenset((x.member, x.has_left) for x in members.lost.values()),
         (model.is_another, model.reason, model.is_unfinished) if is_open else None,
--- a/tests/test_review_of_needed_ends.py
+++ b/tests/test_review_of_needed_ends.py
@@ -23,10 +23,12 @@
     assert find_needed_end(floor, ends) == (9, 3109)
 
 
-def find_leaders(*, born_anew: frozenset[ServerId], s3: int) -> list[ServerId]:
+def find_leaders(*, new_servers: frozenset[ServerId], s3: int) -> list[ServerId]:
     """List who may lead while s1 is silent, s2 has an empty log and s3 a given one."""
     members = tuple(Member(server=s) for s in (S1, S2, S3))
-    attempt = Attempt(from_term=Term(9), started_at=0, replaced=S1, born_anew=born_anew)
+    attempt = Attempt(
+        from_term=Term(9), started_at=0, replaced=S1, new_servers=new_servers
+    )
     for server, position in ((S2, 0), (S3, s3)):
         status = MemberStatus(
             log_position=LogPosition(
@@ -42,12 +44,12 @@
 
 
 def test_empty_log_beside_a_filled_one_is_unknown():
-    assert find_leaders(born_anew=frozenset(), s3=3097) == []
+    assert find_leaders(new_servers=frozenset(), s3=3097) == []
 
 
 def test_empty_log_of_a_server_whose_entry_shows_its_new_start_is_known():
-    assert find_leaders(born_anew=frozenset({S2}), s3=3097) == [S3]
+    assert find_leaders(new_servers=frozenset({S2}), s3=3097) == [S3]
 
 
 def test_group_whose_logs_are_all_empty_gets_a_primary():
-    assert find_leaders(born_anew=frozenset(), s3=0) == [S2, S3]
+    assert find_leaders(new_servers=frozenset(), s3=0) == [S2, S3]
