Take a server that starts anew under its own id for no successor of itself

Cause: a leaving server hands its log to another at its address, and so the lost log of one that left was dropped as an entry with its address came. A server that ends as it drains and starts again under its id has that address too, and holds nothing of before (PROTOCOL.md).

Change: a successor has another id.

Result: test_server_that_left_and_starts_anew_under_its_id_is_not_its_own_successor failed before (13 lost in the model) and passes.

--- a/src/apricotshore/decisions/log_members.py
+++ b/src/apricotshore/decisions/log_members.py
@@ -163,8 +163,10 @@
     """Return whether a listed server holds a log that was taken for lost."""
     if lost.member is None:
         return False
-    is_successor = lost.has_left and lost.member.address == member.address
-    return is_successor or lost.member == member
+    has_address = lost.member.address == member.address
+    # One that starts anew under its own id holds nothing of before.
+    is_successor = has_address and lost.member.server != member.server
+    return (lost.has_left and is_successor) or lost.member == member
 
 
 def observe_left(state: LogMembers, server: ServerId, now: int) -> None:
