Let no entry of an earlier start strike off the server at its address

Cause: a store restored from an older copy lists a draining server of before at the address of its successor, whose entry is missing. The old entry struck the successor off, and a position of the primary covered both logs.

Change: only a server that started as late or later takes another's place.

--- a/src/apricotshore/decisions/log_members.py
+++ b/src/apricotshore/decisions/log_members.py
@@ -149,8 +149,11 @@
 def _strike_replaced(state: LogMembers, server: ServerId, now: int) -> None:
     """Strike a server without an entry off if another is listed at its address."""
     member, has_left = state.counted[server], state.unlisted[server]
+    # A restored store may list one that had the address before.
     is_replaced = any(
-        other.address == member.address and other.server not in state.unlisted
+        other.address == member.address
+        and other.server not in state.unlisted
+        and other.started_ms >= member.started_ms
         for other in state.counted.values()
     )
     if is_replaced and has_left:
