Give an inherited target up that ends below the floor, outdated or not

Cause: where the logs that weren't known have become known, the needed end replaces the floor. A server named as a target by an earlier holder was then ordered again below the floor that the lease still named, as only a first order records the new one: three traces of the exhaustive search.

Change: an inherited target that ends below the lease's floor is given up as one below the needed end is, once no earlier order can take effect. The order that follows records the new floor first; the same server may be its target.

--- a/src/apricotshore/decisions/followed_order.py
+++ b/src/apricotshore/decisions/followed_order.py
@@ -208,7 +208,10 @@
     if target not in attempt.statuses:
         return None
     ends = [read_order(attempt, m.server) for m in list_followers(attempt, members)]
-    ends.append(attempt.needed_end or find_floor_end(attempt.floor))
+    # A floor that is outdated is recorded anew with the next order.
+    ends.append(find_floor_end(attempt.floor))
+    if attempt.needed_end is not None:
+        ends.append(attempt.needed_end)
     if attempt.final_end is not None:
         ends.append((attempt.final_end.term, attempt.final_end.position))
     return attempt.started_at if read_order(attempt, target) < max(ends) else None
