--- a/tests/test_log_members.py
+++ b/tests/test_log_members.py
@@ -74,6 +74,23 @@
     assert (S3 in state.counted, state.lost_at) == (True, None)
 
 
+def test_successor_that_is_listed_first_replaces_a_server_without_its_entry():
+    state = make_members()
+    log_members.observe_listed(state, replace(make_member(S2), server=S3), 100)
+    assert set(state.counted) == {S1, S2, S3}
+    log_members.observe_unlisted(state, S2, 200, is_leaving=False)
+    assert (S2 in state.counted, state.lost_at) == (False, 200)
+
+
+def test_entry_that_has_gone_leaves_the_server_at_its_address_counted():
+    state = make_members()
+    log_members.observe_listed(state, replace(make_member(S2), server=S3), 100)
+    log_members.observe_unlisted(state, S3, 200, is_leaving=False)
+    assert (set(state.counted), state.lost_at) == ({S1, S2}, 200)
+    log_members.observe_unlisted(state, S2, 300, is_leaving=False)
+    assert S2 in state.counted
+
+
 def test_end_that_covers_lost_logs_is_taken_from_the_lease():
     state = make_members()
     end = LogPosition(term=Term(2), position=Position(9))
