--- a/src/apricotshore/pooling/pool.py
+++ b/src/apricotshore/pooling/pool.py
@@ -13,7 +13,12 @@
 from ..routes import ListedServer
 from ..services.clock import read_boot_ms
 from .pooled_connection import NoConnectionError, PooledConnection, WithheldError
-from .ports import ConnectionLostError, ConnectionRejectedError, Dialer
+from .ports import (
+    ConnectionLostError,
+    ConnectionRejectedError,
+    Dialer,
+    WrongServerError,
+)
 from .server_gate import ServerGate
 
 DIAL_TIMEOUT_S = 0.5
@@ -131,9 +136,9 @@
                 self.on_answer()
                 return None
             placement.observe_silence(self.load, read_boot_ms())
-            raise ConnectionLostError(
-                f"refused: {error.code.value}", sent=False
-            ) from None
+            is_other = error.code is FailureCode.WRONG_SERVER
+            lost = WrongServerError if is_other else ConnectionLostError
+            raise lost(f"refused: {error.code.value}", sent=False) from None
         except ConnectionLostError:
             placement.observe_silence(self.load, read_boot_ms())
             raise
