--- a/src/apricotshore/decisions/log_members.py
+++ b/src/apricotshore/decisions/log_members.py
@@ -1,11 +1,11 @@
 """Servers of a group whose logs count, and logs that were lost.
 
 A server counts from its first entry in the store on. Only what ends its log strikes it
-off: its process ends as it leaves, it starts anew, or another has taken its address. An
-entry that has run out doesn't, however long ago: the primary may reach the server, so
-that with it the server holds the only copies of a commit. That holds for one that
-leaves, too, until its process has ended. Nor does a settled change. An entry with the
-address of a server that has one itself strikes neither off while both are listed.
+off: it leaves in good order, starts anew, or another has taken its address. An entry
+that has run out doesn't, however long ago: the primary may reach the server still, so
+that with it the server holds the only copies of a commit. Nor does a settled change. An
+entry with the address of a server that has one itself strikes neither off while both
+are listed.
 
 A log that was lost may have held what others lack. What it held lies below a position
 that the primary names afterwards. A server that leaves hands its log to its successor
@@ -140,11 +140,6 @@
         _strike_replaced(state, server, now)
 
 
-def list_ending(state: LogMembers) -> list[ServerId]:
-    """List the leaving servers without an entry, whose processes are to end."""
-    return [server for server, is_leaving in state.unlisted.items() if is_leaving]
-
-
 def _strike_replaced(state: LogMembers, server: ServerId, now: int) -> None:
     """Strike a server without an entry off if another is listed at its address."""
     member, has_left = state.counted[server], state.unlisted[server]
@@ -167,7 +162,7 @@
 
 
 def observe_left(state: LogMembers, server: ServerId, now: int) -> None:
-    """Strike a server off whose process has ended as it was leaving."""
+    """Strike a server off that has left in good order."""
     member = state.counted.get(server)
     if member is None:
         return
--- a/src/apricotshore/pooling/group.py
+++ b/src/apricotshore/pooling/group.py
@@ -132,16 +132,14 @@
         log_members.observe_unlisted(
             self.members, server, read_boot_ms(), is_leaving=removed.leaving
         )
+        if removed.leaving:
+            log_members.observe_left(self.members, server, read_boot_ms())
         self.journal.record(EventKind.SERVER_GONE, group=self.group, server=server)
         self.all_pools.remove(server)
         now = read_boot_ms()
         leadership.observe_silence(self.primary_state, server, now, now)
         self.probe_wanted.set()
 
-    def observe_ended(self, server: ServerId) -> None:
-        """Record that the process of a leaving server without an entry has ended."""
-        log_members.observe_left(self.members, server, read_boot_ms())
-
     def keep_stored(self, member: StoredMember) -> None:
         """Send commands to a server that this host has never seen listed."""
         if self.find_pool(member.server) is not None:
--- a/src/apricotshore/pooling/pool.py
+++ b/src/apricotshore/pooling/pool.py
@@ -13,12 +13,7 @@
 from ..routes import ListedServer
 from ..services.clock import read_boot_ms
 from .pooled_connection import NoConnectionError, PooledConnection, WithheldError
-from .ports import (
-    ConnectionLostError,
-    ConnectionRejectedError,
-    Dialer,
-    WrongServerError,
-)
+from .ports import ConnectionLostError, ConnectionRejectedError, Dialer
 from .server_gate import ServerGate
 
 DIAL_TIMEOUT_S = 0.5
@@ -136,9 +131,9 @@
                 self.on_answer()
                 return None
             placement.observe_silence(self.load, read_boot_ms())
-            is_other = error.code is FailureCode.WRONG_SERVER
-            lost = WrongServerError if is_other else ConnectionLostError
-            raise lost(f"refused: {error.code.value}", sent=False) from None
+            raise ConnectionLostError(
+                f"refused: {error.code.value}", sent=False
+            ) from None
         except ConnectionLostError:
             placement.observe_silence(self.load, read_boot_ms())
             raise
--- a/src/apricotshore/pooling/ports.py
+++ b/src/apricotshore/pooling/ports.py
@@ -220,10 +220,6 @@
     """Refusal of a connection to a backend server: its process has ended."""
 
 
-class WrongServerError(ConnectionLostError):
-    """Refusal by another server, which has the address of the one that was dialled."""
-
-
 class HostStoppedError(ConnectionLostError):
     """Refusal of a connection: no process listens, so its connections are closed."""
 
