Take no empty log for known once a primary has named a position

Cause: an empty log counts as unknown where another holds an entry, and only the logs that answer in the change and the floor were looked at. Where all replicas were born anew before their entries showed it, an empty one was ordered.

Change: a position that a primary named to this host counts as well.

A host that started since, and has no position, still takes them for known. test_log_floor_search, test_review_of_* of logs, floors, lines and ends, test_log_members, test_shorter_logs, test_followed_orders: 278 passed, 8 failed, all known red.

--- a/src/apricotshore/decisions/change_attempt.py
+++ b/src/apricotshore/decisions/change_attempt.py
@@ -39,6 +39,8 @@
     new_servers
         Servers whose logs may be empty without a loss: their entries showed to this
         host that they have started anew, or were added since nobody leads.
+    holds_commits
+        Whether a primary named a position to this host that isn't 0.
     lost_count
         How many logs of unknown length the lost ones stand for.
     lost_end
@@ -142,6 +144,7 @@
     floor: LogFloor = NO_FLOOR
     knows_members: bool = True
     new_servers: frozenset[ServerId] = frozenset()
+    holds_commits: bool = False
     lost_count: int = 1
     lost_end: End | None = None
     sealed_end: End | None = None
--- a/src/apricotshore/decisions/needed_end.py
+++ b/src/apricotshore/decisions/needed_end.py
@@ -78,7 +78,7 @@
     """Return whether any log of the group is known to hold an entry."""
     named = (attempt.primary_end, attempt.final_end, attempt.floor.end)
     ends = (*attempt.ends.values(), *(log_order(end) for end in named if end))
-    return max(ends, default=EMPTY_END) > EMPTY_END
+    return attempt.holds_commits or max(ends, default=EMPTY_END) > EMPTY_END
 
 
 def list_new(state: LogMembers, led_at: int) -> frozenset[ServerId]:
--- a/src/apricotshore/pooling/change_steps.py
+++ b/src/apricotshore/pooling/change_steps.py
@@ -185,6 +185,8 @@
         self.attempt.knows_members = not state.is_assumed
         self.attempt.lost_count = log_members.count_lost(state)
         led_at = self.group.primary_state.confirmed_at
+        samples = self.group.position_history.samples
+        self.attempt.holds_commits = any(sample.position for sample in samples)
         self.attempt.new_servers = needed_end.list_new(state, led_at)
         step = primary_change.plan_step(
             self.attempt, members, find_lost_end(state), read_boot_ms()
