Strike no server off for a lease that names its earlier start

Cause: a lease names a lost log by the server that held it, with its start, until a position covers it. A host that is cut off from the primary never learns of one, so its lease named the earlier start of a server again; the others took the later start, which it named no more, for struck off, and forgot a server without an entry that the primary still reached.

Change: a start is struck off only if the next lease names its server with none, or with a later one.

--- a/src/apricotshore/decisions/log_members.py
+++ b/src/apricotshore/decisions/log_members.py
@@ -268,10 +268,15 @@
     members: tuple[StoredMember, ...],
     present: Mapping[ServerId, StoredMember],
 ) -> None:
-    """Strike off servers that a lease named, and that its next one doesn't."""
+    """Strike off servers that a lease named, and that its next one doesn't.
+
+    A writer that hasn't learnt which end covers a lost log names its earlier start.
+    """
+    named = {member.server: member.started_ms for member in members}
     for member in state.named.difference(members):
         is_counted = state.counted.get(member.server) == member
-        if is_counted and member.server not in present:
+        is_outdated = named.get(member.server, member.started_ms) < member.started_ms
+        if is_counted and not is_outdated and member.server not in present:
             _forget(state, member)
 
 
