Count a refused server among those that may have led

Cause: the end that the replaced primary named bounds what is needed if all other servers that led are known. A server whose repeated order was refused wasn't counted among these, though its earlier order may have taken effect: it led, committed with another server, and both ended. A shorter log was then ordered. Nor did the bound take the ends of those others in: one that was back with a longer log left it at what the replaced primary had named.

Change: refused servers count among those that may have led, and the bound is the furthest end of them all.

--- a/src/apricotshore/decisions/needed_end.py
+++ b/src/apricotshore/decisions/needed_end.py
@@ -173,8 +173,9 @@
 
     Nothing beyond it was acknowledged, whatever other servers hold.
     """
-    others = attempt.led | {attempt.inherited, attempt.ineffective}
-    others -= {None, attempt.replaced}
-    if attempt.final_end is None or not others <= attempt.statuses.keys():
+    ordered = attempt.rejected | {attempt.inherited, attempt.ineffective}
+    others = (attempt.led | ordered) - {None, attempt.replaced}
+    if attempt.final_end is None:
         return UNKNOWN_END
-    return log_order(attempt.final_end)
+    ends = (find_end(attempt, s) for s in others if s is not None)
+    return max([log_order(attempt.final_end), *ends])
--- a/tests/test_review_of_floors.py
+++ b/tests/test_review_of_floors.py
@@ -119,6 +119,18 @@
     assert not isinstance(step, RecordTarget | Promote), step
 
 
+def test_refused_server_that_is_back_ends_no_lower_than_it_led():
+    """Its order took effect: it committed with s3, ended, and is back."""
+    members = tuple(Member(server=s) for s in (S1, S2, S3, S4))
+    attempt = Attempt(from_term=Term(9), started_at=0, replaced=S1)
+    hear(attempt, 0, s1=status(SHORTER, leads=True))
+    hear(attempt, 0, s1=status(SHORTER))
+    hear(attempt, 0, s2=status(LONGEST), s4=status(SHORTER))
+    attempt.rejected.add(S2)
+    needed_end.observe_needed_end(attempt, members, None)
+    assert not needed_end.may_lead(attempt, S4), attempt.needed_end
+
+
 # -- the host's check of itself --
 
 
