--- a/src/apricotshore/decisions/log_members.py
+++ b/src/apricotshore/decisions/log_members.py
@@ -59,6 +59,9 @@
     ----------
     counted
         The servers, listed or not.
+    listed_since
+        When this host first saw the entries of those that no earlier lease named, in
+        milliseconds since boot.
     unlisted
         Those of them without an entry, and whether each was leaving by its last one.
     struck
@@ -72,6 +75,7 @@
     """
 
     counted: dict[ServerId, StoredMember] = field(default_factory=dict)
+    listed_since: dict[ServerId, int] = field(default_factory=dict)
     unlisted: dict[ServerId, bool] = field(default_factory=dict)
     struck: dict[StoredMember, None] = field(default_factory=dict)
     lost: dict[LogKey, LostLog] = field(default_factory=dict)
@@ -103,6 +107,8 @@
         _strike(state, known, LostLog(at=now, member=known))
     elif known is not None:
         member = replace(member, started_ms=known.started_ms)
+    else:
+        state.listed_since[member.server] = now
     state.counted[member.server] = member
     state.unlisted.pop(member.server, None)
     state.struck.pop(member, None)
@@ -143,8 +149,11 @@
 def _strike_replaced(state: LogMembers, server: ServerId, now: int) -> None:
     """Strike a server without an entry off if another is listed at its address."""
     member, has_left = state.counted[server], state.unlisted[server]
+    # A restored store may list one that had the address before.
     is_replaced = any(
-        other.address == member.address and other.server not in state.unlisted
+        other.address == member.address
+        and other.server not in state.unlisted
+        and other.started_ms >= member.started_ms
         for other in state.counted.values()
     )
     if is_replaced and has_left:
@@ -157,8 +166,10 @@
     """Return whether a listed server holds a log that was taken for lost."""
     if lost.member is None:
         return False
-    is_successor = lost.has_left and lost.member.address == member.address
-    return is_successor or lost.member == member
+    has_address = lost.member.address == member.address
+    # One that starts anew under its own id holds nothing of before.
+    is_successor = has_address and lost.member.server != member.server
+    return (lost.has_left and is_successor) or lost.member == member
 
 
 def observe_left(state: LogMembers, server: ServerId, now: int) -> None:
@@ -245,7 +256,9 @@
         if is_lost:
             _remember_struck(state, member)
             state.lost[_find_key(member)] = LostLog(at=now, member=member)
-        elif known is None and member.server not in state.counted:
+            continue
+        state.listed_since.pop(member.server, None)
+        if member.server not in state.counted:
             state.counted[member.server] = member
             state.unlisted[member.server] = False
 
@@ -255,10 +268,15 @@
     members: tuple[StoredMember, ...],
     present: Mapping[ServerId, StoredMember],
 ) -> None:
-    """Strike off servers that a lease named, and that its next one doesn't."""
+    """Strike off servers that a lease named, and that its next one doesn't.
+
+    A writer that hasn't learnt which end covers a lost log names its earlier start.
+    """
+    named = {member.server: member.started_ms for member in members}
     for member in state.named.difference(members):
         is_counted = state.counted.get(member.server) == member
-        if is_counted and member.server not in present:
+        is_outdated = named.get(member.server, member.started_ms) < member.started_ms
+        if is_counted and not is_outdated and member.server not in present:
             _forget(state, member)
 
 
@@ -289,6 +307,7 @@
 
 def _forget(state: LogMembers, member: StoredMember) -> None:
     del state.counted[member.server]
+    state.listed_since.pop(member.server, None)
     state.unlisted.pop(member.server, None)
     _remember_struck(state, member)
 
