Tell what a fenced server lacks of the floor before the fence is sent

Cause: raise_token orders the server that leads, and no host computed what its log lacks: only orders of a change went through the check.

Change: the fence is recorded with the entries that the last position of that server lacks of the floor in the lease; a line and a count as for other orders. Ends that replicas stated are left out, as that position may be older than they.

--- a/src/apricotshore/decisions/log_floor.py
+++ b/src/apricotshore/decisions/log_floor.py
@@ -96,6 +96,11 @@
     return EMPTY_END if floor.end is None else log_order(floor.end)
 
 
+def count_missing(end: End, needed: End) -> int:
+    """Return how many entries a log lacks of a needed end, at least one if it does."""
+    return 0 if end >= needed else max(1, int(needed[1] - end[1]))
+
+
 def find_needed_end(
     floor: LogFloor,
     ends: Mapping[ServerId, End],
--- a/src/apricotshore/decisions/needed_end.py
+++ b/src/apricotshore/decisions/needed_end.py
@@ -150,8 +150,7 @@
     if needed is None:
         known = [end for end in ends.values() if end != UNKNOWN_END]
         needed = max([*known, log_floor.find_floor_end(attempt.floor)])
-    end = log_order(status.log_position)
-    return 0 if end >= needed else max(1, int(needed[1] - end[1]))
+    return log_floor.count_missing(log_order(status.log_position), needed)
 
 
 def _find_needed_end(attempt: Attempt, ends: Mapping[ServerId, End]) -> End | None:
--- a/src/apricotshore/pooling/change_ending.py
+++ b/src/apricotshore/pooling/change_ending.py
@@ -10,7 +10,7 @@
 from ..queries import QueryKind
 from ..services.clock import read_boot_ms
 from .change_lease import ChangeLease
-from .change_phases import record_phase
+from .change_phases import record_fence, record_phase
 from .change_steps import ChangeSteps
 from .group import Group
 from .group_commands import GroupCommands
@@ -200,7 +200,7 @@
         if self.group.members.counted.get(primary) != known:
             record_phase(self.group, "waiting", why=f"{primary} has started anew")
             return False
-        record_phase(self.group, "fencing", server=primary, token=token)
+        record_fence(self.group, self.lease.floor, primary, token)
         group = self.group.group
         if not await self.promoter.promote(group, primary, self.host, token):
             return False
--- a/src/apricotshore/pooling/change_phases.py
+++ b/src/apricotshore/pooling/change_phases.py
@@ -1,10 +1,14 @@
 """Phases of a change of primary in the journal, and the promotions that they tell."""
 
-from ..decisions import known_ends, needed_end
+from dataclasses import replace
+
+from ..decisions import known_ends, log_floor, needed_end
 from ..decisions.change_attempt import Attempt
 from ..decisions.commit_barrier import BarrierProof
+from ..decisions.log_floor import LogFloor
+from ..decisions.position_history import PositionSample
 from ..groups import LogPosition
-from ..identifiers import ServerId
+from ..identifiers import FencingToken, ServerId
 from ..services.clock import read_boot_ms
 from . import group_members, promotion_summary
 from .group import Group
@@ -57,6 +61,29 @@
         record_promotion(group.journal, ended)
 
 
+def record_fence(
+    group: Group, floor: LogFloor, server: ServerId, token: FencingToken
+) -> None:
+    """Record the order of a server that leads, and what its log lacks of the floor."""
+    former = group.promotions.under_way
+    record_phase(group, "fencing", server=server, token=token)
+    fence, sample = group.promotions.under_way, _find_sample(group)
+    if fence is None or sample is None:
+        return
+    short = log_floor.count_missing(
+        (sample.term, sample.position), log_floor.find_floor_end(floor)
+    )
+    group.promotions.under_way = replace(fence, short=max(fence.short, short))
+    _record_shortfall(group, former)
+
+
+def _find_sample(group: Group) -> PositionSample | None:
+    """Return the latest position of the server that leads, None without one."""
+    samples = group.position_history.samples
+    is_of_leader = samples and samples[-1].asked_at >= group.primary_state.found_at
+    return samples[-1] if is_of_leader else None
+
+
 def _record_shortfall(group: Group, former: Promotion | None) -> None:
     """Record the shortfall of a promotion, at the first order that has one."""
     ordered = group.promotions.under_way
