Serve the status page and call the store with h11 instead of aiohttp

A host that restarts serves nobody until its imports are done; on a host with a small share of a core that is seconds. aiohttp was two fifths of them, a third of that for loading certificates that no host uses. h11 does the protocol, asyncio streams carry it.

--- a/src/apricotshore/services/eras.py
+++ b/src/apricotshore/services/eras.py
@@ -7,7 +7,8 @@
 from ..identifiers import StoreEra
 from .clock import read_boot_ms
 
-ERA_HEADER = "Store-Era"
+# Names of headers are kept in lower case.
+ERA_HEADER = "store-era"
 MAX_ERA_DIGITS = 15
 
 
--- a/src/apricotshore/services/jsonapi.py
+++ b/src/apricotshore/services/jsonapi.py
@@ -1,15 +1,23 @@
 """HTTP client for APIs that exchange JSON bodies."""
 
+import asyncio
 import json
-import socket
 from collections.abc import Callable, Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import Any
+from urllib.parse import SplitResult, quote, urlencode, urlsplit
 
-import aiohttp
+import h11
 
 from .sockets import enable_keepalive
 
+READ_BYTES = 1 << 16
+# Largest body of an answer. A store's page of a list has about 1 MB.
+MAX_BODY_BYTES = 1 << 25
+DEFAULT_PORT = 80
+# Characters that a path or a query keeps as they are.
+SAFE_CHARACTERS = "/?&=%:@-._~!$'()*+,;"
+
 
 class NoAnswerError(Exception):
     """A call got no usable answer; the server may have executed it."""
@@ -26,7 +34,7 @@
     body
         Decoded body, an empty table when there is none.
     headers
-        Headers; their names compare without regard to case.
+        Headers, by their names in lower case.
     """
 
     status: int
@@ -34,19 +42,136 @@
     headers: Mapping[str, str]
 
 
-def _open_socket(address: aiohttp.AddrInfoType) -> socket.socket:
-    family, kind, protocol, _, _ = address
-    raw = socket.socket(family=family, type=kind, proto=protocol)
-    raw.setblocking(False)
-    enable_keepalive(raw)
-    return raw
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Request:
+    """A call as it is sent.
+
+    Parameters
+    ----------
+    method, target
+        HTTP method, and path with the query.
+    headers, body
+        Headers and body.
+    """
+
+    method: str
+    target: str
+    headers: list[tuple[str, str]]
+    body: bytes
+
+    @property
+    def may_be_repeated(self) -> bool:
+        """Whether the server may execute it twice."""
+        return self.method != "POST"
+
+
+@dataclass(kw_only=True)
+class HttpConnection:
+    """An open connection to a server.
+
+    Parameters
+    ----------
+    reader, writer
+        Stream of the connection.
+    state
+        State of the protocol on it.
+    """
+
+    reader: asyncio.StreamReader
+    writer: asyncio.StreamWriter
+    state: h11.Connection = field(
+        default_factory=lambda: h11.Connection(our_role=h11.CLIENT)
+    )
+
+    @property
+    def is_open(self) -> bool:
+        """Whether the server has not closed it."""
+        return not (self.reader.at_eof() or self.writer.is_closing())
+
+
+class _ConnectionClosedError(OSError):
+    """Close of a connection by the server before any byte of an answer."""
+
+
+async def _connect(host: str, port: int) -> HttpConnection:
+    reader, writer = await asyncio.open_connection(host, port)
+    enable_keepalive(writer.get_extra_info("socket"))
+    return HttpConnection(reader=reader, writer=writer)
+
+
+def _make_request(
+    method: str,
+    url: SplitResult,
+    params: Mapping[str, str] | None,
+    content: Any,
+    headers: Mapping[str, str] | None,
+) -> Request:
+    query = "&".join(q for q in (url.query, urlencode(params or {})) if q)
+    target = (url.path or "/") + (f"?{query}" if query else "")
+    fields = [("Host", url.netloc), *(headers or {}).items()]
+    body = b""
+    if content is not None:
+        body = json.dumps(content).encode()
+        fields.append(("Content-Type", "application/json"))
+    if body or method in ("POST", "PUT"):
+        fields.append(("Content-Length", str(len(body))))
+    return Request(
+        method=method,
+        target=quote(target, safe=SAFE_CHARACTERS),
+        headers=fields,
+        body=body,
+    )
+
+
+async def _exchange(
+    link: HttpConnection, request: Request
+) -> tuple[h11.Response, bytes]:
+    """Send a request and return the head and the body of its answer.
+
+    Raises
+    ------
+    _ConnectionClosedError
+        When the server closed the connection before it answered anything.
+    OSError, h11.ProtocolError
+        When the connection was lost or the answer is malformed.
+    """
+    state = link.state
+    head = h11.Request(
+        method=request.method, target=request.target, headers=request.headers
+    )
+    parts = [state.send(head)]
+    if request.body:
+        parts.append(state.send(h11.Data(data=request.body)))
+    parts.append(state.send(h11.EndOfMessage()))
+    link.writer.write(b"".join(part for part in parts if part))
+    response: h11.Response | None = None
+    body = bytearray()
+    received = False
+    while True:
+        event = state.next_event()
+        if event is h11.NEED_DATA:
+            data = await link.reader.read(READ_BYTES)
+            if not data and not received:
+                raise _ConnectionClosedError("closed before an answer")
+            received = True
+            state.receive_data(data)
+        elif isinstance(event, h11.Response):
+            response = event
+        elif isinstance(event, h11.Data):
+            body += event.data
+            if len(body) > MAX_BODY_BYTES:
+                raise h11.RemoteProtocolError("the body of the answer is too large")
+        elif isinstance(event, h11.EndOfMessage) and response is not None:
+            return response, bytes(body)
+        elif isinstance(event, h11.ConnectionClosed):
+            raise OSError("closed amid an answer")
 
 
 class JsonClient:
     """Client of JSON APIs that keeps its connections open between calls.
 
-    The library sends a call that may be repeated (any but ``POST``) once more if its
-    connection is lost, so the server may execute it twice.
+    A call that may be repeated (any but ``POST``) is sent once more if the connection
+    is closed before an answer, so the server may execute it twice.
 
     Parameters
     ----------
@@ -56,21 +181,24 @@
 
     def __init__(self, *, decode: Callable[[bytes], Any] = json.loads) -> None:
         self._decode = decode
-        self._session: aiohttp.ClientSession | None = None
+        self._idle: dict[str, list[HttpConnection]] = {}
 
     async def close(self) -> None:
         """Close every connection."""
-        if self._session is not None:
-            await self._session.close()
-
-    def _open(self) -> aiohttp.ClientSession:
-        if self._session is None:
-            connector = aiohttp.TCPConnector(socket_factory=_open_socket)
-            self._session = aiohttp.ClientSession(connector=connector)
-        return self._session
+        for links in self._idle.values():
+            for link in links:
+                link.writer.close()
+        self._idle.clear()
 
     async def call(
-        self, method: str, url: str, timeout_s: float, **kwargs: Any
+        self,
+        method: str,
+        url: str,
+        timeout_s: float,
+        *,
+        params: Mapping[str, str] | None = None,
+        json: Any = None,
+        headers: Mapping[str, str] | None = None,
     ) -> JsonAnswer:
         """Make a call and return its answer.
 
@@ -80,24 +208,69 @@
             HTTP method and URL of the call.
         timeout_s
             Time limit for the complete answer.
-        **kwargs
-            Arguments of the request: ``params``, ``json``, ``headers``.
+        params, json, headers
+            Query, content of the body and headers.
 
         Raises
         ------
         NoAnswerError
             If the answer is missing, incomplete or not JSON.
         """
-        timeout = aiohttp.ClientTimeout(total=timeout_s)
+        parts = urlsplit(url)
+        request = _make_request(method, parts, params, json, headers)
         try:
-            async with self._open().request(
-                method, url, timeout=timeout, **kwargs
-            ) as response:
-                body = await response.read()
-                return JsonAnswer(
-                    status=response.status,
-                    body=self._decode(body) if body else {},
-                    headers=response.headers,
-                )
-        except (aiohttp.ClientError, TimeoutError, OSError, ValueError) as error:
+            async with asyncio.timeout(timeout_s):
+                response, body = await self._send(parts, request)
+            return JsonAnswer(
+                status=response.status_code,
+                body=self._decode(body) if body else {},
+                headers={k.decode(): v.decode("latin-1") for k, v in response.headers},
+            )
+        except (h11.ProtocolError, TimeoutError, OSError, ValueError) as error:
             raise NoAnswerError(repr(error)) from None
+
+    async def _send(
+        self, url: SplitResult, request: Request
+    ) -> tuple[h11.Response, bytes]:
+        link = self._take_idle(url.netloc)
+        if link is None:
+            return await self._send_on_new(url, request)
+        try:
+            return await self._run(url.netloc, link, request)
+        except (_ConnectionClosedError, ConnectionError):
+            if not request.may_be_repeated:
+                raise
+            return await self._send_on_new(url, request)
+
+    async def _send_on_new(
+        self, url: SplitResult, request: Request
+    ) -> tuple[h11.Response, bytes]:
+        link = await _connect(url.hostname or "", url.port or DEFAULT_PORT)
+        return await self._run(url.netloc, link, request)
+
+    async def _run(
+        self, server: str, link: HttpConnection, request: Request
+    ) -> tuple[h11.Response, bytes]:
+        """Make a call on a connection; keep that only if it can be used again."""
+        is_reusable = False
+        try:
+            answer = await _exchange(link, request)
+            is_reusable = link.state.our_state is h11.DONE and (
+                link.state.their_state is h11.DONE
+            )
+        finally:
+            if is_reusable:
+                link.state.start_next_cycle()
+                self._idle.setdefault(server, []).append(link)
+            else:
+                link.writer.close()
+        return answer
+
+    def _take_idle(self, server: str) -> HttpConnection | None:
+        links = self._idle.get(server, [])
+        while links:
+            link = links.pop()
+            if link.is_open:
+                return link
+            link.writer.close()
+        return None
--- a/src/apricotshore/services/statuspage.py
+++ b/src/apricotshore/services/statuspage.py
@@ -1,11 +1,38 @@
 """HTTP server for the load balancer's health check and for metrics."""
 
+import asyncio
 from collections.abc import Callable
+from contextlib import suppress
+from dataclasses import dataclass, field
 
-from aiohttp import web
+import h11
 from aioprometheus import Registry
 from aioprometheus.renderer import render
 
+READ_BYTES = 1 << 14
+# Time for a whole request, and for the client to take the answer.
+EXCHANGE_TIMEOUT_S = 10.0
+# Connections at once; further ones are closed.
+MAX_CONNECTIONS = 64
+METRICS_PATH = "/metrics"
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Page:
+    """Answer to a request.
+
+    Parameters
+    ----------
+    status, body
+        HTTP status and body.
+    headers
+        Headers beside its length.
+    """
+
+    status: int
+    body: bytes
+    headers: dict[str, str] = field(default_factory=dict)
+
 
 class StatusPage:
     """Serves ``/health`` and ``/metrics``.
@@ -38,30 +65,95 @@
         self.is_ready = is_ready
         self.refresh = refresh
         self.health_path = health_path
-        self.runner: web.AppRunner | None = None
+        self.server: asyncio.Server | None = None
+        self.writers: set[asyncio.StreamWriter] = set()
 
     async def start(self) -> None:
         """Start listening."""
-        application = web.Application()
-        application.router.add_get(self.health_path, self._handle_health)
-        application.router.add_get("/metrics", self._handle_metrics)
-        self.runner = web.AppRunner(application, access_log=None)
-        await self.runner.setup()
         host, _, port = self.address.rpartition(":")
-        await web.TCPSite(self.runner, host, int(port)).start()
+        self.server = await asyncio.start_server(self._serve, host, int(port))
 
     async def stop(self) -> None:
-        """Stop listening."""
-        if self.runner is not None:
-            await self.runner.cleanup()
-
-    async def _handle_health(self, request: web.Request) -> web.Response:
-        if self.is_ready():
-            return web.Response(text="ready\n")
-        return web.Response(status=503, text="not ready\n")
-
-    async def _handle_metrics(self, request: web.Request) -> web.Response:
-        self.refresh()
-        accepts = request.headers.getall("Accept", [])
-        body, headers = render(self.registry, accepts)
-        return web.Response(body=body, headers=headers)
+        """Stop listening and close every connection."""
+        if self.server is None:
+            return
+        self.server.close()
+        for writer in list(self.writers):
+            writer.close()
+
+    async def _serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        if len(self.writers) >= MAX_CONNECTIONS:
+            writer.close()
+            return
+        self.writers.add(writer)
+        try:
+            with suppress(OSError, TimeoutError, h11.ProtocolError):
+                await self._answer_requests(reader, writer)
+        except asyncio.CancelledError:
+            # The host stops.
+            return
+        finally:
+            self.writers.discard(writer)
+            writer.close()
+
+    async def _answer_requests(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        state = h11.Connection(our_role=h11.SERVER)
+        while True:
+            async with asyncio.timeout(EXCHANGE_TIMEOUT_S):
+                request = await _read_request(state, reader)
+                if request is None:
+                    return
+                _write_page(state, writer, self._make_page(request))
+                await writer.drain()
+            if state.our_state is not h11.DONE or state.their_state is not h11.DONE:
+                return
+            state.start_next_cycle()
+
+    def _make_page(self, request: h11.Request) -> Page:
+        path = request.target.decode("latin-1").partition("?")[0]
+        if request.method != b"GET":
+            return Page(status=405, body=b"use GET\n", headers={"Allow": "GET"})
+        if path == self.health_path:
+            if self.is_ready():
+                return Page(status=200, body=b"ready\n")
+            return Page(status=503, body=b"not ready\n")
+        if path == METRICS_PATH:
+            self.refresh()
+            accepts = [
+                v.decode("latin-1") for k, v in request.headers if k == b"accept"
+            ]
+            body, headers = render(self.registry, accepts)
+            return Page(status=200, body=body, headers=dict(headers))
+        return Page(status=404, body=b"no such page\n")
+
+
+async def _read_request(
+    state: h11.Connection, reader: asyncio.StreamReader
+) -> h11.Request | None:
+    """Read a request and drop its body; return None if the client has closed."""
+    request: h11.Request | None = None
+    while True:
+        event = state.next_event()
+        if event is h11.NEED_DATA:
+            state.receive_data(await reader.read(READ_BYTES))
+        elif isinstance(event, h11.Request):
+            request = event
+        elif isinstance(event, h11.EndOfMessage):
+            return request
+        elif isinstance(event, h11.ConnectionClosed):
+            return None
+
+
+def _write_page(
+    state: h11.Connection, writer: asyncio.StreamWriter, page: Page
+) -> None:
+    headers = {"Content-Type": "text/plain; charset=utf-8", **page.headers}
+    headers["Content-Length"] = str(len(page.body))
+    head = h11.Response(status_code=page.status, headers=list(headers.items()))
+    writer.write(state.send(head) or b"")
+    writer.write(state.send(h11.Data(data=page.body)) or b"")
+    writer.write(state.send(h11.EndOfMessage()) or b"")
