Check callers' keys at one place before a statement is forwarded

Callers of organisations are to be served only while their keys are valid. Sessions know the organisation and the digest of the key. find_refusal in pooling/key_checks.py decides whether a statement may be served; it is called when the statement arrives, between two statements, and by Job.check right before it is forwarded. Context has two hooks there: refuse_keyed, and admit_operation once for each operation.

tests/pooling/test_caller_session.py and tests/platform_adapter/test_golden.py pass.

--- a/src/apricotshore/pooling/autocommit.py
+++ b/src/apricotshore/pooling/autocommit.py
@@ -107,6 +107,7 @@
                 failure=FailureCode.OVERLOADED if full else FailureCode.NOT_PREPARED
             )
         timeout = min(left_ms, READ_ATTEMPT_MS)
+        job.check()
         answers = await pool.run(pooled, [job.query], min_position, timeout)
         clean = True
     except ConnectionLostError:
@@ -138,6 +139,7 @@
         clean = False
         try:
             timeout = min(left_ms, READ_ATTEMPT_MS)
+            job.check()
             answers = await pool.run(pooled, [job.query, ROLLBACK], None, timeout)
             clean = answers[1].failure is None
         except ConnectionLostError as error:
@@ -171,6 +173,11 @@
         if left_ms <= 0:
             break
         pool, pooled = await open_at_primary(group, session, job, None)
+        try:
+            job.check()
+        except RefusedError:
+            pool.release(pooled, clean=True)
+            raise
         clean = False
         number = group.writes.begin()
         answered = False
--- a/src/apricotshore/pooling/caller_session.py
+++ b/src/apricotshore/pooling/caller_session.py
@@ -4,9 +4,8 @@
 from dataclasses import replace
 
 from ..decisions import shutdown
-from ..identifiers import DatabaseId
+from ..identifiers import DatabaseId, KeyDigest, OrganisationId
 from ..queries import (
-    INTERNAL_REQUEST,
     Access,
     Answer,
     FailureCode,
@@ -16,11 +15,10 @@
 )
 from ..routes import Route
 from ..services.clock import read_boot_ms
-from . import autocommit, transactions
+from . import autocommit, key_checks, transactions
 from .journal import EventKind
 from .metrics import PoolingMetrics
-from .ports import CallerLink, ConnectionLostError
-from .preparation import CONTROL_TIMEOUT_MS
+from .ports import CallerLink
 from .sessions import Context, Job, RefusedError, Session, Transaction, later_position
 
 _READ_ONLY_BY_BEGIN = {QueryKind.BEGIN: False, QueryKind.BEGIN_READ: True}
@@ -43,6 +41,8 @@
         State of the host's shutdown.
     metrics
         Metrics of the host.
+    organisation, key
+        The caller's organisation and the digest of its key; None where it needs no key.
     """
 
     def __init__(
@@ -53,8 +53,10 @@
         context: Context,
         drain: shutdown.Drain,
         metrics: PoolingMetrics,
+        organisation: OrganisationId | None = None,
+        key: KeyDigest | None = None,
     ) -> None:
-        self.session = Session(database=database)
+        self.session = Session(database=database, organisation=organisation, key=key)
         self.link = link
         self.context = context
         self.drain = drain
@@ -70,6 +72,7 @@
         try:
             while True:
                 self.idle = True
+                self.end_refused()
                 if self.should_close():
                     return
                 query = await self._receive()
@@ -91,6 +94,8 @@
 
     def should_close(self) -> bool:
         """Return whether to close the session now, between two statements."""
+        if self.session.revoked and self.session.transaction is None:
+            return True
         idle_session = shutdown.IdleSession(
             in_transaction=self.session.transaction is not None,
             opened_at=self.opened_at,
@@ -103,16 +108,38 @@
     async def _receive(self) -> Query | None:
         """Wait for a statement; roll back a transaction that idles too long."""
         transaction = self.session.transaction
-        if transaction is None or transaction.failed:
+        is_open = transaction is not None and not transaction.failed
+        if not (is_open or self.session.revoked):
             return await self.link.receive()
         limit = self.context.configuration().idle_transaction_ms
         try:
             async with asyncio.timeout(limit / 1000):
                 return await self.link.receive()
         except TimeoutError:
+            if self.session.revoked:
+                return None
             self.abort_transaction("idle for too long")
             return await self.link.receive()
 
+    # -- the caller's key --
+
+    def _check(self) -> None:
+        """Raise `RefusedError` unless the caller may be served now.
+
+        Called right before a statement is forwarded, as it may have waited for that.
+        """
+        refusal = key_checks.find_refusal(self.context, self.session)
+        if refusal is not None:
+            raise refusal
+
+    def end_refused(self) -> None:
+        """Roll back what is open between two statements if it may not go on."""
+        refusal = key_checks.find_refusal(self.context, self.session)
+        if refusal is not None and self.idle:
+            self.abort_transaction(refusal.detail)
+
+    # -- transactions --
+
     def abort_transaction(self, why: str) -> None:
         """Roll the open transaction back; the next statement's answer says so."""
         transaction = self.session.transaction
@@ -136,7 +163,7 @@
         try:
             answer = await self._answer(query, arrived)
         except RefusedError as error:
-            answer = self._refuse(error)
+            answer = self._refuse(error, query)
         # The state in a server's answer may be that of a transaction of the proxy.
         answer = replace(answer, state=self.state)
         self._record(query, answer, read_boot_ms() - arrived)
@@ -156,15 +183,18 @@
             EventKind.REQUEST_FAILED if failed else EventKind.REQUEST_SERVED,
             request=query.request,
             database=self.session.database,
+            organisation=self.session.organisation,
             kind=query.kind.value,
             took_ms=took_ms,
             code=answer.failure.value if answer.failure else None,
             detail=answer.detail or None,
         )
 
-    def _refuse(self, error: RefusedError) -> Answer:
+    def _refuse(self, error: RefusedError, query: Query) -> Answer:
         transaction = self.session.transaction
-        if transaction is not None:
+        if self.session.revoked or query.kind is QueryKind.COMMIT:
+            self._end_transaction()
+        elif transaction is not None:
             transaction.failed = True
             self.context.spawn(transactions.roll_back(transaction))
         return Answer(failure=error.code, detail=error.detail, state=self.state)
@@ -174,6 +204,9 @@
     async def _answer(self, query: Query, arrived: int) -> Answer:
         session = self.session
         transaction = session.transaction
+        refusal = key_checks.find_refusal(self.context, session)
+        if refusal is not None and session.revoked:
+            raise refusal
         if query.kind is QueryKind.ROLLBACK:
             self._end_transaction()
             return Answer()
@@ -181,6 +214,8 @@
             raise RefusedError(FailureCode.MALFORMED, query.text[:80])
         if transaction is not None and transaction.failed:
             return self._answer_failed(transaction, query)
+        if refusal is not None:
+            raise refusal
         route = transaction.route if transaction is not None else self._find_route()
         if query.kind in _READ_ONLY_BY_BEGIN:
             return self._begin(query, route, arrived)
@@ -229,7 +264,14 @@
         transaction = session.transaction
         if transaction is None:
             raise RefusedError(FailureCode.MALFORMED, "no transaction is open")
-        job = Job(query=query, shape=None, route=route, arrived_at=arrived)
+        await key_checks.admit_operation(self.context, session)
+        job = Job(
+            query=query,
+            shape=None,
+            route=route,
+            arrived_at=arrived,
+            check=self._check,
+        )
         try:
             answer = await transactions.run_in_transaction(self.context, session, job)
         except RefusedError as error:
@@ -240,19 +282,12 @@
                 session.log_position = later_position(
                     session.log_position, answer.log_position
                 )
-            self._release(transaction, answer)
+            transactions.release_ended(transaction, answer)
             session.transaction = None
             return answer
         self._end_transaction()
         return Answer(failure=answer.failure, detail=answer.detail)
 
-    def _release(self, transaction: Transaction, answer: Answer) -> None:
-        if transaction.pool is not None and transaction.link is not None:
-            clean = answer.state is TransactionState.IDLE
-            transaction.pool.release(transaction.link, clean=clean)
-        transaction.pool = None
-        transaction.link = None
-
     async def _run(self, query: Query, route: Route, arrived: int) -> Answer:
         session = self.session
         shape = None
@@ -271,40 +306,20 @@
             route=route,
             writes=writes,
             arrived_at=arrived,
+            check=self._check,
         )
         transaction = session.transaction
+        if transaction is not None and writes and transaction.read_only:
+            raise RefusedError(FailureCode.NOT_PRIMARY, "the transaction only reads")
+        await key_checks.admit_operation(self.context, session)
         if transaction is None:
             return await autocommit.run_autocommit(self.context, session, job)
-        if writes and transaction.read_only:
-            raise RefusedError(FailureCode.NOT_PRIMARY, "the transaction only reads")
         return await transactions.run_in_transaction(self.context, session, job)
 
     async def _change_session(self, query: Query) -> Answer:
         if query.kind is QueryKind.RESET:
             raise RefusedError(FailureCode.MALFORMED, "not for callers")
         if query.kind is QueryKind.SET:
-            await self._set_at_server(query)
+            await transactions.set_value(self.session.transaction, query)
         self.session.change(query)
         return Answer(state=self.state)
-
-    async def _set_at_server(self, query: Query) -> None:
-        """Set a value on the connection of an open transaction."""
-        transaction = self.session.transaction
-        if transaction is None or transaction.pool is None or transaction.link is None:
-            return
-        own = Query(
-            kind=QueryKind.SET,
-            request=INTERNAL_REQUEST,
-            name=query.name,
-            value=query.value,
-        )
-        pool, pooled = transaction.pool, transaction.link
-        try:
-            answers = await pool.run(pooled, [own], None, CONTROL_TIMEOUT_MS)
-        except ConnectionLostError as error:
-            transactions.drop_transaction(transaction)
-            raise RefusedError(FailureCode.ROLLED_BACK, str(error)) from None
-        if answers[0].failure is not None:
-            transactions.drop_transaction(transaction)
-            raise RefusedError(FailureCode.ROLLED_BACK, "the value was not set")
-        pooled.values[query.name] = query.value
--- /dev/null
+++ b/src/apricotshore/pooling/key_checks.py
@@ -0,0 +1,46 @@
+"""Checks of callers' keys: who is served now, and which operation is admitted."""
+
+from .. import organisations
+from ..queries import FailureCode
+from .sessions import Context, RefusedError, Session
+
+REVOKED = "the key is not valid any more"
+
+
+def find_refusal(context: Context, session: Session) -> RefusedError | None:
+    """Return why a session's statement may not be served now, None if it may.
+
+    What is open at a server is rolled back at a refusal, so that a statement of a
+    transaction is refused as such.
+    """
+    admission = session.admission
+    if not organisations.is_admitted(context.configuration(), admission):
+        session.revoked = True
+    refusal = None
+    if session.revoked:
+        refusal = RefusedError(FailureCode.UNAUTHORIZED, REVOKED)
+    elif session.organisation is not None:
+        refusal = context.refuse_keyed()
+    if refusal is not None and session.transaction is not None:
+        return RefusedError(FailureCode.ROLLED_BACK, refusal.detail)
+    return refusal
+
+
+async def admit_operation(context: Context, session: Session) -> None:
+    """Admit an operation before its first statement is forwarded.
+
+    A transaction is one operation.
+
+    Raises
+    ------
+    RefusedError
+        When it is refused; nothing of it was forwarded.
+    """
+    transaction = session.transaction
+    if session.organisation is None or (transaction and transaction.admitted):
+        return
+    refusal = await context.admit_operation(session.organisation)
+    if refusal is not None:
+        raise refusal
+    if transaction is not None:
+        transaction.admitted = True
--- a/src/apricotshore/pooling/sessions.py
+++ b/src/apricotshore/pooling/sessions.py
@@ -1,11 +1,12 @@
 """State of callers' sessions, transactions and statements."""
 
-from collections.abc import Callable, Coroutine
+from collections.abc import Awaitable, Callable, Coroutine
 from dataclasses import dataclass, field
 
 from ..decisions import wait_queue
 from ..groups import LogPosition
-from ..identifiers import DatabaseId, GroupId, HostId
+from ..identifiers import DatabaseId, GroupId, HostId, KeyDigest, OrganisationId
+from ..organisations import Admission
 from ..queries import FailureCode, PreparedShape, Query, QueryKind
 from ..routes import Configuration, Route
 from .group import Group
@@ -14,6 +15,25 @@
 from .pooled_connection import PooledConnection
 
 
+class RefusedError(Exception):
+    """Refusal of a statement by the proxy itself.
+
+    Parameters
+    ----------
+    code, detail
+        Error code and text of the answer to the caller.
+    """
+
+    def __init__(self, code: FailureCode, detail: str) -> None:
+        super().__init__(detail)
+        self.code = code
+        self.detail = detail
+
+
+async def _admit_all(organisation: OrganisationId) -> RefusedError | None:
+    return None
+
+
 @dataclass(kw_only=True)
 class Context:
     """Services of the host that serving a statement needs.
@@ -30,6 +50,12 @@
         Journal of the host.
     spawn
         Runs a coroutine in the background.
+    refuse_keyed
+        Returns why no statement of a caller with a key may be served now, None if it
+        may.
+    admit_operation
+        Called once for each operation of an organisation, before its first statement
+        is forwarded; returns why it is refused, None if it isn't.
     """
 
     host: HostId
@@ -37,6 +63,10 @@
     configuration: Callable[[], Configuration]
     journal: Journal
     spawn: Callable[[Coroutine[None, None, None]], None]
+    refuse_keyed: Callable[[], RefusedError | None] = lambda: None
+    admit_operation: Callable[[OrganisationId], Awaitable[RefusedError | None]] = (
+        _admit_all
+    )
 
 
 @dataclass(kw_only=True)
@@ -59,6 +89,8 @@
         Whether it ran a write.
     abort_reason
         Why the proxy rolled it back; empty once reported to the caller.
+    admitted
+        Whether it was admitted as an operation of its organisation.
     """
 
     route: Route
@@ -69,6 +101,7 @@
     failed: bool = False
     wrote: bool = False
     abort_reason: str = ""
+    admitted: bool = False
 
 
 @dataclass(kw_only=True)
@@ -79,6 +112,10 @@
     ----------
     database
         Database that the caller named.
+    organisation, key
+        The caller's organisation and the digest of its key; None where it needs no key.
+    revoked
+        Whether the caller was found to be identified no more; that is not undone.
     values
         Session values that the caller set.
     prepared
@@ -90,11 +127,21 @@
     """
 
     database: DatabaseId
+    organisation: OrganisationId | None = None
+    key: KeyDigest | None = None
+    revoked: bool = False
     values: dict[str, str] = field(default_factory=dict)
     prepared: dict[str, PreparedShape] = field(default_factory=dict)
     log_position: LogPosition | None = None
     transaction: Transaction | None = None
 
+    @property
+    def admission(self) -> Admission:
+        """The admission that opened it."""
+        return Admission(
+            database=self.database, organisation=self.organisation, key=self.key
+        )
+
     def change(self, query: Query) -> None:
         """Carry out a statement that changes values or prepared statements."""
         if query.kind is QueryKind.SET:
@@ -108,21 +155,6 @@
             self.prepared.clear()
 
 
-class RefusedError(Exception):
-    """Refusal of a statement by the proxy itself.
-
-    Parameters
-    ----------
-    code, detail
-        Error code and text of the answer to the caller.
-    """
-
-    def __init__(self, code: FailureCode, detail: str) -> None:
-        super().__init__(detail)
-        self.code = code
-        self.detail = detail
-
-
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Job:
     """A statement to run at a backend server.
@@ -139,6 +171,9 @@
         When it was read from the caller, in milliseconds since boot.
     writes
         Whether it may change data.
+    check
+        Called right before it is forwarded; raises `RefusedError` if its caller may not
+        be served any more.
     """
 
     query: Query
@@ -146,6 +181,7 @@
     route: Route
     arrived_at: int
     writes: bool = False
+    check: Callable[[], None] = lambda: None
 
     @property
     def deadline_at(self) -> int:
--- a/src/apricotshore/pooling/transactions.py
+++ b/src/apricotshore/pooling/transactions.py
@@ -1,6 +1,13 @@
 """Execution of statements inside a caller's transaction."""
 
-from ..queries import Answer, FailureCode, QueryKind, TransactionState
+from ..queries import (
+    INTERNAL_REQUEST,
+    Answer,
+    FailureCode,
+    Query,
+    QueryKind,
+    TransactionState,
+)
 from ..services.clock import read_boot_ms
 from .pool import ServerPool
 from .pooled_connection import PooledConnection
@@ -98,6 +105,7 @@
             raise ConnectionLostError(
                 "the timeout of the route was reached", sent=False
             )
+        job.check()
         answers = await pool.run(pooled, [job.query], None, left_ms)
         answer = answers[0]
         full = answer.failure is FailureCode.OVERLOADED
@@ -107,6 +115,43 @@
             return answer
 
 
+async def set_value(transaction: Transaction | None, query: Query) -> None:
+    """Set a session value on the connection of an open transaction, if there is one.
+
+    Raises
+    ------
+    RefusedError
+        When it was not set; the transaction is rolled back.
+    """
+    if transaction is None or transaction.pool is None or transaction.link is None:
+        return
+    own = Query(
+        kind=QueryKind.SET,
+        request=INTERNAL_REQUEST,
+        name=query.name,
+        value=query.value,
+    )
+    pool, pooled = transaction.pool, transaction.link
+    try:
+        answers = await pool.run(pooled, [own], None, CONTROL_TIMEOUT_MS)
+    except ConnectionLostError as error:
+        drop_transaction(transaction)
+        raise RefusedError(FailureCode.ROLLED_BACK, str(error)) from None
+    if answers[0].failure is not None:
+        drop_transaction(transaction)
+        raise RefusedError(FailureCode.ROLLED_BACK, "the value was not set")
+    pooled.values[query.name] = query.value
+
+
+def release_ended(transaction: Transaction, answer: Answer) -> None:
+    """Release the connection of a transaction that has ended with an answer."""
+    if transaction.pool is not None and transaction.link is not None:
+        clean = answer.state is TransactionState.IDLE
+        transaction.pool.release(transaction.link, clean=clean)
+    transaction.pool = None
+    transaction.link = None
+
+
 def drop_transaction(transaction: Transaction) -> None:
     """Close a transaction's connection, so that the server rolls it back."""
     if transaction.pool is not None and transaction.link is not None:
