--- a/src/apricotshore/pooling/autocommit.py
+++ b/src/apricotshore/pooling/autocommit.py
@@ -10,7 +10,7 @@
 from .group import Group
 from .journal import EventKind
 from .pool import ServerPool
-from .pooled_connection import NoConnectionError
+from .pooled_connection import NoConnectionError, PooledConnection
 from .ports import ConnectionLostError
 from .preparation import (
     ROLLBACK,
@@ -173,11 +173,7 @@
         if left_ms <= 0:
             break
         pool, pooled = await open_at_primary(group, session, job, None)
-        try:
-            job.check()
-        except RefusedError:
-            pool.release(pooled, clean=True)
-            raise
+        _check_or_release(job, pool, pooled)
         clean = False
         number = group.writes.begin()
         answered = False
@@ -213,6 +209,15 @@
     raise refuse_overloaded(detail, wait_queue.MIN_RETRY_MS)
 
 
+def _check_or_release(job: Job, pool: ServerPool, pooled: PooledConnection) -> None:
+    """Check a write before it counts as one that awaits its answer."""
+    try:
+        job.check()
+    except RefusedError:
+        pool.release(pooled, clean=True)
+        raise
+
+
 def record_retry(context: Context, job: Job, server: str, why: str) -> None:
     """Record that a statement is retried, at another server or the same one."""
     context.journal.record(
