Identify callers by their keys, and keep connections of organisations apart

Clients of several organisations are to share the fleet. Callers are admitted by database and digest. Connections belong to an organisation, servers and relays are told its name, and a full pool closes the longest idle connection of another organisation. A new configuration closes idle sessions of withdrawn keys and rolls their transactions back.

--- a/src/apricotshore/decisions/quota.py
+++ b/src/apricotshore/decisions/quota.py
@@ -43,6 +43,8 @@
         Number of relays that share them; 0 if all hosts connect directly.
     is_relay
         Whether this host connects to the server for others.
+    by_organisation
+        Whether each connection belongs to one organisation.
     share
         Largest number for this host at the last rejection, None before.
     refused_at
@@ -54,6 +56,7 @@
     limit: int
     relays: int = 0
     is_relay: bool = False
+    by_organisation: bool = False
     share: int | None = None
     refused_at: int | None = None
     opened_at: int = 0
@@ -89,6 +92,16 @@
     return not quota.relays and now - quota.opened_at >= TRIAL_INTERVAL_MS
 
 
+def may_replace(quota: ConnectionQuota, now: int) -> bool:
+    """Return whether to close a connection to open another one.
+
+    That takes no further connection of the server. One that has refused a moment ago
+    has none left, and the other one would be refused too.
+    """
+    refused = quota.refused_at
+    return refused is None or now - refused >= EMPTY_RETRY_MS
+
+
 def observe_opening(quota: ConnectionQuota, now: int) -> None:
     """Record that this host begins to open a connection."""
     quota.opened_at = now
@@ -125,8 +138,12 @@
     """Return how many idle connections are kept without a limit of time.
 
     A relay serves bursts of many hosts that send little each. Opened anew at every
-    burst, connections would cost the server more slot time than the statements.
+    burst, connections would cost the server more slot time than the statements. Where
+    each belongs to one organisation, fewer of them fit the next burst: it keeps all.
     """
     if is_scarce(quota, now):
         return 0
-    return max(1, int(find_max(quota, now) * RELAY_KEPT_SHARE)) if quota.is_relay else 1
+    if not quota.is_relay:
+        return 1
+    share = 1.0 if quota.by_organisation else RELAY_KEPT_SHARE
+    return max(1, int(find_max(quota, now) * share))
--- a/src/apricotshore/decisions/relays.py
+++ b/src/apricotshore/decisions/relays.py
@@ -10,12 +10,14 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
-from ..identifiers import DataCentreId, GroupId, HostId, ServerId
+from ..identifiers import DataCentreId, GroupId, HostId, OrganisationId, ServerId
 from .ownership import weigh
 from .placement import Distance
 
 # One connection for the host itself and one in use by a statement.
 CONNECTIONS_PER_HOST = 2
+# The same where each connection belongs to one organisation, so that a host needs some.
+ORGANISATIONS_CONNECTIONS_PER_HOST = 8
 # Several, so that some may fail; few, so that each has enough connections to
 # serve statements concurrently.
 RELAYS_PER_SERVER = 4
@@ -40,12 +42,16 @@
     leaving
         Whether it is about to end. It still answers other hosts, but it is chosen
         for nothing.
+    knows_organisations
+        Whether it, as a relay, tells servers the organisation of a connection. Hosts of
+        earlier versions don't.
     """
 
     host: HostId
     data_centre: DataCentreId
     address: str
     leaving: bool = False
+    knows_organisations: bool = False
 
 
 @dataclass(kw_only=True, slots=True)
@@ -94,12 +100,15 @@
         Those that failed lately.
     detours
         Host through which each server that this host doesn't reach is reached.
+    by_organisation
+        Whether each connection belongs to one organisation.
     """
 
     local_host: HostId
     hosts: dict[HostId, ListedHost] = field(default_factory=dict)
     backoffs: dict[HostId, Backoff] = field(default_factory=dict)
     detours: dict[ServerId, Detour] = field(default_factory=dict)
+    by_organisation: bool = False
 
 
 MeasureDistance = Callable[[DataCentreId, DataCentreId], Distance]
@@ -115,6 +124,17 @@
     return [h for h in hosts if not h.leaving or h.host == fleet.local_host]
 
 
+def _list_able(fleet: Fleet) -> list[ListedHost]:
+    """List the hosts that may be relays."""
+    return [
+        h
+        for h in _list_staying(fleet)
+        if not fleet.by_organisation
+        or h.knows_organisations
+        or h.host == fleet.local_host
+    ]
+
+
 def count_relays(fleet: Fleet, limit: int) -> int:
     """Return how many hosts hold connections to a server; 0 when all do.
 
@@ -125,10 +145,14 @@
     limit
         Connections that the server takes.
     """
-    count = len(_list_staying(fleet))
-    if count * CONNECTIONS_PER_HOST <= limit:
+    needed = (
+        ORGANISATIONS_CONNECTIONS_PER_HOST
+        if fleet.by_organisation
+        else CONNECTIONS_PER_HOST
+    )
+    if len(_list_staying(fleet)) * needed <= limit:
         return 0
-    return min(RELAYS_PER_SERVER, count)
+    return min(RELAYS_PER_SERVER, len(_list_able(fleet)))
 
 
 def list_relays(
@@ -146,7 +170,7 @@
         Returns the distance between two data centres.
     """
     ranked = sorted(
-        _list_staying(fleet),
+        _list_able(fleet),
         key=lambda h: (measure(h.data_centre, near), -weigh(h.host, server)),
     )
     return ranked[:RELAYS_PER_SERVER]
@@ -175,12 +199,22 @@
     return sum(weigh(h.host, group) > own for h in _list_staying(fleet))
 
 
-def list_paths(fleet: Fleet, relays: list[ListedHost], now: int) -> list[ListedHost]:
-    """List the usable relays, the preferred one first; empty to connect directly."""
+def list_paths(
+    fleet: Fleet,
+    relays: list[ListedHost],
+    now: int,
+    organisation: OrganisationId | None = None,
+) -> list[ListedHost]:
+    """List the usable relays, the preferred one first; empty to connect directly.
+
+    All hosts prefer the same one for an organisation, so that it uses that one's
+    connections again.
+    """
     if any(h.host == fleet.local_host for h in relays):
         return []
     usable = [h for h in relays if not _is_backed_off(fleet, h.host, now)]
-    return sorted(usable, key=lambda h: -weigh(fleet.local_host, h.host))
+    chooser = fleet.local_host if organisation is None else organisation
+    return sorted(usable, key=lambda h: -weigh(chooser, h.host))
 
 
 def _is_backed_off(fleet: Fleet, host: HostId, now: int) -> bool:
--- a/src/apricotshore/decisions/wait_queue.py
+++ b/src/apricotshore/decisions/wait_queue.py
@@ -3,6 +3,8 @@
 import heapq
 from dataclasses import dataclass, field
 
+from ..identifiers import OrganisationId
+
 # A statement that waits longer than this share of its latency objective is
 # rejected, so that the caller can try another host.
 WAIT_SHARE_OF_TARGET = 0.24
@@ -16,6 +18,9 @@
 LOG_RETRY_MS = 1_000
 # The connections of other hosts that fill a server are not released sooner.
 FULL_SERVER_RETRY_MS = 500
+# Time for which a statement lets those of other organisations reuse their connections.
+# Half of the wait at a relay, and some times what a new connection costs.
+REUSE_MS = 30
 
 
 @dataclass(frozen=True, kw_only=True, slots=True, order=True)
@@ -30,11 +35,24 @@
         Order of arrival.
     expires_at
         When it is rejected, in milliseconds since boot.
+    organisation
+        Organisation that it belongs to, None without one.
+    takes_any
+        Whether it runs on a connection of any organisation.
+    since
+        When it began to wait, in milliseconds since boot.
     """
 
     priority: int
     number: int
     expires_at: int
+    organisation: OrganisationId | None = field(default=None, compare=False)
+    takes_any: bool = field(default=False, compare=False)
+    since: int = field(default=0, compare=False)
+
+    def fits(self, organisation: OrganisationId | None) -> bool:
+        """Return whether it runs on a connection of an organisation."""
+        return self.takes_any or self.organisation == organisation
 
 
 @dataclass(kw_only=True, slots=True)
@@ -83,6 +101,52 @@
     return None
 
 
+def dequeue_for(
+    queue: WaitQueue,
+    organisation: OrganisationId | None,
+    now: int,
+    *,
+    may_replace: bool,
+) -> Waiter | None:
+    """Remove and return the next statement for a released connection.
+
+    The first one that fits the connection's organisation goes first, so that the
+    connection is used again; but one of another organisation, of the same or a higher
+    priority, that has waited for `REUSE_MS` goes before it.
+
+    Parameters
+    ----------
+    queue
+        Statements that wait for a connection.
+    organisation
+        Organisation that the connection belongs to, None without one.
+    now
+        Milliseconds since boot.
+    may_replace
+        Whether the connection may be closed to open one for another organisation.
+
+    Returns
+    -------
+    Waiter or None
+        None when no statement waits that is not expired.
+    """
+    if all(w.fits(organisation) for w in queue.heap):
+        return dequeue(queue, now)
+    waiting = sorted(w for w in queue.heap if w.expires_at >= now)
+    fitting = next((w for w in waiting if w.fits(organisation)), None)
+    others = [w for w in waiting if may_replace and not w.fits(organisation)]
+    chosen = fitting or next(iter(others), None)
+    if fitting is not None:
+        overdue = [
+            w
+            for w in others
+            if w.priority <= fitting.priority and now - w.since >= REUSE_MS
+        ]
+        chosen = min(overdue, key=lambda w: (w.priority, w.since), default=fitting)
+    queue.heap = [w for w in waiting if w is not chosen]
+    return chosen
+
+
 def observe_hold(queue: WaitQueue, held_ms: float) -> None:
     """Record how long a connection was occupied."""
     queue.hold_ms += 0.1 * (held_ms - queue.hold_ms)
--- a/src/apricotshore/pooling/autocommit.py
+++ b/src/apricotshore/pooling/autocommit.py
@@ -97,7 +97,12 @@
     left_ms = job.deadline_at - read_boot_ms()
     if left_ms <= 0:
         raise ConnectionLostError("the timeout of the route was reached", sent=False)
-    pooled = await pool.acquire(session.values, job.route.priority, job.expires_at)
+    pooled = await pool.acquire(
+        session.values,
+        job.route.priority,
+        job.expires_at,
+        organisation=session.organisation,
+    )
     clean = False
     try:
         failed = await prepare_link(group, pool, pooled, session, job.shape, None, None)
--- a/src/apricotshore/pooling/caller_session.py
+++ b/src/apricotshore/pooling/caller_session.py
@@ -92,6 +92,12 @@
             return TransactionState.IDLE
         return TransactionState.FAILED if transaction.failed else TransactionState.OPEN
 
+    @property
+    def has_open_transaction(self) -> bool:
+        """Whether a transaction is open that has not failed."""
+        transaction = self.session.transaction
+        return transaction is not None and not transaction.failed
+
     def should_close(self) -> bool:
         """Return whether to close the session now, between two statements."""
         if self.session.revoked and self.session.transaction is None:
@@ -107,9 +113,7 @@
 
     async def _receive(self) -> Query | None:
         """Wait for a statement; roll back a transaction that idles too long."""
-        transaction = self.session.transaction
-        is_open = transaction is not None and not transaction.failed
-        if not (is_open or self.session.revoked):
+        if not (self.has_open_transaction or self.session.revoked):
             return await self.link.receive()
         limit = self.context.configuration().idle_transaction_ms
         try:
--- a/src/apricotshore/pooling/group_pools.py
+++ b/src/apricotshore/pooling/group_pools.py
@@ -41,6 +41,7 @@
         self.on_answer = on_answer
         self.connections = DEFAULT_CONNECTIONS
         self.relay_count = 0
+        self.by_organisation = False
         self.listed: dict[ServerId, ServerPool] = {}
         # Pools of servers whose entry was removed. They get commands only: one that
         # is cut off from the store may still receive and acknowledge.
@@ -115,6 +116,7 @@
             on_answer=partial(self.on_answer, server.server),
         )
         pool.quota.relays = self.relay_count
+        pool.quota.by_organisation = self.by_organisation
         return pool
 
     # -- connections --
@@ -141,6 +143,12 @@
         for pool in self.listed.values():
             pool.quota.relays = relay_count
 
+    def set_by_organisation(self, by_organisation: bool) -> None:
+        """Set whether each connection belongs to one organisation."""
+        self.by_organisation = by_organisation
+        for pool in self.listed.values():
+            pool.quota.by_organisation = by_organisation
+
     def update_relayed(self, is_relayed: Callable[[ListedServer], bool]) -> None:
         """Have each pool connect through a relay or directly, as is due now."""
         for pool in self.listed.values():
--- a/src/apricotshore/pooling/host.py
+++ b/src/apricotshore/pooling/host.py
@@ -9,8 +9,17 @@
 
 from ..decisions.relays import Fleet, ListedHost
 from ..decisions.shutdown import Drain
-from ..identifiers import DatabaseId, GroupId, HostId, ServerId
+from ..identifiers import (
+    DatabaseId,
+    GroupId,
+    HostId,
+    KeyDigest,
+    OrganisationId,
+    ServerId,
+)
+from ..organisations import Admission
 from ..queries import FailureCode
+from ..routes import Configuration
 from ..services.clock import read_boot_ms
 from ..services.eras import EraTracker
 from .adapters import Adapters
@@ -103,6 +112,7 @@
             eras=self.eras,
             host_groups=self.host_groups,
             on_hosts=self._update_hosts,
+            on_configuration=self._apply_configuration,
         )
         self.store_watcher = sources.store_watcher
         self.host_watcher = sources.host_watcher
@@ -222,6 +232,14 @@
             EventKind.STORE_RESTORED, era=self.eras.era, earlier_era=self.eras.earlier
         )
 
+    def _apply_configuration(self, configuration: Configuration) -> None:
+        """Apply a configuration that is in force from now on.
+
+        First to callers: what is withdrawn must not be served any more.
+        """
+        self.callers.apply(configuration)
+        self.host_groups.configure_all()
+
     def _update_hosts(self, listed: dict[HostId, ListedHost]) -> None:
         if listed.keys() != self.fleet.hosts.keys():
             self.journal.record(EventKind.HOSTS_LISTED, hosts=len(listed))
@@ -247,23 +265,34 @@
 
     # -- callers and other hosts --
 
-    async def admit(self, database: DatabaseId) -> FailureCode | None:
-        """Return why a database is not served, None if it is."""
-        return await self.callers.admit(database)
+    async def admit(
+        self, database: DatabaseId, key: KeyDigest | None = None
+    ) -> Admission | FailureCode:
+        """Return a caller's admission, or why it is refused."""
+        return await self.callers.admit(database, key)
 
-    async def serve(self, database: DatabaseId, link: CallerLink) -> None:
+    async def serve(self, admission: Admission, link: CallerLink) -> None:
         """Serve one caller until it disconnects."""
-        await self.callers.serve(database, link)
+        await self.callers.serve(admission, link)
 
-    def admit_host(self, group: GroupId, server: ServerId) -> FailureCode | None:
+    def admit_host(
+        self,
+        group: GroupId,
+        server: ServerId,
+        organisation: OrganisationId | None = None,
+    ) -> FailureCode | None:
         """Return why a server is not reached through this host, None if it is."""
-        return self.other_hosts.admit(group, server)
+        return self.other_hosts.admit(group, server, organisation)
 
     async def serve_host(
-        self, group: GroupId, server: ServerId, link: HostLink
+        self,
+        group: GroupId,
+        server: ServerId,
+        organisation: OrganisationId | None,
+        link: HostLink,
     ) -> None:
         """Run another host's statements on this host's connections to a server."""
-        await self.other_hosts.serve(group, server, link)
+        await self.other_hosts.serve(group, server, organisation, link)
 
     async def quiesce(self, request: QuiesceRequest) -> QuiesceReply:
         """Send nothing more to a server that another host replaces, and confirm it."""
--- a/src/apricotshore/pooling/host_groups.py
+++ b/src/apricotshore/pooling/host_groups.py
@@ -184,6 +184,8 @@
     def configure(self, group: Group) -> None:
         """Apply the latest configuration to a group."""
         configuration = self.sources.store_watcher.configuration
+        self.fleet.by_organisation = configuration.organisations is not None
+        group.all_pools.set_by_organisation(self.fleet.by_organisation)
         settings = configuration.groups.get(group.group)
         if settings is not None:
             group.all_pools.set_connections(settings.connections)
--- a/src/apricotshore/pooling/host_session.py
+++ b/src/apricotshore/pooling/host_session.py
@@ -4,7 +4,7 @@
 from collections.abc import Coroutine
 from typing import Any
 
-from ..identifiers import DatabaseId
+from ..identifiers import DatabaseId, OrganisationId
 from ..queries import (
     Answer,
     FailureCode,
@@ -42,13 +42,22 @@
         The server's group and this host's pool for the server.
     link
         The other host's connection.
+    organisation
+        Organisation whose statements it forwards, None for others.
     """
 
-    def __init__(self, *, group: Group, pool: ServerPool, link: HostLink) -> None:
+    def __init__(
+        self,
+        *,
+        group: Group,
+        pool: ServerPool,
+        link: HostLink,
+        organisation: OrganisationId | None = None,
+    ) -> None:
         self.group = group
         self.pool = pool
         self.link = link
-        self.session = Session(database=DatabaseId(""))
+        self.session = Session(database=DatabaseId(""), organisation=organisation)
         self.pinned: PooledConnection | None = None
         self.running = False
         self.refusing = False
@@ -122,7 +131,12 @@
             else:
                 expires_at = read_boot_ms() + CONNECTION_WAIT_MS
                 values = self.session.values
-                self.pinned = await self.pool.acquire(values, PRIORITY, expires_at)
+                self.pinned = await self.pool.acquire(
+                    values,
+                    PRIORITY,
+                    expires_at,
+                    organisation=self.session.organisation,
+                )
                 failed = await self._while_open(
                     prepare_link(
                         self.group,
--- a/src/apricotshore/pooling/journal.py
+++ b/src/apricotshore/pooling/journal.py
@@ -41,6 +41,7 @@
     CONFIGURATION_APPLIED = "configuration-applied"
     CONFIGURATION_IGNORED = "configuration-ignored"
     CONFIGURATION_REFUSED = "configuration-refused"
+    KEYS_WITHDRAWN = "keys-withdrawn"
     SERVER_LISTED = "server-listed"
     SERVER_GONE = "server-gone"
     SERVER_RECREATED = "server-reborn"
--- a/src/apricotshore/pooling/listeners.py
+++ b/src/apricotshore/pooling/listeners.py
@@ -3,14 +3,17 @@
 from collections.abc import Awaitable, Callable, Mapping
 from dataclasses import dataclass, field
 
-from ..identifiers import DatabaseId, GroupId, ServerId
+from ..identifiers import DatabaseId, GroupId, KeyDigest, OrganisationId, ServerId
+from ..organisations import Admission
 from ..queries import FailureCode
 from .ports import CallerLink, HostLink, QuiesceReply, QuiesceRequest
 
-Serve = Callable[[DatabaseId, CallerLink], Awaitable[None]]
-Admit = Callable[[DatabaseId], Awaitable[FailureCode | None]]
-ServeHost = Callable[[GroupId, ServerId, HostLink], Awaitable[None]]
-AdmitHost = Callable[[GroupId, ServerId], FailureCode | None]
+Serve = Callable[[Admission, CallerLink], Awaitable[None]]
+Admit = Callable[[DatabaseId, KeyDigest | None], Awaitable[Admission | FailureCode]]
+ServeHost = Callable[
+    [GroupId, ServerId, OrganisationId | None, HostLink], Awaitable[None]
+]
+AdmitHost = Callable[[GroupId, ServerId, OrganisationId | None], FailureCode | None]
 Quiesce = Callable[[QuiesceRequest], Awaitable[QuiesceReply]]
 # Answers one line of another host with one line; None closes its connection.
 AnswerLine = Callable[[str], Awaitable[str | None]]
@@ -23,7 +26,8 @@
     Parameters
     ----------
     admit
-        Returns why a database is not served, None if it is.
+        Returns the admission of a caller to a database by the digest of its key, None
+        if it presented none, or why it is refused.
     serve
         Serves one caller until it disconnects.
     """
@@ -39,7 +43,8 @@
     Parameters
     ----------
     admit
-        Returns why a server is not reached through this host, None if it is.
+        Returns why a server is not reached through this host for an organisation, None
+        if it is. Without an organisation it is for other callers and for the proxy.
     serve
         Serves one connection until the other host disconnects.
     quiesce
--- a/src/apricotshore/pooling/metrics.py
+++ b/src/apricotshore/pooling/metrics.py
@@ -5,7 +5,7 @@
 from aioprometheus import Counter, Gauge, Histogram, Registry
 
 from ..identifiers import GroupId, StoreEra
-from ..queries import Answer, Query
+from ..queries import Answer, FailureCode, Query
 from ..services.clock import read_boot_ms
 from .group import Group
 from .log_waits import waits_for_logs
@@ -81,6 +81,21 @@
             "Promotions ordered though the log lacked known entries, by group",
             registry=registry,
         )
+        self.refused = Counter(
+            "apricotshore_refused_callers_total",
+            "Callers that were refused a session, by code",
+            registry=registry,
+        )
+        self.revoked = Counter(
+            "apricotshore_revoked_total",
+            "Sessions whose keys were withdrawn, and transactions rolled back for it",
+            registry=registry,
+        )
+        self.evictions = Counter(
+            "apricotshore_evicted_connections_total",
+            "Connections closed to make room for another organisation, by server",
+            registry=registry,
+        )
         self.unresumed = Gauge(
             "apricotshore_unresumed_servers",
             "Servers that this host has still to find not paused, by group",
@@ -92,6 +107,15 @@
             registry=registry,
         )
 
+    def observe_refusal(self, code: FailureCode) -> None:
+        """Count a caller that was refused a session."""
+        self.refused.inc({"code": code.value})
+
+    def observe_revocations(self, sessions: int, rolled_back: int) -> None:
+        """Count sessions whose keys were withdrawn, and transactions that ended so."""
+        self.revoked.add({"what": "session"}, sessions)
+        self.revoked.add({"what": "transaction"}, rolled_back)
+
     def observe(self, query: Query, answer: Answer, took_ms: int) -> None:
         """Count an answered statement and its latency."""
         kind = query.kind.value
@@ -131,4 +155,5 @@
             idle = {"server": server, "use": "idle"}
             self.connections.set(used, len(pool.used))
             self.connections.set(idle, len(pool.idle))
+            self.evictions.set({"server": server}, pool.evictions)
             self.waiting.set({"server": server}, len(pool.wait_queue.heap))
--- a/src/apricotshore/pooling/other_hosts.py
+++ b/src/apricotshore/pooling/other_hosts.py
@@ -3,7 +3,7 @@
 from ..decisions import relays
 from ..decisions.relays import Fleet
 from ..decisions.shutdown import Drain
-from ..identifiers import GroupId, ServerId
+from ..identifiers import GroupId, OrganisationId, ServerId
 from ..queries import FailureCode
 from .fleet_asker import FleetAsker
 from .host_groups import HostGroups
@@ -38,8 +38,17 @@
         self.drain = drain
         self.sessions: set[HostSession] = set()
 
-    def admit(self, group: GroupId, server: ServerId) -> FailureCode | None:
-        """Return why a server is not reached through this host, None if it is."""
+    def admit(
+        self,
+        group: GroupId,
+        server: ServerId,
+        organisation: OrganisationId | None = None,
+    ) -> FailureCode | None:
+        """Return why a server is not reached through this host, None if it is.
+
+        An organisation is taken as the other host names it: this host's configuration
+        may be older.
+        """
         known = self.host_groups.groups.get(group)
         # Two hosts that reach a server through each other would reach it never.
         is_detoured = relays.find_detour(self.fleet, server) is not None
@@ -47,10 +56,21 @@
             return FailureCode.WRONG_SERVER
         return FailureCode.OVERLOADED if self.drain.began_at is not None else None
 
-    async def serve(self, group: GroupId, server: ServerId, link: HostLink) -> None:
+    async def serve(
+        self,
+        group: GroupId,
+        server: ServerId,
+        organisation: OrganisationId | None,
+        link: HostLink,
+    ) -> None:
         """Run another host's statements on this host's connections to a server."""
         known = self.host_groups.groups[group]
-        session = HostSession(group=known, pool=known.pools[server], link=link)
+        session = HostSession(
+            group=known,
+            pool=known.pools[server],
+            link=link,
+            organisation=organisation,
+        )
         self.sessions.add(session)
         try:
             await session.run()
--- a/src/apricotshore/pooling/pool.py
+++ b/src/apricotshore/pooling/pool.py
@@ -9,6 +9,7 @@
 from ..decisions.quota import ConnectionQuota
 from ..decisions.wait_queue import Waiter, WaitQueue
 from ..groups import LogPosition
+from ..identifiers import OrganisationId
 from ..queries import Answer, FailureCode, Query
 from ..routes import ListedServer
 from ..services.clock import read_boot_ms
@@ -66,7 +67,10 @@
         self.used: set[int] = set()
         self.opening = 0
         self.numbers = itertools.count(1)
-        self.futures: dict[int, asyncio.Future[PooledConnection]] = {}
+        # Get a connection, or None for leave to open one, which counts as being opened.
+        self.futures: dict[int, asyncio.Future[PooledConnection | None]] = {}
+        # Connections closed to make room for those of other organisations.
+        self.evictions = 0
         self.closed = False
 
     @property
@@ -75,10 +79,29 @@
         return len(self.idle) + len(self.used) + self.opening
 
     async def acquire(
-        self, values: dict[str, str], priority: int, expires_at: int
+        self,
+        values: dict[str, str],
+        priority: int,
+        expires_at: int,
+        *,
+        organisation: OrganisationId | None = None,
+        takes_any: bool = False,
     ) -> PooledConnection:
         """Acquire a connection, preferably one with the given session values.
 
+        Parameters
+        ----------
+        values
+            Session values.
+        priority, expires_at
+            Priority in the queue, and when the wait ends, in milliseconds since boot.
+        organisation
+            Organisation under which the connection has to be opened, None for callers
+            without one.
+        takes_any
+            Whether a connection of any organisation will do. That is for statements
+            of the proxy's own, which leave no state on it.
+
         Raises
         ------
         NoConnectionError
@@ -86,12 +109,21 @@
         ConnectionLostError
             When the server cannot be reached.
         """
+        since = read_boot_ms()
         while True:
-            pooled = self._take_idle(values)
+            pooled = self._take_idle(values, organisation, takes_any=takes_any)
             if pooled is None:
-                pooled = await self._open()
+                pooled = await self._open(organisation)
             if pooled is None:
-                pooled = await self._wait(priority, expires_at)
+                waiter = Waiter(
+                    priority=priority,
+                    number=next(self.numbers),
+                    expires_at=expires_at,
+                    organisation=organisation,
+                    takes_any=takes_any,
+                    since=since,
+                )
+                pooled = await self._wait(waiter)
             if pooled is not None:
                 return self._mark_used(pooled)
 
@@ -100,26 +132,63 @@
         self.used.add(id(pooled))
         return pooled
 
-    def _take_idle(self, values: dict[str, str]) -> PooledConnection | None:
-        for wanted in (True, False):
-            for pooled in reversed(self.idle):
-                if wanted and pooled.values != values:
-                    continue
-                self.idle.remove(pooled)
-                if pooled.link.usable:
-                    return pooled
-                pooled.link.close()
-                return self._take_idle(values)
+    def _take_idle(
+        self,
+        values: dict[str, str],
+        organisation: OrganisationId | None,
+        *,
+        takes_any: bool,
+    ) -> PooledConnection | None:
+        while fitting := [
+            p for p in self.idle if takes_any or p.organisation == organisation
+        ]:
+            same = [p for p in fitting if p.values == values]
+            pooled = (same or fitting)[-1]
+            self.idle.remove(pooled)
+            if pooled.link.usable:
+                return pooled
+            pooled.link.close()
         return None
 
-    async def _open(self) -> PooledConnection | None:
-        now = read_boot_ms()
-        if self.closed or not quota.may_open(self.quota, self.held, now):
+    async def _open(
+        self, organisation: OrganisationId | None
+    ) -> PooledConnection | None:
+        if self.closed or not self._make_room(organisation):
             return None
-        quota.observe_opening(self.quota, now)
+        self._begin_opening()
+        return await self._dial(organisation)
+
+    def _make_room(self, organisation: OrganisationId | None) -> bool:
+        """Return whether one more connection may be opened.
+
+        If not, those of other organisations that have been idle longest are closed.
+        """
+        now = read_boot_ms()
+        if quota.may_open(self.quota, self.held, now):
+            return True
+        others = [p for p in self.idle if p.organisation != organisation]
+        excess = max(1, self.held + 1 - quota.find_max(self.quota, now))
+        if len(others) < excess or not quota.may_replace(self.quota, now):
+            return False
+        for pooled in sorted(others, key=lambda p: p.idle_since)[:excess]:
+            self.idle.remove(pooled)
+            self._evict(pooled)
+        return True
+
+    def _evict(self, pooled: PooledConnection) -> None:
+        pooled.link.close()
+        self.evictions += 1
+
+    def _begin_opening(self) -> None:
+        quota.observe_opening(self.quota, read_boot_ms())
         self.opening += 1
+
+    async def _dial(
+        self, organisation: OrganisationId | None
+    ) -> PooledConnection | None:
+        """Open a connection that counts as being opened; None if the server is full."""
         try:
-            link = await self.dialer.dial(self.server, DIAL_TIMEOUT_S)
+            link = await self.dialer.dial(self.server, DIAL_TIMEOUT_S, organisation)
         except ConnectionRejectedError as error:
             if error.code is FailureCode.TOO_MANY_CONNECTIONS:
                 held = self.held - 1
@@ -139,39 +208,44 @@
             raise
         finally:
             self.opening -= 1
-        return PooledConnection(link=link, relayed=self.relayed)
+        return PooledConnection(
+            link=link, relayed=self.relayed, organisation=organisation
+        )
 
-    async def _wait(self, priority: int, expires_at: int) -> PooledConnection | None:
+    async def _wait(self, waiter: Waiter) -> PooledConnection | None:
         now = read_boot_ms()
-        if now >= expires_at or self.closed:
+        if now >= waiter.expires_at or self.closed:
             retry = wait_queue.advise_retry_ms(self.wait_queue, self.held)
             raise NoConnectionError(retry)
-        waiter = Waiter(
-            priority=priority, number=next(self.numbers), expires_at=expires_at
-        )
-        future: asyncio.Future[PooledConnection] = (
+        future: asyncio.Future[PooledConnection | None] = (
             asyncio.get_running_loop().create_future()
         )
         self.futures[waiter.number] = future
         wait_queue.enqueue(self.wait_queue, waiter)
         # Retry periodically: the server may accept another connection by then.
-        step = min(RETRY_STEP_S, max(expires_at - now, 1) / 1000)
+        step = min(RETRY_STEP_S, max(waiter.expires_at - now, 1) / 1000)
         try:
             pooled = await asyncio.wait_for(future, step)
             task = asyncio.current_task()
             if task is not None and task.cancelling():
                 # In Python 3.11 that drops a cancellation that comes in the same turn.
                 raise asyncio.CancelledError
-            return pooled
         except TimeoutError:
             return None
         except BaseException:
             if future.done() and not future.cancelled():
-                self._reassign(future.result())
+                self._give_back(future.result())
             raise
         finally:
             wait_queue.remove(self.wait_queue, waiter)
             self.futures.pop(waiter.number, None)
+        return pooled or await self._dial(waiter.organisation)
+
+    def _give_back(self, pooled: PooledConnection | None) -> None:
+        if pooled is None:
+            self.opening -= 1
+        else:
+            self._reassign(pooled)
 
     def release(self, pooled: PooledConnection, *, clean: bool) -> None:
         """Return a connection to the pool; close it if its state is unknown."""
@@ -195,16 +269,30 @@
         self._reassign(pooled)
 
     def _reassign(self, pooled: PooledConnection) -> None:
+        """Have a released connection used by a statement that waits, or keep it idle.
+
+        A statement of another organisation may open one in its place.
+        """
+        now = read_boot_ms()
+        may_replace = quota.may_replace(self.quota, now)
+        self.used.discard(id(pooled))
         while (
-            waiter := wait_queue.dequeue(self.wait_queue, read_boot_ms())
+            waiter := wait_queue.dequeue_for(
+                self.wait_queue, pooled.organisation, now, may_replace=may_replace
+            )
         ) is not None:
             future = self.futures.get(waiter.number)
-            if future is not None and not future.done():
-                # Counted now: the statement goes on only in a later turn.
+            if future is None or future.done():
+                continue
+            # Counted now: the statement goes on only in a later turn.
+            if waiter.fits(pooled.organisation):
                 self.used.add(id(pooled))
                 future.set_result(pooled)
-                return
-        self.used.discard(id(pooled))
+            else:
+                self._evict(pooled)
+                self._begin_opening()
+                future.set_result(None)
+            return
         self.idle.append(pooled)
 
     async def run(
@@ -280,7 +368,7 @@
         expires_at = read_boot_ms() + timeout_ms
         try:
             async with asyncio.timeout(timeout_ms / 1000):
-                pooled = await self.acquire({}, priority, expires_at)
+                pooled = await self.acquire({}, priority, expires_at, takes_any=True)
         except TimeoutError:
             why = f"no connection within {timeout_ms} ms"
             raise ConnectionLostError(why, sent=False) from None
--- a/src/apricotshore/pooling/pooled_connection.py
+++ b/src/apricotshore/pooling/pooled_connection.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass, field
 
+from ..identifiers import OrganisationId
 from .ports import BackendConnection
 
 
@@ -39,10 +40,13 @@
         When it was last acquired and released, in milliseconds since boot.
     relayed
         Whether it was opened while this host was to connect through a relay.
+    organisation
+        Organisation under which it was opened, None for callers without one.
     """
 
     link: BackendConnection
     relayed: bool = False
+    organisation: OrganisationId | None = None
     values: dict[str, str] = field(default_factory=dict)
     prepared: set[str] = field(default_factory=set)
     acquired_at: int = 0
--- a/src/apricotshore/pooling/ports.py
+++ b/src/apricotshore/pooling/ports.py
@@ -14,6 +14,7 @@
     FencingToken,
     GroupId,
     HostId,
+    OrganisationId,
     ServerId,
     StoreEra,
     StoreRevision,
@@ -151,9 +152,24 @@
 class Dialer(Protocol):
     """Factory of connections to backend servers."""
 
-    async def dial(self, server: ListedServer, timeout_s: float) -> BackendConnection:
+    async def dial(
+        self,
+        server: ListedServer,
+        timeout_s: float,
+        organisation: OrganisationId | None = None,
+    ) -> BackendConnection:
         """Connect to a server.
 
+        Parameters
+        ----------
+        server
+            The server.
+        timeout_s
+            Time limit in seconds.
+        organisation
+            Organisation whose statements the connection is for; None for those of
+            callers without one, and for the proxy's own.
+
         Raises
         ------
         ConnectionLostError
--- a/src/apricotshore/pooling/preparation.py
+++ b/src/apricotshore/pooling/preparation.py
@@ -222,7 +222,10 @@
     ) -> tuple[ServerPool, PooledConnection] | Declined:
         try:
             pooled = await pool.acquire(
-                session.values, job.route.priority, job.expires_at
+                session.values,
+                job.route.priority,
+                job.expires_at,
+                organisation=session.organisation,
             )
         except NoConnectionError:
             return Declined.NO_CONNECTION
--- a/src/apricotshore/pooling/primary_access.py
+++ b/src/apricotshore/pooling/primary_access.py
@@ -103,7 +103,10 @@
         asked_at = read_boot_ms()
         try:
             pooled = await pool.acquire(
-                session.values, job.route.priority, job.expires_at
+                session.values,
+                job.route.priority,
+                job.expires_at,
+                organisation=session.organisation,
             )
         except NoConnectionError as error:
             raise refuse_overloaded(
--- a/src/apricotshore/pooling/primary_prover.py
+++ b/src/apricotshore/pooling/primary_prover.py
@@ -60,7 +60,7 @@
     )
     asked_at = read_boot_ms()
     try:
-        pooled = await pool.acquire({}, PRIORITY, asked_at + TIMEOUT_MS)
+        pooled = await pool.acquire({}, PRIORITY, asked_at + TIMEOUT_MS, takes_any=True)
         asked_at = read_boot_ms()
         reply = await _begin(pool, pooled, queries, asked_at, wants_term)
     except NoConnectionError:
--- a/src/apricotshore/pooling/relay_dialer.py
+++ b/src/apricotshore/pooling/relay_dialer.py
@@ -6,6 +6,7 @@
 from ..decisions import relays
 from ..decisions.relays import Fleet, ListedHost, MeasureDistance
 from ..groups import LogPosition
+from ..identifiers import OrganisationId
 from ..queries import Answer, Query
 from ..routes import ListedServer
 from ..services.clock import read_boot_ms
@@ -103,15 +104,24 @@
         near = self._list_relays(server)
         return bool(near) and all(h.host != self.fleet.local_host for h in near)
 
-    async def dial(self, server: ListedServer, timeout_s: float) -> BackendConnection:
+    async def dial(
+        self,
+        server: ListedServer,
+        timeout_s: float,
+        organisation: OrganisationId | None = None,
+    ) -> BackendConnection:
         """Connect through the first relay that answers, or else directly.
 
-        A server that only other hosts reach is reached through one of them.
+        A server that only other hosts reach is reached through one of them. Nothing of
+        an organisation goes through a host that would not tell the server its name.
         """
-        for relay in await self._list_detours(server) or self._list_paths(server):
+        detours = await self._list_detours(server)
+        for relay in detours or self._list_paths(server, organisation):
+            if organisation is not None and not relay.knows_organisations:
+                continue
             relayed = replace(server, address=relay.address)
             try:
-                link = await self.direct.dial(relayed, RELAY_TIMEOUT_S)
+                link = await self.direct.dial(relayed, RELAY_TIMEOUT_S, organisation)
             except (ConnectionLostError, ConnectionRejectedError) as error:
                 relays.observe_failure(self.fleet, relay.host, read_boot_ms())
                 self.journal.record(
@@ -122,7 +132,7 @@
                 )
                 continue
             return RelayedConnection(link=link, relay=relay, fleet=self.fleet)
-        return await self.direct.dial(server, timeout_s)
+        return await self.direct.dial(server, timeout_s, organisation)
 
     async def _list_detours(self, server: ListedServer) -> list[ListedHost]:
         """List the detour to a server; from time to time the direct way is tried."""
@@ -148,9 +158,11 @@
                 return []
         return [detour]
 
-    def _list_paths(self, server: ListedServer) -> list[ListedHost]:
+    def _list_paths(
+        self, server: ListedServer, organisation: OrganisationId | None
+    ) -> list[ListedHost]:
         near = self._list_relays(server)
-        return relays.list_paths(self.fleet, near, read_boot_ms())
+        return relays.list_paths(self.fleet, near, read_boot_ms(), organisation)
 
     def _list_relays(self, server: ListedServer) -> list[ListedHost]:
         limit = self.limits.get(server.group)
--- a/src/apricotshore/pooling/store_followers.py
+++ b/src/apricotshore/pooling/store_followers.py
@@ -4,6 +4,7 @@
 
 from ..decisions.relays import ListedHost
 from ..identifiers import HostId
+from ..routes import Configuration
 from ..services.eras import EraTracker
 from .adapters import Adapters
 from .host_groups import HostGroups, Sources
@@ -22,6 +23,7 @@
     eras: EraTracker,
     host_groups: HostGroups,
     on_hosts: Callable[[dict[HostId, ListedHost]], None],
+    on_configuration: Callable[[Configuration], None],
 ) -> Sources:
     """Make what follows the store.
 
@@ -39,6 +41,8 @@
         Groups of the host, which are told of what the store lists.
     on_hosts
         Called with all listed hosts.
+    on_configuration
+        Called when another configuration is put in force.
     """
     store_watcher = StoreWatcher(
         store=adapters.store,
@@ -49,7 +53,7 @@
         window_ms=settings.window_ms,
         on_server=host_groups.update_server,
         on_server_gone=host_groups.remove_server,
-        on_configuration=lambda _: host_groups.configure_all(),
+        on_configuration=on_configuration,
         on_lease=host_groups.observe_lease,
     )
     host_watcher = HostWatcher(
@@ -82,4 +86,5 @@
         host=settings.host,
         data_centre=settings.data_centre,
         address=settings.peer_address,
+        knows_organisations=True,
     )
--- a/src/apricotshore/pooling/store_watcher.py
+++ b/src/apricotshore/pooling/store_watcher.py
@@ -321,7 +321,12 @@
     def _apply_configuration(self, change: Change) -> None:
         found = change.content
         if not isinstance(found, Configuration):
-            self.journal.record(EventKind.CONFIGURATION_REFUSED, name=change.name)
+            self.journal.record(
+                EventKind.CONFIGURATION_REFUSED,
+                name=change.name,
+                why=change.why,
+                version_in_force=self.configuration.version,
+            )
             return
         if not found.replaces(self.configuration):
             if found.version != self.configuration.version:
@@ -334,6 +339,9 @@
             era=self.eras.era,
             revision=found.revision,
             routes=len(found.routes),
+            organisations=None
+            if found.organisations is None
+            else len(found.organisations),
         )
         self.on_configuration(found)
 
--- a/src/apricotshore/pooling/stored_objects.py
+++ b/src/apricotshore/pooling/stored_objects.py
@@ -102,11 +102,14 @@
         Its content; None when it was removed or cannot be decoded.
     removed
         Whether it was removed.
+    why
+        What is wrong with an object that can't be decoded, as far as it is known.
     """
 
     name: str
     content: Configuration | ListedServer | LeaseRecord | ListedHost | None
     removed: bool
+    why: str | None = None
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/standins/in_memory.py
+++ b/standins/in_memory.py
@@ -18,6 +18,7 @@
     FencingToken,
     GroupId,
     HostId,
+    OrganisationId,
     Position,
     ServerId,
     StoreEra,
@@ -457,8 +458,14 @@
     """Connection to a server of the model."""
 
     def __init__(
-        self, *, group: ModelGroup, server: ModelServer, host_name: str
+        self,
+        *,
+        group: ModelGroup,
+        server: ModelServer,
+        host_name: str,
+        organisation: OrganisationId | None = None,
     ) -> None:
+        self.organisation = organisation
         self.group = group
         self.server = server
         self.host_name = host_name
@@ -666,7 +673,12 @@
     host_name: str
     links: list[ModelConnection] = field(default_factory=list)
 
-    async def dial(self, server: ListedServer, timeout_s: float) -> ModelConnection:
+    async def dial(
+        self,
+        server: ListedServer,
+        timeout_s: float,
+        organisation: OrganisationId | None = None,
+    ) -> ModelConnection:
         """Connect to a server, subject to its faults and the connection limit."""
         model = self.group.servers[server.server]
         await asyncio.sleep(0.001)
@@ -677,7 +689,12 @@
             raise ConnectionLostError("cannot connect", sent=False)
         if model.connections >= self.group.limit:
             raise ConnectionRejectedError(FailureCode.TOO_MANY_CONNECTIONS)
-        link = ModelConnection(group=self.group, server=model, host_name=self.host_name)
+        link = ModelConnection(
+            group=self.group,
+            server=model,
+            host_name=self.host_name,
+            organisation=organisation,
+        )
         self.links.append(link)
         return link
 
--- a/tests/platform_adapter/test_golden.py
+++ b/tests/platform_adapter/test_golden.py
@@ -13,6 +13,7 @@
 from apricotshore_platform import callers
 
 from apricotshore.decisions import shutdown
+from apricotshore.organisations import Admission
 from apricotshore.pooling.caller_session import CallerSession
 from apricotshore.pooling.listeners import CallerHandler
 from apricotshore.pooling.metrics import PoolingMetrics
@@ -30,12 +31,14 @@
     host.group.primary_state.primary = "s1"
     context = host.make_context(make_route())
 
-    async def admit(database):
-        return None if database == "shop" else FailureCode.NO_DATABASE
+    async def admit(database, key):
+        if database != "shop":
+            return FailureCode.NO_DATABASE
+        return Admission(database=database)
 
-    async def serve(database, link):
+    async def serve(admission, link):
         caller_session = CallerSession(
-            database=database,
+            database=admission.database,
             link=link,
             context=context,
             drain=shutdown.Drain(grace_ms=6_000),
--- a/tests/platform_adapter/test_quiesce.py
+++ b/tests/platform_adapter/test_quiesce.py
@@ -99,11 +99,11 @@
 async def listening(quiesce):
     """Listen for other hosts; yield the port."""
 
-    async def serve(group, server, link):
+    async def serve(group, server, organisation, link):
         raise AssertionError("no connection is accepted")
 
     handler = HostHandler(
-        admit=lambda group, server: FailureCode.WRONG_SERVER,
+        admit=lambda group, server, organisation: FailureCode.WRONG_SERVER,
         serve=serve,
         quiesce=quiesce,
     )
--- a/tests/platform_adapter/test_relays.py
+++ b/tests/platform_adapter/test_relays.py
@@ -36,14 +36,16 @@
         self.sessions: list[HostSession] = []
         self.draining = False
 
-    def admit(self, group, server):
+    def admit(self, group, server, organisation):
         if group != GROUP or server not in self.host.group.pools:
             return FailureCode.WRONG_SERVER
         return FailureCode.OVERLOADED if self.draining else None
 
-    async def serve(self, group, server, link):
+    async def serve(self, group, server, organisation, link):
         pool = self.host.group.pools[server]
-        session = HostSession(group=self.host.group, pool=pool, link=link)
+        session = HostSession(
+            group=self.host.group, pool=pool, link=link, organisation=organisation
+        )
         self.sessions.append(session)
         await session.run()
 
--- a/tests/platform_adapter/test_sockets.py
+++ b/tests/platform_adapter/test_sockets.py
@@ -18,6 +18,7 @@
     StoreRevision,
     Term,
 )
+from apricotshore.organisations import Admission
 from apricotshore.pooling.listeners import CallerHandler
 from apricotshore.pooling.ports import (
     ConnectionLostError,
@@ -108,8 +109,10 @@
 async def front(serve):
     """Listen with ``serve`` as the handler and connect to it as a caller."""
 
-    async def admit(database):
-        return FailureCode.NO_DATABASE if database == "none" else None
+    async def admit(database, key):
+        if database == "none":
+            return FailureCode.NO_DATABASE
+        return Admission(database=database, key=key)
 
     server = await callers.listen(f"{HOST}:0", CallerHandler(admit=admit, serve=serve))
     reader, writer = await asyncio.open_connection(*server.sockets[0].getsockname())
@@ -120,7 +123,7 @@
         server.close()
 
 
-async def echo(database, link):
+async def echo(admission, link):
     while (query := await link.receive()) is not None:
         await link.send(query, Answer(rows=(query.text,), receipt="m"))
 
--- a/tests/pooling/support.py
+++ b/tests/pooling/support.py
@@ -110,9 +110,11 @@
 
     group: ModelGroup
 
-    async def dial(self, server: ListedServer, timeout_s: float) -> ModelConnection:
+    async def dial(
+        self, server: ListedServer, timeout_s: float, organisation=None
+    ) -> ModelConnection:
         other = ModelDialer(group=self.group, host_name=server.address)
-        return await other.dial(server, timeout_s)
+        return await other.dial(server, timeout_s, organisation)
 
 
 @dataclass(kw_only=True)
--- a/tests/pooling/test_false_silence.py
+++ b/tests/pooling/test_false_silence.py
@@ -80,7 +80,9 @@
     model: ModelGroup
     name: str
 
-    async def dial(self, server: ListedServer, timeout_s: float) -> ModelConnection:
+    async def dial(
+        self, server: ListedServer, timeout_s: float, organisation=None
+    ) -> ModelConnection:
         name = server.address if server.address == OTHER else self.name
         dialer = ModelDialer(group=self.model, host_name=name)
         return await dialer.dial(server, timeout_s)
--- a/tests/pooling/test_host.py
+++ b/tests/pooling/test_host.py
@@ -13,6 +13,7 @@
     StoreEra,
     StoreRevision,
 )
+from apricotshore.organisations import Admission
 from apricotshore.pooling import host_watcher
 from apricotshore.pooling.adapters import Adapters
 from apricotshore.pooling.host import PoolingHost
@@ -123,7 +124,7 @@
         assert not host.is_ready
         assert not admitting.done()
         configure(store)
-        assert await admitting is None
+        assert await admitting == Admission(database=SHOP)
         assert host.is_ready
 
 
@@ -141,7 +142,7 @@
         await asyncio.sleep(0.1)
         assert not admitting.done()
         store.takes_writes = True
-        assert await admitting is None
+        assert await admitting == Admission(database=SHOP)
         assert host.is_ready
         assert list(store.hosts) == [host.settings.host]
 
@@ -155,7 +156,7 @@
         configure(store)
         await wait_until(lambda: host.readiness.has_read_store)
         assert not host.is_loaded
-        assert await host.admit(SHOP) is None
+        assert await host.admit(SHOP) == Admission(database=SHOP)
         assert host.is_ready
         assert not store.hosts
 
@@ -168,7 +169,7 @@
         await wait_until(lambda: host.is_ready)
         name, model = host.settings.host, host.adapters.dialer.group
         caller = FakeCaller()
-        serving = asyncio.create_task(host.serve(SHOP, caller))
+        serving = asyncio.create_task(host.serve(Admission(database=SHOP), caller))
         assert (await caller.ask(read("r1"))).failure is None
         for server in model.servers.values():
             server.mute = True
@@ -220,7 +221,10 @@
         configure(store)
         await wait_until(lambda: host.is_ready)
         idle, busy = FakeCaller(), FakeCaller()
-        tasks = [asyncio.create_task(host.serve(SHOP, c)) for c in (idle, busy)]
+        tasks = [
+            asyncio.create_task(host.serve(Admission(database=SHOP), c))
+            for c in (idle, busy)
+        ]
         assert (await busy.ask(read("r1"))).failure is None
         await asyncio.sleep(0.2)
         busy.incoming.put_nowait(read("r2"))
--- a/tests/pooling/test_lost_leases.py
+++ b/tests/pooling/test_lost_leases.py
@@ -240,7 +240,7 @@
     assert await host.changer.lease.acquire()
     dial = host.dialer.dial
 
-    async def dial_and_stop(server, timeout_s):
+    async def dial_and_stop(server, timeout_s, organisation=None):
         link = await dial(server, timeout_s)
         host.changer.lease.held_until = read_boot_ms() - 1
         return link
@@ -257,7 +257,7 @@
     detours = host.changer.detours
     dial = detours.direct.dial
 
-    async def dial_and_stop(server, timeout_s):
+    async def dial_and_stop(server, timeout_s, organisation=None):
         link = await dial(server, timeout_s)
         host.changer.lease.held_until = read_boot_ms() - 1
         return link
--- a/tests/pooling/test_new_primaries.py
+++ b/tests/pooling/test_new_primaries.py
@@ -85,7 +85,9 @@
 
     code: FailureCode
 
-    async def dial(self, server, timeout_s: float) -> ModelConnection:
+    async def dial(
+        self, server, timeout_s: float, organisation=None
+    ) -> ModelConnection:
         raise ConnectionRejectedError(self.code)
 
 
--- a/tests/pooling/test_open_changes.py
+++ b/tests/pooling/test_open_changes.py
@@ -14,6 +14,7 @@
     StoreRevision,
     Term,
 )
+from apricotshore.organisations import Admission
 from apricotshore.pooling.open_changes import FoundChange, OpenChanges
 from apricotshore.pooling.ports import StoreError
 from apricotshore.pooling.stored_objects import (
@@ -96,7 +97,7 @@
 async def test_host_that_starts_sends_nothing_to_who_is_replaced(monkeypatch, text):
     store = LeasingStore()
     async with starting_host(monkeypatch, store, text) as host:
-        assert await host.admit(SHOP) is None
+        assert await host.admit(SHOP) == Admission(database=SHOP)
         assert list_shut(host.groups[GROUP]) == [S1]
         left_ms = host.groups[GROUP].gates[S1].shut_until - read_boot_ms()
         assert SEAL_MS - 2_000 < left_ms <= SEAL_MS
@@ -106,7 +107,7 @@
     """A holder that lists the hosts before then has written its lease before that."""
     store = LeasingStore()
     async with starting_host(monkeypatch, store) as host:
-        assert await host.admit(SHOP) is None
+        assert await host.admit(SHOP) == Admission(database=SHOP)
     assert store.calls.index("leases") > store.calls.index("entry")
 
 
@@ -117,7 +118,7 @@
         for n in range(OTHER_GROUPS)
     ]
     async with starting_host(monkeypatch, store) as host:
-        assert await host.admit(SHOP) is None
+        assert await host.admit(SHOP) == Admission(database=SHOP)
         assert list_shut(host.groups[GROUP]) == []
         assert host.open_changes.found == {}
     assert store.calls.count("leases") == 1
@@ -126,7 +127,7 @@
 async def test_writes_go_on_once_the_lease_is_released(monkeypatch):
     store = LeasingStore()
     async with starting_host(monkeypatch, store) as host:
-        assert await host.admit(SHOP) is None
+        assert await host.admit(SHOP) == Admission(database=SHOP)
         group = host.groups[GROUP]
         store.lease = RELEASED
         await wait_until(lambda: not list_shut(group), 2.0)
@@ -136,7 +137,7 @@
 async def test_hold_is_renewed_while_the_lease_is_open(monkeypatch):
     store = LeasingStore()
     async with starting_host(monkeypatch, store) as host:
-        assert await host.admit(SHOP) is None
+        assert await host.admit(SHOP) == Admission(database=SHOP)
         gate = host.groups[GROUP].gates[S1]
         first = gate.shut_until
         await wait_until(lambda: gate.shut_until > first, 2.0)
@@ -149,7 +150,7 @@
     store = LeasingStore()
     store.answers_leases = False
     async with starting_host(monkeypatch, store) as host:
-        assert await host.admit(SHOP) is None
+        assert await host.admit(SHOP) == Admission(database=SHOP)
         assert host.is_ready
         assert list_shut(host.groups[GROUP]) == []
         store.answers_leases = True
@@ -162,7 +163,7 @@
     store = LeasingStore()
     store.takes_writes = False
     async with starting_host(monkeypatch, store) as host:
-        assert await host.admit(SHOP) is None
+        assert await host.admit(SHOP) == Admission(database=SHOP)
         assert store.calls.count("leases") == 0
         store.takes_writes = True
         await wait_until(lambda: list_shut(host.groups[GROUP]) == [S1], 2.0)
@@ -242,7 +243,7 @@
 async def test_callers_wait_while_the_primary_is_replaced(monkeypatch):
     store = LeasingStore()
     async with starting_host(monkeypatch, store) as host:
-        assert await host.admit(SHOP) is None
+        assert await host.admit(SHOP) == Admission(database=SHOP)
         gate = host.groups[GROUP].gates[S1]
         waiting = asyncio.create_task(gate.wait_until_open(5_000))
         await asyncio.sleep(0.1)
--- a/tests/pooling/test_review_of_barriers.py
+++ b/tests/pooling/test_review_of_barriers.py
@@ -94,7 +94,7 @@
 class FrozenDialer:
     """Dialer that reaches nobody."""
 
-    async def dial(self, server, timeout_s: float):
+    async def dial(self, server, timeout_s: float, organisation=None):
         await asyncio.sleep(FROZEN_S)
 
 
--- a/tests/pooling/test_review_of_leases.py
+++ b/tests/pooling/test_review_of_leases.py
@@ -11,6 +11,7 @@
 from apricotshore.decisions.lease import FormerPrimaries
 from apricotshore.decisions.relays import ListedHost
 from apricotshore.identifiers import DataCentreId, HostId, StoreEra, Term
+from apricotshore.organisations import Admission
 from apricotshore.pooling.early_gates import EarlyGates
 from apricotshore.pooling.fleet_asker import FleetAsker
 from apricotshore.pooling.ports import ConnectionLostError, QuiesceReply, StoreError
@@ -87,7 +88,7 @@
     monkeypatch.setattr("apricotshore.pooling.host_watcher.RETRY_PERIOD_S", 0.5)
     store.takes_writes = False
     async with starting_host(monkeypatch, store) as host:
-        assert await host.admit(SHOP) is None
+        assert await host.admit(SHOP) == Admission(database=SHOP)
         store.takes_writes = True
         await wait_until(lambda: list_shut(host.groups[GROUP]) == [S1])
         store.lease = RELEASED
@@ -195,7 +196,7 @@
         assert await host.quiesce(quiesce(hold_ms=SEAL_MS)) == QuiesceReply()
         lists_servers.set()
         configure(store)
-        assert await host.admit(SHOP) is None
+        assert await host.admit(SHOP) == Admission(database=SHOP)
         assert list_shut(host.groups[GROUP]) == [S1]
 
 
--- a/tests/pooling/test_server_gate.py
+++ b/tests/pooling/test_server_gate.py
@@ -63,7 +63,7 @@
     def __init__(self, link: SlowLink) -> None:
         self.link = link
 
-    async def dial(self, server, timeout_s: float) -> SlowLink:
+    async def dial(self, server, timeout_s: float, organisation=None) -> SlowLink:
         return self.link
 
 
