--- a/tests/platform_adapter/test_quiesce.py
+++ b/tests/platform_adapter/test_quiesce.py
@@ -21,6 +21,7 @@
     ServerId,
     Term,
 )
+from apricotshore.organisations import Admission
 from apricotshore.pooling.group import Group
 from apricotshore.pooling.host import PoolingHost
 from apricotshore.pooling.listeners import HostHandler
@@ -375,7 +376,7 @@
         await wait_until(lambda: host.is_ready)
         model = host.adapters.dialer.group
         caller = FakeCaller()
-        serving = asyncio.create_task(host.serve(SHOP, caller))
+        serving = asyncio.create_task(host.serve(Admission(database=SHOP), caller))
         assert (await caller.ask(read("r1"))).failure is None
         for server in model.servers.values():
             server.mute = True
