--- a/src/apricotshore/pooling/caller_session.py
+++ b/src/apricotshore/pooling/caller_session.py
@@ -25,6 +25,10 @@
 _CHANGES_SESSION = frozenset({QueryKind.SET, QueryKind.PREPARE, QueryKind.DEALLOCATE})
 _RUN_AT_SERVER = frozenset({QueryKind.READ, QueryKind.WRITE, QueryKind.EXECUTE})
 
+# Statements sent ahead that a session answers before it closes as its key is revoked.
+# More would hold up the other sessions.
+LAST_REFUSALS = 20
+
 
 class CallerSession:
     """Session of one caller, whose statements are served in order.
@@ -74,6 +78,8 @@
                 self.idle = True
                 self.end_refused()
                 if self.should_close():
+                    if self.session.revoked:
+                        await self._refuse_received()
                     return
                 query = await self._receive()
                 if query is None:
@@ -142,6 +148,18 @@
         if refusal is not None and self.idle:
             self.abort_transaction(refusal.detail)
 
+    async def _refuse_received(self) -> None:
+        """Answer what was received already, before the session closes."""
+        for _ in range(LAST_REFUSALS):
+            try:
+                async with asyncio.timeout(0):
+                    query = await self.link.receive()
+            except TimeoutError:
+                return
+            if query is None:
+                return
+            await self._handle(query)
+
     # -- transactions --
 
     def abort_transaction(self, why: str) -> None:
