Prove how fresh the configuration is, and let hosts vouch for it

Each host watched the configuration and the servers for itself, and served keyed requests however old its configuration was. Where revoke-within is set and the configuration has organisations, a host now keeps the time as of which its configuration is proven, asks the vouchers of its region for newer proofs, and watches the store itself only where these don't suffice.

--- a/src/apricotshore/pooling/adapters.py
+++ b/src/apricotshore/pooling/adapters.py
@@ -3,7 +3,7 @@
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 
-from .ports import Dialer, HostPeers, ObjectStore, Promoter
+from .ports import Dialer, FreshnessPeers, HostPeers, ObjectStore, Promoter
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -19,6 +19,9 @@
         Client of the other hosts of the fleet.
     close
         Releases the resources of the others.
+    freshness_peers
+        Client of the other hosts that asks how recent their configuration is; None
+        where none of them is asked.
     """
 
     store: ObjectStore
@@ -26,3 +29,4 @@
     dialer: Dialer
     peers: HostPeers
     close: Callable[[], Awaitable[None]]
+    freshness_peers: FreshnessPeers | None = None
--- a/src/apricotshore/pooling/host.py
+++ b/src/apricotshore/pooling/host.py
@@ -9,6 +9,7 @@
 
 from ..decisions.relays import Fleet, ListedHost
 from ..decisions.shutdown import Drain
+from ..freshness.messages import FreshnessRequest, FreshnessResponse
 from ..identifiers import DatabaseId, GroupId, HostId, ServerId
 from ..queries import FailureCode
 from ..services.clock import read_boot_ms
@@ -17,6 +18,8 @@
 from .background_tasks import BackgroundTasks
 from .callers import Callers
 from .fleet_asker import FleetAsker
+from .freshness import Freshness
+from .freshness_asker import FreshnessAsker
 from .host_groups import HostGroups
 from .host_shutdown import HostShutdown
 from .journal import EventKind, Journal
@@ -96,6 +99,15 @@
             add_service=self.add_runtime_dependency,
         )
         self.groups = self.host_groups.groups
+        self.freshness = Freshness(
+            journal=journal, eras=self.eras, bounds=settings.freshness_bounds
+        )
+        self.freshness_asker = FreshnessAsker(
+            freshness=self.freshness,
+            settings=settings,
+            fleet=self.fleet,
+            peers=adapters.freshness_peers,
+        )
         sources = make_sources(
             settings=settings,
             adapters=adapters,
@@ -103,6 +115,7 @@
             eras=self.eras,
             host_groups=self.host_groups,
             on_hosts=self._update_hosts,
+            freshness=self.freshness,
         )
         self.store_watcher = sources.store_watcher
         self.host_watcher = sources.host_watcher
@@ -124,6 +137,7 @@
             configuration=lambda: self.store_watcher.configuration,
             journal=self.journal,
             spawn=self.background.spawn,
+            may_serve_keyed=self.freshness.may_serve_keyed,
         )
         self.callers = Callers(
             context=context,
@@ -153,6 +167,7 @@
         await self.add_runtime_dependency(self.store_watcher)
         await self.add_runtime_dependency(self.host_watcher)
         await self.add_runtime_dependency(self.open_changes)
+        await self.add_runtime_dependency(self.freshness_asker)
         self.journal.record(
             EventKind.STARTED,
             data_centre=self.settings.data_centre,
@@ -173,7 +188,12 @@
         if await self._wait_until_closed():
             await self.host_watcher.remove_entry()
         # What follows the store would report its closed client as a lost store.
-        followers = (self.store_watcher, self.host_watcher, self.open_changes)
+        followers = (
+            self.freshness_asker,
+            self.store_watcher,
+            self.host_watcher,
+            self.open_changes,
+        )
         await self._stop_services(followers)
         await self.adapters.close()
         self.journal.record_left_out()
@@ -236,6 +256,10 @@
         self.store_watcher.set_bounds(
             settings.apply_ms, settings.leave_ms, settings.window_ms
         )
+        if settings.freshness_bounds != self.freshness.bounds:
+            self.freshness.set_bounds(settings.freshness_bounds)
+            self.store_watcher.interrupt_watches()
+        self.freshness_asker.settings = settings
         self.host_groups.apply_settings(settings)
         self.journal.record(
             EventKind.RELOADED,
@@ -243,6 +267,7 @@
             apply_ms=settings.apply_ms,
             leave_ms=settings.leave_ms,
             window_ms=settings.window_ms,
+            revoke_ms=settings.revoke_ms or None,
         )
 
     # -- callers and other hosts --
@@ -269,13 +294,20 @@
         """Send nothing more to a server that another host replaces, and confirm it."""
         return await self.other_hosts.quiesce(request)
 
+    async def answer_freshness(
+        self, request: FreshnessRequest
+    ) -> FreshnessResponse | None:
+        """Return how old the proof of this host's configuration is."""
+        return await self.freshness.answer(request)
+
     # -- readiness --
 
     @property
     def is_ready(self) -> bool:
         """Whether the load balancer should send callers here."""
         draining = self.drain.began_at is not None
-        return self.is_loaded and self.readiness.reaches_servers and not draining
+        is_able = self.readiness.reaches_servers and self.freshness.is_fresh
+        return self.is_loaded and is_able and not draining
 
     @property
     def is_loaded(self) -> bool:
@@ -326,6 +358,7 @@
         self.metrics.refresh_store(
             self.store_watcher.configuration.version, self.eras.era
         )
+        self.metrics.refresh_freshness(self.freshness, self.store_watcher.wait_ms)
         self.metrics.refresh_unresumed(
             {
                 name: len(changer.resumption.unresumed)
--- a/src/apricotshore/pooling/journal.py
+++ b/src/apricotshore/pooling/journal.py
@@ -41,6 +41,10 @@
     CONFIGURATION_APPLIED = "configuration-applied"
     CONFIGURATION_IGNORED = "configuration-ignored"
     CONFIGURATION_REFUSED = "configuration-refused"
+    CONFIGURATION_STALE = "configuration-stale"
+    CONFIGURATION_FRESH = "configuration-fresh"
+    PROOF_SOURCE = "proof-source"
+    KEYED_REFUSED = "keyed-refused"
     SERVER_LISTED = "server-listed"
     SERVER_GONE = "server-gone"
     SERVER_RECREATED = "server-reborn"
@@ -77,6 +81,7 @@
         EventKind.REQUEST_FAILED,
         EventKind.CALLER_REFUSED,
         EventKind.TRANSACTION_ENDED,
+        EventKind.KEYED_REFUSED,
         EventKind.RELAY_FAILED,
         EventKind.DETOUR_FAILED,
     }
--- a/src/apricotshore/pooling/metrics.py
+++ b/src/apricotshore/pooling/metrics.py
@@ -7,8 +7,10 @@
 from ..identifiers import GroupId, StoreEra
 from ..queries import Answer, Query
 from ..services.clock import read_boot_ms
+from .freshness import FOLLOWED, Freshness
 from .group import Group
 from .log_waits import waits_for_logs
+from .stored_objects import StoredKind
 
 LATENCY_BUCKETS_S = [0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2]
 
@@ -92,6 +94,27 @@
             registry=registry,
         )
 
+        self.proof_age = Gauge(
+            "apricotshore_proof_age_seconds",
+            "Age of the proof that nothing newer is in the store, by kind",
+            registry=registry,
+        )
+        self.keyed_refusals = Counter(
+            "apricotshore_keyed_refusals_total",
+            "Requests with a key refused as the proof of the configuration was too old",
+            registry=registry,
+        )
+        self.store_reads = Counter(
+            "apricotshore_store_reads_total",
+            "Lists and watches of the store, by kind",
+            registry=registry,
+        )
+        self.store_reads_saved = Counter(
+            "apricotshore_store_reads_saved_total",
+            "Watches of the store that other hosts' proofs replaced, by kind",
+            registry=registry,
+        )
+
     def observe(self, query: Query, answer: Answer, took_ms: int) -> None:
         """Count an answered statement and its latency."""
         kind = query.kind.value
@@ -111,6 +134,28 @@
         self.configuration.set({}, version)
         self.store_era.set({}, era or 0)
 
+    def refresh_freshness(
+        self, freshness: Freshness, wait_ms: Mapping[StoredKind, int]
+    ) -> None:
+        """Update what is known of the configuration's proofs.
+
+        Parameters
+        ----------
+        freshness
+            Proofs of the host.
+        wait_ms
+            Waits of the watches of a host that watches all the time.
+        """
+        self.keyed_refusals.set({}, freshness.refused)
+        for kind in FOLLOWED:
+            labels = {"kind": kind.value}
+            age_ms = freshness.read_age_ms(kind)
+            if age_ms is not None:
+                self.proof_age.set(labels, age_ms / 1000)
+            self.store_reads.set(labels, freshness.calls[kind])
+            saved = freshness.rested_ms[kind] // wait_ms[kind]
+            self.store_reads_saved.set(labels, saved)
+
     def refresh_unresumed(self, counts: Mapping[GroupId, int]) -> None:
         """Update the gauge of servers that are still to be resumed."""
         for group, count in counts.items():
--- a/src/apricotshore/pooling/ports.py
+++ b/src/apricotshore/pooling/ports.py
@@ -9,6 +9,7 @@
 
 from ..decisions.relays import ListedHost
 from ..decisions.rounds import HostAddress
+from ..freshness.messages import FreshnessRequest, FreshnessResponse
 from ..groups import LogPosition
 from ..identifiers import (
     FencingToken,
@@ -299,3 +300,18 @@
 
         False where it accepts one, or nothing can be told in time.
         """
+
+
+class FreshnessPeers(Protocol):
+    """Client of the other hosts that asks how recent their configuration is."""
+
+    async def ask_freshness(
+        self, host: ListedHost, request: FreshnessRequest, timeout_s: float
+    ) -> FreshnessResponse:
+        """Ask a host how old the proof of its configuration is.
+
+        Raises
+        ------
+        ConnectionLostError
+            When the host gave no answer in time, or none that can be read.
+        """
--- a/src/apricotshore/pooling/sessions.py
+++ b/src/apricotshore/pooling/sessions.py
@@ -30,6 +30,9 @@
         Journal of the host.
     spawn
         Runs a coroutine in the background.
+    may_serve_keyed
+        Returns whether a request of a caller with a key may be served now, by the
+        age of the proof of this host's configuration.
     """
 
     host: HostId
@@ -37,6 +40,7 @@
     configuration: Callable[[], Configuration]
     journal: Journal
     spawn: Callable[[Coroutine[None, None, None]], None]
+    may_serve_keyed: Callable[[], bool] = lambda: True
 
 
 @dataclass(kw_only=True)
--- a/src/apricotshore/pooling/settings.py
+++ b/src/apricotshore/pooling/settings.py
@@ -5,6 +5,7 @@
 
 from ..decisions.placement import Distance
 from ..exceptions import InvalidFileError, Problem
+from ..freshness.bounds import Bounds, derive_bounds
 from ..identifiers import DataCentreId, HostId
 from ..ini import (
     Section,
@@ -86,6 +87,13 @@
     limit_slack: int = 0
     regions: dict[DataCentreId, str] = field(default_factory=dict)
 
+    @property
+    def freshness_bounds(self) -> Bounds:
+        """Bounds on the ages of the proofs of the configuration."""
+        return derive_bounds(
+            self.revoke_ms, self.apply_ms, self.leave_ms, self.window_ms
+        )
+
     def locate(self, data_centre: DataCentreId) -> Distance:
         """Return the distance from this host to a data centre."""
         return self.measure(self.data_centre, data_centre)
--- a/src/apricotshore/pooling/store_followers.py
+++ b/src/apricotshore/pooling/store_followers.py
@@ -6,6 +6,7 @@
 from ..identifiers import HostId
 from ..services.eras import EraTracker
 from .adapters import Adapters
+from .freshness import Freshness
 from .host_groups import HostGroups, Sources
 from .host_watcher import HostWatcher
 from .journal import Journal
@@ -22,6 +23,7 @@
     eras: EraTracker,
     host_groups: HostGroups,
     on_hosts: Callable[[dict[HostId, ListedHost]], None],
+    freshness: Freshness,
 ) -> Sources:
     """Make what follows the store.
 
@@ -39,6 +41,8 @@
         Groups of the host, which are told of what the store lists.
     on_hosts
         Called with all listed hosts.
+    freshness
+        Proofs of the configuration, which replace calls to the store.
     """
     store_watcher = StoreWatcher(
         store=adapters.store,
@@ -51,7 +55,9 @@
         on_server_gone=host_groups.remove_server,
         on_configuration=lambda _: host_groups.configure_all(),
         on_lease=host_groups.observe_lease,
+        freshness=freshness,
     )
+    freshness.configuration = lambda: store_watcher.configuration
     host_watcher = HostWatcher(
         store=adapters.store,
         journal=journal,
--- a/src/apricotshore/pooling/store_watcher.py
+++ b/src/apricotshore/pooling/store_watcher.py
@@ -5,10 +5,13 @@
 
 from mode import Service
 
-from ..identifiers import ServerId
+from ..freshness.bounds import CONFIGURATION_PAUSE_MS, MISSED_CHANGES_MS, Bounds
+from ..freshness.revocations import list_revoked
+from ..identifiers import ServerId, StoreEra, StoreRevision
 from ..routes import EMPTY_CONFIGURATION, Configuration, ListedServer
 from ..services.clock import read_boot_ms
 from ..services.eras import EraTracker
+from .freshness import Freshness
 from .journal import EventKind, Journal
 from .ports import HistoryLostError, ObjectStore, StoreError
 from .server_entries import ServerEntries
@@ -18,11 +21,11 @@
 # A watch that the store stopped answering ends after its wait plus the margin of
 # the client; what is left of the window must suffice for a new list.
 WATCH_MARGIN_MS = 1_000
-# A watch may have missed changes for this long before it stops being answered.
-MISSED_CHANGES_MS = 1_300
 SHORTEST_WAIT_MS = 500
 LONGEST_WAIT_MS = 30_000
 RETRY_PAUSE_S = 0.15
+# Wait of a watch that is to report at once what has changed.
+NO_WAIT_MS = 1
 # Changes come in bursts: after this pause the next ones arrive in one answer.
 BURST_PAUSE_S = 0.5
 # Entries of servers that start change at each heartbeat in a field not used here.
@@ -33,6 +36,8 @@
 SHORTEST_CHECK_MS = 250
 # Within a bound there must be time for a check to fail and a watch to restart.
 CHECK_MARGIN_MS = 1_000
+# Revoked keys that a log line names.
+REVOKED_SHOWN = 20
 # Servers whose entries expired while the store was unavailable, or were lost with
 # what it forgot, register again within about 2 s of its return.
 RETURN_GRACE_MS = 2_500
@@ -74,6 +79,9 @@
         Called when another configuration is put in force.
     on_lease
         Called with each lease on a change of primary that a check reads.
+    freshness
+        Proofs that this watcher's calls yield, and which it leaves out calls for;
+        None to watch all the time.
     """
 
     def __init__(
@@ -89,12 +97,16 @@
         on_server_gone: Callable[[ServerId], None],
         on_configuration: Callable[[Configuration], None],
         on_lease: Callable[[LeaseRecord], None],
+        freshness: Freshness | None = None,
     ) -> None:
         super().__init__()
         self.store = store
         self.journal = journal
         self.eras = eras
-        self.eras.listeners.append(self._interrupt_watches)
+        if freshness is None:
+            freshness = Freshness(journal=journal, eras=eras, bounds=Bounds())
+        self.freshness = freshness
+        self.eras.listeners.append(self.interrupt_watches)
         self.on_server = on_server
         self.entries = ServerEntries(
             journal=journal,
@@ -108,6 +120,11 @@
         self.set_bounds(apply_ms, leave_ms, window_ms)
         self.watch_timeouts: dict[StoredKind, asyncio.Timeout] = {}
         self.configuration = EMPTY_CONFIGURATION
+        # Era and revision of the configuration's object as it was last read.
+        self.read_in: StoreEra | None = None
+        self.read_revision = StoreRevision(0)
+        # Time as of which the answer that is being applied is the latest.
+        self.proven_at: int | None = None
         self.unavailable: set[StoredKind] = set()
         self.back_at = 0
         self.servers_listed = False
@@ -152,36 +169,37 @@
                 snapshot = await self.store.list(StoredKind.PRIMARY_CHANGE, stale=True)
             except StoreError as error:
                 self._record_lost(StoredKind.PRIMARY_CHANGE, error)
-                self._interrupt_watches()
+                self.interrupt_watches()
                 continue
             if not self.eras.accept(snapshot.era):
                 continue
             if StoredKind.PRIMARY_CHANGE in self.unavailable:
                 self._record_back(StoredKind.PRIMARY_CHANGE)
-                self._interrupt_watches()
+                self.interrupt_watches()
             for change in snapshot.changes:
                 if isinstance(change.content, LeaseRecord):
                     self.on_lease(change.content)
 
-    def _interrupt_watches(self) -> None:
+    def interrupt_watches(self) -> None:
+        """Have each watch that waits begin again."""
         now = asyncio.get_running_loop().time()
         for scope in self.watch_timeouts.values():
             scope.reschedule(now)
 
     async def _follow(self, kind: StoredKind) -> None:
         latest: Snapshot | None = None
+        rested = False
         while not self.should_stop:
             try:
-                if latest is None or self._must_list(kind, latest):
-                    snapshot = await self._list(kind)
-                    changed = self._apply_list(kind, snapshot.changes)
-                else:
-                    snapshot = await self._watch(kind, latest)
-                    changed = self._apply_changes(kind, snapshot.changes)
-                latest = snapshot
+                if latest is not None and self._may_rest(kind, latest):
+                    rested = True
+                    await self.freshness.rest(kind)
+                    continue
+                latest, changed = await self._read(kind, latest, rested=rested)
+                rested = False
                 self._record_back(kind)
-                if snapshot.changes:
-                    await asyncio.sleep(BURST_PAUSE_S if changed else QUIET_PAUSE_S)
+                if latest.changes:
+                    await asyncio.sleep(self._choose_pause_s(kind, changed=changed))
             except TimeoutError:
                 self.journal.record(EventKind.WATCH_RESTARTED, kind=kind.value)
             except HistoryLostError:
@@ -190,8 +208,75 @@
                 self._record_lost(kind, error)
                 latest = None
                 await asyncio.sleep(RETRY_PAUSE_S)
+                await self.freshness.back_off(kind)
             self._remove_missing()
 
+    async def _read(
+        self, kind: StoredKind, latest: Snapshot | None, *, rested: bool
+    ) -> tuple[Snapshot, bool]:
+        """List or watch a kind, and apply the answer.
+
+        Parameters
+        ----------
+        kind
+            The kind.
+        latest
+            The answer before, None without one to go on from.
+        rested
+            Whether nothing was read for a while because others vouched.
+
+        Returns
+        -------
+        tuple
+            The answer, and whether anything that is used here changed.
+        """
+        self.freshness.calls[kind] += 1
+        asked_at = read_boot_ms()
+        if latest is None or self._should_list(kind, latest, rested=rested):
+            snapshot = await self._list(kind)
+            self.proven_at = asked_at
+            changed = self._apply_list(kind, snapshot.changes)
+            # The list does not show what changed and changed back before it.
+            may_differ = True
+        else:
+            snapshot = await self._watch(kind, latest, is_late=rested)
+            self.proven_at = asked_at - MISSED_CHANGES_MS
+            may_differ = changed = self._apply_changes(kind, snapshot.changes)
+        self._prove(kind, snapshot, self.proven_at, may_differ=may_differ)
+        self.freshness.end_read(kind, asked_at)
+        return snapshot, changed
+
+    def _prove(
+        self, kind: StoredKind, snapshot: Snapshot, proven_at: int, *, may_differ: bool
+    ) -> None:
+        """Record what an answer that was applied proves."""
+        if kind is StoredKind.CONFIGURATION:
+            revision = self.read_revision if self.read_in == snapshot.era else 0
+            self.freshness.observe_configuration(
+                snapshot.era, StoreRevision(revision), proven_at
+            )
+        elif self.list_servers_at is None:
+            self.freshness.observe_servers(
+                snapshot.era, snapshot.revision, proven_at, changed=may_differ
+            )
+
+    def _should_list(self, kind: StoredKind, latest: Snapshot, *, rested: bool) -> bool:
+        if kind is StoredKind.CONFIGURATION and self.freshness.needs_list(
+            rested=rested
+        ):
+            return True
+        return self._must_list(kind, latest)
+
+    def _may_rest(self, kind: StoredKind, latest: Snapshot) -> bool:
+        is_due = self._must_list(kind, latest) or kind in self.unavailable
+        return not is_due and not self.freshness.should_read(kind)
+
+    def _choose_pause_s(self, kind: StoredKind, *, changed: bool) -> float:
+        if kind is StoredKind.CONFIGURATION and self.freshness.is_active:
+            is_late = self.freshness.needs_list(rested=False)
+            return 0.0 if is_late else CONFIGURATION_PAUSE_MS / 1000
+        return BURST_PAUSE_S if changed else QUIET_PAUSE_S
+
     def _must_list(self, kind: StoredKind, latest: Snapshot) -> bool:
         if latest.era != self.eras.era:
             return True
@@ -199,7 +284,7 @@
         return due is not None and read_boot_ms() >= due
 
     def _choose_wait_ms(self, kind: StoredKind) -> int:
-        wait = self.wait_ms[kind]
+        wait = self.freshness.choose_wait_ms(kind) or self.wait_ms[kind]
         if kind is not StoredKind.SERVER or self.list_servers_at is None:
             return wait
         return max(1, min(wait, self.list_servers_at - read_boot_ms()))
@@ -247,13 +332,15 @@
             if isinstance(record, LeaseRecord) and record.era == self.eras.era
         )
 
-    async def _watch(self, kind: StoredKind, latest: Snapshot) -> Snapshot:
-        """Wait for changes after an earlier answer.
+    async def _watch(
+        self, kind: StoredKind, latest: Snapshot, *, is_late: bool
+    ) -> Snapshot:
+        """Wait for changes after an earlier answer, or read those until now.
 
         Raises
         ------
         TimeoutError
-            When `_interrupt_watches` ended the wait.
+            When `interrupt_watches` ended the wait.
         HistoryLostError
             When the store has dropped the history since then, or was restored: a
             restored store that has given out the revision again continues from it
@@ -262,9 +349,8 @@
         async with asyncio.timeout(None) as scope:
             self.watch_timeouts[kind] = scope
             try:
-                snapshot = await self.store.watch(
-                    kind, latest.revision, self._choose_wait_ms(kind)
-                )
+                wait_ms = NO_WAIT_MS if is_late else self._choose_wait_ms(kind)
+                snapshot = await self.store.watch(kind, latest.revision, wait_ms)
             finally:
                 del self.watch_timeouts[kind]
         if not self.eras.accept(snapshot.era) or snapshot.era != latest.era:
@@ -323,10 +409,12 @@
         if not isinstance(found, Configuration):
             self.journal.record(EventKind.CONFIGURATION_REFUSED, name=change.name)
             return
+        self.read_in, self.read_revision = self.eras.era, found.revision
         if not found.replaces(self.configuration):
             if found.version != self.configuration.version:
                 self._record_ignored(found)
             return
+        revoked = list_revoked(self.configuration, found)
         self.configuration = found
         self.journal.record(
             EventKind.CONFIGURATION_APPLIED,
@@ -334,9 +422,15 @@
             era=self.eras.era,
             revision=found.revision,
             routes=len(found.routes),
+            revoked=revoked[:REVOKED_SHOWN] or None,
+            revoked_count=len(revoked) if len(revoked) > REVOKED_SHOWN else None,
+            proof_age_ms=self._tell_proof_age_ms() if revoked else None,
         )
         self.on_configuration(found)
 
+    def _tell_proof_age_ms(self) -> int | None:
+        return None if self.proven_at is None else read_boot_ms() - self.proven_at
+
     def _record_ignored(self, found: Configuration) -> None:
         self.journal.record(
             EventKind.CONFIGURATION_IGNORED,
