Require that no version was missed before a proof counts

A host that lists the configuration while the store's object is malformed or of a lower version can't know which version came before it. Such a list proves nothing unless the object was read before, or a host that saw every version has the same state. The configuration's entry moves to a module of its own.

--- a/src/apricotshore/freshness/messages.py
+++ b/src/apricotshore/freshness/messages.py
@@ -34,8 +34,9 @@
     age_ms
         Age of the proof that nothing newer was in the store; `NO_PROOF` without one.
     revision
-        Revision of the configuration's object as it was last read. Operators may
-        write other content under the same version.
+        Revision of the configuration's object as it was last read.
+    applied
+        Revision of that object with the version in force as it was last read.
     servers_changed
         Store revision after which no entry of a server has changed.
     servers_age_ms
@@ -46,5 +47,6 @@
     era: StoreEra
     age_ms: int
     revision: StoreRevision
+    applied: StoreRevision
     servers_changed: StoreRevision
     servers_age_ms: int
--- a/src/apricotshore/freshness/proofs.py
+++ b/src/apricotshore/freshness/proofs.py
@@ -36,13 +36,16 @@
     version
         Version in force.
     revision
-        Revision of the object as it was last read; 0 when nothing could be decoded
-        in this era.
+        Revision of the object as it was last read; 0 where that is unknown.
+    applied
+        Revision of the object with the version in force as it was last read; 0 where
+        that was in another era. Operators may write other content under one version.
     """
 
     era: StoreEra
     version: int
     revision: StoreRevision
+    applied: StoreRevision
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -135,10 +138,10 @@
         return Relation.NEWER
     if response.era < own.era or own.era != era:
         return Relation.OTHER
-    theirs, ours = (response.version, response.revision), (own.version, own.revision)
-    if theirs == ours and own.revision:
-        return Relation.SAME
-    is_newer = theirs[0] > ours[0] or theirs[1] > ours[1]
+    theirs = response.version, response.revision, response.applied
+    if theirs == (own.version, own.revision, own.applied):
+        return Relation.SAME if own.revision and own.applied else Relation.OTHER
+    is_newer = response.version > own.version or response.revision > own.revision
     return Relation.NEWER if is_newer else Relation.OTHER
 
 
--- a/src/apricotshore/pooling/freshness.py
+++ b/src/apricotshore/pooling/freshness.py
@@ -6,7 +6,7 @@
 
 from ..freshness import bounds as times
 from ..freshness.bounds import Bounds
-from ..freshness.messages import FreshnessRequest, FreshnessResponse
+from ..freshness.messages import NO_PROOF, FreshnessRequest, FreshnessResponse
 from ..freshness.proofs import (
     ConfigurationState,
     Proof,
@@ -63,6 +63,8 @@
         self.proofs = {kind: Proof() for kind in FOLLOWED}
         self.configuration_state: ConfigurationState | None = None
         self.servers_state: ServersState | None = None
+        # Whether no version may have been missed before the one read last.
+        self.is_certain = True
         # Whether this host is the first of those that may vouch for its group.
         self.is_voucher = True
         self.asked_until: int | None = None
@@ -192,26 +194,20 @@
         while read_boot_ms() < until and not self.should_read(kind):
             await self.rest(kind)
 
-    def observe_configuration(
-        self, era: StoreEra, revision: StoreRevision, proven_at: int
-    ) -> None:
+    def observe_configuration(self, state: ConfigurationState, proven_at: int) -> None:
         """Record a response of the store on the configuration that was applied.
 
         Parameters
         ----------
-        era
-            Era of the response.
-        revision
-            Revision of the object as it was last read in that era, 0 for none.
+        state
+            State after the response.
         proven_at
             Time as of which the response is the latest.
         """
-        if not self.version and not revision:
-            return
-        self.configuration_state = ConfigurationState(
-            era=era, version=self.version, revision=revision
-        )
-        self._observe_read(StoredKind.CONFIGURATION, proven_at)
+        self.configuration_state = state
+        if self.is_certain:
+            self.proofs[StoredKind.CONFIGURATION].observe_read(proven_at)
+        self.check()
 
     def observe_servers(
         self, era: StoreEra, revision: StoreRevision, proven_at: int, *, changed: bool
@@ -234,28 +230,16 @@
             revision=revision,
             changed=known.changed if known is not None and is_same else revision,
         )
-        self._observe_read(StoredKind.SERVER, proven_at)
-
-    def _observe_read(self, kind: StoredKind, proven_at: int) -> None:
-        self.proofs[kind].observe_read(proven_at)
-        self.check()
+        self.proofs[StoredKind.SERVER].observe_read(proven_at)
 
     def end_read(self, kind: StoredKind, asked_at: int) -> None:
         """Record that a response of the store to a call of some time was applied."""
         if asked_at >= self.to_read.get(kind, asked_at):
             self.to_read.pop(kind, None)
 
-    def needs_list(self, *, rested: bool) -> bool:
-        """Return whether to list the configuration, which proves more than a watch.
-
-        Parameters
-        ----------
-        rested
-            Whether this host has not watched for a while.
-        """
-        if not self.is_active:
-            return False
-        return rested or not self.is_proven_for_round((StoredKind.CONFIGURATION,))
+    def needs_read(self, kind: StoredKind) -> bool:
+        """Return whether the store is to answer at once, as a proof gets too old."""
+        return self.is_active and not self.is_proven_for_round((kind,))
 
     # -- other hosts --
 
@@ -289,16 +273,17 @@
         if configuration is None:
             return None
         is_same_era = servers is not None and servers.era == configuration.era
+        age_ms = self.proofs[StoredKind.CONFIGURATION].tell_age(now)
         servers_age_ms = self.proofs[StoredKind.SERVER].tell_age(now)
         return FreshnessResponse(
             version=configuration.version,
             era=configuration.era,
-            age_ms=self.proofs[StoredKind.CONFIGURATION].tell_age(now),
+            # An asking host takes a proof as a sign that it has missed no version.
+            age_ms=age_ms if self.is_certain else NO_PROOF,
             revision=configuration.revision,
-            servers_changed=servers.changed
-            if servers is not None
-            else StoreRevision(0),
-            servers_age_ms=servers_age_ms if is_same_era else -1,
+            applied=configuration.applied,
+            servers_changed=servers.changed if servers else StoreRevision(0),
+            servers_age_ms=servers_age_ms if is_same_era else NO_PROOF,
         )
 
     def observe_response(self, response: FreshnessResponse, asked_at: int) -> bool:
@@ -339,6 +324,8 @@
         age_ms: int,
     ) -> bool:
         if relation is Relation.SAME:
+            if kind is StoredKind.CONFIGURATION and age_ms != NO_PROOF:
+                self.is_certain = True
             self.proofs[kind].observe_vouched(asked_at, age_ms)
             return self.is_vouched_for_round(kind)
         return relation is Relation.NEWER and self._read_newer(kind, state)
--- a/src/apricotshore/pooling/store_watcher.py
+++ b/src/apricotshore/pooling/store_watcher.py
@@ -6,11 +6,11 @@
 from mode import Service
 
 from ..freshness.bounds import CONFIGURATION_PAUSE_MS, MISSED_CHANGES_MS, Bounds
-from ..freshness.revocations import list_revoked
-from ..identifiers import ServerId, StoreEra, StoreRevision
-from ..routes import EMPTY_CONFIGURATION, Configuration, ListedServer
+from ..identifiers import ServerId
+from ..routes import Configuration, ListedServer
 from ..services.clock import read_boot_ms
 from ..services.eras import EraTracker
+from .configuration_entry import ConfigurationEntry, Continuity
 from .freshness import Freshness
 from .journal import EventKind, Journal
 from .ports import HistoryLostError, ObjectStore, StoreError
@@ -36,8 +36,6 @@
 SHORTEST_CHECK_MS = 250
 # Within a bound there must be time for a check to fail and a watch to restart.
 CHECK_MARGIN_MS = 1_000
-# Revoked keys that a log line names.
-REVOKED_SHOWN = 20
 # Servers whose entries expired while the store was unavailable, or were lost with
 # what it forgot, register again within about 2 s of its return.
 RETURN_GRACE_MS = 2_500
@@ -113,24 +111,25 @@
             on_server=lambda server: self.on_server(server),
             on_server_gone=on_server_gone,
         )
-        self.on_configuration = on_configuration
+        self.entry = ConfigurationEntry(
+            journal=journal, eras=eras, on_configuration=on_configuration
+        )
         self.on_lease = on_lease
         self.check_period_ms = LONGEST_CHECK_MS
         self.wait_ms: dict[StoredKind, int] = {}
         self.set_bounds(apply_ms, leave_ms, window_ms)
         self.watch_timeouts: dict[StoredKind, asyncio.Timeout] = {}
-        self.configuration = EMPTY_CONFIGURATION
-        # Era and revision of the configuration's object as it was last read.
-        self.read_in: StoreEra | None = None
-        self.read_revision = StoreRevision(0)
-        # Time as of which the answer that is being applied is the latest.
-        self.proven_at: int | None = None
         self.unavailable: set[StoredKind] = set()
         self.back_at = 0
         self.servers_listed = False
         # When the servers are to be listed anew, None after a list that was applied.
         self.list_servers_at: int | None = None
 
+    @property
+    def configuration(self) -> Configuration:
+        """Configuration in force."""
+        return self.entry.in_force
+
     @property
     def listed(self) -> dict[ServerId, ListedServer]:
         """Servers that the store lists, as their entries were last read."""
@@ -232,40 +231,48 @@
         """
         self.freshness.calls[kind] += 1
         asked_at = read_boot_ms()
-        if latest is None or self._should_list(kind, latest, rested=rested):
+        is_list = latest is None or self._must_list(kind, latest)
+        if latest is None or is_list:
             snapshot = await self._list(kind)
-            self.proven_at = asked_at
-            changed = self._apply_list(kind, snapshot.changes)
-            # The list does not show what changed and changed back before it.
-            may_differ = True
+            proven_at = asked_at
+        else:
+            is_late = rested or self.freshness.needs_read(kind)
+            snapshot = await self._watch(kind, latest, is_late=is_late)
+            proven_at = asked_at - MISSED_CHANGES_MS
+        if kind is StoredKind.CONFIGURATION:
+            self._apply_configuration(snapshot, proven_at, is_list=is_list)
+            changed = bool(snapshot.changes)
         else:
-            snapshot = await self._watch(kind, latest, is_late=rested)
-            self.proven_at = asked_at - MISSED_CHANGES_MS
-            may_differ = changed = self._apply_changes(kind, snapshot.changes)
-        self._prove(kind, snapshot, self.proven_at, may_differ=may_differ)
+            changed = self._apply_servers(snapshot, proven_at, is_list=is_list)
         self.freshness.end_read(kind, asked_at)
         return snapshot, changed
 
-    def _prove(
-        self, kind: StoredKind, snapshot: Snapshot, proven_at: int, *, may_differ: bool
+    def _apply_configuration(
+        self, snapshot: Snapshot, proven_at: int, *, is_list: bool
     ) -> None:
-        """Record what an answer that was applied proves."""
-        if kind is StoredKind.CONFIGURATION:
-            revision = self.read_revision if self.read_in == snapshot.era else 0
-            self.freshness.observe_configuration(
-                snapshot.era, StoreRevision(revision), proven_at
+        if is_list:
+            continuity = self.entry.apply_list(
+                snapshot.changes, snapshot.era, proven_at
             )
-        elif self.list_servers_at is None:
+        else:
+            continuity = self.entry.apply_changes(snapshot.changes, proven_at)
+        if continuity is not Continuity.UNCHANGED:
+            self.freshness.is_certain = continuity is Continuity.CERTAIN
+        if self.configuration.revision:
+            state = self.entry.describe(snapshot.era)
+            self.freshness.observe_configuration(state, proven_at)
+
+    def _apply_servers(
+        self, snapshot: Snapshot, proven_at: int, *, is_list: bool
+    ) -> bool:
+        apply = self._apply_list if is_list else self._apply_changes
+        changed = apply(snapshot.changes)
+        if self.list_servers_at is None:
+            # A list does not show what changed and changed back before it.
             self.freshness.observe_servers(
-                snapshot.era, snapshot.revision, proven_at, changed=may_differ
+                snapshot.era, snapshot.revision, proven_at, changed=changed or is_list
             )
-
-    def _should_list(self, kind: StoredKind, latest: Snapshot, *, rested: bool) -> bool:
-        if kind is StoredKind.CONFIGURATION and self.freshness.needs_list(
-            rested=rested
-        ):
-            return True
-        return self._must_list(kind, latest)
+        return changed
 
     def _may_rest(self, kind: StoredKind, latest: Snapshot) -> bool:
         is_due = self._must_list(kind, latest) or kind in self.unavailable
@@ -273,7 +280,7 @@
 
     def _choose_pause_s(self, kind: StoredKind, *, changed: bool) -> float:
         if kind is StoredKind.CONFIGURATION and self.freshness.is_active:
-            is_late = self.freshness.needs_list(rested=False)
+            is_late = self.freshness.needs_read(kind)
             return 0.0 if is_late else CONFIGURATION_PAUSE_MS / 1000
         return BURST_PAUSE_S if changed else QUIET_PAUSE_S
 
@@ -314,7 +321,7 @@
         """
         snapshot = await self._list(StoredKind.SERVER)
         if not self.eras.is_settling(RETURN_GRACE_MS):
-            self._apply_changes(StoredKind.SERVER, snapshot.changes)
+            self._apply_changes(snapshot.changes)
 
     async def read_leases(self) -> tuple[LeaseRecord, ...]:
         """Read the leases of the store's latest era as they are now.
@@ -368,18 +375,16 @@
             self.back_at = read_boot_ms()
             self.journal.record(EventKind.STORE_BACK, kind=kind.value)
 
-    def _apply_list(self, kind: StoredKind, changes: tuple[Change, ...]) -> bool:
-        """Apply a whole list; return whether anything that is used here changed.
+    def _apply_list(self, changes: tuple[Change, ...]) -> bool:
+        """Apply the list of servers; return whether anything that is used changed.
 
         The servers of a store that was just restored are older than those known here,
         so their list is read again once they had time to register.
         """
-        if kind is not StoredKind.SERVER:
-            return self._apply_changes(kind, changes)
         if self.servers_listed and self.eras.is_settling(RETURN_GRACE_MS):
             self.list_servers_at = self.eras.state.seen_at + RETURN_GRACE_MS
             return True
-        changed = self._apply_changes(kind, changes)
+        changed = self._apply_changes(changes)
         self.servers_listed = True
         self.list_servers_at = None
         names = {ServerId(change.name) for change in changes}
@@ -393,50 +398,9 @@
             return
         self.entries.remove_missing()
 
-    def _apply_changes(self, kind: StoredKind, changes: tuple[Change, ...]) -> bool:
-        """Apply changes; return whether anything that is used here changed."""
+    def _apply_changes(self, changes: tuple[Change, ...]) -> bool:
+        """Apply changes of servers; return whether anything that is used changed."""
         changed = False
         for change in changes:
-            if kind is StoredKind.CONFIGURATION:
-                self._apply_configuration(change)
-                changed = True
-            else:
-                changed |= self.entries.apply(change)
+            changed |= self.entries.apply(change)
         return changed
-
-    def _apply_configuration(self, change: Change) -> None:
-        found = change.content
-        if not isinstance(found, Configuration):
-            self.journal.record(EventKind.CONFIGURATION_REFUSED, name=change.name)
-            return
-        self.read_in, self.read_revision = self.eras.era, found.revision
-        if not found.replaces(self.configuration):
-            if found.version != self.configuration.version:
-                self._record_ignored(found)
-            return
-        revoked = list_revoked(self.configuration, found)
-        self.configuration = found
-        self.journal.record(
-            EventKind.CONFIGURATION_APPLIED,
-            version=found.version,
-            era=self.eras.era,
-            revision=found.revision,
-            routes=len(found.routes),
-            revoked=revoked[:REVOKED_SHOWN] or None,
-            revoked_count=len(revoked) if len(revoked) > REVOKED_SHOWN else None,
-            proof_age_ms=self._tell_proof_age_ms() if revoked else None,
-        )
-        self.on_configuration(found)
-
-    def _tell_proof_age_ms(self) -> int | None:
-        return None if self.proven_at is None else read_boot_ms() - self.proven_at
-
-    def _record_ignored(self, found: Configuration) -> None:
-        self.journal.record(
-            EventKind.CONFIGURATION_IGNORED,
-            version=found.version,
-            era=self.eras.era,
-            revision=found.revision,
-            version_in_force=self.configuration.version,
-            revision_in_force=self.configuration.revision,
-        )
--- a/src/apricotshore/pooling/stored_objects.py
+++ b/src/apricotshore/pooling/stored_objects.py
@@ -102,11 +102,15 @@
         Its content; None when it was removed or cannot be decoded.
     removed
         Whether it was removed.
+    revision
+        Revision of the object, also where its content cannot be decoded; 0 if it
+        names none.
     """
 
     name: str
     content: Configuration | ListedServer | LeaseRecord | ListedHost | None
     removed: bool
+    revision: StoreRevision = StoreRevision(0)
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/tests/pooling/test_store_watcher.py
+++ b/tests/pooling/test_store_watcher.py
@@ -250,10 +250,10 @@
     watcher = bed.store_watcher
     async with bed:
         await wait_until(lambda: watcher.servers_listed)
-        assert watcher._apply_changes(StoredKind.SERVER, (server(),))
-        assert not watcher._apply_changes(StoredKind.SERVER, (server(),))
-        assert watcher._apply_changes(StoredKind.SERVER, (server(removed=True),))
-        assert watcher._apply_changes(StoredKind.SERVER, (server(),))
+        assert watcher._apply_changes((server(),))
+        assert not watcher._apply_changes((server(),))
+        assert watcher._apply_changes((server(removed=True),))
+        assert watcher._apply_changes((server(),))
 
 
 async def test_entry_whose_use_fails_costs_only_itself():
