--- a/src/apricotshore/freshness/bounds.py
+++ b/src/apricotshore/freshness/bounds.py
@@ -95,5 +95,8 @@
     The proof of a watch is as old as its wait when the answer arrives, and is in use
     until the next answer.
     """
-    spent_ms = ROUND_MS + MISSED_CHANGES_MS + LATENCY_MS + pause_ms
-    return max(SHORTEST_WAIT_MS, min((bound_ms - spent_ms) // 2, longest_ms))
+    left_ms = bound_ms - (MISSED_CHANGES_MS + LATENCY_MS + pause_ms)
+    if left_ms - ROUND_MS >= 2 * SHORTEST_WAIT_MS:
+        left_ms -= ROUND_MS
+    # Else no proof of another host lasts for a round, and each host watches.
+    return max(SHORTEST_WAIT_MS, min(left_ms // 2, longest_ms))
