Test that a host cut from the store is vouched for over sockets

Two hosts over loopback: the one whose store is out stays ready as long as the other vouches, and not after. The list of hosts is ranked anew only when it has changed.

--- a/src/apricotshore/pooling/freshness_asker.py
+++ b/src/apricotshore/pooling/freshness_asker.py
@@ -58,7 +58,7 @@
         self.failures = Fleet(local_host=fleet.local_host)
         self.order = VoucherOrder()
         # What the order was made of.
-        self.ranked: tuple[object, ...] = ()
+        self.ranked: tuple[dict[HostId, ListedHost], PoolingSettings] | None = None
         self.rounds = 0
 
     @Service.task
@@ -101,11 +101,8 @@
     def _rank(self) -> VoucherOrder:
         """Return the order of the listed hosts, made anew when the list has changed."""
         hosts, settings = self.fleet.hosts, self.settings
-        made_of = (hosts, settings)
-        if len(self.ranked) != 2 or any(
-            a is not b for a, b in zip(self.ranked, made_of, strict=True)
-        ):
-            self.ranked = made_of
+        if self.ranked != (hosts, settings):
+            self.ranked = (hosts, settings)
             self.order = rank_vouchers(
                 hosts.values(),
                 self.fleet.local_host,
--- a/tests/platform_adapter/test_freshness.py
+++ b/tests/platform_adapter/test_freshness.py
@@ -1,7 +1,9 @@
 """Requests between hosts for the age of their proofs, over sockets."""
 
 import asyncio
-from contextlib import asynccontextmanager
+import re
+import socket
+from contextlib import AsyncExitStack, asynccontextmanager
 
 import pytest
 from apricotshore_platform import freshness, program
@@ -13,6 +15,7 @@
 from apricotshore.identifiers import DataCentreId, HostId, StoreEra, StoreRevision
 from apricotshore.pooling.listeners import HostHandler
 from apricotshore.pooling.ports import ConnectionLostError
+from apricotshore.pooling.stored_objects import Change, StoredKind
 from apricotshore.queries import FailureCode
 from tests.pooling.support import wait_until
 from tests.pooling.test_freshness_host import OLD_KEY, STRICT, write_keys
@@ -61,6 +64,15 @@
         server.close()
 
 
+@pytest.fixture
+def unused_tcp_ports() -> list[int]:
+    """Return two ports at which nobody listens."""
+    with socket.socket() as one, socket.socket() as other:
+        for each in (one, other):
+            each.bind((LOOPBACK, 0))
+        return [each.getsockname()[1] for each in (one, other)]
+
+
 def test_lines_are_read_as_they_were_written():
     assert freshness.decode_request(freshness.encode_request(REQUEST)) == REQUEST
     assert freshness.encode_request(REQUEST) == "FRESH 7 2"
@@ -164,3 +176,38 @@
         assert found.revision == found.applied == 7
         assert 0 < found.age_ms < host.freshness.bounds.serve_ms
         assert found.servers_age_ms >= 0
+
+
+async def test_a_host_cut_from_the_store_is_vouched_for_over_sockets(unused_tcp_ports):
+    """Guards against a host whose parts don't reach each other."""
+    strict = STRICT.replace("600 ms", "5 s")
+    entries = [list_host(port, f"host-{port}") for port in unused_tcp_ports]
+    listed = [Change(name=e.host, content=e, removed=False) for e in entries]
+    servers = []
+    async with AsyncExitStack() as stack:
+        hosts, stores = [], []
+        for entry in entries:
+            text = re.sub("(?m)^name = .*", f"name = {entry.host}", strict)
+            host, store = await stack.enter_async_context(running_host(text))
+            host.freshness_asker.peers = LinePeers()
+            stack.callback(host.freshness_asker.peers.close)
+            store.lists[StoredKind.HOST] = listed
+            write_keys(store, 7, OLD_KEY)
+            servers.append(await program._listen_for_hosts(host, entry.address))
+            hosts.append(host)
+            stores.append(store)
+        try:
+            await wait_until(lambda: all(len(h.fleet.hosts) == 2 for h in hosts))
+            await wait_until(
+                lambda: any(h.freshness.rested_ms[StoredKind.SERVER] for h in hosts)
+            )
+            resting = next(h for h in hosts if not h.freshness.is_voucher)
+            stores[hosts.index(resting)].down = True
+            await asyncio.sleep(resting.freshness.bounds.serve_ms / 1000 + 0.5)
+            assert resting.is_ready
+            servers[1 - hosts.index(resting)].close()
+            hosts[1 - hosts.index(resting)].freshness.configuration_state = None
+            await wait_until(lambda: not resting.is_ready)
+        finally:
+            for server in servers:
+                server.close()
