--- a/tests/pooling/freshness_model.py
+++ b/tests/pooling/freshness_model.py
@@ -112,6 +112,9 @@
         self.changed.set()
         self.changed = asyncio.Event()
 
+    def list_now(self, kind: StoredKind) -> dict[str, object]:
+        return {n: c.content for (k, n), c in self.objects.items() if k is kind}
+
     def snapshot(self, changes, revision=None) -> Snapshot:
         return Snapshot(
             changes=tuple(changes),
--- a/tests/pooling/test_freshness_fleet.py
+++ b/tests/pooling/test_freshness_fleet.py
@@ -89,9 +89,22 @@
     fleet.store.write(StoredKind.CONFIGURATION, change)
 
 
+def change_server(fleet: ModelFleet, rng: random.Random) -> None:
+    """Have a server leave, be removed, or be listed again."""
+    model = ModelGroup.make()
+    name, server = rng.choice(list(model.servers.items()))
+    content = model.list(server, leaving=rng.random() < 0.5)
+    removed = rng.random() < 0.3
+    fleet.store.write(
+        StoredKind.SERVER,
+        Change(name=name, content=None if removed else content, removed=removed),
+    )
+
+
 FAULTS = (
     *(revoke,) * 4,
     *(cut_from_store,) * 2,
+    *(change_server,) * 2,
     cut_link,
     freeze,
     lose,
@@ -142,6 +155,8 @@
         await fleet.run(SETTLE_S)
         assert not fleet.list_stale()
         assert {h.version for h in fleet.hosts.values()} == {fleet.version}
+        listed = fleet.store.list_now(StoredKind.SERVER)
+        assert all(h.servers == listed for h in fleet.hosts.values())
 
     count = (3, 6, 9)[seed % 3]
     play(monkeypatch, lambda: ModelFleet(count, 1 + seed // 3 % 2, seed=seed), work)
