--- a/src/apricotshore/pooling/freshness.py
+++ b/src/apricotshore/pooling/freshness.py
@@ -6,16 +6,7 @@
 
 from ..freshness import bounds as times
 from ..freshness.bounds import Bounds
-from ..freshness.messages import NO_PROOF, FreshnessRequest, FreshnessResponse
-from ..freshness.proofs import (
-    ConfigurationState,
-    Proof,
-    Relation,
-    ServersState,
-    compare_configuration,
-    compare_servers,
-    is_within,
-)
+from ..freshness.proofs import ConfigurationState, Proof, ServersState, is_within
 from ..identifiers import HostId, StoreEra, StoreRevision
 from ..queries import FailureCode
 from ..routes import Configuration
@@ -28,7 +19,6 @@
 FOLLOWED = (StoredKind.CONFIGURATION, StoredKind.SERVER)
 # A watch that is not needed notices within this time that its bounds have changed.
 REST_S = 0.25
-READ_STEP_S = 0.005
 # Pause after a failed call to the store for what another host vouches for.
 VOUCHED_RETRY_MS = 2_000
 # A host that can't serve keyed requests has most likely a proof after the next round.
@@ -257,94 +247,12 @@
 
     # -- other hosts --
 
-    def make_request(self) -> FreshnessRequest:
-        """Return the request to another host."""
-        era = self.eras.era
-        return FreshnessRequest(
-            version=self.version, era=StoreEra(0) if era is None else era
-        )
-
-    async def answer(self, request: FreshnessRequest) -> FreshnessResponse | None:
-        """Answer another host, and watch the store from now on; None to give none.
-
-        A host without a recent proof of its own waits a little for the store's answer.
-        """
-        asked_at = read_boot_ms()
-        self.asked_until = asked_at + times.ASKED_MS
-        era = self.eras.era
-        if era is not None and (request.era, request.version) > (era, self.version):
-            self._read_newer(StoredKind.CONFIGURATION, (request.era, request.version))
+    def observe_question(self, now: int) -> None:
+        """Record that another host asks this one, which then reads the store."""
+        self.asked_until = now + times.ASKED_MS
         self._wake(FOLLOWED)
-        while self.is_active and not self.is_proven_for_round(FOLLOWED[:1]):
-            if read_boot_ms() - asked_at >= times.ANSWER_WAIT_MS:
-                break
-            await asyncio.sleep(READ_STEP_S)
-        return self._make_response()
-
-    def _make_response(self) -> FreshnessResponse | None:
-        now = read_boot_ms()
-        configuration, servers = self.configuration_state, self.servers_state
-        if configuration is None:
-            return None
-        is_same_era = servers is not None and servers.era == configuration.era
-        age_ms = self.proofs[StoredKind.CONFIGURATION].tell_age(now)
-        servers_age_ms = self.proofs[StoredKind.SERVER].tell_age(now)
-        return FreshnessResponse(
-            version=configuration.version,
-            era=configuration.era,
-            # An asking host takes a proof as a sign that it has missed no version.
-            age_ms=age_ms if self.is_certain else NO_PROOF,
-            revision=configuration.revision,
-            applied=configuration.applied,
-            servers_changed=servers.changed if servers else StoreRevision(0),
-            servers_age_ms=servers_age_ms if is_same_era else NO_PROOF,
-        )
-
-    def observe_response(self, response: FreshnessResponse, asked_at: int) -> bool:
-        """Record another host's response; return False if it was of no use.
 
-        Parameters
-        ----------
-        response
-            The response.
-        asked_at
-            When its request was sent, in milliseconds since boot.
-        """
-        era = self.eras.era
-        is_useful = self._observe_relation(
-            StoredKind.CONFIGURATION,
-            compare_configuration(self.configuration_state, era, response),
-            (response.era, response.version, response.revision),
-            asked_at,
-            response.age_ms,
-        )
-        if response.servers_age_ms >= 0:
-            self._observe_relation(
-                StoredKind.SERVER,
-                compare_servers(self.servers_state, era, response),
-                (response.era, response.servers_changed),
-                asked_at,
-                response.servers_age_ms,
-            )
-        self.check()
-        return is_useful
-
-    def _observe_relation(
-        self,
-        kind: StoredKind,
-        relation: Relation,
-        state: tuple[int, ...],
-        asked_at: int,
-        age_ms: int,
-    ) -> bool:
-        if relation is Relation.SAME:
-            if kind is StoredKind.CONFIGURATION and age_ms != NO_PROOF:
-                self.is_certain = True
-            self.proofs[kind].observe_vouched(asked_at, age_ms)
-            return self.is_vouched_for_round(kind)
-        return relation is Relation.NEWER and self._read_newer(kind, state)
-
-    def _read_newer(self, kind: StoredKind, state: tuple[int, ...]) -> bool:
+    def read_newer(self, kind: StoredKind, state: tuple[int, ...]) -> bool:
         """Have a newer state read; return False if that was done before.
 
         The store may hold none: another host may have in force what the store lost.
--- a/src/apricotshore/pooling/freshness_asker.py
+++ b/src/apricotshore/pooling/freshness_asker.py
@@ -15,11 +15,11 @@
 )
 from ..identifiers import HostId
 from ..services.clock import read_boot_ms
-from .freshness import Freshness
 from .ports import ConnectionLostError, FreshnessPeers
 from .settings import PoolingSettings
 from .stored_objects import StoredKind
 from .supervision import keep_running
+from .vouching import Vouching
 
 # Longest time after which a proof that became too old is noticed without a request.
 CHECK_S = 0.1
@@ -30,8 +30,8 @@
 
     Parameters
     ----------
-    freshness
-        Proofs of this host.
+    vouching
+        Requests and responses of this host.
     settings
         Settings of the host.
     fleet
@@ -44,17 +44,18 @@
     def __init__(
         self,
         *,
-        freshness: Freshness,
+        vouching: Vouching,
         settings: PoolingSettings,
         fleet: Fleet,
         peers: FreshnessPeers | None,
     ) -> None:
         super().__init__()
-        self.freshness = freshness
+        self.vouching = vouching
+        self.freshness = vouching.freshness
         self.settings = settings
         self.fleet = fleet
         self.peers = peers
-        self.journal = freshness.journal
+        self.journal = self.freshness.journal
         self.failures = Fleet(local_host=fleet.local_host)
         self.order = VoucherOrder()
         # What the order was made of.
@@ -116,7 +117,7 @@
         if self.peers is None:
             return False
         asked_at = read_boot_ms()
-        request = self.freshness.make_request()
+        request = self.vouching.make_request()
         try:
             response = await self.peers.ask_freshness(
                 host, request, times.ASK_TIMEOUT_MS / 1000
@@ -124,7 +125,7 @@
         except ConnectionLostError:
             is_useful = False
         else:
-            is_useful = self.freshness.observe_response(response, asked_at)
+            is_useful = self.vouching.observe_response(response, asked_at)
         if is_useful:
             relays.observe_success(self.failures, host.host)
         else:
--- a/src/apricotshore/pooling/host.py
+++ b/src/apricotshore/pooling/host.py
@@ -34,6 +34,7 @@
 from .settings import PoolingSettings
 from .store_followers import make_sources
 from .supervision import keep_running
+from .vouching import Vouching
 
 HOUSEKEEPING_S = 0.5
 # Cancelled sessions need a few turns of the event loop to close their connections.
@@ -102,8 +103,9 @@
         self.freshness = Freshness(
             journal=journal, eras=self.eras, bounds=settings.freshness_bounds
         )
+        self.vouching = Vouching(freshness=self.freshness)
         self.freshness_asker = FreshnessAsker(
-            freshness=self.freshness,
+            vouching=self.vouching,
             settings=settings,
             fleet=self.fleet,
             peers=adapters.freshness_peers,
@@ -298,7 +300,7 @@
         self, request: FreshnessRequest
     ) -> FreshnessResponse | None:
         """Return how old the proof of this host's configuration is."""
-        return await self.freshness.answer(request)
+        return await self.vouching.answer(request)
 
     # -- readiness --
 
--- a/tests/pooling/freshness_model.py
+++ b/tests/pooling/freshness_model.py
@@ -14,7 +14,13 @@
     StoreEra,
     StoreRevision,
 )
-from apricotshore.pooling import freshness, freshness_asker, server_entries
+from apricotshore.pooling import (
+    configuration_entry,
+    freshness,
+    freshness_asker,
+    server_entries,
+    vouching,
+)
 from apricotshore.pooling import store_watcher as store_watchers
 from apricotshore.pooling.freshness import Freshness
 from apricotshore.pooling.freshness_asker import FreshnessAsker
@@ -26,6 +32,7 @@
 from apricotshore.pooling.settings import parse_pooling_settings
 from apricotshore.pooling.store_watcher import StoreWatcher
 from apricotshore.pooling.stored_objects import Change, Snapshot, StoredKind
+from apricotshore.pooling.vouching import Vouching
 from apricotshore.routes import Configuration, Organisation
 from apricotshore.services import eras as era_trackers
 from apricotshore.services.eras import EraTracker
@@ -34,7 +41,15 @@
 
 from .support import make_journal
 
-MODULES = (freshness, freshness_asker, server_entries, store_watchers, era_trackers)
+MODULES = (
+    configuration_entry,
+    freshness,
+    freshness_asker,
+    server_entries,
+    store_watchers,
+    era_trackers,
+    vouching,
+)
 REVOKE_MS = 5_000
 APPLY_MS = 5_000
 LEAVE_MS = 10_000
@@ -215,7 +230,7 @@
         if other.faults.is_earlier:
             raise ConnectionLostError("closed", sent=True)
         await other.thaw()
-        response = await other.freshness.answer(request)
+        response = await other.asker.vouching.answer(request)
         if response is None:
             raise ConnectionLostError("closed", sent=True)
         # Frozen between the reading of its clock and the sending of the response.
@@ -270,7 +285,7 @@
         self.freshness.configuration = lambda: self.watcher.configuration
         settings = parse_pooling_settings(GOOD, "host.ini")
         self.asker = FreshnessAsker(
-            freshness=self.freshness,
+            vouching=Vouching(freshness=self.freshness),
             settings=replace(
                 settings,
                 host=self.name,
