--- a/src/apricotshore/pooling/caller_session.py
+++ b/src/apricotshore/pooling/caller_session.py
@@ -144,8 +144,11 @@
 
     def end_refused(self) -> None:
         """Roll back what is open between two statements if it may not go on."""
+        is_revoked = key_checks.observe_revocation(self.context, self.session)
+        if not (self.idle and (is_revoked or self.has_open_transaction)):
+            return
         refusal = key_checks.find_refusal(self.context, self.session)
-        if refusal is not None and self.idle:
+        if refusal is not None:
             self.abort_transaction(refusal.detail)
 
     async def _refuse_received(self) -> None:
--- a/src/apricotshore/pooling/host.py
+++ b/src/apricotshore/pooling/host.py
@@ -9,6 +9,7 @@
 
 from ..decisions.relays import Fleet, ListedHost
 from ..decisions.shutdown import Drain
+from ..freshness.messages import FreshnessRequest, FreshnessResponse
 from ..identifiers import (
     DatabaseId,
     GroupId,
@@ -26,6 +27,8 @@
 from .background_tasks import BackgroundTasks
 from .callers import Callers
 from .fleet_asker import FleetAsker
+from .freshness import Freshness
+from .freshness_asker import FreshnessAsker
 from .host_groups import HostGroups
 from .host_shutdown import HostShutdown
 from .journal import EventKind, Journal
@@ -40,6 +43,7 @@
 from .settings import PoolingSettings
 from .store_followers import make_sources
 from .supervision import keep_running
+from .vouching import Vouching
 
 HOUSEKEEPING_S = 0.5
 # Cancelled sessions need a few turns of the event loop to close their connections.
@@ -105,6 +109,16 @@
             add_service=self.add_runtime_dependency,
         )
         self.groups = self.host_groups.groups
+        self.freshness = Freshness(
+            journal=journal, eras=self.eras, bounds=settings.freshness_bounds
+        )
+        self.vouching = Vouching(freshness=self.freshness)
+        self.freshness_asker = FreshnessAsker(
+            vouching=self.vouching,
+            settings=settings,
+            fleet=self.fleet,
+            peers=adapters.freshness_peers,
+        )
         sources = make_sources(
             settings=settings,
             adapters=adapters,
@@ -113,6 +127,7 @@
             host_groups=self.host_groups,
             on_hosts=self._update_hosts,
             on_configuration=self._apply_configuration,
+            freshness=self.freshness,
         )
         self.store_watcher = sources.store_watcher
         self.host_watcher = sources.host_watcher
@@ -134,6 +149,7 @@
             configuration=lambda: self.store_watcher.configuration,
             journal=self.journal,
             spawn=self.background.spawn,
+            refuse_keyed=self.freshness.refuse_keyed,
         )
         self.callers = Callers(
             context=context,
@@ -141,6 +157,7 @@
             drain=self.drain,
             metrics=self.metrics,
         )
+        self.freshness.on_stale = self.callers.end_refused
         self.other_hosts = OtherHosts(
             host_groups=self.host_groups,
             fleet=self.fleet,
@@ -163,6 +180,7 @@
         await self.add_runtime_dependency(self.store_watcher)
         await self.add_runtime_dependency(self.host_watcher)
         await self.add_runtime_dependency(self.open_changes)
+        await self.add_runtime_dependency(self.freshness_asker)
         self.journal.record(
             EventKind.STARTED,
             data_centre=self.settings.data_centre,
@@ -183,7 +201,12 @@
         if await self._wait_until_closed():
             await self.host_watcher.remove_entry()
         # What follows the store would report its closed client as a lost store.
-        followers = (self.store_watcher, self.host_watcher, self.open_changes)
+        followers = (
+            self.freshness_asker,
+            self.store_watcher,
+            self.host_watcher,
+            self.open_changes,
+        )
         await self._stop_services(followers)
         await self.adapters.close()
         self.journal.record_left_out()
@@ -254,6 +277,10 @@
         self.store_watcher.set_bounds(
             settings.apply_ms, settings.leave_ms, settings.window_ms
         )
+        if settings.freshness_bounds != self.freshness.bounds:
+            self.freshness.set_bounds(settings.freshness_bounds)
+            self.store_watcher.interrupt_watches()
+        self.freshness_asker.settings = settings
         self.host_groups.apply_settings(settings)
         self.journal.record(
             EventKind.RELOADED,
@@ -261,6 +288,7 @@
             apply_ms=settings.apply_ms,
             leave_ms=settings.leave_ms,
             window_ms=settings.window_ms,
+            revoke_ms=settings.revoke_ms or None,
         )
 
     # -- callers and other hosts --
@@ -298,13 +326,20 @@
         """Send nothing more to a server that another host replaces, and confirm it."""
         return await self.other_hosts.quiesce(request)
 
+    async def answer_freshness(
+        self, request: FreshnessRequest
+    ) -> FreshnessResponse | None:
+        """Return how old the proof of this host's configuration is."""
+        return await self.vouching.answer(request)
+
     # -- readiness --
 
     @property
     def is_ready(self) -> bool:
         """Whether the load balancer should send callers here."""
         draining = self.drain.began_at is not None
-        return self.is_loaded and self.readiness.reaches_servers and not draining
+        is_able = self.readiness.reaches_servers and self.freshness.is_fresh
+        return self.is_loaded and is_able and not draining
 
     @property
     def is_loaded(self) -> bool:
@@ -355,6 +390,7 @@
         self.metrics.refresh_store(
             self.store_watcher.configuration.version, self.eras.era
         )
+        self.metrics.refresh_freshness(self.freshness, self.store_watcher.wait_ms)
         self.metrics.refresh_unresumed(
             {
                 name: len(changer.resumption.unresumed)
--- a/src/apricotshore/pooling/key_checks.py
+++ b/src/apricotshore/pooling/key_checks.py
@@ -7,17 +7,21 @@
 REVOKED = "the key is not valid any more"
 
 
+def observe_revocation(context: Context, session: Session) -> bool:
+    """Return whether a session's key is withdrawn, which lasts once it was seen."""
+    if not organisations.is_admitted(context.configuration(), session.admission):
+        session.revoked = True
+    return session.revoked
+
+
 def find_refusal(context: Context, session: Session) -> RefusedError | None:
     """Return why a session's statement may not be served now, None if it may.
 
     What is open at a server is rolled back at a refusal, so that a statement of a
     transaction is refused as such.
     """
-    admission = session.admission
-    if not organisations.is_admitted(context.configuration(), admission):
-        session.revoked = True
     refusal = None
-    if session.revoked:
+    if observe_revocation(context, session):
         refusal = RefusedError(FailureCode.UNAUTHORIZED, REVOKED)
     elif session.organisation is not None:
         refusal = context.refuse_keyed()
--- a/src/apricotshore/pooling/store_followers.py
+++ b/src/apricotshore/pooling/store_followers.py
@@ -7,6 +7,7 @@
 from ..routes import Configuration
 from ..services.eras import EraTracker
 from .adapters import Adapters
+from .freshness import Freshness
 from .host_groups import HostGroups, Sources
 from .host_watcher import HostWatcher
 from .journal import Journal
@@ -24,6 +25,7 @@
     host_groups: HostGroups,
     on_hosts: Callable[[dict[HostId, ListedHost]], None],
     on_configuration: Callable[[Configuration], None],
+    freshness: Freshness,
 ) -> Sources:
     """Make what follows the store.
 
@@ -43,6 +45,8 @@
         Called with all listed hosts.
     on_configuration
         Called when another configuration is put in force.
+    freshness
+        Proofs of the configuration, which replace calls to the store.
     """
     store_watcher = StoreWatcher(
         store=adapters.store,
@@ -55,7 +59,9 @@
         on_server_gone=host_groups.remove_server,
         on_configuration=on_configuration,
         on_lease=host_groups.observe_lease,
+        freshness=freshness,
     )
+    freshness.configuration = lambda: store_watcher.configuration
     host_watcher = HostWatcher(
         store=adapters.store,
         journal=journal,
--- a/src/apricotshore/pooling/stored_objects.py
+++ b/src/apricotshore/pooling/stored_objects.py
@@ -104,12 +104,16 @@
         Whether it was removed.
     why
         What is wrong with an object that can't be decoded, as far as it is known.
+    revision
+        Revision of the object, also where its content cannot be decoded; 0 if it
+        names none.
     """
 
     name: str
     content: Configuration | ListedServer | LeaseRecord | ListedHost | None
     removed: bool
     why: str | None = None
+    revision: StoreRevision = StoreRevision(0)
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
