--- /dev/null
+++ b/src/apricotshore/limits/allocator.py
@@ -0,0 +1,225 @@
+"""Allocator: leases tokens to the hosts that report to it, and counts these."""
+
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+
+from ..identifiers import HostId, OrganisationId
+from .bucket import Bucket, Terms, grant, refill
+from .budget import Budget, find_validity_ms
+from .messages import Grant, Stamp, TokensReply, TokensRequest
+from .roster import Roster, settle
+
+
+@dataclass(kw_only=True, slots=True)
+class Reporter:
+    """A host that reports to this allocator.
+
+    Parameters
+    ----------
+    stamp
+        Stamp of the last reply to it.
+    counted_until
+        Until when it is counted, in milliseconds since boot.
+    hosts, digest, settled
+        Number of hosts in its list, the digest of that, and whether the lists of all
+        live hosts contain it.
+    """
+
+    stamp: Stamp | None = None
+    counted_until: int = 0
+    hosts: int = 0
+    digest: int = 0
+    settled: bool = False
+
+
+@dataclass(kw_only=True, slots=True)
+class Allocator:
+    """State of a host as an allocator.
+
+    Parameters
+    ----------
+    epoch
+        Random number of this process.
+    reporters
+        Hosts that reported.
+    ended
+        Hosts whose processes have ended, and until when that counts.
+    buckets
+        Tokens by organisation.
+    share
+        Part of the fleet's tokens that it hands out, as of the last request.
+    missing
+        Hosts that may report to another allocator, as of the last request.
+    measured_at
+        Time of the last request, in milliseconds since boot.
+    refill_time
+        Sum of shares over time, in milliseconds.
+    last_until
+        ``until`` of the last stamp.
+    """
+
+    epoch: int
+    reporters: dict[HostId, Reporter] = field(default_factory=dict)
+    ended: dict[HostId, int] = field(default_factory=dict)
+    buckets: dict[OrganisationId, Bucket] = field(default_factory=dict)
+    share: float = 0.0
+    missing: int = 0
+    measured_at: int = 0
+    refill_time: float = 0.0
+    last_until: int = 0
+
+
+def answer(
+    allocator: Allocator,
+    roster: Roster,
+    budgets: Mapping[OrganisationId, Budget],
+    request: TokensRequest,
+    now: int,
+) -> TokensReply:
+    """Count a host, and lease tokens to it."""
+    _advance(allocator, roster, now)
+    reporter, in_step = _count(allocator, request, now)
+    _settle(allocator, roster, now)
+    allocator.share = measure_share(allocator, roster, now)
+    validity_ms = find_validity_ms(max(len(roster.hosts), request.hosts))
+    terms = Terms(
+        now=now,
+        share=allocator.share,
+        refill_time=allocator.refill_time,
+        reporters=len(allocator.reporters),
+        validity_ms=validity_ms,
+        in_step=in_step,
+    )
+    grants = _grant_all(allocator, budgets, request, terms)
+    allocator.last_until = max(now + validity_ms, allocator.last_until + 1)
+    reporter.stamp = Stamp(epoch=allocator.epoch, until=allocator.last_until)
+    return TokensReply(
+        validity_ms=validity_ms,
+        settled=roster.is_settled and request.digest == roster.digest,
+        stamp=reporter.stamp,
+        grants=grants,
+    )
+
+
+def measure_share(allocator: Allocator, roster: Roster, now: int) -> float:
+    """Return the part of the fleet's tokens that this allocator hands out now.
+
+    Each listed host that is neither counted here nor known to have ended may be
+    counted elsewhere, by an allocator whose list contains the core at least.
+    """
+    counted = _list_counted(allocator, now)
+    missing = list_missing(allocator, roster, now)
+    allocator.missing = len(missing)
+    largest = max((r.hosts for r in counted.values()), default=0)
+    if any(r.hosts and r.digest != roster.digest for r in counted.values()):
+        allocator.missing = max(len(missing), largest - len(counted))
+    if not largest:
+        return 0.0
+    if not allocator.missing:
+        return 1.0
+    running = sum(now >= allocator.ended.get(h, now) for h in roster.core)
+    return max(0.0, 1 - allocator.missing / running) if running else 0.0
+
+
+def list_missing(allocator: Allocator, roster: Roster, now: int) -> set[HostId]:
+    """List the hosts that may report to another allocator."""
+    return {
+        host
+        for host in roster.hosts
+        if not _is_counted(allocator, host, now)
+        and now >= allocator.ended.get(host, now)
+    }
+
+
+def observe_ended(
+    allocator: Allocator, host: HostId, asked_at: int, validity_ms: int
+) -> None:
+    """Record that a host's process had ended when it was asked.
+
+    A process that is started again is counted nowhere for twice the validity.
+    """
+    allocator.ended[host] = asked_at + validity_ms
+
+
+def _is_counted(allocator: Allocator, host: HostId, now: int) -> bool:
+    reporter = allocator.reporters.get(host)
+    return reporter is not None and now < reporter.counted_until
+
+
+def _advance(allocator: Allocator, roster: Roster, now: int) -> None:
+    """Add to the refill time, at the smaller of the shares before and after.
+
+    No share grows without a request, and one that fell is applied to the whole time,
+    as this process may have been frozen since.
+    """
+    allocator.reporters = {
+        host: reporter
+        for host, reporter in allocator.reporters.items()
+        if now < reporter.counted_until
+        or (reporter.stamp is not None and now < reporter.stamp.until)
+    }
+    allocator.ended = {h: t for h, t in allocator.ended.items() if now < t}
+    share = min(allocator.share, measure_share(allocator, roster, now))
+    allocator.refill_time += share * (now - allocator.measured_at)
+    allocator.measured_at = now
+
+
+def _count(
+    allocator: Allocator, request: TokensRequest, now: int
+) -> tuple[Reporter, bool]:
+    """Count a host that repeats a stamp; return whether it is the last one.
+
+    The host counts until the time in the stamp and not for a time from the arrival,
+    because the request may have been on its way for long, or this process frozen.
+    """
+    reporter = allocator.reporters.setdefault(request.host, Reporter())
+    reporter.hosts = request.hosts
+    reporter.digest = request.digest
+    reporter.settled = request.settled
+    stamp = request.stamp
+    if stamp is None or stamp.epoch != allocator.epoch:
+        return reporter, False
+    if now < stamp.until <= allocator.last_until:
+        reporter.counted_until = max(reporter.counted_until, stamp.until)
+    return reporter, stamp == reporter.stamp
+
+
+def _list_counted(allocator: Allocator, now: int) -> dict[HostId, Reporter]:
+    return {h: r for h, r in allocator.reporters.items() if now < r.counted_until}
+
+
+def _settle(allocator: Allocator, roster: Roster, now: int) -> None:
+    """Learn from the reporters that the lists of all live hosts contain this one's.
+
+    That is so when no host is missing and all have the same list, and when a host
+    with that list has learnt it before this process did.
+    """
+    if roster.is_settled or roster.listed is None:
+        return
+    counted = _list_counted(allocator, now).values()
+    same = [r for r in counted if r.hosts and r.digest == roster.digest]
+    is_told = not roster.core and any(r.settled for r in same)
+    is_complete = len(same) == len(counted) and not list_missing(allocator, roster, now)
+    if same and (is_told or is_complete):
+        settle(roster)
+
+
+def _grant_all(
+    allocator: Allocator,
+    budgets: Mapping[OrganisationId, Budget],
+    request: TokensRequest,
+    terms: Terms,
+) -> tuple[Grant, ...]:
+    grants = []
+    for demand in request.demands:
+        budget = budgets.get(demand.organisation)
+        if budget is None:
+            continue
+        bucket = allocator.buckets.get(demand.organisation)
+        if bucket is None:
+            # As if it had been there since this process began.
+            bucket = Bucket()
+            allocator.buckets[demand.organisation] = bucket
+        refill(bucket, budget, terms)
+        grants.append(grant(bucket, budget, terms, request.host, demand))
+    return tuple(grants)
