Add the service of rate limits, its messages on the wire and its wiring

RateLimiter reports to an allocator, asks on demand and answers others; TOKENS lines between hosts; metrics and bounded log lines. Context.admit_rate admits at once by default. Nothing runs without a window in the settings and an organisation with a rate.

--- a/src/apricotshore/pooling/adapters.py
+++ b/src/apricotshore/pooling/adapters.py
@@ -3,7 +3,7 @@
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 
-from .ports import Dialer, HostPeers, ObjectStore, Promoter
+from .ports import Dialer, HostPeers, ObjectStore, Promoter, TokenPeers
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -19,6 +19,8 @@
         Client of the other hosts of the fleet.
     close
         Releases the resources of the others.
+    token_peers
+        Client of other hosts as allocators of rate limits, None without one.
     """
 
     store: ObjectStore
@@ -26,3 +28,4 @@
     dialer: Dialer
     peers: HostPeers
     close: Callable[[], Awaitable[None]]
+    token_peers: TokenPeers | None = None
--- a/src/apricotshore/pooling/host.py
+++ b/src/apricotshore/pooling/host.py
@@ -20,11 +20,13 @@
 from .host_groups import HostGroups
 from .host_shutdown import HostShutdown
 from .journal import EventKind, Journal
+from .limit_metrics import LimitMetrics
 from .loop_ticker import LoopTicker
 from .metrics import PoolingMetrics
 from .other_hosts import OtherHosts
 from .ports import CallerLink, HostLink, QuiesceReply, QuiesceRequest
 from .promotion_line import record_again, repeat_latest
+from .rate_limiter import RateLimiter
 from .readiness import Readiness
 from .relay_dialer import RelayDialer
 from .sessions import Context
@@ -114,6 +116,14 @@
             open_changes=self.open_changes,
             groups=self.groups,
         )
+        self.rate_limiter = RateLimiter(
+            settings=settings,
+            peers=adapters.token_peers,
+            host_peers=adapters.peers,
+            configuration=lambda: self.store_watcher.configuration,
+            journal=journal,
+            metrics=LimitMetrics(registry=registry),
+        )
         self._prepare_serving()
 
     def _prepare_serving(self) -> None:
@@ -124,6 +134,7 @@
             configuration=lambda: self.store_watcher.configuration,
             journal=self.journal,
             spawn=self.background.spawn,
+            admit_rate=self.rate_limiter.admit,
         )
         self.callers = Callers(
             context=context,
@@ -153,6 +164,7 @@
         await self.add_runtime_dependency(self.store_watcher)
         await self.add_runtime_dependency(self.host_watcher)
         await self.add_runtime_dependency(self.open_changes)
+        await self.add_runtime_dependency(self.rate_limiter)
         self.journal.record(
             EventKind.STARTED,
             data_centre=self.settings.data_centre,
@@ -226,6 +238,7 @@
         if listed.keys() != self.fleet.hosts.keys():
             self.journal.record(EventKind.HOSTS_LISTED, hosts=len(listed))
         self.fleet.hosts = listed
+        self.rate_limiter.update_hosts(listed, self.eras.era)
         self.host_groups.configure_all()
         self.other_hosts.release_relayed()
 
@@ -233,6 +246,7 @@
         """Apply changed settings, except for the addresses to listen on."""
         self.settings = settings
         self.drain.grace_ms = settings.grace_ms
+        self.rate_limiter.apply_settings(settings)
         self.store_watcher.set_bounds(
             settings.apply_ms, settings.leave_ms, settings.window_ms
         )
@@ -323,6 +337,7 @@
             len(self.callers.sessions),
             len(self.other_hosts.sessions),
         )
+        self.rate_limiter.refresh_metrics()
         self.metrics.refresh_store(
             self.store_watcher.configuration.version, self.eras.era
         )
--- a/src/apricotshore/pooling/journal.py
+++ b/src/apricotshore/pooling/journal.py
@@ -64,6 +64,8 @@
     LINES_OMITTED = "lines-omitted"
     CLOCK_STEPPED = "clock-stepped"
     LOOP_STALLED = "loop-stalled"
+    RATE_LIMITED = "rate-limited"
+    RATE_SHARE = "rate-share"
     ERROR = "error"
 
 
--- a/src/apricotshore/pooling/ports.py
+++ b/src/apricotshore/pooling/ports.py
@@ -19,6 +19,7 @@
     StoreRevision,
     Term,
 )
+from ..limits.messages import TokensReply, TokensRequest
 from ..queries import Answer, FailureCode, Query
 from ..routes import ListedServer
 from .stored_objects import LeaseRead, LeaseRecord, LeaseWrite, Snapshot, StoredKind
@@ -299,3 +300,18 @@
 
         False where it accepts one, or nothing can be told in time.
         """
+
+
+class TokenPeers(Protocol):
+    """Client of other hosts as allocators of rate limits."""
+
+    async def ask(
+        self, host: ListedHost, request: TokensRequest, timeout_s: float
+    ) -> TokensReply:
+        """Report to a host, and ask it for tokens.
+
+        Raises
+        ------
+        ConnectionLostError
+            When there was no reply in time, or the host is no allocator.
+        """
--- /dev/null
+++ b/src/apricotshore/pooling/rate_limiter.py
@@ -0,0 +1,316 @@
+"""Service that keeps operations within the fleet's rate limits."""
+
+import asyncio
+from collections import deque
+from collections.abc import Callable, Mapping
+from random import SystemRandom
+
+from mode import Service
+
+from ..decisions.relays import ListedHost
+from ..identifiers import HostId, OrganisationId, StoreEra
+from ..limits import allocator as allocators
+from ..limits import host_limits
+from ..limits.budget import LimitSettings, derive_budgets
+from ..limits.holdings import ADMITTED, Limited, Verdict
+from ..limits.host_limits import Ask, HostLimits
+from ..limits.messages import TokensReply, TokensRequest
+from ..routes import Configuration
+from ..services.clock import read_boot_ms
+from .journal import EventKind, Journal
+from .limit_metrics import LimitMetrics
+from .ports import ConnectionLostError, HostPeers, TokenPeers
+from .settings import PoolingSettings
+from .supervision import keep_running
+
+# Several round trips between regions.
+TIMEOUT_S = 0.15
+# An operation waits no longer for tokens.
+WAIT_S = 0.15
+# Whether an organisation has a limit is looked at this often while none has.
+IDLE_S = 0.5
+EPOCH_BITS = 48
+# Lines on rejections: one for an organisation in this time.
+LIMITED_LINE_MS = 10_000
+SHARE_LINE_MS = 2_000
+# Smaller changes of the share are not logged.
+SHARE_STEP = 0.01
+PROBE_TIMEOUT_S = 0.15
+PROBES_AT_ONCE = 8
+
+Waiter = tuple[OrganisationId, asyncio.Future[Verdict]]
+
+
+class RateLimiter(Service):
+    """Service that holds tokens, reports to an allocator and answers other hosts.
+
+    It does nothing while no organisation has a rate limit, or the settings have no
+    window.
+
+    Parameters
+    ----------
+    settings
+        Settings of the host.
+    peers
+        Client of other hosts as allocators, None when it only allocates itself.
+    host_peers
+        Client that tells whether a host's process has ended.
+    configuration
+        Returns the configuration in force.
+    journal
+        Journal of the host.
+    metrics
+        Metrics of rate limits.
+    """
+
+    def __init__(
+        self,
+        *,
+        settings: PoolingSettings,
+        peers: TokenPeers | None,
+        host_peers: HostPeers,
+        configuration: Callable[[], Configuration],
+        journal: Journal,
+        metrics: LimitMetrics,
+    ) -> None:
+        super().__init__()
+        self.peers = peers
+        self.host_peers = host_peers
+        self.configuration = configuration
+        self.journal = journal
+        self.metrics = metrics
+        self.limits = HostLimits(
+            host=settings.host,
+            epoch=SystemRandom().getrandbits(EPOCH_BITS),
+            started_at=read_boot_ms(),
+        )
+        self.waiters: deque[Waiter] = deque()
+        self.wake = asyncio.Event()
+        # Configuration and settings that the budgets are derived from.
+        self.derived_from: Configuration | None = None
+        self.limit_settings = _read_limits(settings)
+        # By organisation: when its last line was written, and rejections since.
+        self.lines: dict[OrganisationId, tuple[int, int]] = {}
+        self.logged_share = 0.0
+        self.share_logged_at = 0
+
+    def apply_settings(self, settings: PoolingSettings) -> None:
+        """Apply changed settings."""
+        self.limit_settings = _read_limits(settings)
+        self.derived_from = None
+
+    def update_hosts(
+        self, listed: Mapping[HostId, ListedHost], era: StoreEra | None
+    ) -> None:
+        """Take over a list of the store."""
+        host_limits.update_hosts(self.limits, listed.values(), era, read_boot_ms())
+
+    @property
+    def is_limiting(self) -> bool:
+        """Whether any organisation has a rate limit."""
+        configuration = self.configuration()
+        if configuration is not self.derived_from:
+            self.derived_from = configuration
+            self.limits.budgets = derive_budgets(
+                configuration.organisations, self.limit_settings
+            )
+        return bool(self.limits.budgets)
+
+    # -- operations --
+
+    async def admit(self, organisation: OrganisationId | None) -> Verdict:
+        """Return whether an operation is within its organisation's rate limit.
+
+        Parameters
+        ----------
+        organisation
+            The organisation, None for an operation of none.
+
+        Returns
+        -------
+        Verdict
+            At once when a token is held, no limit applies or no token will come soon;
+            else within `WAIT_S`.
+        """
+        if organisation is None or not self.is_limiting:
+            return ADMITTED
+        if organisation not in self.limits.budgets:
+            return ADMITTED
+        verdict = host_limits.try_admit(self.limits, organisation, read_boot_ms())
+        if verdict is None:
+            verdict = await self._wait(organisation)
+        admitted = not isinstance(verdict, Limited)
+        self.metrics.count(organisation, admitted=admitted)
+        if isinstance(verdict, Limited):
+            self._record_limited(organisation, verdict)
+        return verdict
+
+    async def _wait(self, organisation: OrganisationId) -> Verdict:
+        """Wait for the reply to a request that asks for a token."""
+        waiter = (organisation, asyncio.get_running_loop().create_future())
+        self.waiters.append(waiter)
+        host_limits.change_waiting(self.limits, organisation, 1, read_boot_ms())
+        self.wake.set()
+        try:
+            async with asyncio.timeout(WAIT_S):
+                return await waiter[1]
+        except TimeoutError:
+            return host_limits.refuse_now(self.limits, organisation, read_boot_ms())
+        finally:
+            self._stop_waiting(waiter)
+
+    def _stop_waiting(self, waiter: Waiter) -> None:
+        if waiter in self.waiters:
+            self.waiters.remove(waiter)
+            host_limits.change_waiting(self.limits, waiter[0], -1, read_boot_ms())
+
+    def _serve_waiters(self) -> None:
+        now = read_boot_ms()
+        for waiter in list(self.waiters):
+            if waiter[1].done():
+                continue
+            verdict = host_limits.try_take(self.limits, waiter[0], now)
+            if verdict is not None:
+                self._stop_waiting(waiter)
+                waiter[1].set_result(verdict)
+
+    # -- requests to the allocator --
+
+    @Service.task
+    @keep_running
+    async def _report(self) -> None:
+        while not self.should_stop:
+            if not self.is_limiting:
+                await asyncio.sleep(IDLE_S)
+                continue
+            self.wake.clear()
+            again = await self._exchange()
+            if not again and not self.waiters:
+                await self._pause(self.limits.interval_ms / 1000)
+
+    async def _pause(self, seconds: float) -> None:
+        """Wait until the next report is due, or an operation waits for a token."""
+        try:
+            async with asyncio.timeout(seconds):
+                await self.wake.wait()
+        except TimeoutError:
+            return
+
+    async def _exchange(self) -> bool:
+        """Ask the allocator once; return whether the next request is due at once."""
+        ask = host_limits.make_ask(self.limits, read_boot_ms())
+        try:
+            reply = await self._ask(ask)
+        except ConnectionLostError:
+            self.metrics.count_request(answered=False)
+            host_limits.take_failure(self.limits, ask, read_boot_ms())
+            self._serve_waiters()
+            return True
+        again = host_limits.take_reply(self.limits, ask, reply, read_boot_ms())
+        self._serve_waiters()
+        return again
+
+    async def _ask(self, ask: Ask) -> TokensReply:
+        if ask.allocator == self.limits.host:
+            return self._answer(ask.request)
+        host = self.limits.hosts.get(ask.allocator)
+        if self.peers is None or host is None:
+            raise ConnectionLostError("no way to other hosts", sent=False)
+        reply = await self.peers.ask(host, ask.request, TIMEOUT_S)
+        self.metrics.count_request(answered=True)
+        return reply
+
+    # -- answers to other hosts --
+
+    async def answer(self, request: TokensRequest) -> TokensReply | None:
+        """Answer a host that reports here; None while there are no limits."""
+        return self._answer(request) if self.is_limiting else None
+
+    def _answer(self, request: TokensRequest) -> TokensReply:
+        limits, now = self.limits, read_boot_ms()
+        reply = allocators.answer(
+            limits.allocator, limits.roster, limits.budgets, request, now
+        )
+        self._record_share(now)
+        return reply
+
+    @Service.task
+    @keep_running
+    async def _probe(self) -> None:
+        """Ask hosts that don't report here whether their processes have ended.
+
+        An ended process holds no tokens, so its part is handed out by the others.
+        """
+        while not self.should_stop:
+            limits = self.limits
+            await asyncio.sleep(limits.interval_ms / 1000)
+            if not self.is_limiting or not limits.allocator.missing:
+                continue
+            now = read_boot_ms()
+            if not limits.allocator.reporters:
+                continue
+            missing = allocators.list_missing(limits.allocator, limits.roster, now)
+            hosts = [limits.hosts[h] for h in missing if h in limits.hosts]
+            await asyncio.gather(*map(self._probe_host, hosts[:PROBES_AT_ONCE]))
+
+    async def _probe_host(self, host: ListedHost) -> None:
+        limits, asked_at = self.limits, read_boot_ms()
+        if await self.host_peers.has_ended(host, PROBE_TIMEOUT_S):
+            allocators.observe_ended(
+                limits.allocator, host.host, asked_at, limits.validity_ms
+            )
+
+    # -- log and metrics --
+
+    def _record_limited(self, organisation: OrganisationId, verdict: Limited) -> None:
+        now = read_boot_ms()
+        written_at, count = self.lines.get(organisation, (now - LIMITED_LINE_MS, 0))
+        if now - written_at < LIMITED_LINE_MS:
+            self.lines[organisation] = (written_at, count + 1)
+            return
+        self.lines[organisation] = (now, 0)
+        holding = self.limits.holdings.holdings.get(organisation)
+        home = self.limits.choice.home
+        self.journal.record(
+            EventKind.RATE_LIMITED,
+            organisation=organisation,
+            refused=count + 1,
+            tokens=holding.tokens if holding else 0,
+            arrivals_per_s=round(holding.rate * 1000, 1) if holding else None,
+            allocator=home[0] if home else None,
+            reply_age_ms=now - self.limits.replied_at,
+            retry_ms=verdict.retry_ms,
+        )
+
+    def _record_share(self, now: int) -> None:
+        """Log the share of this host as an allocator when it has changed."""
+        allocator = self.limits.allocator
+        if abs(allocator.share - self.logged_share) < SHARE_STEP:
+            return
+        if now - self.share_logged_at < SHARE_LINE_MS:
+            return
+        self.logged_share, self.share_logged_at = allocator.share, now
+        self.journal.record(
+            EventKind.RATE_SHARE,
+            share=round(allocator.share, 3),
+            reporters=len(allocator.reporters),
+            missing=allocator.missing,
+            hosts=len(self.limits.roster.hosts),
+            settled=self.limits.roster.is_settled,
+        )
+
+    def refresh_metrics(self) -> None:
+        """Update what is exported."""
+        if not self.is_limiting:
+            return
+        now, limits = read_boot_ms(), self.limits
+        share = allocators.measure_share(limits.allocator, limits.roster, now)
+        self.metrics.refresh(share, now - limits.replied_at)
+
+
+def _read_limits(settings: PoolingSettings) -> LimitSettings:
+    return LimitSettings(
+        window_ms=settings.limit_window_ms,
+        excess=settings.limit_excess,
+        slack=settings.limit_slack,
+    )
--- a/src/apricotshore/pooling/sessions.py
+++ b/src/apricotshore/pooling/sessions.py
@@ -1,11 +1,12 @@
 """State of callers' sessions, transactions and statements."""
 
-from collections.abc import Callable, Coroutine
+from collections.abc import Awaitable, Callable, Coroutine
 from dataclasses import dataclass, field
 
 from ..decisions import wait_queue
 from ..groups import LogPosition
-from ..identifiers import DatabaseId, GroupId, HostId
+from ..identifiers import DatabaseId, GroupId, HostId, OrganisationId
+from ..limits.holdings import ADMITTED, Verdict
 from ..queries import FailureCode, PreparedShape, Query, QueryKind
 from ..routes import Configuration, Route
 from .group import Group
@@ -13,6 +14,13 @@
 from .pool import ServerPool
 from .pooled_connection import PooledConnection
 
+AdmitRate = Callable[[OrganisationId | None], Awaitable[Verdict]]
+
+
+async def admit_at_once(organisation: OrganisationId | None) -> Verdict:
+    """Admit an operation where no rate is limited."""
+    return ADMITTED
+
 
 @dataclass(kw_only=True)
 class Context:
@@ -30,6 +38,9 @@
         Journal of the host.
     spawn
         Runs a coroutine in the background.
+    admit_rate
+        Returns whether an operation of an organisation is within its rate limit;
+        asked directly before the operation's first statement is forwarded.
     """
 
     host: HostId
@@ -37,6 +48,7 @@
     configuration: Callable[[], Configuration]
     journal: Journal
     spawn: Callable[[Coroutine[None, None, None]], None]
+    admit_rate: AdmitRate = admit_at_once
 
 
 @dataclass(kw_only=True)
