--- a/src/apricotshore/limits/allocator.py
+++ b/src/apricotshore/limits/allocator.py
@@ -50,6 +50,12 @@
         Part of the fleet's tokens that it hands out, as of the last request.
     missing
         Hosts that may report to another allocator, as of the last request.
+    is_changed
+        Whether what the share depends on has changed since it was computed.
+    valid_until
+        Until when the share holds without a change, in milliseconds since boot.
+    measured_for
+        Changes of the list, and the core, that it was computed for.
     measured_at
         Time of the last request, in milliseconds since boot.
     refill_time
@@ -64,6 +70,9 @@
     buckets: dict[OrganisationId, Bucket] = field(default_factory=dict)
     share: float = 0.0
     missing: int = 0
+    is_changed: bool = True
+    valid_until: int = 0
+    measured_for: tuple[int, frozenset[HostId]] = (0, frozenset())
     measured_at: int = 0
     refill_time: float = 0.0
     last_until: int = 0
@@ -79,8 +88,7 @@
     """Count a host, and lease tokens to it."""
     _advance(allocator, roster, now)
     reporter, in_step = _count(allocator, request, now)
-    _settle(allocator, roster, now)
-    allocator.share = measure_share(allocator, roster, now)
+    _update_share(allocator, roster, now)
     validity_ms = find_validity_ms(max(len(roster.hosts), request.hosts))
     terms = Terms(
         now=now,
@@ -139,6 +147,7 @@
     A process that is started again is counted nowhere for twice the validity.
     """
     allocator.ended[host] = asked_at + validity_ms
+    allocator.is_changed = True
 
 
 def _is_counted(allocator: Allocator, host: HostId, now: int) -> bool:
@@ -152,6 +161,19 @@
     No share grows without a request, and one that fell is applied to the whole time,
     as this process may have been frozen since.
     """
+    before = allocator.share
+    _update_share(allocator, roster, now)
+    share = min(before, allocator.share)
+    allocator.refill_time += share * (now - allocator.measured_at)
+    allocator.measured_at = now
+
+
+def _update_share(allocator: Allocator, roster: Roster, now: int) -> None:
+    """Compute the share anew if it may have changed."""
+    changes, core = allocator.measured_for
+    is_known = changes == roster.changes and core is roster.core
+    if is_known and not allocator.is_changed and now < allocator.valid_until:
+        return
     allocator.reporters = {
         host: reporter
         for host, reporter in allocator.reporters.items()
@@ -159,9 +181,12 @@
         or (reporter.stamp is not None and now < reporter.stamp.until)
     }
     allocator.ended = {h: t for h, t in allocator.ended.items() if now < t}
-    share = min(allocator.share, measure_share(allocator, roster, now))
-    allocator.refill_time += share * (now - allocator.measured_at)
-    allocator.measured_at = now
+    _settle(allocator, roster, now)
+    allocator.share = measure_share(allocator, roster, now)
+    ends = [r.counted_until for r in _list_counted(allocator, now).values()]
+    allocator.valid_until = min([*ends, *allocator.ended.values()], default=now)
+    allocator.measured_for = (roster.changes, roster.core)
+    allocator.is_changed = False
 
 
 def _count(
@@ -173,15 +198,18 @@
     because the request may have been on its way for long, or this process frozen.
     """
     reporter = allocator.reporters.setdefault(request.host, Reporter())
-    reporter.hosts = request.hosts
-    reporter.digest = request.digest
-    reporter.settled = request.settled
+    known = (reporter.hosts, reporter.digest, reporter.settled)
+    told = (request.hosts, request.digest, request.settled)
+    reporter.hosts, reporter.digest, reporter.settled = told
+    was_counted = now < reporter.counted_until
     stamp = request.stamp
-    if stamp is None or stamp.epoch != allocator.epoch:
-        return reporter, False
-    if now < stamp.until <= allocator.last_until:
-        reporter.counted_until = max(reporter.counted_until, stamp.until)
-    return reporter, stamp == reporter.stamp
+    if stamp is not None and stamp.epoch == allocator.epoch:
+        is_recent = now < stamp.until <= allocator.last_until
+        if is_recent:
+            reporter.counted_until = max(reporter.counted_until, stamp.until)
+    if known != told or was_counted != (now < reporter.counted_until):
+        allocator.is_changed = True
+    return reporter, stamp is not None and stamp == reporter.stamp
 
 
 def _list_counted(allocator: Allocator, now: int) -> dict[HostId, Reporter]:
