Keep the allocator that leads, and identify processes in hosts' entries

Entries name their process now, and an ended host counts for twice the validity. Hosts stay with an allocator that has more than half of the tokens, so that a joining or returning host that ranks first doesn't interrupt service.

--- a/src/apricotshore/decisions/relays.py
+++ b/src/apricotshore/decisions/relays.py
@@ -40,12 +40,15 @@
     leaving
         Whether it is about to end. It still answers other hosts, but it is chosen
         for nothing.
+    process
+        Random number of its process; 0 of a version that writes none.
     """
 
     host: HostId
     data_centre: DataCentreId
     address: str
     leaving: bool = False
+    process: int = 0
 
 
 @dataclass(kw_only=True, slots=True)
--- a/src/apricotshore/limits/allocator.py
+++ b/src/apricotshore/limits/allocator.py
@@ -6,9 +6,13 @@
 from ..identifiers import HostId, OrganisationId
 from .bucket import Bucket, Terms, grant, refill
 from .budget import Budget, find_validity_ms
+from .choice import QUARANTINE_VALIDITIES
 from .messages import Grant, Stamp, TokensReply, TokensRequest
 from .roster import Roster, settle
 
+# The shares of all allocators add up to 1 at most.
+LEADING_SHARE = 0.5
+
 
 @dataclass(kw_only=True, slots=True)
 class Reporter:
@@ -20,6 +24,8 @@
         Stamp of the last reply to it.
     counted_until
         Until when it is counted, in milliseconds since boot.
+    process
+        Its process.
     hosts, digest, settled
         Number of hosts in its list, the digest of that, and whether the lists of all
         live hosts contain it.
@@ -27,11 +33,29 @@
 
     stamp: Stamp | None = None
     counted_until: int = 0
+    process: int = 0
     hosts: int = 0
     digest: int = 0
     settled: bool = False
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Ended:
+    """A host whose process has ended.
+
+    Parameters
+    ----------
+    since
+        From when it counts for nobody, in milliseconds since boot: what other
+        allocators counted and leased has expired by then.
+    until
+        Until when the evidence holds.
+    """
+
+    since: int
+    until: int
+
+
 @dataclass(kw_only=True, slots=True)
 class Allocator:
     """State of a host as an allocator.
@@ -43,7 +67,7 @@
     reporters
         Hosts that reported.
     ended
-        Hosts whose processes have ended, and until when that counts.
+        Hosts whose processes have ended.
     buckets
         Tokens by organisation.
     share
@@ -66,7 +90,7 @@
 
     epoch: int
     reporters: dict[HostId, Reporter] = field(default_factory=dict)
-    ended: dict[HostId, int] = field(default_factory=dict)
+    ended: dict[HostId, Ended] = field(default_factory=dict)
     buckets: dict[OrganisationId, Bucket] = field(default_factory=dict)
     share: float = 0.0
     missing: int = 0
@@ -105,6 +129,7 @@
         validity_ms=validity_ms,
         settled=roster.is_settled and request.digest == roster.digest,
         stamp=reporter.stamp,
+        leading=allocator.share > LEADING_SHARE,
         grants=grants,
     )
 
@@ -125,7 +150,7 @@
         return 0.0
     if not allocator.missing:
         return 1.0
-    running = sum(now >= allocator.ended.get(h, now) for h in roster.core)
+    running = sum(_is_running(allocator, roster, h, now) for h in roster.core)
     return max(0.0, 1 - allocator.missing / running) if running else 0.0
 
 
@@ -135,7 +160,7 @@
         host
         for host in roster.hosts
         if not _is_counted(allocator, host, now)
-        and now >= allocator.ended.get(host, now)
+        and not _has_ended(allocator, host, now)
     }
 
 
@@ -146,10 +171,27 @@
 
     A process that is started again is counted nowhere for twice the validity.
     """
-    allocator.ended[host] = asked_at + validity_ms
+    known = allocator.ended.get(host)
+    since = asked_at + QUARANTINE_VALIDITIES * validity_ms
+    if known is not None and asked_at < known.until:
+        since = known.since
+    allocator.ended[host] = Ended(since=since, until=asked_at + validity_ms)
     allocator.is_changed = True
 
 
+def _has_ended(allocator: Allocator, host: HostId, now: int) -> bool:
+    ended = allocator.ended.get(host)
+    return ended is not None and ended.since <= now < ended.until
+
+
+def _is_running(allocator: Allocator, roster: Roster, host: HostId, now: int) -> bool:
+    """Return whether a host of the core may be running, and was not started since."""
+    reporter = allocator.reporters.get(host)
+    if reporter is not None and reporter.process != roster.hosts[host]:
+        return False
+    return not _has_ended(allocator, host, now)
+
+
 def _is_counted(allocator: Allocator, host: HostId, now: int) -> bool:
     reporter = allocator.reporters.get(host)
     return reporter is not None and now < reporter.counted_until
@@ -180,11 +222,13 @@
         if now < reporter.counted_until
         or (reporter.stamp is not None and now < reporter.stamp.until)
     }
-    allocator.ended = {h: t for h, t in allocator.ended.items() if now < t}
+    allocator.ended = {h: e for h, e in allocator.ended.items() if now < e.until}
     _settle(allocator, roster, now)
     allocator.share = measure_share(allocator, roster, now)
     ends = [r.counted_until for r in _list_counted(allocator, now).values()]
-    allocator.valid_until = min([*ends, *allocator.ended.values()], default=now)
+    for ended in allocator.ended.values():
+        ends.append(ended.until if ended.since <= now else ended.since)
+    allocator.valid_until = min(ends, default=now)
     allocator.measured_for = (roster.changes, roster.core)
     allocator.is_changed = False
 
@@ -198,9 +242,9 @@
     because the request may have been on its way for long, or this process frozen.
     """
     reporter = allocator.reporters.setdefault(request.host, Reporter())
-    known = (reporter.hosts, reporter.digest, reporter.settled)
-    told = (request.hosts, request.digest, request.settled)
-    reporter.hosts, reporter.digest, reporter.settled = told
+    known = (reporter.process, reporter.hosts, reporter.digest, reporter.settled)
+    told = (request.process, request.hosts, request.digest, request.settled)
+    reporter.process, reporter.hosts, reporter.digest, reporter.settled = told
     was_counted = now < reporter.counted_until
     stamp = request.stamp
     if stamp is not None and stamp.epoch == allocator.epoch:
--- a/src/apricotshore/limits/choice.py
+++ b/src/apricotshore/limits/choice.py
@@ -1,17 +1,18 @@
 """Choice of the allocator that a host reports to, and when it is counted there."""
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
 
 from ..decisions.ownership import weigh
 from ..decisions.relays import ListedHost
 from ..identifiers import HostId
-from .messages import Stamp
+from .messages import Stamp, TokensReply
 
 # A single lost message is no reason to leave an allocator.
 FAILURES = 2
 FIRST_BACKOFF_MS = 2_000
 MAX_BACKOFF_MS = 16_000
+SCOUT_MS = 2_000
 # Validities of a lease after which a host is counted by another allocator: in the
 # first one its count at the former one ends, in the second the leases that the
 # former one granted before that.
@@ -47,6 +48,13 @@
         This host.
     outages
         Failures of other hosts.
+    leader
+        Allocator that hands out more than half of the tokens, None if unknown.
+    scout_at
+        When this host asks another one for the leader while it allocates for itself,
+        in milliseconds since boot.
+    unsure_until
+        Until when nobody is believed about the leader, in milliseconds since boot.
     last
         Host that sent the last reply, and the stamp of that.
     validity_ms
@@ -59,6 +67,9 @@
 
     local_host: HostId
     outages: dict[HostId, Outage] = field(default_factory=dict)
+    leader: HostId | None = None
+    scout_at: int = 0
+    unsure_until: int = 0
     last: tuple[HostId, Stamp] | None = None
     validity_ms: int = 0
     home: tuple[HostId, int] | None = None
@@ -66,18 +77,28 @@
 
 
 def choose_allocator(choice: Choice, hosts: Iterable[ListedHost], now: int) -> HostId:
-    """Return the host to report to: the first by hash that answers, else this one."""
-    candidates = [
-        h.host
-        for h in hosts
-        if not h.leaving and (h.host == choice.local_host or _is_usable(choice, h, now))
-    ]
-    if not candidates:
+    """Return the host to report to.
+
+    That is the allocator that leads, wherever it is known: moving to another one
+    leaves all hosts uncounted for a while. Else it is the first by hash that answers,
+    else this host. A host that comes first itself asks the next one at times, as a
+    leader may be known there.
+    """
+    usable = {h.host for h in hosts if _is_usable(choice, h, now)}
+    if choice.leader is not None and choice.leader in usable:
+        return choice.leader
+    ranked = sorted(usable, key=lambda host: weigh("allocator", host), reverse=True)
+    if not ranked:
         return choice.local_host
-    return max(candidates, key=lambda host: weigh("allocator", host))
+    if ranked[0] == choice.local_host and len(ranked) > 1 and now >= choice.scout_at:
+        choice.scout_at = now + SCOUT_MS
+        return ranked[1]
+    return ranked[0]
 
 
 def _is_usable(choice: Choice, host: ListedHost, now: int) -> bool:
+    if host.leaving:
+        return False
     outage = choice.outages.get(host.host)
     return outage is None or now >= outage.until
 
@@ -100,12 +121,30 @@
 
 
 def observe_reply(
-    choice: Choice, allocator: HostId, stamp: Stamp, validity_ms: int
-) -> None:
-    """Record a reply."""
+    choice: Choice,
+    allocator: HostId,
+    reply: TokensReply,
+    hosts: Mapping[HostId, ListedHost],
+    now: int,
+) -> bool:
+    """Record a reply; return whether another allocator is to be asked at once."""
     choice.outages.pop(allocator, None)
-    choice.last = (allocator, stamp)
-    choice.validity_ms = validity_ms
+    choice.last = (allocator, reply.stamp)
+    choice.validity_ms = reply.validity_ms
+    if reply.leading:
+        choice.leader = allocator
+        return False
+    if choice.leader == allocator:
+        # What others say of the leader may be old.
+        choice.unsure_until = now + SCOUT_MS
+    choice.leader = None
+    referred = hosts.get(reply.referral) if reply.referral is not None else None
+    if referred is None or now < choice.unsure_until:
+        return False
+    if referred.host == choice.local_host or not _is_usable(choice, referred, now):
+        return False
+    choice.leader = referred.host
+    return True
 
 
 def observe_failure(choice: Choice, allocator: HostId, now: int) -> None:
@@ -117,3 +156,5 @@
     pause = outage.pause_ms * 2 or FIRST_BACKOFF_MS
     outage.pause_ms = min(pause, MAX_BACKOFF_MS)
     outage.until = now + outage.pause_ms
+    if choice.leader == allocator:
+        choice.leader = None
--- a/src/apricotshore/limits/host_limits.py
+++ b/src/apricotshore/limits/host_limits.py
@@ -1,11 +1,11 @@
 """Rate limits at one host: its tokens, its allocator, and itself as an allocator."""
 
 from collections.abc import Iterable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from ..decisions.relays import ListedHost
 from ..identifiers import HostId, OrganisationId, StoreEra
-from .allocator import Allocator
+from .allocator import Allocator, answer
 from .budget import Budget, find_interval_ms, find_validity_ms
 from .choice import (
     FAILURES,
@@ -63,10 +63,8 @@
 
     Parameters
     ----------
-    host
-        This host.
-    epoch
-        Random number of this process.
+    host, process
+        This host, and the random number of its process.
     started_at
         When this process began, in milliseconds since boot.
     budgets
@@ -88,7 +86,7 @@
     """
 
     host: HostId
-    epoch: int
+    process: int
     started_at: int
     budgets: dict[OrganisationId, Budget] = field(default_factory=dict)
     hosts: dict[HostId, ListedHost] = field(default_factory=dict)
@@ -101,9 +99,9 @@
 
     def __post_init__(self) -> None:
         """Make what depends on the host's name and process."""
-        self.roster = Roster(local_host=self.host)
+        self.roster = Roster(local_host=self.host, process=self.process)
         self.choice = Choice(local_host=self.host)
-        self.allocator = Allocator(epoch=self.epoch)
+        self.allocator = Allocator(epoch=self.process)
 
     @property
     def interval_ms(self) -> int:
@@ -126,7 +124,8 @@
 ) -> None:
     """Take over a list of the store."""
     limits.hosts = {h.host: h for h in hosts}
-    observe_hosts(limits.roster, limits.hosts, era, now)
+    processes = {h.host: h.process for h in limits.hosts.values()}
+    observe_hosts(limits.roster, processes, era, now)
     outages = limits.choice.outages
     for host in outages.keys() - limits.hosts.keys():
         del outages[host]
@@ -183,6 +182,7 @@
     roster = limits.roster
     request = TokensRequest(
         host=limits.host,
+        process=limits.process,
         hosts=len(roster.hosts) if roster.is_listed else 0,
         digest=roster.digest,
         settled=roster.is_settled,
@@ -200,9 +200,10 @@
 def take_reply(limits: HostLimits, ask: Ask, reply: TokensReply, now: int) -> bool:
     """Take over a reply; return whether the next request is due at once.
 
-    That is so where an allocator has still to count this host.
+    That is so where an allocator has still to count this host, or another allocator
+    is to be asked.
     """
-    observe_reply(limits.choice, ask.allocator, reply.stamp, reply.validity_ms)
+    found = observe_reply(limits.choice, ask.allocator, reply, limits.hosts, now)
     limits.replied_at = now
     limits.failures = 0
     if reply.settled and limits.roster.changes == ask.roster_changes:
@@ -212,9 +213,17 @@
         holding = find_holding(limits.holdings, grant.organisation, now)
         take_grant(holding, grant, expires_at, now)
     home = (ask.allocator, reply.stamp.epoch)
-    return ask.request.stamp is None and (
-        home == limits.choice.home or now >= limits.choice.free_at
-    )
+    is_free = home == limits.choice.home or now >= limits.choice.free_at
+    return found or (ask.request.stamp is None and is_free)
+
+
+def make_reply(limits: HostLimits, request: TokensRequest, now: int) -> TokensReply:
+    """Answer a host as its allocator."""
+    reply = answer(limits.allocator, limits.roster, limits.budgets, request, now)
+    leader = limits.choice.leader
+    if reply.leading or leader in (None, limits.host, request.host):
+        return reply
+    return replace(reply, referral=leader)
 
 
 def take_failure(limits: HostLimits, ask: Ask, now: int) -> None:
--- a/src/apricotshore/limits/messages.py
+++ b/src/apricotshore/limits/messages.py
@@ -53,10 +53,10 @@
 
     Parameters
     ----------
-    host
-        The host.
+    host, process
+        The host and its process.
     hosts
-        Number of hosts in its list; 0 when the list doesn't name the host itself.
+        Number of hosts in its list; 0 when the list lacks the entry of its process.
     digest
         Digest of that list; equal for equal lists.
     settled
@@ -69,6 +69,7 @@
     """
 
     host: HostId
+    process: int
     hosts: int
     digest: int = 0
     settled: bool = False
@@ -109,6 +110,11 @@
         How long the leases are valid, from the sending of the request.
     settled
         Whether the lists of all live hosts are known to contain that of the request.
+    leading
+        Whether this allocator hands out more than half of the tokens, as only one
+        can.
+    referral
+        Another allocator that does so, None if none is known.
     stamp
         Stamp for the host's next request.
     grants
@@ -118,4 +124,6 @@
     validity_ms: int
     settled: bool
     stamp: Stamp
+    leading: bool = False
+    referral: HostId | None = None
     grants: tuple[Grant, ...] = ()
--- a/src/apricotshore/pooling/host.py
+++ b/src/apricotshore/pooling/host.py
@@ -26,7 +26,7 @@
 from .other_hosts import OtherHosts
 from .ports import CallerLink, HostLink, QuiesceReply, QuiesceRequest
 from .promotion_line import record_again, repeat_latest
-from .rate_limiter import RateLimiter
+from .rate_limiter import RateLimiter, draw_process
 from .readiness import Readiness
 from .relay_dialer import RelayDialer
 from .sessions import Context
@@ -98,6 +98,7 @@
             add_service=self.add_runtime_dependency,
         )
         self.groups = self.host_groups.groups
+        process = draw_process()
         sources = make_sources(
             settings=settings,
             adapters=adapters,
@@ -105,6 +106,7 @@
             eras=self.eras,
             host_groups=self.host_groups,
             on_hosts=self._update_hosts,
+            process=process,
         )
         self.store_watcher = sources.store_watcher
         self.host_watcher = sources.host_watcher
@@ -123,6 +125,7 @@
             configuration=lambda: self.store_watcher.configuration,
             journal=journal,
             metrics=LimitMetrics(registry=registry),
+            process=process,
         )
         self._prepare_serving()
 
--- a/src/apricotshore/pooling/rate_limiter.py
+++ b/src/apricotshore/pooling/rate_limiter.py
@@ -29,7 +29,7 @@
 WAIT_S = 0.15
 # Whether an organisation has a limit is looked at this often while none has.
 IDLE_S = 0.5
-EPOCH_BITS = 48
+PROCESS_BITS = 48
 # Lines on rejections: one for an organisation in this time.
 LIMITED_LINE_MS = 10_000
 SHARE_LINE_MS = 2_000
@@ -41,6 +41,11 @@
 Waiter = tuple[OrganisationId, asyncio.Future[Verdict]]
 
 
+def draw_process() -> int:
+    """Return a random number for a process, other than 0."""
+    return SystemRandom().getrandbits(PROCESS_BITS) | 1
+
+
 class RateLimiter(Service):
     """Service that holds tokens, reports to an allocator and answers other hosts.
 
@@ -61,6 +66,8 @@
         Journal of the host.
     metrics
         Metrics of rate limits.
+    process
+        Random number of this process, which its entry in the store holds.
     """
 
     def __init__(
@@ -72,6 +79,7 @@
         configuration: Callable[[], Configuration],
         journal: Journal,
         metrics: LimitMetrics,
+        process: int,
     ) -> None:
         super().__init__()
         self.peers = peers
@@ -81,7 +89,7 @@
         self.metrics = metrics
         self.limits = HostLimits(
             host=settings.host,
-            epoch=SystemRandom().getrandbits(EPOCH_BITS),
+            process=process,
             started_at=read_boot_ms(),
         )
         self.waiters: deque[Waiter] = deque()
@@ -227,10 +235,8 @@
         return self._answer(request) if self.is_limiting else None
 
     def _answer(self, request: TokensRequest) -> TokensReply:
-        limits, now = self.limits, read_boot_ms()
-        reply = allocators.answer(
-            limits.allocator, limits.roster, limits.budgets, request, now
-        )
+        now = read_boot_ms()
+        reply = host_limits.make_reply(self.limits, request, now)
         self._record_share(now)
         return reply
 
--- a/src/apricotshore/pooling/store_followers.py
+++ b/src/apricotshore/pooling/store_followers.py
@@ -22,6 +22,7 @@
     eras: EraTracker,
     host_groups: HostGroups,
     on_hosts: Callable[[dict[HostId, ListedHost]], None],
+    process: int = 0,
 ) -> Sources:
     """Make what follows the store.
 
@@ -39,6 +40,8 @@
         Groups of the host, which are told of what the store lists.
     on_hosts
         Called with all listed hosts.
+    process
+        Random number of this process.
     """
     store_watcher = StoreWatcher(
         store=adapters.store,
@@ -57,7 +60,7 @@
         journal=journal,
         eras=eras,
         host=settings.host,
-        entry=_make_entry(settings),
+        entry=_make_entry(settings, process),
         on_hosts=on_hosts,
     )
     open_changes = OpenChanges(
@@ -74,7 +77,7 @@
     )
 
 
-def _make_entry(settings: PoolingSettings) -> ListedHost | None:
+def _make_entry(settings: PoolingSettings, process: int) -> ListedHost | None:
     """Return a host's entry in the store, None if it is no relay."""
     if not settings.peer_address:
         return None
@@ -82,4 +85,5 @@
         host=settings.host,
         data_centre=settings.data_centre,
         address=settings.peer_address,
+        process=process,
     )
--- a/tools/rate_limits.py
+++ b/tools/rate_limits.py
@@ -69,6 +69,7 @@
         configuration=lambda: configuration,
         journal=Journal(host="a", descriptor=os.open(os.devnull, os.O_WRONLY)),
         metrics=LimitMetrics(registry=Registry()),
+        process=1,
     )
 
 
@@ -108,12 +109,17 @@
     settings = LimitSettings(window_ms=WINDOW_MS, excess=0.1, slack=20)
     budgets = derive_budgets(organisations, settings)
     listed = [
-        ListedHost(host=HostId(f"h{n}"), data_centre=DataCentreId("z"), address="")
+        ListedHost(
+            host=HostId(f"h{n}"),
+            data_centre=DataCentreId("z"),
+            address="",
+            process=1,
+        )
         for n in range(hosts)
     ]
     fleet = []
     for entry in listed:
-        limits = HostLimits(host=entry.host, epoch=1, started_at=0, budgets=budgets)
+        limits = HostLimits(host=entry.host, process=1, started_at=0, budgets=budgets)
         host_limits.update_hosts(limits, listed, StoreEra(1), 0)
         fleet.append(limits)
     first = fleet[0]
