--- a/src/apricotshore/decisions/relays.py
+++ b/src/apricotshore/decisions/relays.py
@@ -45,6 +45,8 @@
     knows_organisations
         Whether it, as a relay, tells servers the organisation of a connection. Hosts of
         earlier versions don't.
+    process
+        Random number of its process; 0 of a version that writes none.
     """
 
     host: HostId
@@ -52,6 +54,7 @@
     address: str
     leaving: bool = False
     knows_organisations: bool = False
+    process: int = 0
 
 
 @dataclass(kw_only=True, slots=True)
--- a/src/apricotshore/pooling/adapters.py
+++ b/src/apricotshore/pooling/adapters.py
@@ -3,7 +3,14 @@
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 
-from .ports import Dialer, FreshnessPeers, HostPeers, ObjectStore, Promoter
+from .ports import (
+    Dialer,
+    FreshnessPeers,
+    HostPeers,
+    ObjectStore,
+    Promoter,
+    TokenPeers,
+)
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -22,6 +29,8 @@
     freshness_peers
         Client of the other hosts that asks how recent their configuration is; None
         where none of them is asked.
+    token_peers
+        Client of other hosts as allocators of rate limits, None without one.
     """
 
     store: ObjectStore
@@ -30,3 +39,4 @@
     peers: HostPeers
     close: Callable[[], Awaitable[None]]
     freshness_peers: FreshnessPeers | None = None
+    token_peers: TokenPeers | None = None
--- a/src/apricotshore/pooling/host.py
+++ b/src/apricotshore/pooling/host.py
@@ -32,11 +32,13 @@
 from .host_groups import HostGroups
 from .host_shutdown import HostShutdown
 from .journal import EventKind, Journal
+from .limit_metrics import LimitMetrics
 from .loop_ticker import LoopTicker
 from .metrics import PoolingMetrics
 from .other_hosts import OtherHosts
 from .ports import CallerLink, HostLink, QuiesceReply, QuiesceRequest
 from .promotion_line import record_again, repeat_latest
+from .rate_limiter import RateLimiter, draw_process
 from .readiness import Readiness
 from .relay_dialer import RelayDialer
 from .sessions import Context
@@ -119,6 +121,7 @@
             fleet=self.fleet,
             peers=adapters.freshness_peers,
         )
+        process = draw_process()
         sources = make_sources(
             settings=settings,
             adapters=adapters,
@@ -128,6 +131,7 @@
             on_hosts=self._update_hosts,
             on_configuration=self._apply_configuration,
             freshness=self.freshness,
+            process=process,
         )
         self.store_watcher = sources.store_watcher
         self.host_watcher = sources.host_watcher
@@ -139,6 +143,15 @@
             open_changes=self.open_changes,
             groups=self.groups,
         )
+        self.rate_limiter = RateLimiter(
+            settings=settings,
+            peers=adapters.token_peers,
+            host_peers=adapters.peers,
+            configuration=lambda: self.store_watcher.configuration,
+            journal=journal,
+            metrics=LimitMetrics(registry=registry),
+            process=process,
+        )
         self._prepare_serving()
 
     def _prepare_serving(self) -> None:
@@ -150,6 +163,7 @@
             journal=self.journal,
             spawn=self.background.spawn,
             refuse_keyed=self.freshness.refuse_keyed,
+            admit_rate=self.rate_limiter.admit,
         )
         self.callers = Callers(
             context=context,
@@ -181,6 +195,7 @@
         await self.add_runtime_dependency(self.host_watcher)
         await self.add_runtime_dependency(self.open_changes)
         await self.add_runtime_dependency(self.freshness_asker)
+        await self.add_runtime_dependency(self.rate_limiter)
         self.journal.record(
             EventKind.STARTED,
             data_centre=self.settings.data_centre,
@@ -267,6 +282,7 @@
         if listed.keys() != self.fleet.hosts.keys():
             self.journal.record(EventKind.HOSTS_LISTED, hosts=len(listed))
         self.fleet.hosts = listed
+        self.rate_limiter.update_hosts(listed, self.eras.era)
         self.host_groups.configure_all()
         self.other_hosts.release_relayed()
 
@@ -274,6 +290,7 @@
         """Apply changed settings, except for the addresses to listen on."""
         self.settings = settings
         self.drain.grace_ms = settings.grace_ms
+        self.rate_limiter.apply_settings(settings)
         self.store_watcher.set_bounds(
             settings.apply_ms, settings.leave_ms, settings.window_ms
         )
@@ -387,6 +404,7 @@
             len(self.callers.sessions),
             len(self.other_hosts.sessions),
         )
+        self.rate_limiter.refresh_metrics()
         self.metrics.refresh_store(
             self.store_watcher.configuration.version, self.eras.era
         )
--- a/src/apricotshore/pooling/key_checks.py
+++ b/src/apricotshore/pooling/key_checks.py
@@ -1,9 +1,11 @@
 """Checks of callers' keys: who is served now, and which operation is admitted."""
 
 from .. import organisations
+from ..limits import Limited
 from ..queries import FailureCode
-from .sessions import Context, RefusedError, Session
+from .sessions import Context, RefusedError, Session, refuse_overloaded
 
+RATE_LIMITED = "the organisation has reached its rate limit"
 REVOKED = "the key is not valid any more"
 
 
@@ -43,8 +45,8 @@
     transaction = session.transaction
     if session.organisation is None or (transaction and transaction.admitted):
         return
-    refusal = await context.admit_operation(session.organisation)
-    if refusal is not None:
-        raise refusal
+    verdict = await context.admit_rate(session.organisation)
+    if isinstance(verdict, Limited):
+        raise refuse_overloaded(RATE_LIMITED, verdict.retry_ms)
     if transaction is not None:
         transaction.admitted = True
--- a/src/apricotshore/pooling/ports.py
+++ b/src/apricotshore/pooling/ports.py
@@ -21,6 +21,7 @@
     StoreRevision,
     Term,
 )
+from ..limits.messages import TokensReply, TokensRequest
 from ..queries import Answer, FailureCode, Query
 from ..routes import ListedServer
 from .stored_objects import LeaseRead, LeaseRecord, LeaseWrite, Snapshot, StoredKind
@@ -331,3 +332,18 @@
         ConnectionLostError
             When the host gave no answer in time, or none that can be read.
         """
+
+
+class TokenPeers(Protocol):
+    """Client of other hosts as allocators of rate limits."""
+
+    async def ask(
+        self, host: ListedHost, request: TokensRequest, timeout_s: float
+    ) -> TokensReply:
+        """Report to a host, and ask it for tokens.
+
+        Raises
+        ------
+        ConnectionLostError
+            When there was no reply in time, or the host is no allocator.
+        """
--- a/src/apricotshore/pooling/sessions.py
+++ b/src/apricotshore/pooling/sessions.py
@@ -6,6 +6,7 @@
 from ..decisions import wait_queue
 from ..groups import LogPosition
 from ..identifiers import DatabaseId, GroupId, HostId, KeyDigest, OrganisationId
+from ..limits.holdings import ADMITTED, Verdict
 from ..organisations import Admission
 from ..queries import FailureCode, PreparedShape, Query, QueryKind
 from ..routes import Configuration, Route
@@ -14,6 +15,13 @@
 from .pool import ServerPool
 from .pooled_connection import PooledConnection
 
+AdmitRate = Callable[[OrganisationId | None], Awaitable[Verdict]]
+
+
+async def admit_at_once(organisation: OrganisationId | None) -> Verdict:
+    """Admit an operation where no rate is limited."""
+    return ADMITTED
+
 
 class RefusedError(Exception):
     """Refusal of a statement by the proxy itself.
@@ -30,10 +38,6 @@
         self.detail = detail
 
 
-async def _admit_all(organisation: OrganisationId) -> RefusedError | None:
-    return None
-
-
 @dataclass(kw_only=True)
 class Context:
     """Services of the host that serving a statement needs.
@@ -53,9 +57,9 @@
     refuse_keyed
         Returns why no statement of a caller with a key may be served now, None if it
         may.
-    admit_operation
-        Called once for each operation of an organisation, before its first statement
-        is forwarded; returns why it is refused, None if it isn't.
+    admit_rate
+        Returns whether an operation of an organisation is within its rate limit;
+        asked directly before the operation's first statement is forwarded.
     """
 
     host: HostId
@@ -64,9 +68,7 @@
     journal: Journal
     spawn: Callable[[Coroutine[None, None, None]], None]
     refuse_keyed: Callable[[], RefusedError | None] = lambda: None
-    admit_operation: Callable[[OrganisationId], Awaitable[RefusedError | None]] = (
-        _admit_all
-    )
+    admit_rate: AdmitRate = admit_at_once
 
 
 @dataclass(kw_only=True)
--- a/src/apricotshore/pooling/store_followers.py
+++ b/src/apricotshore/pooling/store_followers.py
@@ -26,6 +26,7 @@
     on_hosts: Callable[[dict[HostId, ListedHost]], None],
     on_configuration: Callable[[Configuration], None],
     freshness: Freshness,
+    process: int = 0,
 ) -> Sources:
     """Make what follows the store.
 
@@ -47,6 +48,8 @@
         Called when another configuration is put in force.
     freshness
         Proofs of the configuration, which replace calls to the store.
+    process
+        Random number of this process.
     """
     store_watcher = StoreWatcher(
         store=adapters.store,
@@ -67,7 +70,7 @@
         journal=journal,
         eras=eras,
         host=settings.host,
-        entry=_make_entry(settings),
+        entry=_make_entry(settings, process),
         on_hosts=on_hosts,
     )
     open_changes = OpenChanges(
@@ -84,7 +87,7 @@
     )
 
 
-def _make_entry(settings: PoolingSettings) -> ListedHost | None:
+def _make_entry(settings: PoolingSettings, process: int) -> ListedHost | None:
     """Return a host's entry in the store, None if it is no relay."""
     if not settings.peer_address:
         return None
@@ -93,4 +96,5 @@
         data_centre=settings.data_centre,
         address=settings.peer_address,
         knows_organisations=True,
+        process=process,
     )
