--- a/src/apricotshore/limits/budget.py
+++ b/src/apricotshore/limits/budget.py
@@ -17,6 +17,8 @@
 # this, and levels are rounded.
 USED_PART = 0.99
 ROUNDING_TOKENS = 1
+# Part of the permitted excess that is added to the rate.
+RATE_PART_OF_EXCESS = 0.5
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -71,16 +73,19 @@
 def derive_budget(organisation: Organisation, settings: LimitSettings) -> Budget:
     """Return the bucket of an organisation that has a rate limit.
 
-    At most ``size + rate * window`` tokens are used in a window. The bucket takes all
-    that the bound leaves: where operations arrive in bunches, a larger bucket refuses
-    fewer of those that are within the limit.
+    At most ``size + rate * window`` tokens are used in a window. Half of what a window
+    may exceed the limit by goes into the rate, as some tokens expire unused on hosts
+    that the operations have left. The bucket takes all that the bound leaves: where
+    operations arrive in bunches, a larger bucket refuses fewer of those that are within
+    the limit.
     """
     used = max(0.0, find_bound(organisation, settings) * USED_PART - ROUNDING_TOKENS)
     span_ms = settings.window_ms + FORWARD_MS
     rate = (organisation.rate_per_s or 0) / 1000
     usual = rate * settings.window_ms + organisation.burst
     least = min(max(organisation.burst, 1), used / 2)
-    rate = min(rate, (used - least) / span_ms)
+    unused = RATE_PART_OF_EXCESS * (find_bound(organisation, settings) - usual)
+    rate = min(rate + unused / span_ms, (used - least) / span_ms)
     return Budget(rate=rate, size=min(usual, used - rate * span_ms))
 
 
--- a/src/apricotshore/limits/holdings.py
+++ b/src/apricotshore/limits/holdings.py
@@ -60,6 +60,8 @@
         Time between two tokens for this host then.
     refused
         Operations that were rejected since the last reply.
+    reported_none
+        Whether the last report named no tokens, held, returned or wanted.
     """
 
     tokens: int = 0
@@ -74,6 +76,7 @@
     short_until: int = 0
     pace_ms: int = 0
     refused: int = 0
+    reported_none: bool = False
 
 
 @dataclass(kw_only=True, slots=True)
@@ -118,14 +121,22 @@
 
 
 def list_demands(holdings: Holdings, interval_ms: int, now: int) -> tuple[Demand, ...]:
-    """List what to report, and take out the tokens that are given back."""
+    """List what to report, and take out the tokens that are given back.
+
+    An organisation without tokens is left out once that was reported: most are, and
+    their names would be most of each message.
+    """
     demands = []
     for name, holding in list(holdings.holdings.items()):
         idle = now - holding.active_at >= ACTIVE_MS
         if idle and not holding.waiting and now >= holding.expires_at:
             del holdings.holdings[name]
             continue
-        demands.append(_make_demand(name, holding, interval_ms, now))
+        demand = _make_demand(name, holding, interval_ms, now)
+        is_none = not (demand.held or demand.returned or demand.wanted)
+        if not (is_none and holding.reported_none):
+            demands.append(demand)
+        holding.reported_none = is_none
     return tuple(demands)
 
 
--- a/tests/pooling/test_key_revocation.py
+++ b/tests/pooling/test_key_revocation.py
@@ -5,6 +5,8 @@
 
 import pytest
 
+from apricotshore.limits import Limited
+from apricotshore.limits.holdings import ADMITTED
 from apricotshore.organisations import digest_key
 from apricotshore.pooling.sessions import RefusedError
 from apricotshore.queries import FailureCode, QueryKind
@@ -179,11 +181,9 @@
 
     async def admit(organisation):
         asked.append(organisation)
-        if len(asked) > 2:
-            return RefusedError(FailureCode.OVERLOADED, "rate")
-        return None
+        return Limited(retry_ms=100) if len(asked) > 2 else ADMITTED
 
-    bed.callers.context.admit_operation = admit
+    bed.callers.context.admit_rate = admit
     caller, public = await bed.open(OLD), await bed.open("", HELP)
     await public.ask(read("r0"))
     await caller.ask(begin())
