--- a/src/apricotshore/pooling/caller_session.py
+++ b/src/apricotshore/pooling/caller_session.py
@@ -185,7 +185,10 @@
         try:
             answer = await self._answer(query, arrived)
         except RefusedError as error:
-            answer = self._refuse(error, query)
+            # A hint to retry would mislead a caller whose key was revoked meanwhile.
+            is_busy = error.code is FailureCode.OVERLOADED
+            revoked = key_checks.find_refusal(self.context, self.session)
+            answer = self._refuse((is_busy and revoked) or error, query)
         # The state in a server's answer may be that of a transaction of the proxy.
         answer = replace(answer, state=self.state)
         self._record(query, answer, read_boot_ms() - arrived)
