--- a/src/apricotshore/pooling/caller_session.py
+++ b/src/apricotshore/pooling/caller_session.py
@@ -150,6 +150,7 @@
 
     async def _refuse_received(self) -> None:
         """Answer what was received already, before the session closes."""
+        self.idle = False
         for _ in range(LAST_REFUSALS):
             try:
                 async with asyncio.timeout(0):
--- a/src/apricotshore/pooling/sessions.py
+++ b/src/apricotshore/pooling/sessions.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Awaitable, Callable, Coroutine
 from dataclasses import dataclass, field
+from functools import cached_property
 
 from ..decisions import wait_queue
 from ..groups import LogPosition
@@ -135,7 +136,7 @@
     log_position: LogPosition | None = None
     transaction: Transaction | None = None
 
-    @property
+    @cached_property
     def admission(self) -> Admission:
         """The admission that opened it."""
         return Admission(
--- a/tests/pooling/test_key_revocation.py
+++ b/tests/pooling/test_key_revocation.py
@@ -2,15 +2,27 @@
 
 import asyncio
 import os
+from dataclasses import replace
 
 import pytest
 
 from apricotshore.organisations import digest_key
 from apricotshore.pooling.sessions import RefusedError
+from apricotshore.pooling.stored_objects import Change, StoredKind
 from apricotshore.queries import FailureCode, QueryKind
-
-from .callers_of_organisations import HELP, SHOP, OrganisationsBed, begin, end
+from apricotshore.routes import GroupSettings
+
+from .callers_of_organisations import (
+    HELP,
+    SHOP,
+    OrganisationsBed,
+    begin,
+    end,
+    make_keys,
+)
 from .support import read, wait_until, write
+from .test_caller_session import FakeCaller
+from .test_host import GROUP, LISTED, running_host
 
 OLD, NEW = "old-key-4711", "new-key-0815"
 
@@ -30,6 +42,32 @@
     assert (await public.ask(read("r2"))).failure is None
 
 
+async def test_version_from_the_store_withdraws_keys_and_sets_connections_apart():
+    def put(version: int, *organisations: tuple[str, ...]) -> None:
+        made = make_keys(*organisations)
+        content = replace(made, version=version, groups={GROUP: GroupSettings()})
+        change = Change(name="main", content=content, removed=False)
+        store.events[StoredKind.CONFIGURATION].put_nowait(change)
+
+    async with running_host(LISTED) as (host, store):
+        put(1, ("acme", OLD))
+        admission = await host.admit(SHOP, digest_key(OLD))
+        caller = FakeCaller()
+        serving = asyncio.create_task(host.serve(admission, caller))
+        await wait_until(lambda: host.is_ready)
+        assert (await caller.ask(read("r1"))).failure is None
+        pools = host.groups[GROUP].pools.values()
+        assert "acme" in {p.organisation for pool in pools for p in pool.idle}
+        assert host.fleet.by_organisation
+        assert all(pool.quota.by_organisation for pool in pools)
+        assert all(h.knows_organisations for h in store.hosts.values())
+        put(2, ("acme",))
+        await wait_until(lambda: is_closed(caller))
+        await asyncio.wait({serving})
+        refused = await host.admit(SHOP, digest_key(OLD))
+        assert refused is FailureCode.UNAUTHORIZED
+
+
 async def test_rotation_disconnects_no_session_of_the_new_key():
     bed = OrganisationsBed(("acme", OLD))
     old = await bed.open(OLD)
