--- a/tests/pooling/callers_of_organisations.py
+++ b/tests/pooling/callers_of_organisations.py
@@ -8,7 +8,6 @@
 from apricotshore.decisions import shutdown
 from apricotshore.identifiers import (
     DatabaseId,
-    KeyDigest,
     OrganisationId,
     RequestId,
     StoreRevision,
@@ -112,7 +111,3 @@
 
 def end(kind: QueryKind) -> Query:
     return Query(kind=kind, request=RequestId("end"), text=kind.name)
-
-
-def digests(*keys: str) -> frozenset[KeyDigest]:
-    return frozenset(digest_key(key) for key in keys)
