Test what a list of servers hides from a voucher

Guards against a voucher that tells too early a revision of the last change; the test fails if a list that shows no change keeps the earlier revision.

--- a/tests/pooling/test_freshness_fleet.py
+++ b/tests/pooling/test_freshness_fleet.py
@@ -306,6 +306,27 @@
     play(monkeypatch, lambda: ModelFleet(20, 2), work)
 
 
+def test_a_list_hides_what_changed_back_before_it(monkeypatch):
+    """Guards against a voucher that tells too early a revision of the last change."""
+
+    async def work(fleet: ModelFleet) -> None:
+        (host,) = fleet.hosts.values()
+        await fleet.run(3.0)
+        fleet.store.down = True
+        model = ModelGroup.make()
+        name, server = next(iter(model.servers.items()))
+        for leaving in (True, False):
+            content = model.list(server, leaving=leaving)
+            change = Change(name=name, content=content, removed=False)
+            fleet.store.write(StoredKind.SERVER, change)
+        await fleet.run(5.0)
+        fleet.store.down = False
+        await fleet.run(3.0)
+        assert host.freshness.servers_state.changed == fleet.store.revision
+
+    play(monkeypatch, lambda: ModelFleet(1, 1), work)
+
+
 def test_hosts_of_the_version_before_vouch_for_nobody(monkeypatch):
     """Guards against a rolling upgrade in which hosts wait for responses."""
 
