--- a/src/apricotshore/pooling/freshness_asker.py
+++ b/src/apricotshore/pooling/freshness_asker.py
@@ -61,6 +61,8 @@
         # What the order was made of.
         self.ranked: tuple[dict[HostId, ListedHost], PoolingSettings] | None = None
         self.rounds = 0
+        # Host beside the vouchers that was of use in the last round that needed one.
+        self.helper: ListedHost | None = None
 
     @Service.task
     @keep_running
@@ -95,7 +97,13 @@
         if not freshness.is_proven_for_round((StoredKind.CONFIGURATION,)):
             self.rounds += 1
             helpers = choose_helpers(order, asked, self.rounds)
-            await asyncio.gather(*(self._ask(host) for host in helpers))
+            if self.helper in order.helpers and self.helper not in (*asked, *helpers):
+                helpers.append(self.helper)
+            useful = await asyncio.gather(*(self._ask(host) for host in helpers))
+            found = [
+                h for h, is_useful in zip(helpers, useful, strict=True) if is_useful
+            ]
+            self.helper = found[-1] if found else None
         gave_up = source is None and len(asked) == times.ASKED_PER_ROUND
         freshness.end_round(source, gave_up=gave_up)
 
