--- a/src/apricotshore/decisions/quota.py
+++ b/src/apricotshore/decisions/quota.py
@@ -27,6 +27,9 @@
 # A new connection costs the server a slot for 10 to 30 ms.
 LONG_IDLE_MS = 2_000
 SCARCE_MS = 5_000
+# Connections to the relays of a server, which cost the server nothing, where each
+# belongs to one organisation.
+MAX_RELAYED = 64
 # Share of its connections that a relay keeps while they are idle.
 RELAY_KEPT_SHARE = 0.5
 
@@ -43,6 +46,8 @@
         Number of relays that share them; 0 if all hosts connect directly.
     is_relay
         Whether this host connects to the server for others.
+    is_relayed
+        Whether this host connects to the server through others.
     by_organisation
         Whether each connection belongs to one organisation.
     share
@@ -56,6 +61,7 @@
     limit: int
     relays: int = 0
     is_relay: bool = False
+    is_relayed: bool = False
     by_organisation: bool = False
     share: int | None = None
     refused_at: int | None = None
@@ -68,12 +74,19 @@
     if quota.relays > 1:
         share = RELAYS_SHARE / quota.relays
     largest = int((quota.limit - RESERVED_CONNECTIONS) * share)
+    if _has_links(quota):
+        largest = MAX_RELAYED
     if quota.share is not None and quota.refused_at is not None:
         steps = (now - quota.refused_at) // GROWTH_INTERVAL_MS
         largest = min(largest, quota.share + steps)
     return max(1, largest)
 
 
+def _has_links(quota: ConnectionQuota) -> bool:
+    """Return whether connections lead to relays, one or more for an organisation."""
+    return quota.is_relayed and quota.by_organisation
+
+
 def may_open(quota: ConnectionQuota, held: int, now: int) -> bool:
     """Return whether one more connection may be opened."""
     refused = quota.refused_at
@@ -143,6 +156,8 @@
     """
     if is_scarce(quota, now):
         return 0
+    if _has_links(quota):
+        return find_max(quota, now)
     if not quota.is_relay:
         return 1
     share = 1.0 if quota.by_organisation else RELAY_KEPT_SHARE
--- a/src/apricotshore/limits/bucket.py
+++ b/src/apricotshore/limits/bucket.py
@@ -209,7 +209,7 @@
 def _find_spare(bucket: Bucket, terms: Terms) -> int:
     if bucket.wanted > bucket.level:
         return 0
-    return min(MAX_SPARE, int(bucket.level / (2 * max(1, terms.reporters))))
+    return min(MAX_SPARE, int(bucket.level / max(1, terms.reporters)))
 
 
 def _find_retry_ms(
--- a/src/apricotshore/pooling/pool.py
+++ b/src/apricotshore/pooling/pool.py
@@ -396,6 +396,7 @@
         direct ones would take the room of the relays' connections.
         """
         self.quota.is_relay = self.quota.relays > 0 and not relayed
+        self.quota.is_relayed = self.quota.relays > 0 and relayed
         if relayed == self.relayed:
             return
         self.relayed = relayed
