--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -25,7 +25,7 @@
 # collected object is formatted, which parses as well.
 strategies.randoms(use_true_random=False).validate()
 
-FLEET_TESTS = ("tests/live/", "tests/soak/test_soak.py")
+FLEET_TESTS = ("tests/live/", "tests/soak/test_soak.py", "tests/intake/test_crowds.py")
 
 
 @pytest.hookimpl(optionalhook=True)
