Bound what clients make a host hold

A host kept for each client up to 2 MiB of unread bytes, all its answers, values and prepared names, and accepted connections until descriptors ran out.

--- a/src/apricotshore/ini.py
+++ b/src/apricotshore/ini.py
@@ -13,6 +13,8 @@
 
 _DURATION = re.compile(r"^(\d{1,9})\s*(ms|s|min|h)$")
 _UNIT_MS = {"ms": 1, "s": 1_000, "min": 60_000, "h": 3_600_000}
+_SIZE = re.compile(r"^(\d{1,7})\s*(KB|MB)$")
+_SIZE_BYTES = {"KB": 1 << 10, "MB": 1 << 20}
 _NAME = re.compile(r"^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$")
 
 
@@ -24,6 +26,14 @@
     return int(match.group(1)) * _UNIT_MS[match.group(2)]
 
 
+def parse_size(text: str) -> int:
+    """Parse a size such as ``16 KB`` or ``150 MB`` into bytes, of 1,024 to a KB."""
+    match = _SIZE.match(text)
+    if match is None or int(match.group(1)) == 0:
+        raise ValueError(f"expected a size such as '16 KB' or '150 MB', got {text!r}")
+    return int(match.group(1)) * _SIZE_BYTES[match.group(2)]
+
+
 def parse_count(text: str) -> int:
     """Parse a positive integer of at most nine digits."""
     if not text.isdigit() or int(text) == 0 or len(text) > 9:
--- a/src/apricotshore/pooling/caller_session.py
+++ b/src/apricotshore/pooling/caller_session.py
@@ -282,6 +282,9 @@
     async def _change_session(self, query: Query) -> Answer:
         if query.kind is QueryKind.RESET:
             raise RefusedError(FailureCode.MALFORMED, "not for callers")
+        if not self.link.hold_state(self.session.measure(query)):
+            detail = "the session's values and prepared names are over the limit"
+            raise RefusedError(FailureCode.TOO_LARGE, detail)
         if query.kind is QueryKind.SET:
             await self._set_at_server(query)
         self.session.change(query)
--- a/src/apricotshore/pooling/journal.py
+++ b/src/apricotshore/pooling/journal.py
@@ -60,6 +60,7 @@
     REQUEST_RETRIED = "request-retried"
     REQUEST_FAILED = "request-failed"
     CALLER_REFUSED = "caller-refused"
+    CALLER_CLOSED = "caller-closed"
     TRANSACTION_ENDED = "transaction-ended"
     LINES_OMITTED = "lines-omitted"
     CLOCK_STEPPED = "clock-stepped"
@@ -76,6 +77,7 @@
     {
         EventKind.REQUEST_FAILED,
         EventKind.CALLER_REFUSED,
+        EventKind.CALLER_CLOSED,
         EventKind.TRANSACTION_ENDED,
         EventKind.RELAY_FAILED,
         EventKind.DETOUR_FAILED,
--- a/src/apricotshore/pooling/ports.py
+++ b/src/apricotshore/pooling/ports.py
@@ -172,6 +172,9 @@
     async def send(self, query: Query, answer: Answer) -> None:
         """Send the whole answer to a statement."""
 
+    def hold_state(self, size: int) -> bool:
+        """Return whether the session may keep values and names of a size in bytes."""
+
     @property
     def is_open(self) -> bool:
         """Whether the caller is still connected."""
--- a/src/apricotshore/pooling/sessions.py
+++ b/src/apricotshore/pooling/sessions.py
@@ -1,5 +1,6 @@
 """State of callers' sessions, transactions and statements."""
 
+import sys
 from collections.abc import Callable, Coroutine
 from dataclasses import dataclass, field
 
@@ -13,6 +14,9 @@
 from .pool import ServerPool
 from .pooled_connection import PooledConnection
 
+# An entry of a table, and the object of a prepared statement.
+ENTRY_BYTES = 160
+
 
 @dataclass(kw_only=True)
 class Context:
@@ -87,6 +91,8 @@
         Highest log position of the session's commits.
     transaction
         Open transaction, None outside one.
+    state_bytes
+        Size of the values and prepared statements.
     """
 
     database: DatabaseId
@@ -94,9 +100,26 @@
     prepared: dict[str, PreparedShape] = field(default_factory=dict)
     log_position: LogPosition | None = None
     transaction: Transaction | None = None
+    state_bytes: int = 0
+
+    def measure(self, query: Query) -> int:
+        """Return the size of values and names after a statement, in bytes."""
+        size, name = self.state_bytes, query.name
+        if query.kind is QueryKind.RESET:
+            return 0
+        if query.kind is QueryKind.SET:
+            if name in self.values:
+                size -= _measure_entry(name, self.values[name])
+            return size + _measure_entry(name, query.value)
+        if name in self.prepared:
+            size -= _measure_entry(name, self.prepared[name].shape)
+        if query.kind is QueryKind.PREPARE and query.shape is not None:
+            size += _measure_entry(name, query.shape.shape)
+        return size
 
     def change(self, query: Query) -> None:
         """Carry out a statement that changes values or prepared statements."""
+        self.state_bytes = self.measure(query)
         if query.kind is QueryKind.SET:
             self.values[query.name] = query.value
         elif query.kind is QueryKind.PREPARE and query.shape is not None:
@@ -108,6 +131,10 @@
             self.prepared.clear()
 
 
+def _measure_entry(name: str, content: str) -> int:
+    return ENTRY_BYTES + sys.getsizeof(name) + sys.getsizeof(content)
+
+
 class RefusedError(Exception):
     """Refusal of a statement by the proxy itself.
 
--- a/src/apricotshore/pooling/settings.py
+++ b/src/apricotshore/pooling/settings.py
@@ -17,6 +17,8 @@
     read_file,
     read_sections,
 )
+from ..intake import IntakeSettings
+from .intake_settings import read_intake_settings
 
 DEFAULT_GRACE_MS = 10_000
 DEFAULT_APPLY_MS = 5_000
@@ -65,6 +67,8 @@
         Operations by which a window may exceed a rate limit beside that share.
     regions
         Region of each data centre.
+    intake
+        Limits for clients.
     """
 
     host: HostId
@@ -85,6 +89,7 @@
     limit_excess: float = 0.0
     limit_slack: int = 0
     regions: dict[DataCentreId, str] = field(default_factory=dict)
+    intake: IntakeSettings = field(default_factory=IntakeSettings)
 
     def locate(self, data_centre: DataCentreId) -> Distance:
         """Return the distance from this host to a data centre."""
@@ -147,6 +152,7 @@
         }
         if regions
         else {},
+        intake=read_intake_settings(host),
     )
     if problems:
         raise InvalidFileError(problems)
--- a/tests/pooling/test_caller_session.py
+++ b/tests/pooling/test_caller_session.py
@@ -41,6 +41,9 @@
     async def send(self, query: Query, answer: Answer) -> None:
         self.answers.put_nowait(answer)
 
+    def hold_state(self, size: int) -> bool:
+        return True
+
     def close(self) -> None:
         self.is_open = False
 
