--- a/tests/test_pooling_settings.py
+++ b/tests/test_pooling_settings.py
@@ -48,13 +48,30 @@
     root = Path(__file__).parents[1]
     template = (root / "platform/host.ini.template").read_text()
     keys = set(re.findall(r"^([a-z-]+) =", template, re.MULTILINE))
-    assert keys == set(re.findall(r"^([a-z-]+) =", GOOD.split("[regions]")[0],
-                                  re.MULTILINE)) - {"something-new"} | {
-        "apply-within", "leave-within", "stability-window", "peer-address",
-            "fenced",
+    written = set(re.findall(r"^([a-z-]+) =", GOOD.split("[regions]")[0], re.MULTILINE))
+    assert keys == written - {"something-new"} | {
+        "apply-within", "leave-within", "stability-window", "peer-address", "fenced",
+        "revoke-within", "rate-limit-window", "rate-limit-excess", "rate-limit-slack",
+        "memory", "descriptors",
     }  # fmt: skip
 
 
+@pytest.mark.parametrize(
+    ("line", "expected"),
+    [
+        ("memory = 150", "a size such as"),
+        ("client-memory = 0 MB", "a size such as"),
+        ("descriptors = none", "a whole number above 0"),
+        ("answer-timeout = 10", "a duration such as"),
+    ],
+)
+def test_invalid_limit_for_clients_is_named(line, expected):
+    """A limit that can't be read must not silently become another one."""
+    text = GOOD.replace("[regions]", f"{line}\n[regions]")
+    with pytest.raises(InvalidFileError, match=expected):
+        parse_pooling_settings(text, "host.ini")
+
+
 @pytest.mark.parametrize(("line", "fenced"), [("", False), ("fenced = yes\n", True)])
 def test_platform_is_taken_as_unfenced_unless_the_settings_say_otherwise(line, fenced):
     text = GOOD.replace("[regions]", f"{line}\n[regions]")
