--- a/src/apricotshore/pooling/client_intake.py
+++ b/src/apricotshore/pooling/client_intake.py
@@ -14,6 +14,10 @@
 from .journal import EventKind, Journal
 from .statement_gate import StatementGate
 
+# Smaller changes aren't taken into account, so that ordinary statements cost nothing.
+# The memory assumed for a connection covers them.
+GRAIN_BYTES = 1 << 10
+
 
 @dataclass(kw_only=True, eq=False)
 class ClientAccount:
@@ -30,6 +34,8 @@
     unread, statement, answer, state
         Received and not yet taken; the statement that is in work; answers not yet
         sent; session values and prepared names.
+    recorded
+        All of these when the budget last took them into account.
     """
 
     connection: ClientConnection
@@ -39,12 +45,17 @@
     statement: int = 0
     answer: int = 0
     state: int = 0
+    recorded: int = -GRAIN_BYTES
+
+    @property
+    def held_beside(self) -> int:
+        """What it holds beside the connection."""
+        return self.unread + self.statement + self.answer + self.state
 
     @property
     def held(self) -> int:
         """All that it holds, the connection included."""
-        held = self.unread + self.statement + self.answer + self.state
-        return CONNECTION_BYTES + held
+        return CONNECTION_BYTES + self.held_beside
 
 
 @dataclass(kw_only=True, eq=False)
@@ -134,8 +145,12 @@
 
     def update(self, account: ClientAccount) -> None:
         """Take what a client holds into account; close the largest if need be."""
+        held = account.held_beside
+        if -GRAIN_BYTES < held - account.recorded < GRAIN_BYTES:
+            return
         if not self._is_open(account):
             return
+        account.recorded = held
         number = account.connection.client
         organisation = account.organisation
         if intake.hold(self.budget, number, organisation, account.held):
