Keep no long ids of requests and no long names of prepared statements

Texts in lines of requests end after 300 characters, and a shape of more than 64 is named by its digest.

--- a/src/apricotshore/pooling/journal.py
+++ b/src/apricotshore/pooling/journal.py
@@ -17,6 +17,8 @@
 # Time to the line of the failures after a first one, and between those that follow.
 FIRST_PERIOD_S = 1
 LATER_PERIOD_S = 3
+# Characters of a text in a line of a request: ids of requests come from clients.
+LONGEST_TEXT = 300
 # Causes of one kind of failures that are written at once while they go on.
 CAUSES_AT_ONCE = 4
 # A word with a figure names an object or an amount, and no cause.
@@ -174,6 +176,8 @@
         one a second.
         """
         self._observe_second()
+        if step in _FAILURES or step in _SAMPLED:
+            details = {name: _shorten(value) for name, value in details.items()}
         if step in _FAILURES:
             self._record_failure(step, details)
         elif step in _SAMPLED and self.served >= LINES_PER_S:
@@ -290,6 +294,13 @@
             del self.buffer[:written]
 
 
+def _shorten(value: object) -> object:
+    """Return a value without the end of a text that a client made long."""
+    if isinstance(value, str) and len(value) > LONGEST_TEXT:
+        return value[:LONGEST_TEXT]
+    return value
+
+
 def _find_cause(details: dict[str, object]) -> str:
     """Return the code of a failure and why it came, without names and figures."""
     why = str(details.get("detail") or details.get("why") or "")
--- a/src/apricotshore/queries.py
+++ b/src/apricotshore/queries.py
@@ -9,6 +9,8 @@
 from .verdicts import Verdict
 
 INTERNAL_REQUEST = RequestId("")
+# Characters of the longest shape that is used as a name; a digest has as many.
+LONGEST_NAME = 64
 
 
 class QueryKind(Enum):
@@ -101,9 +103,11 @@
         """Name under which every connection prepares this statement.
 
         A shape that is not a single alphanumeric word is replaced by its digest:
-        used as a name, it would change how the text after it is parsed.
+        used as a name, it would change how the text after it is parsed. So is a long
+        one: names are kept for each connection to a server.
         """
-        plain = self.shape.isascii() and self.shape.isalnum()
+        short = len(self.shape) <= LONGEST_NAME
+        plain = short and self.shape.isascii() and self.shape.isalnum()
         word = self.shape if plain else blake2s(self.shape.encode()).hexdigest()
         return f"{self.access.value[0]}_{word}"
 
--- a/tests/intake/test_crowds.py
+++ b/tests/intake/test_crowds.py
@@ -160,3 +160,19 @@
     text = "READ " + "k" * (LINE_LIMIT - 64)
     assert await host.ask_until_served(text)
     assert "apricotshore_callers_closed_total{" not in await host.read_metrics()
+
+
+async def test_failing_statements_with_long_request_ids(host):
+    """The journal kept the ids of failures, whatever their length, until a line."""
+    statement = b"QUERY " + b"i" * (LINE_LIMIT - 64) + b" x\r\n"
+    crowd = await open_crowd(host, 20, [START, *[statement] * 8])
+    await check(host, crowd)
+
+
+async def test_prepared_statements_with_long_shapes(host):
+    """Shapes of letters alone were kept as names on each server connection."""
+    pieces = [START]
+    for i in range(100):
+        shape = b"s%d" % i + b"s" * (LINE_LIMIT // 2)
+        pieces.append(b"QUERY p PREPARE n READ %b\r\nQUERY e EXECUTE n 1\r\n" % shape)
+    await check(host, await open_crowd(host, 6, pieces))
--- a/tests/pooling/test_caller_session.py
+++ b/tests/pooling/test_caller_session.py
@@ -34,6 +34,7 @@
         self.incoming: asyncio.Queue[Query | None] = asyncio.Queue()
         self.answers: asyncio.Queue[Answer] = asyncio.Queue()
         self.is_open = True
+        self.largest_state = 1 << 20
 
     async def receive(self) -> Query | None:
         return await self.incoming.get()
@@ -42,7 +43,7 @@
         self.answers.put_nowait(answer)
 
     def hold_state(self, size: int) -> bool:
-        return True
+        return size <= self.largest_state
 
     def close(self) -> None:
         self.is_open = False
@@ -386,3 +387,14 @@
     pause_ms = int(store_watcher.QUIET_PAUSE_S * 1_000)
     group.leaving["s1"] -= 7_000 - placement.SEND_MARGIN_MS - pause_ms
     assert not group.may_send_to_primary
+
+
+async def test_value_over_the_limit_of_a_session_is_not_kept(latest):
+    """A session could keep values until the host had no memory left."""
+    caller = latest.open()
+    caller.largest_state = 2_000
+    assert (await caller.ask(plain(QueryKind.SET, name="a", value="1"))).failure is None
+    refused = await caller.ask(plain(QueryKind.SET, name="b", value="1" * 3_000))
+    assert refused.failure is FailureCode.TOO_LARGE
+    assert (await caller.ask(read("r1"))).failure is None
+    assert latest.queries_of("r1") == [("s1", {"a": "1"})]
--- a/tests/test_pooling_settings.py
+++ b/tests/test_pooling_settings.py
@@ -61,6 +61,7 @@
     [
         ("memory = 150", "a size such as"),
         ("client-memory = 0 MB", "a size such as"),
+        ("client-memory = 1 MB", "at least 4 MB"),
         ("descriptors = none", "a whole number above 0"),
         ("answer-timeout = 10", "a duration such as"),
     ],
