--- a/src/apricotshore/services/statuspage.py
+++ b/src/apricotshore/services/statuspage.py
@@ -6,6 +6,9 @@
 from aioprometheus import Registry
 from aioprometheus.renderer import render
 
+# Connections that send nothing, or only a part of a request, are closed after this.
+IDLE_S = 60.0
+
 
 class StatusPage:
     """Serves ``/health`` and ``/metrics``.
@@ -45,7 +48,9 @@
         application = web.Application()
         application.router.add_get(self.health_path, self._handle_health)
         application.router.add_get("/metrics", self._handle_metrics)
-        self.runner = web.AppRunner(application, access_log=None)
+        self.runner = web.AppRunner(
+            application, access_log=None, keepalive_timeout=IDLE_S
+        )
         await self.runner.setup()
         host, _, port = self.address.rpartition(":")
         await web.TCPSite(self.runner, host, int(port)).start()
