--- a/tests/intake/test_connections.py
+++ b/tests/intake/test_connections.py
@@ -1,6 +1,7 @@
 """Limits as a client sees them, over real sockets in this process."""
 
 import asyncio
+import errno
 from contextlib import asynccontextmanager
 
 from apricotshore_platform import callers
@@ -117,6 +118,24 @@
         assert await late.readline() == b"READY I -\r\n"
 
 
+async def test_accepting_goes_on_after_descriptors_ran_short(monkeypatch):
+    """A listener that ends, or stays away for a second, would turn everybody away."""
+    loop = asyncio.get_running_loop()
+    failures = [OSError(errno.EMFILE, "too many files"), OSError(errno.ECONNABORTED)]
+    accept = loop.sock_accept
+
+    async def sock_accept(raw):
+        if failures:
+            raise failures.pop()
+        return await accept(raw)
+
+    monkeypatch.setattr(loop, "sock_accept", sock_accept)
+    async with listening() as (_, connect):
+        reader, _ = await connect(START)
+        assert await reader.readline() == b"READY I -\r\n"
+    assert not failures
+
+
 async def test_size_of_a_session_follows_its_values_and_names():
     """A size that only grows would refuse sessions that replace their values."""
     session = Session(database=DatabaseId("shop"))
