--- a/src/apricotshore/pooling/caller_session.py
+++ b/src/apricotshore/pooling/caller_session.py
@@ -348,6 +348,9 @@
     async def _change_session(self, query: Query) -> Answer:
         if query.kind is QueryKind.RESET:
             raise RefusedError(FailureCode.MALFORMED, "not for callers")
+        if not self.link.hold_state(self.session.measure(query)):
+            detail = "the session's values and prepared names are over the limit"
+            raise RefusedError(FailureCode.TOO_LARGE, detail)
         if query.kind is QueryKind.SET:
             await transactions.set_value(self.session.transaction, query)
         self.session.change(query)
--- a/src/apricotshore/pooling/sessions.py
+++ b/src/apricotshore/pooling/sessions.py
@@ -1,5 +1,6 @@
 """State of callers' sessions, transactions and statements."""
 
+import sys
 from collections.abc import Awaitable, Callable, Coroutine
 from dataclasses import dataclass, field
 from functools import cached_property
@@ -17,6 +18,8 @@
 from .pooled_connection import PooledConnection
 
 AdmitRate = Callable[[OrganisationId | None], Awaitable[Verdict]]
+# An entry of a table, and the object of a prepared statement.
+ENTRY_BYTES = 160
 
 
 async def admit_at_once(organisation: OrganisationId | None) -> Verdict:
@@ -127,6 +130,8 @@
         Highest log position of the session's commits.
     transaction
         Open transaction, None outside one.
+    state_bytes
+        Size of the values and prepared statements.
     """
 
     database: DatabaseId
@@ -137,6 +142,22 @@
     prepared: dict[str, PreparedShape] = field(default_factory=dict)
     log_position: LogPosition | None = None
     transaction: Transaction | None = None
+    state_bytes: int = 0
+
+    def measure(self, query: Query) -> int:
+        """Return the size of values and names after a statement, in bytes."""
+        size, name = self.state_bytes, query.name
+        if query.kind is QueryKind.RESET:
+            return 0
+        if query.kind is QueryKind.SET:
+            if name in self.values:
+                size -= _measure_entry(name, self.values[name])
+            return size + _measure_entry(name, query.value)
+        if name in self.prepared:
+            size -= _measure_entry(name, self.prepared[name].shape)
+        if query.kind is QueryKind.PREPARE and query.shape is not None:
+            size += _measure_entry(name, query.shape.shape)
+        return size
 
     @cached_property
     def admission(self) -> Admission:
@@ -147,6 +168,7 @@
 
     def change(self, query: Query) -> None:
         """Carry out a statement that changes values or prepared statements."""
+        self.state_bytes = self.measure(query)
         if query.kind is QueryKind.SET:
             self.values[query.name] = query.value
         elif query.kind is QueryKind.PREPARE and query.shape is not None:
@@ -158,6 +180,10 @@
             self.prepared.clear()
 
 
+def _measure_entry(name: str, content: str) -> int:
+    return ENTRY_BYTES + sys.getsizeof(name) + sys.getsizeof(content)
+
+
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Job:
     """A statement to run at a backend server.
--- a/src/apricotshore/pooling/settings.py
+++ b/src/apricotshore/pooling/settings.py
@@ -18,6 +18,8 @@
     read_file,
     read_sections,
 )
+from ..intake import IntakeSettings
+from .intake_settings import read_intake_settings
 
 DEFAULT_GRACE_MS = 10_000
 DEFAULT_APPLY_MS = 5_000
@@ -66,6 +68,8 @@
         Operations by which a window may exceed a rate limit beside that share.
     regions
         Region of each data centre.
+    intake
+        Limits for clients.
     """
 
     host: HostId
@@ -86,6 +90,7 @@
     limit_excess: float = 0.0
     limit_slack: int = 0
     regions: dict[DataCentreId, str] = field(default_factory=dict)
+    intake: IntakeSettings = field(default_factory=IntakeSettings)
 
     @property
     def freshness_bounds(self) -> Bounds:
@@ -155,6 +160,7 @@
         }
         if regions
         else {},
+        intake=read_intake_settings(host),
     )
     if problems:
         raise InvalidFileError(problems)
--- a/src/apricotshore/services/statuspage.py
+++ b/src/apricotshore/services/statuspage.py
@@ -10,8 +10,9 @@
 from aioprometheus.renderer import render
 
 READ_BYTES = 1 << 14
-# Time for a whole request, and for the client to take the answer.
-EXCHANGE_TIMEOUT_S = 10.0
+# Connections that send nothing, or only a part of a request, or that don't take the
+# answer, are closed after this.
+IDLE_S = 60.0
 # Connections at once; further ones are closed.
 MAX_CONNECTIONS = 64
 METRICS_PATH = "/metrics"
@@ -103,7 +104,7 @@
     ) -> None:
         state = h11.Connection(our_role=h11.SERVER)
         while True:
-            async with asyncio.timeout(EXCHANGE_TIMEOUT_S):
+            async with asyncio.timeout(IDLE_S):
                 request = await _read_request(state, reader)
                 if request is None:
                     return
