Decide rejections during an outage by its expected end

Statements for a group without a primary were rejected after 24 % of their objective, with a hint that fell to 50 ms once 2 s had passed. In outages of 3 and 5 s callers used up both retries before the primary was back.

With early-rejection = yes a host learns how long outages last, waits for up to 70 % of the objective, or all of it where the expected end lies within, and spreads the hints past that end by a hash of the request id.

--- a/src/apricotshore/pooling/host_groups.py
+++ b/src/apricotshore/pooling/host_groups.py
@@ -120,6 +120,7 @@
                 group.prover = PrimaryProver(group=group)
             group.gates.update(self.early_gates.take(name))
             group.check_loop = self.check_loop
+            group.early_rejection = self.settings.early_rejection
             self.groups[name] = group
             group.set_leave_bounds(self.settings.leave_ms, self.settings.window_ms)
             self.configure(group)
@@ -207,6 +208,7 @@
         self.settings = settings
         for group in self.groups.values():
             group.set_leave_bounds(settings.leave_ms, settings.window_ms)
+            group.early_rejection = settings.early_rejection
 
     def observe_loop_stall(self, stall: Stall) -> None:
         """Tell all groups of a time in which this process stood still."""
--- a/src/apricotshore/pooling/journal.py
+++ b/src/apricotshore/pooling/journal.py
@@ -50,6 +50,7 @@
     PRIMARY_SILENT = "lead-silent"
     PRIMARY_PROOF = "lead-proof"
     PRIMARY_REPLACED = "lead-replaced"
+    OUTAGE_ENDED = "outage-ended"
     QUIESCED = "quiesced"
     PROMOTION = "promotion"
     PRIMARY_CHANGE = "handover"
--- a/src/apricotshore/pooling/primary_access.py
+++ b/src/apricotshore/pooling/primary_access.py
@@ -6,6 +6,7 @@
 from ..identifiers import ServerId
 from ..queries import FailureCode, Query
 from ..services.clock import read_boot_ms
+from . import group_outages
 from .group import Group
 from .log_waits import waits_for_logs
 from .pool import ServerPool
@@ -18,8 +19,22 @@
 PROOF_ATTEMPTS = 2
 
 
-def refuse_without_primary(group: Group | None, detail: str) -> RefusedError:
-    """Return the error for a statement when no primary answers."""
+def refuse_without_primary(
+    group: Group | None, detail: str, request: str = ""
+) -> RefusedError:
+    """Return the error for a statement when no primary answers.
+
+    Parameters
+    ----------
+    group
+        The group, None when it is unknown.
+    detail
+        What is wrong.
+    request
+        Request id, which spreads the callers' returns.
+    """
+    if group is not None and group.early_rejection:
+        return group_outages.refuse(group, detail, request)
     since = None
     if group is not None:
         since = group.primary_state.silent_since or group.no_primary_since
@@ -27,10 +42,10 @@
     return refuse_overloaded(detail, retry_ms)
 
 
-def _check_primary_stays(group: Group) -> None:
+def _check_primary_stays(group: Group, job: Job) -> None:
     """Raise `RefusedError` if the primary may end before a statement reaches it."""
     if not group.may_send_to_primary:
-        raise refuse_without_primary(group, "the primary is leaving")
+        raise refuse_without_primary(group, "the primary is leaving", job.query.request)
 
 
 def _describe_primary(pool: ServerPool | None) -> str:
@@ -50,21 +65,27 @@
     RefusedError
         When no primary answers by then, it is about to end, or nobody may lead soon.
     """
+    held = group_outages.Hold(group=group, job=job)
     while True:
         primary = group.primary
         pool = group.pools.get(primary) if primary is not None else None
-        _check_primary_stays(group)
+        _check_primary_stays(group, job)
         is_led = pool is not None and group.primary_state.silent_since is None
         is_shut = pool is not None and pool.gate.is_shut
         if pool is not None and is_led and not is_shut:
+            held.end()
             return pool
-        if waits_for_logs(group):
+        if group.early_rejection:
+            left_ms = held.find_left_ms(_describe_primary(pool))
+        elif waits_for_logs(group):
             detail = _describe_primary(pool)
             raise refuse_overloaded(detail, wait_queue.LOG_RETRY_MS)
-        now = read_boot_ms()
-        left_ms = job.expires_at - now
+        else:
+            left_ms = job.expires_at - read_boot_ms()
         if left_ms <= 0:
-            raise refuse_without_primary(group, _describe_primary(pool))
+            raise refuse_without_primary(
+                group, _describe_primary(pool), job.query.request
+            )
         if pool is not None and is_led:
             await pool.gate.wait_until_open(left_ms)
             continue
@@ -114,7 +135,7 @@
             group.observe_silence(server, asked_at)
             continue
         try:
-            _check_primary_stays(group)
+            _check_primary_stays(group, job)
             failed = await prepare_link(
                 group, pool, pooled, session, job.shape, begin, None
             )
@@ -137,7 +158,7 @@
             group.observe_denial(server)
     if full:
         raise refuse_overloaded(detail, wait_queue.MIN_RETRY_MS)
-    raise refuse_without_primary(group, detail)
+    raise refuse_without_primary(group, detail, job.query.request)
 
 
 async def open_proven_primary(
@@ -168,4 +189,4 @@
             return pool, pooled
         if proven is None or read_boot_ms() >= job.expires_at:
             break
-    raise refuse_without_primary(group, "no proof of the primary")
+    raise refuse_without_primary(group, "no proof of the primary", job.query.request)
--- a/src/apricotshore/pooling/primary_observer.py
+++ b/src/apricotshore/pooling/primary_observer.py
@@ -11,6 +11,7 @@
 from ..decisions.primary_proof import PrimaryProof
 from ..groups import LogPosition
 from ..identifiers import GroupId, ServerId, Term
+from ..outages import OutageHistory
 from ..routes import ListedServer
 from ..services.clock import read_boot_ms
 from .journal import EventKind, Journal
@@ -58,6 +59,10 @@
         self.primary_confirmed = asyncio.Event()
         self.probe_wanted = asyncio.Event()
         self.no_primary_since: int | None = None
+        # Whether statements are rejected by what is known of an outage.
+        self.early_rejection = False
+        self.outages = OutageHistory()
+        self.outage_rejections = 0
         # Why this host's change found that nobody may be ordered, `NO_WAIT` if somebody
         # may be, None while it isn't known.
         self.log_wait: str | None = None
--- a/src/apricotshore/pooling/prober.py
+++ b/src/apricotshore/pooling/prober.py
@@ -8,6 +8,7 @@
 from ..decisions.primary_proof import ProbeResult
 from ..identifiers import ServerId
 from ..services.clock import read_boot_ms
+from . import group_outages
 from .group import Group
 from .primary_prover import probe_server
 from .supervision import keep_running
@@ -43,6 +44,8 @@
             if self._is_due():
                 self.group.probe_wanted.clear()
                 await self.probe()
+            if self.group.early_rejection:
+                group_outages.observe(self.group)
             try:
                 async with asyncio.timeout(TICK_S):
                     await self.group.probe_wanted.wait()
--- a/src/apricotshore/pooling/sessions.py
+++ b/src/apricotshore/pooling/sessions.py
@@ -123,6 +123,13 @@
         self.detail = detail
 
 
+@dataclass(kw_only=True, slots=True)
+class HeldTime:
+    """Time for which a statement waited for the end of an outage, in milliseconds."""
+
+    ms: int = 0
+
+
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Job:
     """A statement to run at a backend server.
@@ -139,6 +146,8 @@
         When it was read from the caller, in milliseconds since boot.
     writes
         Whether it may change data.
+    held
+        How long it waited for the end of an outage; no other wait is shortened by it.
     """
 
     query: Query
@@ -146,6 +155,7 @@
     route: Route
     arrived_at: int
     writes: bool = False
+    held: HeldTime = field(default_factory=HeldTime, compare=False)
 
     @property
     def deadline_at(self) -> int:
@@ -155,16 +165,14 @@
     @property
     def expires_at(self) -> int:
         """Until when it may wait for a connection."""
-        return self.arrived_at + wait_queue.limit_wait(
-            self.route.target_ms, self.route.timeout_ms
-        )
+        limit = wait_queue.limit_wait(self.route.target_ms, self.route.timeout_ms)
+        return min(self.deadline_at, self.arrived_at + limit + self.held.ms)
 
     @property
     def offer_until(self) -> int:
         """Until when it may be retried at servers that are full."""
-        return self.arrived_at + wait_queue.limit_retries(
-            self.route.target_ms, self.route.timeout_ms
-        )
+        limit = wait_queue.limit_retries(self.route.target_ms, self.route.timeout_ms)
+        return min(self.deadline_at, self.arrived_at + limit + self.held.ms)
 
 
 def later_position(
--- a/src/apricotshore/pooling/settings.py
+++ b/src/apricotshore/pooling/settings.py
@@ -63,6 +63,8 @@
         Share of a rate limit by which a window may exceed it, from 0 to 1.
     limit_slack
         Operations by which a window may exceed a rate limit beside that share.
+    early_rejection
+        Whether statements wait or are rejected by the expected end of an outage.
     regions
         Region of each data centre.
     """
@@ -84,6 +86,7 @@
     limit_window_ms: int = 0
     limit_excess: float = 0.0
     limit_slack: int = 0
+    early_rejection: bool = False
     regions: dict[DataCentreId, str] = field(default_factory=dict)
 
     def locate(self, data_centre: DataCentreId) -> Distance:
@@ -141,6 +144,7 @@
         limit_window_ms=host.read("rate-limit-window", parse_duration, 0),
         limit_excess=host.read("rate-limit-excess", parse_share, 0.0),
         limit_slack=host.read("rate-limit-slack", parse_amount, 0),
+        early_rejection=host.read("early-rejection", parse_flag, False),
         regions={
             DataCentreId(name): regions.read(name, parse_name)
             for name in (regions.values if regions else {})
