Decide which share of reads leaves the data centre

Reads went to the server with the least expected time. A queue of 40 ms sent them to another region, in swings, and a server that shed half of its reads lost most of the others.

With spillover = yes a host decides two shares for each group, beyond the data centre and beyond the region, from the response times of answered reads, their age, the latency objective and prices, with hysteresis. Rejections go on to the next server and move no share. A metric and a log line show the shares.

--- a/src/apricotshore/pooling/group.py
+++ b/src/apricotshore/pooling/group.py
@@ -7,6 +7,7 @@
 from ..services.clock import read_boot_ms
 from .change_counts import ChangeCounts
 from .group_pools import GroupPools, Locate
+from .group_spillover import GroupSpillover
 from .journal import EventKind, Journal
 from .leaving_servers import LeavingServers
 from .pool import ServerPool
@@ -49,6 +50,8 @@
         )
         self.leaving_servers = LeavingServers()
         self.changes = ChangeCounts()
+        # Set where the settings ask for it.
+        self.spillover: GroupSpillover | None = None
         self.promotions = Promotions()
         # A log may have been lost before this host started, unknown to it.
         self.members = log_members.begin_members(read_boot_ms())
@@ -209,7 +212,9 @@
 
     def rank_readers(self) -> list[ServerPool]:
         """Return the pools of servers that may serve a read, the best first."""
-        pools = self.pools.values()
-        loads = [pool.load for pool in pools if not pool.gate.is_shut]
+        pools = [pool for pool in self.pools.values() if not pool.gate.is_shut]
+        if self.spillover is not None:
+            return self.spillover.rank(pools, self.primary)
+        loads = [pool.load for pool in pools]
         ranked = placement.rank_readers(loads, self.primary, read_boot_ms())
         return [self.pools[load.server] for load in ranked]
--- a/src/apricotshore/pooling/host_groups.py
+++ b/src/apricotshore/pooling/host_groups.py
@@ -9,14 +9,16 @@
 from ..decisions.loop_stalls import Stall
 from ..decisions.relays import Fleet
 from ..identifiers import GroupId, ServerId
-from ..routes import ListedServer
+from ..routes import DEFAULT_TARGET_MS, ListedServer
 from ..services.eras import EraTracker
+from ..spillover import Prices
 from . import promotion_summary
 from .adapters import Adapters
 from .detours import Detours
 from .early_gates import EarlyGates
 from .fleet_asker import FleetAsker
 from .group import Group
+from .group_spillover import GroupSpillover
 from .host_watcher import HostWatcher
 from .journal import Journal
 from .open_changes import OpenChanges
@@ -120,7 +122,7 @@
                 group.prover = PrimaryProver(group=group)
             group.gates.update(self.early_gates.take(name))
             group.check_loop = self.check_loop
-            group.early_rejection = self.settings.early_rejection
+            self._apply_options(group)
             self.groups[name] = group
             group.set_leave_bounds(self.settings.leave_ms, self.settings.window_ms)
             self.configure(group)
@@ -192,6 +194,7 @@
             count = relays.count_relays(self.fleet, settings.connections)
             group.all_pools.set_relay_count(count)
             group.all_pools.update_relayed(self.dialer.is_relayed)
+        self._set_objective(group)
         group.sample_period_ms = position_history.choose_period_ms(
             route.staleness_ms
             for route in configuration.routes.values()
@@ -208,7 +211,36 @@
         self.settings = settings
         for group in self.groups.values():
             group.set_leave_bounds(settings.leave_ms, settings.window_ms)
-            group.early_rejection = settings.early_rejection
+            self._apply_options(group)
+            self._set_objective(group)
+
+    def _apply_options(self, group: Group) -> None:
+        """Have a group serve as the settings ask for it."""
+        settings = self.settings
+        group.early_rejection = settings.early_rejection
+        if not settings.spillover:
+            group.spillover = None
+            return
+        prices = Prices(hop_ms=settings.hop_price_ms, kib_ms=settings.kib_price_ms)
+        if group.spillover is None:
+            group.spillover = GroupSpillover(
+                group=group.group, journal=self.journal, prices=prices
+            )
+        group.spillover.prices = prices
+
+    def _set_objective(self, group: Group) -> None:
+        """Take the shortest latency objective of the routes whose reads may leave."""
+        if group.spillover is None:
+            return
+        routes = self.sources.store_watcher.configuration.routes.values()
+        group.spillover.objective_ms = min(
+            (
+                r.target_ms
+                for r in routes
+                if r.group == group.group and r.reads_replicas
+            ),
+            default=DEFAULT_TARGET_MS,
+        )
 
     def observe_loop_stall(self, stall: Stall) -> None:
         """Tell all groups of a time in which this process stood still."""
--- a/src/apricotshore/pooling/journal.py
+++ b/src/apricotshore/pooling/journal.py
@@ -34,6 +34,7 @@
     STOPPING = "stopping"
     STOPPED = "stopped"
     RELOADED = "reloaded"
+    SPILLOVER = "spillover"
     STORE_LOST = "store-lost"
     STORE_BACK = "store-back"
     STORE_RESTORED = "store-restored"
--- a/src/apricotshore/pooling/metrics.py
+++ b/src/apricotshore/pooling/metrics.py
@@ -91,6 +91,11 @@
             "Whether nobody may lead until the log of a server is back, by group",
             registry=registry,
         )
+        self.spillover = Gauge(
+            "apricotshore_spillover_share",
+            "Share of reads that is sent beyond a distance, by group",
+            registry=registry,
+        )
 
     def observe(self, query: Query, answer: Answer, took_ms: int) -> None:
         """Count an answered statement and its latency."""
@@ -120,6 +125,10 @@
         labels = {"group": group.group}
         self.term.set(labels, group.primary_state.term)
         self.waits_for_logs.set(labels, int(waits_for_logs(group)))
+        if group.spillover is not None:
+            for distance, share in group.spillover.shares.beyond.items():
+                beyond = {"beyond": distance.name.lower()}
+                self.spillover.set({**labels, **beyond}, share)
         for (reason, outcome), count in group.changes.outcomes.items():
             self.changes.set({**labels, "reason": reason, "outcome": outcome}, count)
         self.short_promotions.set(labels, group.changes.short_promotions)
--- a/src/apricotshore/pooling/pool.py
+++ b/src/apricotshore/pooling/pool.py
@@ -4,14 +4,16 @@
 import itertools
 from collections.abc import Callable
 
+from .. import spillover
 from ..decisions import placement, quota, wait_queue
 from ..decisions.placement import ServerLoad
 from ..decisions.quota import ConnectionQuota
 from ..decisions.wait_queue import Waiter, WaitQueue
 from ..groups import LogPosition
-from ..queries import Answer, FailureCode, Query
+from ..queries import Answer, FailureCode, Query, QueryKind
 from ..routes import ListedServer
 from ..services.clock import read_boot_ms
+from ..spillover import ServerTimes
 from .pooled_connection import NoConnectionError, PooledConnection, WithheldError
 from .ports import ConnectionLostError, ConnectionRejectedError, Dialer
 from .server_gate import ServerGate
@@ -23,6 +25,8 @@
 # The server keeps prepared statements per connection until it is reset: a
 # connection with this many is reset.
 PREPARED_LIMIT = 200
+# Statements that read where they come with a position to be reached.
+_READS = frozenset({QueryKind.READ, QueryKind.EXECUTE})
 
 
 class ServerPool:
@@ -62,6 +66,7 @@
         self.quota = ConnectionQuota(limit=limit)
         self.relayed = False
         self.wait_queue = WaitQueue()
+        self.times = ServerTimes()
         self.idle: list[PooledConnection] = []
         self.used: set[int] = set()
         self.opening = 0
@@ -236,12 +241,26 @@
             self.gate.leave(number)
         now = read_boot_ms()
         placement.observe_answer(self.load, now - began, now)
+        if after is not None:
+            self._observe_reads(queries, answers, now - began)
         if any(a.failure is FailureCode.OVERLOADED for a in answers):
             placement.observe_full(self.load, now)
         if any(a.log_position is not None for a in answers):
             self.on_answer()
         return answers
 
+    def _observe_reads(
+        self, queries: list[Query], answers: list[Answer], took_ms: int
+    ) -> None:
+        """Record the response time and size of a read, or that it was shed."""
+        if any(answer.failure is FailureCode.OVERLOADED for answer in answers):
+            spillover.observe_full(self.times)
+        elif any(query.kind in _READS for query in queries) and not any(
+            answer.failure for answer in answers
+        ):
+            size = sum(len(row) for answer in answers for row in answer.rows)
+            spillover.observe_answer(self.times, took_ms, size, read_boot_ms())
+
     async def run_alone(
         self,
         query: Query,
--- a/src/apricotshore/pooling/settings.py
+++ b/src/apricotshore/pooling/settings.py
@@ -22,6 +22,8 @@
 DEFAULT_APPLY_MS = 5_000
 DEFAULT_LEAVE_MS = 10_000
 DEFAULT_WINDOW_MS = 5_000
+DEFAULT_HOP_PRICE_MS = 50
+DEFAULT_KIB_PRICE_MS = 10
 SECTION = "pooling-host"
 REGIONS = "regions"
 
@@ -65,6 +67,10 @@
         Operations by which a window may exceed a rate limit beside that share.
     early_rejection
         Whether statements wait or are rejected by the expected end of an outage.
+    spillover
+        Whether reads leave the data centre by price and expected response time.
+    hop_price_ms, kib_price_ms
+        Prices of a hop and of 1,024 bytes over one, as response time in milliseconds.
     regions
         Region of each data centre.
     """
@@ -87,6 +93,9 @@
     limit_excess: float = 0.0
     limit_slack: int = 0
     early_rejection: bool = False
+    spillover: bool = False
+    hop_price_ms: int = DEFAULT_HOP_PRICE_MS
+    kib_price_ms: int = DEFAULT_KIB_PRICE_MS
     regions: dict[DataCentreId, str] = field(default_factory=dict)
 
     def locate(self, data_centre: DataCentreId) -> Distance:
@@ -145,6 +154,13 @@
         limit_excess=host.read("rate-limit-excess", parse_share, 0.0),
         limit_slack=host.read("rate-limit-slack", parse_amount, 0),
         early_rejection=host.read("early-rejection", parse_flag, False),
+        spillover=host.read("spillover", parse_flag, False),
+        hop_price_ms=host.read(
+            "spillover-hop-price", parse_duration, DEFAULT_HOP_PRICE_MS
+        ),
+        kib_price_ms=host.read(
+            "spillover-kib-price", parse_duration, DEFAULT_KIB_PRICE_MS
+        ),
         regions={
             DataCentreId(name): regions.read(name, parse_name)
             for name in (regions.values if regions else {})
--- a/tests/test_pooling_settings.py
+++ b/tests/test_pooling_settings.py
@@ -65,3 +65,13 @@
     text = GOOD.replace("[regions]", "fenced = maybe\n\n[regions]")
     with pytest.raises(InvalidFileError, match="maybe"):
         parse_pooling_settings(text, "host.ini")
+
+
+def test_new_ways_of_serving_are_off_unless_the_settings_ask_for_them():
+    settings = parse_pooling_settings(GOOD, "host.ini")
+    assert not (settings.early_rejection or settings.spillover)
+    lines = "early-rejection = yes\nspillover = yes\nspillover-hop-price = 20 ms\n"
+    text = GOOD.replace("[regions]", f"{lines}\n[regions]")
+    settings = parse_pooling_settings(text, "host.ini")
+    assert settings.early_rejection and settings.spillover
+    assert (settings.hop_price_ms, settings.kib_price_ms) == (20, 10)
