Show where a pooling host would send a request now

Operators could only read from logs where earlier requests went. The command apricotshore route asks the live process at its metrics address, which ranks with the state and functions that route requests, sends nothing and counts no read. It prints each server's rank, the inputs and their ages, as text or JSON.

--- a/src/apricotshore/cli.py
+++ b/src/apricotshore/cli.py
@@ -7,6 +7,7 @@
 from collections.abc import Awaitable, Callable
 from contextlib import suppress
 from dataclasses import asdict, fields
+from http import HTTPStatus
 from pathlib import Path
 from typing import Annotated, TypeVar
 
@@ -38,11 +39,13 @@
 from .load.runner import EntryHost
 from .logs import make_handler
 from .pooling.change_story import tell_changes
+from .pooling.route_report import RequestKind, format_report
 from .pooling.settings import load_pooling_settings
 from .pooling.trace import explain_request, read_records, select_records
 from .services import operations
 from .services.application import Application
 from .services.clock import read_wall_ms
+from .services.jsonapi import JsonAnswer, JsonClient, NoAnswerError
 from .services.peers import (
     PeerLinks,
     PeerLostError,
@@ -55,6 +58,7 @@
 T = TypeVar("T")
 
 CRASH_CHECK_S = 1.0
+ROUTE_TIMEOUT_S = 2.0
 
 app = App(name="apricotshore", version=__version__, help="Database proxy.")
 settings_app = App(name="settings", help="Check and show a host's settings.")
@@ -451,6 +455,61 @@
         )
 
 
+@app.command
+def route(
+    address: str,
+    database: str,
+    *,
+    kind: RequestKind = RequestKind.READ,
+    organisation: str = "",
+    position: str = "",
+    as_json: Annotated[bool, Parameter("--json")] = False,
+) -> None:
+    """Show where a pooling host would send a request now, and why.
+
+    Parameters
+    ----------
+    address
+        The host's metrics address, ip:port.
+    database
+        Database of the request.
+    kind
+        read, read-transaction, write or transaction.
+    organisation
+        Organisation of the caller.
+    position
+        Log position of the session's last commit, such as 9.3289.
+    as_json
+        Print the report as JSON.
+    """
+    request = {
+        "database": database,
+        "kind": kind.value,
+        "organisation": organisation,
+        "position": position,
+    }
+
+    async def ask() -> JsonAnswer:
+        client = JsonClient()
+        try:
+            return await client.call(
+                "GET", f"http://{address}/route", ROUTE_TIMEOUT_S, params=request
+            )
+        finally:
+            await client.close()
+
+    try:
+        parse_address(address)
+        answer = asyncio.run(ask())
+    except ValueError as error:
+        raise ApricotshoreError(str(error)) from None
+    except NoAnswerError as error:
+        raise ApricotshoreError(f"no report from {address}: {error}") from None
+    if answer.status != HTTPStatus.OK:
+        raise ApricotshoreError(f"{address}: {answer.body.get('error')}")
+    print(json.dumps(answer.body) if as_json else "\n".join(format_report(answer.body)))
+
+
 @settings_app.command(name="check-pooling")
 def check_pooling(settings_file: Path) -> None:
     """Check and show the settings of a pooling host."""
--- a/src/apricotshore/pooling/group.py
+++ b/src/apricotshore/pooling/group.py
@@ -218,3 +218,10 @@
         loads = [pool.load for pool in pools]
         ranked = placement.rank_readers(loads, self.primary, read_boot_ms())
         return [self.pools[load.server] for load in ranked]
+
+    def preview_readers(self) -> list[ServerPool]:
+        """Return what `rank_readers` would for the next read, which isn't counted."""
+        if self.spillover is None:
+            return self.rank_readers()
+        pools = [pool for pool in self.pools.values() if not pool.gate.is_shut]
+        return self.spillover.preview(pools, self.primary)
--- a/src/apricotshore/pooling/group_outages.py
+++ b/src/apricotshore/pooling/group_outages.py
@@ -2,7 +2,7 @@
 
 from .. import outages
 from ..decisions import wait_queue
-from ..outages import Cause, Timing
+from ..outages import Cause, Reject, Timing, Wait
 from ..services.clock import read_boot_ms
 from .group import Group
 from .journal import EventKind
@@ -56,6 +56,19 @@
     return refuse_overloaded(detail, retry_ms)
 
 
+def decide(group: Group, job: Job, now: int) -> Wait | Reject:
+    """Return whether a statement waits for the end of the group's current outage."""
+    route = job.route
+    limit_ms = wait_queue.limit_wait(route.target_ms, route.timeout_ms)
+    timing = Timing(
+        arrived_at=job.arrived_at,
+        expires_at=job.arrived_at + limit_ms,
+        objective_at=job.arrived_at + route.target_ms,
+        deadline_at=job.deadline_at,
+    )
+    return outages.decide(group.outages, timing, job.query.request, now)
+
+
 class Hold:
     """Wait of one statement for the end of an outage.
 
@@ -84,16 +97,8 @@
         observe(group)
         if group.outages.current is None:
             return job.expires_at - now
-        route = job.route
-        limit_ms = wait_queue.limit_wait(route.target_ms, route.timeout_ms)
-        timing = Timing(
-            arrived_at=job.arrived_at,
-            expires_at=job.arrived_at + limit_ms,
-            objective_at=job.arrived_at + route.target_ms,
-            deadline_at=job.deadline_at,
-        )
-        found = outages.decide(group.outages, timing, job.query.request, now)
-        if isinstance(found, outages.Wait):
+        found = decide(group, job, now)
+        if isinstance(found, Wait):
             return max(1, found.until - now)
         group.outage_rejections += 1
         raise refuse_overloaded(detail, found.retry_ms)
--- a/src/apricotshore/pooling/group_spillover.py
+++ b/src/apricotshore/pooling/group_spillover.py
@@ -1,6 +1,7 @@
 """Reads of a group that leave the data centre, as its host decides it."""
 
 from collections.abc import Iterable
+from dataclasses import replace
 
 from .. import spillover
 from ..identifiers import GroupId, ServerId
@@ -49,14 +50,50 @@
             The primary, None while it is unknown.
         """
         now = read_boot_ms()
-        staying = {p.load.server: p for p in pools if not p.load.leaving}
-        candidates = [Candidate(load=p.load, times=p.times) for p in staying.values()]
-        tiers = spillover.list_tiers(candidates, primary, now)
+        staying, tiers = self._list_tiers(pools, primary, now)
         if spillover.update(self.shares, tiers, self.objective_ms, self.prices, now):
             self.unrecorded = True
         self._record(tiers, now)
-        ranked = spillover.rank_readers(self.shares, candidates, tiers, primary, now)
-        return [staying[candidate.load.server] for candidate in ranked]
+        return self._rank(self.shares, staying, tiers, primary, now)
+
+    def preview(
+        self, pools: Iterable[ServerPool], primary: ServerId | None
+    ) -> list[ServerPool]:
+        """Return what `rank` would for the next read at the present shares."""
+        now = read_boot_ms()
+        staying, tiers = self._list_tiers(pools, primary, now)
+        return self._rank(replace(self.shares), staying, tiers, primary, now)
+
+    def describe(self) -> dict[str, object]:
+        """Return the shares, and what they depend on beside the servers."""
+        now = read_boot_ms()
+        return {
+            **spillover.describe(self.shares, []),
+            "decided_age_ms": now - self.shares.updated_at,
+            "objective_ms": self.objective_ms,
+            "hop_price_ms": self.prices.hop_ms,
+            "kib_price_ms": self.prices.kib_ms,
+        }
+
+    def _list_tiers(
+        self, pools: Iterable[ServerPool], primary: ServerId | None, now: int
+    ) -> tuple[list[ServerPool], list[Tier]]:
+        staying = [pool for pool in pools if not pool.load.leaving]
+        candidates = [Candidate(load=p.load, times=p.times) for p in staying]
+        return staying, spillover.list_tiers(candidates, primary, now)
+
+    def _rank(
+        self,
+        shares: Shares,
+        pools: list[ServerPool],
+        tiers: list[Tier],
+        primary: ServerId | None,
+        now: int,
+    ) -> list[ServerPool]:
+        by_server = {pool.load.server: pool for pool in pools}
+        candidates = [Candidate(load=p.load, times=p.times) for p in pools]
+        ranked = spillover.rank_readers(shares, candidates, tiers, primary, now)
+        return [by_server[candidate.load.server] for candidate in ranked]
 
     def _record(self, tiers: list[Tier], now: int) -> None:
         if not self.unrecorded or now - self.recorded_at < LINE_PERIOD_MS:
--- a/src/apricotshore/pooling/host.py
+++ b/src/apricotshore/pooling/host.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import gc
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 
 from aioprometheus import Registry
 from mode import Service
@@ -27,6 +27,7 @@
 from .promotion_line import record_again, repeat_latest
 from .readiness import Readiness
 from .relay_dialer import RelayDialer
+from .route_report import report_route
 from .sessions import Context
 from .settings import PoolingSettings
 from .store_followers import make_sources
@@ -118,7 +119,7 @@
 
     def _prepare_serving(self) -> None:
         """Make what serves callers and other hosts, and what ends their sessions."""
-        context = Context(
+        self.context = context = Context(
             host=self.settings.host,
             find_group=self.groups.get,
             configuration=lambda: self.store_watcher.configuration,
@@ -316,6 +317,10 @@
         record_again(self.journal, self.host_groups.list_promotions())
         self.journal.flush()
 
+    def report_route(self, request: Mapping[str, str]) -> dict[str, object]:
+        """Return where a request would go now; see `route_report.report_route`."""
+        return report_route(self.context, request)
+
     def refresh_metrics(self) -> None:
         """Update the gauges."""
         self.metrics.refresh(
