Count rejections of an outage only while it lasts

Rejections before an outage, for a primary that leaves, were told in the line of the next one. The note says where the longest hint cuts the spread.

--- a/src/apricotshore/outages/refusals.py
+++ b/src/apricotshore/outages/refusals.py
@@ -11,7 +11,7 @@
 # can't be told. The rest is left for the queue of those that waited with it.
 WAIT_SHARE_OF_TARGET = 0.7
 # Callers return spread over this multiple of the time that the outage will have lasted,
-# so that returns take no more than half of what arrives anyway.
+# so that returns add no more than half of what arrives anyway, up to the longest hint.
 SPREAD_SHARE = 2.0
 SHORTEST_SPREAD_MS = 100
 LONGEST_RETRY_MS = 6_000
--- a/src/apricotshore/pooling/group_outages.py
+++ b/src/apricotshore/pooling/group_outages.py
@@ -51,7 +51,7 @@
 
 def refuse(group: Group, detail: str, request: str) -> RefusedError:
     """Return the rejection of a statement, with a hint past the expected end."""
-    group.outage_rejections += 1
+    group.outage_rejections += group.outages.current is not None
     retry_ms = outages.advise_retry_ms(group.outages, request, read_boot_ms())
     return refuse_overloaded(detail, retry_ms)
 
