--- a/src/apricotshore/pooling/sessions.py
+++ b/src/apricotshore/pooling/sessions.py
@@ -184,6 +184,13 @@
     return ENTRY_BYTES + sys.getsizeof(name) + sys.getsizeof(content)
 
 
+@dataclass(kw_only=True, slots=True)
+class HeldTime:
+    """Time for which a statement waited for the end of an outage, in milliseconds."""
+
+    ms: int = 0
+
+
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Job:
     """A statement to run at a backend server.
@@ -203,6 +210,8 @@
     check
         Called right before it is forwarded; raises `RefusedError` if its caller may not
         be served any more.
+    held
+        How long it waited for the end of an outage; no other wait is shortened by it.
     """
 
     query: Query
@@ -211,6 +220,7 @@
     arrived_at: int
     writes: bool = False
     check: Callable[[], None] = lambda: None
+    held: HeldTime = field(default_factory=HeldTime, compare=False)
 
     @property
     def deadline_at(self) -> int:
@@ -220,16 +230,14 @@
     @property
     def expires_at(self) -> int:
         """Until when it may wait for a connection."""
-        return self.arrived_at + wait_queue.limit_wait(
-            self.route.target_ms, self.route.timeout_ms
-        )
+        limit = wait_queue.limit_wait(self.route.target_ms, self.route.timeout_ms)
+        return min(self.deadline_at, self.arrived_at + limit + self.held.ms)
 
     @property
     def offer_until(self) -> int:
         """Until when it may be retried at servers that are full."""
-        return self.arrived_at + wait_queue.limit_retries(
-            self.route.target_ms, self.route.timeout_ms
-        )
+        limit = wait_queue.limit_retries(self.route.target_ms, self.route.timeout_ms)
+        return min(self.deadline_at, self.arrived_at + limit + self.held.ms)
 
 
 def later_position(
--- a/src/apricotshore/services/statuspage.py
+++ b/src/apricotshore/services/statuspage.py
@@ -1,14 +1,18 @@
 """HTTP server for the load balancer's health check and for metrics."""
 
 import asyncio
-from collections.abc import Callable
+import json
+from collections.abc import Callable, Mapping
 from contextlib import suppress
 from dataclasses import dataclass, field
+from urllib.parse import parse_qsl
 
 import h11
 from aioprometheus import Registry
 from aioprometheus.renderer import render
 
+from ..exceptions import ApricotshoreError
+
 READ_BYTES = 1 << 14
 # Connections that send nothing, or only a part of a request, or that don't take the
 # answer, are closed after this.
@@ -16,6 +20,9 @@
 # Connections at once; further ones are closed.
 MAX_CONNECTIONS = 64
 METRICS_PATH = "/metrics"
+ROUTE_PATH = "/route"
+
+ReportRoute = Callable[[Mapping[str, str]], dict[str, object]]
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -36,7 +43,7 @@
 
 
 class StatusPage:
-    """Serves ``/health`` and ``/metrics``.
+    """Serves ``/health`` and ``/metrics``, and ``/route`` where there is a report.
 
     Parameters
     ----------
@@ -50,6 +57,8 @@
         Updates the metrics before they are rendered.
     health_path
         Path of the health check.
+    report_route
+        Returns where a request with these parameters would go, None without a page.
     """
 
     def __init__(
@@ -60,6 +69,7 @@
         is_ready: Callable[[], bool],
         refresh: Callable[[], None],
         health_path: str = "/health",
+        report_route: ReportRoute | None = None,
     ) -> None:
         self.address = address
         self.registry = registry
@@ -115,7 +125,7 @@
             state.start_next_cycle()
 
     def _make_page(self, request: h11.Request) -> Page:
-        path = request.target.decode("latin-1").partition("?")[0]
+        path, _, query = request.target.decode("latin-1").partition("?")
         if request.method != b"GET":
             return Page(status=405, body=b"use GET\n", headers={"Allow": "GET"})
         if path == self.health_path:
@@ -129,9 +139,20 @@
             ]
             body, headers = render(self.registry, accepts)
             return Page(status=200, body=body, headers=dict(headers))
+        if path == ROUTE_PATH and self.report_route is not None:
+            return _make_route_page(self.report_route, dict(parse_qsl(query)))
         return Page(status=404, body=b"no such page\n")
 
 
+def _make_route_page(report_route: ReportRoute, parameters: dict[str, str]) -> Page:
+    headers = {"Content-Type": "application/json"}
+    try:
+        status, content = 200, report_route(parameters)
+    except ApricotshoreError as error:
+        status, content = 404, {"error": str(error)}
+    return Page(status=status, body=json.dumps(content).encode(), headers=headers)
+
+
 async def _read_request(
     state: h11.Connection, reader: asyncio.StreamReader
 ) -> h11.Request | None:
