Let large fleets share what few hosts read from the store

With share-store-reads-from = 100 a fleet of that size proves its configuration as where keys are revoked, but refuses nothing. Not measured yet.

--- a/src/apricotshore/freshness/bounds.py
+++ b/src/apricotshore/freshness/bounds.py
@@ -66,7 +66,12 @@
 
 
 def derive_bounds(
-    revoke_ms: int, apply_ms: int, leave_ms: int, window_ms: int
+    revoke_ms: int,
+    apply_ms: int,
+    leave_ms: int,
+    window_ms: int,
+    *,
+    is_shared: bool = False,
 ) -> Bounds:
     """Derive the bounds from the settings of a host.
 
@@ -78,9 +83,16 @@
         Times within which a configuration and a leaving server must be known.
     window_ms
         Time without a fault after which those two hold again.
+    is_shared
+        Whether hosts may vouch for each other where no key is ever revoked.
     """
     if revoke_ms <= 0:
-        return Bounds()
+        if not is_shared:
+            return Bounds()
+        return Bounds(
+            configuration_ms=max(apply_ms, window_ms),
+            servers_ms=max(leave_ms, window_ms),
+        )
     serve_ms = revoke_ms - min(MARGIN_MS, revoke_ms // MARGIN_DIVISOR)
     return Bounds(
         serve_ms=serve_ms,
--- a/src/apricotshore/pooling/freshness.py
+++ b/src/apricotshore/pooling/freshness.py
@@ -29,8 +29,9 @@
 class Freshness:
     """Proofs of a host's configuration and of its list of servers.
 
-    Where no bound is set, or the configuration names no organisations, the host
-    watches the store all the time, and serves whatever the age of its proofs.
+    Where no bound is set, or the configuration names no organisations, the host serves
+    whatever the age of its proofs. Unless the fleet is large enough to share what is
+    read, it also watches the store all the time.
 
     Parameters
     ----------
@@ -48,6 +49,8 @@
         self.bounds = bounds
         # Set by the host; returns the configuration in force.
         self.configuration: Callable[[], Configuration | None] = lambda: None
+        # Set by the host; returns whether the fleet is large enough to share reads.
+        self.shares_reads: Callable[[], bool] = lambda: False
         # Set by the host; rolls back open transactions of keyed requests.
         self.on_stale: Callable[[], None] = lambda: None
         self.proofs = {kind: Proof() for kind in FOLLOWED}
@@ -71,6 +74,11 @@
 
     @property
     def is_active(self) -> bool:
+        """Whether hosts prove to each other what they know of the store."""
+        return self.needs_proof or self.shares_reads()
+
+    @property
+    def needs_proof(self) -> bool:
         """Whether keyed requests need a recent proof."""
         if self.bounds.serve_ms <= 0:
             return False
@@ -87,7 +95,7 @@
     @property
     def is_fresh(self) -> bool:
         """Whether the configuration is proven recently enough, or needs no proof."""
-        if not self.is_active:
+        if not self.needs_proof:
             return True
         at = self.proofs[StoredKind.CONFIGURATION].proven_at
         return is_within(at, read_boot_ms(), self.bounds.serve_ms)
--- a/src/apricotshore/pooling/host.py
+++ b/src/apricotshore/pooling/host.py
@@ -115,6 +115,7 @@
         self.freshness = Freshness(
             journal=journal, eras=self.eras, bounds=settings.freshness_bounds
         )
+        self.freshness.shares_reads = self._shares_reads
         self.vouching = Vouching(freshness=self.freshness)
         self.freshness_asker = FreshnessAsker(
             vouching=self.vouching,
@@ -266,6 +267,11 @@
 
     # -- changes in the store and of the settings --
 
+    def _shares_reads(self) -> bool:
+        """Return whether the fleet is large enough for few hosts to read the store."""
+        least = self.settings.share_reads_from
+        return 0 < least <= len(self.fleet.hosts)
+
     def _record_restored(self) -> None:
         self.journal.record(
             EventKind.STORE_RESTORED, era=self.eras.era, earlier_era=self.eras.earlier
--- a/src/apricotshore/pooling/settings.py
+++ b/src/apricotshore/pooling/settings.py
@@ -61,6 +61,9 @@
     revoke_ms
         Time within which a withdrawn key must run nothing on any host, whether that
         reaches the store or not; 0 where there is no such bound.
+    share_reads_from
+        Number of listed hosts from which few of them read the store and vouch for the
+        others, though no key is ever revoked; 0 where each host reads it.
     limit_window_ms
         Window over which the rate limits of organisations are judged; 0 where no
         rate is limited.
@@ -94,6 +97,7 @@
     window_ms: int = DEFAULT_WINDOW_MS
     fenced: bool = False
     revoke_ms: int = 0
+    share_reads_from: int = 0
     limit_window_ms: int = 0
     limit_excess: float = 0.0
     limit_slack: int = 0
@@ -108,7 +112,11 @@
     def freshness_bounds(self) -> Bounds:
         """Bounds on the ages of the proofs of the configuration."""
         return derive_bounds(
-            self.revoke_ms, self.apply_ms, self.leave_ms, self.window_ms
+            self.revoke_ms,
+            self.apply_ms,
+            self.leave_ms,
+            self.window_ms,
+            is_shared=self.share_reads_from > 0,
         )
 
     def locate(self, data_centre: DataCentreId) -> Distance:
@@ -163,6 +171,7 @@
         window_ms=host.read("stability-window", parse_duration, DEFAULT_WINDOW_MS),
         fenced=host.read("fenced", parse_flag, False),
         revoke_ms=host.read("revoke-within", parse_duration, 0),
+        share_reads_from=host.read("share-store-reads-from", parse_amount, 0),
         limit_window_ms=host.read("rate-limit-window", parse_duration, 0),
         limit_excess=host.read("rate-limit-excess", parse_share, 0.0),
         limit_slack=host.read("rate-limit-slack", parse_amount, 0),
