--- a/src/apricotshore/limits/budget.py
+++ b/src/apricotshore/limits/budget.py
@@ -10,7 +10,7 @@
 # Keeps an allocator of many hosts at about 330 reports a second.
 INTERVAL_PER_HOST_MS = 3
 # A lease outlives one lost report.
-VALIDITY_INTERVALS = 1.75
+VALIDITY_INTERVALS = 2.5
 # An admitted operation is forwarded within this time.
 FORWARD_MS = 100
 # Part of the bound that is used, and tokens below that: clocks differ by less than
