--- a/src/apricotshore/pooling/rate_limiter.py
+++ b/src/apricotshore/pooling/rate_limiter.py
@@ -17,7 +17,8 @@
 from ..limits.messages import TokensReply, TokensRequest
 from ..routes import Configuration
 from ..services.clock import read_boot_ms
-from .journal import EventKind, Journal
+from .journal import Journal
+from .limit_lines import LimitLines
 from .limit_metrics import LimitMetrics
 from .ports import ConnectionLostError, HostPeers, TokenPeers
 from .settings import PoolingSettings
@@ -30,11 +31,6 @@
 # Whether an organisation has a limit is looked at this often while none has.
 IDLE_S = 0.5
 PROCESS_BITS = 48
-# Lines on rejections: one for an organisation in this time.
-LIMITED_LINE_MS = 10_000
-SHARE_LINE_MS = 2_000
-# Smaller changes of the share are not logged.
-SHARE_STEP = 0.01
 PROBE_TIMEOUT_S = 0.15
 PROBES_AT_ONCE = 8
 
@@ -97,10 +93,7 @@
         # Configuration and settings that the budgets are derived from.
         self.derived_from: Configuration | None = None
         self.limit_settings = _read_limits(settings)
-        # By organisation: when its last line was written, and rejections since.
-        self.lines: dict[OrganisationId, tuple[int, int]] = {}
-        self.logged_share = 0.0
-        self.share_logged_at = 0
+        self.lines = LimitLines(journal=journal, limits=self.limits)
 
     def apply_settings(self, settings: PoolingSettings) -> None:
         """Apply changed settings."""
@@ -150,7 +143,7 @@
         admitted = not isinstance(verdict, Limited)
         self.metrics.count(organisation, admitted=admitted)
         if isinstance(verdict, Limited):
-            self._record_limited(organisation, verdict)
+            self.lines.record_limited(organisation, verdict, read_boot_ms())
         return verdict
 
     async def _wait(self, organisation: OrganisationId) -> Verdict:
@@ -237,7 +230,7 @@
     def _answer(self, request: TokensRequest) -> TokensReply:
         now = read_boot_ms()
         reply = host_limits.make_reply(self.limits, request, now)
-        self._record_share(now)
+        self.lines.record_share(now)
         return reply
 
     @Service.task
@@ -266,44 +259,7 @@
                 limits.allocator, host.host, asked_at, limits.validity_ms
             )
 
-    # -- log and metrics --
-
-    def _record_limited(self, organisation: OrganisationId, verdict: Limited) -> None:
-        now = read_boot_ms()
-        written_at, count = self.lines.get(organisation, (now - LIMITED_LINE_MS, 0))
-        if now - written_at < LIMITED_LINE_MS:
-            self.lines[organisation] = (written_at, count + 1)
-            return
-        self.lines[organisation] = (now, 0)
-        holding = self.limits.holdings.holdings.get(organisation)
-        home = self.limits.choice.home
-        self.journal.record(
-            EventKind.RATE_LIMITED,
-            organisation=organisation,
-            refused=count + 1,
-            tokens=holding.tokens if holding else 0,
-            arrivals_per_s=round(holding.rate * 1000, 1) if holding else None,
-            allocator=home[0] if home else None,
-            reply_age_ms=now - self.limits.replied_at,
-            retry_ms=verdict.retry_ms,
-        )
-
-    def _record_share(self, now: int) -> None:
-        """Log the share of this host as an allocator when it has changed."""
-        allocator = self.limits.allocator
-        if abs(allocator.share - self.logged_share) < SHARE_STEP:
-            return
-        if now - self.share_logged_at < SHARE_LINE_MS:
-            return
-        self.logged_share, self.share_logged_at = allocator.share, now
-        self.journal.record(
-            EventKind.RATE_SHARE,
-            share=round(allocator.share, 3),
-            reporters=len(allocator.reporters),
-            missing=allocator.missing,
-            hosts=len(self.limits.roster.hosts),
-            settled=self.limits.roster.is_settled,
-        )
+    # -- metrics --
 
     def refresh_metrics(self) -> None:
         """Update what is exported."""
