--- a/src/apricotshore/limits/budget.py
+++ b/src/apricotshore/limits/budget.py
@@ -11,8 +11,9 @@
 INTERVAL_PER_HOST_MS = 3
 # A lease outlives one lost report.
 VALIDITY_INTERVALS = 2.5
-# An admitted operation is forwarded within this time.
-FORWARD_MS = 100
+# Time that an admitted operation may wait for a connection until it is forwarded. Where
+# it waits longer, as its group has no primary, a window may exceed the bound.
+FORWARD_MS = 500
 # Part of the bound that is used, and tokens below that: clocks differ by less than
 # this, and levels are rounded.
 USED_PART = 0.99
--- a/src/apricotshore/limits/holdings.py
+++ b/src/apricotshore/limits/holdings.py
@@ -31,7 +31,7 @@
 
 
 ADMITTED = Admitted()
-Verdict = Admitted | Limited
+RateDecision = Admitted | Limited
 
 
 @dataclass(kw_only=True, slots=True)
--- a/src/apricotshore/limits/host_limits.py
+++ b/src/apricotshore/limits/host_limits.py
@@ -20,7 +20,7 @@
     ADMITTED,
     Holdings,
     Limited,
-    Verdict,
+    RateDecision,
     find_holding,
     list_demands,
     observe_arrival,
@@ -137,7 +137,7 @@
 
 def try_admit(
     limits: HostLimits, organisation: OrganisationId, now: int
-) -> Verdict | None:
+) -> RateDecision | None:
     """Return whether an operation may be forwarded, None if a request decides."""
     if organisation not in limits.budgets:
         return ADMITTED
@@ -152,8 +152,10 @@
 
 def try_take(
     limits: HostLimits, organisation: OrganisationId, now: int
-) -> Verdict | None:
+) -> RateDecision | None:
     """Return whether an operation that waited may be forwarded, None to wait on."""
+    if organisation not in limits.budgets:
+        return ADMITTED
     holding = find_holding(limits.holdings, organisation, now)
     if take_token(holding, now):
         return ADMITTED
--- a/src/apricotshore/pooling/autocommit.py
+++ b/src/apricotshore/pooling/autocommit.py
@@ -112,7 +112,9 @@
                 failure=FailureCode.OVERLOADED if full else FailureCode.NOT_PREPARED
             )
         timeout = min(left_ms, READ_ATTEMPT_MS)
+        clean = True
         job.check()
+        clean = False
         answers = await pool.run(pooled, [job.query], min_position, timeout)
         clean = True
     except ConnectionLostError:
--- a/src/apricotshore/pooling/caller_session.py
+++ b/src/apricotshore/pooling/caller_session.py
@@ -27,6 +27,8 @@
 
 # Statements sent ahead that a session answers before it closes as its key is revoked.
 # More would hold up the other sessions.
+# A line that was received already is read within a few turns of the event loop.
+RECEIVED_WAIT_S = 0.01
 LAST_REFUSALS = 20
 
 
@@ -156,7 +158,7 @@
         self.idle = False
         for _ in range(LAST_REFUSALS):
             try:
-                async with asyncio.timeout(0):
+                async with asyncio.timeout(RECEIVED_WAIT_S):
                     query = await self.link.receive()
             except TimeoutError:
                 return
@@ -240,7 +242,7 @@
             self._end_transaction()
             return Answer()
         if query.kind is QueryKind.INVALID:
-            raise RefusedError(FailureCode.MALFORMED, query.text[:80])
+            raise RefusedError(FailureCode.MALFORMED, self._describe_invalid(query))
         if transaction is not None and transaction.failed:
             return self._answer_failed(transaction, query)
         if refusal is not None:
@@ -254,6 +256,11 @@
             return await self._run(query, route, arrived)
         return await self._change_session(query)
 
+    def _describe_invalid(self, query: Query) -> str:
+        """Return what the error and its log line say; the text may hold a key."""
+        has_keys = self.context.configuration().organisations is not None
+        return "unknown statement" if has_keys else query.text[:80]
+
     def _find_route(self) -> Route:
         route = self.context.configuration().routes.get(self.session.database)
         if route is None:
--- a/src/apricotshore/pooling/freshness.py
+++ b/src/apricotshore/pooling/freshness.py
@@ -126,8 +126,10 @@
     def make_refusal(self) -> RefusedError:
         """Return the refusal of a keyed request, with the age of the proof."""
         age = self.read_age_ms()
-        known = "at all" if age is None else f"since {age} ms"
-        return refuse_overloaded(f"{STALE_DETAIL} {known}", RETRY_MS)
+        if age is None:
+            return refuse_overloaded(STALE_DETAIL, RETRY_MS)
+        known = f"the configuration was last proven {age} ms ago"
+        return refuse_overloaded(known, RETRY_MS)
 
     def check(self) -> None:
         """Notice that the proof has become too old, or recent again."""
--- a/src/apricotshore/pooling/host.py
+++ b/src/apricotshore/pooling/host.py
@@ -219,6 +219,7 @@
             await self.host_watcher.remove_entry()
         # What follows the store would report its closed client as a lost store.
         followers = (
+            self.rate_limiter,
             self.freshness_asker,
             self.store_watcher,
             self.host_watcher,
--- a/src/apricotshore/pooling/key_checks.py
+++ b/src/apricotshore/pooling/key_checks.py
@@ -10,7 +10,10 @@
 
 
 def observe_revocation(context: Context, session: Session) -> bool:
-    """Return whether a session's key is withdrawn, which lasts once it was seen."""
+    """Mark a session whose key names its organisation no more; return whether it is.
+
+    The mark is never removed.
+    """
     if not organisations.is_admitted(context.configuration(), session.admission):
         session.revoked = True
     return session.revoked
--- a/src/apricotshore/pooling/pool.py
+++ b/src/apricotshore/pooling/pool.py
@@ -192,6 +192,7 @@
         self, organisation: OrganisationId | None
     ) -> PooledConnection | None:
         """Open a connection that counts as being opened; None if the server is full."""
+        relayed = self.relayed
         try:
             link = await self.dialer.dial(self.server, DIAL_TIMEOUT_S, organisation)
         except ConnectionRejectedError as error:
@@ -213,9 +214,7 @@
             raise
         finally:
             self.opening -= 1
-        return PooledConnection(
-            link=link, relayed=self.relayed, organisation=organisation
-        )
+        return PooledConnection(link=link, relayed=relayed, organisation=organisation)
 
     async def _wait(self, waiter: Waiter) -> PooledConnection | None:
         now = read_boot_ms()
--- a/src/apricotshore/pooling/rate_limiter.py
+++ b/src/apricotshore/pooling/rate_limiter.py
@@ -12,7 +12,7 @@
 from ..limits import allocator as allocators
 from ..limits import host_limits
 from ..limits.budget import LimitSettings, derive_budgets
-from ..limits.holdings import ADMITTED, Limited, Verdict
+from ..limits.holdings import ADMITTED, Limited, RateDecision
 from ..limits.host_limits import Ask, HostLimits
 from ..limits.messages import TokensReply, TokensRequest
 from ..routes import Configuration
@@ -28,13 +28,15 @@
 TIMEOUT_S = 0.15
 # An operation waits no longer for tokens.
 WAIT_S = 0.15
+# Pause before the next request while operations wait that the last reply left waiting.
+RETRY_MS = 10
 # Whether an organisation has a limit is looked at this often while none has.
 IDLE_S = 0.5
 PROCESS_BITS = 48
 PROBE_TIMEOUT_S = 0.15
 PROBES_AT_ONCE = 8
 
-Waiter = tuple[OrganisationId, asyncio.Future[Verdict]]
+Waiter = tuple[OrganisationId, asyncio.Future[RateDecision]]
 
 
 def draw_process() -> int:
@@ -119,7 +121,7 @@
 
     # -- operations --
 
-    async def admit(self, organisation: OrganisationId | None) -> Verdict:
+    async def admit(self, organisation: OrganisationId | None) -> RateDecision:
         """Return whether an operation is within its organisation's rate limit.
 
         Parameters
@@ -129,7 +131,7 @@
 
         Returns
         -------
-        Verdict
+        RateDecision
             At once when a token is held, no limit applies or no token will come soon;
             else within `WAIT_S`.
         """
@@ -146,7 +148,7 @@
             self.lines.record_limited(organisation, verdict, read_boot_ms())
         return verdict
 
-    async def _wait(self, organisation: OrganisationId) -> Verdict:
+    async def _wait(self, organisation: OrganisationId) -> RateDecision:
         """Wait for the reply to a request that asks for a token."""
         waiter = (organisation, asyncio.get_running_loop().create_future())
         self.waiters.append(waiter)
@@ -186,8 +188,11 @@
                 continue
             self.wake.clear()
             again = await self._exchange()
-            if not again and not self.waiters:
-                await self._pause(self.limits.interval_ms / 1000)
+            if not again:
+                wait_ms = RETRY_MS if self.waiters else self.limits.interval_ms
+                await self._pause(wait_ms / 1000)
+            # An exchange with this host itself may not have waited for anything.
+            await asyncio.sleep(0)
 
     async def _pause(self, seconds: float) -> None:
         """Wait until the next report is due, or an operation waits for a token."""
--- a/src/apricotshore/pooling/sessions.py
+++ b/src/apricotshore/pooling/sessions.py
@@ -8,7 +8,7 @@
 from ..decisions import wait_queue
 from ..groups import LogPosition
 from ..identifiers import DatabaseId, GroupId, HostId, KeyDigest, OrganisationId
-from ..limits.holdings import ADMITTED, Verdict
+from ..limits.holdings import ADMITTED, RateDecision
 from ..organisations import Admission
 from ..queries import FailureCode, PreparedShape, Query, QueryKind
 from ..routes import Configuration, Route
@@ -17,12 +17,12 @@
 from .pool import ServerPool
 from .pooled_connection import PooledConnection
 
-AdmitRate = Callable[[OrganisationId | None], Awaitable[Verdict]]
+AdmitRate = Callable[[OrganisationId | None], Awaitable[RateDecision]]
 # An entry of a table, and the object of a prepared statement.
 ENTRY_BYTES = 160
 
 
-async def admit_at_once(organisation: OrganisationId | None) -> Verdict:
+async def admit_at_once(organisation: OrganisationId | None) -> RateDecision:
     """Admit an operation where no rate is limited."""
     return ADMITTED
 
--- a/src/apricotshore/services/jsonapi.py
+++ b/src/apricotshore/services/jsonapi.py
@@ -12,9 +12,11 @@
 from .sockets import enable_keepalive
 
 READ_BYTES = 1 << 16
-# Largest body of an answer. A store's page of a list has about 1 MB.
+# Bounds the memory of one answer. Lists that are read whole have several MB.
 MAX_BODY_BYTES = 1 << 25
 DEFAULT_PORT = 80
+# Idle connections to one server; further ones are closed after their call.
+MAX_IDLE = 8
 # Characters that a path or a query keeps as they are.
 SAFE_CHARACTERS = "/?&=%:@-._~!$'()*+,;"
 
@@ -135,26 +137,15 @@
     OSError, h11.ProtocolError
         When the connection was lost or the answer is malformed.
     """
-    state = link.state
-    head = h11.Request(
-        method=request.method, target=request.target, headers=request.headers
-    )
-    parts = [state.send(head)]
-    if request.body:
-        parts.append(state.send(h11.Data(data=request.body)))
-    parts.append(state.send(h11.EndOfMessage()))
-    link.writer.write(b"".join(part for part in parts if part))
+    link.writer.write(_encode(link.state, request))
     response: h11.Response | None = None
     body = bytearray()
     received = False
     while True:
-        event = state.next_event()
+        event = link.state.next_event()
         if event is h11.NEED_DATA:
-            data = await link.reader.read(READ_BYTES)
-            if not data and not received:
-                raise _ConnectionClosedError("closed before an answer")
+            link.state.receive_data(await _read(link, is_first=not received))
             received = True
-            state.receive_data(data)
         elif isinstance(event, h11.Response):
             response = event
         elif isinstance(event, h11.Data):
@@ -167,6 +158,30 @@
             raise OSError("closed amid an answer")
 
 
+def _encode(state: h11.Connection, request: Request) -> bytes:
+    head = h11.Request(
+        method=request.method, target=request.target, headers=request.headers
+    )
+    parts = [state.send(head)]
+    if request.body:
+        parts.append(state.send(h11.Data(data=request.body)))
+    parts.append(state.send(h11.EndOfMessage()))
+    return b"".join(part for part in parts if part)
+
+
+async def _read(link: HttpConnection, *, is_first: bool) -> bytes:
+    """Read a part of an answer, empty at the end of the connection."""
+    if not is_first:
+        return await link.reader.read(READ_BYTES)
+    try:
+        data = await link.reader.read(READ_BYTES)
+    except OSError as error:
+        raise _ConnectionClosedError(repr(error)) from None
+    if not data:
+        raise _ConnectionClosedError("closed before an answer")
+    return data
+
+
 class JsonClient:
     """Client of JSON APIs that keeps its connections open between calls.
 
@@ -182,9 +197,11 @@
     def __init__(self, *, decode: Callable[[bytes], Any] = json.loads) -> None:
         self._decode = decode
         self._idle: dict[str, list[HttpConnection]] = {}
+        self._closed = False
 
     async def close(self) -> None:
-        """Close every connection."""
+        """Close the idle connections, and the others after their calls."""
+        self._closed = True
         for links in self._idle.values():
             for link in links:
                 link.writer.close()
@@ -237,7 +254,7 @@
             return await self._send_on_new(url, request)
         try:
             return await self._run(url.netloc, link, request)
-        except (_ConnectionClosedError, ConnectionError):
+        except _ConnectionClosedError:
             if not request.may_be_repeated:
                 raise
             return await self._send_on_new(url, request)
@@ -255,9 +272,7 @@
         is_reusable = False
         try:
             answer = await _exchange(link, request)
-            is_reusable = link.state.our_state is h11.DONE and (
-                link.state.their_state is h11.DONE
-            )
+            is_reusable = self._may_reuse(server, link)
         finally:
             if is_reusable:
                 link.state.start_next_cycle()
@@ -266,6 +281,16 @@
                 link.writer.close()
         return answer
 
+    def _may_reuse(self, server: str, link: HttpConnection) -> bool:
+        """Return whether to keep a connection after an answer.
+
+        What follows the answer would be taken for that of the next call.
+        """
+        state = link.state
+        is_done = state.our_state is h11.DONE and state.their_state is h11.DONE
+        has_room = len(self._idle.get(server, [])) < MAX_IDLE
+        return is_done and has_room and not state.trailing_data[0] and not self._closed
+
     def _take_idle(self, server: str) -> HttpConnection | None:
         links = self._idle.get(server, [])
         while links:
--- a/src/apricotshore/services/statuspage.py
+++ b/src/apricotshore/services/statuspage.py
@@ -12,13 +12,16 @@
 from aioprometheus.renderer import render
 
 from ..exceptions import ApricotshoreError
+from .sockets import enable_keepalive
 
 READ_BYTES = 1 << 14
 # Connections that send nothing, or only a part of a request, or that don't take the
 # answer, are closed after this.
 IDLE_S = 60.0
-# Connections at once; further ones are closed.
+# Connections at once. A further one closes the one that was used longest ago, so that
+# idle clients can't keep out health checks.
 MAX_CONNECTIONS = 64
+READING_METHODS = (b"GET", b"HEAD")
 METRICS_PATH = "/metrics"
 ROUTE_PATH = "/route"
 
@@ -58,7 +61,8 @@
     health_path
         Path of the health check.
     report_route
-        Returns where a request with these parameters would go, None without a page.
+        Returns where a request with these parameters would go; None serves no
+        ``/route``.
     """
 
     def __init__(
@@ -76,8 +80,9 @@
         self.is_ready = is_ready
         self.refresh = refresh
         self.health_path = health_path
+        self.report_route = report_route
         self.server: asyncio.Server | None = None
-        self.writers: set[asyncio.StreamWriter] = set()
+        self.writers: dict[asyncio.StreamWriter, None] = {}
 
     async def start(self) -> None:
         """Start listening."""
@@ -96,17 +101,20 @@
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         if len(self.writers) >= MAX_CONNECTIONS:
-            writer.close()
-            return
-        self.writers.add(writer)
+            next(iter(self.writers)).transport.abort()
+        self.writers[writer] = None
+        enable_keepalive(writer.get_extra_info("socket"))
         try:
-            with suppress(OSError, TimeoutError, h11.ProtocolError):
+            with suppress(OSError, h11.ProtocolError):
                 await self._answer_requests(reader, writer)
+        except TimeoutError:
+            # An answer that isn't taken would keep the connection open.
+            writer.transport.abort()
         except asyncio.CancelledError:
             # The host stops.
             return
         finally:
-            self.writers.discard(writer)
+            self.writers.pop(writer, None)
             writer.close()
 
     async def _answer_requests(
@@ -118,7 +126,9 @@
                 request = await _read_request(state, reader)
                 if request is None:
                     return
-                _write_page(state, writer, self._make_page(request))
+                # Connections that were used longest ago are closed first.
+                self.writers[writer] = self.writers.pop(writer, None)
+                _write_page(state, writer, request, self._make_page(request))
                 await writer.drain()
             if state.our_state is not h11.DONE or state.their_state is not h11.DONE:
                 return
@@ -126,8 +136,9 @@
 
     def _make_page(self, request: h11.Request) -> Page:
         path, _, query = request.target.decode("latin-1").partition("?")
-        if request.method != b"GET":
-            return Page(status=405, body=b"use GET\n", headers={"Allow": "GET"})
+        if request.method not in READING_METHODS:
+            headers = {"Allow": "GET, HEAD"}
+            return Page(status=405, body=b"use GET\n", headers=headers)
         if path == self.health_path:
             if self.is_ready():
                 return Page(status=200, body=b"ready\n")
@@ -171,11 +182,15 @@
 
 
 def _write_page(
-    state: h11.Connection, writer: asyncio.StreamWriter, page: Page
+    state: h11.Connection,
+    writer: asyncio.StreamWriter,
+    request: h11.Request,
+    page: Page,
 ) -> None:
     headers = {"Content-Type": "text/plain; charset=utf-8", **page.headers}
     headers["Content-Length"] = str(len(page.body))
     head = h11.Response(status_code=page.status, headers=list(headers.items()))
     writer.write(state.send(head) or b"")
-    writer.write(state.send(h11.Data(data=page.body)) or b"")
+    if request.method != b"HEAD":
+        writer.write(state.send(h11.Data(data=page.body)) or b"")
     writer.write(state.send(h11.EndOfMessage()) or b"")
