--- a/src/apricotshore/limits/__init__.py
+++ b/src/apricotshore/limits/__init__.py
@@ -5,9 +5,9 @@
 argument why all hosts together stay within the bound.
 """
 
+from ..rate_decisions import Admitted, Limited
 from .allocator import Allocator, answer, measure_share
 from .budget import Budget, LimitSettings, derive_budgets
-from .holdings import Admitted, Limited
 from .host_limits import HostLimits
 from .messages import Demand, Grant, Stamp, TokensReply, TokensRequest
 
--- a/src/apricotshore/limits/budget.py
+++ b/src/apricotshore/limits/budget.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass
 
 from ..identifiers import OrganisationId
+from ..rate_decisions import FORWARD_MS
 from ..routes import Organisation
 
 REPORT_INTERVAL_MS = 400
@@ -11,15 +12,12 @@
 INTERVAL_PER_HOST_MS = 3
 # A lease outlives one lost report.
 VALIDITY_INTERVALS = 2.5
-# Time that an admitted operation may wait for a connection until it is forwarded. Where
-# it waits longer, as its group has no primary, a window may exceed the bound.
-FORWARD_MS = 500
 # Part of the bound that is used, and tokens below that: clocks differ by less than
 # this, and levels are rounded.
 USED_PART = 0.99
 ROUNDING_TOKENS = 1
 # Part of the permitted excess that is added to the rate.
-RATE_PART_OF_EXCESS = 0.5
+RATE_PART_OF_EXCESS = 0.25
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -74,7 +72,7 @@
 def derive_budget(organisation: Organisation, settings: LimitSettings) -> Budget:
     """Return the bucket of an organisation that has a rate limit.
 
-    At most ``size + rate * window`` tokens are used in a window. Half of what a window
+    At most ``size + rate * window`` tokens are used in a window. A quarter of what a window
     may exceed the limit by goes into the rate, as some tokens expire unused on hosts
     that the operations have left. The bucket takes all that the bound leaves: where
     operations arrive in bunches, a larger bucket refuses fewer of those that are within
--- a/src/apricotshore/limits/holdings.py
+++ b/src/apricotshore/limits/holdings.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass, field
 
 from ..identifiers import OrganisationId
+from ..rate_decisions import Limited
 from .messages import Demand, Grant
 
 # An organisation without an operation for this time isn't reported any more.
@@ -12,28 +13,6 @@
 MAX_RETRY_MS = 10_000
 
 
-@dataclass(frozen=True, kw_only=True, slots=True)
-class Admitted:
-    """An operation that may be forwarded."""
-
-
-@dataclass(frozen=True, kw_only=True, slots=True)
-class Limited:
-    """An operation that is rejected.
-
-    Parameters
-    ----------
-    retry_ms
-        Time until a token will be available.
-    """
-
-    retry_ms: int
-
-
-ADMITTED = Admitted()
-RateDecision = Admitted | Limited
-
-
 @dataclass(kw_only=True, slots=True)
 class Holding:
     """Tokens of one organisation at one host.
--- a/src/apricotshore/limits/host_limits.py
+++ b/src/apricotshore/limits/host_limits.py
@@ -5,6 +5,7 @@
 
 from ..decisions.relays import ListedHost
 from ..identifiers import HostId, OrganisationId, StoreEra
+from ..rate_decisions import ADMITTED, Limited, RateDecision
 from .allocator import Allocator, answer
 from .budget import Budget, find_interval_ms, find_validity_ms
 from .choice import (
@@ -17,10 +18,7 @@
     observe_reply,
 )
 from .holdings import (
-    ADMITTED,
     Holdings,
-    Limited,
-    RateDecision,
     find_holding,
     list_demands,
     observe_arrival,
--- a/src/apricotshore/pooling/caller_session.py
+++ b/src/apricotshore/pooling/caller_session.py
@@ -143,6 +143,7 @@
         refusal = key_checks.find_refusal(self.context, self.session)
         if refusal is not None:
             raise refusal
+        key_checks.end_admission(self.context, self.session)
 
     def end_refused(self) -> None:
         """Roll back what is open between two statements if it may not go on."""
--- a/src/apricotshore/pooling/host.py
+++ b/src/apricotshore/pooling/host.py
@@ -3,6 +3,7 @@
 import asyncio
 import gc
 from collections.abc import Iterable, Mapping
+from typing import TYPE_CHECKING
 
 from aioprometheus import Registry
 from mode import Service
@@ -20,6 +21,7 @@
 )
 from ..organisations import Admission
 from ..queries import FailureCode
+from ..rate_decisions import ADMITTED, RateDecision
 from ..routes import Configuration
 from ..services.clock import read_boot_ms
 from ..services.eras import EraTracker
@@ -32,13 +34,12 @@
 from .host_groups import HostGroups
 from .host_shutdown import HostShutdown
 from .journal import EventKind, Journal
-from .limit_metrics import LimitMetrics
 from .loop_ticker import LoopTicker
 from .metrics import PoolingMetrics
 from .other_hosts import OtherHosts
 from .ports import CallerLink, HostLink, QuiesceReply, QuiesceRequest
+from .process_numbers import draw_process
 from .promotion_line import record_again, repeat_latest
-from .rate_limiter import RateLimiter, draw_process
 from .readiness import Readiness
 from .relay_dialer import RelayDialer
 from .route_report import report_route
@@ -48,6 +49,9 @@
 from .supervision import keep_running
 from .vouching import Vouching
 
+if TYPE_CHECKING:
+    from .rate_limiter import RateLimiter
+
 HOUSEKEEPING_S = 0.5
 # Cancelled sessions need a few turns of the event loop to close their connections.
 CLOSING_S = 0.25
@@ -145,16 +149,25 @@
             open_changes=self.open_changes,
             groups=self.groups,
         )
-        self.rate_limiter = RateLimiter(
-            settings=settings,
-            peers=adapters.token_peers,
-            host_peers=adapters.peers,
+        self.rate_limiter: RateLimiter | None = None
+        if settings.limit_window_ms:
+            self.rate_limiter = self._make_rate_limiter(registry, process)
+        self._prepare_serving()
+
+    def _make_rate_limiter(self, registry: Registry, process: int) -> "RateLimiter":
+        # A host that restarts serves nobody until its imports are done.
+        from .limit_metrics import LimitMetrics
+        from .rate_limiter import RateLimiter
+
+        return RateLimiter(
+            settings=self.settings,
+            peers=self.adapters.token_peers,
+            host_peers=self.adapters.peers,
             configuration=lambda: self.store_watcher.configuration,
-            journal=journal,
+            journal=self.journal,
             metrics=LimitMetrics(registry=registry),
             process=process,
         )
-        self._prepare_serving()
 
     def _prepare_serving(self) -> None:
         """Make what serves callers and other hosts, and what ends their sessions."""
@@ -165,7 +178,8 @@
             journal=self.journal,
             spawn=self.background.spawn,
             refuse_keyed=self.freshness.refuse_keyed,
-            admit_rate=self.rate_limiter.admit,
+            admit_rate=self._admit_rate,
+            admit_rate_now=self._admit_rate_now,
         )
         self.callers = Callers(
             context=context,
@@ -197,7 +211,8 @@
         await self.add_runtime_dependency(self.host_watcher)
         await self.add_runtime_dependency(self.open_changes)
         await self.add_runtime_dependency(self.freshness_asker)
-        await self.add_runtime_dependency(self.rate_limiter)
+        if self.rate_limiter is not None:
+            await self.add_runtime_dependency(self.rate_limiter)
         self.journal.record(
             EventKind.STARTED,
             data_centre=self.settings.data_centre,
@@ -218,8 +233,9 @@
         if await self._wait_until_closed():
             await self.host_watcher.remove_entry()
         # What follows the store would report its closed client as a lost store.
+        if self.rate_limiter is not None:
+            await self._stop_services((self.rate_limiter,))
         followers = (
-            self.rate_limiter,
             self.freshness_asker,
             self.store_watcher,
             self.host_watcher,
@@ -290,7 +306,8 @@
         if listed.keys() != self.fleet.hosts.keys():
             self.journal.record(EventKind.HOSTS_LISTED, hosts=len(listed))
         self.fleet.hosts = listed
-        self.rate_limiter.update_hosts(listed, self.eras.era)
+        if self.rate_limiter is not None:
+            self.rate_limiter.update_hosts(listed, self.eras.era)
         self.host_groups.configure_all()
         self.other_hosts.release_relayed()
 
@@ -298,7 +315,11 @@
         """Apply changed settings, except for the addresses to listen on."""
         self.settings = settings
         self.drain.grace_ms = settings.grace_ms
-        self.rate_limiter.apply_settings(settings)
+        if self.rate_limiter is not None:
+            self.rate_limiter.apply_settings(settings)
+        elif settings.limit_window_ms:
+            why = "rate-limit-window takes effect at the next start"
+            self.journal.record(EventKind.ERROR, why=why)
         self.store_watcher.set_bounds(
             settings.apply_ms, settings.leave_ms, settings.window_ms
         )
@@ -357,6 +378,18 @@
         """Return how old the proof of this host's configuration is."""
         return await self.vouching.answer(request)
 
+    async def _admit_rate(self, organisation: OrganisationId | None) -> RateDecision:
+        """Return whether an operation is within its organisation's rate limit."""
+        if self.rate_limiter is None:
+            return ADMITTED
+        return await self.rate_limiter.admit(organisation)
+
+    def _admit_rate_now(self, organisation: OrganisationId) -> RateDecision:
+        """Return the same by what this host knows already."""
+        if self.rate_limiter is None:
+            return ADMITTED
+        return self.rate_limiter.admit_now(organisation)
+
     # -- readiness --
 
     @property
@@ -416,7 +449,8 @@
             len(self.callers.sessions),
             len(self.other_hosts.sessions),
         )
-        self.rate_limiter.refresh_metrics()
+        if self.rate_limiter is not None:
+            self.rate_limiter.refresh_metrics()
         self.metrics.refresh_store(
             self.store_watcher.configuration.version, self.eras.era
         )
--- a/src/apricotshore/pooling/key_checks.py
+++ b/src/apricotshore/pooling/key_checks.py
@@ -1,8 +1,9 @@
 """Checks of callers' keys: who is served now, and which operation is admitted."""
 
 from .. import organisations
-from ..limits import Limited
 from ..queries import FailureCode
+from ..rate_decisions import FORWARD_MS, Limited
+from ..services.clock import read_boot_ms
 from .sessions import Context, RefusedError, Session, refuse_overloaded
 
 RATE_LIMITED = "the organisation has reached its rate limit"
@@ -48,8 +49,30 @@
     transaction = session.transaction
     if session.organisation is None or (transaction and transaction.admitted):
         return
-    verdict = await context.admit_rate(session.organisation)
-    if isinstance(verdict, Limited):
-        raise refuse_overloaded(RATE_LIMITED, verdict.retry_ms)
+    decision = await context.admit_rate(session.organisation)
+    if isinstance(decision, Limited):
+        raise refuse_overloaded(RATE_LIMITED, decision.retry_ms)
+    session.admitted_at = read_boot_ms()
     if transaction is not None:
         transaction.admitted = True
+
+
+def end_admission(context: Context, session: Session) -> None:
+    """Take note that the first statement of an operation is forwarded now.
+
+    One that has waited for a connection for long counts in a later window, so it needs
+    a token of that.
+
+    Raises
+    ------
+    RefusedError
+        When it has none.
+    """
+    admitted_at, session.admitted_at = session.admitted_at, None
+    if admitted_at is None or session.organisation is None:
+        return
+    if read_boot_ms() - admitted_at <= FORWARD_MS:
+        return
+    decision = context.admit_rate_now(session.organisation)
+    if isinstance(decision, Limited):
+        raise refuse_overloaded(RATE_LIMITED, decision.retry_ms)
--- a/src/apricotshore/pooling/limit_lines.py
+++ b/src/apricotshore/pooling/limit_lines.py
@@ -1,8 +1,8 @@
 """Log lines of rate limits, at a limited rate."""
 
 from ..identifiers import OrganisationId
-from ..limits.holdings import Limited
 from ..limits.host_limits import HostLimits
+from ..rate_decisions import Limited
 from .journal import EventKind, Journal
 
 # Lines on rejections: one for an organisation in this time.
--- a/src/apricotshore/pooling/ports.py
+++ b/src/apricotshore/pooling/ports.py
@@ -5,7 +5,7 @@
 
 from collections.abc import Sequence
 from dataclasses import dataclass
-from typing import Protocol
+from typing import TYPE_CHECKING, Protocol
 
 from ..decisions.relays import ListedHost
 from ..decisions.rounds import HostAddress
@@ -21,11 +21,13 @@
     StoreRevision,
     Term,
 )
-from ..limits.messages import TokensReply, TokensRequest
 from ..queries import Answer, FailureCode, Query
 from ..routes import ListedServer
 from .stored_objects import LeaseRead, LeaseRecord, LeaseWrite, Snapshot, StoredKind
 
+if TYPE_CHECKING:
+    from ..limits.messages import TokensReply, TokensRequest
+
 
 class StoreError(Exception):
     """Missing or unusable answer of the store; a write may have taken effect."""
@@ -341,8 +343,8 @@
     """Client of other hosts as allocators of rate limits."""
 
     async def ask(
-        self, host: ListedHost, request: TokensRequest, timeout_s: float
-    ) -> TokensReply:
+        self, host: ListedHost, request: "TokensRequest", timeout_s: float
+    ) -> "TokensReply":
         """Report to a host, and ask it for tokens.
 
         Raises
--- a/src/apricotshore/pooling/rate_limiter.py
+++ b/src/apricotshore/pooling/rate_limiter.py
@@ -3,7 +3,6 @@
 import asyncio
 from collections import deque
 from collections.abc import Callable, Mapping
-from random import SystemRandom
 
 from mode import Service
 
@@ -12,9 +11,9 @@
 from ..limits import allocator as allocators
 from ..limits import host_limits
 from ..limits.budget import LimitSettings, derive_budgets
-from ..limits.holdings import ADMITTED, Limited, RateDecision
 from ..limits.host_limits import Ask, HostLimits
 from ..limits.messages import TokensReply, TokensRequest
+from ..rate_decisions import ADMITTED, Limited, RateDecision
 from ..routes import Configuration
 from ..services.clock import read_boot_ms
 from .journal import Journal
@@ -32,18 +31,12 @@
 RETRY_MS = 10
 # Whether an organisation has a limit is looked at this often while none has.
 IDLE_S = 0.5
-PROCESS_BITS = 48
 PROBE_TIMEOUT_S = 0.15
 PROBES_AT_ONCE = 8
 
 Waiter = tuple[OrganisationId, asyncio.Future[RateDecision]]
 
 
-def draw_process() -> int:
-    """Return a random number for a process, other than 0."""
-    return SystemRandom().getrandbits(PROCESS_BITS) | 1
-
-
 class RateLimiter(Service):
     """Service that holds tokens, reports to an allocator and answers other hosts.
 
@@ -148,6 +141,14 @@
             self.lines.record_limited(organisation, verdict, read_boot_ms())
         return verdict
 
+    def admit_now(self, organisation: OrganisationId) -> RateDecision:
+        """Return whether an operation is within the limit by the tokens held now."""
+        if not self.is_limiting:
+            return ADMITTED
+        now = read_boot_ms()
+        decision = host_limits.try_admit(self.limits, organisation, now)
+        return decision or host_limits.refuse_now(self.limits, organisation, now)
+
     async def _wait(self, organisation: OrganisationId) -> RateDecision:
         """Wait for the reply to a request that asks for a token."""
         waiter = (organisation, asyncio.get_running_loop().create_future())
--- a/src/apricotshore/pooling/sessions.py
+++ b/src/apricotshore/pooling/sessions.py
@@ -8,9 +8,9 @@
 from ..decisions import wait_queue
 from ..groups import LogPosition
 from ..identifiers import DatabaseId, GroupId, HostId, KeyDigest, OrganisationId
-from ..limits.holdings import ADMITTED, RateDecision
 from ..organisations import Admission
 from ..queries import FailureCode, PreparedShape, Query, QueryKind
+from ..rate_decisions import ADMITTED, RateDecision
 from ..routes import Configuration, Route
 from .group import Group
 from .journal import Journal
@@ -63,7 +63,9 @@
         may.
     admit_rate
         Returns whether an operation of an organisation is within its rate limit;
-        asked directly before the operation's first statement is forwarded.
+        asked before the operation's first statement waits for a connection.
+    admit_rate_now
+        The same by what this host knows already, for an operation that has waited.
     """
 
     host: HostId
@@ -73,6 +75,7 @@
     spawn: Callable[[Coroutine[None, None, None]], None]
     refuse_keyed: Callable[[], RefusedError | None] = lambda: None
     admit_rate: AdmitRate = admit_at_once
+    admit_rate_now: Callable[[OrganisationId], RateDecision] = lambda _: ADMITTED
 
 
 @dataclass(kw_only=True)
@@ -132,6 +135,9 @@
         Open transaction, None outside one.
     state_bytes
         Size of the values and prepared statements.
+    admitted_at
+        When an operation was admitted whose first statement is still to be forwarded,
+        in milliseconds since boot; None without one.
     """
 
     database: DatabaseId
@@ -143,6 +149,7 @@
     log_position: LogPosition | None = None
     transaction: Transaction | None = None
     state_bytes: int = 0
+    admitted_at: int | None = None
 
     def measure(self, query: Query) -> int:
         """Return the size of values and names after a statement, in bytes."""
--- a/tests/intake/test_connections.py
+++ b/tests/intake/test_connections.py
@@ -8,6 +8,7 @@
 
 from apricotshore.identifiers import DatabaseId
 from apricotshore.intake import IntakeSettings, Phase, derive_limits
+from apricotshore.organisations import Admission
 from apricotshore.pooling.client_intake import ClientIntake
 from apricotshore.pooling.listeners import CallerHandler
 from apricotshore.pooling.sessions import Session
@@ -23,10 +24,10 @@
 async def listening(answer=SMALL, hold=None, **settings):
     """Listen with settings of the limits; ``hold`` delays each answer."""
 
-    async def admit(database):
-        return None
+    async def admit(database, key):
+        return Admission(database=database)
 
-    async def serve(database, link):
+    async def serve(admission, link):
         while (query := await link.receive()) is not None:
             if hold is not None:
                 await hold.wait()
--- a/tests/limits/test_decisions.py
+++ b/tests/limits/test_decisions.py
@@ -7,8 +7,8 @@
 from apricotshore.limits import HostLimits, LimitSettings, host_limits
 from apricotshore.limits.allocator import answer, measure_share, observe_ended
 from apricotshore.limits.budget import derive_budget, find_bound
-from apricotshore.limits.holdings import ADMITTED, Limited
 from apricotshore.limits.roster import MATURE_MS, Roster, observe_hosts
+from apricotshore.rate_decisions import ADMITTED, Limited
 
 from .model import LARGE, SETTINGS, make_organisation
 
--- a/tests/pooling/test_freshness_host.py
+++ b/tests/pooling/test_freshness_host.py
@@ -57,7 +57,11 @@
         await wait_until(lambda: host.is_ready)
         rolled_back = []
         host.freshness.on_stale = lambda: rolled_back.append(True)
-        may_serve = host.callers.context.may_serve_keyed
+        refuse_keyed = host.callers.context.refuse_keyed
+
+        def may_serve():
+            return refuse_keyed() is None
+
         assert may_serve()
         store.down = True
         await asyncio.sleep(REVOKE_MS / 1000)
@@ -103,7 +107,7 @@
         store.down = True
         await asyncio.sleep(REVOKE_MS / 1000)
         assert host.is_ready
-        assert host.callers.context.may_serve_keyed()
+        assert host.callers.context.refuse_keyed() is None
         assert host.freshness.choose_wait_ms(StoredKind.CONFIGURATION) is None
         assert host.freshness.should_read(StoredKind.SERVER)
 
--- a/tests/pooling/test_key_revocation.py
+++ b/tests/pooling/test_key_revocation.py
@@ -6,12 +6,12 @@
 
 import pytest
 
-from apricotshore.limits import Limited
-from apricotshore.limits.holdings import ADMITTED
 from apricotshore.organisations import digest_key
+from apricotshore.pooling import key_checks
 from apricotshore.pooling.sessions import RefusedError
 from apricotshore.pooling.stored_objects import Change, StoredKind
 from apricotshore.queries import FailureCode, QueryKind
+from apricotshore.rate_decisions import ADMITTED, Limited
 from apricotshore.routes import GroupSettings
 
 from .callers_of_organisations import (
@@ -233,6 +233,17 @@
     assert not bed.find_links("r2")
 
 
+async def test_operation_that_waited_needs_a_token_of_the_later_window(monkeypatch):
+    """Guards against a burst over the limit when an outage ends."""
+    bed = OrganisationsBed(("acme", OLD))
+    bed.callers.context.admit_rate_now = lambda organisation: Limited(retry_ms=100)
+    caller = await bed.open(OLD)
+    assert (await caller.ask(read("r1"))).failure is None
+    monkeypatch.setattr(key_checks, "FORWARD_MS", -1)
+    assert (await caller.ask(read("r2"))).failure is FailureCode.OVERLOADED
+    assert not bed.find_links("r2")
+
+
 async def test_log_names_withdrawn_keys_by_their_digests_only(tmp_path):
     path = tmp_path / "log"
     bed = OrganisationsBed(("acme", OLD))
--- a/tests/pooling/test_rate_limiter.py
+++ b/tests/pooling/test_rate_limiter.py
@@ -8,13 +8,13 @@
 
 from apricotshore.decisions.relays import ListedHost
 from apricotshore.identifiers import DataCentreId, HostId, StoreEra, StoreRevision
-from apricotshore.limits.holdings import ADMITTED, Limited
 from apricotshore.pooling import rate_limiter
 from apricotshore.pooling.journal import Journal
 from apricotshore.pooling.limit_metrics import LimitMetrics
 from apricotshore.pooling.ports import ConnectionLostError
 from apricotshore.pooling.rate_limiter import RateLimiter
 from apricotshore.pooling.settings import parse_pooling_settings
+from apricotshore.rate_decisions import ADMITTED, Limited
 from apricotshore.routes import Configuration
 from tests.limits.model import LARGE, TINY, make_organisation
 from tests.test_pooling_settings import GOOD
--- a/tests/test_pooling_settings.py
+++ b/tests/test_pooling_settings.py
@@ -52,7 +52,7 @@
     assert keys == written - {"something-new"} | {
         "apply-within", "leave-within", "stability-window", "peer-address", "fenced",
         "revoke-within", "rate-limit-window", "rate-limit-excess", "rate-limit-slack",
-        "memory", "descriptors", "share-store-reads-from",
+        "memory", "descriptors",
     }  # fmt: skip
 
 
--- a/tools/rate_limits.py
+++ b/tools/rate_limits.py
@@ -22,13 +22,14 @@
 from apricotshore.limits import allocator as allocators
 from apricotshore.limits import host_limits
 from apricotshore.limits.budget import LimitSettings, derive_budgets
-from apricotshore.limits.holdings import ADMITTED, find_holding
+from apricotshore.limits.holdings import find_holding
 from apricotshore.limits.host_limits import HostLimits
 from apricotshore.pooling.journal import Journal
 from apricotshore.pooling.limit_metrics import LimitMetrics
 from apricotshore.pooling.ports import HostPeers
 from apricotshore.pooling.rate_limiter import RateLimiter
 from apricotshore.pooling.settings import PoolingSettings
+from apricotshore.rate_decisions import ADMITTED
 from apricotshore.routes import Configuration, Organisation
 from apricotshore.services.clock import read_boot_ms
 
