--- a/src/apricotshore/limits/budget.py
+++ b/src/apricotshore/limits/budget.py
@@ -72,11 +72,11 @@
 def derive_budget(organisation: Organisation, settings: LimitSettings) -> Budget:
     """Return the bucket of an organisation that has a rate limit.
 
-    At most ``size + rate * window`` tokens are used in a window. A quarter of what a window
-    may exceed the limit by goes into the rate, as some tokens expire unused on hosts
-    that the operations have left. The bucket takes all that the bound leaves: where
-    operations arrive in bunches, a larger bucket refuses fewer of those that are within
-    the limit.
+    At most ``size + rate * window`` tokens are used in a window. A quarter of what a
+    window may exceed the limit by goes into the rate, as some tokens expire unused on
+    hosts that the operations have left. The bucket takes all that the bound leaves:
+    where operations arrive in bunches, a larger bucket refuses fewer of those that are
+    within the limit.
     """
     used = max(0.0, find_bound(organisation, settings) * USED_PART - ROUNDING_TOKENS)
     span_ms = settings.window_ms + FORWARD_MS
