--- a/src/apricotshore/decisions/quota.py
+++ b/src/apricotshore/decisions/quota.py
@@ -27,6 +27,9 @@
 # A new connection costs the server a slot for 10 to 30 ms.
 LONG_IDLE_MS = 2_000
 SCARCE_MS = 5_000
+# Connections to the relays of a server, which cost the server nothing, where each
+# belongs to one organisation.
+MAX_RELAYED = 64
 # Share of its connections that a relay keeps while they are idle.
 RELAY_KEPT_SHARE = 0.5
 
@@ -43,6 +46,10 @@
         Number of relays that share them; 0 if all hosts connect directly.
     is_relay
         Whether this host connects to the server for others.
+    is_relayed
+        Whether this host connects to the server through others.
+    by_organisation
+        Whether each connection belongs to one organisation.
     share
         Largest number for this host at the last rejection, None before.
     refused_at
@@ -54,6 +61,8 @@
     limit: int
     relays: int = 0
     is_relay: bool = False
+    is_relayed: bool = False
+    by_organisation: bool = False
     share: int | None = None
     refused_at: int | None = None
     opened_at: int = 0
@@ -65,12 +74,19 @@
     if quota.relays > 1:
         share = RELAYS_SHARE / quota.relays
     largest = int((quota.limit - RESERVED_CONNECTIONS) * share)
+    if _has_links(quota):
+        largest = MAX_RELAYED
     if quota.share is not None and quota.refused_at is not None:
         steps = (now - quota.refused_at) // GROWTH_INTERVAL_MS
         largest = min(largest, quota.share + steps)
     return max(1, largest)
 
 
+def _has_links(quota: ConnectionQuota) -> bool:
+    """Return whether connections lead to relays, one or more for an organisation."""
+    return quota.is_relayed and quota.by_organisation
+
+
 def may_open(quota: ConnectionQuota, held: int, now: int) -> bool:
     """Return whether one more connection may be opened."""
     refused = quota.refused_at
@@ -89,6 +105,16 @@
     return not quota.relays and now - quota.opened_at >= TRIAL_INTERVAL_MS
 
 
+def may_replace(quota: ConnectionQuota, now: int) -> bool:
+    """Return whether to close a connection to open another one.
+
+    That takes no further connection of the server. One that has refused a moment ago
+    has none left, and the other one would be refused too.
+    """
+    refused = quota.refused_at
+    return refused is None or now - refused >= EMPTY_RETRY_MS
+
+
 def observe_opening(quota: ConnectionQuota, now: int) -> None:
     """Record that this host begins to open a connection."""
     quota.opened_at = now
@@ -125,8 +151,14 @@
     """Return how many idle connections are kept without a limit of time.
 
     A relay serves bursts of many hosts that send little each. Opened anew at every
-    burst, connections would cost the server more slot time than the statements.
+    burst, connections would cost the server more slot time than the statements. Where
+    each belongs to one organisation, fewer of them fit the next burst: it keeps all.
     """
     if is_scarce(quota, now):
         return 0
-    return max(1, int(find_max(quota, now) * RELAY_KEPT_SHARE)) if quota.is_relay else 1
+    if _has_links(quota):
+        return find_max(quota, now)
+    if not quota.is_relay:
+        return 1
+    share = 1.0 if quota.by_organisation else RELAY_KEPT_SHARE
+    return max(1, int(find_max(quota, now) * share))
--- a/src/apricotshore/pooling/adapters.py
+++ b/src/apricotshore/pooling/adapters.py
@@ -3,7 +3,14 @@
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 
-from .ports import Dialer, HostPeers, ObjectStore, Promoter
+from .ports import (
+    Dialer,
+    FreshnessPeers,
+    HostPeers,
+    ObjectStore,
+    Promoter,
+    TokenPeers,
+)
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -19,6 +26,11 @@
         Client of the other hosts of the fleet.
     close
         Releases the resources of the others.
+    freshness_peers
+        Client of the other hosts that asks how recent their configuration is; None
+        where none of them is asked.
+    token_peers
+        Client of other hosts as allocators of rate limits, None without one.
     """
 
     store: ObjectStore
@@ -26,3 +38,5 @@
     dialer: Dialer
     peers: HostPeers
     close: Callable[[], Awaitable[None]]
+    freshness_peers: FreshnessPeers | None = None
+    token_peers: TokenPeers | None = None
--- a/src/apricotshore/pooling/autocommit.py
+++ b/src/apricotshore/pooling/autocommit.py
@@ -10,7 +10,7 @@
 from .group import Group
 from .journal import EventKind
 from .pool import ServerPool
-from .pooled_connection import NoConnectionError
+from .pooled_connection import NoConnectionError, PooledConnection
 from .ports import ConnectionLostError
 from .preparation import (
     ROLLBACK,
@@ -97,7 +97,12 @@
     left_ms = job.deadline_at - read_boot_ms()
     if left_ms <= 0:
         raise ConnectionLostError("the timeout of the route was reached", sent=False)
-    pooled = await pool.acquire(session.values, job.route.priority, job.expires_at)
+    pooled = await pool.acquire(
+        session.values,
+        job.route.priority,
+        job.expires_at,
+        organisation=session.organisation,
+    )
     clean = False
     try:
         failed = await prepare_link(group, pool, pooled, session, job.shape, None, None)
@@ -107,6 +112,9 @@
                 failure=FailureCode.OVERLOADED if full else FailureCode.NOT_PREPARED
             )
         timeout = min(left_ms, READ_ATTEMPT_MS)
+        clean = True
+        job.check()
+        clean = False
         answers = await pool.run(pooled, [job.query], min_position, timeout)
         clean = True
     except ConnectionLostError:
@@ -138,6 +146,7 @@
         clean = False
         try:
             timeout = min(left_ms, READ_ATTEMPT_MS)
+            job.check()
             answers = await pool.run(pooled, [job.query, ROLLBACK], None, timeout)
             clean = answers[1].failure is None
         except ConnectionLostError as error:
@@ -171,6 +180,7 @@
         if left_ms <= 0:
             break
         pool, pooled = await open_at_primary(group, session, job, None)
+        _check_or_release(job, pool, pooled)
         clean = False
         number = group.writes.begin()
         answered = False
@@ -206,6 +216,15 @@
     raise refuse_overloaded(detail, wait_queue.MIN_RETRY_MS)
 
 
+def _check_or_release(job: Job, pool: ServerPool, pooled: PooledConnection) -> None:
+    """Check a write before it counts as one that awaits its answer."""
+    try:
+        job.check()
+    except RefusedError:
+        pool.release(pooled, clean=True)
+        raise
+
+
 def record_retry(context: Context, job: Job, server: str, why: str) -> None:
     """Record that a statement is retried, at another server or the same one."""
     context.journal.record(
--- a/src/apricotshore/pooling/caller_session.py
+++ b/src/apricotshore/pooling/caller_session.py
@@ -4,9 +4,8 @@
 from dataclasses import replace
 
 from ..decisions import shutdown
-from ..identifiers import DatabaseId
+from ..identifiers import DatabaseId, KeyDigest, OrganisationId
 from ..queries import (
-    INTERNAL_REQUEST,
     Access,
     Answer,
     FailureCode,
@@ -16,17 +15,22 @@
 )
 from ..routes import Route
 from ..services.clock import read_boot_ms
-from . import autocommit, transactions
+from . import autocommit, key_checks, transactions
 from .journal import EventKind
 from .metrics import PoolingMetrics
-from .ports import CallerLink, ConnectionLostError
-from .preparation import CONTROL_TIMEOUT_MS
+from .ports import CallerLink
 from .sessions import Context, Job, RefusedError, Session, Transaction, later_position
 
 _READ_ONLY_BY_BEGIN = {QueryKind.BEGIN: False, QueryKind.BEGIN_READ: True}
 _CHANGES_SESSION = frozenset({QueryKind.SET, QueryKind.PREPARE, QueryKind.DEALLOCATE})
 _RUN_AT_SERVER = frozenset({QueryKind.READ, QueryKind.WRITE, QueryKind.EXECUTE})
 
+# Statements sent ahead that a session answers before it closes as its key is revoked.
+# More would hold up the other sessions.
+# A line that was received already is read within a few turns of the event loop.
+RECEIVED_WAIT_S = 0.01
+LAST_REFUSALS = 20
+
 
 class CallerSession:
     """Session of one caller, whose statements are served in order.
@@ -43,6 +47,8 @@
         State of the host's shutdown.
     metrics
         Metrics of the host.
+    organisation, key
+        The caller's organisation and the digest of its key; None where it needs no key.
     """
 
     def __init__(
@@ -53,8 +59,10 @@
         context: Context,
         drain: shutdown.Drain,
         metrics: PoolingMetrics,
+        organisation: OrganisationId | None = None,
+        key: KeyDigest | None = None,
     ) -> None:
-        self.session = Session(database=database)
+        self.session = Session(database=database, organisation=organisation, key=key)
         self.link = link
         self.context = context
         self.drain = drain
@@ -70,7 +78,10 @@
         try:
             while True:
                 self.idle = True
+                self.end_refused()
                 if self.should_close():
+                    if self.session.revoked:
+                        await self._refuse_received()
                     return
                 query = await self._receive()
                 if query is None:
@@ -89,8 +100,16 @@
             return TransactionState.IDLE
         return TransactionState.FAILED if transaction.failed else TransactionState.OPEN
 
+    @property
+    def has_open_transaction(self) -> bool:
+        """Whether a transaction is open that has not failed."""
+        transaction = self.session.transaction
+        return transaction is not None and not transaction.failed
+
     def should_close(self) -> bool:
         """Return whether to close the session now, between two statements."""
+        if self.session.revoked and self.session.transaction is None:
+            return True
         idle_session = shutdown.IdleSession(
             in_transaction=self.session.transaction is not None,
             opened_at=self.opened_at,
@@ -102,17 +121,54 @@
 
     async def _receive(self) -> Query | None:
         """Wait for a statement; roll back a transaction that idles too long."""
-        transaction = self.session.transaction
-        if transaction is None or transaction.failed:
+        if not (self.has_open_transaction or self.session.revoked):
             return await self.link.receive()
         limit = self.context.configuration().idle_transaction_ms
         try:
             async with asyncio.timeout(limit / 1000):
                 return await self.link.receive()
         except TimeoutError:
+            if self.session.revoked:
+                return None
             self.abort_transaction("idle for too long")
             return await self.link.receive()
 
+    # -- the caller's key --
+
+    def _check(self) -> None:
+        """Raise `RefusedError` unless the caller may be served now.
+
+        Called right before a statement is forwarded, as it may have waited for that.
+        """
+        refusal = key_checks.find_refusal(self.context, self.session)
+        if refusal is not None:
+            raise refusal
+        key_checks.end_admission(self.context, self.session)
+
+    def end_refused(self) -> None:
+        """Roll back what is open between two statements if it may not go on."""
+        is_revoked = key_checks.observe_revocation(self.context, self.session)
+        if not (self.idle and (is_revoked or self.has_open_transaction)):
+            return
+        refusal = key_checks.find_refusal(self.context, self.session)
+        if refusal is not None:
+            self.abort_transaction(refusal.detail)
+
+    async def _refuse_received(self) -> None:
+        """Answer what was received already, before the session closes."""
+        self.idle = False
+        for _ in range(LAST_REFUSALS):
+            try:
+                async with asyncio.timeout(RECEIVED_WAIT_S):
+                    query = await self.link.receive()
+            except TimeoutError:
+                return
+            if query is None:
+                return
+            await self._handle(query)
+
+    # -- transactions --
+
     def abort_transaction(self, why: str) -> None:
         """Roll the open transaction back; the next statement's answer says so."""
         transaction = self.session.transaction
@@ -136,7 +192,10 @@
         try:
             answer = await self._answer(query, arrived)
         except RefusedError as error:
-            answer = self._refuse(error)
+            # A hint to retry would mislead a caller whose key was revoked meanwhile.
+            is_busy = error.code is FailureCode.OVERLOADED
+            revoked = key_checks.find_refusal(self.context, self.session)
+            answer = self._refuse((is_busy and revoked) or error, query)
         # The state in a server's answer may be that of a transaction of the proxy.
         answer = replace(answer, state=self.state)
         self._record(query, answer, read_boot_ms() - arrived)
@@ -156,15 +215,18 @@
             EventKind.REQUEST_FAILED if failed else EventKind.REQUEST_SERVED,
             request=query.request,
             database=self.session.database,
+            organisation=self.session.organisation,
             kind=query.kind.value,
             took_ms=took_ms,
             code=answer.failure.value if answer.failure else None,
             detail=answer.detail or None,
         )
 
-    def _refuse(self, error: RefusedError) -> Answer:
+    def _refuse(self, error: RefusedError, query: Query) -> Answer:
         transaction = self.session.transaction
-        if transaction is not None:
+        if self.session.revoked or query.kind is QueryKind.COMMIT:
+            self._end_transaction()
+        elif transaction is not None:
             transaction.failed = True
             self.context.spawn(transactions.roll_back(transaction))
         return Answer(failure=error.code, detail=error.detail, state=self.state)
@@ -174,13 +236,18 @@
     async def _answer(self, query: Query, arrived: int) -> Answer:
         session = self.session
         transaction = session.transaction
+        refusal = key_checks.find_refusal(self.context, session)
+        if refusal is not None and session.revoked:
+            raise refusal
         if query.kind is QueryKind.ROLLBACK:
             self._end_transaction()
             return Answer()
         if query.kind is QueryKind.INVALID:
-            raise RefusedError(FailureCode.MALFORMED, query.text[:80])
+            raise RefusedError(FailureCode.MALFORMED, self._describe_invalid(query))
         if transaction is not None and transaction.failed:
             return self._answer_failed(transaction, query)
+        if refusal is not None:
+            raise refusal
         route = transaction.route if transaction is not None else self._find_route()
         if query.kind in _READ_ONLY_BY_BEGIN:
             return self._begin(query, route, arrived)
@@ -190,6 +257,11 @@
             return await self._run(query, route, arrived)
         return await self._change_session(query)
 
+    def _describe_invalid(self, query: Query) -> str:
+        """Return what the error and its log line say; the text may hold a key."""
+        has_keys = self.context.configuration().organisations is not None
+        return "unknown statement" if has_keys else query.text[:80]
+
     def _find_route(self) -> Route:
         route = self.context.configuration().routes.get(self.session.database)
         if route is None:
@@ -229,7 +301,14 @@
         transaction = session.transaction
         if transaction is None:
             raise RefusedError(FailureCode.MALFORMED, "no transaction is open")
-        job = Job(query=query, shape=None, route=route, arrived_at=arrived)
+        await key_checks.admit_operation(self.context, session)
+        job = Job(
+            query=query,
+            shape=None,
+            route=route,
+            arrived_at=arrived,
+            check=self._check,
+        )
         try:
             answer = await transactions.run_in_transaction(self.context, session, job)
         except RefusedError as error:
@@ -240,19 +319,12 @@
                 session.log_position = later_position(
                     session.log_position, answer.log_position
                 )
-            self._release(transaction, answer)
+            transactions.release_ended(transaction, answer)
             session.transaction = None
             return answer
         self._end_transaction()
         return Answer(failure=answer.failure, detail=answer.detail)
 
-    def _release(self, transaction: Transaction, answer: Answer) -> None:
-        if transaction.pool is not None and transaction.link is not None:
-            clean = answer.state is TransactionState.IDLE
-            transaction.pool.release(transaction.link, clean=clean)
-        transaction.pool = None
-        transaction.link = None
-
     async def _run(self, query: Query, route: Route, arrived: int) -> Answer:
         session = self.session
         shape = None
@@ -271,40 +343,23 @@
             route=route,
             writes=writes,
             arrived_at=arrived,
+            check=self._check,
         )
         transaction = session.transaction
+        if transaction is not None and writes and transaction.read_only:
+            raise RefusedError(FailureCode.NOT_PRIMARY, "the transaction only reads")
+        await key_checks.admit_operation(self.context, session)
         if transaction is None:
             return await autocommit.run_autocommit(self.context, session, job)
-        if writes and transaction.read_only:
-            raise RefusedError(FailureCode.NOT_PRIMARY, "the transaction only reads")
         return await transactions.run_in_transaction(self.context, session, job)
 
     async def _change_session(self, query: Query) -> Answer:
         if query.kind is QueryKind.RESET:
             raise RefusedError(FailureCode.MALFORMED, "not for callers")
+        if not self.link.hold_state(self.session.measure(query)):
+            detail = "the session's values and prepared names are over the limit"
+            raise RefusedError(FailureCode.TOO_LARGE, detail)
         if query.kind is QueryKind.SET:
-            await self._set_at_server(query)
+            await transactions.set_value(self.session.transaction, query)
         self.session.change(query)
         return Answer(state=self.state)
-
-    async def _set_at_server(self, query: Query) -> None:
-        """Set a value on the connection of an open transaction."""
-        transaction = self.session.transaction
-        if transaction is None or transaction.pool is None or transaction.link is None:
-            return
-        own = Query(
-            kind=QueryKind.SET,
-            request=INTERNAL_REQUEST,
-            name=query.name,
-            value=query.value,
-        )
-        pool, pooled = transaction.pool, transaction.link
-        try:
-            answers = await pool.run(pooled, [own], None, CONTROL_TIMEOUT_MS)
-        except ConnectionLostError as error:
-            transactions.drop_transaction(transaction)
-            raise RefusedError(FailureCode.ROLLED_BACK, str(error)) from None
-        if answers[0].failure is not None:
-            transactions.drop_transaction(transaction)
-            raise RefusedError(FailureCode.ROLLED_BACK, "the value was not set")
-        pooled.values[query.name] = query.value
--- a/src/apricotshore/pooling/host.py
+++ b/src/apricotshore/pooling/host.py
@@ -2,21 +2,35 @@
 
 import asyncio
 import gc
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
+from typing import TYPE_CHECKING
 
 from aioprometheus import Registry
 from mode import Service
 
 from ..decisions.relays import Fleet, ListedHost
 from ..decisions.shutdown import Drain
-from ..identifiers import DatabaseId, GroupId, HostId, ServerId
+from ..freshness.messages import FreshnessRequest, FreshnessResponse
+from ..identifiers import (
+    DatabaseId,
+    GroupId,
+    HostId,
+    KeyDigest,
+    OrganisationId,
+    ServerId,
+)
+from ..organisations import Admission
 from ..queries import FailureCode
+from ..rate_decisions import ADMITTED, RateDecision
+from ..routes import Configuration
 from ..services.clock import read_boot_ms
 from ..services.eras import EraTracker
 from .adapters import Adapters
 from .background_tasks import BackgroundTasks
 from .callers import Callers
 from .fleet_asker import FleetAsker
+from .freshness import Freshness
+from .freshness_asker import FreshnessAsker
 from .host_groups import HostGroups
 from .host_shutdown import HostShutdown
 from .journal import EventKind, Journal
@@ -24,13 +38,19 @@
 from .metrics import PoolingMetrics
 from .other_hosts import OtherHosts
 from .ports import CallerLink, HostLink, QuiesceReply, QuiesceRequest
+from .process_numbers import draw_process
 from .promotion_line import record_again, repeat_latest
 from .readiness import Readiness
 from .relay_dialer import RelayDialer
+from .route_report import report_route
 from .sessions import Context
 from .settings import PoolingSettings
 from .store_followers import make_sources
 from .supervision import keep_running
+from .vouching import Vouching
+
+if TYPE_CHECKING:
+    from .rate_limiter import RateLimiter
 
 HOUSEKEEPING_S = 0.5
 # Cancelled sessions need a few turns of the event loop to close their connections.
@@ -96,6 +116,18 @@
             add_service=self.add_runtime_dependency,
         )
         self.groups = self.host_groups.groups
+        self.freshness = Freshness(
+            journal=journal, eras=self.eras, bounds=settings.freshness_bounds
+        )
+        self.freshness.shares_reads = self._shares_reads
+        self.vouching = Vouching(freshness=self.freshness)
+        self.freshness_asker = FreshnessAsker(
+            vouching=self.vouching,
+            settings=settings,
+            fleet=self.fleet,
+            peers=adapters.freshness_peers,
+        )
+        process = draw_process()
         sources = make_sources(
             settings=settings,
             adapters=adapters,
@@ -103,6 +135,9 @@
             eras=self.eras,
             host_groups=self.host_groups,
             on_hosts=self._update_hosts,
+            on_configuration=self._apply_configuration,
+            freshness=self.freshness,
+            process=process,
         )
         self.store_watcher = sources.store_watcher
         self.host_watcher = sources.host_watcher
@@ -114,16 +149,37 @@
             open_changes=self.open_changes,
             groups=self.groups,
         )
+        self.rate_limiter: RateLimiter | None = None
+        if settings.limit_window_ms:
+            self.rate_limiter = self._make_rate_limiter(registry, process)
         self._prepare_serving()
 
+    def _make_rate_limiter(self, registry: Registry, process: int) -> "RateLimiter":
+        # A host that restarts serves nobody until its imports are done.
+        from .limit_metrics import LimitMetrics
+        from .rate_limiter import RateLimiter
+
+        return RateLimiter(
+            settings=self.settings,
+            peers=self.adapters.token_peers,
+            host_peers=self.adapters.peers,
+            configuration=lambda: self.store_watcher.configuration,
+            journal=self.journal,
+            metrics=LimitMetrics(registry=registry),
+            process=process,
+        )
+
     def _prepare_serving(self) -> None:
         """Make what serves callers and other hosts, and what ends their sessions."""
-        context = Context(
+        self.context = context = Context(
             host=self.settings.host,
             find_group=self.groups.get,
             configuration=lambda: self.store_watcher.configuration,
             journal=self.journal,
             spawn=self.background.spawn,
+            refuse_keyed=self.freshness.refuse_keyed,
+            admit_rate=self._admit_rate,
+            admit_rate_now=self._admit_rate_now,
         )
         self.callers = Callers(
             context=context,
@@ -131,6 +187,7 @@
             drain=self.drain,
             metrics=self.metrics,
         )
+        self.freshness.on_stale = self.callers.end_refused
         self.other_hosts = OtherHosts(
             host_groups=self.host_groups,
             fleet=self.fleet,
@@ -153,6 +210,9 @@
         await self.add_runtime_dependency(self.store_watcher)
         await self.add_runtime_dependency(self.host_watcher)
         await self.add_runtime_dependency(self.open_changes)
+        await self.add_runtime_dependency(self.freshness_asker)
+        if self.rate_limiter is not None:
+            await self.add_runtime_dependency(self.rate_limiter)
         self.journal.record(
             EventKind.STARTED,
             data_centre=self.settings.data_centre,
@@ -173,7 +233,14 @@
         if await self._wait_until_closed():
             await self.host_watcher.remove_entry()
         # What follows the store would report its closed client as a lost store.
-        followers = (self.store_watcher, self.host_watcher, self.open_changes)
+        if self.rate_limiter is not None:
+            await self._stop_services((self.rate_limiter,))
+        followers = (
+            self.freshness_asker,
+            self.store_watcher,
+            self.host_watcher,
+            self.open_changes,
+        )
         await self._stop_services(followers)
         await self.adapters.close()
         self.journal.record_left_out()
@@ -217,15 +284,30 @@
 
     # -- changes in the store and of the settings --
 
+    def _shares_reads(self) -> bool:
+        """Return whether the fleet is large enough for few hosts to read the store."""
+        least = self.settings.share_reads_from
+        return 0 < least <= len(self.fleet.hosts)
+
     def _record_restored(self) -> None:
         self.journal.record(
             EventKind.STORE_RESTORED, era=self.eras.era, earlier_era=self.eras.earlier
         )
 
+    def _apply_configuration(self, configuration: Configuration) -> None:
+        """Apply a configuration that is in force from now on.
+
+        First to callers: what is withdrawn must not be served any more.
+        """
+        self.callers.apply(configuration)
+        self.host_groups.configure_all()
+
     def _update_hosts(self, listed: dict[HostId, ListedHost]) -> None:
         if listed.keys() != self.fleet.hosts.keys():
             self.journal.record(EventKind.HOSTS_LISTED, hosts=len(listed))
         self.fleet.hosts = listed
+        if self.rate_limiter is not None:
+            self.rate_limiter.update_hosts(listed, self.eras.era)
         self.host_groups.configure_all()
         self.other_hosts.release_relayed()
 
@@ -233,9 +315,18 @@
         """Apply changed settings, except for the addresses to listen on."""
         self.settings = settings
         self.drain.grace_ms = settings.grace_ms
+        if self.rate_limiter is not None:
+            self.rate_limiter.apply_settings(settings)
+        elif settings.limit_window_ms:
+            why = "rate-limit-window takes effect at the next start"
+            self.journal.record(EventKind.ERROR, why=why)
         self.store_watcher.set_bounds(
             settings.apply_ms, settings.leave_ms, settings.window_ms
         )
+        if settings.freshness_bounds != self.freshness.bounds:
+            self.freshness.set_bounds(settings.freshness_bounds)
+            self.store_watcher.interrupt_watches()
+        self.freshness_asker.settings = settings
         self.host_groups.apply_settings(settings)
         self.journal.record(
             EventKind.RELOADED,
@@ -243,39 +334,70 @@
             apply_ms=settings.apply_ms,
             leave_ms=settings.leave_ms,
             window_ms=settings.window_ms,
+            revoke_ms=settings.revoke_ms or None,
         )
 
     # -- callers and other hosts --
 
-    async def admit(self, database: DatabaseId) -> FailureCode | None:
-        """Return why a database is not served, None if it is."""
-        return await self.callers.admit(database)
+    async def admit(
+        self, database: DatabaseId, key: KeyDigest | None = None
+    ) -> Admission | FailureCode:
+        """Return a caller's admission, or why it is refused."""
+        return await self.callers.admit(database, key)
 
-    async def serve(self, database: DatabaseId, link: CallerLink) -> None:
+    async def serve(self, admission: Admission, link: CallerLink) -> None:
         """Serve one caller until it disconnects."""
-        await self.callers.serve(database, link)
+        await self.callers.serve(admission, link)
 
-    def admit_host(self, group: GroupId, server: ServerId) -> FailureCode | None:
+    def admit_host(
+        self,
+        group: GroupId,
+        server: ServerId,
+        organisation: OrganisationId | None = None,
+    ) -> FailureCode | None:
         """Return why a server is not reached through this host, None if it is."""
-        return self.other_hosts.admit(group, server)
+        return self.other_hosts.admit(group, server, organisation)
 
     async def serve_host(
-        self, group: GroupId, server: ServerId, link: HostLink
+        self,
+        group: GroupId,
+        server: ServerId,
+        organisation: OrganisationId | None,
+        link: HostLink,
     ) -> None:
         """Run another host's statements on this host's connections to a server."""
-        await self.other_hosts.serve(group, server, link)
+        await self.other_hosts.serve(group, server, organisation, link)
 
     async def quiesce(self, request: QuiesceRequest) -> QuiesceReply:
         """Send nothing more to a server that another host replaces, and confirm it."""
         return await self.other_hosts.quiesce(request)
 
+    async def answer_freshness(
+        self, request: FreshnessRequest
+    ) -> FreshnessResponse | None:
+        """Return how old the proof of this host's configuration is."""
+        return await self.vouching.answer(request)
+
+    async def _admit_rate(self, organisation: OrganisationId | None) -> RateDecision:
+        """Return whether an operation is within its organisation's rate limit."""
+        if self.rate_limiter is None:
+            return ADMITTED
+        return await self.rate_limiter.admit(organisation)
+
+    def _admit_rate_now(self, organisation: OrganisationId) -> RateDecision:
+        """Return the same by what this host knows already."""
+        if self.rate_limiter is None:
+            return ADMITTED
+        return self.rate_limiter.admit_now(organisation)
+
     # -- readiness --
 
     @property
     def is_ready(self) -> bool:
         """Whether the load balancer should send callers here."""
         draining = self.drain.began_at is not None
-        return self.is_loaded and self.readiness.reaches_servers and not draining
+        is_able = self.readiness.reaches_servers and self.freshness.is_fresh
+        return self.is_loaded and is_able and not draining
 
     @property
     def is_loaded(self) -> bool:
@@ -316,6 +438,10 @@
         record_again(self.journal, self.host_groups.list_promotions())
         self.journal.flush()
 
+    def report_route(self, request: Mapping[str, str]) -> dict[str, object]:
+        """Return where a request would go now; see `route_report.report_route`."""
+        return report_route(self.context, request)
+
     def refresh_metrics(self) -> None:
         """Update the gauges."""
         self.metrics.refresh(
@@ -323,9 +449,12 @@
             len(self.callers.sessions),
             len(self.other_hosts.sessions),
         )
+        if self.rate_limiter is not None:
+            self.rate_limiter.refresh_metrics()
         self.metrics.refresh_store(
             self.store_watcher.configuration.version, self.eras.era
         )
+        self.metrics.refresh_freshness(self.freshness, self.store_watcher.wait_ms)
         self.metrics.refresh_unresumed(
             {
                 name: len(changer.resumption.unresumed)
--- a/src/apricotshore/pooling/journal.py
+++ b/src/apricotshore/pooling/journal.py
@@ -17,6 +17,8 @@
 # Time to the line of the failures after a first one, and between those that follow.
 FIRST_PERIOD_S = 1
 LATER_PERIOD_S = 3
+# Characters of a text in a line of a request: ids of requests come from clients.
+LONGEST_TEXT = 300
 # Causes of one kind of failures that are written at once while they go on.
 CAUSES_AT_ONCE = 4
 # A word with a figure names an object or an amount, and no cause.
@@ -34,6 +36,7 @@
     STOPPING = "stopping"
     STOPPED = "stopped"
     RELOADED = "reloaded"
+    SPILLOVER = "spillover"
     STORE_LOST = "store-lost"
     STORE_BACK = "store-back"
     STORE_RESTORED = "store-restored"
@@ -41,6 +44,11 @@
     CONFIGURATION_APPLIED = "configuration-applied"
     CONFIGURATION_IGNORED = "configuration-ignored"
     CONFIGURATION_REFUSED = "configuration-refused"
+    KEYS_WITHDRAWN = "keys-withdrawn"
+    CONFIGURATION_STALE = "configuration-stale"
+    CONFIGURATION_FRESH = "configuration-fresh"
+    PROOF_SOURCE = "proof-source"
+    KEYED_REFUSED = "keyed-refused"
     SERVER_LISTED = "server-listed"
     SERVER_GONE = "server-gone"
     SERVER_RECREATED = "server-reborn"
@@ -50,6 +58,7 @@
     PRIMARY_SILENT = "lead-silent"
     PRIMARY_PROOF = "lead-proof"
     PRIMARY_REPLACED = "lead-replaced"
+    OUTAGE_ENDED = "outage-ended"
     QUIESCED = "quiesced"
     PROMOTION = "promotion"
     PRIMARY_CHANGE = "handover"
@@ -60,10 +69,13 @@
     REQUEST_RETRIED = "request-retried"
     REQUEST_FAILED = "request-failed"
     CALLER_REFUSED = "caller-refused"
+    CALLER_CLOSED = "caller-closed"
     TRANSACTION_ENDED = "transaction-ended"
     LINES_OMITTED = "lines-omitted"
     CLOCK_STEPPED = "clock-stepped"
     LOOP_STALLED = "loop-stalled"
+    RATE_LIMITED = "rate-limited"
+    RATE_SHARE = "rate-share"
     ERROR = "error"
 
 
@@ -76,7 +88,9 @@
     {
         EventKind.REQUEST_FAILED,
         EventKind.CALLER_REFUSED,
+        EventKind.CALLER_CLOSED,
         EventKind.TRANSACTION_ENDED,
+        EventKind.KEYED_REFUSED,
         EventKind.RELAY_FAILED,
         EventKind.DETOUR_FAILED,
     }
@@ -172,6 +186,8 @@
         one a second.
         """
         self._observe_second()
+        if step in _FAILURES or step in _SAMPLED:
+            details = {name: _shorten(value) for name, value in details.items()}
         if step in _FAILURES:
             self._record_failure(step, details)
         elif step in _SAMPLED and self.served >= LINES_PER_S:
@@ -288,6 +304,13 @@
             del self.buffer[:written]
 
 
+def _shorten(value: object) -> object:
+    """Return a value without the end of a text that a client made long."""
+    if isinstance(value, str) and len(value) > LONGEST_TEXT:
+        return value[:LONGEST_TEXT]
+    return value
+
+
 def _find_cause(details: dict[str, object]) -> str:
     """Return the code of a failure and why it came, without names and figures."""
     why = str(details.get("detail") or details.get("why") or "")
--- a/src/apricotshore/pooling/metrics.py
+++ b/src/apricotshore/pooling/metrics.py
@@ -5,10 +5,12 @@
 from aioprometheus import Counter, Gauge, Histogram, Registry
 
 from ..identifiers import GroupId, StoreEra
-from ..queries import Answer, Query
+from ..queries import Answer, FailureCode, Query
 from ..services.clock import read_boot_ms
+from .freshness import FOLLOWED, Freshness
 from .group import Group
 from .log_waits import waits_for_logs
+from .stored_objects import StoredKind
 
 LATENCY_BUCKETS_S = [0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2]
 
@@ -81,6 +83,21 @@
             "Promotions ordered though the log lacked known entries, by group",
             registry=registry,
         )
+        self.refused = Counter(
+            "apricotshore_refused_callers_total",
+            "Callers that were refused a session, by code",
+            registry=registry,
+        )
+        self.revoked = Counter(
+            "apricotshore_revoked_total",
+            "Sessions whose keys were withdrawn, and transactions rolled back for it",
+            registry=registry,
+        )
+        self.evictions = Counter(
+            "apricotshore_evicted_connections_total",
+            "Connections closed to make room for another organisation, by server",
+            registry=registry,
+        )
         self.unresumed = Gauge(
             "apricotshore_unresumed_servers",
             "Servers that this host has still to find not paused, by group",
@@ -91,6 +108,40 @@
             "Whether nobody may lead until the log of a server is back, by group",
             registry=registry,
         )
+        self.proof_age = Gauge(
+            "apricotshore_proof_age_seconds",
+            "Age of the proof that nothing newer is in the store, by kind",
+            registry=registry,
+        )
+        self.keyed_refusals = Counter(
+            "apricotshore_keyed_refusals_total",
+            "Requests with a key refused as the proof of the configuration was too old",
+            registry=registry,
+        )
+        self.store_reads = Counter(
+            "apricotshore_store_reads_total",
+            "Lists and watches of the store, by kind",
+            registry=registry,
+        )
+        self.store_reads_saved = Counter(
+            "apricotshore_store_reads_saved_total",
+            "Watches of the store that other hosts' proofs replaced, by kind",
+            registry=registry,
+        )
+        self.spillover = Gauge(
+            "apricotshore_spillover_share",
+            "Share of reads that is sent beyond a distance, by group",
+            registry=registry,
+        )
+
+    def observe_refusal(self, code: FailureCode) -> None:
+        """Count a caller that was refused a session."""
+        self.refused.inc({"code": code.value})
+
+    def observe_revocations(self, sessions: int, rolled_back: int) -> None:
+        """Count sessions whose keys were withdrawn, and transactions that ended so."""
+        self.revoked.add({"what": "session"}, sessions)
+        self.revoked.add({"what": "transaction"}, rolled_back)
 
     def observe(self, query: Query, answer: Answer, took_ms: int) -> None:
         """Count an answered statement and its latency."""
@@ -111,6 +162,28 @@
         self.configuration.set({}, version)
         self.store_era.set({}, era or 0)
 
+    def refresh_freshness(
+        self, freshness: Freshness, wait_ms: Mapping[StoredKind, int]
+    ) -> None:
+        """Update what is known of the configuration's proofs.
+
+        Parameters
+        ----------
+        freshness
+            Proofs of the host.
+        wait_ms
+            Waits of the watches of a host that watches all the time.
+        """
+        self.keyed_refusals.set({}, freshness.refused)
+        for kind in FOLLOWED:
+            labels = {"kind": kind.value}
+            age_ms = freshness.read_age_ms(kind)
+            if age_ms is not None:
+                self.proof_age.set(labels, age_ms / 1000)
+            self.store_reads.set(labels, freshness.calls[kind])
+            saved = freshness.rested_ms[kind] // wait_ms[kind]
+            self.store_reads_saved.set(labels, saved)
+
     def refresh_unresumed(self, counts: Mapping[GroupId, int]) -> None:
         """Update the gauge of servers that are still to be resumed."""
         for group, count in counts.items():
@@ -120,6 +193,10 @@
         labels = {"group": group.group}
         self.term.set(labels, group.primary_state.term)
         self.waits_for_logs.set(labels, int(waits_for_logs(group)))
+        if group.spillover is not None:
+            for distance, share in group.spillover.shares.beyond.items():
+                beyond = {"beyond": distance.name.lower()}
+                self.spillover.set({**labels, **beyond}, share)
         for (reason, outcome), count in group.changes.outcomes.items():
             self.changes.set({**labels, "reason": reason, "outcome": outcome}, count)
         self.short_promotions.set(labels, group.changes.short_promotions)
@@ -131,4 +208,5 @@
             idle = {"server": server, "use": "idle"}
             self.connections.set(used, len(pool.used))
             self.connections.set(idle, len(pool.idle))
+            self.evictions.set({"server": server}, pool.evictions)
             self.waiting.set({"server": server}, len(pool.wait_queue.heap))
--- a/src/apricotshore/pooling/ports.py
+++ b/src/apricotshore/pooling/ports.py
@@ -5,15 +5,17 @@
 
 from collections.abc import Sequence
 from dataclasses import dataclass
-from typing import Protocol
+from typing import TYPE_CHECKING, Protocol
 
 from ..decisions.relays import ListedHost
 from ..decisions.rounds import HostAddress
+from ..freshness.messages import FreshnessRequest, FreshnessResponse
 from ..groups import LogPosition
 from ..identifiers import (
     FencingToken,
     GroupId,
     HostId,
+    OrganisationId,
     ServerId,
     StoreEra,
     StoreRevision,
@@ -23,6 +25,9 @@
 from ..routes import ListedServer
 from .stored_objects import LeaseRead, LeaseRecord, LeaseWrite, Snapshot, StoredKind
 
+if TYPE_CHECKING:
+    from ..limits.messages import TokensReply, TokensRequest
+
 
 class StoreError(Exception):
     """Missing or unusable answer of the store; a write may have taken effect."""
@@ -151,9 +156,24 @@
 class Dialer(Protocol):
     """Factory of connections to backend servers."""
 
-    async def dial(self, server: ListedServer, timeout_s: float) -> BackendConnection:
+    async def dial(
+        self,
+        server: ListedServer,
+        timeout_s: float,
+        organisation: OrganisationId | None = None,
+    ) -> BackendConnection:
         """Connect to a server.
 
+        Parameters
+        ----------
+        server
+            The server.
+        timeout_s
+            Time limit in seconds.
+        organisation
+            Organisation whose statements the connection is for; None for those of
+            callers without one, and for the proxy's own.
+
         Raises
         ------
         ConnectionLostError
@@ -172,6 +192,9 @@
     async def send(self, query: Query, answer: Answer) -> None:
         """Send the whole answer to a statement."""
 
+    def hold_state(self, size: int) -> bool:
+        """Return whether the session may keep values and names of a size in bytes."""
+
     @property
     def is_open(self) -> bool:
         """Whether the caller is still connected."""
@@ -299,3 +322,33 @@
 
         False where it accepts one, or nothing can be told in time.
         """
+
+
+class FreshnessPeers(Protocol):
+    """Client of the other hosts that asks how recent their configuration is."""
+
+    async def ask_freshness(
+        self, host: ListedHost, request: FreshnessRequest, timeout_s: float
+    ) -> FreshnessResponse:
+        """Ask a host how old the proof of its configuration is.
+
+        Raises
+        ------
+        ConnectionLostError
+            When the host gave no answer in time, or none that can be read.
+        """
+
+
+class TokenPeers(Protocol):
+    """Client of other hosts as allocators of rate limits."""
+
+    async def ask(
+        self, host: ListedHost, request: "TokensRequest", timeout_s: float
+    ) -> "TokensReply":
+        """Report to a host, and ask it for tokens.
+
+        Raises
+        ------
+        ConnectionLostError
+            When there was no reply in time, or the host is no allocator.
+        """
--- a/src/apricotshore/pooling/settings.py
+++ b/src/apricotshore/pooling/settings.py
@@ -5,6 +5,7 @@
 
 from ..decisions.placement import Distance
 from ..exceptions import InvalidFileError, Problem
+from ..freshness.bounds import Bounds, derive_bounds
 from ..identifiers import DataCentreId, HostId
 from ..ini import (
     Section,
@@ -17,11 +18,15 @@
     read_file,
     read_sections,
 )
+from ..intake import IntakeSettings
+from .intake_settings import read_intake_settings
 
 DEFAULT_GRACE_MS = 10_000
 DEFAULT_APPLY_MS = 5_000
 DEFAULT_LEAVE_MS = 10_000
 DEFAULT_WINDOW_MS = 5_000
+DEFAULT_HOP_PRICE_MS = 50
+DEFAULT_KIB_PRICE_MS = 10
 SECTION = "pooling-host"
 REGIONS = "regions"
 
@@ -56,6 +61,9 @@
     revoke_ms
         Time within which a withdrawn key must run nothing on any host, whether that
         reaches the store or not; 0 where there is no such bound.
+    share_reads_from
+        Number of listed hosts from which few of them read the store and vouch for the
+        others, though no key is ever revoked; 0 where each host reads it.
     limit_window_ms
         Window over which the rate limits of organisations are judged; 0 where no
         rate is limited.
@@ -63,8 +71,16 @@
         Share of a rate limit by which a window may exceed it, from 0 to 1.
     limit_slack
         Operations by which a window may exceed a rate limit beside that share.
+    early_rejection
+        Whether statements wait or are rejected by the expected end of an outage.
+    spillover
+        Whether reads leave the data centre by price and expected response time.
+    hop_price_ms, kib_price_ms
+        Prices of a hop and of 1,024 bytes over one, as response time in milliseconds.
     regions
         Region of each data centre.
+    intake
+        Limits for clients.
     """
 
     host: HostId
@@ -81,10 +97,27 @@
     window_ms: int = DEFAULT_WINDOW_MS
     fenced: bool = False
     revoke_ms: int = 0
+    share_reads_from: int = 0
     limit_window_ms: int = 0
     limit_excess: float = 0.0
     limit_slack: int = 0
+    early_rejection: bool = False
+    spillover: bool = False
+    hop_price_ms: int = DEFAULT_HOP_PRICE_MS
+    kib_price_ms: int = DEFAULT_KIB_PRICE_MS
     regions: dict[DataCentreId, str] = field(default_factory=dict)
+    intake: IntakeSettings = field(default_factory=IntakeSettings)
+
+    @property
+    def freshness_bounds(self) -> Bounds:
+        """Bounds on the ages of the proofs of the configuration."""
+        return derive_bounds(
+            self.revoke_ms,
+            self.apply_ms,
+            self.leave_ms,
+            self.window_ms,
+            is_shared=self.share_reads_from > 0,
+        )
 
     def locate(self, data_centre: DataCentreId) -> Distance:
         """Return the distance from this host to a data centre."""
@@ -138,15 +171,25 @@
         window_ms=host.read("stability-window", parse_duration, DEFAULT_WINDOW_MS),
         fenced=host.read("fenced", parse_flag, False),
         revoke_ms=host.read("revoke-within", parse_duration, 0),
+        share_reads_from=host.read("share-store-reads-from", parse_amount, 0),
         limit_window_ms=host.read("rate-limit-window", parse_duration, 0),
         limit_excess=host.read("rate-limit-excess", parse_share, 0.0),
         limit_slack=host.read("rate-limit-slack", parse_amount, 0),
+        early_rejection=host.read("early-rejection", parse_flag, False),
+        spillover=host.read("spillover", parse_flag, False),
+        hop_price_ms=host.read(
+            "spillover-hop-price", parse_duration, DEFAULT_HOP_PRICE_MS
+        ),
+        kib_price_ms=host.read(
+            "spillover-kib-price", parse_duration, DEFAULT_KIB_PRICE_MS
+        ),
         regions={
             DataCentreId(name): regions.read(name, parse_name)
             for name in (regions.values if regions else {})
         }
         if regions
         else {},
+        intake=read_intake_settings(host),
     )
     if problems:
         raise InvalidFileError(problems)
--- a/src/apricotshore/pooling/store_followers.py
+++ b/src/apricotshore/pooling/store_followers.py
@@ -4,8 +4,10 @@
 
 from ..decisions.relays import ListedHost
 from ..identifiers import HostId
+from ..routes import Configuration
 from ..services.eras import EraTracker
 from .adapters import Adapters
+from .freshness import Freshness
 from .host_groups import HostGroups, Sources
 from .host_watcher import HostWatcher
 from .journal import Journal
@@ -22,6 +24,9 @@
     eras: EraTracker,
     host_groups: HostGroups,
     on_hosts: Callable[[dict[HostId, ListedHost]], None],
+    on_configuration: Callable[[Configuration], None],
+    freshness: Freshness,
+    process: int = 0,
 ) -> Sources:
     """Make what follows the store.
 
@@ -39,6 +44,12 @@
         Groups of the host, which are told of what the store lists.
     on_hosts
         Called with all listed hosts.
+    on_configuration
+        Called when another configuration is put in force.
+    freshness
+        Proofs of the configuration, which replace calls to the store.
+    process
+        Random number of this process.
     """
     store_watcher = StoreWatcher(
         store=adapters.store,
@@ -49,15 +60,17 @@
         window_ms=settings.window_ms,
         on_server=host_groups.update_server,
         on_server_gone=host_groups.remove_server,
-        on_configuration=lambda _: host_groups.configure_all(),
+        on_configuration=on_configuration,
         on_lease=host_groups.observe_lease,
+        freshness=freshness,
     )
+    freshness.configuration = lambda: store_watcher.configuration
     host_watcher = HostWatcher(
         store=adapters.store,
         journal=journal,
         eras=eras,
         host=settings.host,
-        entry=_make_entry(settings),
+        entry=_make_entry(settings, process),
         on_hosts=on_hosts,
     )
     open_changes = OpenChanges(
@@ -74,7 +87,7 @@
     )
 
 
-def _make_entry(settings: PoolingSettings) -> ListedHost | None:
+def _make_entry(settings: PoolingSettings, process: int) -> ListedHost | None:
     """Return a host's entry in the store, None if it is no relay."""
     if not settings.peer_address:
         return None
@@ -82,4 +95,6 @@
         host=settings.host,
         data_centre=settings.data_centre,
         address=settings.peer_address,
+        knows_organisations=True,
+        process=process,
     )
--- a/src/apricotshore/services/statuspage.py
+++ b/src/apricotshore/services/statuspage.py
@@ -1,20 +1,31 @@
 """HTTP server for the load balancer's health check and for metrics."""
 
 import asyncio
-from collections.abc import Callable
+import json
+from collections.abc import Callable, Mapping
 from contextlib import suppress
 from dataclasses import dataclass, field
+from urllib.parse import parse_qsl
 
 import h11
 from aioprometheus import Registry
 from aioprometheus.renderer import render
 
+from ..exceptions import ApricotshoreError
+from .sockets import enable_keepalive
+
 READ_BYTES = 1 << 14
-# Time for a whole request, and for the client to take the answer.
-EXCHANGE_TIMEOUT_S = 10.0
-# Connections at once; further ones are closed.
+# Connections that send nothing, or only a part of a request, or that don't take the
+# answer, are closed after this.
+IDLE_S = 60.0
+# Connections at once. A further one closes the one that was used longest ago, so that
+# idle clients can't keep out health checks.
 MAX_CONNECTIONS = 64
+READING_METHODS = (b"GET", b"HEAD")
 METRICS_PATH = "/metrics"
+ROUTE_PATH = "/route"
+
+ReportRoute = Callable[[Mapping[str, str]], dict[str, object]]
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -35,7 +46,7 @@
 
 
 class StatusPage:
-    """Serves ``/health`` and ``/metrics``.
+    """Serves ``/health`` and ``/metrics``, and ``/route`` where there is a report.
 
     Parameters
     ----------
@@ -49,6 +60,9 @@
         Updates the metrics before they are rendered.
     health_path
         Path of the health check.
+    report_route
+        Returns where a request with these parameters would go; None serves no
+        ``/route``.
     """
 
     def __init__(
@@ -59,14 +73,16 @@
         is_ready: Callable[[], bool],
         refresh: Callable[[], None],
         health_path: str = "/health",
+        report_route: ReportRoute | None = None,
     ) -> None:
         self.address = address
         self.registry = registry
         self.is_ready = is_ready
         self.refresh = refresh
         self.health_path = health_path
+        self.report_route = report_route
         self.server: asyncio.Server | None = None
-        self.writers: set[asyncio.StreamWriter] = set()
+        self.writers: dict[asyncio.StreamWriter, None] = {}
 
     async def start(self) -> None:
         """Start listening."""
@@ -85,17 +101,20 @@
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         if len(self.writers) >= MAX_CONNECTIONS:
-            writer.close()
-            return
-        self.writers.add(writer)
+            next(iter(self.writers)).transport.abort()
+        self.writers[writer] = None
+        enable_keepalive(writer.get_extra_info("socket"))
         try:
-            with suppress(OSError, TimeoutError, h11.ProtocolError):
+            with suppress(OSError, h11.ProtocolError):
                 await self._answer_requests(reader, writer)
+        except TimeoutError:
+            # An answer that isn't taken would keep the connection open.
+            writer.transport.abort()
         except asyncio.CancelledError:
             # The host stops.
             return
         finally:
-            self.writers.discard(writer)
+            self.writers.pop(writer, None)
             writer.close()
 
     async def _answer_requests(
@@ -103,20 +122,23 @@
     ) -> None:
         state = h11.Connection(our_role=h11.SERVER)
         while True:
-            async with asyncio.timeout(EXCHANGE_TIMEOUT_S):
+            async with asyncio.timeout(IDLE_S):
                 request = await _read_request(state, reader)
                 if request is None:
                     return
-                _write_page(state, writer, self._make_page(request))
+                # Connections that were used longest ago are closed first.
+                self.writers[writer] = self.writers.pop(writer, None)
+                _write_page(state, writer, request, self._make_page(request))
                 await writer.drain()
             if state.our_state is not h11.DONE or state.their_state is not h11.DONE:
                 return
             state.start_next_cycle()
 
     def _make_page(self, request: h11.Request) -> Page:
-        path = request.target.decode("latin-1").partition("?")[0]
-        if request.method != b"GET":
-            return Page(status=405, body=b"use GET\n", headers={"Allow": "GET"})
+        path, _, query = request.target.decode("latin-1").partition("?")
+        if request.method not in READING_METHODS:
+            headers = {"Allow": "GET, HEAD"}
+            return Page(status=405, body=b"use GET\n", headers=headers)
         if path == self.health_path:
             if self.is_ready():
                 return Page(status=200, body=b"ready\n")
@@ -128,9 +150,20 @@
             ]
             body, headers = render(self.registry, accepts)
             return Page(status=200, body=body, headers=dict(headers))
+        if path == ROUTE_PATH and self.report_route is not None:
+            return _make_route_page(self.report_route, dict(parse_qsl(query)))
         return Page(status=404, body=b"no such page\n")
 
 
+def _make_route_page(report_route: ReportRoute, parameters: dict[str, str]) -> Page:
+    headers = {"Content-Type": "application/json"}
+    try:
+        status, content = 200, report_route(parameters)
+    except ApricotshoreError as error:
+        status, content = 404, {"error": str(error)}
+    return Page(status=status, body=json.dumps(content).encode(), headers=headers)
+
+
 async def _read_request(
     state: h11.Connection, reader: asyncio.StreamReader
 ) -> h11.Request | None:
@@ -149,11 +182,15 @@
 
 
 def _write_page(
-    state: h11.Connection, writer: asyncio.StreamWriter, page: Page
+    state: h11.Connection,
+    writer: asyncio.StreamWriter,
+    request: h11.Request,
+    page: Page,
 ) -> None:
     headers = {"Content-Type": "text/plain; charset=utf-8", **page.headers}
     headers["Content-Length"] = str(len(page.body))
     head = h11.Response(status_code=page.status, headers=list(headers.items()))
     writer.write(state.send(head) or b"")
-    writer.write(state.send(h11.Data(data=page.body)) or b"")
+    if request.method != b"HEAD":
+        writer.write(state.send(h11.Data(data=page.body)) or b"")
     writer.write(state.send(h11.EndOfMessage()) or b"")
