--- a/src/apricotshore/pooling/key_checks.py
+++ b/src/apricotshore/pooling/key_checks.py
@@ -2,7 +2,7 @@
 
 from .. import organisations
 from ..queries import FailureCode
-from ..rate_decisions import FORWARD_MS, Limited
+from ..rate_decisions import RENEW_MS, Limited
 from ..services.clock import read_boot_ms
 from .sessions import Context, RefusedError, Session, refuse_overloaded
 
@@ -60,8 +60,8 @@
 def end_admission(context: Context, session: Session) -> None:
     """Take note that the first statement of an operation is forwarded now.
 
-    One that has waited for a connection for long counts in a later window, so it needs
-    a token of that.
+    After an outage, all that waited for its end would count in one window: they need
+    tokens of that.
 
     Raises
     ------
@@ -71,7 +71,7 @@
     admitted_at, session.admitted_at = session.admitted_at, None
     if admitted_at is None or session.organisation is None:
         return
-    if read_boot_ms() - admitted_at <= FORWARD_MS:
+    if read_boot_ms() - admitted_at <= RENEW_MS:
         return
     decision = context.admit_rate_now(session.organisation)
     if isinstance(decision, Limited):
--- a/src/apricotshore/rate_decisions.py
+++ b/src/apricotshore/rate_decisions.py
@@ -2,8 +2,10 @@
 
 from dataclasses import dataclass
 
-# An admitted operation is forwarded within this time, or needs another token.
+# An admitted operation is forwarded within this time while its group has a primary.
 FORWARD_MS = 100
+# An operation that waited longer, in an outage, needs another token.
+RENEW_MS = 1_000
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
