Show a withdrawn key that a restarted host serves

Cause: a process that starts takes the configuration that a restored store holds for proven, although another host names a newer version.

--- a/review/standins_2/callers.py
+++ b/review/standins_2/callers.py
@@ -91,6 +91,7 @@
     database: str,
     timeout_s: float = 2.0,
     receive_buffer: int = 0,
+    key: str = "u1",
 ) -> Caller | None:
     """Open a session; return None if it is not ready in time.
 
@@ -100,6 +101,8 @@
         Address of the host, database, and time for the session to be ready.
     receive_buffer
         Bytes that this side holds of what was not read yet; 0 for the usual number.
+    key
+        What the caller names itself with.
     """
     raw = socket.socket()
     raw.setblocking(False)
@@ -114,7 +117,7 @@
             reader, writer = await asyncio.open_connection(
                 sock=raw, limit=receive_buffer or LINE_LIMIT
             )
-            writer.write(f"STARTUP {database} u1\r\n".encode())
+            writer.write(f"STARTUP {database} {key}\r\n".encode())
             line = await reader.readuntil(b"\r\n")
     except (OSError, EOFError, TimeoutError):
         raw.close() if writer is None else writer.close()
--- a/review/standins_2/deployment.py
+++ b/review/standins_2/deployment.py
@@ -152,7 +152,9 @@
     group_options
         Options of the group of servers.
     limits
-        Lines of a host's settings for its memory and its descriptors.
+        Lines of a host's settings for its memory, its descriptors and its bounds.
+    tenants
+        Tenants of the configuration, None for one without keys.
     """
 
     def __init__(
@@ -160,10 +162,13 @@
         *,
         record: Record,
         limits: Iterable[str] = ("memory = 300 MB", "descriptors = 4300"),
+        tenants: list[dict[str, Any]] | None = None,
         **group_options: Any,
     ) -> None:
         self.record = record
         self.limits = tuple(limits)
+        self.tenants = tenants
+        self.idle_transaction_ms = 3_000
         self.folder = Path(tempfile.mkdtemp(prefix="review-2-"))
         self.store = Store()
         self.group = Group(store=self.store, **group_options)
@@ -173,6 +178,17 @@
     async def start(self, hosts: int, idle_transaction_ms: int = 3_000) -> None:
         """Start everything, and wait until the hosts are ready."""
         self.store_address = await self.store.listen()
+        self.idle_transaction_ms = idle_transaction_ms
+        self.write_configuration(7)
+        await self.group.start(ZONES)
+        for number in range(hosts):
+            host = self._make_host(f"front-{number + 1}", ZONES[number % len(ZONES)])
+            host.start()
+            self.hosts.append(host)
+        await self.wait_until_ready()
+
+    def write_configuration(self, version: int) -> None:
+        """Write a version of the configuration, as the operator does."""
         routes = [
             {
                 "name": f"r-{database}",
@@ -189,19 +205,15 @@
             for database, kind, timeout_ms, target_ms in ROUTES
         ]
         service = {"name": SERVICE, "maxConnections": 38, "syncReplicas": 1}
-        configuration = {
-            "version": 7,
+        configuration: dict[str, Any] = {
+            "version": version,
             "routes": routes,
             "services": [service],
-            "limits": {"txIdleMs": idle_transaction_ms},
+            "limits": {"txIdleMs": self.idle_transaction_ms},
         }
+        if self.tenants is not None:
+            configuration["tenants"] = self.tenants
         self.store.put("config", "main", configuration)
-        await self.group.start(ZONES)
-        for number in range(hosts):
-            host = self._make_host(f"front-{number + 1}", ZONES[number % len(ZONES)])
-            host.start()
-            self.hosts.append(host)
-        await self.wait_until_ready()
 
     def _make_host(self, name: str, zone: str) -> Host:
         ports = [find_free_port() for _ in range(4)]
--- a/review/standins_2/store.py
+++ b/review/standins_2/store.py
@@ -1,8 +1,10 @@
 """Stand-in for the platform: its object store and its promotion API, over HTTP."""
 
 import asyncio
+import copy
 import json
 from collections.abc import Callable
+from dataclasses import dataclass
 from typing import Any
 from urllib.parse import parse_qs, urlsplit
 
@@ -13,6 +15,14 @@
 Reply = tuple[int, dict[str, Any]]
 
 
+@dataclass(frozen=True, kw_only=True)
+class StoreCopy:
+    """Copy of what a store holds."""
+
+    kinds: dict[str, Objects]
+    revision: int
+
+
 class Store:
     """Objects by kind and name, with one revision counter.
 
@@ -20,6 +30,10 @@
     ----------
     promotions
         Orders of a promotion, as they came.
+    is_away
+        Whether connections are closed without an answer.
+    era
+        How often it has come back from a copy, and one more.
     """
 
     def __init__(self) -> None:
@@ -27,6 +41,8 @@
         self.history: list[tuple[int, str, dict[str, Any], bool]] = []
         self.revision = 1
         self.promotions: list[dict[str, Any]] = []
+        self.is_away = False
+        self.era = 1
         self.on_promote: Callable[[dict[str, Any]], int] = lambda order: 200
 
     def put(self, kind: str, name: str, spec: Any) -> dict[str, Any]:
@@ -52,6 +68,18 @@
             self.revision += 1
             self.history.append((self.revision, kind, found, True))
 
+    def copy(self) -> "StoreCopy":
+        """Return a copy of what it holds now."""
+        return StoreCopy(kinds=copy.deepcopy(self.kinds), revision=self.revision)
+
+    def restore(self, earlier: "StoreCopy") -> None:
+        """Come back from a copy: what was written since is gone."""
+        self.kinds = copy.deepcopy(earlier.kinds)
+        self.revision = earlier.revision
+        self.history = [e for e in self.history if e[0] <= earlier.revision]
+        self.era += 1
+        self.is_away = False
+
     async def listen(self) -> str:
         """Listen on a free port; return the address."""
         server = await asyncio.start_server(
@@ -70,12 +98,17 @@
                 headers = dict(line.lower().split(": ", 1) for line in head[1:] if line)
                 size = int(headers.get("content-length", "0"))
                 body = json.loads(await reader.readexactly(size)) if size else None
+                if self.is_away:
+                    return
+                era = self.era
                 status, content = await self._answer(method, target, body)
+                if self.is_away or era != self.era:
+                    return
                 data = json.dumps(content).encode()
                 lines = (
                     f"HTTP/1.1 {status} Answer",
                     "Content-Type: application/json",
-                    "Store-Era: 1",
+                    f"Store-Era: {self.era}",
                     f"Content-Length: {len(data)}",
                 )
                 writer.write("\r\n".join((*lines, "", "")).encode() + data)
@@ -110,6 +143,9 @@
         return 200, body
 
     async def _watch(self, kind: str, revision: int, wait_ms: int) -> Reply:
+        if revision > self.revision:
+            return 410, {}
+        era = self.era
         until = asyncio.get_running_loop().time() + wait_ms / 1000
         while True:
             events = [
@@ -117,7 +153,8 @@
                 for at, of, found, deleted in self.history
                 if of == kind and at > revision
             ]
-            if events or asyncio.get_running_loop().time() >= until:
+            is_over = self.is_away or era != self.era
+            if events or is_over or asyncio.get_running_loop().time() >= until:
                 return 200, {"events": events, "storeRevision": self.revision}
             await asyncio.sleep(WATCH_STEP_S)
 
