Show commits that a relay answers although it has rolled them back

Cause: a relay that is refused a PREPARE inside a transaction gives the connection up and passes BUSY on with the state of an open transaction, so that the statement is tried again outside of it.

--- a/review/standins_2/deployment.py
+++ b/review/standins_2/deployment.py
@@ -155,6 +155,8 @@
         Lines of a host's settings for its memory, its descriptors and its bounds.
     tenants
         Tenants of the configuration, None for one without keys.
+    connections
+        Connections that a server accepts from all hosts together.
     """
 
     def __init__(
@@ -163,15 +165,17 @@
         record: Record,
         limits: Iterable[str] = ("memory = 300 MB", "descriptors = 4300"),
         tenants: list[dict[str, Any]] | None = None,
+        connections: int = 38,
         **group_options: Any,
     ) -> None:
         self.record = record
         self.limits = tuple(limits)
         self.tenants = tenants
+        self.connections = connections
         self.idle_transaction_ms = 3_000
         self.folder = Path(tempfile.mkdtemp(prefix="review-2-"))
         self.store = Store()
-        self.group = Group(store=self.store, **group_options)
+        self.group = Group(store=self.store, connections=connections, **group_options)
         self.hosts: list[Host] = []
         self.store_address = ""
 
@@ -204,7 +208,11 @@
             }
             for database, kind, timeout_ms, target_ms in ROUTES
         ]
-        service = {"name": SERVICE, "maxConnections": 38, "syncReplicas": 1}
+        service = {
+            "name": SERVICE,
+            "maxConnections": self.connections,
+            "syncReplicas": 1,
+        }
         configuration: dict[str, Any] = {
             "version": version,
             "routes": routes,
--- a/review/standins_2/servers.py
+++ b/review/standins_2/servers.py
@@ -42,10 +42,20 @@
 
 @dataclass(kw_only=True)
 class Connection:
-    """State of one connection to a server."""
+    """State of one connection to a server.
+
+    Parameters
+    ----------
+    state
+        State in the READY line.
+    writes
+        Ids of the writes of the open transaction.
+    values, prepared
+        Session values, and what each name was prepared as.
+    """
 
     state: str = "I"
-    writes: int = 0
+    writes: list[str] = field(default_factory=list)
     values: dict[str, str] = field(default_factory=dict)
     prepared: dict[str, str] = field(default_factory=dict)
 
@@ -86,6 +96,11 @@
         Statements that a server runs at a time.
     work_s
         Time for which a statement occupies a slot.
+    queue
+        Statements that wait for a slot before a server is full. A full one refuses with
+        BUSY what takes work: to read, write, commit, and to prepare a statement.
+    connections
+        Connections that a server accepts.
     find_rows
         Returns the rows of an item.
     """
@@ -96,15 +111,21 @@
         store: Store,
         slots: int = 3,
         work_s: float = 0.005,
+        queue: int = QUEUE,
+        connections: int = 38,
         find_rows: Callable[[str], Iterable[str]] = read_one_row,
     ) -> None:
         self.store = store
         self.slots = slots
         self.work_s = work_s
+        self.queue = queue
+        self.connections = connections
         self.find_rows = find_rows
         self.link = Link(bytes_per_s=LINK_BYTES_PER_S)
         self.position = 100
         self.runs: list[Run] = []
+        # Ids of the writes of each commit.
+        self.commits: list[tuple[str, ...]] = []
         self.servers: list[Server] = []
         self.beats: asyncio.Task[None] | None = None
 
@@ -165,6 +186,11 @@
         """End of the log."""
         return f"{TERM}.{self.group.position}"
 
+    @property
+    def is_full(self) -> bool:
+        """Whether all slots and all places in the queue are taken."""
+        return self.busy >= self.group.slots + self.group.queue
+
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
@@ -175,6 +201,9 @@
             if words[0] != "STARTUP" or words[1] != SERVICE or words[3] != self.name:
                 writer.write(b"ERROR WRONGNODE -\r\n")
                 return
+            if self.connections > self.group.connections:
+                writer.write(b"ERROR CONNLIMIT -\r\n")
+                return
             writer.write(f"READY I {self.position}\r\n".encode())
             while True:
                 word, request, text = (await _read(reader)).split(" ", 2)
@@ -202,6 +231,8 @@
             # Every server of this stand-in holds the whole log.
             text = rest.partition(" ")[2]
             verb, _, rest = text.partition(" ")
+        if verb == "PREPARE" and self.is_full:
+            return (), f"ERROR BUSY {self.name}"
         if verb in ("SET", "PREPARE", "DEALLOC", "RESET", "ROLLBACK", "BEGIN"):
             return (), self._change(connection, verb, rest)
         if verb in ("STATUS", "PAUSE", "RESUME", "STEPDOWN"):
@@ -223,7 +254,7 @@
             connection.values.clear()
             connection.prepared.clear()
         elif verb == "ROLLBACK":
-            connection.state, connection.writes = "I", 0
+            connection.state, connection.writes = "I", []
         elif not (self.is_primary or rest == "READ"):
             return f"ERROR READONLY {self.name}"
         else:
@@ -244,7 +275,7 @@
             verb = shape.partition(" ")[0]
         if verb == "WRITE" and not self.is_primary:
             return (), f"ERROR READONLY {self.name}"
-        if self.busy >= self.group.slots + QUEUE:
+        if self.is_full:
             return (), f"ERROR BUSY {self.name}"
         self.busy += 1
         try:
@@ -256,10 +287,12 @@
             Run(request=request, text=text, shape=shape, values=dict(connection.values))
         )
         if verb == "WRITE":
-            connection.writes += 1
+            connection.writes.append(request)
         if verb == "COMMIT" or (verb == "WRITE" and connection.state == "I"):
-            self.group.position += bool(connection.writes)
-            connection.state, connection.writes = "I", 0
+            if connection.writes:
+                self.group.position += 1
+                self.group.commits.append(tuple(connection.writes))
+            connection.state, connection.writes = "I", []
         rows = self.group.find_rows(rest) if verb == "READ" else ()
         return rows, f"COMPLETE {secrets.token_hex(8)}"
 
