--- a/review/standins_2/deployment.py
+++ b/review/standins_2/deployment.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import os
+import random
 import signal
 import socket
 import subprocess
@@ -18,6 +19,7 @@
 ROOT = Path(__file__).resolve().parents[2]
 ZONES = ("luzon-pasig", "visayas-cebu", "mindanao-davao")
 START_S = 30.0
+PORTS = (20_000, 32_000)
 STEP_S = 0.1
 # The platform starts a process that has ended again after a short delay.
 RESTART_S = 1.0
@@ -52,11 +54,23 @@
         print(line, flush=True)
 
 
-def find_free_port() -> int:
-    """Return a port of the loopback address that nobody listens on."""
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return int(probe.getsockname()[1])
+def find_free_port(taken: set[int]) -> int:
+    """Return a port of the loopback address that nobody listens on, and take it.
+
+    It lies below those that the system gives to connections, so that none takes it
+    before the host listens.
+    """
+    while True:
+        port = random.randrange(*PORTS)
+        if port in taken:
+            continue
+        with socket.socket() as probe:
+            try:
+                probe.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+        taken.add(port)
+        return port
 
 
 class Host:
@@ -178,6 +192,7 @@
         self.group = Group(store=self.store, connections=connections, **group_options)
         self.hosts: list[Host] = []
         self.store_address = ""
+        self.ports: set[int] = set()
 
     async def start(self, hosts: int, idle_transaction_ms: int = 3_000) -> None:
         """Start everything, and wait until the hosts are ready."""
@@ -224,7 +239,7 @@
         self.store.put("config", "main", configuration)
 
     def _make_host(self, name: str, zone: str) -> Host:
-        ports = [find_free_port() for _ in range(4)]
+        ports = [find_free_port(self.ports) for _ in range(4)]
         caller, ready, metrics, peer = (f"127.0.0.1:{port}" for port in ports)
         lines = [
             "[pooling-host]",
