--- a/review/standins_2/deployment.py
+++ b/review/standins_2/deployment.py
@@ -3,6 +3,7 @@
 import asyncio
 import os
 import random
+import shutil
 import signal
 import socket
 import subprocess
@@ -288,13 +289,14 @@
             raise CannotRunError("a host did not get ready") from None
 
     def stop(self) -> None:
-        """End every host process."""
+        """End every host process, and remove the temporary folder."""
         for host in self.hosts:
             if host.process is not None and host.is_running:
                 host.process.send_signal(signal.SIGCONT)
                 host.process.kill()
             if host.process is not None:
                 host.process.wait()
+        shutil.rmtree(self.folder, ignore_errors=True)
 
 
 def is_disturbed() -> bool:
