Say at a stop what was at work, and each statement that it cuts

stopping, stop-phase and stopped carry the sessions, those opened since the signal and the statements at work; request-cut names a statement that ends without a whole answer, how far it had come and how long after the signal; apricotshore_cut_statements_total counts them. The logic of a stop is unchanged.

--- a/src/apricotshore/pooling/caller_session.py
+++ b/src/apricotshore/pooling/caller_session.py
@@ -20,6 +20,7 @@
 from .metrics import PoolingMetrics
 from .ports import CallerLink
 from .sessions import Context, Job, RefusedError, Session, Transaction, later_position
+from .statements_at_work import StatementAtWork, WorkStage
 
 _READ_ONLY_BY_BEGIN = {QueryKind.BEGIN: False, QueryKind.BEGIN_READ: True}
 _CHANGES_SESSION = frozenset({QueryKind.SET, QueryKind.PREPARE, QueryKind.DEALLOCATE})
@@ -72,6 +73,7 @@
         self.ended_operation = False
         self.quiet_since = self.opened_at
         self.idle = True
+        self.at_work: StatementAtWork | None = None
 
     async def run(self) -> None:
         """Serve the caller until it disconnects or the host stops."""
@@ -88,6 +90,9 @@
                     return
                 self.idle = False
                 await self._handle(query)
+        except asyncio.CancelledError:
+            self._record_cut()
+            raise
         finally:
             self._end_transaction()
             self.link.close()
@@ -144,6 +149,8 @@
         if refusal is not None:
             raise refusal
         key_checks.end_admission(self.context, self.session)
+        if self.at_work is not None:
+            self.at_work.stage = WorkStage.RUNNING
 
     def end_refused(self) -> None:
         """Roll back what is open between two statements if it may not go on."""
@@ -189,6 +196,7 @@
 
     async def _handle(self, query: Query) -> None:
         arrived = read_boot_ms()
+        self.at_work = at_work = StatementAtWork(query=query, arrived_at=arrived)
         try:
             answer = await self._answer(query, arrived)
         except RefusedError as error:
@@ -199,7 +207,9 @@
         # The state in a server's answer may be that of a transaction of the proxy.
         answer = replace(answer, state=self.state)
         self._record(query, answer, read_boot_ms() - arrived)
+        at_work.stage = WorkStage.SENDING
         await self.link.send(query, answer)
+        self.at_work = None
         self.quiet_since = read_boot_ms()
         changes_session = query.kind in _CHANGES_SESSION
         self.ended_operation = self.session.transaction is None and not changes_session
@@ -222,6 +232,24 @@
             detail=answer.detail or None,
         )
 
+    def _record_cut(self) -> None:
+        """Report what the end of the session leaves without a whole answer."""
+        at_work = self.at_work
+        if not self.link.is_open or not (at_work or self.link.has_received):
+            return
+        now, began = read_boot_ms(), self.drain.began_at
+        stage = at_work.stage if at_work is not None else WorkStage.RECEIVED
+        self.metrics.observe_cut(stage)
+        self.context.journal.record(
+            EventKind.REQUEST_CUT,
+            request=at_work.query.request if at_work is not None else None,
+            database=self.session.database,
+            kind=at_work.query.kind.value if at_work is not None else None,
+            stage=stage.value,
+            took_ms=now - at_work.arrived_at if at_work is not None else None,
+            stopping_ms=now - began if began is not None else None,
+        )
+
     def _refuse(self, error: RefusedError, query: Query) -> Answer:
         transaction = self.session.transaction
         if self.session.revoked or query.kind is QueryKind.COMMIT:
--- a/src/apricotshore/pooling/callers.py
+++ b/src/apricotshore/pooling/callers.py
@@ -47,6 +47,8 @@
         self.context = context
         self.readiness = readiness
         self.drain = drain
+        # Sessions that were opened since the signal.
+        self.opened_late = 0
         self.metrics = metrics
         self.sessions: dict[CallerSession, asyncio.Task[None]] = {}
         self.configuration = EMPTY_CONFIGURATION
@@ -108,6 +110,7 @@
         task = asyncio.current_task()
         assert task is not None
         self.sessions[session] = task
+        self.opened_late += self.drain.began_at is not None
         try:
             await session.run()
         finally:
@@ -168,6 +171,13 @@
 
     # -- end --
 
+    def count_at_work(self) -> int:
+        """Count the sessions that have received a statement and not answered it."""
+        return sum(
+            session.at_work is not None or session.link.has_received
+            for session in self.sessions
+        )
+
     def close_idle(self) -> None:
         """Close idle sessions that are to end as the host stops."""
         now = read_boot_ms()
--- a/src/apricotshore/pooling/host.py
+++ b/src/apricotshore/pooling/host.py
@@ -244,7 +244,13 @@
         await self._stop_services(followers)
         await self.adapters.close()
         self.journal.record_left_out()
-        self.journal.record(EventKind.STOPPED, sessions=len(self.callers.sessions))
+        began = self.drain.began_at
+        self.journal.record(
+            EventKind.STOPPED,
+            sessions=len(self.callers.sessions),
+            cut=self.metrics.count_cuts(),
+            stopping_ms=read_boot_ms() - began if began is not None else None,
+        )
         self._record_promotions()
 
     async def on_shutdown(self) -> None:
--- a/src/apricotshore/pooling/host_shutdown.py
+++ b/src/apricotshore/pooling/host_shutdown.py
@@ -46,13 +46,20 @@
         self.host_watcher = host_watcher
         self.journal = journal
         self.ended = asyncio.Event()
+        self.aborts_transactions = False
 
     def begin(self) -> None:
         """Stop accepting callers and let open sessions end."""
         if self.drain.began_at is not None:
             return
         self.drain.began_at = read_boot_ms()
-        self.journal.record(EventKind.STOPPING, sessions=len(self.callers.sessions))
+        self.journal.record(
+            EventKind.STOPPING,
+            sessions=len(self.callers.sessions),
+            at_work=self.callers.count_at_work(),
+            other_hosts=len(self.other_hosts.sessions),
+            grace_ms=self.drain.grace_ms,
+        )
         self.host_watcher.mark_leaving()
         for changer in self.host_groups.changers.values():
             changer.is_draining = True
@@ -62,10 +69,29 @@
         """Close what has become idle, and end the shutdown once it is due."""
         if self.drain.began_at is None:
             return
+        now = read_boot_ms()
+        if shutdown.should_abort_transactions(self.drain, now):
+            if not self.aborts_transactions:
+                self._record_phase("transactions-end", now)
+            self.aborts_transactions = True
         self._close_idle()
-        if shutdown.should_exit(self.drain, self._count_busy(), read_boot_ms()):
+        if shutdown.should_exit(self.drain, self._count_busy(), now):
+            if not self.ended.is_set():
+                self._record_phase("exiting", now)
             self.ended.set()
 
+    def _record_phase(self, phase: str, now: int) -> None:
+        assert self.drain.began_at is not None
+        self.journal.record(
+            EventKind.STOP_PHASE,
+            phase=phase,
+            stopping_ms=now - self.drain.began_at,
+            sessions=len(self.callers.sessions),
+            opened_late=self.callers.opened_late,
+            at_work=self.callers.count_at_work(),
+            other_hosts=len(self.other_hosts.sessions),
+        )
+
     def _close_idle(self) -> None:
         self.other_hosts.leave()
         self.callers.close_idle()
--- a/src/apricotshore/pooling/journal.py
+++ b/src/apricotshore/pooling/journal.py
@@ -34,6 +34,7 @@
 
     STARTED = "started"
     STOPPING = "stopping"
+    STOP_PHASE = "stop-phase"
     STOPPED = "stopped"
     RELOADED = "reloaded"
     SPILLOVER = "spillover"
@@ -68,6 +69,7 @@
     REQUEST_SERVED = "request-served"
     REQUEST_RETRIED = "request-retried"
     REQUEST_FAILED = "request-failed"
+    REQUEST_CUT = "request-cut"
     CALLER_REFUSED = "caller-refused"
     CALLER_CLOSED = "caller-closed"
     TRANSACTION_ENDED = "transaction-ended"
@@ -87,6 +89,7 @@
 _FAILURES = frozenset(
     {
         EventKind.REQUEST_FAILED,
+        EventKind.REQUEST_CUT,
         EventKind.CALLER_REFUSED,
         EventKind.CALLER_CLOSED,
         EventKind.TRANSACTION_ENDED,
--- a/src/apricotshore/pooling/metrics.py
+++ b/src/apricotshore/pooling/metrics.py
@@ -10,6 +10,7 @@
 from .freshness import FOLLOWED, Freshness
 from .group import Group
 from .log_waits import waits_for_logs
+from .statements_at_work import WorkStage
 from .stored_objects import StoredKind
 
 LATENCY_BUCKETS_S = [0.005, 0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2]
@@ -88,6 +89,13 @@
             "Callers that were refused a session, by code",
             registry=registry,
         )
+        self.cuts = Counter(
+            "apricotshore_cut_statements_total",
+            "Statements received and cut off by this host, by how far they came",
+            registry=registry,
+        )
+        for stage in WorkStage:
+            self.cuts.set({"stage": stage.value}, 0)
         self.revoked = Counter(
             "apricotshore_revoked_total",
             "Sessions whose keys were withdrawn, and transactions rolled back for it",
@@ -138,6 +146,14 @@
         """Count a caller that was refused a session."""
         self.refused.inc({"code": code.value})
 
+    def observe_cut(self, stage: WorkStage) -> None:
+        """Count a statement that was cut."""
+        self.cuts.inc({"stage": stage.value})
+
+    def count_cuts(self) -> int:
+        """Return the number of statements that were cut."""
+        return sum(int(self.cuts.get({"stage": stage.value})) for stage in WorkStage)
+
     def observe_revocations(self, sessions: int, rolled_back: int) -> None:
         """Count sessions whose keys were withdrawn, and transactions that ended so."""
         self.revoked.add({"what": "session"}, sessions)
--- a/src/apricotshore/pooling/ports.py
+++ b/src/apricotshore/pooling/ports.py
@@ -199,6 +199,10 @@
     def is_open(self) -> bool:
         """Whether the caller is still connected."""
 
+    @property
+    def has_received(self) -> bool:
+        """Whether a statement, or a part of one, waits to be read."""
+
     def close(self) -> None:
         """Close at once."""
 
--- a/tests/pooling/test_caller_session.py
+++ b/tests/pooling/test_caller_session.py
@@ -45,6 +45,10 @@
     def hold_state(self, size: int) -> bool:
         return size <= self.largest_state
 
+    @property
+    def has_received(self) -> bool:
+        return not self.incoming.empty()
+
     def close(self) -> None:
         self.is_open = False
 
