--- a/tests/soak/servers.py
+++ b/tests/soak/servers.py
@@ -16,6 +16,7 @@
 # Time after which a statement that runs ends once its connection is closed.
 CLOSE_POLL_S = 0.01
 HANDSHAKE_S = 0.005
+LINE_LIMIT = 1 << 20
 
 
 @dataclass(kw_only=True, eq=False)
@@ -79,7 +80,9 @@
 
     async def start(self) -> None:
         """Start listening."""
-        server = await asyncio.start_server(self._handle, "127.0.0.1", 0)
+        server = await asyncio.start_server(
+            self._handle, "127.0.0.1", 0, limit=LINE_LIMIT
+        )
         self.port = server.sockets[0].getsockname()[1]
 
     def drop_connections(self) -> None:
