--- a/tests/stops/callers.py
+++ b/tests/stops/callers.py
@@ -112,6 +112,9 @@
         Knows the statements that servers may run.
     sends_at_once
         Whether a session's first statement is sent with its start, unasked.
+    reads_after_s
+        Time from a statement until anything is read; when its connection ended isn't
+        seen then, so that only what a server was given can be lost.
     is_over
         Whether they stop once their statements have ended.
     refused
@@ -125,6 +128,7 @@
     kind: Kind
     checker: Checker
     sends_at_once: bool = False
+    reads_after_s: float = 0.0
     is_over: bool = False
     requests: list[Request] = field(default_factory=list)
     refused: int = 0
@@ -271,6 +275,8 @@
     async def _send(self, request: Request, sent: str) -> None:
         assert self.writer is not None
         request.ended_at = now()
+        if self.crowd.reads_after_s:
+            self.writer.transport.pause_reading()
         try:
             self.writer.write(f"QUERY {request.name} {sent}\r\n".encode())
             await self.writer.drain()
@@ -281,6 +287,7 @@
 
     async def _receive(self, request: Request) -> str:
         """Read an answer to its end; return the session's state after it."""
+        await self._wait_to_read()
         try:
             while True:
                 line = await self._read_line(ANSWER_S)
@@ -291,7 +298,14 @@
                 if word != "ROW":
                     request.result = line
         finally:
-            request.ended_at = now()
+            is_unseen = self.crowd.reads_after_s and not request.is_whole
+            request.ended_at = (is_unseen and request.sent_at) or now()
+
+    async def _wait_to_read(self) -> None:
+        assert self.writer is not None
+        if self.crowd.reads_after_s:
+            await asyncio.sleep(self.crowd.reads_after_s)
+            self.writer.transport.resume_reading()
 
     async def _read_line(self, limit_s: float) -> str:
         assert self.reader is not None
--- a/tests/stops/harness.py
+++ b/tests/stops/harness.py
@@ -35,6 +35,7 @@
 # if it was sent no later than this after the signal.
 EXCUSED_UNTIL_S = 3.0
 EXCUSED_SHARE = 5 / 6
+TIMEOUT_MS = 1_500
 GROUP = "g"
 ZONES = ["a", "b", "c"]
 REPORT_PERIOD_S = 0.05
@@ -167,6 +168,10 @@
         Folder of settings and logs.
     connections
         Largest number of connections to each server.
+    timeout_ms
+        Time that the routes give a statement.
+    grace_s
+        Grace in the settings of the hosts, which are killed after `GRACE_S`.
     passed_on
         Ids of the statements that a server was given.
     findings
@@ -176,6 +181,8 @@
     folder: Path
     leeway: Leeway
     connections: int
+    timeout_ms: int = TIMEOUT_MS
+    grace_s: int = GRACE_S
     checker: Checker = field(default_factory=Checker)
     hosts: list[HostProcess] = field(default_factory=list)
     passed_on: set[str] = field(default_factory=set)
@@ -226,7 +233,7 @@
         ports = {each: find_free_port() for each in names}
         ports["store"] = await self.store.listen(name)
         host = HostProcess(name=name, zone=zone, folder=self.folder, ports=ports)
-        host.write_settings()
+        host.write_settings(self.grace_s)
         self.hosts.append(host)
         return host
 
@@ -238,7 +245,12 @@
                 await asyncio.sleep(0.05)
 
     def gather(
-        self, host: HostProcess, count: int, kind: Kind, at_once: bool = False
+        self,
+        host: HostProcess,
+        count: int,
+        kind: Kind,
+        at_once: bool = False,
+        reads_after_s: float = 0.0,
     ) -> Crowd:
         """Have callers come to a host until the end."""
         crowd = Crowd(
@@ -247,6 +259,7 @@
             kind=kind,
             checker=self.checker,
             sends_at_once=at_once,
+            reads_after_s=reads_after_s,
         )
         crowd.start(count)
         self.crowds.append(crowd)
@@ -341,7 +354,7 @@
     # -- store --
 
     def _write_configuration(self) -> None:
-        route = {"service": GROUP, "timeoutMs": 1500, "targetLatencyMs": 800}
+        route = {"service": GROUP, "timeoutMs": self.timeout_ms, "targetLatencyMs": 800}
         bounded = {
             "type": "bounded_staleness",
             "maxStalenessMs": int(MAX_STALENESS_S * 1000),
@@ -398,10 +411,18 @@
     work_s: float = 0.015,
     slots: int = 4,
     connections: int = 40,
+    timeout_ms: int = TIMEOUT_MS,
+    grace_s: int = GRACE_S,
 ) -> AsyncIterator[Fleet]:
     """Run a fleet; its processes have ended when this has."""
     leeway = Leeway(slots=slots, work_s=(work_s, work_s))
-    fleet = Fleet(folder=folder, leeway=leeway, connections=connections)
+    fleet = Fleet(
+        folder=folder,
+        leeway=leeway,
+        connections=connections,
+        timeout_ms=timeout_ms,
+        grace_s=grace_s,
+    )
     try:
         await fleet.start(hosts)
         yield fleet
--- a/tests/stops/test_signals.py
+++ b/tests/stops/test_signals.py
@@ -1,10 +1,14 @@
 """Hosts whose stop meets another signal or change lose no statement."""
 
 import asyncio
+import re
 import signal
 
 import pytest
 
+from tests.soak.model import now
+from tests.soak.shortpromotions import read_metrics
+
 from .callers import Kind
 from .harness import BEFORE_S, GRACE_S, Fleet, HostProcess, running_fleet
 
@@ -13,6 +17,8 @@
 # What a process that has not come to its first line ends with, or one that stopped.
 START_CODES = (0, -signal.SIGTERM)
 CHANGE_S = 10.0
+LINKED_S = 15.0
+LINKS = re.compile(r"^apricotshore_host_links(?:\{.*\})? (\S+)$", re.MULTILINE)
 
 
 async def freeze(host: HostProcess, after_s: float, for_s: float) -> None:
@@ -23,6 +29,15 @@
     host.send(signal.SIGCONT)
 
 
+async def find_relay(fleet: Fleet) -> HostProcess | None:
+    """Return a host through which others reach servers, None without one."""
+    for host in fleet.hosts:
+        page = await read_metrics(host.ports["metrics"]) or ""
+        if any(float(count) for count in LINKS.findall(page)):
+            return host
+    return None
+
+
 async def change_primary(fleet: Fleet) -> None:
     """Have the primary leave, and wait until another server leads."""
     leader = fleet.group.leader
@@ -73,8 +88,29 @@
         await fleet.check()
 
 
+async def test_signals_in_series_throughout_a_stop_cut_none(tmp_path):
+    """Each of them moved the end, or closed sessions anew."""
+    async with running_fleet(tmp_path, work_s=WORK_S) as fleet:
+        (host,) = fleet.hosts
+        fleet.gather(host, CALLERS, Kind.STATEMENTS)
+        await asyncio.sleep(BEFORE_S)
+        host.send(signal.SIGTERM)
+        grace_s = GRACE_S
+        while host.is_running and now() - host.signal_at < GRACE_S - 1:
+            grace_s = 13 - grace_s
+            host.write_settings(grace_s)
+            host.send(signal.SIGHUP)
+            await asyncio.sleep(0.1)
+            host.send(signal.SIGTERM)
+            await asyncio.sleep(0.1)
+        await fleet.check_stop(host)
+        await fleet.check()
+
+
 @pytest.mark.parametrize(
-    ("after_s", "for_s"), [(1.0, 1.0), (0.5, 3.0), (2.0, 3.0)], ids=str
+    ("after_s", "for_s"),
+    [(1.0, 1.0), (0.5, 3.0), (2.0, 3.0), (3.2, 2.0), (3.6, 1.9)],
+    ids=str,
 )
 async def test_freeze_amid_the_grace_cuts_none(tmp_path, after_s, for_s):
     """Phases that were due in a freeze came all at once after it."""
@@ -194,11 +230,9 @@
     """Statements of another host's callers ended with the relay's link."""
     async with running_fleet(tmp_path, hosts=6, work_s=WORK_S, connections=10) as fleet:
         for host in fleet.hosts:
-            fleet.gather(host, 3, Kind.STATEMENTS)
-        await asyncio.sleep(BEFORE_S)
-        stopped = fleet.hosts[:2]
-        for host in stopped:
-            host.send(signal.SIGTERM)
-            await asyncio.sleep(0.6)
-        await asyncio.gather(*(fleet.check_stop(host) for host in stopped))
+            fleet.gather(host, 3, Kind.TRANSACTIONS)
+        async with asyncio.timeout(LINKED_S):
+            while (relay := await find_relay(fleet)) is None:
+                await asyncio.sleep(0.1)
+        await fleet.play_stop(relay)
         await fleet.check()
--- a/tests/stops/test_stops.py
+++ b/tests/stops/test_stops.py
@@ -71,3 +71,27 @@
         fleet.gather(fleet.hosts[0], 40, Kind.STATEMENTS, at_once=True)
         await fleet.play_stop(fleet.hosts[0])
         await fleet.check()
+
+
+async def test_statements_with_a_timeout_beyond_the_grace_are_not_cut(tmp_path):
+    """A statement was begun that could take longer than the host had left."""
+    async with running_fleet(tmp_path, work_s=1.2, timeout_ms=8_000) as fleet:
+        fleet.gather(fleet.hosts[0], 16, Kind.STATEMENTS)
+        await fleet.play_stop(fleet.hosts[0])
+        await fleet.check()
+
+
+async def test_answers_that_callers_read_late_are_whole(tmp_path):
+    """A close with unread bytes resets the connection, and drops the answer."""
+    async with running_fleet(tmp_path) as fleet:
+        fleet.gather(fleet.hosts[0], 12, Kind.STATEMENTS, reads_after_s=0.3)
+        await fleet.play_stop(fleet.hosts[0])
+        await fleet.check()
+
+
+async def test_grace_that_ends_before_the_balancers_delay_cuts_none(tmp_path):
+    """A host was due to exit while it still served whoever came."""
+    async with running_fleet(tmp_path, work_s=0.05, grace_s=2) as fleet:
+        fleet.gather(fleet.hosts[0], 12, Kind.STATEMENTS)
+        await fleet.play_stop(fleet.hosts[0])
+        await fleet.check()
