Check the outcomes that callers of a stopping host were told of writes

The soak's check_writes compares them with the primary's log: a write that was promised not kept, or acknowledged and not there, fails a stop's test as well.

--- a/tests/stops/callers.py
+++ b/tests/stops/callers.py
@@ -7,6 +7,7 @@
 from dataclasses import dataclass, field
 from enum import Enum
 
+from tests.soak.callers import NOT_RUN_CODES, Record, WriteOutcome
 from tests.soak.model import Checker, SentStatement, now
 
 LINE_LIMIT = 1 << 20
@@ -121,6 +122,8 @@
         Starts that were answered with an error.
     unanswered_starts
         Starts whose connection ended without a line.
+    record
+        What the callers know of the outcomes of writes.
     """
 
     host: str
@@ -133,6 +136,7 @@
     requests: list[Request] = field(default_factory=list)
     refused: int = 0
     unanswered_starts: int = 0
+    record: Record = field(default_factory=Record)
     tasks: list[asyncio.Task[None]] = field(default_factory=list)
 
     def start(self, count: int) -> None:
@@ -236,11 +240,31 @@
 
     async def _run_operation(self, count: int) -> None:
         operation = next(self.operations)
+        requests: list[Request] = []
+        try:
+            await self._send_operation(count, operation, requests)
+        finally:
+            self._record_writes(requests)
+
+    def _record_writes(self, requests: list[Request]) -> None:
+        """Keep the outcome of an operation's writes, as its last statement tells it."""
+        last = requests[-1]
+        outcome = _find_outcome(last)
+        if requests[0].text == "BEGIN" and last.text != "COMMIT":
+            outcome = WriteOutcome.NOT_DONE
+        for request in requests:
+            if request.text.startswith("WRITE"):
+                self.crowd.record.writes[request.name] = outcome
+
+    async def _send_operation(
+        self, count: int, operation: int, requests: list[Request]
+    ) -> None:
         self.first_byte_at = now()
         for step in make_operation(self.crowd.kind, self.rng, count):
             if not step.in_transaction:
                 self.first_byte_at = now()
             request = self._note(step, operation)
+            requests.append(request)
             await self._send(request, step.sent)
             state = await self._receive(request)
             if request.result.startswith("ERROR"):
@@ -314,3 +338,12 @@
                 return (await self.reader.readuntil(b"\r\n"))[:-2].decode()
         except (OSError, EOFError, TimeoutError) as error:
             raise SessionEndedError from error
+
+
+def _find_outcome(request: Request) -> WriteOutcome:
+    """Return what an answer, or the lack of one, tells of a write or a commit."""
+    words = request.result.split()
+    if request.is_whole and words[0] == "COMPLETE":
+        return WriteOutcome.DONE
+    is_promise = request.is_whole and words[1] in NOT_RUN_CODES
+    return WriteOutcome.NOT_DONE if is_promise else WriteOutcome.UNKNOWN
--- a/tests/stops/harness.py
+++ b/tests/stops/harness.py
@@ -15,6 +15,7 @@
 import pytest
 
 from standins.ports import find_free_port
+from tests.soak.callers import check_writes
 from tests.soak.fleet import ROOT, SETTINGS
 from tests.soak.model import Checker, Group, Leeway, Server, now
 from tests.soak.servers import LineServer
@@ -319,6 +320,8 @@
             self.findings += [self._describe(r) for r in lost[:SHOWN]]
         if requests and not served:
             self.findings.append(f"none of {len(requests)} was served")
+        for crowd in self.crowds:
+            check_writes(crowd.record, [self.group], self.checker)
         self.findings += [v[:SHOWN_CHARACTERS] for v in self.checker.violations]
 
     def _find_signal(self, request: Request) -> float:
