Stop a host in phases that begin nothing which would have to be cut

Cause: work was accepted while, and after, the end was decided. The process ended at 0.9 of the grace in any case, and until then took every connection and gave a new session a whole operation; where fewer than half of a data centre's hosts are ready, the balancer uses all of them, so callers come to the end. At an exit without sessions, what was admitted between the tick and the cancel was cut. Idle sessions were cancelled by a flag that lags behind what their connections had received.

Change: shutdown/ decides phases by the clock, and HostShutdown owns them. Nothing is begun that can't end before the exit; what isn't begun is refused at once. The exit, once decided, is what admission asks. Sessions end once their buffer is empty, and none is cancelled. The timer of each statement ends it in time for an answer. The listener accepts where a cancellation drops nothing, so that a test injects its failures at the socket's accept instead of the loop's.

--- a/src/apricotshore/pooling/caller_session.py
+++ b/src/apricotshore/pooling/caller_session.py
@@ -3,7 +3,7 @@
 import asyncio
 from dataclasses import replace
 
-from ..decisions import shutdown
+from .. import shutdown
 from ..identifiers import DatabaseId, KeyDigest, OrganisationId
 from ..queries import (
     Access,
@@ -15,7 +15,7 @@
 )
 from ..routes import Route
 from ..services.clock import read_boot_ms
-from . import autocommit, key_checks, transactions
+from . import autocommit, key_checks, stopping, transactions
 from .journal import EventKind
 from .metrics import PoolingMetrics
 from .ports import CallerLink
@@ -74,6 +74,7 @@
         self.quiet_since = self.opened_at
         self.idle = True
         self.at_work: StatementAtWork | None = None
+        self.timer: asyncio.Timeout | None = None
 
     async def run(self) -> None:
         """Serve the caller until it disconnects or the host stops."""
@@ -81,10 +82,11 @@
             while True:
                 self.idle = True
                 self.end_refused()
-                if self.should_close():
-                    if self.session.revoked:
-                        await self._refuse_received()
+                closes = self.should_close()
+                if closes and self.session.revoked:
+                    await self._refuse_received()
                     return
+                self.link.end_when_idle(closes)
                 query = await self._receive()
                 if query is None:
                     return
@@ -111,6 +113,11 @@
         transaction = self.session.transaction
         return transaction is not None and not transaction.failed
 
+    def close_if_idle(self) -> None:
+        """End the session between two statements if it is to be closed."""
+        if self.idle and self.should_close():
+            self.link.end_when_idle(True)
+
     def should_close(self) -> bool:
         """Return whether to close the session now, between two statements."""
         if self.session.revoked and self.session.transaction is None:
@@ -134,7 +141,8 @@
                 return await self.link.receive()
         except TimeoutError:
             if self.session.revoked:
-                return None
+                self.link.end_when_idle(True)
+                return await self.link.receive()
             self.abort_transaction("idle for too long")
             return await self.link.receive()
 
@@ -198,7 +206,7 @@
         arrived = read_boot_ms()
         self.at_work = at_work = StatementAtWork(query=query, arrived_at=arrived)
         try:
-            answer = await self._answer(query, arrived)
+            answer = await self._answer_in_time(query, arrived)
         except RefusedError as error:
             # A hint to retry would mislead a caller whose key was revoked meanwhile.
             is_busy = error.code is FailureCode.OVERLOADED
@@ -215,6 +223,34 @@
         self.ended_operation = self.session.transaction is None and not changes_session
         self.operations += self.ended_operation
 
+    async def _answer_in_time(self, query: Query, arrived: int) -> Answer:
+        """Answer a statement before the host exits.
+
+        Raises
+        ------
+        RefusedError
+            When it is refused, or the host's time is up.
+        """
+        self.timer = timer = asyncio.timeout(None)
+        try:
+            async with timer:
+                self.limit_time()
+                return await self._answer(query, arrived)
+        except TimeoutError:
+            if not timer.expired():
+                raise
+        finally:
+            self.timer = None
+        assert self.at_work is not None
+        raise stopping.end_expired(self.session, self.at_work)
+
+    def limit_time(self) -> None:
+        """Have the statement at work answered before the host exits."""
+        last_answer = shutdown.find_last_answer(self.drain)
+        if self.timer is not None and last_answer is not None:
+            left_s = max(0, last_answer - read_boot_ms()) / 1_000
+            self.timer.reschedule(asyncio.get_running_loop().time() + left_s)
+
     def _record(self, query: Query, answer: Answer, took_ms: int) -> None:
         at_server = query.kind in _RUN_AT_SERVER or query.kind is QueryKind.COMMIT
         if answer.failure is None and not at_server:
@@ -277,6 +313,7 @@
         if refusal is not None:
             raise refusal
         route = transaction.route if transaction is not None else self._find_route()
+        stopping.check_begin(self.drain, session, query, route)
         if query.kind in _READ_ONLY_BY_BEGIN:
             return self._begin(query, route, arrived)
         if query.kind is QueryKind.COMMIT:
--- a/src/apricotshore/pooling/callers.py
+++ b/src/apricotshore/pooling/callers.py
@@ -2,20 +2,20 @@
 
 import asyncio
 
-from .. import organisations
-from ..decisions import shutdown
-from ..decisions.shutdown import Drain
+from .. import organisations, shutdown
 from ..identifiers import DatabaseId, KeyDigest
 from ..organisations import Admission
 from ..queries import FailureCode
 from ..routes import EMPTY_CONFIGURATION, Configuration
 from ..services.clock import read_boot_ms
+from ..shutdown import Drain, Work
 from .caller_session import CallerSession
 from .journal import EventKind
 from .metrics import PoolingMetrics
 from .ports import CallerLink
 from .readiness import Readiness
 from .sessions import Context
+from .stopping import STOPPING
 
 # Withdrawn keys that one line names.
 KEYS_PER_LINE = 20
@@ -67,10 +67,21 @@
             return FailureCode.OVERLOADED
         configuration = self.context.configuration()
         admission = organisations.admit(configuration, database, key)
+        if isinstance(admission, Admission) and not self._may_begin(
+            configuration, database
+        ):
+            admission = FailureCode.OVERLOADED
         if isinstance(admission, FailureCode):
             self._record_refused(configuration, database, key, admission)
         return admission
 
+    def _may_begin(self, configuration: Configuration, database: DatabaseId) -> bool:
+        """Return whether a session that opens now could still run a statement."""
+        route = configuration.routes.get(database)
+        timeout_ms = route.timeout_ms if route is not None else 0
+        now = read_boot_ms()
+        return shutdown.may_begin(self.drain, Work.STATEMENT, timeout_ms, now)
+
     def _record_refused(
         self,
         configuration: Configuration,
@@ -86,6 +97,7 @@
         why = {
             FailureCode.NO_DATABASE: "no route",
             FailureCode.UNAUTHORIZED: "unknown key" if has_key else "no key",
+            FailureCode.OVERLOADED: STOPPING,
         }
         self.metrics.observe_refusal(code)
         self.context.journal.record(
@@ -145,9 +157,8 @@
             session.end_refused()
 
     def _close_revoked(self, session: CallerSession) -> None:
-        task = self.sessions.get(session)
-        if task is not None and session.idle:
-            task.cancel()
+        if session in self.sessions and session.idle:
+            session.link.end_when_idle(True)
 
     def _record_withdrawn(
         self, old: Configuration, new: Configuration, revoked: int, rolled_back: int
@@ -178,18 +189,22 @@
             for session in self.sessions
         )
 
+    def limit_time(self) -> None:
+        """Have all statements at work answered before this host exits."""
+        for session in self.sessions:
+            session.limit_time()
+
     def close_idle(self) -> None:
         """Close idle sessions that are to end as the host stops."""
         now = read_boot_ms()
-        for session, task in list(self.sessions.items()):
+        for session in list(self.sessions):
             if not session.idle:
                 continue
             if shutdown.should_abort_transactions(self.drain, now):
-                session.abort_transaction("the host stops")
-            if session.should_close():
-                task.cancel()
+                session.abort_transaction(STOPPING)
+            session.close_if_idle()
 
     def close(self) -> None:
-        """End every session."""
+        """End every session, those with a statement at work included."""
         for task in self.sessions.values():
             task.cancel()
--- a/src/apricotshore/pooling/client_intake.py
+++ b/src/apricotshore/pooling/client_intake.py
@@ -13,6 +13,7 @@
 from ..services.clock import read_boot_ms
 from .journal import EventKind, Journal
 from .statement_gate import StatementGate
+from .stopping import STOPPING
 
 # Smaller changes aren't taken into account, so that ordinary statements cost nothing.
 # The memory assumed for a connection covers them.
@@ -232,6 +233,13 @@
             self.close(self.accounts[chosen], "too many connections")
         return intake.may_accept(self.limits, len(self.accounts))
 
+    def close_silent(self) -> None:
+        """Close the connections that have sent nothing, as the host stops."""
+        for number in list(self.starting):
+            account = self.accounts[number]
+            if not account.unread:
+                account.close(STOPPING)
+
     def close_overdue(self) -> None:
         """Close the connections whose time has passed."""
         connections = [a.connection for a in self.accounts.values()]
--- a/src/apricotshore/pooling/host.py
+++ b/src/apricotshore/pooling/host.py
@@ -9,7 +9,6 @@
 from mode import Service
 
 from ..decisions.relays import Fleet, ListedHost
-from ..decisions.shutdown import Drain
 from ..freshness.messages import FreshnessRequest, FreshnessResponse
 from ..identifiers import (
     DatabaseId,
@@ -25,6 +24,7 @@
 from ..routes import Configuration
 from ..services.clock import read_boot_ms
 from ..services.eras import EraTracker
+from ..shutdown import Drain, set_grace
 from .adapters import Adapters
 from .background_tasks import BackgroundTasks
 from .callers import Callers
@@ -320,7 +320,7 @@
     def reload(self, settings: PoolingSettings) -> None:
         """Apply changed settings, except for the addresses to listen on."""
         self.settings = settings
-        self.drain.grace_ms = settings.grace_ms
+        set_grace(self.drain, settings.grace_ms)
         if self.rate_limiter is not None:
             self.rate_limiter.apply_settings(settings)
         elif settings.limit_window_ms:
--- a/src/apricotshore/pooling/host_shutdown.py
+++ b/src/apricotshore/pooling/host_shutdown.py
@@ -2,9 +2,9 @@
 
 import asyncio
 
-from ..decisions import shutdown
-from ..decisions.shutdown import Drain
+from .. import shutdown
 from ..services.clock import read_boot_ms
+from ..shutdown import Drain, Phase
 from .callers import Callers
 from .host_groups import HostGroups
 from .host_watcher import HostWatcher
@@ -46,52 +46,54 @@
         self.host_watcher = host_watcher
         self.journal = journal
         self.ended = asyncio.Event()
-        self.aborts_transactions = False
+        self.phase = Phase.SERVING
 
     def begin(self) -> None:
-        """Stop accepting callers and let open sessions end."""
-        if self.drain.began_at is not None:
+        """Announce the stop, and let open sessions end."""
+        if not shutdown.begin(self.drain, read_boot_ms()):
             return
-        self.drain.began_at = read_boot_ms()
+        self.phase = Phase.ANNOUNCING
         self.journal.record(
-            EventKind.STOPPING,
-            sessions=len(self.callers.sessions),
-            at_work=self.callers.count_at_work(),
-            other_hosts=len(self.other_hosts.sessions),
-            grace_ms=self.drain.grace_ms,
+            EventKind.STOPPING, grace_ms=self.drain.grace_ms, **self._count_work()
         )
         self.host_watcher.mark_leaving()
         for changer in self.host_groups.changers.values():
             changer.is_draining = True
+        self.callers.limit_time()
         self._close_idle()
 
     def go_on(self) -> None:
         """Close what has become idle, and end the shutdown once it is due."""
-        if self.drain.began_at is None:
+        if self.drain.began_at is None or self.drain.exiting:
             return
-        now = read_boot_ms()
-        if shutdown.should_abort_transactions(self.drain, now):
-            if not self.aborts_transactions:
-                self._record_phase("transactions-end", now)
-            self.aborts_transactions = True
         self._close_idle()
+        now = read_boot_ms()
         if shutdown.should_exit(self.drain, self._count_busy(), now):
-            if not self.ended.is_set():
-                self._record_phase("exiting", now)
+            # From here on nothing is begun, so that nothing has to be cut.
+            self.drain.exiting = True
             self.ended.set()
+        self._record_phase(now)
 
-    def _record_phase(self, phase: str, now: int) -> None:
-        assert self.drain.began_at is not None
+    def _record_phase(self, now: int) -> None:
+        phase = shutdown.find_phase(self.drain, now)
+        if phase is self.phase or self.drain.began_at is None:
+            return
+        self.phase = phase
         self.journal.record(
             EventKind.STOP_PHASE,
-            phase=phase,
+            phase=phase.value,
             stopping_ms=now - self.drain.began_at,
-            sessions=len(self.callers.sessions),
-            opened_late=self.callers.opened_late,
-            at_work=self.callers.count_at_work(),
-            other_hosts=len(self.other_hosts.sessions),
+            **self._count_work(),
         )
 
+    def _count_work(self) -> dict[str, object]:
+        return {
+            "sessions": len(self.callers.sessions),
+            "opened_late": self.callers.opened_late,
+            "at_work": self.callers.count_at_work(),
+            "other_hosts": len(self.other_hosts.sessions),
+        }
+
     def _close_idle(self) -> None:
         self.other_hosts.leave()
         self.callers.close_idle()
--- a/src/apricotshore/pooling/other_hosts.py
+++ b/src/apricotshore/pooling/other_hosts.py
@@ -2,9 +2,9 @@
 
 from ..decisions import relays
 from ..decisions.relays import Fleet
-from ..decisions.shutdown import Drain
 from ..identifiers import GroupId, OrganisationId, ServerId
 from ..queries import FailureCode
+from ..shutdown import Drain
 from .fleet_asker import FleetAsker
 from .host_groups import HostGroups
 from .host_session import HostSession
--- a/src/apricotshore/decisions/shutdown.py
+++ b/src/apricotshore/shutdown/sessions.py
@@ -1,31 +1,12 @@
-"""Graceful shutdown: when sessions are closed and the process exits."""
+"""What a stopping host still begins, and which idle sessions it closes."""
 
 from dataclasses import dataclass
+from enum import Enum
+
+from .phases import BALANCER_DELAY_MS, Drain, Phase, find_last_answer, find_phase
 
-# The load balancer sends new callers until it detects that the host is leaving.
-BALANCER_DELAY_MS = 2_600
 # After preparing its session, a caller sends the next statement within this time.
 QUIET_MS = 150
-# Share of the grace period in which open transactions may end.
-TRANSACTION_SHARE = 0.5
-# Share of the grace period after which the process exits in any case.
-END_SHARE = 0.9
-
-
-@dataclass(kw_only=True, slots=True)
-class Drain:
-    """Shutdown of a host.
-
-    Parameters
-    ----------
-    grace_ms
-        Time between the signal and the kill.
-    began_at
-        When the signal arrived, in milliseconds since boot; None before.
-    """
-
-    grace_ms: int
-    began_at: int | None = None
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -54,6 +35,39 @@
     quiet_since: int
 
 
+class Work(Enum):
+    """What a statement that was received would be a part of."""
+
+    STATEMENT = "statement"
+    NEW_TRANSACTION = "new transaction"
+    OPEN_TRANSACTION = "open transaction"
+
+
+def may_begin(drain: Drain, work: Work, timeout_ms: int, now: int) -> bool:
+    """Return whether a statement that was received is begun.
+
+    Parameters
+    ----------
+    drain
+        The shutdown.
+    work
+        What the statement is a part of.
+    timeout_ms
+        Time within which it is answered in any case.
+    now
+        Milliseconds since boot.
+    """
+    phase = find_phase(drain, now)
+    if phase in (Phase.SERVING, Phase.ANNOUNCING):
+        return True
+    if phase is Phase.EXITING:
+        return False
+    if work is not Work.STATEMENT:
+        return work is Work.OPEN_TRANSACTION and phase is Phase.LAME_DUCK
+    last_answer = find_last_answer(drain)
+    return last_answer is not None and now + timeout_ms <= last_answer
+
+
 def should_close(drain: Drain, session: IdleSession, now: int) -> bool:
     """Return whether an idle session is closed.
 
@@ -69,29 +83,3 @@
         return False
     is_new = session.opened_at >= began and session.operations == 0
     return not is_new or now - began >= BALANCER_DELAY_MS
-
-
-def should_abort_transactions(drain: Drain, now: int) -> bool:
-    """Return whether open transactions are to be aborted."""
-    began = drain.began_at
-    return began is not None and now - began >= drain.grace_ms * TRANSACTION_SHARE
-
-
-def should_exit(drain: Drain, busy: int, now: int) -> bool:
-    """Return whether the process is to exit.
-
-    Parameters
-    ----------
-    drain
-        The shutdown.
-    busy
-        Number of open sessions, and of changes that others would have to wait for.
-    now
-        Milliseconds since boot.
-    """
-    began = drain.began_at
-    if began is None:
-        return False
-    if now - began >= drain.grace_ms * END_SHARE:
-        return True
-    return busy == 0 and now - began >= BALANCER_DELAY_MS
--- a/tests/intake/test_connections.py
+++ b/tests/intake/test_connections.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import errno
+import socket
 from contextlib import asynccontextmanager
 
 from apricotshore_platform import callers
@@ -121,16 +122,15 @@
 
 async def test_accepting_goes_on_after_descriptors_ran_short(monkeypatch):
     """A listener that ends, or stays away for a second, would turn everybody away."""
-    loop = asyncio.get_running_loop()
     failures = [OSError(errno.EMFILE, "too many files"), OSError(errno.ECONNABORTED)]
-    accept = loop.sock_accept
+    accept = socket.socket.accept
 
-    async def sock_accept(raw):
+    def accept_or_fail(raw):
         if failures:
             raise failures.pop()
-        return await accept(raw)
+        return accept(raw)
 
-    monkeypatch.setattr(loop, "sock_accept", sock_accept)
+    monkeypatch.setattr(socket.socket, "accept", accept_or_fail)
     async with listening() as (_, connect):
         reader, _ = await connect(START)
         assert await reader.readline() == b"READY I -\r\n"
--- a/tests/platform_adapter/test_golden.py
+++ b/tests/platform_adapter/test_golden.py
@@ -12,7 +12,7 @@
 from aioprometheus import Registry
 from apricotshore_platform import callers
 
-from apricotshore.decisions import shutdown
+from apricotshore import shutdown
 from apricotshore.organisations import Admission
 from apricotshore.pooling.caller_session import CallerSession
 from apricotshore.pooling.listeners import CallerHandler
--- a/tests/pooling/callers_of_organisations.py
+++ b/tests/pooling/callers_of_organisations.py
@@ -5,7 +5,7 @@
 
 from aioprometheus import Registry
 
-from apricotshore.decisions import shutdown
+from apricotshore import shutdown
 from apricotshore.identifiers import (
     DatabaseId,
     OrganisationId,
--- a/tests/pooling/test_caller_session.py
+++ b/tests/pooling/test_caller_session.py
@@ -5,7 +5,8 @@
 import pytest
 from aioprometheus import Registry
 
-from apricotshore.decisions import placement, shutdown
+from apricotshore import shutdown
+from apricotshore.decisions import placement
 from apricotshore.identifiers import DatabaseId, RequestId
 from apricotshore.pooling import store_watcher
 from apricotshore.pooling.caller_session import CallerSession
@@ -49,6 +50,10 @@
     def has_received(self) -> bool:
         return not self.incoming.empty()
 
+    def end_when_idle(self, ends: bool) -> None:
+        if ends and self.incoming.empty():
+            self.incoming.put_nowait(None)
+
     def close(self) -> None:
         self.is_open = False
 
--- a/tests/test_shutdown.py
+++ b/tests/test_shutdown.py
@@ -1,6 +1,6 @@
 """When sessions are closed during a shutdown."""
 
-from apricotshore.decisions.shutdown import (
+from apricotshore.shutdown import (
     BALANCER_DELAY_MS,
     QUIET_MS,
     Drain,
