--- a/src/apricotshore/pooling/trace.py
+++ b/src/apricotshore/pooling/trace.py
@@ -31,6 +31,7 @@
         EventKind.STORE_LOST,
         EventKind.STORE_BACK,
         EventKind.STOPPING,
+        EventKind.STOP_PHASE,
         EventKind.STARTED,
     }
 )
