Let a connection give way whose transaction was rolled back as it rested

Cause: a connection stayed marked as in a transaction after the host had rolled that back, and such connections never give way. The mark now ends with the transaction.

--- a/src/apricotshore/pooling/caller_session.py
+++ b/src/apricotshore/pooling/caller_session.py
@@ -191,6 +191,7 @@
             return
         transaction.failed = True
         transaction.abort_reason = why
+        self.link.end_transaction()
         self.context.spawn(transactions.roll_back(transaction))
         self.context.journal.record(
             EventKind.TRANSACTION_ENDED, database=self.session.database, why=why
--- a/src/apricotshore/pooling/ports.py
+++ b/src/apricotshore/pooling/ports.py
@@ -203,6 +203,9 @@
     def has_received(self) -> bool:
         """Whether a statement, or a part of one, waits to be read."""
 
+    def end_transaction(self) -> None:
+        """Take note that the transaction was rolled back between two statements."""
+
     def end_when_idle(self, ends: bool) -> None:
         """Have `receive` return None once nothing is left that was received."""
 
--- a/tests/intake/test_connections.py
+++ b/tests/intake/test_connections.py
@@ -13,7 +13,15 @@
 from apricotshore.pooling.client_intake import ClientIntake
 from apricotshore.pooling.listeners import CallerHandler
 from apricotshore.pooling.sessions import Session
-from apricotshore.queries import Access, Answer, PreparedShape, Query, QueryKind
+from apricotshore.queries import (
+    Access,
+    Answer,
+    FailureCode,
+    PreparedShape,
+    Query,
+    QueryKind,
+    TransactionState,
+)
 from tests.pooling.support import wait_until
 
 START = b"STARTUP shop u1\r\n"
@@ -120,6 +128,18 @@
         assert await late.readline() == b"READY I -\r\n"
 
 
+async def test_connection_whose_transaction_failed_gives_way_to_another():
+    """Callers that rested in failed transactions kept all others from the host."""
+    failed = Answer(failure=FailureCode.ROLLED_BACK, state=TransactionState.FAILED)
+    async with listening(answer=failed, connections=1) as (intake, connect):
+        first, _ = await connect(START + b"QUERY 1 READ k\r\n")
+        assert await first.readline() == b"READY I -\r\n"
+        assert (await first.readline()).startswith(b"ERROR ABORTED")
+        late, _ = await connect(START)
+        async with asyncio.timeout(5):
+            assert await late.readline() == b"READY I -\r\n"
+
+
 async def test_accepting_goes_on_after_descriptors_ran_short(monkeypatch):
     """A listener that ends, or stays away for a second, would turn everybody away."""
     failures = [OSError(errno.EMFILE, "too many files"), OSError(errno.ECONNABORTED)]
--- a/tests/pooling/test_caller_session.py
+++ b/tests/pooling/test_caller_session.py
@@ -1,6 +1,7 @@
 """Statements of callers' sessions in front of a model group."""
 
 import asyncio
+from dataclasses import replace
 
 import pytest
 from aioprometheus import Registry
@@ -25,7 +26,7 @@
 from apricotshore.services.clock import read_boot_ms
 from standins.in_memory import ModelGroup, ModelPlatform
 
-from .support import ModelHost, log_position, make_route, read, write
+from .support import ModelHost, log_position, make_route, read, wait_until, write
 
 
 class FakeCaller:
@@ -35,6 +36,7 @@
         self.incoming: asyncio.Queue[Query | None] = asyncio.Queue()
         self.answers: asyncio.Queue[Answer] = asyncio.Queue()
         self.is_open = True
+        self.ended_transactions = 0
         self.largest_state = 1 << 20
 
     async def receive(self) -> Query | None:
@@ -50,6 +52,9 @@
     def has_received(self) -> bool:
         return not self.incoming.empty()
 
+    def end_transaction(self) -> None:
+        self.ended_transactions += 1
+
     def end_when_idle(self, ends: bool) -> None:
         if ends and self.incoming.empty():
             self.incoming.put_nowait(None)
@@ -273,6 +278,20 @@
     assert latest.pool("s1").used == set()
 
 
+async def test_caller_that_rests_in_a_transaction_gives_way_once_it_was_rolled_back(
+    latest,
+):
+    configuration = replace(latest.context.configuration(), idle_transaction_ms=20)
+    latest.context.configuration = lambda: configuration
+    caller = latest.open()
+    await caller.ask(plain(QueryKind.BEGIN))
+    await caller.ask(write("w0"))
+    await wait_until(lambda: caller.ended_transactions == 1)
+    answer = await caller.ask(write("w1"))
+    assert answer.failure is FailureCode.ROLLED_BACK
+    assert answer.state is TransactionState.FAILED
+
+
 async def test_unanswered_autocommit_write_is_in_doubt_and_sent_once(latest):
     caller = latest.open()
     await caller.ask(read("r"))
