End transactions through a stopping relay at half of its grace

Callers of other hosts saw their transaction end in doubt: a relay that stopped let a transaction of another host go on until its exit at 0.9 of the grace, where the connection was closed under whatever the transaction was doing, a commit included. An idle one also held the exit up until then.

Cause: OtherHosts.leave passed over sessions with a pinned connection at each tick, and nothing else ended them but OtherHosts.close.

From the moment at which a host aborts its own callers' transactions, the relay closes the pinned connection between two statements, so that the server rolls back, and sends the notice after which nothing is run. The other host reads it in place of the next answer and tells its caller that the transaction was rolled back, a commit included. A statement that is running is answered first; the next tick ends its transaction.

--- a/src/apricotshore/pooling/host_session.py
+++ b/src/apricotshore/pooling/host_session.py
@@ -91,6 +91,15 @@
             self.refusing = True
             self.link.leave()
 
+    def abort_transaction(self) -> None:
+        """Have the server roll back what is open, unless a statement is running.
+
+        What the other host sends next, a commit included, is refused as not run.
+        """
+        if not self.running:
+            self._unpin(clean=False)
+            self.leave()
+
     def _unpin(self, *, clean: bool) -> None:
         pooled, self.pinned = self.pinned, None
         if pooled is not None:
--- a/src/apricotshore/pooling/other_hosts.py
+++ b/src/apricotshore/pooling/other_hosts.py
@@ -1,9 +1,11 @@
 """Other hosts that connect to this one: their statements and their questions."""
 
+from .. import shutdown
 from ..decisions import relays
 from ..decisions.relays import Fleet
 from ..identifiers import GroupId, OrganisationId, ServerId
 from ..queries import FailureCode
+from ..services.clock import read_boot_ms
 from ..shutdown import Drain
 from .fleet_asker import FleetAsker
 from .host_groups import HostGroups
@@ -98,9 +100,13 @@
                 session.leave()
 
     def leave(self) -> None:
-        """Send all other hosts away as this one stops."""
+        """Send other hosts away as this one stops, with a transaction at last."""
+        aborts = shutdown.should_abort_transactions(self.drain, read_boot_ms())
         for session in list(self.sessions):
-            session.leave()
+            if aborts:
+                session.abort_transaction()
+            else:
+                session.leave()
 
     def close(self) -> None:
         """Close every connection."""
--- a/tests/platform_adapter/test_relays.py
+++ b/tests/platform_adapter/test_relays.py
@@ -62,9 +62,9 @@
 
 
 @asynccontextmanager
-async def start_relay():
+async def start_relay(make=RelayHost):
     """Start a relay; yield it and a function that connects to a server through it."""
-    relay = RelayHost()
+    relay = make()
     handler = HostHandler(admit=relay.admit, serve=relay.serve, quiesce=relay.quiesce)
     server = await listen_for_hosts("127.0.0.1:0", handler)
     port = server.sockets[0].getsockname()[1]
