Say at a relay that ends what was not run, and report what it cuts

A statement of another host that still waited for a connection as its relay ended looked as if it might have run: its caller was told of an outcome in doubt. One that was running was cut without a line or a count at the relay.

Cause: OtherHosts.close closed every link, whatever had been sent to the server.

A relay's session now knows how far its statement has come. What was not sent to the server gets the notice that nothing was run; what was sent has its connection closed, as the server would, and is written as request-cut with the server and counted by stage. It is ended as the time for answers is over, so that the other host, which gives its caller the answer, learns of it before this process ends.

--- a/src/apricotshore/pooling/host.py
+++ b/src/apricotshore/pooling/host.py
@@ -193,6 +193,8 @@
             fleet=self.fleet,
             asker=self.asker,
             drain=self.drain,
+            journal=self.journal,
+            metrics=self.metrics,
         )
         self.host_shutdown = HostShutdown(
             drain=self.drain,
--- a/src/apricotshore/pooling/host_session.py
+++ b/src/apricotshore/pooling/host_session.py
@@ -20,6 +20,7 @@
 from .ports import ConnectionLostError, HostLink, HostStatement
 from .preparation import prepare_link, prepare_shape
 from .sessions import Session
+from .statements_at_work import StatementAtWork, WorkStage
 
 # The other host times out sooner than this and closes its connection.
 STATEMENT_TIMEOUT_MS = 10_000
@@ -59,9 +60,14 @@
         self.link = link
         self.session = Session(database=DatabaseId(""), organisation=organisation)
         self.pinned: PooledConnection | None = None
-        self.running = False
+        self.at_work: StatementAtWork | None = None
         self.refusing = False
 
+    @property
+    def running(self) -> bool:
+        """Whether a statement was read that is not answered whole yet."""
+        return self.at_work is not None
+
     async def run(self) -> None:
         """Serve until the other host disconnects or the server is lost."""
         try:
@@ -69,16 +75,19 @@
                 # The other host takes a statement sent after leave() as not run.
                 if self.refusing or not self.link.is_open:
                     return
-                self.running = True
+                self.at_work = at_work = StatementAtWork(
+                    query=statement.query, arrived_at=read_boot_ms()
+                )
                 answer = await self._answer(statement)
+                at_work.stage = WorkStage.SENDING
                 await self.link.send(answer)
-                self.running = False
+                self.at_work = None
                 if self.pool.closed or self.pool.relayed:
                     self.leave()
         except ConnectionLostError as error:
             # Close the connection, as the server would have done.
             self._unpin(clean=False)
-            self.running = False
+            self.at_work = None
             if not error.sent:
                 self.leave()
         finally:
@@ -100,6 +109,21 @@
             self._unpin(clean=False)
             self.leave()
 
+    def end(self) -> StatementAtWork | None:
+        """Close the connection; return the statement that this cuts, if any.
+
+        One that was not sent to the server is refused as not run.
+        """
+        at_work = self.at_work
+        if self.refusing:
+            return None
+        self.refusing = True
+        if at_work is None or at_work.stage is WorkStage.WAITING:
+            self.link.leave()
+            return None
+        self.link.close()
+        return at_work if at_work.stage is WorkStage.RUNNING else None
+
     def _unpin(self, *, clean: bool) -> None:
         pooled, self.pinned = self.pinned, None
         if pooled is not None:
@@ -168,6 +192,8 @@
     async def _run(self, query: Query, statement: HostStatement) -> Answer:
         pooled = self.pinned
         assert pooled is not None
+        if self.at_work is not None:
+            self.at_work.stage = WorkStage.RUNNING
         answers = await self._while_open(
             self.pool.run(pooled, [query], statement.after, STATEMENT_TIMEOUT_MS)
         )
--- a/src/apricotshore/pooling/other_hosts.py
+++ b/src/apricotshore/pooling/other_hosts.py
@@ -10,6 +10,8 @@
 from .fleet_asker import FleetAsker
 from .host_groups import HostGroups
 from .host_session import HostSession
+from .journal import EventKind, Journal
+from .metrics import PoolingMetrics
 from .ports import HostLink, QuiesceReply, QuiesceRequest
 
 
@@ -24,6 +26,8 @@
         The other hosts, and what asks them.
     drain
         State of this host's shutdown.
+    journal, metrics
+        Where statements that are cut are reported.
     """
 
     def __init__(
@@ -33,11 +37,15 @@
         fleet: Fleet,
         asker: FleetAsker,
         drain: Drain,
+        journal: Journal,
+        metrics: PoolingMetrics,
     ) -> None:
         self.host_groups = host_groups
         self.fleet = fleet
         self.asker = asker
         self.drain = drain
+        self.journal = journal
+        self.metrics = metrics
         self.sessions: set[HostSession] = set()
 
     def admit(
@@ -100,8 +108,17 @@
                 session.leave()
 
     def leave(self) -> None:
-        """Send other hosts away as this one stops, with a transaction at last."""
-        aborts = shutdown.should_abort_transactions(self.drain, read_boot_ms())
+        """Send other hosts away as this one stops.
+
+        Transactions are aborted at half of the grace, and what is still running when
+        the time for answers is over is ended.
+        """
+        now = read_boot_ms()
+        last_answer = shutdown.find_last_answer(self.drain)
+        if last_answer is not None and now >= last_answer:
+            self.close()
+            return
+        aborts = shutdown.should_abort_transactions(self.drain, now)
         for session in list(self.sessions):
             if aborts:
                 session.abort_transaction()
@@ -109,6 +126,22 @@
                 session.leave()
 
     def close(self) -> None:
-        """Close every connection."""
-        for session in self.sessions:
-            session.link.close()
+        """Close every connection, and report the statements that this cuts."""
+        for session in list(self.sessions):
+            self._end(session)
+
+    def _end(self, session: HostSession) -> None:
+        cut = session.end()
+        if cut is None:
+            return
+        now, began = read_boot_ms(), self.drain.began_at
+        self.metrics.observe_cut(cut.stage)
+        self.journal.record(
+            EventKind.REQUEST_CUT,
+            request=cut.query.request,
+            server=session.pool.server.server,
+            kind=cut.query.kind.value,
+            stage=cut.stage.value,
+            took_ms=now - cut.arrived_at,
+            stopping_ms=now - began if began is not None else None,
+        )
--- a/tests/pooling/test_host.py
+++ b/tests/pooling/test_host.py
@@ -61,12 +61,12 @@
 class StuckSession:
     """Session of another host that does not end."""
 
-    def __init__(self) -> None:
-        self.link = FakeCaller()
-
     def leave(self) -> None:
         return
 
+    def end(self) -> None:
+        return
+
 
 PEER_ADDRESS = "caller-address = 10.1.0.8:8784\npeer-address = 10.1.0.8:8786"
 LISTED = GOOD.replace("caller-address = 10.1.0.8:8784", PEER_ADDRESS)
