Keep transactions whose next statement has arrived from idling out

Callers saw "ERROR ABORTED idle for too long" as the answer to a statement that they had sent in time: its transaction had been rolled back.

Cause: CallerSession._receive limits the time until a statement is handed over. A large one that waits at the gate has been received long before, and any other one a turn before.

When the time is over, the link is asked whether a whole statement lies in its buffer, which is true from the arrival of its end until it is taken; only without one is the transaction rolled back.

--- a/src/apricotshore/pooling/caller_session.py
+++ b/src/apricotshore/pooling/caller_session.py
@@ -140,6 +140,8 @@
             async with asyncio.timeout(limit / 1000):
                 return await self.link.receive()
         except TimeoutError:
+            if self.link.has_statement:
+                return await self.link.receive()
             if self.session.revoked:
                 self.link.end_when_idle(True)
                 return await self.link.receive()
--- a/src/apricotshore/pooling/ports.py
+++ b/src/apricotshore/pooling/ports.py
@@ -205,6 +205,9 @@
 
     def end_transaction(self) -> None:
         """Take note that the transaction was rolled back between two statements."""
+    @property
+    def has_statement(self) -> bool:
+        """Whether a whole statement waits to be read, for its turn or for room."""
 
     def end_when_idle(self, ends: bool) -> None:
         """Have `receive` return None once nothing is left that was received."""
--- a/tests/pooling/test_caller_session.py
+++ b/tests/pooling/test_caller_session.py
@@ -54,6 +54,9 @@
 
     def end_transaction(self) -> None:
         self.ended_transactions += 1
+    @property
+    def has_statement(self) -> bool:
+        return not self.incoming.empty()
 
     def end_when_idle(self, ends: bool) -> None:
         if ends and self.incoming.empty():
