Answer a large statement that waits for room as its key is withdrawn

Callers whose key was withdrawn saw their connection close without an answer to a large statement that the host had received.

Cause: CallerSession._refuse_received waits RECEIVED_WAIT_S, a few turns, for what was received already. A large statement waits at the gate for as long as there is no room.

Evidence, tests/platform_adapter/test_received_amid_ends.py, failing before: test_statement_that_waits_for_room_as_its_key_is_withdrawn_is_answered AssertionError: assert b'' == b'ERROR UNAUT...READY I -\r\n'

After that time the link is asked whether a whole statement lies in its buffer; such a one is waited for and refused, and only a part of one is dropped.

--- a/src/apricotshore/pooling/caller_session.py
+++ b/src/apricotshore/pooling/caller_session.py
@@ -175,15 +175,20 @@
         """Answer what was received already, before the session closes."""
         self.idle = False
         for _ in range(LAST_REFUSALS):
-            try:
-                async with asyncio.timeout(RECEIVED_WAIT_S):
-                    query = await self.link.receive()
-            except TimeoutError:
-                return
+            query = await self._receive_rest()
             if query is None:
                 return
             await self._handle(query)
 
+    async def _receive_rest(self) -> Query | None:
+        """Return the next statement that was received already, None without one."""
+        try:
+            async with asyncio.timeout(RECEIVED_WAIT_S):
+                return await self.link.receive()
+        except TimeoutError:
+            # A large statement waits for room.
+            return await self.link.receive() if self.link.has_statement else None
+
     # -- transactions --
 
     def abort_transaction(self, why: str) -> None:
--- a/tests/platform_adapter/test_received_amid_ends.py
+++ b/tests/platform_adapter/test_received_amid_ends.py
@@ -9,12 +9,14 @@
 from apricotshore.intake import IntakeSettings, derive_limits
 from apricotshore.pooling.client_intake import ClientIntake
 from apricotshore.pooling.listeners import CallerHandler
+from apricotshore.rate_decisions import ADMITTED
 from tests.pooling.callers_of_organisations import OrganisationsBed
 from tests.pooling.support import wait_until
 
 START = b"STARTUP shop k\r\n"
 READY = b"READY I -\r\n"
 LARGE = b"WRITE k " + b"x" * LARGE_BYTES
+REFUSED = b"ERROR UNAUTH the key is not valid any more\r\n"
 ANSWER_S = 3.0
 
 
@@ -47,3 +49,26 @@
         await asyncio.sleep(bed.configuration.idle_transaction_ms / 1_000 + 0.1)
         gate.leave(gate.limit)
         assert (await reader.readline()).startswith(b"COMPLETE")
+
+
+async def test_statement_that_waits_for_room_as_its_key_is_withdrawn_is_answered():
+    """The session closed after a few turns, and the statement got no answer."""
+    async with listening() as (bed, gate, reader, writer):
+        asked, goes_on = asyncio.Event(), asyncio.Event()
+
+        async def admit_later(organisation):
+            asked.set()
+            await goes_on.wait()
+            return ADMITTED
+
+        bed.callers.context.admit_rate = admit_later
+        writer.write(b"QUERY r READ k\r\nQUERY w " + LARGE + b"\r\n")
+        await asked.wait()
+        bed.apply(("o", "other"))
+        goes_on.set()
+        assert await reader.readline() == REFUSED
+        assert await reader.readline() == READY
+        await wait_until(lambda: gate.waiting)
+        await asyncio.sleep(0.05)
+        gate.leave(gate.limit)
+        assert await reader.read() == REFUSED + READY
