--- a/tests/intake/test_received_statements.py
+++ b/tests/intake/test_received_statements.py
@@ -1,5 +1,8 @@
 """Limits at the moment at which a statement arrives, over real sockets."""
 
+import asyncio
+import time
+
 import pytest
 from apricotshore_platform.metered import LARGE_BYTES, MeteredReader
 
@@ -86,3 +89,14 @@
         assert not intake.make_room()
         intake.gate.leave(intake.gate.limit)
         assert await reader.readexactly(len(COMPLETE)) == COMPLETE
+
+
+async def test_start_that_arrives_as_its_time_ends_is_served():
+    """After a freeze of the host the timer came first, and nobody got an answer."""
+    async with listening(start_ms=100) as (intake, connect):
+        reader, writer = await connect()
+        await wait_until(lambda: intake.starting)
+        await asyncio.sleep(0.05)
+        writer.write(START + QUERY)
+        time.sleep(0.2)
+        assert await reader.readexactly(len(READY + COMPLETE)) == READY + COMPLETE
