Answer what a stopping host has received on every path to its end

- A caller that waits for a host to load is refused as that stops.
- Sessions whose caller goes on sending past the last answer end by what was received.
- A part of a line is no statement that was cut.
- The stop steps by its own timer, 50 ms, not by the housekeeping, which sleeps for 0.5 s.
- The last answer is a share of the grace, which may be short.

--- a/src/apricotshore/pooling/caller_session.py
+++ b/src/apricotshore/pooling/caller_session.py
@@ -279,7 +279,7 @@
     def _record_cut(self) -> None:
         """Report what the end of the session leaves without a whole answer."""
         at_work = self.at_work
-        if not self.link.is_open or not (at_work or self.link.has_received):
+        if not self.link.is_open or not (at_work or self.link.has_statement):
             return
         now, began = read_boot_ms(), self.drain.began_at
         stage = at_work.stage if at_work is not None else WorkStage.RECEIVED
--- a/src/apricotshore/pooling/callers.py
+++ b/src/apricotshore/pooling/callers.py
@@ -185,12 +185,13 @@
     def count_at_work(self) -> int:
         """Count the sessions that have received a statement and not answered it."""
         return sum(
-            session.at_work is not None or session.link.has_received
+            session.at_work is not None or session.link.has_statement
             for session in self.sessions
         )
 
-    def limit_time(self) -> None:
-        """Have all statements at work answered before this host exits."""
+    def begin_stop(self) -> None:
+        """Have all that waits or is at work answered before this host exits."""
+        self.readiness.give_up()
         for session in self.sessions:
             session.limit_time()
 
--- a/src/apricotshore/pooling/host.py
+++ b/src/apricotshore/pooling/host.py
@@ -430,7 +430,6 @@
             await asyncio.sleep(HOUSEKEEPING_S if self.is_ready else 0.1)
             self.write_due_lines()
             self.host_groups.close_idle()
-            self.host_shutdown.go_on()
 
     def write_due_lines(self) -> None:
         """Write what the journal holds back, and promotions after it."""
--- a/src/apricotshore/pooling/host_shutdown.py
+++ b/src/apricotshore/pooling/host_shutdown.py
@@ -11,6 +11,9 @@
 from .journal import EventKind, Journal
 from .other_hosts import OtherHosts
 
+# Time between two looks for what has ended.
+STEP_S = 0.05
+
 
 class HostShutdown:
     """Shutdown of a host.
@@ -59,8 +62,13 @@
         self.host_watcher.mark_leaving()
         for changer in self.host_groups.changers.values():
             changer.is_draining = True
-        self.callers.limit_time()
-        self._close_idle()
+        self.callers.begin_stop()
+        self._step()
+
+    def _step(self) -> None:
+        if not self.drain.exiting:
+            asyncio.get_running_loop().call_later(STEP_S, self._step)
+            self.go_on()
 
     def go_on(self) -> None:
         """Close what has become idle, and end the shutdown once it is due."""
@@ -74,6 +82,11 @@
             self.ended.set()
         self._record_phase(now)
 
+    def read_left_s(self) -> float:
+        """Return the time until the process has to exit, in seconds."""
+        exit_at = shutdown.find_exit(self.drain)
+        return 0.0 if exit_at is None else (exit_at - read_boot_ms()) / 1_000
+
     def _record_phase(self, now: int) -> None:
         phase = shutdown.find_phase(self.drain, now)
         if phase is self.phase or self.drain.began_at is None:
--- a/src/apricotshore/pooling/ports.py
+++ b/src/apricotshore/pooling/ports.py
@@ -199,12 +199,9 @@
     def is_open(self) -> bool:
         """Whether the caller is still connected."""
 
-    @property
-    def has_received(self) -> bool:
-        """Whether a statement, or a part of one, waits to be read."""
-
     def end_transaction(self) -> None:
         """Take note that the transaction was rolled back between two statements."""
+
     @property
     def has_statement(self) -> bool:
         """Whether a whole statement waits to be read, for its turn or for room."""
--- a/src/apricotshore/pooling/readiness.py
+++ b/src/apricotshore/pooling/readiness.py
@@ -47,6 +47,7 @@
         self.open_changes = open_changes
         self.groups = groups
         self.has_awaited_entry = False
+        self.has_given_up = False
 
     @property
     def has_read_store(self) -> bool:
@@ -80,11 +81,17 @@
         await self.open_changes.wait_until_read(LEASES_S)
         self.has_awaited_entry = True
 
+    def give_up(self) -> None:
+        """Have nobody wait any longer, as the host stops."""
+        self.has_given_up = True
+
     async def wait_until_loaded(self) -> bool:
         """Wait until the store has been read; return whether it was in time."""
         try:
             async with asyncio.timeout(LOADING_S):
                 while not self.is_loaded:
+                    if self.has_given_up:
+                        return False
                     await asyncio.sleep(LOADING_STEP_S)
         except TimeoutError:
             return False
--- a/src/apricotshore/shutdown/phases.py
+++ b/src/apricotshore/shutdown/phases.py
@@ -9,8 +9,8 @@
 TRANSACTION_SHARE = 0.5
 # Share of the grace period after which the process exits in any case.
 END_SHARE = 0.9
-# Time before that in which answers are sent.
-ANSWER_MS = 200
+# Share of it after which no statement is waited for; the rest is for its answer.
+ANSWER_SHARE = 0.86
 
 
 class Phase(Enum):
@@ -81,7 +81,13 @@
     began = drain.began_at
     if began is None:
         return None
-    return began + int(drain.grace_ms * END_SHARE) - ANSWER_MS
+    return began + int(drain.grace_ms * ANSWER_SHARE)
+
+
+def find_exit(drain: Drain) -> int | None:
+    """Return by when the process exits, None while the host doesn't stop."""
+    began = drain.began_at
+    return None if began is None else began + int(drain.grace_ms * END_SHARE)
 
 
 def should_abort_transactions(drain: Drain, now: int) -> bool:
--- a/src/apricotshore/shutdown/sessions.py
+++ b/src/apricotshore/shutdown/sessions.py
@@ -72,10 +72,15 @@
     """Return whether an idle session is closed.
 
     A session opened after the signal is kept for its first operation: the load
-    balancer had not yet detected the shutdown.
+    balancer had not yet detected the shutdown. Once the time for answers is over, none
+    is kept.
     """
-    began = drain.began_at
-    if began is None or session.in_transaction:
+    began, last_answer = drain.began_at, find_last_answer(drain)
+    if began is None or last_answer is None:
+        return False
+    if now >= last_answer:
+        return True
+    if session.in_transaction:
         return False
     if session.ended_operation:
         return True
--- a/tests/pooling/test_caller_session.py
+++ b/tests/pooling/test_caller_session.py
@@ -48,12 +48,9 @@
     def hold_state(self, size: int) -> bool:
         return size <= self.largest_state
 
-    @property
-    def has_received(self) -> bool:
-        return not self.incoming.empty()
-
     def end_transaction(self) -> None:
         self.ended_transactions += 1
+
     @property
     def has_statement(self) -> bool:
         return not self.incoming.empty()
