--- a/src/apricotshore/pooling/host_shutdown.py
+++ b/src/apricotshore/pooling/host_shutdown.py
@@ -83,9 +83,9 @@
         self._record_phase(now)
 
     def read_left_s(self) -> float:
-        """Return the time until the process has to exit, in seconds."""
-        exit_at = shutdown.find_exit(self.drain)
-        return 0.0 if exit_at is None else (exit_at - read_boot_ms()) / 1_000
+        """Return the time that callers have to take their answers, in seconds."""
+        last_byte = shutdown.find_last_byte(self.drain)
+        return 0.0 if last_byte is None else (last_byte - read_boot_ms()) / 1_000
 
     def _record_phase(self, now: int) -> None:
         phase = shutdown.find_phase(self.drain, now)
--- a/src/apricotshore/shutdown/phases.py
+++ b/src/apricotshore/shutdown/phases.py
@@ -10,7 +10,9 @@
 # Share of the grace period after which the process exits in any case.
 END_SHARE = 0.9
 # Share of it after which no statement is waited for; the rest is for its answer.
-ANSWER_SHARE = 0.86
+ANSWER_SHARE = 13 / 15
+# Share of it after which answers that callers don't take are given up.
+FLUSH_SHARE = 0.95
 
 
 class Phase(Enum):
@@ -84,10 +86,10 @@
     return began + int(drain.grace_ms * ANSWER_SHARE)
 
 
-def find_exit(drain: Drain) -> int | None:
-    """Return by when the process exits, None while the host doesn't stop."""
+def find_last_byte(drain: Drain) -> int | None:
+    """Return by when answers have left, None while the host doesn't stop."""
     began = drain.began_at
-    return None if began is None else began + int(drain.grace_ms * END_SHARE)
+    return None if began is None else began + int(drain.grace_ms * FLUSH_SHARE)
 
 
 def should_abort_transactions(drain: Drain, now: int) -> bool:
--- a/src/apricotshore/shutdown/sessions.py
+++ b/src/apricotshore/shutdown/sessions.py
@@ -57,15 +57,16 @@
     now
         Milliseconds since boot.
     """
-    phase = find_phase(drain, now)
-    if phase in (Phase.SERVING, Phase.ANNOUNCING):
+    phase, last_answer = find_phase(drain, now), find_last_answer(drain)
+    if last_answer is None:
         return True
-    if phase is Phase.EXITING:
+    if phase is Phase.EXITING or now >= last_answer:
         return False
+    if phase is Phase.ANNOUNCING:
+        return True
     if work is not Work.STATEMENT:
         return work is Work.OPEN_TRANSACTION and phase is Phase.LAME_DUCK
-    last_answer = find_last_answer(drain)
-    return last_answer is not None and now + timeout_ms <= last_answer
+    return now + timeout_ms <= last_answer
 
 
 def should_close(drain: Drain, session: IdleSession, now: int) -> bool:
