--- a/src/apricotshore/shutdown/sessions.py
+++ b/src/apricotshore/shutdown/sessions.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass
 from enum import Enum
 
-from .phases import BALANCER_DELAY_MS, Drain, Phase, find_last_answer, find_phase
+from .phases import Drain, Phase, find_last_answer, find_phase
 
 # After preparing its session, a caller sends the next statement within this time.
 QUIET_MS = 150
@@ -88,4 +88,4 @@
     if now - session.quiet_since < QUIET_MS:
         return False
     is_new = session.opened_at >= began and session.operations == 0
-    return not is_new or now - began >= BALANCER_DELAY_MS
+    return not is_new or find_phase(drain, now) is not Phase.ANNOUNCING
