--- /dev/null
+++ b/tests/shutdown/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of a host's stop that start no process."""
