--- a/tests/shutdown/stepping.py
+++ b/tests/shutdown/stepping.py
@@ -223,6 +223,16 @@
             self.now_ms = max(self.now_ms, when)
         self.now_ms = max(self.now_ms, until_ms)
 
+    def run_to_timer(self) -> bool:
+        """Set the clock to the next timer, after all turns before it."""
+        while self.has_ready:
+            self.turn()
+        when = self._find_timer()
+        if when is None:
+            return False
+        self.now_ms = when
+        return True
+
     def cancel_all(self) -> None:
         """End all tasks of a test."""
         for _ in range(20):
--- a/tests/shutdown/stopping_host.py
+++ b/tests/shutdown/stopping_host.py
@@ -172,8 +172,9 @@
             self.loop.turn()
 
     def answer(self) -> None:
-        if self.server.running:
-            self.server.running.pop(0).set_result(None)
+        waiting = [answer for answer in self.server.running if not answer.done()]
+        if waiting:
+            waiting[0].set_result(None)
 
     def pass_time(self) -> None:
         """Let time pass to the next moment at which a stop goes on."""
