--- a/tests/shutdown/stopping_host.py
+++ b/tests/shutdown/stopping_host.py
@@ -35,6 +35,7 @@
 from .stepping import FakeListeningSocket, FakeSocket, SteppedLoop
 
 GRACE_MS = 6_000
+TIMEOUT_MS = 800
 TICK_MS = 100
 LOADING_S = 1.5
 CLOSING_S = 0.25
@@ -54,10 +55,12 @@
     def __init__(self, drain: Drain) -> None:
         self.drain = drain
         self.running: list[asyncio.Future[None]] = []
+        self.begun = 0
         self.begun_too_late: list[str] = []
 
     async def run(self, context, session, job) -> Answer:
         job.check()
+        self.begun += 1
         if self.drain.exiting:
             self.begun_too_late.append(job.query.request)
         loop = asyncio.get_running_loop()
@@ -82,7 +85,12 @@
     """The parts of a host that a stop concerns, with their real classes."""
 
     def __init__(
-        self, loop: SteppedLoop, *, grace_ms: int = GRACE_MS, **limits
+        self,
+        loop: SteppedLoop,
+        *,
+        grace_ms: int = GRACE_MS,
+        timeout_ms: int = TIMEOUT_MS,
+        **limits: int,
     ) -> None:
         self.loop = loop
         self.drain = Drain(grace_ms=grace_ms)
@@ -90,7 +98,7 @@
         self.is_gone = False
         self.loaded = asyncio.Event()
         self.loaded.set()
-        route = make_route()
+        route = replace(make_route(), timeout_ms=timeout_ms)
         self.configuration = replace(make_configuration(route), idle_transaction_ms=400)
         self.metrics = PoolingMetrics(registry=Registry())
         ignore = SimpleNamespace(record=lambda *args, **details: None)
@@ -219,10 +227,22 @@
             faults.append("the process is killed")
         if has_ended and self.raw.backlog:
             faults.append("a connection in the backlog is reset")
+        if has_ended and self._count_refused() + self.server.begun > self._count_read():
+            faults.append("a statement that was begun is refused")
         for number, raw in enumerate(self.sockets):
             faults += self._list_faults_of(number, raw, has_ended=has_ended)
         return faults
 
+    def _count_refused(self) -> int:
+        """Count the answers that promise that nothing was run."""
+        answers = b"".join(bytes(raw.answered) for raw in self.sockets)
+        return answers.count(b"ERROR BUSY") + answers.count(b"ERROR UNAUTH")
+
+    def _count_read(self) -> int:
+        """Count the statements that were read, and the starts that were refused."""
+        lines = sum(raw.read.count(b"\r\n") for raw in self.sockets)
+        return lines - sum(raw.answered.startswith(b"READY") for raw in self.sockets)
+
     def _list_faults_of(
         self, number: int, raw: FakeSocket, *, has_ended: bool
     ) -> list[str]:
--- a/tests/shutdown/test_orders.py
+++ b/tests/shutdown/test_orders.py
@@ -28,6 +28,8 @@
 PART = b"QUERY p RE"
 KEY = "k1"
 FAULTS_SHOWN = 3
+# Just before the listener has waited long enough for the last answers to leave.
+NEARLY_CLOSED_MS = 235
 
 
 @pytest.fixture
@@ -240,6 +242,11 @@
     check_orders(loop, open_one, STOP | READS | {"freeze": freeze}, 6, 200)
 
 
+def test_statement_longer_than_the_grace_is_cut(loop):
+    events = STOP | {"read": sending(READ, 1), "write": sending(WRITE, 1)}
+    check_orders(loop, lambda x: open_one(x, timeout_ms=9_000), events, 6, 200)
+
+
 def test_statement_is_cut_after_a_change_of_its_session(loop):
     events = STOP | READS | {"set": sending(SET)}
     check_orders(loop, change_session, events, 6, 200)
@@ -286,8 +293,7 @@
 
     def make_exiting(loop: SteppedLoop) -> StoppingHost:
         host = go_to_exit(make(loop), sent)
-        # The listener has nearly done waiting for the last answers to leave.
-        loop.run_until(loop.now_ms + 235)
+        loop.run_until(loop.now_ms + NEARLY_CLOSED_MS)
         assert not host.is_gone
         return host
 
