--- a/tests/shutdown/test_listener.py
+++ b/tests/shutdown/test_listener.py
@@ -3,6 +3,7 @@
 import asyncio
 import errno
 import socket
+import time
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, field, replace
 
@@ -200,6 +201,18 @@
         assert await read_all(raw) == SERVED
 
 
+@pytest.mark.parametrize("turns", range(1, 6))
+async def test_start_that_a_stalled_loop_has_not_read_is_taken_for_silence(turns):
+    async with listening(once=True) as bed:
+        waiting = [bed.connect(START + READ) for _ in range(3)]
+        stop = asyncio.create_task(bed.listener.stop())
+        for _ in range(turns):
+            await asyncio.sleep(0)
+        time.sleep(2 * SILENCE_S)
+        await stop
+        assert {await read_all(raw) for raw in waiting} == {SERVED}
+
+
 async def test_stopped_listener_lets_callers_connect():
     async with listening() as bed:
         address = bed.listener.sockets[0].getsockname()
