Say at a stop of `run` what was at work, and each statement that it cuts

The drain events begin, refusing new callers and end carry the sessions, the statements at work, the requests and the open transactions; cut names a statement that ends without a whole answer, and apricotshore_cut_statements_total counts them, as at pooling hosts.

A session is at work from the first byte of a command to the last one of its answer, by the library's packet count; the flag before lagged at both ends. Deployments of tests can set the drain.

--- a/src/apricotshore/metrics.py
+++ b/src/apricotshore/metrics.py
@@ -37,6 +37,12 @@
             "Connections refused because the caller has no contract",
             registry=registry,
         )
+        self.cuts = Counter(
+            "apricotshore_cut_statements_total",
+            "Statements received and cut off by this host",
+            registry=registry,
+        )
+        self.cuts.set({}, 0)
         self.bundle = Gauge(
             "apricotshore_bundle_version", "Bundle in force", registry=registry
         )
--- a/src/apricotshore/services/application.py
+++ b/src/apricotshore/services/application.py
@@ -214,11 +214,10 @@
         """
         self.draining = True
         self.members.set_state(MemberState.DRAINING)
-        self.record_event(
-            Topic.DRAIN, self.settings.host, "begin", "refusing new callers"
-        )
+        self._record_stop("begin")
         await asyncio.sleep(DRAIN_NOTICE_S)
         self.frontend.stop_accepting()
+        self._record_stop("refusing new callers")
         self.registry.draining = True
         deadline = read_monotonic_ms() + self.settings.drain_ms
         await self._release_owners(deadline)
@@ -229,12 +228,27 @@
         remaining = self.frontend.close_idle(at_once=True)
         requests = sum(len(o.pending) for o in self.registry.owners.values())
         result = DrainResult(sessions=remaining, requests=requests)
+        self._record_cuts()
+        self._record_stop("end")
+        return result
+
+    def _record_stop(self, step: str) -> None:
+        """Record a step of the stop, and what is at work then."""
+        owners = self.registry.owners.values()
         detail = (
-            f"{result.sessions} sessions and {result.requests} requests closed "
-            "at the deadline"
+            f"{len(self.frontend.sessions)} sessions, "
+            f"{len(self.frontend.list_at_work())} statements at work, "
+            f"{sum(len(owner.pending) for owner in owners)} requests, "
+            f"{sum(len(owner.transactions) for owner in owners)} transactions"
         )
-        self.record_event(Topic.DRAIN, self.settings.host, "end", detail)
-        return result
+        self.record_event(Topic.DRAIN, self.settings.host, step, detail)
+
+    def _record_cuts(self) -> None:
+        """Record each statement that the end of the process cuts."""
+        for session in self.frontend.list_at_work():
+            self.metrics.cuts.inc({})
+            detail = f"a statement of session {session.session} has no whole answer"
+            self.record_event(Topic.DRAIN, session.username or "", "cut", detail)
 
     async def _release_owners(self, deadline: int) -> None:
         owners = list(self.registry.owners.values())
--- a/src/apricotshore/services/callersession.py
+++ b/src/apricotshore/services/callersession.py
@@ -129,9 +129,14 @@
         self.open_transaction: OpenTransaction | None = None
         self.affected_rows = 0
         self.last_insert_id = 0
-        self.busy = False
         self.last_used_ms = read_monotonic_ms()
 
+    @property
+    def at_work(self) -> bool:
+        """Whether a command was read whose answer hasn't been written whole."""
+        # The library counts the packets of a command, and begins anew after each.
+        return self.connection is not None and self.connection.stream.seq.value != 0
+
     # -- life cycle --
 
     async def init(self, connection: Connection) -> None:
@@ -193,13 +198,11 @@
         if self.context.is_draining() and self.open_transaction is None:
             self._close_after_error()
             raise make_error(DRAINING_FAILURE)
-        self.busy = True
         try:
             return await self._handle(sql)
         except StatementError as error:
             raise _make_bad_request(str(error)) from None
         finally:
-            self.busy = False
             self.last_used_ms = read_monotonic_ms()
             self._update_status_flags()
 
--- a/src/apricotshore/services/frontend.py
+++ b/src/apricotshore/services/frontend.py
@@ -187,6 +187,10 @@
         if self.server._server is not None:
             self.server._server.close()
 
+    def list_at_work(self) -> list[CallerSession]:
+        """Return the sessions with a statement that isn't answered whole."""
+        return [session for session in self.sessions if session.at_work]
+
     def close_idle(self, at_once: bool) -> int:
         """Close sessions that have no statement or transaction in progress.
 
@@ -203,7 +207,7 @@
         """
         oldest = read_monotonic_ms() - IDLE_BEFORE_CLOSE_MS
         for session in list(self.sessions):
-            idle = not session.busy and session.open_transaction is None
+            idle = not session.at_work and session.open_transaction is None
             if idle and (at_once or session.last_used_ms <= oldest):
                 session.writer.close()
                 self.remove_session(session)
--- a/standins/deployment.py
+++ b/standins/deployment.py
@@ -50,6 +50,7 @@
     kinds: str = ""
     policy: str = "fair"
     peer_tls: str = ""
+    drain_ms: int = 20_000
 
 
 DEFAULT_KINDS = """
@@ -177,6 +178,7 @@
             f"caller-address = 127.0.0.1:{caller}\npeer-address = 127.0.0.1:{peer}\n"
             f"status-address = 127.0.0.1:{status}\n"
             f"platform-address = {self.platform_address}\nseeds = {seeds}\n"
+            f"drain = {self.options.drain_ms} ms\n"
             f"evidence-signer = fleet\nevidence-key = {key_path}\n"
             f"[trusted-keys]\n{trusted}\n{self.options.peer_tls}"
         )
