Answer the next statement of a connection in advance when the host closes it

What callers saw: a statement sent over a connection that the stopping host had closed as idle ended without an answer (2013); no verdict, so a write counts as unknown. Cause: close_idle closed the socket bare; a statement on its way, or in the buffer unread, met a reset. The same 50 ms after a rejection. Why it works: the answer to the next command (1053, not-run, retry hint) is written ahead, then the writing side is closed; the reading side stays open for 1 s, so that a statement on its way gets no reset. What arrives then is dropped, as it has its answer.

--- a/src/apricotshore/services/callersession.py
+++ b/src/apricotshore/services/callersession.py
@@ -26,6 +26,7 @@
 from ..requests import Action, Reply, Request
 from ..statements import Statement, StatementError, read_statement
 from ..verdicts import Failure, Reason, Verdict
+from .callerwriter import CallerWriter
 from .clock import read_monotonic_ms
 from .errorcodes import make_error
 from .router import Router, Target
@@ -33,7 +34,6 @@
 
 TOKEN_VARIABLE = "apricotshore_token"
 SESSION_VARIABLE = "apricotshore_session"
-CLOSE_AFTER_ERROR_S = 0.05
 
 _SET = re.compile(r"^\s*set\s+(.*)$", re.I | re.S)
 _USER_VARIABLE = re.compile(
@@ -50,8 +50,13 @@
     {Reason.DATABASE_ERROR, Reason.OVERLOAD, Reason.DEADLINE}
 )
 
+# Another host serves at once; a hint is given only if it isn't 0.
+DRAINING_RETRY_MS = 1
 DRAINING_FAILURE = Failure(
-    verdict=Verdict.NOT_RUN, reason=Reason.DRAINING, detail="this host is draining"
+    verdict=Verdict.NOT_RUN,
+    reason=Reason.DRAINING,
+    detail="this host is draining",
+    retry_after_ms=DRAINING_RETRY_MS,
 )
 
 Result = Any
@@ -112,9 +117,7 @@
         The connection.
     """
 
-    def __init__(
-        self, *, context: SessionContext, writer: asyncio.StreamWriter
-    ) -> None:
+    def __init__(self, *, context: SessionContext, writer: CallerWriter) -> None:
         self.context = context
         self.writer = writer
         self.variables = SessionVariables(GlobalVariables())
@@ -169,6 +172,18 @@
             request = self._make_request(statement, Action.ROLLBACK, open_transaction)
             self.context.roll_back(request, open_transaction)
 
+    def leave(self) -> None:
+        """Answer the next statement in advance, then end the connection.
+
+        The caller may be sending one right now, and after a bare close it couldn't
+        know whether it ran. As the protocol has no goodbye, the answer is sent ahead;
+        whatever arrives then is dropped.
+        """
+        if self.connection is None:
+            return
+        error = make_error(DRAINING_FAILURE)
+        self.writer.finish(self.connection.error(msg=error.msg, code=error.code))
+
     async def reset(self) -> None:
         """Reset the session's state, as for COM_CHANGE_USER."""
         self.log_positions.clear()
@@ -195,8 +210,11 @@
         self.affected_rows = self.last_insert_id = 0
         if self.username is None:
             raise MysqlError("access denied", ErrorCode.ACCESS_DENIED_ERROR)
+        if self.writer.finished:
+            raise make_error(DRAINING_FAILURE)
         if self.context.is_draining() and self.open_transaction is None:
-            self._close_after_error()
+            # The connection ends once this answer is written.
+            asyncio.get_running_loop().call_soon(self.leave)
             raise make_error(DRAINING_FAILURE)
         try:
             return await self._handle(sql)
@@ -206,12 +224,6 @@
             self.last_used_ms = read_monotonic_ms()
             self._update_status_flags()
 
-    def _close_after_error(self) -> None:
-        # The error must arrive before the connection closes: after a bare close
-        # the caller could not know whether its request ran.
-        loop = asyncio.get_running_loop()
-        loop.call_later(CLOSE_AFTER_ERROR_S, self.writer.close)
-
     async def _handle(self, sql: str) -> Result:
         if match := _SET.match(sql):
             return self._set_variables(match.group(1).strip().rstrip(";"))
--- a/src/apricotshore/services/frontend.py
+++ b/src/apricotshore/services/frontend.py
@@ -22,12 +22,13 @@
 from ..settings import Settings
 from ..verdicts import Failure
 from .callersession import CallerSession, OpenTransaction, SessionContext
+from .callerwriter import CallerWriter
 from .clock import read_monotonic_ms
 from .router import RoutedOutcome, Router
 
 IDLE_BEFORE_CLOSE_MS = 3_000
 
-_current_writer: ContextVar[asyncio.StreamWriter] = ContextVar("writer")
+_current_writer: ContextVar[CallerWriter] = ContextVar("writer")
 
 
 @dataclass(kw_only=True)
@@ -76,9 +77,10 @@
             writer.close()
             return
         frontend.connection_count += 1
-        _current_writer.set(writer)
+        caller_writer = CallerWriter(reader=reader, writer=writer)
+        _current_writer.set(caller_writer)
         try:
-            await super()._client_connected_cb(reader, writer)
+            await super()._client_connected_cb(reader, caller_writer)
         except (OSError, EOFError, AssertionError, ValueError, IndexError):
             # The library raises these on malformed packets; only this connection
             # is closed.
@@ -203,12 +205,11 @@
         Returns
         -------
         int
-            Number of sessions that remain.
+            Number of sessions that remain, with those that are leaving.
         """
         oldest = read_monotonic_ms() - IDLE_BEFORE_CLOSE_MS
         for session in list(self.sessions):
             idle = not session.at_work and session.open_transaction is None
             if idle and (at_once or session.last_used_ms <= oldest):
-                session.writer.close()
-                self.remove_session(session)
+                session.leave()
         return len(self.sessions)
