Stop `run` in the shared phases, and begin nothing that its exit would cut

What callers saw: may-have-run (1180, KjException) at other hosts for writes forwarded to a host that exited; the same for a write that was sent after the signal and outlasted the drain; no answer at all (2013) for the next statement of a transaction that was open at the end. Cause: the owner released its database and the process ended 20 ms later, amid requests of peers that had yet to learn of it; the drain's end was a deadline that cancelled whatever was at work; nothing compared a statement's timeout with it. Why it works: one owner of the stop (services/stopping.py) follows apricotshore.shutdown's phases. Owners that start or claim meanwhile are released as well.

--- a/src/apricotshore/services/application.py
+++ b/src/apricotshore/services/application.py
@@ -1,8 +1,6 @@
 """Application of one host: builds, starts and stops its services."""
 
-import asyncio
 import ssl
-from dataclasses import dataclass
 from pathlib import Path
 
 from mode import Service
@@ -20,34 +18,26 @@
 from ..metrics import Metrics
 from ..requests import Request
 from ..settings import Settings, TlsSettings
+from ..shutdown import Drain
 from ..verdicts import Failure
 from .backends import Endpoint, LostConnectionError, StatementError, read_status
 from .backends import open_connection as open_backend
 from .bundlemanager import BundleManager
-from .clock import read_monotonic_ms, read_wall_ms
+from .clock import read_wall_ms
 from .evidencewriter import EvidenceWriter
 from .frontend import Frontend, FrontendHooks
 from .members import MembershipService
+from .peerrequests import PeerRequests
 from .peers import PeerHandlers, PeerLinks, PeerServer, make_peer_contexts
 from .platform import PlatformClient
 from .registry import OwnerRegistry, RegistryHooks
 from .router import Router
 from .statuspage import StatusPage
-
-DRAIN_POLL_S = 0.05
-DRAIN_NOTICE_S = 0.3
+from .stopping import HostStop, StopResult
 
 log = make_logger("apricotshore")
 
 
-@dataclass(frozen=True, kw_only=True, slots=True)
-class DrainResult:
-    """Sessions and requests that were still open when a drain timed out."""
-
-    sessions: int
-    requests: int
-
-
 def _make_caller_context(tls: TlsSettings) -> ssl.SSLContext | None:
     if not tls.enabled:
         return None
@@ -79,6 +69,7 @@
         self.settings = settings
         self.events = EventLog(host=settings.host)
         self.metrics = Metrics()
+        self.drain_state = Drain(grace_ms=settings.drain_ms)
         self.platform = PlatformClient(address=settings.platform_address)
         server_context, client_context = make_peer_contexts(settings.peer_tls)
         self.links = PeerLinks(context=client_context)
@@ -118,9 +109,12 @@
                 get_bundle=lambda: self.bundle_manager.bundle,
                 on_refused=self._record_refused,
                 on_served=self._record_served,
+                may_begin=lambda work, timeout: self.stopping.may_begin(work, timeout),
+                limit_timeout=lambda timeout: self.stopping.limit_timeout(timeout),
             ),
             context=_make_caller_context(settings.caller_tls),
         )
+        self.peer_requests = PeerRequests(execute=self.registry.handle)
         self.peer_server = PeerServer(
             address=settings.peer_address,
             handlers=self._make_handlers(),
@@ -142,7 +136,17 @@
             record_event=self.record_event,
         )
         self.burn = BurnRecord()
-        self.draining = False
+        self.stopping = HostStop(
+            drain=self.drain_state,
+            frontend=self.frontend,
+            registry=self.registry,
+            peer_requests=self.peer_requests,
+            members=self.members,
+            metrics=self.metrics,
+            record=lambda subject, step, detail: self.record_event(
+                Topic.DRAIN, subject or settings.host, step, detail
+            ),
+        )
 
     def _make_members(self) -> MembershipService:
         settings = self.settings
@@ -171,7 +175,7 @@
 
     def _make_handlers(self) -> PeerHandlers:
         return PeerHandlers(
-            execute=self.registry.handle,
+            execute=self.peer_requests.execute,
             ping=self.members.handle_ping,
             fetch_root=self.bundle_manager.get_root,
             fetch_pieces=self.bundle_manager.get_pieces,
@@ -204,60 +208,9 @@
         await self.status_page.stop()
         await self.platform.close()
 
-    async def drain(self) -> DrainResult:
-        """Finish open transactions and release the databases of this host.
-
-        Returns
-        -------
-        DrainResult
-            Sessions and requests that were still open at the end.
-        """
-        self.draining = True
-        self.members.set_state(MemberState.DRAINING)
-        self._record_stop("begin")
-        await asyncio.sleep(DRAIN_NOTICE_S)
-        self.frontend.stop_accepting()
-        self._record_stop("refusing new callers")
-        self.registry.draining = True
-        deadline = read_monotonic_ms() + self.settings.drain_ms
-        await self._release_owners(deadline)
-        while self.frontend.close_idle(at_once=False):
-            if read_monotonic_ms() >= deadline:
-                break
-            await asyncio.sleep(DRAIN_POLL_S)
-        remaining = self.frontend.close_idle(at_once=True)
-        requests = sum(len(o.pending) for o in self.registry.owners.values())
-        result = DrainResult(sessions=remaining, requests=requests)
-        self._record_cuts()
-        self._record_stop("end")
-        return result
-
-    def _record_stop(self, step: str) -> None:
-        """Record a step of the stop, and what is at work then."""
-        owners = self.registry.owners.values()
-        detail = (
-            f"{len(self.frontend.sessions)} sessions, "
-            f"{len(self.frontend.list_at_work())} statements at work, "
-            f"{sum(len(owner.pending) for owner in owners)} requests, "
-            f"{sum(len(owner.transactions) for owner in owners)} transactions"
-        )
-        self.record_event(Topic.DRAIN, self.settings.host, step, detail)
-
-    def _record_cuts(self) -> None:
-        """Record each statement that the end of the process cuts."""
-        for session in self.frontend.list_at_work():
-            self.metrics.cuts.inc({})
-            detail = f"a statement of session {session.session} has no whole answer"
-            self.record_event(Topic.DRAIN, session.username or "", "cut", detail)
-
-    async def _release_owners(self, deadline: int) -> None:
-        owners = list(self.registry.owners.values())
-        for owner in owners:
-            owner.draining = True
-        while any(o.busy for o in owners) and read_monotonic_ms() < deadline:
-            await asyncio.sleep(DRAIN_POLL_S)
-        for owner in owners:
-            await owner.release()
+    async def drain(self) -> StopResult:
+        """Let open work end, and return what was cut."""
+        return await self.stopping.run()
 
     # -- bundle --
 
@@ -274,7 +227,9 @@
         self.record_event(Topic.ROLLOUT, "platform", "restored", detail)
 
     def _is_ready(self) -> bool:
-        return not self.draining and self.bundle_manager.root is not None
+        return (
+            self.drain_state.began_at is None and self.bundle_manager.root is not None
+        )
 
     # -- messages --
 
--- a/src/apricotshore/services/callersession.py
+++ b/src/apricotshore/services/callersession.py
@@ -4,7 +4,7 @@
 import re
 import uuid
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import Any
 
 from mysql_mimic.connection import Connection
@@ -24,6 +24,7 @@
     TransactionId,
 )
 from ..requests import Action, Reply, Request
+from ..shutdown import Work
 from ..statements import Statement, StatementError, read_statement
 from ..verdicts import Failure, Reason, Verdict
 from .callerwriter import CallerWriter
@@ -87,8 +88,10 @@
         Routes requests to the owners of their databases.
     get_bundle
         Returns the bundle in force.
-    is_draining
-        Returns whether the host is shutting down.
+    may_begin
+        Returns whether a statement is begun, by what it is a part of and its timeout.
+    limit_timeout
+        Returns a statement's timeout, within the time that a stopping host has left.
     on_login, on_close
         Called when the session's caller has logged in and when the session ends.
     on_served
@@ -99,7 +102,8 @@
 
     router: Router
     get_bundle: Callable[[], Bundle]
-    is_draining: Callable[[], bool]
+    may_begin: Callable[[Work, int], bool]
+    limit_timeout: Callable[[int], int]
     on_login: Callable[["CallerSession"], None]
     on_close: Callable[["CallerSession"], None]
     on_served: Callable[[Request, Failure | None, float], None]
@@ -166,11 +170,16 @@
     async def close(self) -> None:
         """Remove the session and roll back its open transaction."""
         self.context.on_close(self)
-        if self.open_transaction is not None and self.username is not None:
-            open_transaction, self.open_transaction = self.open_transaction, None
-            statement = read_statement("ROLLBACK")
-            request = self._make_request(statement, Action.ROLLBACK, open_transaction)
-            self.context.roll_back(request, open_transaction)
+        self.abort_transaction()
+
+    def abort_transaction(self) -> None:
+        """Roll back the open transaction, if there is one."""
+        if self.open_transaction is None or self.username is None:
+            return
+        open_transaction, self.open_transaction = self.open_transaction, None
+        statement = read_statement("ROLLBACK")
+        request = self._make_request(statement, Action.ROLLBACK, open_transaction)
+        self.context.roll_back(request, open_transaction)
 
     def leave(self) -> None:
         """Answer the next statement in advance, then end the connection.
@@ -212,10 +221,10 @@
             raise MysqlError("access denied", ErrorCode.ACCESS_DENIED_ERROR)
         if self.writer.finished:
             raise make_error(DRAINING_FAILURE)
-        if self.context.is_draining() and self.open_transaction is None:
-            # The connection ends once this answer is written.
-            asyncio.get_running_loop().call_soon(self.leave)
-            raise make_error(DRAINING_FAILURE)
+        if self.open_transaction is None and not self.context.may_begin(
+            Work.STATEMENT, 0
+        ):
+            raise self._reject()
         try:
             return await self._handle(sql)
         except StatementError as error:
@@ -270,6 +279,10 @@
     async def _forward(self, statement: Statement, action: Action) -> Result:
         open_transaction = self.open_transaction
         request = self._make_request(statement, action, open_transaction)
+        self._check_begin(request)
+        request = replace(
+            request, deadline_ms=self.context.limit_timeout(request.deadline_ms)
+        )
         started = asyncio.get_running_loop().time()
         target = open_transaction.target if open_transaction else None
         routed = await self.context.router.route(request, target)
@@ -288,6 +301,24 @@
         self.last_insert_id = reply.last_insert_id
         return None
 
+    def _check_begin(self, request: Request) -> None:
+        """Reject a statement that a stopping host doesn't begin."""
+        work = Work.STATEMENT
+        if self.open_transaction is not None:
+            work = Work.OPEN_TRANSACTION
+        elif request.action is Action.BEGIN:
+            work = Work.NEW_TRANSACTION
+        if self.context.may_begin(work, request.deadline_ms):
+            return
+        raise self._reject()
+
+    def _reject(self) -> MysqlError:
+        """End the session; return the answer to a statement that isn't begun."""
+        self.abort_transaction()
+        # The connection ends once this answer is written.
+        asyncio.get_running_loop().call_soon(self.leave)
+        return make_error(DRAINING_FAILURE)
+
     def _apply_failure(self, action: Action, failure: Failure) -> None:
         ends = action in (Action.COMMIT, Action.ROLLBACK)
         if ends or failure.reason not in _LEAVES_TRANSACTION_OPEN:
--- a/src/apricotshore/services/frontend.py
+++ b/src/apricotshore/services/frontend.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 from contextvars import ContextVar
 from dataclasses import dataclass
+from weakref import WeakSet
 
 from mysql_mimic import MysqlServer
 from mysql_mimic.auth import (
@@ -20,6 +21,7 @@
 from ..identifiers import CallerId
 from ..requests import Request
 from ..settings import Settings
+from ..shutdown import Work
 from ..verdicts import Failure
 from .callersession import CallerSession, OpenTransaction, SessionContext
 from .callerwriter import CallerWriter
@@ -38,6 +40,8 @@
     get_bundle: Callable[[], Bundle]
     on_refused: Callable[[str], None]
     on_served: Callable[[Request, Failure | None, float], None]
+    may_begin: Callable[[Work, int], bool]
+    limit_timeout: Callable[[int], int]
 
 
 class _BundleIdentityProvider(IdentityProvider):
@@ -78,6 +82,7 @@
             return
         frontend.connection_count += 1
         caller_writer = CallerWriter(reader=reader, writer=writer)
+        frontend.transports.add(writer.transport)
         _current_writer.set(caller_writer)
         try:
             await super()._client_connected_cb(reader, caller_writer)
@@ -119,11 +124,13 @@
         self.login_timers: dict[CallerSession, asyncio.TimerHandle] = {}
         self.connection_count = 0
         self.draining = False
+        self.transports: WeakSet[asyncio.WriteTransport] = WeakSet()
         self.jobs: set[asyncio.Task[RoutedOutcome]] = set()
         self.context = SessionContext(
             router=router,
             get_bundle=hooks.get_bundle,
-            is_draining=lambda: self.draining,
+            may_begin=hooks.may_begin,
+            limit_timeout=hooks.limit_timeout,
             on_login=self.register_session,
             on_close=self.remove_session,
             on_served=hooks.on_served,
@@ -189,6 +196,20 @@
         if self.server._server is not None:
             self.server._server.close()
 
+    def abort_transactions(self) -> None:
+        """Roll back the transactions of sessions between two statements."""
+        for session in list(self.sessions):
+            if not session.at_work:
+                session.abort_transaction()
+
+    def count_open(self) -> int:
+        """Count connections, with those in their handshake or with unsent answers."""
+        return self.connection_count + self.has_unsent()
+
+    def has_unsent(self) -> bool:
+        """Return whether answers have yet to reach their sockets."""
+        return any(t.get_write_buffer_size() for t in self.transports)
+
     def list_at_work(self) -> list[CallerSession]:
         """Return the sessions with a statement that isn't answered whole."""
         return [session for session in self.sessions if session.at_work]
--- a/src/apricotshore/services/registry.py
+++ b/src/apricotshore/services/registry.py
@@ -121,6 +121,23 @@
         for owner in self.owners.values():
             owner.drop_origin(origin)
 
+    def count_busy(self) -> int:
+        """Count the databases with work, and those whose claim is held."""
+        return sum(owner.busy or owner.owning for owner in self.owners.values())
+
+    def abort_transactions(self) -> None:
+        """Roll back the open transactions that run no statement."""
+        for owner in self.owners.values():
+            owner.transactions.rollback_quiet()
+
+    async def release_idle(self) -> None:
+        """Begin no more requests, and release the databases that have none."""
+        # Owners may be added or may claim while others are released.
+        for owner in list(self.owners.values()):
+            owner.draining = True
+            if not owner.busy:
+                await owner.release()
+
     def set_bundle(self, old: Bundle, new: Bundle) -> None:
         """Put a new bundle in force; stop owners that it removes or outdates."""
         self.bundle = new
--- a/src/apricotshore/services/transactions.py
+++ b/src/apricotshore/services/transactions.py
@@ -185,6 +185,12 @@
             if transaction.origin == origin and not transaction.lock.locked():
                 self.end(transaction, usable=False)
 
+    def rollback_quiet(self) -> None:
+        """Roll back the transactions that run no statement."""
+        for transaction in list(self.open.values()):
+            if not transaction.lock.locked():
+                self.end(transaction, usable=False)
+
     def rollback_idle(self) -> None:
         """Roll back transactions idle for longer than ``IDLE_TIMEOUT_MS``."""
         oldest = read_monotonic_ms() - IDLE_TIMEOUT_MS
--- a/src/apricotshore/shutdown/phases.py
+++ b/src/apricotshore/shutdown/phases.py
@@ -92,6 +92,12 @@
     return None if began is None else began + int(drain.grace_ms * FLUSH_SHARE)
 
 
+def has_time(drain: Drain, timeout_ms: int, now: int) -> bool:
+    """Return whether a statement that is begun now is answered before the exit."""
+    last_answer = find_last_answer(drain)
+    return last_answer is None or now + timeout_ms <= last_answer
+
+
 def should_abort_transactions(drain: Drain, now: int) -> bool:
     """Return whether open transactions are to be aborted."""
     return find_phase(drain, now) in (Phase.FINISHING, Phase.EXITING)
