Let a repeated SIGTERM leave a stop alone

What callers saw: may-have-run for each statement at work, as soon as SIGTERM came twice. Cause: any second signal cancelled the drain. Why it works: only SIGINT, which a person sends, interrupts a drain, as at pooling hosts where a repeated SIGTERM changes nothing either.

--- a/src/apricotshore/cli.py
+++ b/src/apricotshore/cli.py
@@ -101,13 +101,16 @@
 async def _serve(settings: Settings, policy: Policy) -> int:
     application = Application(settings=settings, policy=policy)
     loop = asyncio.get_running_loop()
-    first_signal, second_signal = asyncio.Event(), asyncio.Event()
+    first_signal, interrupt = asyncio.Event(), asyncio.Event()
 
-    def handle_signal() -> None:
-        (second_signal if first_signal.is_set() else first_signal).set()
+    def handle_signal(number: signal.Signals) -> None:
+        # A supervisor may repeat SIGTERM; only a person at the terminal interrupts.
+        if first_signal.is_set() and number is signal.SIGINT:
+            interrupt.set()
+        first_signal.set()
 
     for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, handle_signal)
+        loop.add_signal_handler(number, handle_signal, number)
     await application.start()
     while not first_signal.is_set():
         if application.crashed:
@@ -117,12 +120,12 @@
         with suppress(TimeoutError):
             await asyncio.wait_for(first_signal.wait(), CRASH_CHECK_S)
     drain = asyncio.create_task(application.drain())
-    second_wait = asyncio.create_task(second_signal.wait())
-    await asyncio.wait({drain, second_wait}, return_when=asyncio.FIRST_COMPLETED)
-    second_wait.cancel()
+    interrupt_wait = asyncio.create_task(interrupt.wait())
+    await asyncio.wait({drain, interrupt_wait}, return_when=asyncio.FIRST_COMPLETED)
+    interrupt_wait.cancel()
     if not drain.done():
         drain.cancel()
-        print("drain interrupted by a second signal", file=sys.stderr)
+        print("drain interrupted by SIGINT", file=sys.stderr)
     await application.stop()
     return 0
 
@@ -131,6 +134,8 @@
 def run(settings_file: Path, *, policy: Policy = Policy.FAIR) -> None:
     """Run a host until SIGTERM or SIGINT; it drains before it exits.
 
+    SIGINT during the drain interrupts it; a repeated SIGTERM changes nothing.
+
     Parameters
     ----------
     settings_file
--- a/tests/live/test_stopping.py
+++ b/tests/live/test_stopping.py
@@ -117,6 +117,22 @@
         await check(deployment, tally)
 
 
+async def test_second_sigterm_cuts_statements_at_work():
+    tally = Tally()
+    async with deploy(hosts=2, slots=8) as deployment:
+        tasks = start_callers(deployment, tally, 0, 3, work_ms=400)
+        others = start_callers(deployment, tally, 1, 1, work_ms=400)
+        await asyncio.sleep(USED_S)
+        deployment.signal("host-0", signal.SIGTERM)
+        await asyncio.sleep(0.1)
+        status, _ = await stop_host(deployment, 0)
+        await finish(tasks, 2)
+        await asyncio.sleep(USED_S)
+        await finish_others(others)
+        assert status == 0
+        await check(deployment, tally)
+
+
 async def test_two_hosts_that_stop_within_a_second_cut_statements():
     tally = Tally()
     async with deploy(hosts=3) as deployment:
