--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -12,6 +12,7 @@
 from .fleetstops import CONNECTIONS, FleetStops
 from .rounds import Rounds, make_rounds_by_the_clock
 from .run import Played, Result, run_seed
+from .stops import Stops
 from .targetloss import TargetLosses
 
 BY_THE_CLOCK_ROUNDS = 4
@@ -75,6 +76,12 @@
         default=0.0,
         help="share of lost targets' plays that lose a server unseen by the hosts",
     )
+    parser.add_argument(
+        "--stops",
+        type=int,
+        default=0,
+        help="stop hosts this often that callers go on using, as in issue 54",
+    )
     parser.add_argument("--busy", type=int, default=0, help="busy processes beside")
     parser.add_argument(
         "--code", type=Path, default=ROOT, help="tree whose code the hosts run"
@@ -92,6 +99,8 @@
         rounds = TargetLosses(
             count=options.lost_targets, unseen_share=options.unseen_share
         )
+    if options.stops:
+        rounds = Stops(count=options.stops)
     fresh = random.SystemRandom().randrange(1_000_000)
     first = fresh if options.first is None else options.first
     failed_seeds = 0
--- a/tests/soak/faultlog.py
+++ b/tests/soak/faultlog.py
@@ -8,6 +8,10 @@
 from .model import now
 
 STABILITY_S = 5.0
+RELOAD = "reload"
+FREEZES = ("freeze", "freeze_holder")
+# A process that was frozen this shortly before the end of its grace may miss it.
+AFTER_FREEZE_S = 1.0
 
 
 @dataclass(kw_only=True)
@@ -54,10 +58,31 @@
                 return fault.kind
         return ""
 
-    def find_planned(self, host: str, moment: float, window_s: float) -> Fault | None:
-        """Return planned work on a host that began in the window before a moment."""
-        for fault in self.faults:
-            near = 0 <= moment - fault.began_at <= window_s
-            if fault.planned and fault.subject == host and near:
-                return fault
-        return None
+    def find_stop(self, host: str, moment: float, window_s: float) -> Fault | None:
+        """Return a planned stop of a host that began in the window before a moment."""
+        planned = self._list_planned(host, moment, window_s)
+        return next((f for f in planned if f.kind != RELOAD), None)
+
+    def find_reload(self, host: str, moment: float, window_s: float) -> Fault | None:
+        """Return a reload of a host that began in the window before a moment."""
+        planned = self._list_planned(host, moment, window_s)
+        return next((f for f in planned if f.kind == RELOAD), None)
+
+    def _list_planned(self, host: str, moment: float, window_s: float) -> list[Fault]:
+        return [
+            fault
+            for fault in self.faults
+            if fault.planned
+            and fault.subject == host
+            and 0 <= moment - fault.began_at <= window_s
+        ]
+
+    def is_frozen(self, host: str, moment: float) -> bool:
+        """Return whether a host is frozen, or was just before."""
+        return any(
+            fault.kind in FREEZES
+            and fault.subject == host
+            and fault.began_at <= moment
+            and (fault.ended_at is None or fault.ended_at >= moment - AFTER_FREEZE_S)
+            for fault in self.faults
+        )
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -9,7 +9,7 @@
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 
-from .faultlog import FaultLog
+from .faultlog import RELOAD, FaultLog
 from .fleet import LEAVE_S, Host
 from .model import Checker, Group, Server, now
 from .servers import LineServer
@@ -82,7 +82,9 @@
 
 async def reload(cluster: Cluster) -> None:
     """Make a host reload its settings."""
-    cluster.choose_host().send_signal(signal.SIGHUP)
+    host = cluster.choose_host()
+    cluster.fault_log.begin(RELOAD, host.name, planned=True).ended_at = now()
+    host.send_signal(signal.SIGHUP)
 
 
 async def freeze(cluster: Cluster) -> None:
--- a/tests/soak/fleet.py
+++ b/tests/soak/fleet.py
@@ -9,6 +9,7 @@
 
 import aiohttp
 
+from .model import now
 from .tcpproxy import TcpProxy
 
 ROOT = Path(__file__).resolve().parents[2]
@@ -40,15 +41,15 @@
 """
 
 
-def survives_reload(pid: int) -> bool:
-    """Return whether a process ignores or handles SIGHUP, so that it survives one.
+def survives(pid: int, number: signal.Signals) -> bool:
+    """Return whether a process ignores or handles a signal, so that it survives one.
 
     No program can do so before its first line has run.
     """
     lines = Path(f"/proc/{pid}/status").read_text().splitlines()
     masks = dict(line.split(":\t", 1) for line in lines if line[:3] == "Sig")
     handled = int(masks["SigIgn"], 16) | int(masks["SigCgt"], 16)
-    return bool(handled & 1 << (signal.SIGHUP - 1))
+    return bool(handled & 1 << (number - 1))
 
 
 @dataclass(kw_only=True, eq=False)
@@ -71,6 +72,8 @@
         Proxies through which it connects to backend servers, by server.
     failed_checks
         Readiness checks that failed in a row.
+    overdue
+        When processes were killed that still ran at the end of their grace.
     restart_delay_s
         Time after which a process that ended is started again.
     """
@@ -88,8 +91,10 @@
     process: asyncio.subprocess.Process | None = None
     restarts: int = 0
     crash_codes: list[int] = field(default_factory=list)
+    overdue: list[float] = field(default_factory=list)
     failed_checks: int = 0
     stopping: bool = False
+    stopped_unprepared: bool = False
     killed: bool = False
     restart_delay_s: float = RESTART_DELAY_S
 
@@ -98,7 +103,7 @@
         """Path of the settings file."""
         return self.folder / f"{self.name}.ini"
 
-    def write_settings(self) -> None:
+    def write_settings(self, leave_s: int = LEAVE_S) -> None:
         """Write the settings file."""
         self.path.write_text(
             SETTINGS.format(
@@ -111,7 +116,7 @@
                 store=self.store_proxy.port,
                 grace=GRACE_S,
                 apply=APPLY_S,
-                leave=LEAVE_S,
+                leave=leave_s,
             )
         )
 
@@ -122,7 +127,7 @@
         environment.pop("PYTHONPATH", None)
         log = (self.folder / f"{self.name}.log").open("ab")
         while True:
-            self.killed = self.stopping = False
+            self.killed = self.stopping = self.stopped_unprepared = False
             self.process = await asyncio.create_subprocess_exec(
                 sys.executable,
                 str(self.code / "platform" / "serve.py"),
@@ -131,7 +136,8 @@
                 stderr=log,
             )
             code = await self.process.wait()
-            if not (self.killed or self.stopping):
+            is_stop = self.stopping and (code == 0 or self.stopped_unprepared)
+            if not (self.killed or is_stop):
                 self.crash_codes.append(code)
             self.restarts += 1
             await asyncio.sleep(self.restart_delay_s)
@@ -140,12 +146,26 @@
         """Send a signal to the process; SIGHUP only once the process survives it."""
         if self.process is None or self.process.returncode is not None:
             return
-        if number is signal.SIGHUP and not survives_reload(self.process.pid):
+        if number is signal.SIGHUP and not survives(self.process.pid, number):
             return
         self.killed = self.killed or number is signal.SIGKILL
-        self.stopping = self.stopping or number is signal.SIGTERM
+        if number is signal.SIGTERM and not self.stopping:
+            self._begin_grace(self.process)
         self.process.send_signal(number)
 
+    def _begin_grace(self, process: asyncio.subprocess.Process) -> None:
+        """Have a process killed that still runs at the end of its grace."""
+        self.stopping = True
+        self.stopped_unprepared = not survives(process.pid, signal.SIGTERM)
+
+        def kill_overdue() -> None:
+            if process.returncode is None:
+                self.killed = True
+                self.overdue.append(now())
+                process.kill()
+
+        asyncio.get_running_loop().call_later(GRACE_S, kill_overdue)
+
     async def poll_readiness(self) -> None:
         """Check the readiness as the load balancer does, until cancelled."""
         url = f"http://127.0.0.1:{self.ready_port}/-/readiness"
--- a/tests/soak/model.py
+++ b/tests/soak/model.py
@@ -293,9 +293,10 @@
 
 @dataclass(kw_only=True)
 class Checker:
-    """Statements sent, receipts of statements that ran, and violations found."""
+    """Statements sent, those that reached a server, receipts, and violations found."""
 
     statements: dict[str, SentStatement] = field(default_factory=dict)
+    reached: set[str] = field(default_factory=set)
     receipts: dict[str, dict[str, tuple[str, ...]]] = field(
         default_factory=lambda: defaultdict(dict)
     )
--- a/tests/soak/operator.py
+++ b/tests/soak/operator.py
@@ -137,7 +137,7 @@
         restarts = host.restarts
         line = await _open_session(host, name)
         undisturbed = not self.fault_log.find_unplanned(host.name, changed_at, now())
-        planned = self.fault_log.find_planned(host.name, now(), GRACE_S + 12)
+        planned = self.fault_log.find_stop(host.name, now(), GRACE_S + 12)
         if line.startswith(expected):
             self.seen[host.name] = Seen(name=name, answer=expected, restarts=restarts)
         # A full host may refuse the session; it may not use an outdated configuration.
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -13,9 +13,10 @@
 
 from .callers import WRITE_SHARE, Caller, Database, Record, check_writes
 from .changes import change_primaries
+from .cuts import check_cuts, check_exits, check_told_cuts
 from .faultlog import FaultLog
 from .faults import Cluster, inject_faults
-from .fleet import GRACE_S, ROOT, Host
+from .fleet import ROOT, Host
 from .fleetstops import FleetStops, count_changes, draw_leeway, play_fleet_stops
 from .model import Checker, Group, Leeway, Server, TargetStops, now
 from .operator import Operator
@@ -24,19 +25,18 @@
 from .rounds import Rounds, play_rounds
 from .servers import LineServer
 from .shortpromotions import list_short_counts, list_short_promotions, read_metrics
+from .stops import STOPS_LEEWAY_FIELDS, Stops, choose_caller_port, play_stops
 from .store import LEASES, Store, StoreMode
 from .targetloss import TargetLosses, draw_loss_leeway, play_target_losses
 from .taskerrors import list_task_errors
 from .tcpproxy import TcpProxy
 
-Played = Rounds | FleetStops | TargetLosses
+Played = Rounds | FleetStops | TargetLosses | Stops
 ZONES = ["a", "b", "c"]
 HEARTBEAT_S = 1.2
 EXPIRY_S = 3 * HEARTBEAT_S
 WARM_UP_S = 3.0
 RECOVERY_TIMEOUT_S = 12.0
-# A statement sent this shortly before a drain closes its connection may be lost.
-LOSS_SLACK_S = 0.2
 # An earlier process of the first host, which is gone.
 EARLIER_HOLDER = "h0@127.0.0.1:9/0a1b2c3d"
 CHANGES_LEEWAY = Leeway(
@@ -223,17 +223,15 @@
             self.checker.violations += await self._recover()
             await self.check_short_counts()
             await self.operator.check_last_change()
-            self._check_drains()
+            check_cuts(self.record, self.fault_log, self.checker)
         finally:
             await self._tear_down()
             notes = "\n".join(self.checker.notes)
             (self.folder / "notes.txt").write_text(f"{notes}\n")
         check_writes(self.record, list(self.groups.values()), self.checker)
         for host in self.hosts:
-            for code in host.crash_codes:
-                self.checker.add_violation(
-                    "EXIT", f"{host.name} exited unexpectedly with {code}"
-                )
+            check_exits(host, self.fault_log, self.checker)
+            check_told_cuts(host, self.fault_log, self.checker)
         self._check_logs()
         self.check_short_promotions()
         return Result(
@@ -278,6 +276,9 @@
         if isinstance(self.rounds, TargetLosses):
             releases = self._make_releases(cluster, "target-losses")
             return await play_target_losses(releases, self.rounds)
+        if isinstance(self.rounds, Stops):
+            releases = self._make_releases(cluster, "stops")
+            return await play_stops(releases, self.rounds)
         if self.rounds:
             releases = self._make_releases(cluster, "rounds")
             return await play_rounds(releases, self.rounds)
@@ -455,6 +456,8 @@
     # -- platform and operator --
 
     def _choose_host(self) -> tuple[str, int]:
+        if isinstance(self.rounds, Stops):
+            return choose_caller_port(self.hosts, self.rounds, self.host_draws)
         ready = [h for h in self.hosts if h.in_rotation] or self.hosts
         if isinstance(self.rounds, FleetStops | TargetLosses):
             ready = [h for h in self.hosts if h.is_running] or self.hosts
@@ -504,19 +507,6 @@
             await asyncio.sleep(0.2)
         return [f"{now():.3f} RECOVER: {sorted(expected - done)} not served"]
 
-    def _check_drains(self) -> None:
-        for lost in self.record.unanswered:
-            planned = self.fault_log.find_planned(lost.host, lost.ended_at, GRACE_S)
-            since = lost.sent_at - 5.0
-            if planned is None or self.fault_log.find_unplanned(
-                lost.host, since, lost.ended_at
-            ):
-                continue
-            # The host may not have read a statement that was sent just before the end.
-            if lost.ended_at - lost.sent_at > LOSS_SLACK_S:
-                detail = f"{lost.request} at {lost.host}, sent {lost.sent_at:.3f}"
-                self.checker.add_violation("DRAIN", detail)
-
     async def _tear_down(self) -> None:
         for task in asyncio.all_tasks() - {asyncio.current_task()}:
             task.cancel()
@@ -535,6 +525,8 @@
         return draw_leeway(REAL_LEEWAY, seed)
     if isinstance(rounds, TargetLosses):
         return draw_loss_leeway(REAL_LEEWAY, seed)
+    if isinstance(rounds, Stops):
+        return replace(REAL_LEEWAY, **STOPS_LEEWAY_FIELDS)
     if rounds:
         return BY_THE_CLOCK_LEEWAY if rounds.by_the_clock else ROUNDS_LEEWAY
     return CHANGES_LEEWAY if changes else Leeway()
--- a/tests/soak/servers.py
+++ b/tests/soak/servers.py
@@ -144,6 +144,7 @@
                 return
             await self._wait_while_silent()
             _, request, text = line.split(" ", 2)
+            self.checker.reached.add(request)
             rows, status_line = await self._run(connection, request, text)
             await self._wait_while_silent()
             if request != "-" and self.random.random() < self.server.lost_share:
