--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -101,6 +101,8 @@
         Source of random choices.
     write_share
         Share of statements that write.
+    max_pause_s
+        Longest pause between two operations.
     """
 
     sessions = itertools.count(1)
@@ -116,9 +118,11 @@
         record: Record,
         random: random.Random,
         write_share: float = WRITE_SHARE,
+        max_pause_s: float = MAX_PAUSE_S,
     ) -> None:
         self.number = number
         self.write_share = write_share
+        self.max_pause_s = max_pause_s
         self.database = database
         self.choose_host = choose_host
         self.checker = checker
@@ -164,7 +168,7 @@
             raise SessionEndedError
         rng = self.caller.random
         for _ in range(rng.randint(1, MAX_SESSION_OPERATIONS)):
-            await asyncio.sleep(rng.random() * MAX_PAUSE_S)
+            await asyncio.sleep(rng.random() * self.caller.max_pause_s)
             await self._run_operation()
         self.writer.write(b"CLOSE\r\n")
 
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -6,12 +6,13 @@
 import tempfile
 from collections.abc import Coroutine
 from dataclasses import dataclass, replace
+from functools import partial
 from pathlib import Path
 from typing import Any
 
 from standins.ports import find_free_port
 
-from .callers import WRITE_SHARE, Caller, Database, Record, check_writes
+from .callers import MAX_PAUSE_S, WRITE_SHARE, Caller, Database, Record, check_writes
 from .changes import change_primaries
 from .cuts import check_cuts, check_exits, check_told_cuts
 from .faultlog import FaultLog
@@ -351,11 +352,14 @@
             caller = Caller(
                 number=number,
                 database=self.databases[number % len(self.databases)],
-                choose_host=self._choose_host,
+                choose_host=partial(self._choose_host, number),
                 checker=self.checker,
                 record=self.record,
                 random=random.Random(self.seed * 1000 + number),
                 write_share=self.rounds.write_share if self.rounds else WRITE_SHARE,
+                max_pause_s=self.rounds.max_pause_s
+                if isinstance(self.rounds, Stops)
+                else MAX_PAUSE_S,
             )
             self.spawn(caller.run())
         return Cluster(
@@ -455,9 +459,9 @@
 
     # -- platform and operator --
 
-    def _choose_host(self) -> tuple[str, int]:
+    def _choose_host(self, caller: int) -> tuple[str, int]:
         if isinstance(self.rounds, Stops):
-            return choose_caller_port(self.hosts, self.rounds, self.host_draws)
+            return choose_caller_port(self.hosts, caller, self.host_draws)
         ready = [h for h in self.hosts if h.in_rotation] or self.hosts
         if isinstance(self.rounds, FleetStops | TargetLosses):
             ready = [h for h in self.hosts if h.is_running] or self.hosts
--- a/tests/soak/stops.py
+++ b/tests/soak/stops.py
@@ -19,9 +19,10 @@
 from .rounds import crash, leave, leave_cut
 
 # Statements are at work at any moment, as in the trials of the issue.
-STOPS_LEEWAY_FIELDS = {"work_s": (0.005, 0.06)}
-# Share of the callers that come to a stopping host although it isn't in rotation.
-RETURNING_SHARE = 0.5
+STOPS_LEEWAY_FIELDS = {"work_s": (0.005, 0.04)}
+# Of so many callers one goes by the load balancer, the others come to stopping hosts.
+CALLERS_PER_BALANCED = 3
+MAX_PAUSE_S = 0.03
 HOSTS_SHARES = (1, 1, 2, 3)
 STOP_SPREAD_S = 1.0
 # From the start of the trouble in a group to the first stop.
@@ -51,13 +52,13 @@
         Number of rounds.
     write_share
         Share of the callers' statements that write.
-    returning_share
-        Share of the new connections that go to a stopping host, if there is one.
+    max_pause_s
+        Longest pause of a caller between two operations.
     """
 
     count: int
     write_share: float = WRITE_SHARE
-    returning_share: float = RETURNING_SHARE
+    max_pause_s: float = MAX_PAUSE_S
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -160,14 +161,14 @@
 
 
 def choose_caller_port(
-    hosts: Sequence[Host], stops: Stops, rng: random.Random
+    hosts: Sequence[Host], caller: int, rng: random.Random
 ) -> tuple[str, int]:
     """Return the name and the port of the host that a caller connects to.
 
     Returning callers use the port of the process itself, which is closed with it.
     """
     stopping = [h for h in hosts if h.is_running and h.stopping]
-    if stopping and rng.random() < stops.returning_share:
+    if stopping and caller % CALLERS_PER_BALANCED:
         host = rng.choice(stopping)
         return host.name, host.caller_proxy.target
     host = rng.choice(list_balanced(hosts, rng.choice(sorted({h.zone for h in hosts}))))
--- a/tests/soak/test_run.py
+++ b/tests/soak/test_run.py
@@ -56,6 +56,6 @@
     soak.hosts += [make_host("h0", tmp_path), make_host("h1", tmp_path)]
     before = soak.random.getstate()
     for _ in range(3):
-        soak._choose_host()
+        soak._choose_host(0)
     soak.operator.random.random()
     assert soak.random.getstate() == before
