Keep a transaction through a relay whose statement could not be prepared

Cause: a relay that was refused a PREPARE for lack of room gave the connection up, told the other host that the transaction was open, ran what came next on a new connection, and answered the COMMIT by itself.

The transaction goes on now, so that the other host's retry is a part of it, and a COMMIT without a transaction is no success.

--- a/src/apricotshore/pooling/host_session.py
+++ b/src/apricotshore/pooling/host_session.py
@@ -31,7 +31,6 @@
 _SESSION_CHANGES = frozenset(
     {QueryKind.SET, QueryKind.PREPARE, QueryKind.DEALLOCATE, QueryKind.RESET}
 )
-_TRANSACTION_ENDS = frozenset({QueryKind.COMMIT, QueryKind.ROLLBACK})
 
 
 class HostSession:
@@ -135,7 +134,9 @@
             if query.kind in _SESSION_CHANGES:
                 self.session.change(query)
                 return Answer()
-            if query.kind in _TRANSACTION_ENDS:
+            if query.kind is QueryKind.COMMIT:
+                return Answer(failure=FailureCode.ROLLED_BACK)
+            if query.kind is QueryKind.ROLLBACK:
                 return Answer()
         shape = None
         if query.kind is QueryKind.EXECUTE:
@@ -185,7 +186,8 @@
             return Answer(failure=FailureCode.OVERLOADED, detail=str(error))
         except ConnectionLostError as error:
             raise ConnectionLostError(str(error), sent=False) from None
-        if failed is not None:
+        # A transaction that is open at the server goes on: the other host may retry.
+        if failed is not None and failed.state is not TransactionState.OPEN:
             self._unpin(clean=False)
         return failed
 
--- a/tests/platform_adapter/test_relays.py
+++ b/tests/platform_adapter/test_relays.py
@@ -20,7 +20,7 @@
     QueryKind,
     TransactionState,
 )
-from standins.in_memory import GROUP, ModelGroup, ModelPlatform
+from standins.in_memory import GROUP, ModelConnection, ModelGroup, ModelPlatform
 from tests.pooling.support import ModelHost, log_position, read, wait_until, write
 
 S1 = ServerId("s1")
@@ -189,6 +189,49 @@
         assert QueryKind.RESET not in kinds
 
 
+async def test_statement_that_is_not_prepared_for_lack_of_room_leaves_its_transaction(
+    monkeypatch,
+):
+    """It was rolled back unseen, and what followed was committed one by one."""
+    shape = PreparedShape(access=Access.WRITE, shape="q1")
+    prepare = Query(kind=QueryKind.PREPARE, name=shape.name, shape=shape)
+    execute = Query(
+        kind=QueryKind.EXECUTE,
+        request=RequestId("e1"),
+        name=shape.name,
+        arguments="a b",
+    )
+    commit = Query(kind=QueryKind.COMMIT, request=RequestId("c1"), text="COMMIT")
+    full = [True]
+    run = ModelConnection._execute
+
+    async def run_unless_full(self, query, after):
+        if query.kind is QueryKind.PREPARE and full.pop():
+            full.append(False)
+            return FailureCode.OVERLOADED
+        return await run(self, query, after)
+
+    monkeypatch.setattr(ModelConnection, "_execute", run_unless_full)
+    async with start_relay() as (relay, dial):
+        link = await dial()
+        await link.run([prepare], None, 1.0)
+        await link.run([Query(kind=QueryKind.BEGIN)], None, 1.0)
+        await link.run([write("w1")], None, 1.0)
+        refused = (await link.run([execute], None, 1.0))[0]
+        assert refused.failure is FailureCode.OVERLOADED
+        assert refused.state is TransactionState.OPEN
+        assert (await link.run([execute], None, 1.0))[0].failure is None
+        assert (await link.run([commit], None, 1.0))[0].receipt
+        assert relay.model.acknowledged == ["w1+e1"]
+
+
+async def test_commit_without_a_transaction_is_no_success():
+    commit = Query(kind=QueryKind.COMMIT, request=RequestId("c1"), text="COMMIT")
+    async with start_relay() as (_, dial):
+        answer = (await (await dial()).run([commit], None, 1.0))[0]
+        assert answer.failure is FailureCode.ROLLED_BACK
+
+
 async def test_stopping_relay_runs_no_statement_after_its_notice():
     async with start_relay() as (relay, dial):
         idle, busy = await dial(), await dial()
