--- a/tests/platform_adapter/test_start.py
+++ b/tests/platform_adapter/test_start.py
@@ -7,7 +7,7 @@
 from pathlib import Path
 
 from standins.ports import find_free_port
-from tests.soak.fleet import SETTINGS, survives_reload
+from tests.soak.fleet import SETTINGS, survives
 
 SERVE = Path(__file__).resolve().parents[2] / "platform" / "serve.py"
 
@@ -24,7 +24,7 @@
 async def wait_until_protected(pid: int) -> None:
     """Wait until SIGHUP no longer ends a process."""
     async with asyncio.timeout(20):
-        while not survives_reload(pid):
+        while not survives(pid, signal.SIGHUP):
             await asyncio.sleep(0.002)
 
 
