End a stop although one session can't be closed

An error as one session was closed ended each step before the exit was decided, until the kill. Found by reading. The test failed before: RuntimeError, cannot close.

--- a/src/apricotshore/pooling/host_shutdown.py
+++ b/src/apricotshore/pooling/host_shutdown.py
@@ -74,7 +74,11 @@
         """Close what has become idle, and end the shutdown once it is due."""
         if self.drain.began_at is None or self.drain.exiting:
             return
-        self._close_idle()
+        try:
+            self._close_idle()
+        except Exception as error:
+            # One session that can't be closed must not keep the process.
+            self.journal.record(EventKind.ERROR, why=repr(error))
         now = read_boot_ms()
         if shutdown.should_exit(self.drain, self._count_busy(), now):
             # From here on nothing is begun, so that nothing has to be cut.
