Send other hosts away after each answer of a stopping relay, and end what is half sent

Half a start held a process without sessions for 5.0 s. A write that its server had refused was told as of unknown outcome.

--- a/src/apricotshore/pooling/autocommit.py
+++ b/src/apricotshore/pooling/autocommit.py
@@ -227,6 +227,7 @@
 
 def record_retry(context: Context, job: Job, server: str, why: str) -> None:
     """Record that a statement is retried, at another server or the same one."""
+    job.decline()
     context.journal.record(
         EventKind.REQUEST_RETRIED, request=job.query.request, server=server, why=why
     )
--- a/src/apricotshore/pooling/caller_session.py
+++ b/src/apricotshore/pooling/caller_session.py
@@ -162,6 +162,11 @@
         if self.at_work is not None:
             self.at_work.stage = WorkStage.RUNNING
 
+    def _decline(self) -> None:
+        """Take note that the statement at work waits again, as no server ran it."""
+        if self.at_work is not None:
+            self.at_work.stage = WorkStage.WAITING
+
     def end_refused(self) -> None:
         """Roll back what is open between two statements if it may not go on."""
         is_revoked = key_checks.observe_revocation(self.context, self.session)
@@ -381,6 +386,7 @@
             route=route,
             arrived_at=arrived,
             check=self._check,
+            decline=self._decline,
         )
         try:
             answer = await transactions.run_in_transaction(self.context, session, job)
@@ -417,6 +423,7 @@
             writes=writes,
             arrived_at=arrived,
             check=self._check,
+            decline=self._decline,
         )
         transaction = session.transaction
         if transaction is not None and writes and transaction.read_only:
--- a/src/apricotshore/pooling/client_intake.py
+++ b/src/apricotshore/pooling/client_intake.py
@@ -234,11 +234,9 @@
         return intake.may_accept(self.limits, len(self.accounts))
 
     def close_silent(self) -> None:
-        """Close the connections that have sent nothing, as the host stops."""
+        """Close the connections that have sent no whole start, as the host stops."""
         for number in list(self.starting):
-            account = self.accounts[number]
-            if not account.unread:
-                account.close(STOPPING)
+            self.accounts[number].close(STOPPING)
 
     def close_overdue(self) -> None:
         """Close the connections whose time has passed."""
--- a/src/apricotshore/pooling/host_session.py
+++ b/src/apricotshore/pooling/host_session.py
@@ -1,7 +1,7 @@
 """Execution of another host's statements on this host's connections to a server."""
 
 import asyncio
-from collections.abc import Coroutine
+from collections.abc import Callable, Coroutine
 from typing import Any
 
 from ..identifiers import DatabaseId, OrganisationId
@@ -44,6 +44,8 @@
         The other host's connection.
     organisation
         Organisation whose statements it forwards, None for others.
+    on_answered
+        Called after each answer; ends the session if that is due.
     """
 
     def __init__(
@@ -53,10 +55,12 @@
         pool: ServerPool,
         link: HostLink,
         organisation: OrganisationId | None = None,
+        on_answered: Callable[["HostSession"], None] = lambda _: None,
     ) -> None:
         self.group = group
         self.pool = pool
         self.link = link
+        self.on_answered = on_answered
         self.session = Session(database=DatabaseId(""), organisation=organisation)
         self.pinned: PooledConnection | None = None
         self.at_work: StatementAtWork | None = None
@@ -83,6 +87,7 @@
                 self.at_work = None
                 if self.pool.closed or self.pool.relayed:
                     self.leave()
+                self.on_answered(self)
         except ConnectionLostError as error:
             # Close the connection, as the server would have done.
             self._unpin(clean=False)
--- a/src/apricotshore/pooling/other_hosts.py
+++ b/src/apricotshore/pooling/other_hosts.py
@@ -80,6 +80,7 @@
             pool=known.pools[server],
             link=link,
             organisation=organisation,
+            on_answered=self._send_away,
         )
         self.sessions.add(session)
         try:
@@ -118,12 +119,17 @@
         if last_answer is not None and now >= last_answer:
             self.close()
             return
-        aborts = shutdown.should_abort_transactions(self.drain, now)
         for session in list(self.sessions):
-            if aborts:
-                session.abort_transaction()
-            else:
-                session.leave()
+            self._send_away(session)
+
+    def _send_away(self, session: HostSession) -> None:
+        """End a session between two statements as far as a stop has come."""
+        if self.drain.began_at is None:
+            return
+        if shutdown.should_abort_transactions(self.drain, read_boot_ms()):
+            session.abort_transaction()
+        else:
+            session.leave()
 
     def close(self) -> None:
         """Close every connection, and report the statements that this cuts."""
--- a/src/apricotshore/pooling/sessions.py
+++ b/src/apricotshore/pooling/sessions.py
@@ -217,6 +217,8 @@
     check
         Called right before it is forwarded; raises `RefusedError` if its caller may not
         be served any more.
+    decline
+        Called when the server is known not to have run it.
     held
         How long it waited for the end of an outage; no other wait is shortened by it.
     """
@@ -227,6 +229,7 @@
     arrived_at: int
     writes: bool = False
     check: Callable[[], None] = lambda: None
+    decline: Callable[[], None] = lambda: None
     held: HeldTime = field(default_factory=HeldTime, compare=False)
 
     @property
